--- /dev/null
+++ b/crates/deckwind-config/src/check.rs
@@ -0,0 +1,198 @@
+//! Reads a settings file and checks it as a whole.
+
+use crate::finding::{Finding, Findings};
+use crate::place::Collector;
+use crate::schema::{SETTINGS, check_object};
+use crate::settings::{ControlSettings, RouterSettings, Settings};
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Reads `file` and answers with the settings or with all that is wrong.
+/// Relative paths in it count from the file's folder.
+pub fn load(file: &Path) -> Result<Settings, Findings> {
+    let text = std::fs::read_to_string(file).map_err(|e| unreadable(file, &e))?;
+    let mut out = Collector::new(file, &text);
+    let settings = parse(&text, &mut out).map(|mut s| {
+        let folder = file.parent().unwrap_or(Path::new("."));
+        make_absolute(&mut s, folder);
+        check(&s, &mut out);
+        s
+    });
+    match settings {
+        Some(s) if out.is_clean() => Ok(s),
+        _ => Err(Findings(out.finish())),
+    }
+}
+
+fn unreadable(file: &Path, e: &std::io::Error) -> Findings {
+    Findings(vec![Finding {
+        file: file.to_path_buf(),
+        line: 1,
+        column: 1,
+        key: String::new(),
+        message: format!("can't be read: {e}; name a settings file with --settings"),
+    }])
+}
+
+fn parse(text: &str, out: &mut Collector) -> Option<Settings> {
+    let ast = match parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default()) {
+        Ok(parsed) => parsed.value,
+        Err(e) => {
+            out.add(
+                e.range().start,
+                "",
+                format!("is not JSON with comments: {}", e.kind()),
+            );
+            return None;
+        }
+    };
+    match &ast {
+        Some(Value::Object(object)) => check_object(object, SETTINGS, "", out),
+        Some(other) => out.add(other.start(), "", "must be an object { … }"),
+        None => out.add(0, "", "is empty; write an object { … }"),
+    }
+    if !out.is_clean() {
+        return None;
+    }
+    match parse_to_serde_value::<Settings>(text, &ParseOptions::default()) {
+        Ok(settings) => Some(settings),
+        Err(e) => {
+            out.add(0, "", format!("can't be taken in: {e}"));
+            None
+        }
+    }
+}
+
+fn make_absolute(s: &mut Settings, folder: &Path) {
+    let fix = |p: &mut PathBuf| *p = folder.join(&*p);
+    fix(&mut s.keys.ca);
+    fix(&mut s.keys.certificate);
+    fix(&mut s.keys.key);
+    if let Some(c) = &mut s.control {
+        fix(&mut c.data_folder);
+    }
+    if let Some(f) = &mut s.log.folder {
+        fix(f);
+    }
+}
+
+fn check(s: &Settings, out: &mut Collector) {
+    if s.router.is_none() && s.control.is_none() {
+        out.add(
+            0,
+            "",
+            "has neither a router nor a control part; write at least one",
+        );
+    }
+    check_files(s, out);
+    check_control_vms(s, out);
+    if let Some(c) = &s.control {
+        check_control(s, c, out);
+    }
+    if let Some(r) = &s.router {
+        check_router(s, r, out);
+    }
+    check_clashes(s, out);
+}
+
+fn check_files(s: &Settings, out: &mut Collector) {
+    let files = [
+        ("keys.ca", &s.keys.ca),
+        ("keys.certificate", &s.keys.certificate),
+        ("keys.key", &s.keys.key),
+    ];
+    for (key, path) in files {
+        if !path.is_file() {
+            let message = format!(
+                "{} is no file; make it with `deckwind keys new`",
+                path.display()
+            );
+            out.add_at_key(key, message);
+        }
+    }
+}
+
+fn check_control_vms(s: &Settings, out: &mut Collector) {
+    let count = s.control_vms.len();
+    if !matches!(count, 1 | 3 | 5 | 7) {
+        let message = format!("has {count} entries; write 3, 5 or 7 (1 for a trial)");
+        out.add_at_key("control_vms", message);
+    }
+    let mut slots = BTreeMap::new();
+    for (i, vm) in s.control_vms.iter().enumerate() {
+        if let Some(first) = slots.insert(vm.slot, i) {
+            let message = format!(
+                "slot {} is control_vms[{first}]'s too; give each its own",
+                vm.slot
+            );
+            out.add_at_key(&format!("control_vms[{i}].slot"), message);
+        }
+    }
+}
+
+fn check_control(s: &Settings, c: &ControlSettings, out: &mut Collector) {
+    if !s.control_vms.iter().any(|vm| vm.slot == c.slot) {
+        let message = format!("slot {} is not in control_vms; add it there", c.slot);
+        out.add_at_key("control.slot", message);
+    }
+    if c.heartbeat * 3 > c.election_min {
+        out.add_at_key(
+            "control.heartbeat",
+            "must be at most a third of control.election_min, so that one lost heartbeat starts no election",
+        );
+    }
+    if c.election_min >= c.election_max {
+        out.add_at_key("control.election_max", "must be above control.election_min");
+    }
+    if s.router.as_ref().is_some_and(|r| r.lease != c.lease) {
+        out.add_at_key("control.lease", "must be the same as router.lease");
+    }
+}
+
+fn check_router(s: &Settings, r: &RouterSettings, out: &mut Collector) {
+    const LONGEST_LEASE_S: u64 = 3;
+    if r.lease.is_zero() || r.lease.as_secs_f64() > LONGEST_LEASE_S as f64 {
+        let message =
+            format!("must be above 0 and at most {LONGEST_LEASE_S}s: a change is in force by then");
+        out.add_at_key("router.lease", message);
+    }
+    if s.control_vms.iter().any(|vm| vm.address == r.peers) && s.control.is_none() {
+        out.add_at_key(
+            "router.peers",
+            "is a control VM's address; give the router its own port",
+        );
+    }
+}
+
+fn check_clashes(s: &Settings, out: &mut Collector) {
+    let mut tcp: Vec<(&str, SocketAddr)> = Vec::new();
+    if let Some(r) = &s.router {
+        tcp.push(("router.callers", r.callers));
+        tcp.push(("router.admin", r.admin));
+    }
+    if let Some(c) = &s.control {
+        tcp.push(("control.admin", c.admin));
+    }
+    for (i, (key, address)) in tcp.iter().enumerate() {
+        let first = tcp[..i].iter().find(|(_, a)| a == address && a.port() != 0);
+        if let Some((other, _)) = first {
+            out.add_at_key(
+                key,
+                format!("{address} is {other}'s too; give each its own port"),
+            );
+        }
+    }
+    if let (Some(r), Some(c)) = (&s.router, &s.control) {
+        let own = s.control_vms.iter().find(|vm| vm.slot == c.slot);
+        if own.is_some_and(|vm| vm.address == r.peers && r.peers.port() != 0) {
+            out.add_at_key(
+                "router.peers",
+                "is the control replica's address; give the router its own port",
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/deckwind-config/src/settings.rs
@@ -0,0 +1,181 @@
+//! The settings as types.
+
+use deckwind_core::state::{DataCentre, VmName};
+use serde::{Deserialize, Deserializer};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Settings of one process.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Settings {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentre,
+    /// Certificates.
+    pub keys: KeySettings,
+    /// All control VMs.
+    pub control_vms: Vec<ControlVm>,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// The platform's list.
+    pub platform: Option<PlatformSettings>,
+    /// The router's role, if this process has it.
+    pub router: Option<RouterSettings>,
+    /// The control replica's role, if this process has it.
+    pub control: Option<ControlSettings>,
+}
+
+/// Where the certificates are; relative to the settings file.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct KeySettings {
+    /// The CA's certificate.
+    pub ca: PathBuf,
+    /// This VM's certificate.
+    pub certificate: PathBuf,
+    /// This VM's private key.
+    pub key: PathBuf,
+}
+
+/// A control VM.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct ControlVm {
+    /// Its slot.
+    pub slot: u8,
+    /// Its UDP address.
+    pub address: SocketAddr,
+}
+
+/// Logs.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct LogSettings {
+    /// Least severe level that is written.
+    pub level: String,
+    /// Folder for log files; standard error if there is none.
+    pub folder: Option<PathBuf>,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: "info".to_string(),
+            folder: None,
+        }
+    }
+}
+
+/// The platform's list of VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct PlatformSettings {
+    /// Its TCP address.
+    pub list: SocketAddr,
+    /// How often it is read.
+    #[serde(default = "one_second", deserialize_with = "duration")]
+    pub every: Duration,
+}
+
+/// The router's role.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct RouterSettings {
+    /// TCP address for callers.
+    pub callers: SocketAddr,
+    /// UDP address towards the control replicas.
+    pub peers: SocketAddr,
+    /// TCP address for health, metrics and reports.
+    pub admin: SocketAddr,
+    /// Length of a lease; the same on every VM.
+    #[serde(default = "two_seconds", deserialize_with = "duration")]
+    pub lease: Duration,
+    /// Longest wait for requests in progress at a planned stop.
+    #[serde(default = "one_hour", deserialize_with = "duration")]
+    pub drain: Duration,
+    /// Longest body of a request.
+    #[serde(default = "one_mebibyte")]
+    pub max_body_bytes: usize,
+    /// Most requests that wait for one pool of targets.
+    #[serde(default = "two_thousand")]
+    pub max_queued: usize,
+    /// Time of one layer of one token, by accelerator kind.
+    #[serde(default, deserialize_with = "durations")]
+    pub accelerators: BTreeMap<String, Duration>,
+    /// One-way time to each data centre.
+    #[serde(default, deserialize_with = "durations")]
+    pub links: BTreeMap<String, Duration>,
+}
+
+/// The control replica's role.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct ControlSettings {
+    /// Its slot in `control_vms`.
+    pub slot: u8,
+    /// Folder that it has for itself.
+    pub data_folder: PathBuf,
+    /// TCP address for operators.
+    pub admin: SocketAddr,
+    /// SHA-256 of the operators' token.
+    pub operator_token_sha256: String,
+    /// Length of a router's lease; the same on every VM.
+    #[serde(default = "two_seconds", deserialize_with = "duration")]
+    pub lease: Duration,
+    /// Between two heartbeats of the leader.
+    #[serde(default = "heartbeat", deserialize_with = "duration")]
+    pub heartbeat: Duration,
+    /// Shortest wait before an election.
+    #[serde(default = "election_min", deserialize_with = "duration")]
+    pub election_min: Duration,
+    /// Longest wait before an election.
+    #[serde(default = "election_max", deserialize_with = "duration")]
+    pub election_max: Duration,
+}
+
+fn one_second() -> Duration {
+    Duration::from_secs(1)
+}
+
+fn two_seconds() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn one_hour() -> Duration {
+    Duration::from_secs(3_600)
+}
+
+fn heartbeat() -> Duration {
+    Duration::from_millis(100)
+}
+
+fn election_min() -> Duration {
+    Duration::from_millis(600)
+}
+
+fn election_max() -> Duration {
+    Duration::from_millis(1_200)
+}
+
+fn one_mebibyte() -> usize {
+    1 << 20
+}
+
+fn two_thousand() -> usize {
+    2_000
+}
+
+fn duration<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
+    let text = String::deserialize(d)?;
+    humantime::parse_duration(&text).map_err(serde::de::Error::custom)
+}
+
+fn durations<'de, D: Deserializer<'de>>(d: D) -> Result<BTreeMap<String, Duration>, D::Error> {
+    let texts = BTreeMap::<String, String>::deserialize(d)?;
+    texts
+        .into_iter()
+        .map(|(k, v)| match humantime::parse_duration(&v) {
+            Ok(parsed) => Ok((k, parsed)),
+            Err(e) => Err(serde::de::Error::custom(e)),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/deckwind-core/src/admission/limiter.rs
@@ -0,0 +1,87 @@
+//! A client account's part of its limit at one router.
+//!
+//! The generic cell rate algorithm (ITU-T I.371): one instant of state for each
+//! account, no timers.
+
+use crate::membership::AccountDemand;
+use crate::state::AccountName;
+use crate::time::Instant;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How far ahead of its rate an account may run.
+const BURST: Duration = Duration::from_secs(1);
+
+/// Demand is averaged over this time.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug)]
+struct Cell {
+    per_s: f64,
+    /// When the bucket would be empty again.
+    empty_at: Instant,
+    asked: u32,
+    asked_since: Instant,
+    demand_per_s: f64,
+}
+
+/// Rates of all accounts at one router.
+#[derive(Clone, Debug, Default)]
+pub struct AccountLimiter {
+    cells: HashMap<AccountName, Cell>,
+}
+
+impl AccountLimiter {
+    /// Sets an account's rate here, requests a second.
+    pub fn set_rate(&mut self, now: Instant, account: &AccountName, per_s: f64) {
+        let cell = self.cells.entry(account.clone()).or_insert(Cell {
+            per_s,
+            empty_at: now,
+            asked: 0,
+            asked_since: now,
+            demand_per_s: 0.0,
+        });
+        cell.per_s = per_s;
+    }
+
+    /// Forgets accounts that `keep` does not know.
+    pub fn retain(&mut self, keep: impl Fn(&AccountName) -> bool) {
+        self.cells.retain(|account, _| keep(account));
+    }
+
+    /// Takes one request, or says after what time another try helps.
+    pub fn take(&mut self, now: Instant, account: &AccountName) -> Result<(), Duration> {
+        let Some(cell) = self.cells.get_mut(account) else {
+            return Ok(());
+        };
+        cell.asked += 1;
+        let interval = Duration::from_secs_f64(1.0 / cell.per_s.max(1e-6));
+        let empty_at = cell.empty_at.max(now) + interval;
+        let burst = BURST.max(interval);
+        if empty_at > now + burst {
+            return Err((empty_at - burst).since(now));
+        }
+        cell.empty_at = empty_at;
+        Ok(())
+    }
+
+    /// What each account asked for since the last call that was at least a
+    /// window ago; accounts without demand are left out.
+    pub fn demand(&mut self, now: Instant) -> Vec<(AccountName, AccountDemand)> {
+        for cell in self.cells.values_mut() {
+            let span = now.since(cell.asked_since);
+            if span >= DEMAND_WINDOW {
+                cell.demand_per_s = f64::from(cell.asked) / span.as_secs_f64();
+                cell.asked = 0;
+                cell.asked_since = now;
+            }
+        }
+        let active = self.cells.iter().filter(|(_, c)| c.demand_per_s > 0.0);
+        active
+            .map(|(account, c)| {
+                let per_s = c.demand_per_s;
+                (account.clone(), AccountDemand { per_s })
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -0,0 +1,684 @@
+//! The control replica as a state machine over its parts.
+
+use super::demand::DemandTable;
+use super::messages::{ControlReply, ControlRequest, Grant, Renewal};
+use super::operator::{
+    ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
+};
+use super::pending::{Asker, ForceWait, Parked, Proposals};
+use crate::membership::{InForce, LeaseTable, LeaseTiming};
+use crate::replication::{
+    Action, Entry, Event, HardState, Index, Payload, Position, Replica, ReplicaConfig,
+    SnapshotMeta, Stored, Term,
+};
+use crate::state::{ClaimLimits, Command, CommandBody, Reply, Revision, StateMachine, VmName};
+use crate::time::Instant;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Bounds of a control replica.
+#[derive(Clone, Copy, Debug)]
+pub struct ControlLimits {
+    /// Entries after which the log is folded into a snapshot.
+    pub compact_after: usize,
+    /// How long a renewal waits for a change.
+    pub hold: Duration,
+    /// Claims.
+    pub claims: ClaimLimits,
+}
+
+impl Default for ControlLimits {
+    fn default() -> Self {
+        Self {
+            compact_after: 4_096,
+            hold: Duration::from_millis(400),
+            claims: ClaimLimits::default(),
+        }
+    }
+}
+
+/// What happens to a control replica.
+#[derive(Clone, Debug)]
+pub enum ControlEvent {
+    /// Time passed.
+    Tick,
+    /// Something for the replica: a message, a sync, a compaction.
+    Replica(Event),
+    /// A router's request.
+    Request {
+        /// Comes back with the reply.
+        token: u64,
+        /// It.
+        request: ControlRequest,
+    },
+    /// An operator's request.
+    Operator {
+        /// Comes back with the reply.
+        token: u64,
+        /// It.
+        request: OperatorRequest,
+    },
+}
+
+/// What the driver must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ControlAction {
+    /// See [`Action`]; [`Action::Apply`] and proposals never come out here.
+    Replica(Action),
+    /// Answer a router.
+    Reply {
+        /// From the request.
+        token: u64,
+        /// The answer.
+        reply: ControlReply,
+    },
+    /// Answer an operator.
+    OperatorReply {
+        /// From the request.
+        token: u64,
+        /// The answer.
+        reply: OperatorReply,
+    },
+    /// Write this snapshot and a log that starts after it, then report
+    /// [`Event::Compacted`].
+    Compact {
+        /// What it covers.
+        meta: SnapshotMeta,
+        /// The state.
+        data: Vec<u8>,
+        /// Entries after it.
+        rest: Vec<Entry>,
+    },
+}
+
+/// What only a leader keeps.
+struct Leading {
+    term: Term,
+    leases: LeaseTable,
+    demand: DemandTable,
+    admins: BTreeMap<VmName, SocketAddr>,
+    /// Whether claims of routers that no longer exist were looked for.
+    orphans_done: bool,
+}
+
+/// A control replica without I/O.
+pub struct ControlCore {
+    replica: Replica,
+    machine: StateMachine,
+    limits: ControlLimits,
+    lease_timing: LeaseTiming,
+    hard_state: HardState,
+    leading: Option<Leading>,
+    proposals: Proposals,
+    parked: Vec<Parked>,
+    force_waits: Vec<ForceWait>,
+    compacting: bool,
+    asker_of: BTreeMap<u64, Asker>,
+    next_token: u64,
+    wall_ms: u64,
+}
+
+impl ControlCore {
+    /// A control replica with what its data folder holds. `snapshot` is the
+    /// state in its snapshot.
+    pub fn new(
+        cfg: ReplicaConfig,
+        lease_timing: LeaseTiming,
+        limits: ControlLimits,
+        stored: Stored,
+        snapshot: Option<&[u8]>,
+        now: Instant,
+    ) -> Result<Self, postcard::Error> {
+        let machine = match snapshot {
+            Some(bytes) => StateMachine::from_snapshot(bytes)?,
+            None => StateMachine::new(limits.claims),
+        };
+        Ok(Self {
+            hard_state: stored.hard_state,
+            replica: Replica::new(cfg, stored, now),
+            machine,
+            limits,
+            lease_timing,
+            leading: None,
+            proposals: Proposals::default(),
+            parked: Vec::new(),
+            force_waits: Vec::new(),
+            compacting: false,
+            asker_of: BTreeMap::new(),
+            next_token: 1,
+            wall_ms: 0,
+        })
+    }
+
+    /// The replica.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// The state as applied here.
+    pub fn machine(&self) -> &StateMachine {
+        &self.machine
+    }
+
+    /// Takes one event. `wall_ms` is the wall clock, milliseconds since the
+    /// Unix epoch; it only ages claims.
+    pub fn step(
+        &mut self,
+        now: Instant,
+        wall_ms: u64,
+        event: ControlEvent,
+        out: &mut Vec<ControlAction>,
+    ) {
+        self.wall_ms = wall_ms;
+        match event {
+            ControlEvent::Tick => {
+                self.feed(now, Event::Tick, out);
+                self.tick(now, out);
+            }
+            ControlEvent::Replica(event) => self.feed(now, event, out),
+            ControlEvent::Request { token, request } => self.request(now, token, request, out),
+            ControlEvent::Operator { token, request } => self.operator(now, token, request, out),
+        }
+    }
+
+    /// Sends what the batch of events before it has made.
+    pub fn flush(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        let mut actions = Vec::new();
+        self.replica.flush(now, &mut actions);
+        self.take_actions(now, actions, out);
+    }
+
+    fn feed(&mut self, now: Instant, event: Event, out: &mut Vec<ControlAction>) {
+        if matches!(event, Event::Compacted(_)) {
+            self.compacting = false;
+        }
+        let mut actions = Vec::new();
+        self.replica.step(now, event, &mut actions);
+        self.take_actions(now, actions, out);
+    }
+
+    fn take_actions(&mut self, now: Instant, actions: Vec<Action>, out: &mut Vec<ControlAction>) {
+        for action in actions {
+            match action {
+                Action::Apply(entries) => self.apply(now, entries, out),
+                Action::Proposed { token, at } => self.proposed(token, at, out),
+                Action::Refused { token, .. } => self.refused(token, out),
+                Action::Install { meta, data } => {
+                    self.install(&data);
+                    out.push(ControlAction::Replica(Action::Install { meta, data }));
+                }
+                other => {
+                    if let Action::SaveHardState(h) = &other {
+                        self.hard_state = *h;
+                    }
+                    out.push(ControlAction::Replica(other));
+                }
+            }
+        }
+        self.follow_leadership(out);
+    }
+
+    /// Term and vote as last given to the driver.
+    pub fn hard_state(&self) -> HardState {
+        self.hard_state
+    }
+
+    fn install(&mut self, data: &[u8]) {
+        if let Ok(machine) = StateMachine::from_snapshot(data) {
+            self.machine = machine;
+        }
+    }
+
+    /// Starts or ends what only a leader keeps.
+    fn follow_leadership(&mut self, out: &mut Vec<ControlAction>) {
+        let since = self.replica.leading_since();
+        let term = self.replica.term();
+        if self
+            .leading
+            .as_ref()
+            .is_some_and(|l| since.is_none() || l.term != term)
+        {
+            self.leading = None;
+            self.drop_askers(out);
+        }
+        if let (None, Some(since)) = (&self.leading, since) {
+            self.leading = Some(Leading {
+                term,
+                leases: LeaseTable::new(self.lease_timing, since),
+                demand: DemandTable::default(),
+                admins: BTreeMap::new(),
+                orphans_done: false,
+            });
+        }
+    }
+
+    fn drop_askers(&mut self, out: &mut Vec<ControlAction>) {
+        for asker in self.proposals.take_all() {
+            self.answer_unknown(asker, out);
+        }
+        for parked in std::mem::take(&mut self.parked) {
+            self.not_leader(parked.token, out);
+        }
+        for wait in std::mem::take(&mut self.force_waits) {
+            let reply = OperatorReply::Unknown;
+            let token = wait.token;
+            out.push(ControlAction::OperatorReply { token, reply });
+        }
+    }
+
+    fn answer_unknown(&self, asker: Asker, out: &mut Vec<ControlAction>) {
+        match asker {
+            Asker::Router(token) => out.push(ControlAction::Reply {
+                token,
+                reply: ControlReply::Unknown,
+            }),
+            Asker::Operator(token, _) => out.push(ControlAction::OperatorReply {
+                token,
+                reply: OperatorReply::Unknown,
+            }),
+            Asker::Nobody => {}
+        }
+    }
+
+    fn leader_slot(&self) -> Option<u8> {
+        let id = self.replica.id();
+        self.replica.leader().filter(|l| *l != id).map(|l| l.slot)
+    }
+
+    fn not_leader(&self, token: u64, out: &mut Vec<ControlAction>) {
+        let leader = self.leader_slot();
+        let reply = ControlReply::NotLeader { leader };
+        out.push(ControlAction::Reply { token, reply });
+    }
+
+    fn propose(
+        &mut self,
+        now: Instant,
+        body: CommandBody,
+        asker: Asker,
+        out: &mut Vec<ControlAction>,
+    ) {
+        let at_ms = self.wall_ms.max(self.machine.clock_ms());
+        let command = Command { at_ms, body };
+        let command = postcard::to_stdvec(&command).expect("commands always serialize");
+        let token = self.next_token;
+        self.next_token += 1;
+        self.asker_of.insert(token, asker);
+        self.feed(now, Event::Propose { token, command }, out);
+    }
+
+    fn proposed(&mut self, token: u64, at: Position, out: &mut Vec<ControlAction>) {
+        let Some(asker) = self.asker_of.remove(&token) else {
+            return;
+        };
+        if let Some(older) = self.proposals.insert(at.index, at.term, asker) {
+            self.answer_unknown(older, out);
+        }
+    }
+
+    fn refused(&mut self, token: u64, out: &mut Vec<ControlAction>) {
+        let leader = self.leader_slot();
+        match self.asker_of.remove(&token) {
+            Some(Asker::Router(token)) => self.not_leader(token, out),
+            Some(Asker::Operator(token, _)) => out.push(ControlAction::OperatorReply {
+                token,
+                reply: OperatorReply::NotLeader { leader },
+            }),
+            _ => {}
+        }
+    }
+
+    fn apply(&mut self, now: Instant, entries: Vec<Entry>, out: &mut Vec<ControlAction>) {
+        let before = self.machine.configuration().revision();
+        for entry in entries {
+            let reply = self.apply_entry(&entry);
+            let waiting = self.proposals.applied(entry.at.index, entry.at.term);
+            match (waiting, reply) {
+                (Some((asker, true)), Some(reply)) => self.answer(now, asker, reply, out),
+                (Some((asker, _)), _) => self.answer_unknown(asker, out),
+                (None, _) => {}
+            }
+        }
+        if self.machine.configuration().revision() > before {
+            self.release_parked(now, |_| true, out);
+        }
+        self.compact_if_long(out);
+    }
+
+    fn apply_entry(&mut self, entry: &Entry) -> Option<Reply> {
+        let Payload::Command(bytes) = &entry.payload else {
+            return None;
+        };
+        let command: Command = postcard::from_bytes(bytes).ok()?;
+        Some(self.machine.apply(command))
+    }
+
+    fn answer(&mut self, now: Instant, asker: Asker, reply: Reply, out: &mut Vec<ControlAction>) {
+        match (asker, reply) {
+            (Asker::Router(token), Reply::Claim(verdict)) => out.push(ControlAction::Reply {
+                token,
+                reply: ControlReply::Claim(verdict),
+            }),
+            (Asker::Router(token), _) => out.push(ControlAction::Reply {
+                token,
+                reply: ControlReply::Done,
+            }),
+            (Asker::Operator(token, until), Reply::Accepted { revision }) => {
+                self.force_waits.push(ForceWait {
+                    token,
+                    revision,
+                    until,
+                });
+                self.check_force(now, out);
+            }
+            (Asker::Operator(token, _), Reply::Rejected(rejection)) => {
+                out.push(ControlAction::OperatorReply {
+                    token,
+                    reply: OperatorReply::Rejected(rejection),
+                });
+            }
+            _ => {}
+        }
+    }
+
+    fn compact_if_long(&mut self, out: &mut Vec<ControlAction>) {
+        let applied = self.replica.commit();
+        let base = self.replica.log().base().index;
+        let long = applied.0 - base.0 >= self.limits.compact_after as u64;
+        let Some(term) = self.replica.log().term_at(applied).filter(|_| long) else {
+            return;
+        };
+        if self.compacting {
+            return;
+        }
+        self.compacting = true;
+        let last = Position {
+            term,
+            index: applied,
+        };
+        let members = self.replica.members_at(applied);
+        let end = self.replica.log().last().index;
+        let rest = self.replica.log().range(applied.next(), end);
+        out.push(ControlAction::Compact {
+            meta: SnapshotMeta { last, members },
+            data: self.machine.to_snapshot(),
+            rest: rest.cloned().collect(),
+        });
+    }
+
+    fn request(
+        &mut self,
+        now: Instant,
+        token: u64,
+        request: ControlRequest,
+        out: &mut Vec<ControlAction>,
+    ) {
+        if !self.replica.may_answer(now) {
+            self.not_leader(token, out);
+            return;
+        }
+        let asker = Asker::Router(token);
+        match request {
+            ControlRequest::Renew(renewal) => self.renew(now, token, renewal, out),
+            ControlRequest::Release { vm, boot } => {
+                if let Some(leading) = &mut self.leading {
+                    leading.leases.release(&vm, boot);
+                    leading.demand.remove(&vm);
+                }
+                self.propose(
+                    now,
+                    CommandBody::HolderGone { holder: vm, boot },
+                    asker,
+                    out,
+                );
+            }
+            ControlRequest::Claim {
+                key,
+                holder,
+                boot,
+                digest,
+                nonce,
+            } => {
+                let body = CommandBody::Claim {
+                    key,
+                    holder,
+                    boot,
+                    digest,
+                    nonce,
+                };
+                self.propose(now, body, asker, out);
+            }
+            ControlRequest::Finish { key, boot, outcome } => {
+                let body = CommandBody::Finish { key, boot, outcome };
+                self.propose(now, body, asker, out);
+            }
+        }
+    }
+
+    fn renew(&mut self, now: Instant, token: u64, renewal: Renewal, out: &mut Vec<ControlAction>) {
+        let Some(leading) = &mut self.leading else {
+            self.not_leader(token, out);
+            return;
+        };
+        let Renewal { vm, boot, .. } = &renewal;
+        let old_boot = leading.leases.renew(now, vm, *boot, renewal.applied);
+        leading.demand.put(vm, renewal.demand.clone());
+        leading.admins.insert(vm.clone(), renewal.admin);
+        if let Some(boot) = old_boot {
+            let holder = vm.clone();
+            self.propose(
+                now,
+                CommandBody::HolderGone { holder, boot },
+                Asker::Nobody,
+                out,
+            );
+        }
+        let behind = renewal.applied < self.machine.configuration().revision();
+        let until = now + self.limits.hold;
+        self.parked.push(Parked {
+            token,
+            renewal,
+            until,
+        });
+        if behind {
+            self.release_parked(now, |p| p.token == token, out);
+        }
+        self.check_force(now, out);
+    }
+
+    /// Answers the parked renewals that `which` names.
+    fn release_parked(
+        &mut self,
+        now: Instant,
+        which: impl Fn(&Parked) -> bool,
+        out: &mut Vec<ControlAction>,
+    ) {
+        let (ready, kept) = std::mem::take(&mut self.parked)
+            .into_iter()
+            .partition(which);
+        self.parked = kept;
+        for parked in ready {
+            let token = parked.token;
+            match self.grant(now, &parked.renewal) {
+                Some(grant) => out.push(ControlAction::Reply {
+                    token,
+                    reply: ControlReply::Granted(grant),
+                }),
+                None => self.not_leader(token, out),
+            }
+        }
+    }
+
+    fn grant(&self, now: Instant, renewal: &Renewal) -> Option<Grant> {
+        if !self.replica.may_answer(now) {
+            return None;
+        }
+        let leading = self.leading.as_ref()?;
+        let cfg = self.machine.configuration();
+        let routers = leading.leases.routers().count() as u32;
+        Some(Grant {
+            term: self.replica.term(),
+            delta: cfg.delta_since(renewal.applied),
+            shares: leading.demand.shares(&renewal.vm, routers, cfg),
+            routers,
+        })
+    }
+
+    fn operator(
+        &mut self,
+        now: Instant,
+        token: u64,
+        request: OperatorRequest,
+        out: &mut Vec<ControlAction>,
+    ) {
+        if !self.replica.may_answer(now) {
+            let leader = self.leader_slot();
+            let reply = OperatorReply::NotLeader { leader };
+            out.push(ControlAction::OperatorReply { token, reply });
+            return;
+        }
+        let reply = match request {
+            OperatorRequest::Apply { request, wait } => {
+                let asker = Asker::Operator(token, now + wait);
+                self.propose(now, CommandBody::Apply(*request), asker, out);
+                return;
+            }
+            OperatorRequest::Configuration => {
+                OperatorReply::Configuration(ConfigurationView::of(self.machine.configuration()))
+            }
+            OperatorRequest::Status => OperatorReply::Status(self.status(now)),
+        };
+        out.push(ControlAction::OperatorReply { token, reply });
+    }
+
+    fn status(&self, now: Instant) -> ClusterStatus {
+        let revision = self.machine.configuration().revision();
+        let lagging = match self.in_force(now, revision) {
+            InForce::Lagging(vms) => vms,
+            _ => Vec::new(),
+        };
+        let members = self.replica.members();
+        let replicas = members.all().map(|id| ReplicaView {
+            id: id.to_string(),
+            votes: members.voters.contains(&id),
+        });
+        ClusterStatus {
+            term: self.replica.term(),
+            leader: self.replica.id().slot,
+            revision,
+            in_force: self.in_force(now, revision) == InForce::Yes,
+            lagging,
+            replicas: replicas.collect(),
+            routers: self.router_views(),
+            claims: self.machine.claims().len(),
+            log_entries: self.replica.log().len(),
+        }
+    }
+
+    fn router_views(&self) -> Vec<RouterView> {
+        let Some(leading) = &self.leading else {
+            return Vec::new();
+        };
+        let view = |(vm, lease): (&VmName, &crate::membership::RouterLease)| {
+            Some(RouterView {
+                vm: vm.clone(),
+                applied: lease.applied,
+                admin: *leading.admins.get(vm)?,
+            })
+        };
+        leading.leases.routers().filter_map(view).collect()
+    }
+
+    fn in_force(&self, now: Instant, revision: Revision) -> InForce {
+        match &self.leading {
+            Some(leading) => leading.leases.in_force(now, revision),
+            None => InForce::UnknownUntil(now),
+        }
+    }
+
+    /// Answers operators whose change is in force, or who have waited enough.
+    fn check_force(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        let waits = std::mem::take(&mut self.force_waits);
+        for wait in waits {
+            let in_force = self.in_force(now, wait.revision);
+            if in_force != InForce::Yes && now < wait.until {
+                self.force_waits.push(wait);
+                continue;
+            }
+            out.push(ControlAction::OperatorReply {
+                token: wait.token,
+                reply: OperatorReply::Accepted {
+                    revision: wait.revision,
+                    in_force,
+                },
+            });
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        self.release_parked(now, |p| p.until <= now, out);
+        self.expire_leases(now, out);
+        self.find_orphans(now, out);
+        self.check_force(now, out);
+    }
+
+    fn expire_leases(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let gone = leading.leases.expire(now);
+        for (vm, _) in &gone {
+            leading.demand.remove(vm);
+            leading.admins.remove(vm);
+        }
+        for (holder, lease) in gone {
+            let boot = lease.boot;
+            self.propose(
+                now,
+                CommandBody::HolderGone { holder, boot },
+                Asker::Nobody,
+                out,
+            );
+        }
+    }
+
+    /// Once the leases of the leader before have run out: claims whose holder
+    /// has no lease are of routers that are gone.
+    fn find_orphans(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        if !self.replica.may_answer(now) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let known = leading.leases.in_force(now, Revision::ZERO) == InForce::Yes;
+        if leading.orphans_done || !known {
+            return;
+        }
+        leading.orphans_done = true;
+        let live: BTreeMap<&VmName, u64> = leading
+            .leases
+            .routers()
+            .map(|(vm, l)| (vm, l.boot))
+            .collect();
+        let holders = self.machine.claims().holders_in_progress();
+        let orphans: Vec<(VmName, u64)> = holders
+            .into_iter()
+            .filter(|(vm, boot)| live.get(vm) != Some(boot))
+            .collect();
+        for (holder, boot) in orphans {
+            self.propose(
+                now,
+                CommandBody::HolderGone { holder, boot },
+                Asker::Nobody,
+                out,
+            );
+        }
+    }
+
+    /// Index up to which entries are applied.
+    pub fn applied(&self) -> Index {
+        self.replica.commit()
+    }
+}
--- /dev/null
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -0,0 +1,89 @@
+//! What routers ask of the control replicas, and what they hear.
+
+use crate::membership::{AccountDemand, AccountShare};
+use crate::replication::Term;
+use crate::state::{AccountName, ClaimKey, ClaimVerdict, Delta, Outcome, Revision, VmName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A router asks for its lease to be renewed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// Router.
+    pub vm: VmName,
+    /// Boot of its process.
+    pub boot: u64,
+    /// Revision that it has applied.
+    pub applied: Revision,
+    /// Its operators' interface, for reports.
+    pub admin: SocketAddr,
+    /// What accounts asked of it.
+    pub demand: Vec<(AccountName, AccountDemand)>,
+}
+
+/// The leader grants a lease.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Leader's term.
+    pub term: Term,
+    /// What changed since the revision that the router had applied.
+    pub delta: Delta,
+    /// The router's part of the accounts' limits.
+    pub shares: Vec<(AccountName, AccountShare)>,
+    /// Routers with a live lease.
+    pub routers: u32,
+}
+
+/// A request to a control replica.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ControlRequest {
+    /// Renew my lease. Answered when something changed, or after a while.
+    Renew(Renewal),
+    /// I have stopped.
+    Release {
+        /// Router.
+        vm: VmName,
+        /// Its boot.
+        boot: u64,
+    },
+    /// Claim a not-repeatable request.
+    Claim {
+        /// Whose.
+        key: ClaimKey,
+        /// Router.
+        holder: VmName,
+        /// Its boot.
+        boot: u64,
+        /// Digest of the request.
+        digest: u64,
+        /// Names this try; the same on a resend.
+        nonce: u64,
+    },
+    /// A claimed request ended.
+    Finish {
+        /// Whose.
+        key: ClaimKey,
+        /// Boot of the holder.
+        boot: u64,
+        /// How.
+        outcome: Outcome,
+    },
+}
+
+/// Answer of a control replica.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ControlReply {
+    /// The lease was renewed.
+    Granted(Grant),
+    /// Ask another replica; nothing was done.
+    NotLeader {
+        /// Slot of the leader, where known.
+        leader: Option<u8>,
+    },
+    /// Verdict on a claim.
+    Claim(ClaimVerdict),
+    /// Done.
+    Done,
+    /// Leadership was lost on the way: it may or may not have been done.
+    Unknown,
+}
--- /dev/null
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -0,0 +1,23 @@
+//! A control replica's decisions: the replicated log, the state it adds up to,
+//! the routers' leases and the accounts' shares.
+//!
+//! ```text
+//!  ControlRequest ──┐                         ┌─► Reply to a router or operator
+//!  OperatorRequest ─┼─► ControlCore ──────────┤
+//!  peers' messages ─┤   replica ─► machine    ├─► replica actions: write, sync, send
+//!  time ────────────┘   leases, shares        └─► Compact
+//! ```
+//!
+//! Only a leader with a valid lease answers; everybody else names the leader.
+
+mod control_core;
+mod demand;
+mod messages;
+mod operator;
+mod pending;
+
+pub use control_core::{ControlAction, ControlCore, ControlEvent, ControlLimits};
+pub use messages::{ControlReply, ControlRequest, Grant, Renewal};
+pub use operator::{
+    ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
+};
--- /dev/null
+++ b/crates/deckwind-core/src/control/operator.rs
@@ -0,0 +1,132 @@
+//! What operators ask, and what they hear.
+
+use crate::membership::InForce;
+use crate::replication::{Role, Term};
+use crate::state::{
+    Account, ApplyRequest, Configuration, Rejection, Revision, Target, Template, VmName,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// An operator's request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorRequest {
+    /// Change something, and wait until it is in force.
+    Apply {
+        /// The change.
+        request: Box<ApplyRequest>,
+        /// How long to wait for it to be in force.
+        wait: Duration,
+    },
+    /// Read the configuration.
+    Configuration,
+    /// Read how the cluster is.
+    Status,
+}
+
+/// The answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorReply {
+    /// Accepted; whether it is in force too.
+    Accepted {
+        /// As this revision.
+        revision: Revision,
+        /// Whether it is in force, or who lags.
+        in_force: InForce,
+    },
+    /// Not accepted.
+    Rejected(Rejection),
+    /// The configuration.
+    Configuration(ConfigurationView),
+    /// How the cluster is.
+    Status(ClusterStatus),
+    /// Ask another replica; nothing was done.
+    NotLeader {
+        /// Slot of the leader, where known.
+        leader: Option<u8>,
+    },
+    /// Leadership was lost on the way. Send it again with the same request id.
+    Unknown,
+}
+
+/// The configuration as operators read it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ConfigurationView {
+    /// Its revision.
+    pub revision: Revision,
+    /// Templates, each with its own revision.
+    pub templates: Vec<(Revision, Template)>,
+    /// Client accounts.
+    pub accounts: Vec<(Revision, Account)>,
+    /// Targets.
+    pub targets: Vec<(Revision, Target)>,
+}
+
+impl ConfigurationView {
+    /// Of a configuration.
+    pub fn of(cfg: &Configuration) -> Self {
+        Self {
+            revision: cfg.revision(),
+            templates: cfg.templates().map(|(t, r)| (r, t.clone())).collect(),
+            accounts: cfg.accounts().map(|(a, r)| (r, a.clone())).collect(),
+            targets: cfg.targets().map(|(t, r)| (r, t.clone())).collect(),
+        }
+    }
+}
+
+/// A router with a live lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterView {
+    /// Its VM.
+    pub vm: VmName,
+    /// Revision that it has applied.
+    pub applied: Revision,
+    /// Its operators' interface.
+    pub admin: SocketAddr,
+}
+
+/// A member of the control replicas.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaView {
+    /// Its slot and identity.
+    pub id: String,
+    /// Whether it votes.
+    pub votes: bool,
+}
+
+/// How the cluster is, as the leader sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClusterStatus {
+    /// Leader's term.
+    pub term: Term,
+    /// Leader's slot.
+    pub leader: u8,
+    /// Revision accepted last.
+    pub revision: Revision,
+    /// Whether it is in force everywhere.
+    pub in_force: bool,
+    /// Routers that lag.
+    pub lagging: Vec<VmName>,
+    /// Members.
+    pub replicas: Vec<ReplicaView>,
+    /// Routers.
+    pub routers: Vec<RouterView>,
+    /// Claims held.
+    pub claims: usize,
+    /// Entries in the log after the snapshot.
+    pub log_entries: usize,
+}
+
+/// Word for a role in logs.
+impl std::fmt::Display for Role {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Role::Unformed => "unformed",
+            Role::Follower => "follower",
+            Role::PreCandidate => "pre-candidate",
+            Role::Candidate => "candidate",
+            Role::Leader => "leader",
+        })
+    }
+}
--- /dev/null
+++ b/crates/deckwind-core/src/replication/election.rs
@@ -0,0 +1,139 @@
+//! Pre-votes, votes, and the protection of a leader that is alive.
+
+use super::ids::{Position, ReplicaId, Term};
+use super::leader::Leading;
+use super::log::Payload;
+use super::message::Body;
+use super::replica::{Action, Replica, Role};
+use crate::time::Instant;
+
+impl Replica {
+    /// Whether a leader may still hold its lease by this replica's word.
+    pub(super) fn protects_leader(&self, now: Instant) -> bool {
+        match self.role {
+            Role::Leader => self.lease_valid(now),
+            _ => now.since(self.heard_leader) < self.cfg.timing.election_min,
+        }
+    }
+
+    pub(super) fn start_pre_vote(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.failed_elections += 1;
+        self.votes.clear();
+        self.reset_election_timer(now);
+        let last = self.log.last();
+        self.ask_voters(Body::PreVote { last }, false, out);
+        self.count_pre_vote(now, self.cfg.id, out);
+    }
+
+    fn ask_voters(&self, body: Body, needs_sync: bool, out: &mut Vec<Action>) {
+        for peer in self.peers() {
+            if self.members.voters.contains(&peer) {
+                self.send(peer, body.clone(), needs_sync, out);
+            }
+        }
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        term: Term,
+        last: Position,
+        out: &mut Vec<Action>,
+    ) {
+        let current = term >= self.hard.term;
+        let granted = current && !self.protects_leader(now) && last >= self.log.last();
+        self.send(from, Body::PreVoteReply { granted }, false, out);
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        granted: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if self.role == Role::PreCandidate && granted {
+            self.count_pre_vote(now, from, out);
+        }
+    }
+
+    fn count_pre_vote(&mut self, now: Instant, from: ReplicaId, out: &mut Vec<Action>) {
+        if self.won(from) {
+            self.start_election(now, out);
+        }
+    }
+
+    fn start_election(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.role = Role::Candidate;
+        self.hard.term = Term(self.hard.term.0 + 1);
+        self.hard.voted_for = Some(self.cfg.id);
+        self.votes.clear();
+        self.reset_election_timer(now);
+        self.save_if_changed(out);
+        let last = self.log.last();
+        self.ask_voters(Body::Vote { last }, true, out);
+        self.count_vote(now, self.cfg.id, out);
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        term: Term,
+        last: Position,
+        out: &mut Vec<Action>,
+    ) {
+        let granted = self.may_vote(now, from, term, last);
+        if granted {
+            self.hard.voted_for = Some(from);
+            self.reset_election_timer(now);
+        }
+        self.save_if_changed(out);
+        self.send(from, Body::VoteReply { granted }, true, out);
+    }
+
+    fn may_vote(&self, now: Instant, from: ReplicaId, term: Term, last: Position) -> bool {
+        let free = self.hard.voted_for.is_none_or(|v| v == from);
+        term == self.hard.term && free && !self.protects_leader(now) && last >= self.log.last()
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if self.role == Role::Candidate && term == self.hard.term && granted {
+            self.count_vote(now, from, out);
+        }
+    }
+
+    fn count_vote(&mut self, now: Instant, from: ReplicaId, out: &mut Vec<Action>) {
+        if self.won(from) {
+            self.become_leader(now, out);
+        }
+    }
+
+    /// Counts one vote; true once a majority of the voters has given theirs.
+    fn won(&mut self, from: ReplicaId) -> bool {
+        if self.members.voters.contains(&from) {
+            self.votes.insert(from);
+        }
+        self.votes.len() >= self.members.quorum()
+    }
+
+    fn become_leader(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.role = Role::Leader;
+        self.leader = Some(self.cfg.id);
+        self.failed_elections = 0;
+        let next = self.log.last().index.next();
+        self.leading = Some(Leading::new(now, next, self.peers()));
+        self.append_own(Payload::Noop, out);
+        self.heartbeat(now, out);
+    }
+}
--- /dev/null
+++ b/crates/deckwind-core/src/router/router_core.rs
@@ -0,0 +1,560 @@
+//! The router's decisions over its whole state.
+
+use super::denied::{Denied, DeniedCode};
+use crate::admission::{
+    AccountLimiter, Admission, AdmissionConfig, Offer, Refused, RefusedWhy, RetryBudget, Ticket,
+    TicketId,
+};
+use crate::burn::{BurnMeter, BurnReport};
+use crate::membership::{
+    AccountDemand, AccountShare, LeaseTiming, PlatformStatus, PlatformView, RouterLeaseState,
+    ServeDecision,
+};
+use crate::replication::Term;
+use crate::routing::{
+    ChainNeed, Estimated, Fleet, GroupKey, LoadReport, PlannedStage, Policy, TargetKey,
+    choose_service,
+};
+use crate::state::{
+    AccountName, Configuration, DataCentre, Delta, LayerRange, Priority, TargetName, Template,
+    TemplateName, Workload,
+};
+use crate::time::Instant;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// What a router is told once.
+#[derive(Clone, Debug)]
+pub struct RouterConfig {
+    /// Lease.
+    pub lease: LeaseTiming,
+    /// Microseconds a layer, by accelerator kind.
+    pub costs: BTreeMap<String, f64>,
+    /// One-way microseconds, by data centre.
+    pub links: BTreeMap<DataCentre, f64>,
+    /// Bounds of each pool.
+    pub admission: AdmissionConfig,
+    /// Seed of its samples.
+    pub seed: u64,
+}
+
+/// A chat request, resolved against template and account.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChatWork {
+    /// Model and version.
+    pub group: GroupKey,
+    /// Adapter.
+    pub adapter: Option<String>,
+    /// Layers of the model.
+    pub layers: u32,
+}
+
+/// A call to a plain service, resolved.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceWork {
+    /// Upper bound of one call.
+    pub timeout: Duration,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Work {
+    /// Chat.
+    Chat(ChatWork),
+    /// Plain service.
+    Service(ServiceWork),
+}
+
+/// A request that passed the first checks.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entered {
+    /// Ticket; names it until it is finished.
+    pub id: TicketId,
+    /// Template.
+    pub template: TemplateName,
+    /// Account.
+    pub account: AccountName,
+    /// Order of service.
+    pub priority: Priority,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// When it came.
+    pub arrived: Instant,
+    /// When it must have started.
+    pub start_by: Instant,
+    /// What is to be done.
+    pub work: Work,
+}
+
+/// Whether an entered request starts now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Placed {
+    /// It starts.
+    Start,
+    /// It waits for a place.
+    Wait,
+}
+
+/// What became of requests that waited.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Admitted {
+    /// It starts.
+    Start(TicketId),
+    /// It is refused; it was not run.
+    Denied(TicketId, Denied),
+}
+
+/// Targets that serve the same requests, with their places.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum PoolKey {
+    Chat(GroupKey),
+    Service(TemplateName),
+}
+
+/// How long a caller is told to wait when this router can't serve it but
+/// another may.
+const ELSEWHERE: Duration = Duration::from_secs(1);
+
+/// A step that takes this many times what was expected is late.
+const LATE_FACTOR: f64 = 10.0;
+
+/// Shortest time after which a step counts as late.
+const MIN_STEP_LIMIT: Duration = Duration::from_millis(400);
+
+/// Longest such time.
+const MAX_STEP_LIMIT: Duration = Duration::from_secs(10);
+
+/// All that a router decides. Behind one lock; every call is short.
+pub struct RouterCore {
+    cfg: RouterConfig,
+    lease: RouterLeaseState,
+    accounts: HashMap<String, AccountName>,
+    limiter: AccountLimiter,
+    shares: BTreeMap<AccountName, f64>,
+    routers: u32,
+    fleet: Fleet,
+    platform: PlatformView,
+    policy: Box<dyn Policy>,
+    pools: BTreeMap<PoolKey, Admission>,
+    retries: RetryBudget,
+    burn: BurnMeter,
+    rng: ChaCha8Rng,
+    tickets: HashMap<TicketId, PoolKey>,
+    next_ticket: u64,
+    draining: bool,
+}
+
+impl RouterCore {
+    /// A router without lease or configuration.
+    pub fn new(cfg: RouterConfig, now: Instant) -> Self {
+        Self {
+            lease: RouterLeaseState::new(cfg.lease),
+            accounts: HashMap::new(),
+            limiter: AccountLimiter::default(),
+            shares: BTreeMap::new(),
+            routers: 1,
+            fleet: Fleet::new(cfg.costs.clone(), cfg.links.clone()),
+            platform: PlatformView::default(),
+            policy: Box::new(Estimated::new(cfg.seed)),
+            pools: BTreeMap::new(),
+            retries: RetryBudget::new(now),
+            burn: BurnMeter::default(),
+            rng: ChaCha8Rng::seed_from_u64(cfg.seed),
+            tickets: HashMap::new(),
+            next_ticket: 1,
+            draining: false,
+            cfg,
+        }
+    }
+
+    /// The configuration in force here.
+    pub fn configuration(&self) -> &Configuration {
+        self.lease.configuration()
+    }
+
+    /// The lease.
+    pub fn lease(&self) -> &RouterLeaseState {
+        &self.lease
+    }
+
+    /// The targets.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Takes a grant of the leader's.
+    pub fn granted(
+        &mut self,
+        asked: Instant,
+        now: Instant,
+        term: Term,
+        delta: Delta,
+        shares: Vec<(AccountName, AccountShare)>,
+        routers: u32,
+    ) {
+        let changed = delta.to > self.lease.applied();
+        if !self.lease.granted(asked, term, delta) {
+            return;
+        }
+        let other_count = self.routers != routers.max(1);
+        self.routers = routers.max(1);
+        self.shares = shares.into_iter().map(|(a, s)| (a, s.per_s)).collect();
+        if changed {
+            self.apply_configuration();
+        }
+        if changed || other_count {
+            self.size_pools();
+        }
+        self.set_rates(now);
+    }
+
+    fn apply_configuration(&mut self) {
+        let cfg = self.lease.configuration();
+        self.accounts = cfg
+            .accounts()
+            .map(|(a, _)| (a.key_sha256.to_ascii_lowercase(), a.name.clone()))
+            .collect();
+        self.fleet.apply(cfg);
+        self.limiter.retain(|a| cfg.account(a).is_some());
+        self.mark_leaving();
+    }
+
+    fn set_rates(&mut self, now: Instant) {
+        for (account, _) in self.lease.configuration().accounts() {
+            let even = account.limits.requests_per_s / f64::from(self.routers);
+            let rate = self.shares.get(&account.name).copied().unwrap_or(even);
+            self.limiter.set_rate(now, &account.name, rate);
+        }
+    }
+
+    /// Gives each pool this router's part of its targets' places: those of the
+    /// least provided layer.
+    fn size_pools(&mut self) {
+        let mut places: BTreeMap<PoolKey, u32> = BTreeMap::new();
+        for (template, _) in self.lease.configuration().templates() {
+            let pools: Vec<PoolKey> = match &template.workload {
+                Workload::Service { .. } => vec![PoolKey::Service(template.name.clone())],
+                Workload::Chat { model, .. } => self.chat_pools(model),
+            };
+            for pool in pools {
+                let total = self.places_of(&pool);
+                let mine = total.div_ceil(self.routers).max(1);
+                places.insert(pool, mine);
+            }
+        }
+        for (pool, mine) in places {
+            let admission = self.cfg.admission;
+            self.pools
+                .entry(pool)
+                .or_insert_with(|| Admission::new(admission, mine))
+                .set_places(mine);
+        }
+    }
+
+    fn chat_pools(&self, model: &str) -> Vec<PoolKey> {
+        let of_model = |g: &&GroupKey| g.model == model;
+        let groups = self.fleet.groups().filter(of_model);
+        groups.map(|g| PoolKey::Chat(g.clone())).collect()
+    }
+
+    fn places_of(&self, pool: &PoolKey) -> u32 {
+        match pool {
+            PoolKey::Chat(group) => self.fleet.chain_places(group),
+            PoolKey::Service(template) => self.fleet.service_places(template),
+        }
+    }
+
+    /// Takes the platform's list.
+    pub fn platform_listed(
+        &mut self,
+        sequence: u64,
+        vms: impl IntoIterator<Item = (IpAddr, PlatformStatus)>,
+    ) {
+        if self.platform.update(sequence, vms) {
+            self.mark_leaving();
+            self.size_pools();
+        }
+    }
+
+    fn mark_leaving(&mut self) {
+        let platform = &self.platform;
+        self.fleet.mark_vms(|ip| platform.is_leaving(ip));
+    }
+
+    /// The account whose bearer key has this SHA-256, in hexadecimal.
+    pub fn authenticate(&self, key_sha256: &str) -> Result<AccountName, Denied> {
+        if self.accounts.is_empty() {
+            return Err(Denied::for_now(DeniedCode::NoLease, ELSEWHERE));
+        }
+        let account = self.accounts.get(key_sha256).cloned();
+        account.ok_or(Denied::for_good(DeniedCode::UnknownKey))
+    }
+
+    /// Stops taking new requests.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        !self.draining && self.lease.is_live(now)
+    }
+
+    /// Checks a request and gives it a ticket. It holds no place yet.
+    pub fn enter(
+        &mut self,
+        now: Instant,
+        account: &AccountName,
+        template: &TemplateName,
+    ) -> Result<Entered, Denied> {
+        if self.draining {
+            return Err(Denied::for_now(DeniedCode::Draining, ELSEWHERE));
+        }
+        let cfg = self.lease.configuration();
+        let known = cfg.template(template);
+        let found = known.ok_or(Denied::for_good(DeniedCode::UnknownTemplate))?;
+        if self.lease.decide(now, found) == ServeDecision::Refuse {
+            return Err(Denied::for_now(DeniedCode::NoLease, ELSEWHERE));
+        }
+        let entered = self.resolve(now, account, found)?;
+        if let Err(wait) = self.limiter.take(now, account) {
+            return Err(Denied::for_now(DeniedCode::OverLimit, wait));
+        }
+        self.next_ticket += 1;
+        Ok(entered)
+    }
+
+    fn resolve(
+        &self,
+        now: Instant,
+        account: &AccountName,
+        template: &Template,
+    ) -> Result<Entered, Denied> {
+        let known = self.configuration().account(account);
+        let own = known.ok_or(Denied::for_good(DeniedCode::UnknownKey))?;
+        let parameters = template
+            .parameters
+            .overridden_by(own.parameters.get(&template.name));
+        let work = match &template.workload {
+            Workload::Service { timeout_ms } => Work::Service(ServiceWork {
+                timeout: Duration::from_millis(*timeout_ms),
+            }),
+            Workload::Chat { model, layers } => Work::Chat(ChatWork {
+                group: GroupKey {
+                    model: model.clone(),
+                    version: parameters.model_version.unwrap_or_default(),
+                },
+                adapter: parameters.adapter,
+                layers: *layers,
+            }),
+        };
+        Ok(Entered {
+            id: TicketId(self.next_ticket),
+            template: template.name.clone(),
+            account: account.clone(),
+            priority: parameters.priority.unwrap_or_default(),
+            repeatable: template.repeatable,
+            arrived: now,
+            start_by: now + Duration::from_millis(template.deadline_ms),
+            work,
+        })
+    }
+
+    /// Asks for a place in the request's pool.
+    pub fn place(&mut self, now: Instant, entered: &Entered) -> Result<Placed, Denied> {
+        let pool = match &entered.work {
+            Work::Chat(chat) => PoolKey::Chat(chat.group.clone()),
+            Work::Service(_) => PoolKey::Service(entered.template.clone()),
+        };
+        let account = self.configuration().account(&entered.account);
+        let ticket = Ticket {
+            id: entered.id,
+            account: entered.account.clone(),
+            weight: account.map_or(1, |a| a.limits.weight),
+            priority: entered.priority,
+            start_by: entered.start_by,
+            cost: 1.0,
+        };
+        let Some(admission) = self.pools.get_mut(&pool) else {
+            return Err(Denied::for_now(DeniedCode::NoTargets, ELSEWHERE));
+        };
+        match admission.offer(now, ticket) {
+            Offer::Refused(refused) => Err(denied(refused)),
+            offer => {
+                self.tickets.insert(entered.id, pool);
+                let start = offer == Offer::Start;
+                Ok(if start { Placed::Start } else { Placed::Wait })
+            }
+        }
+    }
+
+    /// A request that had its place is over; others may start.
+    pub fn leave(&mut self, now: Instant, id: TicketId) -> Vec<Admitted> {
+        let Some(pool) = self.tickets.remove(&id) else {
+            return Vec::new();
+        };
+        let Some(admission) = self.pools.get_mut(&pool) else {
+            return Vec::new();
+        };
+        if !admission.cancel(id) {
+            admission.finished(now);
+        }
+        start_waiting(admission, now)
+    }
+
+    /// Refuses what waits and can no longer start in time; call it ten times a
+    /// second.
+    pub fn tick(&mut self, now: Instant) -> Vec<Admitted> {
+        let mut out = Vec::new();
+        for admission in self.pools.values_mut() {
+            out.extend(start_waiting(admission, now));
+            for (ticket, refused) in admission.expire(now) {
+                self.tickets.remove(&ticket.id);
+                out.push(Admitted::Denied(ticket.id, denied(refused)));
+            }
+        }
+        out
+    }
+
+    /// Plans stages for the layers of `need`, and counts them at their targets.
+    pub fn plan_chain(
+        &mut self,
+        now: Instant,
+        need: &ChainNeed,
+    ) -> Result<Vec<PlannedStage>, Denied> {
+        let stages = self
+            .policy
+            .choose(&self.fleet, now, need)
+            .ok_or(Denied::for_now(DeniedCode::NoTargets, ELSEWHERE))?;
+        self.policy.dispatched(need, &stages);
+        for stage in &stages {
+            self.fleet.dispatched(now, stage.target, stage.layers.len());
+        }
+        Ok(stages)
+    }
+
+    /// A stage is over.
+    pub fn stage_ended(&mut self, now: Instant, key: TargetKey, layers: LayerRange) {
+        self.fleet.finished(now, key, layers.len());
+    }
+
+    /// A stage answered a step of `positions` positions.
+    pub fn stage_progressed(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        took: Duration,
+        layers: LayerRange,
+        positions: usize,
+    ) {
+        if positions == 1 {
+            self.fleet.progressed(now, key, took, layers.len());
+        } else if let Some(t) = self.fleet.get_mut(key) {
+            t.health.progressed(now, 0.0, 1.0);
+        }
+    }
+
+    /// How long a step may take before the stage counts as late: a multiple of
+    /// what is expected of it.
+    pub fn step_limit(
+        &self,
+        now: Instant,
+        key: TargetKey,
+        layers: LayerRange,
+        positions: usize,
+    ) -> Duration {
+        let Some(t) = self.fleet.get(key) else {
+            return MIN_STEP_LIMIT;
+        };
+        let prefill = positions as f64 * f64::from(layers.len()) * t.layer_us;
+        let expected = t.step_us(now, layers.len()) + prefill;
+        let limit = Duration::from_micros((expected * LATE_FACTOR) as u64);
+        limit.clamp(MIN_STEP_LIMIT, MAX_STEP_LIMIT)
+    }
+
+    /// A target failed.
+    pub fn target_failed(&mut self, now: Instant, key: TargetKey) {
+        self.fleet.failed(now, key);
+    }
+
+    /// A target answered or not: for plain services.
+    pub fn service_ended(&mut self, now: Instant, key: TargetKey, ok: Option<Duration>) {
+        match ok {
+            Some(took) => self.fleet.progressed(now, key, took, 1),
+            None => self.fleet.failed(now, key),
+        }
+        self.fleet.finished(now, key, 1);
+    }
+
+    /// Chooses a plain service's target and counts the call there.
+    pub fn plan_service(
+        &mut self,
+        now: Instant,
+        template: &TemplateName,
+        avoid: &BTreeSet<TargetName>,
+    ) -> Result<TargetKey, Denied> {
+        let key = choose_service(&self.fleet, now, template, avoid, &mut self.rng)
+            .ok_or(Denied::for_now(DeniedCode::NoTargets, ELSEWHERE))?;
+        self.fleet.dispatched(now, key, 1);
+        Ok(key)
+    }
+
+    /// Takes a load report.
+    pub fn load_reported(&mut self, now: Instant, key: TargetKey, report: LoadReport) {
+        self.fleet.reported(now, key, report);
+    }
+
+    /// The policy, for cache events.
+    pub fn policy(&mut self) -> &mut dyn Policy {
+        self.policy.as_mut()
+    }
+
+    /// The budget of retries.
+    pub fn retries(&mut self) -> &mut RetryBudget {
+        &mut self.retries
+    }
+
+    /// Counts an answer for the service levels.
+    pub fn answered(&mut self, now: Instant, entered: &Entered, took: Option<Duration>) {
+        let template = self.configuration().template(&entered.template);
+        let objective = template.map(|t| t.objective).unwrap_or_default();
+        let within = Duration::from_millis(objective.within_ms);
+        let good = took.is_some_and(|t| t <= within);
+        self.burn
+            .answered(now, &entered.template, &entered.account, good);
+    }
+
+    /// The service-level report.
+    pub fn burn_report(&mut self, now: Instant) -> BurnReport {
+        self.burn.report(now, self.lease.configuration())
+    }
+
+    /// What accounts asked for, for the next renewal.
+    pub fn demand(&mut self, now: Instant) -> Vec<(AccountName, AccountDemand)> {
+        self.limiter.demand(now)
+    }
+
+    /// Requests that hold a ticket.
+    pub fn open_requests(&self) -> usize {
+        self.tickets.len()
+    }
+}
+
+fn denied(refused: Refused) -> Denied {
+    let code = match refused.why {
+        RefusedWhy::Deadline => DeniedCode::Deadline,
+        RefusedWhy::QueueFull => DeniedCode::QueueFull,
+    };
+    Denied::for_now(code, refused.retry_after)
+}
+
+fn start_waiting(admission: &mut Admission, now: Instant) -> Vec<Admitted> {
+    let mut out = Vec::new();
+    while let Some(ticket) = admission.next(now) {
+        out.push(Admitted::Start(ticket.id));
+    }
+    out
+}
--- /dev/null
+++ b/crates/deckwind-core/src/routing/mod.rs
@@ -0,0 +1,31 @@
+//! Which targets run a request.
+//!
+//! ```text
+//!  configuration ─► Fleet (arena of targets, index by model and boundary)
+//!  load reports ──►   │                           ┌ Estimated (the default)
+//!  own dispatches ►   ├─► Policy::choose(need) ───┤ RoundRobin, LeastLoaded,
+//!  progress ──────►   │                           └ FleetGate  (baselines)
+//!  cache events ──►   └─ Health, PrefixIndex
+//! ```
+//!
+//! A choice is a shortest path over the layer boundaries of a model: at each
+//! boundary a few candidates are looked at, not all, so the cost of a choice
+//! does not grow with the fleet, and routers with the same stale reports do not
+//! rush to one target (Mitzenmacher, "The Power of Two Choices in Randomized
+//! Load Balancing", IEEE TPDS 2001).
+
+mod bound;
+mod chain_search;
+mod fleet;
+mod health;
+mod policy;
+mod prefix;
+mod service;
+
+pub use bound::{BoundTarget, hardware_bound};
+pub use chain_search::{ChainNeed, PlannedStage, plan_names, search_chain};
+pub use fleet::{Fleet, GroupKey, LoadReport, TargetKey, TargetState};
+pub use health::{Health, HealthState};
+pub use policy::{Estimated, FleetGate, LeastLoaded, Policy, RoundRobin};
+pub use prefix::{PrefixHash, PrefixIndex, prefix_hashes};
+pub use service::choose_service;
--- /dev/null
+++ b/crates/deckwind-core/src/session/machine.rs
@@ -0,0 +1,462 @@
+//! The session as a state machine: results and faults in, orders out.
+
+use super::chain::{Chain, Stage};
+use super::ledger::{Ledger, Verdict};
+use crate::state::{LayerRange, TargetName};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// What goes from a stage to the next; only engines read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Activation(pub String);
+
+/// A token as the last stage made it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Token {
+    /// Its id, the first stage's next input.
+    pub id: u32,
+    /// Its text.
+    pub text: String,
+    /// Whether the answer ends with it.
+    pub end: bool,
+}
+
+/// Names a stage for as long as it is open; never used again in a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StageKey(pub u32);
+
+/// What a stage is to run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepOrder {
+    /// Attempt that it belongs to; an engine refuses older ones.
+    pub attempt: u32,
+    /// Position of the first input.
+    pub position: u32,
+    /// One input per position.
+    pub inputs: Vec<Activation>,
+    /// Whether the stage's cache holds these positions already: it answers
+    /// with their outputs and changes nothing.
+    pub replay: bool,
+}
+
+/// What a stage answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepOutput {
+    /// From the order.
+    pub attempt: u32,
+    /// From the order.
+    pub position: u32,
+    /// One output per position.
+    pub outputs: Vec<Activation>,
+    /// The token after the last position, from a stage that ends the model.
+    pub token: Option<Token>,
+}
+
+/// What went wrong with a stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum StageFault {
+    /// Its connection broke.
+    Broken,
+    /// It gave no answer in time.
+    Late,
+    /// It refused the order.
+    Refused,
+}
+
+/// What happens to a session.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SessionEvent {
+    /// A chain was found: at the start, or with the lost stage replaced.
+    Planned(Chain),
+    /// No chain could be found.
+    NoChain,
+    /// A stage answered.
+    Output {
+        /// Which.
+        key: StageKey,
+        /// With what.
+        output: StepOutput,
+    },
+    /// The awaited stage failed. Faults of others wait until it is their turn.
+    Fault {
+        /// Which.
+        key: StageKey,
+        /// How.
+        fault: StageFault,
+    },
+    /// The caller went away.
+    CallerGone,
+}
+
+/// Why a session ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// The whole answer was delivered.
+    Complete,
+    /// The caller went away.
+    CallerGone,
+    /// No targets are left to run the layers.
+    NoTargets,
+    /// Too many faults.
+    TooManyFaults,
+}
+
+/// What the driver must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SessionAction {
+    /// Find a chain. Stages outside `missing` should stay as they are.
+    Plan {
+        /// Targets that failed in this session.
+        avoid: BTreeSet<TargetName>,
+        /// Layers that have no stage.
+        missing: LayerRange,
+    },
+    /// Open a stage.
+    Open {
+        /// Its key from here on.
+        key: StageKey,
+        /// Who and what.
+        with: Stage,
+    },
+    /// Order a step.
+    Step {
+        /// Stage to order it from.
+        key: StageKey,
+        /// The order.
+        order: StepOrder,
+    },
+    /// Give the caller a token. Each position comes once, in order.
+    Deliver {
+        /// Position of the token in the answer, from 0.
+        position: u32,
+        /// The token.
+        token: Token,
+    },
+    /// Close a stage and free what it holds.
+    Close {
+        /// Which.
+        key: StageKey,
+    },
+    /// All is done; close what is open.
+    End(EndReason),
+}
+
+/// Bounds of one session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SessionLimits {
+    /// Most tokens in the answer.
+    pub max_tokens: u32,
+    /// Most faults before it gives up.
+    pub max_faults: u32,
+}
+
+impl Default for SessionLimits {
+    fn default() -> Self {
+        Self {
+            max_tokens: 4_096,
+            max_faults: 8,
+        }
+    }
+}
+
+/// A stage of the chain, and how far its cache goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct OpenStage {
+    key: StageKey,
+    stage: Stage,
+    /// Positions in its KV cache.
+    ran: u32,
+}
+
+/// Where a session is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Waiting for a chain.
+    Planning,
+    /// Running the awaited step, stage by stage.
+    Running,
+    /// Filling the caches of new stages up to the awaited step.
+    Refilling { stage: usize, last_new: usize },
+    /// Over.
+    Ended,
+}
+
+/// One session. Drive it with [`Session::step`].
+pub struct Session {
+    layers: u32,
+    limits: SessionLimits,
+    prompt: Vec<Activation>,
+    delivered: Vec<Activation>,
+    chain: Vec<OpenStage>,
+    ledger: Ledger,
+    phase: Phase,
+    /// Inputs of the awaited step at the awaited stage.
+    inputs: Vec<Activation>,
+    faults: u32,
+    avoid: BTreeSet<TargetName>,
+    next_key: u32,
+}
+
+impl Session {
+    /// A session over a model of `layers` layers. `prompt` holds one input for
+    /// each position of the prompt and is not empty.
+    pub fn new(layers: u32, prompt: Vec<Activation>, limits: SessionLimits) -> Self {
+        Self {
+            layers,
+            limits,
+            prompt,
+            delivered: Vec::new(),
+            chain: Vec::new(),
+            ledger: Ledger::new(0, 0),
+            phase: Phase::Planning,
+            inputs: Vec::new(),
+            faults: 0,
+            avoid: BTreeSet::new(),
+            next_key: 0,
+        }
+    }
+
+    /// Asks for the first chain.
+    pub fn start(&mut self, out: &mut Vec<SessionAction>) {
+        out.push(SessionAction::Plan {
+            avoid: BTreeSet::new(),
+            missing: LayerRange::new(0, self.layers),
+        });
+    }
+
+    /// Stages of the chain at the moment.
+    pub fn chain(&self) -> impl Iterator<Item = &Stage> {
+        self.chain.iter().map(|s| &s.stage)
+    }
+
+    /// Current attempt.
+    pub fn attempt(&self) -> u32 {
+        self.ledger.attempt()
+    }
+
+    /// Tokens delivered.
+    pub fn delivered(&self) -> u32 {
+        self.delivered.len() as u32
+    }
+
+    /// Faults survived so far.
+    pub fn faults(&self) -> u32 {
+        self.faults
+    }
+
+    /// Stage whose answer comes next, with the number of positions it runs.
+    pub fn awaited(&self) -> Option<(StageKey, usize)> {
+        let positions = match self.phase {
+            Phase::Running => self.inputs.len(),
+            Phase::Refilling { .. } => self.past() as usize,
+            _ => return None,
+        };
+        let stage = self.chain.get(self.awaited_stage())?;
+        Some((stage.key, positions))
+    }
+
+    /// Takes one event.
+    pub fn step(&mut self, event: SessionEvent, out: &mut Vec<SessionAction>) {
+        if self.phase == Phase::Ended {
+            return;
+        }
+        match event {
+            SessionEvent::Planned(chain) => self.on_planned(chain, out),
+            SessionEvent::NoChain => self.end(EndReason::NoTargets, out),
+            SessionEvent::Output { key, output } => self.on_output(key, output, out),
+            SessionEvent::Fault { key, .. } => self.on_fault(key, out),
+            SessionEvent::CallerGone => self.end(EndReason::CallerGone, out),
+        }
+    }
+
+    fn on_planned(&mut self, chain: Chain, out: &mut Vec<SessionAction>) {
+        if self.phase != Phase::Planning {
+            return;
+        }
+        self.take_chain(chain, out);
+        self.ledger.restart(self.chain.len());
+        let past = self.past();
+        match self.chain.iter().rposition(|s| s.ran < past) {
+            Some(last_new) => self.start_refill(last_new, out),
+            None => self.start_step(out),
+        }
+    }
+
+    /// Keeps the stages that stand in the new chain too, with their caches;
+    /// opens the others and closes what is no longer in it.
+    fn take_chain(&mut self, chain: Chain, out: &mut Vec<SessionAction>) {
+        let mut old = std::mem::take(&mut self.chain);
+        for stage in chain.stages() {
+            let kept = old.iter().position(|s| s.stage == *stage);
+            let open = match kept {
+                Some(i) => old.remove(i),
+                None => self.open(stage.clone(), out),
+            };
+            self.chain.push(open);
+        }
+        for gone in old {
+            out.push(SessionAction::Close { key: gone.key });
+        }
+    }
+
+    fn open(&mut self, stage: Stage, out: &mut Vec<SessionAction>) -> OpenStage {
+        let key = StageKey(self.next_key);
+        self.next_key += 1;
+        out.push(SessionAction::Open {
+            key,
+            with: stage.clone(),
+        });
+        OpenStage { key, stage, ran: 0 }
+    }
+
+    /// Positions before the awaited step: none while the prompt runs.
+    fn past(&self) -> u32 {
+        match self.ledger.position() {
+            0 => 0,
+            p => self.prompt.len() as u32 + p - 1,
+        }
+    }
+
+    fn awaited_stage(&self) -> usize {
+        match self.phase {
+            Phase::Refilling { stage, .. } => stage,
+            _ => self.ledger.stage(),
+        }
+    }
+
+    fn start_refill(&mut self, last_new: usize, out: &mut Vec<SessionAction>) {
+        self.phase = Phase::Refilling { stage: 0, last_new };
+        let all = self.prompt.iter().chain(&self.delivered);
+        let inputs = all.take(self.past() as usize).cloned().collect();
+        self.order(0, 0, inputs, out);
+    }
+
+    /// Starts the awaited step at the first stage, whose input is always known.
+    fn start_step(&mut self, out: &mut Vec<SessionAction>) {
+        self.phase = Phase::Running;
+        let inputs = match self.delivered.last() {
+            Some(token) => vec![token.clone()],
+            None => self.prompt.clone(),
+        };
+        self.order_awaited(inputs, out);
+    }
+
+    fn order_awaited(&mut self, inputs: Vec<Activation>, out: &mut Vec<SessionAction>) {
+        self.inputs = inputs.clone();
+        self.order(self.ledger.stage(), self.past(), inputs, out);
+    }
+
+    /// Orders positions from a stage; as replay where its cache has them.
+    fn order(
+        &self,
+        stage: usize,
+        position: u32,
+        inputs: Vec<Activation>,
+        out: &mut Vec<SessionAction>,
+    ) {
+        let open = &self.chain[stage];
+        let end = position + inputs.len() as u32;
+        let order = StepOrder {
+            attempt: self.ledger.attempt(),
+            position,
+            inputs,
+            replay: open.ran >= end,
+        };
+        out.push(SessionAction::Step {
+            key: open.key,
+            order,
+        });
+    }
+
+    fn on_output(&mut self, key: StageKey, output: StepOutput, out: &mut Vec<SessionAction>) {
+        let Some((awaited, positions)) = self.awaited() else {
+            return;
+        };
+        let late = key != awaited || output.attempt != self.ledger.attempt();
+        if late || output.outputs.len() != positions {
+            return;
+        }
+        match self.phase {
+            Phase::Refilling { stage, last_new } if output.position == 0 => {
+                self.on_refilled(stage, last_new, output.outputs, out);
+            }
+            Phase::Running if output.position == self.past() => self.on_result(output, out),
+            _ => {}
+        }
+    }
+
+    fn on_refilled(
+        &mut self,
+        stage: usize,
+        last_new: usize,
+        outputs: Vec<Activation>,
+        out: &mut Vec<SessionAction>,
+    ) {
+        let past = self.past();
+        let open = &mut self.chain[stage];
+        open.ran = open.ran.max(past);
+        if stage == last_new {
+            self.start_step(out);
+            return;
+        }
+        let stage = stage + 1;
+        self.phase = Phase::Refilling { stage, last_new };
+        self.order(stage, 0, outputs, out);
+    }
+
+    fn on_result(&mut self, output: StepOutput, out: &mut Vec<SessionAction>) {
+        let stage = self.ledger.stage();
+        let position = self.ledger.position();
+        let end = self.past() + self.inputs.len() as u32;
+        let is_last = stage + 1 == self.chain.len();
+        if is_last && output.token.is_none() {
+            self.on_fault(self.chain[stage].key, out);
+            return;
+        }
+        if self.ledger.offer(output.attempt, stage, position) == Verdict::Drop {
+            return;
+        }
+        let open = &mut self.chain[stage];
+        open.ran = open.ran.max(end);
+        match output.token {
+            Some(token) if is_last => self.deliver(position, token, out),
+            _ => self.order_awaited(output.outputs, out),
+        }
+    }
+
+    fn deliver(&mut self, position: u32, token: Token, out: &mut Vec<SessionAction>) {
+        self.delivered.push(Activation(token.id.to_string()));
+        let end = token.end || self.delivered() >= self.limits.max_tokens;
+        out.push(SessionAction::Deliver { position, token });
+        if end {
+            self.end(EndReason::Complete, out);
+        } else {
+            self.start_step(out);
+        }
+    }
+
+    fn on_fault(&mut self, key: StageKey, out: &mut Vec<SessionAction>) {
+        if self.awaited().is_none_or(|(awaited, _)| awaited != key) {
+            return;
+        }
+        self.faults += 1;
+        if self.faults > self.limits.max_faults {
+            self.end(EndReason::TooManyFaults, out);
+            return;
+        }
+        let lost = self.chain.remove(self.awaited_stage());
+        out.push(SessionAction::Close { key });
+        self.phase = Phase::Planning;
+        self.avoid.insert(lost.stage.target);
+        out.push(SessionAction::Plan {
+            avoid: self.avoid.clone(),
+            missing: lost.stage.layers,
+        });
+    }
+
+    fn end(&mut self, reason: EndReason, out: &mut Vec<SessionAction>) {
+        self.phase = Phase::Ended;
+        out.push(SessionAction::End(reason));
+    }
+}
--- /dev/null
+++ b/crates/deckwind-core/src/state/command.rs
@@ -0,0 +1,131 @@
+//! Commands that go through the log, and their replies.
+
+use super::claims::{ClaimKey, ClaimVerdict, Outcome};
+use super::names::{AccountName, RequestId, Revision, TargetName, TemplateName, VmName};
+use super::objects::{Account, Target, Template};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// One change of one object.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Change {
+    /// Writes a template.
+    Template(Template),
+    /// Writes a client account.
+    Account(Account),
+    /// Writes a target.
+    Target(Target),
+    /// Takes a template out of use.
+    RetireTemplate(TemplateName),
+    /// Takes a client account out of use.
+    RetireAccount(AccountName),
+    /// Takes a target out of use: no new work from here on.
+    RetireTarget(TargetName),
+}
+
+/// An operator's change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApplyRequest {
+    /// Same id on a resend: the first reply comes back.
+    pub request_id: RequestId,
+    /// Revision of the object that the operator saw; zero for "does not
+    /// exist", nothing for "whatever it is".
+    #[serde(default)]
+    pub expected: Option<Revision>,
+    /// What to write.
+    pub change: Change,
+}
+
+/// What a command does.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CommandBody {
+    /// An operator's change.
+    Apply(ApplyRequest),
+    /// Claims a not-repeatable request before its first byte is sent.
+    Claim {
+        /// Whose request.
+        key: ClaimKey,
+        /// Router that will send it.
+        holder: VmName,
+        /// Boot of that router: a restarted router is another holder.
+        boot: u64,
+        /// Digest of the request: the same key with another body is an error.
+        digest: u64,
+        /// Names this try of the holder's: a resend of it is granted again.
+        nonce: u64,
+    },
+    /// Records how a claimed request ended.
+    Finish {
+        /// Whose request.
+        key: ClaimKey,
+        /// Boot of the holder that claimed it.
+        boot: u64,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// The holder is gone: what it had claimed may have run.
+    HolderGone {
+        /// The router.
+        holder: VmName,
+        /// Its boot.
+        boot: u64,
+    },
+}
+
+/// A command with the leader's wall clock, which only ever moves forward.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Command {
+    /// Milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// What it does.
+    pub body: CommandBody,
+}
+
+/// Why a change was not accepted. It then had no effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rejection {
+    /// Somebody else's change came first.
+    #[error("conflict: the object is at revision {current}; read it again and apply to that")]
+    Conflict {
+        /// Revision that the object has.
+        current: Revision,
+    },
+    /// The object does not exist.
+    #[error("not found: {what}")]
+    NotFound {
+        /// Which.
+        what: String,
+    },
+    /// The object contradicts itself or others.
+    #[error("invalid: {why}")]
+    Invalid {
+        /// What to write instead.
+        why: String,
+    },
+    /// A resend with the same request id carried another change.
+    #[error("request id {id} was used for another change; use a new one")]
+    RequestIdReused {
+        /// The id.
+        id: RequestId,
+    },
+}
+
+/// What came of a command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reply {
+    /// The change was accepted as this revision.
+    Accepted {
+        /// Its revision.
+        revision: Revision,
+    },
+    /// The change was not accepted.
+    Rejected(Rejection),
+    /// What the router may do with a claim.
+    Claim(ClaimVerdict),
+    /// Recorded.
+    Done,
+}
--- /dev/null
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -0,0 +1,28 @@
+//! The agreed state: what the control replicas' log adds up to.
+//!
+//! ```text
+//!  Command ──(committed, in log order)──► StateMachine::apply ──► Reply
+//!                                           │ configuration   objects, each with its revision
+//!                                           │ claims          one row per not-repeatable request
+//!                                           └ results         first reply to each operator request id
+//! ```
+//!
+//! `apply` is deterministic: the only time it sees is the `at_ms` that the
+//! leader wrote into the command. All tables are bounded and in the snapshot.
+
+mod claims;
+mod command;
+mod configuration;
+mod machine;
+mod names;
+mod objects;
+
+pub use claims::{Claim, ClaimKey, ClaimLimits, ClaimStatus, ClaimTable, ClaimVerdict, Outcome};
+pub use command::{ApplyRequest, Change, Command, CommandBody, Rejection, Reply};
+pub use configuration::{Configuration, Delta, Versioned};
+pub use machine::StateMachine;
+pub use names::{AccountName, DataCentre, RequestId, Revision, TargetName, TemplateName, VmName};
+pub use objects::{
+    Account, AccountLimits, LayerRange, Objective, Parameters, Priority, Target, TargetKind,
+    TargetStatus, Template, Workload,
+};
--- /dev/null
+++ b/crates/deckwind-fakes/src/lib.rs
@@ -0,0 +1,20 @@
+//! Small stand-ins for what deckwind meets: engine, plain service, weight store
+//! and platform list.
+//!
+//! For: tests, the quick start and measurements. Not for: production, or as a
+//! cluster simulator. Each fake implements its trait of `deckwind-net`, and
+//! [`serve`] puts it behind the HTTP that the real clients speak.
+
+pub mod command;
+mod engine;
+mod model;
+mod platform;
+pub mod serve;
+mod service;
+mod weights;
+
+pub use engine::{EngineFault, FakeEngine, FakeEngineConfig, Run};
+pub use model::{FakeModel, expected_answer};
+pub use platform::FakePlatformList;
+pub use service::{FakeService, ServiceFault};
+pub use weights::FakeWeightStore;
--- /dev/null
+++ b/crates/deckwind-net/src/quic.rs
@@ -0,0 +1,229 @@
+//! One QUIC endpoint a process: requests with an answer, and one-way messages.
+//!
+//! ```text
+//!  request   a bidirectional stream each: bytes, end, bytes, end
+//!  one-way   a unidirectional stream each: bytes, end
+//! ```
+//!
+//! Streams of one connection do not hold each other up (RFC 9000), so a large
+//! snapshot does not delay a heartbeat. A connection that broke is made anew at
+//! the next use; nothing is sent twice from here.
+
+use crate::keys::{KeyFiles, LoadedKeys, load};
+use anyhow::{Context, Result, anyhow};
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Without a packet for this long a connection is dead.
+const IDLE: Duration = Duration::from_secs(3);
+
+/// Between two packets that keep a connection alive.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// Longest wait for a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Streams that a peer may have open at once.
+const MAX_STREAMS: u32 = 1_024;
+
+/// Names the protocol in the handshake (RFC 7301).
+const ALPN: &[u8] = b"deckwind/1";
+
+/// What came in.
+pub enum Incoming {
+    /// A message that wants no answer.
+    OneWay(Vec<u8>),
+    /// A request, and where its answer goes.
+    Request(Vec<u8>, Responder),
+}
+
+/// Where an answer goes.
+pub struct Responder(quinn::SendStream);
+
+impl Responder {
+    /// Sends the answer. A requester that is gone is no error here.
+    pub async fn respond(mut self, answer: Vec<u8>) {
+        if self.0.write_all(&answer).await.is_ok() {
+            let _ = self.0.finish();
+            let _ = self.0.stopped().await;
+        }
+    }
+}
+
+/// An endpoint, and the connections it has made.
+#[derive(Clone)]
+pub struct QuicPeer {
+    endpoint: Endpoint,
+    max_message: usize,
+    connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
+
+impl QuicPeer {
+    /// Binds `address`, with mutual TLS by the files.
+    pub fn bind(address: SocketAddr, files: &KeyFiles, max_message: usize) -> Result<Self> {
+        let keys = load(files)?;
+        let server = server_config(&keys)?;
+        let mut endpoint = Endpoint::server(server, address)
+            .with_context(|| format!("UDP {address} can't be bound"))?;
+        endpoint.set_default_client_config(client_config(keys)?);
+        Ok(Self {
+            endpoint,
+            max_message,
+            connections: Arc::default(),
+        })
+    }
+
+    /// The address that it is bound to.
+    pub fn local_addr(&self) -> Result<SocketAddr> {
+        Ok(self.endpoint.local_addr()?)
+    }
+
+    /// Sends a message that wants no answer.
+    pub async fn send(&self, to: SocketAddr, message: &[u8]) -> Result<()> {
+        let connection = self.connection(to).await?;
+        let mut stream = self.kept(to, connection.open_uni().await)?;
+        stream.write_all(message).await?;
+        stream.finish()?;
+        Ok(())
+    }
+
+    /// Sends a request and waits for its answer.
+    pub async fn request(&self, to: SocketAddr, message: &[u8]) -> Result<Vec<u8>> {
+        let connection = self.connection(to).await?;
+        let (mut tx, mut rx) = self.kept(to, connection.open_bi().await)?;
+        tx.write_all(message).await?;
+        tx.finish()?;
+        let answer = rx.read_to_end(self.max_message).await?;
+        if answer.is_empty() {
+            return Err(anyhow!("{to} gave no answer"));
+        }
+        Ok(answer)
+    }
+
+    /// Drops the connection with which something just went wrong.
+    fn kept<T, E>(&self, to: SocketAddr, result: Result<T, E>) -> Result<T>
+    where
+        E: std::error::Error + Send + Sync + 'static,
+    {
+        result.map_err(|e| {
+            self.connections
+                .lock()
+                .expect("no holder panics")
+                .remove(&to);
+            e.into()
+        })
+    }
+
+    async fn connection(&self, to: SocketAddr) -> Result<Connection> {
+        let known = self
+            .connections
+            .lock()
+            .expect("no holder panics")
+            .get(&to)
+            .cloned();
+        if let Some(connection) = known.filter(|c| c.close_reason().is_none()) {
+            return Ok(connection);
+        }
+        let name = to.ip().to_string();
+        let connecting = self.endpoint.connect(to, &name)?;
+        let connection = tokio::time::timeout(CONNECT, connecting)
+            .await
+            .with_context(|| format!("{to} can't be reached"))??;
+        self.connections
+            .lock()
+            .expect("no holder panics")
+            .insert(to, connection.clone());
+        Ok(connection)
+    }
+
+    /// Takes connections until the endpoint is closed; `handle` gets whatever
+    /// comes in.
+    pub async fn serve(self, handle: impl Fn(IpAddr, Incoming) + Clone + Send + Sync + 'static) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let handle = handle.clone();
+            let max = self.max_message;
+            tokio::spawn(async move {
+                if let Ok(connection) = incoming.await {
+                    serve_connection(connection, max, handle).await;
+                }
+            });
+        }
+    }
+
+    /// Closes all connections.
+    pub async fn close(self) {
+        self.endpoint.close(0u32.into(), b"closed");
+        self.endpoint.wait_idle().await;
+    }
+}
+
+async fn serve_connection(
+    connection: Connection,
+    max: usize,
+    handle: impl Fn(IpAddr, Incoming) + Clone + Send + Sync + 'static,
+) {
+    let from = connection.remote_address().ip();
+    loop {
+        let handle = handle.clone();
+        tokio::select! {
+            uni = connection.accept_uni() => {
+                let Ok(mut rx) = uni else { return };
+                tokio::spawn(async move {
+                    if let Ok(bytes) = rx.read_to_end(max).await {
+                        handle(from, Incoming::OneWay(bytes));
+                    }
+                });
+            }
+            bi = connection.accept_bi() => {
+                let Ok((tx, mut rx)) = bi else { return };
+                tokio::spawn(async move {
+                    if let Ok(bytes) = rx.read_to_end(max).await {
+                        handle(from, Incoming::Request(bytes, Responder(tx)));
+                    }
+                });
+            }
+        }
+    }
+}
+
+fn transport() -> Result<Arc<TransportConfig>> {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(IdleTimeout::try_from(IDLE)?));
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport.max_concurrent_bidi_streams(MAX_STREAMS.into());
+    transport.max_concurrent_uni_streams(MAX_STREAMS.into());
+    Ok(Arc::new(transport))
+}
+
+fn provider() -> Arc<rustls::crypto::CryptoProvider> {
+    Arc::new(rustls::crypto::ring::default_provider())
+}
+
+fn server_config(keys: &LoadedKeys) -> Result<ServerConfig> {
+    let roots = Arc::new(keys.roots.clone());
+    let verifier =
+        rustls::server::WebPkiClientVerifier::builder_with_provider(roots, provider()).build()?;
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider())
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(keys.chain.clone(), keys.key.clone_key())?;
+    tls.alpn_protocols = vec![ALPN.to_vec()];
+    let mut cfg = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
+    cfg.transport_config(transport()?);
+    Ok(cfg)
+}
+
+fn client_config(keys: LoadedKeys) -> Result<ClientConfig> {
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider())
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_root_certificates(keys.roots)
+        .with_client_auth_cert(keys.chain, keys.key)?;
+    tls.alpn_protocols = vec![ALPN.to_vec()];
+    let mut cfg = ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
+    cfg.transport_config(transport()?);
+    Ok(cfg)
+}
--- /dev/null
+++ b/crates/deckwind-net/src/targets/http_engine.rs
@@ -0,0 +1,143 @@
+//! An engine over HTTP/2: a stage is one request whose body and answer are both
+//! streams of JSON lines, an order a line, an output a line.
+
+use super::http_client::HttpTarget;
+use super::traits::{
+    CacheEvents, Engine, EngineLoad, KvExport, OpenStage, StageStream, TargetError, TargetOrder,
+};
+use crate::BoxFuture;
+use bytes::{Bytes, BytesMut};
+use deckwind_core::session::{StepOrder, StepOutput};
+use http::Request;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+/// Path of each call.
+pub mod paths {
+    /// Opens a stage.
+    pub const STAGE: &str = "/v1/stage";
+    /// Load report.
+    pub const LOAD: &str = "/v1/load";
+    /// Cache events.
+    pub const EVENTS: &str = "/v1/cache-events";
+    /// KV cache out.
+    pub const EXPORT: &str = "/v1/kv/export";
+    /// KV cache in.
+    pub const IMPORT: &str = "/v1/kv/import";
+    /// Fenced orders.
+    pub const ORDER: &str = "/v1/order";
+}
+
+/// Header that carries an [`OpenStage`] as JSON.
+pub const OPEN_HEADER: &str = "deckwind-stage";
+
+/// An engine at an address.
+#[derive(Clone)]
+pub struct HttpEngine(Arc<HttpTarget>);
+
+impl HttpEngine {
+    /// No connection is made before the first use.
+    pub fn new(address: SocketAddr) -> Self {
+        Self(Arc::new(HttpTarget::new(address)))
+    }
+
+    async fn open_stage(&self, open: OpenStage) -> Result<Box<dyn StageStream>, TargetError> {
+        let head = serde_json::to_string(&open).map_err(|e| TargetError::NotSent(e.to_string()))?;
+        let (tx, rx) = mpsc::channel::<Result<Frame<Bytes>, Infallible>>(1);
+        let body = BodyExt::boxed(StreamBody::new(ReceiverStream::new(rx)));
+        let req = Request::post(self.0.uri(paths::STAGE))
+            .header(OPEN_HEADER, head)
+            .body(body)
+            .map_err(|e| TargetError::NotSent(e.to_string()))?;
+        let res = self.0.send(req).await?;
+        if !res.status().is_success() {
+            return Err(TargetError::Refused(res.status().to_string()));
+        }
+        Ok(Box::new(HttpStage {
+            tx,
+            rx: res.into_body(),
+            buf: BytesMut::new(),
+        }))
+    }
+}
+
+impl Engine for HttpEngine {
+    fn open(&self, open: OpenStage) -> BoxFuture<'_, Result<Box<dyn StageStream>, TargetError>> {
+        Box::pin(self.open_stage(open))
+    }
+
+    fn load(&self) -> BoxFuture<'_, Result<EngineLoad, TargetError>> {
+        Box::pin(async move { self.0.json(paths::LOAD, &()).await })
+    }
+
+    fn cache_events(&self, from: u64) -> BoxFuture<'_, Result<CacheEvents, TargetError>> {
+        Box::pin(async move { self.0.json(paths::EVENTS, &from).await })
+    }
+
+    fn export_kv(&self, session: String) -> BoxFuture<'_, Result<KvExport, TargetError>> {
+        Box::pin(async move { self.0.json(paths::EXPORT, &session).await })
+    }
+
+    fn import_kv(&self, kv: KvExport) -> BoxFuture<'_, Result<(), TargetError>> {
+        Box::pin(async move { self.0.json(paths::IMPORT, &kv).await })
+    }
+
+    fn order(&self, order: TargetOrder) -> BoxFuture<'_, Result<(), TargetError>> {
+        Box::pin(async move { self.0.json(paths::ORDER, &order).await })
+    }
+}
+
+/// An open stage. Dropping it resets the stream, which cancels the session at
+/// the engine.
+struct HttpStage {
+    tx: mpsc::Sender<Result<Frame<Bytes>, Infallible>>,
+    rx: Incoming,
+    buf: BytesMut,
+}
+
+fn broken(e: impl std::fmt::Display) -> TargetError {
+    TargetError::Broken(e.to_string())
+}
+
+impl HttpStage {
+    async fn run(&mut self, order: StepOrder) -> Result<StepOutput, TargetError> {
+        let mut line = serde_json::to_vec(&order).map_err(broken)?;
+        line.push(b'\n');
+        let frame = Frame::data(Bytes::from(line));
+        self.tx.send(Ok(frame)).await.map_err(broken)?;
+        let line = self.read_line().await?;
+        serde_json::from_slice(&line).map_err(broken)
+    }
+
+    async fn read_line(&mut self) -> Result<BytesMut, TargetError> {
+        loop {
+            if let Some(end) = self.buf.iter().position(|b| *b == b'\n') {
+                return Ok(self.buf.split_to(end + 1));
+            }
+            let frame = self.rx.frame().await;
+            let frame = frame.ok_or_else(|| broken("the engine ended the stage"))?;
+            if let Ok(data) = frame.map_err(broken)?.into_data() {
+                self.buf.extend_from_slice(&data);
+            }
+        }
+    }
+}
+
+impl StageStream for HttpStage {
+    fn step(&mut self, order: StepOrder) -> BoxFuture<'_, Result<StepOutput, TargetError>> {
+        Box::pin(self.run(order))
+    }
+
+    fn close(self: Box<Self>) -> BoxFuture<'static, ()> {
+        Box::pin(async move {
+            let HttpStage { tx, mut rx, .. } = *self;
+            drop(tx);
+            while let Some(Ok(_)) = rx.frame().await {}
+        })
+    }
+}
--- /dev/null
+++ b/crates/deckwind-net/src/targets/http_service.rs
@@ -0,0 +1,68 @@
+//! A plain service over HTTP/2.
+
+use super::http_client::HttpTarget;
+use super::traits::{PlainService, ServiceAnswer, ServiceCall, TargetError};
+use crate::BoxFuture;
+use http::{Request, StatusCode, header};
+use http_body_util::BodyExt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Carries the idempotency key (draft-ietf-httpapi-idempotency-key-header).
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// A plain service at an address.
+#[derive(Clone)]
+pub struct HttpService(Arc<HttpTarget>);
+
+impl HttpService {
+    /// No connection is made before the first use.
+    pub fn new(address: SocketAddr) -> Self {
+        Self(Arc::new(HttpTarget::new(address)))
+    }
+
+    async fn call_once(&self, call: ServiceCall) -> Result<ServiceAnswer, TargetError> {
+        let mut req =
+            Request::post(self.0.uri(&call.path)).header(header::CONTENT_TYPE, &call.content_type);
+        if let Some(key) = &call.idempotency_key {
+            req = req.header(IDEMPOTENCY_KEY, key);
+        }
+        let req = req
+            .body(HttpTarget::full(call.body))
+            .map_err(|e| TargetError::NotSent(e.to_string()))?;
+        let res = self.0.send(req).await?;
+        let status = res.status();
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(TargetError::Refused(status.to_string()));
+        }
+        let content_type = res
+            .headers()
+            .get(header::CONTENT_TYPE)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or("application/octet-stream")
+            .to_string();
+        let body = res
+            .into_body()
+            .collect()
+            .await
+            .map_err(|e| TargetError::Broken(e.to_string()))?
+            .to_bytes()
+            .to_vec();
+        Ok(ServiceAnswer {
+            status: status.as_u16(),
+            content_type,
+            body,
+        })
+    }
+}
+
+impl PlainService for HttpService {
+    fn call(&self, call: ServiceCall) -> BoxFuture<'_, Result<ServiceAnswer, TargetError>> {
+        Box::pin(async move {
+            let timeout = call.timeout;
+            tokio::time::timeout(timeout, self.call_once(call))
+                .await
+                .map_err(|_| TargetError::Late(timeout))?
+        })
+    }
+}
--- /dev/null
+++ b/crates/deckwind-net/src/targets/http_weights.rs
@@ -0,0 +1,70 @@
+//! The weight store over HTTP/2, by range requests (RFC 9110, section 14).
+
+use super::http_client::HttpTarget;
+use super::traits::{TargetError, WeightChunk, WeightStore};
+use crate::BoxFuture;
+use http::{Request, header};
+use http_body_util::BodyExt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A weight store at an address.
+#[derive(Clone)]
+pub struct HttpWeightStore(Arc<HttpTarget>);
+
+impl HttpWeightStore {
+    /// No connection is made before the first use.
+    pub fn new(address: SocketAddr) -> Self {
+        Self(Arc::new(HttpTarget::new(address)))
+    }
+
+    async fn read_part(
+        &self,
+        path: String,
+        offset: u64,
+        len: u64,
+    ) -> Result<WeightChunk, TargetError> {
+        if len == 0 {
+            return Err(TargetError::NotSent(
+                "a part needs at least one byte".to_string(),
+            ));
+        }
+        let range = format!("bytes={offset}-{}", offset + len - 1);
+        let req = Request::get(self.0.uri(&path))
+            .header(header::RANGE, range)
+            .body(HttpTarget::full(Vec::new()))
+            .map_err(|e| TargetError::NotSent(e.to_string()))?;
+        let res = self.0.send(req).await?;
+        if !res.status().is_success() {
+            return Err(TargetError::Refused(res.status().to_string()));
+        }
+        let total = total_of(res.headers())
+            .ok_or_else(|| TargetError::Broken("no content-range in the answer".to_string()))?;
+        let body = res.into_body().collect().await;
+        let bytes = body
+            .map_err(|e| TargetError::Broken(e.to_string()))?
+            .to_bytes();
+        Ok(WeightChunk {
+            bytes: bytes.to_vec(),
+            total,
+        })
+    }
+}
+
+fn total_of(headers: &http::HeaderMap) -> Option<u64> {
+    let range = headers.get(header::CONTENT_RANGE)?.to_str().ok()?;
+    range.rsplit('/').next()?.parse().ok()
+}
+
+impl WeightStore for HttpWeightStore {
+    fn read(
+        &self,
+        model: String,
+        version: String,
+        offset: u64,
+        len: u64,
+    ) -> BoxFuture<'_, Result<WeightChunk, TargetError>> {
+        let path = format!("/v1/weights/{model}/{version}");
+        Box::pin(self.read_part(path, offset, len))
+    }
+}
--- /dev/null
+++ b/crates/deckwind-net/src/targets/mod.rs
@@ -0,0 +1,25 @@
+//! Outside systems as trait objects: engine, plain service, weight store and
+//! platform list.
+//!
+//! How the users' engines speak will be known with their bench; what stands
+//! here is the least that the decisions need. Each trait has an HTTP client
+//! ([`HttpEngine`] and so on) and a fake in `deckwind-fakes`, and both pass the
+//! same contract tests.
+
+mod http_client;
+pub mod http_engine;
+pub mod http_platform;
+pub mod http_service;
+mod http_weights;
+mod traits;
+
+pub use http_client::HttpTarget;
+pub use http_engine::HttpEngine;
+pub use http_platform::HttpPlatformList;
+pub use http_service::HttpService;
+pub use http_weights::HttpWeightStore;
+pub use traits::{
+    CacheEvent, CacheEventKind, CacheEvents, Engine, EngineLoad, KvExport, OpenStage, OrderKind,
+    PlainService, PlatformList, PlatformSnapshot, ServiceAnswer, ServiceCall, StageStream,
+    TargetError, TargetOrder, WeightChunk, WeightStore,
+};
--- /dev/null
+++ b/crates/deckwind-store/src/fs_disk.rs
@@ -0,0 +1,92 @@
+//! The real disk: files of one folder, locked by one process.
+
+use crate::disk::Disk;
+use anyhow::{Context, anyhow};
+use fd_lock::RwLock;
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// A data folder. The lock lasts as long as the process: it is never released
+/// early, so no second daemon can write beside this one.
+pub struct FsDisk {
+    folder: PathBuf,
+    open: BTreeMap<String, File>,
+}
+
+const LOCK: &str = "lock";
+
+impl FsDisk {
+    /// Opens a folder, which is made if need be, and locks it.
+    pub fn open(folder: &Path) -> anyhow::Result<Self> {
+        let place = || format!("data folder {}", folder.display());
+        fs::create_dir_all(folder).with_context(place)?;
+        let file = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(folder.join(LOCK))
+            .with_context(place)?;
+        let lock = Box::leak(Box::new(RwLock::new(file)));
+        let guard = lock.try_write().map_err(|_| {
+            anyhow!(
+                "another deckwindd uses this folder; stop it or set another control.data_folder"
+            )
+        });
+        std::mem::forget(guard.with_context(place)?);
+        Ok(Self {
+            folder: folder.to_path_buf(),
+            open: BTreeMap::new(),
+        })
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        if !self.open.contains_key(name) {
+            let file = OpenOptions::new()
+                .append(true)
+                .read(true)
+                .open(self.folder.join(name))?;
+            self.open.insert(name.to_string(), file);
+        }
+        Ok(self.open.get_mut(name).expect("just opened"))
+    }
+}
+
+impl Disk for FsDisk {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        match fs::read(self.folder.join(name)) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.open.remove(name);
+        File::create(self.folder.join(name))?;
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(bytes)
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        self.file(name)?.set_len(len)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open.remove(from);
+        self.open.remove(to);
+        fs::rename(self.folder.join(from), self.folder.join(to))
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+}
--- /dev/null
+++ b/crates/deckwind-testkit/src/caller.rs
@@ -0,0 +1,225 @@
+//! A caller: JSON over HTTP/1.1, one connection a request.
+
+use anyhow::{Result, anyhow};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// A caller with a bearer key.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    address: SocketAddr,
+    key: String,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body as JSON; null if it is none.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// The code of an error.
+    pub fn code(&self) -> String {
+        let code = self.json()["error"]["code"].clone();
+        code.as_str().unwrap_or_default().to_string()
+    }
+
+    /// A header's text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Text of a whole chat answer.
+    pub fn content(&self) -> String {
+        let content = self.json()["choices"][0]["message"]["content"].clone();
+        content.as_str().unwrap_or_default().to_string()
+    }
+}
+
+/// A streamed answer that is being read.
+pub struct Streaming {
+    /// HTTP status.
+    pub status: u16,
+    body: Incoming,
+    buf: Vec<u8>,
+    connection: JoinHandle<()>,
+}
+
+impl Streaming {
+    /// Text of the next token; nothing at the end of the answer.
+    pub async fn token(&mut self) -> Result<Option<String>> {
+        loop {
+            let event = self.event().await?;
+            if event.contains("event: error") {
+                return Err(anyhow!("{event}"));
+            }
+            let data = event.lines().find_map(|l| l.strip_prefix("data: "));
+            match data {
+                Some("[DONE]") => return Ok(None),
+                Some(json) => {
+                    let chunk: serde_json::Value = serde_json::from_str(json)?;
+                    if let Some(text) = chunk["choices"][0]["delta"]["content"].as_str() {
+                        return Ok(Some(text.to_string()));
+                    }
+                }
+                None => {}
+            }
+        }
+    }
+
+    async fn event(&mut self) -> Result<String> {
+        loop {
+            if let Some(end) = self.buf.windows(2).position(|w| w == b"\n\n") {
+                let event: Vec<u8> = self.buf.drain(..end + 2).collect();
+                return Ok(String::from_utf8(event)?);
+            }
+            let frame = self.body.frame().await;
+            let frame = frame.ok_or_else(|| anyhow!("the stream broke off"))??;
+            if let Ok(data) = frame.into_data() {
+                self.buf.extend_from_slice(&data);
+            }
+        }
+    }
+
+    /// Reads to the end.
+    pub async fn text(mut self) -> Result<String> {
+        let mut text = String::new();
+        while let Some(token) = self.token().await? {
+            text.push_str(&token);
+        }
+        Ok(text)
+    }
+
+    /// Reads to the end; answers with the time of the first token since
+    /// `began`, and the gaps after it.
+    pub async fn timed(mut self, began: Instant) -> Result<(Duration, Vec<Duration>)> {
+        let mut gaps = Vec::new();
+        let mut first = None;
+        let mut last = began;
+        while self.token().await?.is_some() {
+            let now = Instant::now();
+            match first {
+                None => first = Some(now - began),
+                Some(_) => gaps.push(now - last),
+            }
+            last = now;
+        }
+        let first = first.ok_or_else(|| anyhow!("no token came"))?;
+        Ok((first, gaps))
+    }
+}
+
+impl Drop for Streaming {
+    fn drop(&mut self) {
+        self.connection.abort();
+    }
+}
+
+impl Caller {
+    /// A caller of the router at an address.
+    pub fn new(address: SocketAddr, key: &str) -> Self {
+        Self {
+            address,
+            key: key.to_string(),
+        }
+    }
+
+    async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, JoinHandle<()>)> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let (mut tx, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        let connection = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok((tx.send_request(req).await?, connection))
+    }
+
+    /// Posts a body; `headers` are added.
+    pub async fn post(
+        &self,
+        path: &str,
+        body: impl Into<Bytes>,
+        headers: &[(&str, &str)],
+    ) -> Result<Answer> {
+        let (res, connection) = self.send(self.request(path, body.into(), headers)?).await?;
+        let (head, body) = res.into_parts();
+        let body = body.collect().await?.to_bytes();
+        connection.abort();
+        Ok(Answer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body,
+        })
+    }
+
+    fn request(
+        &self,
+        path: &str,
+        body: Bytes,
+        headers: &[(&str, &str)],
+    ) -> Result<Request<Full<Bytes>>> {
+        let mut req = Request::post(path)
+            .header("host", self.address.to_string())
+            .header("authorization", format!("Bearer {}", self.key));
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        Ok(req.body(Full::new(body))?)
+    }
+
+    /// A chat that is answered whole.
+    pub async fn chat(
+        &self,
+        template: &str,
+        prompt: &str,
+        max_tokens: u32,
+        headers: &[(&str, &str)],
+    ) -> Result<Answer> {
+        let body = chat_body(template, prompt, max_tokens, false);
+        self.post("/v1/chat/completions", body, headers).await
+    }
+
+    /// A chat that is streamed.
+    pub async fn stream(&self, template: &str, prompt: &str, max_tokens: u32) -> Result<Streaming> {
+        let body = chat_body(template, prompt, max_tokens, true);
+        let req = self.request("/v1/chat/completions", body.into(), &[])?;
+        let (res, connection) = self.send(req).await?;
+        Ok(Streaming {
+            status: res.status().as_u16(),
+            body: res.into_body(),
+            buf: Vec::new(),
+            connection,
+        })
+    }
+}
+
+fn chat_body(template: &str, prompt: &str, max_tokens: u32, stream: bool) -> String {
+    serde_json::json!({
+        "model": template,
+        "messages": [{ "role": "user", "content": prompt }],
+        "stream": stream,
+        "max_tokens": max_tokens,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/deckwind-testkit/src/cluster.rs
@@ -0,0 +1,131 @@
+//! A cluster of real daemons in this process.
+
+use crate::layout::Layout;
+use crate::wait::eventually_async;
+use anyhow::{Context, Result};
+use deckwind::ops::{ApplyOptions, ControlApi, apply, new_request_id};
+use deckwind_core::state::{Change, Revision};
+use deckwind_wire::operator::AppliedAnswer;
+use deckwindd::ops::Daemon;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Daemons that run in this process, over loopback.
+pub struct Cluster {
+    /// Their folder and addresses.
+    pub layout: Layout,
+    controls: Vec<Option<Daemon>>,
+    routers: Vec<Option<Daemon>>,
+}
+
+async fn start(file: &Path) -> Result<Daemon> {
+    Daemon::start(deckwind_config::load(file)?).await
+}
+
+impl Cluster {
+    /// Starts so many control replicas and routers, and waits until they serve.
+    pub async fn start(control: usize, routers: usize) -> Result<Self> {
+        Self::start_with(Layout::new(control, routers)?).await
+    }
+
+    /// Starts what a layout names.
+    pub async fn start_with(layout: Layout) -> Result<Self> {
+        let (control, routers) = (layout.control.len(), layout.routers.len());
+        let mut cluster = Self {
+            layout,
+            controls: (0..control).map(|_| None).collect(),
+            routers: (0..routers).map(|_| None).collect(),
+        };
+        for slot in 0..control {
+            cluster.start_control(slot).await?;
+        }
+        for i in 0..routers {
+            cluster.start_router(i).await?;
+        }
+        for i in 0..routers {
+            cluster.wait_for_lease(i).await;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts a control replica.
+    pub async fn start_control(&mut self, slot: usize) -> Result<()> {
+        let daemon = start(&self.layout.control_settings(slot)?).await?;
+        self.controls[slot] = Some(daemon);
+        Ok(())
+    }
+
+    /// Starts a router.
+    pub async fn start_router(&mut self, i: usize) -> Result<()> {
+        let daemon = start(&self.layout.router_settings(i)?).await?;
+        self.routers[i] = Some(daemon);
+        Ok(())
+    }
+
+    /// Waits until a router holds a lease.
+    pub async fn wait_for_lease(&self, i: usize) {
+        eventually_async("the router holds a lease", || async move {
+            let router = self.routers[i].as_ref()?.router()?;
+            let shared = router.shared();
+            let ready = shared.core().is_ready(shared.clock.now());
+            ready.then_some(())
+        })
+        .await;
+    }
+
+    /// A router's daemon.
+    pub fn router(&self, i: usize) -> &Daemon {
+        self.routers[i].as_ref().expect("it runs")
+    }
+
+    /// Takes a router's daemon out, to close it.
+    pub fn take_router(&mut self, i: usize) -> Daemon {
+        self.routers[i].take().expect("it runs")
+    }
+
+    /// Where callers reach a router.
+    pub fn callers(&self, i: usize) -> SocketAddr {
+        self.layout.routers[i].callers
+    }
+
+    /// The operators' interface.
+    pub fn api(&self) -> Result<ControlApi> {
+        let token = std::fs::read_to_string(self.layout.token_file())?;
+        Ok(ControlApi::new(self.layout.control_admin.clone(), token))
+    }
+
+    /// Makes a change and waits until it is in force.
+    pub async fn apply(&self, change: Change) -> Result<AppliedAnswer> {
+        self.apply_with(change, None, &new_request_id()).await
+    }
+
+    /// Makes a change with a revision and a request id.
+    pub async fn apply_with(
+        &self,
+        change: Change,
+        expected: Option<Revision>,
+        request_id: &str,
+    ) -> Result<AppliedAnswer> {
+        let api = self.api()?;
+        let options = ApplyOptions {
+            expected,
+            request_id: request_id.to_string(),
+            wait: Duration::from_secs(15),
+        };
+        tokio::task::spawn_blocking(move || apply(&api, change, &options))
+            .await
+            .context("the call panicked")?
+    }
+
+    /// Closes all daemons, routers first.
+    pub async fn close(mut self) -> Result<()> {
+        for daemon in self.routers.iter_mut().filter_map(Option::take) {
+            daemon.close().await?;
+        }
+        for daemon in self.controls.iter_mut().filter_map(Option::take) {
+            daemon.close().await?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/deckwind-testkit/src/lib.rs
@@ -0,0 +1,19 @@
+//! Builders for tests, the quick start and measurements.
+//!
+//! For: a small cluster of real daemons on loopback, with fakes behind it, in
+//! one process ([`Cluster`]) or as processes ([`Processes`]). Not for:
+//! production.
+
+mod caller;
+mod cluster;
+mod layout;
+mod objects;
+mod processes;
+mod wait;
+
+pub use caller::{Answer, Caller, Streaming};
+pub use cluster::Cluster;
+pub use layout::{Layout, Placement};
+pub use objects::{account, chat_template, engine_target, service_target, service_template};
+pub use processes::{Process, Processes};
+pub use wait::{eventually, eventually_async};
--- /dev/null
+++ b/crates/deckwind-testkit/src/processes.rs
@@ -0,0 +1,132 @@
+//! A cluster of separate processes, killed for real.
+
+use crate::layout::Layout;
+use anyhow::{Context, Result, bail};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+
+/// A child process; killed when it is dropped.
+pub struct Process(Child);
+
+impl Process {
+    fn spawn(program: &Path, args: &[String], log: &Path) -> Result<Self> {
+        let log = std::fs::File::create(log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("{} can't be started", program.display()))?;
+        Ok(Self(child))
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
+    /// Kills it at once.
+    pub fn kill(mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+
+    /// Asks it to stop (SIGTERM) and waits; answers with its exit code.
+    pub fn terminate(mut self) -> Result<Option<i32>> {
+        let status = Command::new("kill").arg(self.id().to_string()).status()?;
+        if !status.success() {
+            bail!("process {} can't be signalled", self.id());
+        }
+        Ok(self.0.wait()?.code())
+    }
+
+    fn first_line(&mut self) -> Result<String> {
+        let out = self.0.stdout.take().context("its output is taken")?;
+        let mut line = String::new();
+        BufReader::new(out).read_line(&mut line)?;
+        Ok(line)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Paths of the programs, and the cluster's folder.
+pub struct Processes {
+    /// Addresses and settings.
+    pub layout: Layout,
+    daemon: PathBuf,
+    cli: PathBuf,
+    fake: PathBuf,
+}
+
+impl Processes {
+    /// With the programs at these paths.
+    pub fn new(layout: Layout, daemon: &str, cli: &str, fake: &str) -> Self {
+        Self {
+            layout,
+            daemon: daemon.into(),
+            cli: cli.into(),
+            fake: fake.into(),
+        }
+    }
+
+    fn start(&self, program: &Path, name: &str, args: &[String]) -> Result<Process> {
+        let log = self.layout.folder().join(format!("{name}.log"));
+        Process::spawn(program, args, &log)
+    }
+
+    fn start_daemon(&self, name: &str, settings: PathBuf) -> Result<Process> {
+        let args = ["--settings".to_string(), settings.display().to_string()];
+        self.start(&self.daemon, name, &args)
+    }
+
+    /// Starts a control replica.
+    pub fn control(&self, slot: usize) -> Result<Process> {
+        let settings = self.layout.control_settings(slot)?;
+        self.start_daemon(&format!("control-{slot}"), settings)
+    }
+
+    /// Starts a router.
+    pub fn router(&self, i: usize) -> Result<Process> {
+        let settings = self.layout.router_settings(i)?;
+        self.start_daemon(&format!("router-{i}"), settings)
+    }
+
+    /// Starts a fake, and answers with its address.
+    pub fn fake(&self, name: &str, args: &[&str]) -> Result<(Process, SocketAddr)> {
+        let mut all: Vec<String> = args.iter().map(ToString::to_string).collect();
+        all.push("--listen=127.0.0.1:0".to_string());
+        let mut process = self.start(&self.fake, name, &all)?;
+        let line = process.first_line()?;
+        let address = line.trim().rsplit('=').next().unwrap_or_default().parse();
+        Ok((
+            process,
+            address.with_context(|| format!("{line:?} names no address"))?,
+        ))
+    }
+
+    /// Runs the operators' command line.
+    pub fn cli(&self, args: &[&str]) -> Result<Output> {
+        let mut command = Command::new(&self.cli);
+        for admin in &self.layout.control_admin {
+            command.arg(format!("--control={admin}"));
+        }
+        command.arg("--token-file").arg(self.layout.token_file());
+        Ok(command.args(args).output()?)
+    }
+
+    /// Applies an object from a file that is written for it.
+    pub fn apply(&self, kind: &str, object: &impl serde::Serialize) -> Result<Output> {
+        let file = self.layout.folder().join(format!("{kind}.jsonc"));
+        std::fs::write(&file, serde_json::to_string_pretty(object)?)?;
+        self.cli(&[kind, "apply", &file.display().to_string(), "--wait", "15s"])
+    }
+}
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Whole-cluster tests, one file a feature.
+
+mod processes;
--- /dev/null
+++ b/crates/deckwind/src/cli.rs
@@ -0,0 +1,78 @@
+//! The command line: shared options, and one file a subcommand.
+
+use crate::commands;
+use crate::context::{Context, Exit};
+use anyhow::{Result, bail};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done; a change is in force everywhere
+  1  failed, nothing was changed
+  2  wrong command line
+  3  the change was rejected, nothing was changed
+  4  the change was accepted, and is not yet in force everywhere
+  5  not known whether the change was accepted: send it again with the same --request-id";
+
+/// The whole command line.
+pub fn cli() -> Command {
+    Command::new("deckwind")
+        .about("Operates a deckwind cluster")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg(
+            Arg::new("format")
+                .long("format")
+                .global(true)
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .help("How results are printed"),
+        )
+        .arg(
+            Arg::new("control")
+                .long("control")
+                .global(true)
+                .value_name("IP:PORT")
+                .value_delimiter(',')
+                .action(clap::ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Operators' addresses of the control replicas"),
+        )
+        .arg(
+            Arg::new("token-file")
+                .long("token-file")
+                .global(true)
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("File that holds the operators' token"),
+        )
+        .subcommands([
+            commands::settings::cli(),
+            commands::object::cli(commands::object::TEMPLATE),
+            commands::object::cli(commands::object::ACCOUNT),
+            commands::object::cli(commands::object::TARGET),
+            commands::status::cli(),
+            commands::report::cli(),
+            commands::keys::cli(),
+            commands::completions::cli(),
+        ])
+}
+
+/// Runs the subcommand that was named.
+pub fn exec(args: &ArgMatches) -> Result<Exit> {
+    let cx = Context::of(args);
+    match args.subcommand() {
+        Some(("settings", args)) => commands::settings::exec(&cx, args),
+        Some(("template", args)) => commands::object::exec(&cx, commands::object::TEMPLATE, args),
+        Some(("account", args)) => commands::object::exec(&cx, commands::object::ACCOUNT, args),
+        Some(("target", args)) => commands::object::exec(&cx, commands::object::TARGET, args),
+        Some(("status", args)) => commands::status::exec(&cx, args),
+        Some(("report", args)) => commands::report::exec(&cx, args),
+        Some(("keys", args)) => commands::keys::exec(&cx, args),
+        Some(("completions", args)) => commands::completions::exec(&cx, args),
+        _ => bail!("name a command; see --help"),
+    }
+}
--- /dev/null
+++ b/crates/deckwindd/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! The daemon's command line.
+
+pub mod run;
--- /dev/null
+++ b/crates/deckwindd/src/control/handle.rs
@@ -0,0 +1,43 @@
+//! The way into the driver's thread.
+
+use crossbeam::channel::{Receiver, Sender, bounded};
+use deckwind_core::control::{OperatorReply, OperatorRequest};
+use deckwind_wire::{ControlReply, ControlRequest, Message};
+
+/// Where a reply goes.
+pub type ReplyTo<T> = Box<dyn FnOnce(T) + Send>;
+
+/// What the driver takes.
+pub enum Input {
+    /// A peer's message.
+    Replication(Message),
+    /// A router's request.
+    Router(ControlRequest, ReplyTo<ControlReply>),
+    /// An operator's request.
+    Operator(OperatorRequest, ReplyTo<OperatorReply>),
+    /// Stop.
+    Stop,
+}
+
+/// Inputs that may wait.
+const MAX_WAITING: usize = 16_384;
+
+/// Sends inputs to the driver; cheap to clone.
+#[derive(Clone)]
+pub struct ControlHandle(Sender<Input>);
+
+impl ControlHandle {
+    /// A handle and its receiving end.
+    pub fn new() -> (Self, Receiver<Input>) {
+        let (tx, rx) = bounded(MAX_WAITING);
+        (Self(tx), rx)
+    }
+
+    /// Gives the driver an input. When it can't keep up the input is dropped:
+    /// every sender has its own time-out or resend.
+    pub fn send(&self, input: Input) {
+        if self.0.try_send(input).is_err() {
+            metrics::counter!("deckwind_control_inputs_dropped_total").increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/deckwindd/src/ops/daemon.rs
@@ -0,0 +1,62 @@
+//! A daemon: the roles that its settings name.
+
+use crate::context::Context;
+use crate::control::Control;
+use crate::metrics_page;
+use crate::router::Router;
+use anyhow::Result;
+use deckwind_config::Settings;
+use tokio::runtime::Handle;
+
+/// A running daemon.
+pub struct Daemon {
+    control: Option<Control>,
+    router: Option<Router>,
+}
+
+impl Daemon {
+    /// Starts the roles that the settings name.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        metrics_page::page();
+        let cx = Context::new(settings, Handle::current());
+        let control = match &cx.settings.control {
+            Some(cfg) => Some(Control::start(&cx, cfg)?),
+            None => None,
+        };
+        let router = match &cx.settings.router {
+            Some(cfg) => Some(Router::start(&cx, cfg).await?),
+            None => None,
+        };
+        log::info!(
+            "event=started vm={} router={} control={}",
+            cx.settings.vm,
+            router.is_some(),
+            control.is_some()
+        );
+        Ok(Self { control, router })
+    }
+
+    /// The router, if it has that role.
+    pub fn router(&self) -> Option<&Router> {
+        self.router.as_ref()
+    }
+
+    /// Whether all roles still work. A control replica whose disk failed does
+    /// not.
+    pub fn is_alive(&self) -> bool {
+        self.control.as_ref().is_none_or(Control::is_alive)
+    }
+
+    /// A planned stop: the router first, so that it can still give its lease
+    /// back.
+    pub async fn close(self) -> Result<()> {
+        if let Some(router) = self.router {
+            router.close().await;
+        }
+        if let Some(control) = self.control {
+            control.close().await?;
+        }
+        log::info!("event=stopped");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/deckwindd/src/ops/mod.rs
@@ -0,0 +1,5 @@
+//! What the daemon does, usable without its command line.
+
+mod daemon;
+
+pub use daemon::Daemon;
--- /dev/null
+++ b/crates/deckwindd/src/router/callers.rs
@@ -0,0 +1,530 @@
+//! The callers' side: HTTP/1.1 and HTTP/2 by hyper.
+//!
+//! oxhttp collects an answer before it sends it (see docs/DESIGN.md), so the
+//! streams go by its nearest kin here; operators are served by oxhttp.
+
+use super::answers::{self, Body, CallerError, REQUEST_ID, Ran, answer};
+use super::chat::{ChatEvent, ChatJob, ChatRun};
+use super::chat_body::{ChatRequest, chunk, completion};
+use super::claims::{Claimed, HeldClaim, claim};
+use super::service;
+use super::shared::{HeldTicket, InProgress, RouterShared};
+use bytes::Bytes;
+use deckwind_core::router::{Denied, DeniedCode, Entered, Placed, Work};
+use deckwind_core::routing::prefix_hashes;
+use deckwind_core::session::EndReason;
+use deckwind_core::state::{AccountName, Outcome, TemplateName};
+use deckwind_net::targets::ServiceCall;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use sha2::{Digest, Sha256};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+/// Longest head of a request, bytes.
+const MAX_HEAD: usize = 64 * 1024;
+
+/// Longest wait for a request's head.
+const HEAD_WITHIN: Duration = Duration::from_secs(10);
+
+/// Longest wait for a request's body.
+const BODY_WITHIN: Duration = Duration::from_secs(30);
+
+/// Longest `Idempotency-Key`, bytes.
+const MAX_KEY: usize = 200;
+
+/// Tokens that may wait for a slow caller.
+const TOKENS_WAITING: usize = 16;
+
+/// Between two looks at requests that wait.
+const EXPIRE_EVERY: Duration = Duration::from_millis(100);
+
+/// Accepts connections for ever.
+pub async fn accept(listener: TcpListener, shared: Arc<RouterShared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(EXPIRE_EVERY).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req| handle(shared.clone(), req));
+            let mut builder = auto::Builder::new(TokioExecutor::new());
+            builder
+                .http1()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_WITHIN)
+                .max_buf_size(MAX_HEAD);
+            builder.http2().max_header_list_size(MAX_HEAD as u32);
+            let _ = builder
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// Refuses what waits and can no longer start, for ever.
+pub async fn expire_waiting(shared: Arc<RouterShared>) {
+    loop {
+        tokio::time::sleep(EXPIRE_EVERY).await;
+        let admitted = shared.core().tick(shared.clock.now());
+        shared.tell(admitted);
+    }
+}
+
+async fn handle(
+    shared: Arc<RouterShared>,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let id = shared.request_id();
+    let path = req.uri().path().to_string();
+    let result = route(&shared, &id, req).await;
+    let mut res = result.unwrap_or_else(|e| {
+        log::info!(
+            "event=request_refused request={id} path={path:?} code={} status={}",
+            e.code,
+            e.status
+        );
+        answers::error(&e)
+    });
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        res.headers_mut().insert(REQUEST_ID, value);
+    }
+    let labels = [("status", res.status().as_u16().to_string())];
+    metrics::counter!("deckwind_router_answers_total", &labels).increment(1);
+    Ok(res)
+}
+
+async fn route(
+    shared: &Arc<RouterShared>,
+    id: &str,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, CallerError> {
+    let path = req.uri().path().to_string();
+    match path.as_str() {
+        "/health" => return Ok(answer(200, "text/plain", "alive\n")),
+        "/ready" => return Ok(ready(shared)),
+        _ => {}
+    }
+    let account = authenticate(shared, req.headers())?;
+    if path == "/v1/chat/completions" {
+        if req.method() != Method::POST {
+            return Err(bad(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "bad-request",
+                "use POST",
+            ));
+        }
+        return chat(shared, id, account, req).await;
+    }
+    if let Some(rest) = path.strip_prefix("/s/") {
+        let template = rest.split('/').next().unwrap_or_default();
+        let template = TemplateName::from(template);
+        return plain(shared, id, account, template, req).await;
+    }
+    let message = "there is nothing here; use /v1/chat/completions or /s/TEMPLATE";
+    Err(bad(StatusCode::NOT_FOUND, "unknown-path", message))
+}
+
+fn bad(status: StatusCode, code: &str, message: &str) -> CallerError {
+    CallerError::new(status, code, Ran::NotRun, message)
+}
+
+fn ready(shared: &RouterShared) -> Response<Body> {
+    if shared.core().is_ready(shared.clock.now()) {
+        return answer(200, "text/plain", "ready\n");
+    }
+    answer(
+        503,
+        "text/plain",
+        "not ready: draining or without a lease\n",
+    )
+}
+
+fn authenticate(shared: &RouterShared, headers: &HeaderMap) -> Result<AccountName, CallerError> {
+    let given = headers.get(header::AUTHORIZATION);
+    let key = given.and_then(|v| v.to_str().ok()?.strip_prefix("Bearer "));
+    let key = key.ok_or_else(|| {
+        let message = "give the account's key as Authorization: Bearer KEY";
+        bad(StatusCode::UNAUTHORIZED, "unknown-key", message)
+    })?;
+    let digest = Sha256::digest(key.as_bytes());
+    let hex: String = digest.iter().map(|b| format!("{b:02x}")).collect();
+    Ok(shared.core().authenticate(&hex)?)
+}
+
+async fn read_body(shared: &RouterShared, body: Incoming) -> Result<Bytes, CallerError> {
+    let limited = Limited::new(body, shared.cfg.max_body_bytes);
+    let read = tokio::time::timeout(BODY_WITHIN, limited.collect()).await;
+    let collected = read.map_err(|_| {
+        bad(
+            StatusCode::REQUEST_TIMEOUT,
+            "body-late",
+            "the body did not come in time",
+        )
+    })?;
+    match collected {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => {
+            let message = format!("the body is above {} bytes", shared.cfg.max_body_bytes);
+            Err(bad(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body-too-large",
+                &message,
+            ))
+        }
+        Err(_) => Err(bad(
+            StatusCode::BAD_REQUEST,
+            "bad-request",
+            "the body broke off",
+        )),
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, CallerError> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    let key = value
+        .to_str()
+        .ok()
+        .filter(|k| !k.is_empty() && k.len() <= MAX_KEY);
+    let message = format!("Idempotency-Key must be 1 to {MAX_KEY} visible characters");
+    match key {
+        Some(key) => Ok(Some(key.to_string())),
+        None => Err(bad(StatusCode::BAD_REQUEST, "bad-request", &message)),
+    }
+}
+
+/// Passes the first checks and waits for a place.
+async fn admit(
+    shared: &Arc<RouterShared>,
+    account: &AccountName,
+    template: &TemplateName,
+) -> Result<(Entered, HeldTicket), CallerError> {
+    let now = shared.clock.now();
+    let entered = shared.core().enter(now, account, template)?;
+    let waiting = shared.wait_for(entered.id);
+    let placed = shared.core().place(now, &entered);
+    let ticket = HeldTicket::new(shared, entered.id);
+    match placed {
+        Ok(Placed::Start) => Ok((entered, ticket)),
+        Ok(Placed::Wait) => match waiting.await {
+            Ok(Ok(())) => Ok((entered, ticket)),
+            Ok(Err(denied)) => refuse(shared, &entered, denied),
+            Err(_) => refuse(
+                shared,
+                &entered,
+                Denied::for_now(DeniedCode::Deadline, EXPIRE_EVERY),
+            ),
+        },
+        Err(denied) => refuse(shared, &entered, denied),
+    }
+}
+
+fn refuse<T>(shared: &RouterShared, entered: &Entered, denied: Denied) -> Result<T, CallerError> {
+    let now = shared.clock.now();
+    shared.core().answered(now, entered, None);
+    Err(denied.into())
+}
+
+async fn plain(
+    shared: &Arc<RouterShared>,
+    id: &str,
+    account: AccountName,
+    template: TemplateName,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, CallerError> {
+    let _in_progress = shared.begin();
+    let key = idempotency_key(req.headers())?;
+    let content_type = req.headers().get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|v| v.to_str().ok());
+    let content_type = content_type
+        .unwrap_or("application/octet-stream")
+        .to_string();
+    let full = req.uri().path();
+    let path = full[format!("/s/{template}").len()..].to_string();
+    let body = read_body(shared, req.into_body()).await?;
+    let (entered, _ticket) = admit(shared, &account, &template).await?;
+    let Work::Service(work) = entered.work.clone() else {
+        return Err(Denied::for_good(DeniedCode::WrongTemplate).into());
+    };
+    let held = match claim_if_needed(shared, &entered, key.as_deref(), &body).await? {
+        NeededClaim::Answer(res) => return Ok(*res),
+        NeededClaim::Held(held) => held,
+    };
+    let call = ServiceCall {
+        path: if path.is_empty() {
+            "/".to_string()
+        } else {
+            path
+        },
+        body: body.to_vec(),
+        content_type,
+        idempotency_key: Some(key.unwrap_or_else(|| id.to_string())),
+        timeout: work.timeout,
+    };
+    let result = service::run(shared, &entered, &work, call).await;
+    let now = shared.clock.now();
+    let took = result.is_ok().then(|| now.since(entered.arrived));
+    shared.core().answered(now, &entered, took);
+    if let Some(held) = held {
+        held.finish(outcome_of(&result)).await;
+    }
+    let done = result?;
+    Ok(answer(done.status, &done.content_type, done.body))
+}
+
+fn outcome_of(result: &Result<deckwind_net::targets::ServiceAnswer, CallerError>) -> Outcome {
+    match result {
+        Ok(done) => Outcome::Answer {
+            status: done.status,
+            body: done.body.clone(),
+            truncated: false,
+        },
+        Err(e) if e.ran == Ran::NotRun => Outcome::NotRun,
+        Err(_) => Outcome::Unknown,
+    }
+}
+
+/// A claim, where the template needs one.
+enum NeededClaim {
+    Held(Option<HeldClaim>),
+    Answer(Box<Response<Body>>),
+}
+
+async fn claim_if_needed(
+    shared: &Arc<RouterShared>,
+    entered: &Entered,
+    key: Option<&str>,
+    body: &[u8],
+) -> Result<NeededClaim, CallerError> {
+    if entered.repeatable {
+        return Ok(NeededClaim::Held(None));
+    }
+    Ok(match claim(shared, &entered.account, key, body).await? {
+        Claimed::Granted(held) => NeededClaim::Held(Some(held)),
+        Claimed::Answer(res) => NeededClaim::Answer(res),
+    })
+}
+
+async fn chat(
+    shared: &Arc<RouterShared>,
+    id: &str,
+    account: AccountName,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, CallerError> {
+    let in_progress = shared.begin();
+    let key = idempotency_key(req.headers())?;
+    let body = read_body(shared, req.into_body()).await?;
+    let chat = parse_chat(&body)?;
+    let template = TemplateName::from(chat.model.as_str());
+    let (entered, ticket) = admit(shared, &account, &template).await?;
+    let Work::Chat(work) = entered.work.clone() else {
+        return Err(Denied::for_good(DeniedCode::WrongTemplate).into());
+    };
+    let held = match claim_if_needed(shared, &entered, key.as_deref(), &body).await? {
+        NeededClaim::Answer(res) => return Ok(*res),
+        NeededClaim::Held(held) => held,
+    };
+    let (tx, rx) = mpsc::channel(TOKENS_WAITING);
+    let job = ChatJob {
+        id: id.to_string(),
+        entered: entered.clone(),
+        work,
+        prompt: chat.prompt(),
+        prefixes: prefix_hashes(chat.blocks()),
+        max_tokens: chat.max_tokens,
+    };
+    tokio::spawn(ChatRun::new(shared.clone(), job, tx).run());
+    let mut answering = Answering {
+        shared: shared.clone(),
+        id: id.to_string(),
+        chat,
+        entered,
+        held,
+        rx,
+        first: None,
+        _ticket: ticket,
+        _in_progress: in_progress,
+    };
+    answering.wait_for_first().await?;
+    if answering.chat.stream {
+        return Ok(answering.stream());
+    }
+    answering.whole().await
+}
+
+fn parse_chat(body: &[u8]) -> Result<ChatRequest, CallerError> {
+    let refuse = |why: String| bad(StatusCode::BAD_REQUEST, "bad-request", &why);
+    let chat: ChatRequest = serde_json::from_slice(body).map_err(|e| refuse(e.to_string()))?;
+    if chat.messages.is_empty() {
+        return Err(refuse(
+            "messages must hold at least one message".to_string(),
+        ));
+    }
+    if chat.max_tokens == 0 {
+        return Err(refuse("max_tokens must be 1 or more".to_string()));
+    }
+    Ok(chat)
+}
+
+/// A chat whose session runs, and what it holds until it ends.
+struct Answering {
+    shared: Arc<RouterShared>,
+    id: String,
+    chat: ChatRequest,
+    entered: Entered,
+    held: Option<HeldClaim>,
+    rx: mpsc::Receiver<ChatEvent>,
+    first: Option<ChatEvent>,
+    _ticket: HeldTicket,
+    _in_progress: InProgress,
+}
+
+fn no_answer(reason: EndReason, delivered: bool) -> CallerError {
+    let message = format!("the session ended without its whole answer: {reason:?}");
+    let ran = if delivered { Ran::Unknown } else { Ran::NotRun };
+    CallerError::new(StatusCode::SERVICE_UNAVAILABLE, "no-targets", ran, message)
+        .retry_after(Duration::from_secs(1))
+}
+
+impl Answering {
+    /// Waits for the first token, so that an early failure has a status.
+    async fn wait_for_first(&mut self) -> Result<(), CallerError> {
+        let first = self.next().await;
+        let now = self.shared.clock.now();
+        let took = now.since(self.entered.arrived);
+        let ok = matches!(first, ChatEvent::Token(_));
+        self.shared
+            .core()
+            .answered(now, &self.entered, ok.then_some(took));
+        match first {
+            ChatEvent::End(reason) if reason != EndReason::Complete => {
+                self.record(Outcome::NotRun).await;
+                Err(no_answer(reason, false))
+            }
+            event => {
+                metrics::histogram!("deckwind_router_first_token_seconds")
+                    .record(took.as_secs_f64());
+                self.first = Some(event);
+                Ok(())
+            }
+        }
+    }
+
+    async fn next(&mut self) -> ChatEvent {
+        if let Some(first) = self.first.take() {
+            return first;
+        }
+        let event = self.rx.recv().await;
+        event.unwrap_or(ChatEvent::End(EndReason::TooManyFaults))
+    }
+
+    async fn record(&mut self, outcome: Outcome) {
+        if let Some(held) = self.held.take() {
+            held.finish(outcome).await;
+        }
+    }
+
+    async fn whole(mut self) -> Result<Response<Body>, CallerError> {
+        let mut text = String::new();
+        let mut tokens = 0;
+        loop {
+            match self.next().await {
+                ChatEvent::Token(token) => {
+                    text.push_str(&token.text);
+                    tokens += 1;
+                }
+                ChatEvent::End(EndReason::Complete) => break,
+                ChatEvent::End(reason) => {
+                    self.record(Outcome::Unknown).await;
+                    return Err(no_answer(reason, true));
+                }
+            }
+        }
+        let body = self.completion(&text, tokens);
+        self.record_answer(&body).await;
+        Ok(answer(200, "application/json", body))
+    }
+
+    fn completion(&self, text: &str, tokens: u32) -> Vec<u8> {
+        let prompt = self.chat.prompt().len();
+        completion(&self.id, &self.chat.model, text, prompt, tokens)
+    }
+
+    async fn record_answer(&mut self, body: &[u8]) {
+        self.record(Outcome::Answer {
+            status: 200,
+            body: body.to_vec(),
+            truncated: false,
+        })
+        .await;
+    }
+
+    fn stream(self) -> Response<Body> {
+        let (tx, rx) = mpsc::channel(TOKENS_WAITING);
+        tokio::spawn(self.send_events(tx));
+        let body = BodyExt::boxed(StreamBody::new(ReceiverStream::new(rx)));
+        let mut res = Response::new(body);
+        let headers = res.headers_mut();
+        let event_stream = HeaderValue::from_static("text/event-stream");
+        headers.insert(header::CONTENT_TYPE, event_stream);
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        res
+    }
+
+    /// Sends server-sent events. When the caller is gone `tx` is closed; the
+    /// session's receiver goes with `self`, and that cancels its stages.
+    async fn send_events(mut self, tx: mpsc::Sender<Result<Frame<Bytes>, Infallible>>) {
+        let mut text = String::new();
+        let mut tokens = 0;
+        loop {
+            let event = tokio::select! {
+                event = self.next() => event,
+                () = tx.closed() => return,
+            };
+            let data = match &event {
+                ChatEvent::Token(token) => {
+                    text.push_str(&token.text);
+                    tokens += 1;
+                    self.token_event(tokens - 1, &token.text)
+                }
+                ChatEvent::End(EndReason::Complete) => self.end_event(),
+                ChatEvent::End(reason) => {
+                    let body = answers::error_body(&no_answer(*reason, true));
+                    format!("event: error\ndata: {body}\n\n")
+                }
+            };
+            if event == ChatEvent::End(EndReason::Complete) {
+                let body = self.completion(&text, tokens);
+                self.record_answer(&body).await;
+            }
+            let sent = tx.send(Ok(Frame::data(Bytes::from(data)))).await;
+            if sent.is_err() || matches!(event, ChatEvent::End(_)) {
+                return;
+            }
+        }
+    }
+
+    fn token_event(&self, position: u32, text: &str) -> String {
+        let chunk = chunk(&self.id, &self.chat.model, Some(text));
+        let json = serde_json::to_string(&chunk).unwrap_or_default();
+        format!("id: {position}\ndata: {json}\n\n")
+    }
+
+    fn end_event(&self) -> String {
+        let chunk = chunk(&self.id, &self.chat.model, None);
+        let json = serde_json::to_string(&chunk).unwrap_or_default();
+        format!("data: {json}\n\ndata: [DONE]\n\n")
+    }
+}
--- /dev/null
+++ b/crates/deckwindd/src/router/chat_body.rs
@@ -0,0 +1,111 @@
+//! The body of a chat completion, as the OpenAI interface has it.
+
+use deckwind_core::session::Activation;
+use serde::{Deserialize, Serialize};
+
+/// What a caller sends. Fields that deckwind does not use are passed over.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ChatRequest {
+    /// Name of the template.
+    pub model: String,
+    /// The conversation.
+    pub messages: Vec<ChatMessage>,
+    /// Whether the answer comes token by token.
+    #[serde(default)]
+    pub stream: bool,
+    /// Most tokens of the answer.
+    #[serde(default = "default_max_tokens", alias = "max_completion_tokens")]
+    pub max_tokens: u32,
+}
+
+/// One message of a conversation.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ChatMessage {
+    /// Who speaks.
+    pub role: String,
+    /// What they say.
+    pub content: String,
+}
+
+fn default_max_tokens() -> u32 {
+    256
+}
+
+impl ChatRequest {
+    /// One input a position: the words of all messages. Real tokens are the
+    /// first stage's matter; what counts here is how many positions there are.
+    pub fn prompt(&self) -> Vec<Activation> {
+        let mut prompt = Vec::new();
+        for m in &self.messages {
+            prompt.push(Activation(format!("<{}>", m.role)));
+            prompt.extend(
+                m.content
+                    .split_whitespace()
+                    .map(|w| Activation(w.to_string())),
+            );
+        }
+        prompt
+    }
+
+    /// The messages as blocks, for prefix affinity.
+    pub fn blocks(&self) -> impl Iterator<Item = &[u8]> {
+        self.messages.iter().map(|m| m.content.as_bytes())
+    }
+}
+
+/// Part of a streamed answer.
+#[derive(Serialize)]
+pub struct ChatChunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [ChunkChoice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct ChunkChoice<'a> {
+    index: u32,
+    delta: Delta<'a>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Delta<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+/// A token, or the end, as a chunk.
+pub fn chunk<'a>(id: &'a str, model: &'a str, content: Option<&'a str>) -> ChatChunk<'a> {
+    let finish_reason = content.is_none().then_some("stop");
+    ChatChunk {
+        id,
+        object: "chat.completion.chunk",
+        model,
+        choices: [ChunkChoice {
+            index: 0,
+            delta: Delta { content },
+            finish_reason,
+        }],
+    }
+}
+
+/// A whole answer.
+pub fn completion(id: &str, model: &str, text: &str, prompt: usize, tokens: u32) -> Vec<u8> {
+    let body = serde_json::json!({
+        "id": id,
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": "stop",
+        }],
+        "usage": {
+            "prompt_tokens": prompt,
+            "completion_tokens": tokens,
+            "total_tokens": prompt as u64 + u64::from(tokens),
+        },
+    });
+    body.to_string().into_bytes()
+}
--- /dev/null
+++ b/crates/deckwindd/src/router/lease.rs
@@ -0,0 +1,84 @@
+//! Keeps the lease: asks again as soon as the last answer came.
+
+use super::shared::RouterShared;
+use deckwind_wire::{ControlReply, ControlRequest, Renewal, encode};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause after an answer that was no grant.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Renews for ever.
+pub async fn keep(shared: Arc<RouterShared>) {
+    let mut was_live = false;
+    loop {
+        let granted = renew(&shared).await;
+        note_change(&shared, &mut was_live);
+        if !granted {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn renew(shared: &RouterShared) -> bool {
+    let asked = shared.clock.now();
+    let request = {
+        let mut core = shared.core();
+        ControlRequest::Renew(Renewal {
+            vm: shared.vm.clone(),
+            boot: shared.boot,
+            applied: core.lease().applied(),
+            admin: shared.cfg.admin,
+            demand: core.demand(asked),
+        })
+    };
+    let Ok(ControlReply::Granted(grant)) = shared.control.ask_once(&encode(&request)).await else {
+        return false;
+    };
+    let now = shared.clock.now();
+    let before = shared.core().lease().applied();
+    shared.core().granted(
+        asked,
+        now,
+        grant.term,
+        grant.delta,
+        grant.shares,
+        grant.routers,
+    );
+    let applied = shared.core().lease().applied();
+    if applied > before {
+        forget_gone_targets(shared);
+        metrics::gauge!("deckwind_router_revision", "vm" => shared.vm.to_string())
+            .set(applied.0 as f64);
+        log::info!(
+            "event=configuration_applied vm={} revision={applied}",
+            shared.vm
+        );
+    }
+    true
+}
+
+fn forget_gone_targets(shared: &RouterShared) {
+    let addresses: std::collections::HashSet<_> = shared
+        .core()
+        .fleet()
+        .iter()
+        .map(|(_, t)| t.address)
+        .collect();
+    shared.clients.retain(|a| addresses.contains(a));
+}
+
+fn note_change(shared: &RouterShared, was_live: &mut bool) {
+    let (live, revision) = {
+        let core = shared.core();
+        (
+            core.lease().is_live(shared.clock.now()),
+            core.lease().applied(),
+        )
+    };
+    if live != *was_live {
+        *was_live = live;
+        let event = if live { "lease_held" } else { "lease_lost" };
+        log::info!("event={event} vm={} revision={revision}", shared.vm);
+    }
+}
