--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -11,7 +11,9 @@
     Action, Entry, Event, HardState, Index, Payload, Position, Replica, ReplicaConfig,
     SnapshotMeta, Stored, Term,
 };
-use crate::state::{ClaimLimits, Command, CommandBody, Reply, Revision, StateMachine, VmName};
+use crate::state::{
+    ClaimLimits, Command, CommandBody, Holder, Reply, Revision, StateMachine, VmName,
+};
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -421,36 +423,37 @@
         let asker = Asker::Router(token);
         match request {
             ControlRequest::Renew(renewal) => self.renew(now, token, renewal, out),
-            ControlRequest::Release { vm, boot } => {
+            ControlRequest::Release(holder) => {
                 if let Some(leading) = &mut self.leading {
-                    leading.leases.release(&vm, boot);
-                    leading.demand.remove(&vm);
+                    leading.leases.release(&holder);
+                    leading.demand.remove(&holder.vm);
                 }
-                self.propose(
-                    now,
-                    CommandBody::HolderGone { holder: vm, boot },
-                    asker,
-                    out,
-                );
+                self.propose(now, CommandBody::HolderGone(holder), asker, out);
             }
             ControlRequest::Claim {
                 key,
                 holder,
-                boot,
                 digest,
                 nonce,
             } => {
                 let body = CommandBody::Claim {
                     key,
                     holder,
-                    boot,
                     digest,
                     nonce,
                 };
                 self.propose(now, body, asker, out);
             }
-            ControlRequest::Finish { key, boot, outcome } => {
-                let body = CommandBody::Finish { key, boot, outcome };
+            ControlRequest::Finish {
+                key,
+                holder,
+                outcome,
+            } => {
+                let body = CommandBody::Finish {
+                    key,
+                    holder,
+                    outcome,
+                };
                 self.propose(now, body, asker, out);
             }
         }
@@ -461,18 +464,12 @@
             self.not_leader(token, out);
             return;
         };
-        let Renewal { vm, boot, .. } = &renewal;
-        let old_boot = leading.leases.renew(now, vm, *boot, renewal.applied);
-        leading.demand.put(vm, renewal.demand.clone());
-        leading.admins.insert(vm.clone(), renewal.admin);
-        if let Some(boot) = old_boot {
-            let holder = vm.clone();
-            self.propose(
-                now,
-                CommandBody::HolderGone { holder, boot },
-                Asker::Nobody,
-                out,
-            );
+        let Renewal { holder, .. } = &renewal;
+        let replaced = leading.leases.renew(now, holder, renewal.applied);
+        leading.demand.put(&holder.vm, renewal.demand.clone());
+        leading.admins.insert(holder.vm.clone(), renewal.admin);
+        if let Some(gone) = replaced {
+            self.propose(now, CommandBody::HolderGone(gone), Asker::Nobody, out);
         }
         let behind = renewal.applied < self.machine.configuration().revision();
         let until = now + self.limits.hold;
@@ -520,7 +517,7 @@
         Some(Grant {
             term: self.replica.term(),
             delta: cfg.delta_since(renewal.applied),
-            shares: leading.demand.shares(&renewal.vm, routers, cfg),
+            shares: leading.demand.shares(&renewal.holder.vm, routers, cfg),
             routers,
         })
     }
@@ -628,18 +625,12 @@
             return;
         };
         let gone = leading.leases.expire(now);
-        for (vm, _) in &gone {
-            leading.demand.remove(vm);
-            leading.admins.remove(vm);
+        for holder in &gone {
+            leading.demand.remove(&holder.vm);
+            leading.admins.remove(&holder.vm);
         }
-        for (holder, lease) in gone {
-            let boot = lease.boot;
-            self.propose(
-                now,
-                CommandBody::HolderGone { holder, boot },
-                Asker::Nobody,
-                out,
-            );
+        for holder in gone {
+            self.propose(now, CommandBody::HolderGone(holder), Asker::Nobody, out);
         }
     }
 
@@ -657,23 +648,16 @@
             return;
         }
         leading.orphans_done = true;
-        let live: BTreeMap<&VmName, u64> = leading
-            .leases
-            .routers()
-            .map(|(vm, l)| (vm, l.boot))
-            .collect();
+        let leases = &leading.leases;
         let holders = self.machine.claims().holders_in_progress();
-        let orphans: Vec<(VmName, u64)> = holders
-            .into_iter()
-            .filter(|(vm, boot)| live.get(vm) != Some(boot))
-            .collect();
-        for (holder, boot) in orphans {
-            self.propose(
-                now,
-                CommandBody::HolderGone { holder, boot },
-                Asker::Nobody,
-                out,
-            );
+        let gone = |h: &Holder| {
+            !leases
+                .routers()
+                .any(|(vm, l)| *vm == h.vm && l.boot == h.boot)
+        };
+        let orphans: Vec<Holder> = holders.into_iter().filter(gone).collect();
+        for holder in orphans {
+            self.propose(now, CommandBody::HolderGone(holder), Asker::Nobody, out);
         }
     }
 
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -2,17 +2,15 @@
 
 use crate::membership::{AccountDemand, AccountShare};
 use crate::replication::Term;
-use crate::state::{AccountName, ClaimKey, ClaimVerdict, Delta, Outcome, Revision, VmName};
+use crate::state::{AccountName, ClaimKey, ClaimVerdict, Delta, Holder, Outcome, Revision};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// A router asks for its lease to be renewed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Renewal {
-    /// Router.
-    pub vm: VmName,
-    /// Boot of its process.
-    pub boot: u64,
+    /// The router.
+    pub holder: Holder,
     /// Revision that it has applied.
     pub applied: Revision,
     /// Its operators' interface, for reports.
@@ -40,20 +38,13 @@
     /// Renew my lease. Answered when something changed, or after a while.
     Renew(Renewal),
     /// I have stopped.
-    Release {
-        /// Router.
-        vm: VmName,
-        /// Its boot.
-        boot: u64,
-    },
+    Release(Holder),
     /// Claim a not-repeatable request.
     Claim {
         /// Whose.
         key: ClaimKey,
-        /// Router.
-        holder: VmName,
-        /// Its boot.
-        boot: u64,
+        /// The router.
+        holder: Holder,
         /// Digest of the request.
         digest: u64,
         /// Names this try; the same on a resend.
@@ -63,8 +54,8 @@
     Finish {
         /// Whose.
         key: ClaimKey,
-        /// Boot of the holder.
-        boot: u64,
+        /// The router.
+        holder: Holder,
         /// How.
         outcome: Outcome,
     },
--- a/crates/deckwind-core/src/membership/lease_table.rs
+++ b/crates/deckwind-core/src/membership/lease_table.rs
@@ -1,6 +1,6 @@
 //! The leader's side of the leases.
 
-use crate::state::{Revision, VmName};
+use crate::state::{Holder, Revision, VmName};
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -72,42 +72,48 @@
 
     /// Records that a router asked, and grants it a lease.
     ///
-    /// Answers with the boot that the same VM had before, if it was another
-    /// one: that process is gone, and so are the requests it had claimed.
-    pub fn renew(
-        &mut self,
-        now: Instant,
-        vm: &VmName,
-        boot: u64,
-        applied: Revision,
-    ) -> Option<u64> {
+    /// Answers with the process that the same VM had before, if it was another
+    /// one: it is gone, and so are the requests that it had claimed.
+    pub fn renew(&mut self, now: Instant, holder: &Holder, applied: Revision) -> Option<Holder> {
         let lease = RouterLease {
-            boot,
+            boot: holder.boot,
             applied,
             until: now + self.timing.with_drift(),
         };
-        let before = self.routers.insert(vm.clone(), lease);
-        before.map(|l| l.boot).filter(|b| *b != boot)
+        let before = self.routers.insert(holder.vm.clone(), lease)?;
+        let replaced = before.boot != holder.boot;
+        replaced.then(|| Holder {
+            vm: holder.vm.clone(),
+            boot: before.boot,
+        })
     }
 
     /// Forgets a router that said it has stopped.
-    pub fn release(&mut self, vm: &VmName, boot: u64) {
-        if self.routers.get(vm).is_some_and(|l| l.boot == boot) {
-            self.routers.remove(vm);
+    pub fn release(&mut self, holder: &Holder) {
+        if self
+            .routers
+            .get(&holder.vm)
+            .is_some_and(|l| l.boot == holder.boot)
+        {
+            self.routers.remove(&holder.vm);
         }
     }
 
-    /// Drops leases that have run out, and answers with them.
-    pub fn expire(&mut self, now: Instant) -> Vec<(VmName, RouterLease)> {
-        let gone: Vec<VmName> = self
+    /// Drops leases that have run out, and answers with their holders.
+    pub fn expire(&mut self, now: Instant) -> Vec<Holder> {
+        let gone: Vec<Holder> = self
             .routers
             .iter()
             .filter(|(_, l)| l.until <= now)
-            .map(|(vm, _)| vm.clone())
+            .map(|(vm, l)| Holder {
+                vm: vm.clone(),
+                boot: l.boot,
+            })
             .collect();
-        gone.into_iter()
-            .filter_map(|vm| self.routers.remove_entry(&vm))
-            .collect()
+        for holder in &gone {
+            self.routers.remove(&holder.vm);
+        }
+        gone
     }
 
     /// Live leases.
--- a/crates/deckwind-core/src/state/claims.rs
+++ b/crates/deckwind-core/src/state/claims.rs
@@ -16,6 +16,15 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// A router's process: a restarted router is another holder.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// Its VM.
+    pub vm: VmName,
+    /// Random number of this start of the process.
+    pub boot: u64,
+}
+
 /// Whose request: the key of one account never meets another account's.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClaimKey {
@@ -55,10 +64,8 @@
 /// One row of the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
-    /// Router that claimed it.
-    pub holder: VmName,
-    /// Boot of that router.
-    pub boot: u64,
+    /// Who claimed it.
+    pub holder: Holder,
     /// Digest of the request.
     pub digest: u64,
     /// Names the holder's try, so that its resend is told from another's try.
@@ -154,9 +161,9 @@
         ClaimVerdict::Granted
     }
 
-    /// Records how a claim ended, if `boot` holds it. What was unknown becomes
+    /// Records how a claim ended, if `holder` holds it. What was unknown becomes
     /// known if the holder turns out to be alive.
-    pub(super) fn finish(&mut self, key: &ClaimKey, boot: u64, outcome: Outcome) {
+    pub(super) fn finish(&mut self, key: &ClaimKey, holder: &Holder, outcome: Outcome) {
         let Some(row) = self.rows.get_mut(key) else {
             return;
         };
@@ -164,7 +171,7 @@
             row.status,
             ClaimStatus::InProgress | ClaimStatus::Ended(Outcome::Unknown)
         );
-        if row.boot != boot || !open {
+        if row.holder != *holder || !open {
             return;
         }
         if outcome == Outcome::NotRun {
@@ -177,17 +184,16 @@
     }
 
     /// Holders of claims in progress, each once.
-    pub fn holders_in_progress(&self) -> BTreeSet<(VmName, u64)> {
+    pub fn holders_in_progress(&self) -> BTreeSet<Holder> {
         let running = |c: &&Claim| c.status == ClaimStatus::InProgress;
         let rows = self.rows.values().filter(running);
-        rows.map(|c| (c.holder.clone(), c.boot)).collect()
+        rows.map(|c| c.holder.clone()).collect()
     }
 
     /// What a holder that is gone had claimed may have run.
-    pub(super) fn holder_gone(&mut self, holder: &VmName, boot: u64) {
+    pub(super) fn holder_gone(&mut self, holder: &Holder) {
         for row in self.rows.values_mut() {
-            let its = row.holder == *holder && row.boot == boot;
-            if its && row.status == ClaimStatus::InProgress {
+            if row.holder == *holder && row.status == ClaimStatus::InProgress {
                 row.status = ClaimStatus::Ended(Outcome::Unknown);
             }
         }
@@ -230,7 +236,7 @@
     if old.digest != new.digest {
         return ClaimVerdict::OtherRequest;
     }
-    let resend = old.boot == new.boot && old.nonce == new.nonce;
+    let resend = old.holder == new.holder && old.nonce == new.nonce;
     match &old.status {
         ClaimStatus::InProgress if resend => ClaimVerdict::Granted,
         ClaimStatus::InProgress => ClaimVerdict::InProgress,
--- a/crates/deckwind-core/src/state/command.rs
+++ b/crates/deckwind-core/src/state/command.rs
@@ -1,7 +1,7 @@
 //! Commands that go through the log, and their replies.
 
-use super::claims::{ClaimKey, ClaimVerdict, Outcome};
-use super::names::{AccountName, RequestId, Revision, TargetName, TemplateName, VmName};
+use super::claims::{ClaimKey, ClaimVerdict, Holder, Outcome};
+use super::names::{AccountName, RequestId, Revision, TargetName, TemplateName};
 use super::objects::{Account, Target, Template};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -47,10 +47,8 @@
     Claim {
         /// Whose request.
         key: ClaimKey,
-        /// Router that will send it.
-        holder: VmName,
-        /// Boot of that router: a restarted router is another holder.
-        boot: u64,
+        /// Who will send it.
+        holder: Holder,
         /// Digest of the request: the same key with another body is an error.
         digest: u64,
         /// Names this try of the holder's: a resend of it is granted again.
@@ -60,18 +58,13 @@
     Finish {
         /// Whose request.
         key: ClaimKey,
-        /// Boot of the holder that claimed it.
-        boot: u64,
+        /// Who claimed it.
+        holder: Holder,
         /// How it ended.
         outcome: Outcome,
     },
     /// The holder is gone: what it had claimed may have run.
-    HolderGone {
-        /// The router.
-        holder: VmName,
-        /// Its boot.
-        boot: u64,
-    },
+    HolderGone(Holder),
 }
 
 /// A command with the leader's wall clock, which only ever moves forward.
--- a/crates/deckwind-core/src/state/machine.rs
+++ b/crates/deckwind-core/src/state/machine.rs
@@ -59,13 +59,11 @@
             CommandBody::Claim {
                 key,
                 holder,
-                boot,
                 digest,
                 nonce,
             } => {
                 let claim = Claim {
                     holder,
-                    boot,
                     digest,
                     nonce,
                     at_ms: self.clock_ms,
@@ -73,12 +71,16 @@
                 };
                 Reply::Claim(self.claims.claim(key, claim))
             }
-            CommandBody::Finish { key, boot, outcome } => {
-                self.claims.finish(&key, boot, outcome);
+            CommandBody::Finish {
+                key,
+                holder,
+                outcome,
+            } => {
+                self.claims.finish(&key, &holder, outcome);
                 Reply::Done
             }
-            CommandBody::HolderGone { holder, boot } => {
-                self.claims.holder_gone(&holder, boot);
+            CommandBody::HolderGone(holder) => {
+                self.claims.holder_gone(&holder);
                 Reply::Done
             }
         }
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -17,7 +17,9 @@
 mod names;
 mod objects;
 
-pub use claims::{Claim, ClaimKey, ClaimLimits, ClaimStatus, ClaimTable, ClaimVerdict, Outcome};
+pub use claims::{
+    Claim, ClaimKey, ClaimLimits, ClaimStatus, ClaimTable, ClaimVerdict, Holder, Outcome,
+};
 pub use command::{ApplyRequest, Change, Command, CommandBody, Rejection, Reply};
 pub use configuration::{Configuration, Delta, Versioned};
 pub use machine::StateMachine;
--- a/crates/deckwind-store/src/disk.rs
+++ b/crates/deckwind-store/src/disk.rs
@@ -52,6 +52,11 @@
         self.with(|d| d.fail_at = Some(d.operations + operations));
     }
 
+    /// Takes back what [`MemoryDisk::fail_after`] announced.
+    pub fn mend(&self) {
+        self.with(|d| d.fail_at = None);
+    }
+
     /// Operations so far, reads left out.
     pub fn operations(&self) -> u64 {
         self.with(|d| d.operations)
--- /dev/null
+++ b/crates/deckwind-testkit/src/lab.rs
@@ -0,0 +1,531 @@
+//! Control replicas in virtual time: the real core and store, on disks in
+//! memory, over a network that loses, doubles, delays and cuts.
+//!
+//! Every run repeats by its seed. After each step the invariants are checked:
+//!
+//! 1. at most one leader a term;
+//! 2. at most one replica may answer at a time;
+//! 3. committed entries are the same everywhere, and stay;
+//! 4. whoever may answer knows every change that was accepted;
+//! 5. when an operator was told "in force", no router that may serve is older;
+//! 6. a claimed key runs at most once.
+
+use crate::lab_routers::LabRouter;
+use deckwind_core::control::{
+    ControlEvent, ControlLimits, ControlRequest, OperatorReply, OperatorRequest,
+};
+use deckwind_core::membership::{InForce, LeaseTiming};
+use deckwind_core::replication::{Entry, Event, Index, Message, ReplicaConfig, ReplicaId, Term};
+use deckwind_core::state::{ApplyRequest, Change, ClaimLimits, Revision};
+use deckwind_core::time::Instant;
+use deckwind_store::{MemoryDisk, Store};
+use deckwind_wire::ControlReply;
+use deckwindd::control::{ControlNode, Effect, Now};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// What the network does, in parts of 1,000.
+#[derive(Clone, Copy, Debug)]
+pub struct NetFaults {
+    /// Messages lost.
+    pub lost: u32,
+    /// Messages that come twice.
+    pub doubled: u32,
+    /// Longest delay.
+    pub max_delay: Duration,
+}
+
+impl NetFaults {
+    /// A quiet network.
+    pub const NONE: NetFaults = NetFaults {
+        lost: 0,
+        doubled: 0,
+        max_delay: Duration::from_millis(1),
+    };
+
+    /// A bad one.
+    pub const BAD: NetFaults = NetFaults {
+        lost: 100,
+        doubled: 50,
+        max_delay: Duration::from_millis(60),
+    };
+}
+
+/// A control VM.
+struct LabNode {
+    disk: MemoryDisk,
+    node: Option<ControlNode>,
+    frozen: bool,
+    inbox: Vec<ControlEvent>,
+    /// Entries whose agreement was checked.
+    checked: Index,
+    /// Its clock runs this much faster, parts in 1,000.
+    fast_per_mille: i64,
+}
+
+impl LabNode {
+    fn describe(&self) -> String {
+        let Some(node) = &self.node else {
+            return "down".to_string();
+        };
+        let r = node.core().replica();
+        format!(
+            "{} {} term {} last {:?} commit {:?} members {:?} frozen {}",
+            r.id(),
+            r.role(),
+            r.term().0,
+            r.log().last(),
+            r.commit(),
+            r.members(),
+            self.frozen
+        )
+    }
+}
+
+/// Who asked for what, by token.
+#[derive(Clone, Debug)]
+enum Asked {
+    Router(usize, ControlRequest),
+    Operator(String),
+}
+
+/// Something under way.
+enum Flying {
+    Message(Message),
+    Ask(u8, u64, ControlRequest),
+    Answer(usize, ControlRequest, ControlReply),
+}
+
+/// The laboratory.
+pub struct Lab {
+    now: Instant,
+    rng: StdRng,
+    faults: NetFaults,
+    nodes: Vec<LabNode>,
+    /// Routers; see [`LabRouter`].
+    pub routers: Vec<LabRouter>,
+    cut: BTreeSet<(u8, u8)>,
+    flying: BTreeMap<(Instant, u64), Flying>,
+    sequence: u64,
+    asked: BTreeMap<u64, Asked>,
+    next_token: u64,
+    leaders: BTreeMap<Term, ReplicaId>,
+    committed: BTreeMap<Index, Entry>,
+    accepted: Revision,
+    /// Operators' replies, by request id.
+    pub replies: BTreeMap<String, Vec<OperatorReply>>,
+    limits: ControlLimits,
+    lease: LeaseTiming,
+}
+
+/// Step of virtual time.
+const STEP: Duration = Duration::from_millis(5);
+
+impl Lab {
+    /// So many replicas and routers.
+    pub fn new(replicas: usize, routers: usize, seed: u64, faults: NetFaults) -> Self {
+        let mut lab = Self {
+            now: Instant::from_millis(1_000),
+            rng: StdRng::seed_from_u64(seed),
+            faults,
+            nodes: Vec::new(),
+            routers: Vec::new(),
+            cut: BTreeSet::new(),
+            flying: BTreeMap::new(),
+            sequence: 0,
+            asked: BTreeMap::new(),
+            next_token: 1,
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            accepted: Revision::ZERO,
+            replies: BTreeMap::new(),
+            limits: ControlLimits {
+                compact_after: 24,
+                claims: ClaimLimits::default(),
+                ..ControlLimits::default()
+            },
+            lease: LeaseTiming::default(),
+        };
+        for _ in 0..replicas {
+            let fast_per_mille = lab.rng.random_range(-10..=10);
+            lab.nodes.push(LabNode {
+                disk: MemoryDisk::default(),
+                node: None,
+                frozen: false,
+                inbox: Vec::new(),
+                checked: Index(0),
+                fast_per_mille,
+            });
+        }
+        for slot in 0..replicas {
+            lab.start(slot);
+        }
+        for i in 0..routers {
+            lab.routers.push(LabRouter::new(i, lab.lease));
+        }
+        lab
+    }
+
+    /// Now.
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Random numbers of the run's seed.
+    pub fn rng(&mut self) -> &mut StdRng {
+        &mut self.rng
+    }
+
+    /// Disk of a replica.
+    pub fn disk(&self, slot: usize) -> &MemoryDisk {
+        &self.nodes[slot].disk
+    }
+
+    /// Replica at a slot, if it is up.
+    pub fn node(&self, slot: usize) -> Option<&ControlNode> {
+        self.nodes[slot].node.as_ref()
+    }
+
+    fn local(&self, slot: usize) -> Now {
+        let micros = self.now.as_micros() as i64;
+        let fast = micros * self.nodes[slot].fast_per_mille / 1_000;
+        let local = (micros + fast) as u64;
+        Now {
+            at: Instant::from_micros(local),
+            wall_ms: local / 1_000,
+        }
+    }
+
+    /// Starts a replica on whatever its disk holds.
+    pub fn start(&mut self, slot: usize) {
+        let now = self.local(slot).at;
+        let fresh = ReplicaId {
+            slot: slot as u8,
+            identity: self.rng.random(),
+        };
+        let disk = Box::new(self.nodes[slot].disk.clone());
+        let opened = Store::open(disk, fresh);
+        let (store, opened) = opened.expect("a crash never leaves a folder that can't be opened");
+        let seed = self.rng.random();
+        let cfg = ReplicaConfig::new(opened.id, 0..self.nodes.len() as u8, seed);
+        let node = ControlNode::new(cfg, self.lease, self.limits, store, opened, now);
+        let lab_node = &mut self.nodes[slot];
+        lab_node.node = Some(node.expect("the snapshot can be read"));
+        lab_node.checked = Index(0);
+        lab_node.inbox.clear();
+    }
+
+    /// Power goes: what was not synced is lost, but for `torn` bytes.
+    pub fn crash(&mut self, slot: usize, torn: usize) {
+        self.nodes[slot].node = None;
+        self.nodes[slot].frozen = false;
+        self.nodes[slot].disk.crash(torn);
+    }
+
+    /// The disk is lost with the VM.
+    pub fn lose_disk(&mut self, slot: usize) {
+        self.crash(slot, 0);
+        self.nodes[slot].disk.wipe();
+    }
+
+    /// The VM stops or goes on without noticing; messages wait for it.
+    pub fn freeze(&mut self, slot: usize, frozen: bool) {
+        self.nodes[slot].frozen = frozen;
+    }
+
+    /// Cuts a replica off from the others, or heals that.
+    pub fn cut_off(&mut self, slot: usize, cut: bool) {
+        for other in 0..self.nodes.len() as u8 {
+            let slot = slot as u8;
+            for pair in [(slot, other), (other, slot)] {
+                if cut {
+                    self.cut.insert(pair);
+                } else {
+                    self.cut.remove(&pair);
+                }
+            }
+        }
+    }
+
+    /// Heals all cuts and starts whatever is down.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+        for slot in 0..self.nodes.len() {
+            self.nodes[slot].frozen = false;
+            self.nodes[slot].disk.mend();
+            if self.nodes[slot].node.is_none() {
+                self.nodes[slot].disk.crash(0);
+                self.start(slot);
+            }
+        }
+    }
+
+    /// Slot of the replica that may answer now.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.nodes.len()).find(|slot| self.may_answer(*slot))
+    }
+
+    fn may_answer(&self, slot: usize) -> bool {
+        let node = self.nodes[slot].node.as_ref();
+        node.is_some_and(|n| n.core().replica().may_answer(self.local(slot).at))
+    }
+
+    /// Runs until some replica may answer.
+    pub fn run_until_led(&mut self) -> usize {
+        const PATIENCE: usize = 8_000;
+        for _ in 0..PATIENCE {
+            self.step();
+            if let Some(slot) = self.leader() {
+                return slot;
+            }
+        }
+        let states: Vec<String> = self.nodes.iter().map(LabNode::describe).collect();
+        panic!("no replica ever led: {states:#?}");
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    /// Sends an operator's change to a replica.
+    pub fn apply(&mut self, slot: usize, id: &str, expected: Option<Revision>, change: Change) {
+        let request = Box::new(ApplyRequest {
+            request_id: id.into(),
+            expected,
+            change,
+        });
+        let wait = Duration::from_secs(10);
+        let request = OperatorRequest::Apply { request, wait };
+        let token = self.next_token;
+        self.next_token += 1;
+        self.asked.insert(token, Asked::Operator(id.to_string()));
+        self.nodes[slot]
+            .inbox
+            .push(ControlEvent::Operator { token, request });
+    }
+
+    /// Applies a change at whichever replica leads, as an operator does: sent
+    /// again with the same id until it is accepted or rejected.
+    pub fn apply_and_wait(
+        &mut self,
+        id: &str,
+        expected: Option<Revision>,
+        change: Change,
+    ) -> OperatorReply {
+        const TRIES: usize = 10;
+        const STEPS: usize = 2_500;
+        for _ in 0..TRIES {
+            let slot = self.run_until_led();
+            let before = self.replies.get(id).map_or(0, Vec::len);
+            self.apply(slot, id, expected, change.clone());
+            for _ in 0..STEPS {
+                self.step();
+                let replies = self.replies.get(id).map_or(&[][..], Vec::as_slice);
+                match replies.get(before) {
+                    Some(OperatorReply::Unknown | OperatorReply::NotLeader { .. }) => break,
+                    Some(reply) => return reply.clone(),
+                    None => {}
+                }
+            }
+        }
+        panic!("no reply to {id}");
+    }
+
+    /// One step of time: messages arrive, routers act, replicas take batches.
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.deliver();
+        self.step_routers();
+        for slot in 0..self.nodes.len() {
+            self.step_node(slot);
+        }
+        self.check();
+    }
+
+    fn deliver(&mut self) {
+        while let Some(((at, _), _)) = self.flying.first_key_value() {
+            if *at > self.now {
+                break;
+            }
+            let (_, flying) = self.flying.pop_first().expect("just seen");
+            match flying {
+                Flying::Message(m) => {
+                    let event = ControlEvent::Replica(Event::Receive(m.clone()));
+                    self.nodes[m.to_slot as usize].inbox.push(event);
+                }
+                Flying::Ask(slot, token, request) => self.nodes[slot as usize]
+                    .inbox
+                    .push(ControlEvent::Request { token, request }),
+                Flying::Answer(router, request, reply) => {
+                    let now = self.now;
+                    self.routers[router].answered(now, &request, reply);
+                }
+            }
+        }
+    }
+
+    fn step_node(&mut self, slot: usize) {
+        let now = self.local(slot);
+        let lab_node = &mut self.nodes[slot];
+        let Some(node) = &mut lab_node.node else {
+            lab_node.inbox.clear();
+            return;
+        };
+        if lab_node.frozen {
+            return;
+        }
+        let batch = std::mem::take(&mut lab_node.inbox);
+        let mut effects = Vec::new();
+        if node.take(now, batch, &mut effects).is_err() {
+            lab_node.node = None;
+        }
+        for effect in effects {
+            self.take_effect(slot, effect);
+        }
+    }
+
+    fn take_effect(&mut self, slot: usize, effect: Effect) {
+        match effect {
+            Effect::Send(m) => {
+                if !self.cut.contains(&(slot as u8, m.to_slot)) {
+                    self.fly(Flying::Message(m));
+                }
+            }
+            Effect::Reply(token, reply) => {
+                if let Some(Asked::Router(i, request)) = self.asked.remove(&token) {
+                    self.fly(Flying::Answer(i, request, reply));
+                }
+            }
+            Effect::OperatorReply(token, reply) => {
+                if let Some(Asked::Operator(id)) = self.asked.remove(&token) {
+                    self.note_reply(&id, reply);
+                }
+            }
+        }
+    }
+
+    fn note_reply(&mut self, id: &str, reply: OperatorReply) {
+        if let OperatorReply::Accepted { revision, in_force } = &reply {
+            self.accepted = self.accepted.max(*revision);
+            if *in_force == InForce::Yes {
+                self.check_in_force(*revision);
+            }
+        }
+        self.replies.entry(id.to_string()).or_default().push(reply);
+    }
+
+    fn check_in_force(&self, revision: Revision) {
+        for router in &self.routers {
+            let serves = router.serves(self.now);
+            assert!(
+                !serves || router.applied() >= revision,
+                "revision {revision} was called in force, router {} serves {}",
+                router.name(),
+                router.applied()
+            );
+        }
+    }
+
+    fn fly(&mut self, flying: Flying) {
+        if self.rng.random_range(0..1_000) < self.faults.lost {
+            return;
+        }
+        let micros = self.faults.max_delay.as_micros() as u64;
+        let delay = Duration::from_micros(self.rng.random_range(0..=micros));
+        if self.rng.random_range(0..1_000) < self.faults.doubled
+            && let Flying::Message(m) = &flying
+        {
+            let again = Flying::Message(m.clone());
+            self.put(self.now + delay + self.faults.max_delay, again);
+        }
+        self.put(self.now + delay, flying);
+    }
+
+    fn put(&mut self, at: Instant, flying: Flying) {
+        self.sequence += 1;
+        self.flying.insert((at, self.sequence), flying);
+    }
+
+    fn step_routers(&mut self) {
+        let replicas = self.nodes.len();
+        for i in 0..self.routers.len() {
+            let request = self.routers[i].next_request(self.now, &mut self.rng);
+            let Some(request) = request else {
+                continue;
+            };
+            let slot = self.routers[i].replica(replicas) as u8;
+            let token = self.next_token;
+            self.next_token += 1;
+            self.asked.insert(token, Asked::Router(i, request.clone()));
+            self.fly(Flying::Ask(slot, token, request));
+        }
+    }
+
+    fn check(&mut self) {
+        let answering: Vec<usize> = (0..self.nodes.len())
+            .filter(|s| self.may_answer(*s))
+            .collect();
+        assert!(
+            answering.len() <= 1,
+            "two replicas may answer: {answering:?}"
+        );
+        for slot in 0..self.nodes.len() {
+            self.check_leader(slot);
+            self.check_committed(slot);
+        }
+        if let Some(slot) = answering.first() {
+            self.check_knows_accepted(*slot);
+        }
+    }
+
+    fn check_leader(&mut self, slot: usize) {
+        let Some(node) = &self.nodes[slot].node else {
+            return;
+        };
+        let replica = node.core().replica();
+        if replica.leading_since().is_some() {
+            let first = *self.leaders.entry(replica.term()).or_insert(replica.id());
+            assert_eq!(
+                first,
+                replica.id(),
+                "two leaders in term {:?}",
+                replica.term()
+            );
+        }
+    }
+
+    fn check_committed(&mut self, slot: usize) {
+        let Some(node) = &self.nodes[slot].node else {
+            return;
+        };
+        let replica = node.core().replica();
+        let from = self.nodes[slot]
+            .checked
+            .next()
+            .max(replica.log().base().index.next());
+        for entry in replica.log().range(from, replica.commit()) {
+            let first = self
+                .committed
+                .entry(entry.at.index)
+                .or_insert_with(|| entry.clone());
+            assert_eq!(first, entry, "slot {slot} committed another entry");
+        }
+        self.nodes[slot].checked = replica.commit();
+    }
+
+    fn check_knows_accepted(&self, slot: usize) {
+        let node = self.nodes[slot].node.as_ref().expect("it answers");
+        let revision = node.core().machine().configuration().revision();
+        assert!(
+            revision >= self.accepted,
+            "slot {slot} answers at revision {revision}, accepted was {}",
+            self.accepted
+        );
+    }
+}
--- /dev/null
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -0,0 +1,206 @@
+//! Routers of the laboratory: the real lease state, and claims whose runs are
+//! counted.
+
+use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
+use deckwind_core::state::{ClaimKey, ClaimVerdict, Holder, Outcome, Revision, VmName};
+use deckwind_core::time::Instant;
+use deckwind_wire::{ControlReply, ControlRequest, Renewal};
+use rand::{Rng, RngExt};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A request of a router that was not answered yet.
+#[derive(Clone, Debug)]
+struct Open {
+    request: ControlRequest,
+    asked: Instant,
+}
+
+/// A router.
+pub struct LabRouter {
+    name: VmName,
+    boot: u64,
+    lease: RouterLeaseState,
+    renewal: Option<Open>,
+    /// A claim or its end, sent again until it is answered.
+    claim: Option<Open>,
+    claims_wanted: u32,
+    nonce: u64,
+    replica: usize,
+    /// Keys that it ran, one entry a run.
+    pub ran: Vec<String>,
+}
+
+/// A request that was not answered for this long is sent again.
+const RESEND: Duration = Duration::from_millis(700);
+
+/// Keys that all routers draw from.
+const KEYS: u32 = 40;
+
+impl LabRouter {
+    /// The router of this number.
+    pub fn new(i: usize, timing: LeaseTiming) -> Self {
+        Self {
+            name: VmName::from(format!("router-{i}")),
+            boot: 1,
+            lease: RouterLeaseState::new(timing),
+            renewal: None,
+            claim: None,
+            claims_wanted: 0,
+            nonce: 0,
+            replica: 0,
+            ran: Vec::new(),
+        }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &VmName {
+        &self.name
+    }
+
+    fn holder(&self) -> Holder {
+        Holder {
+            vm: self.name.clone(),
+            boot: self.boot,
+        }
+    }
+
+    /// Revision that it has applied.
+    pub fn applied(&self) -> Revision {
+        self.lease.applied()
+    }
+
+    /// Whether it serves.
+    pub fn serves(&self, now: Instant) -> bool {
+        self.lease.is_live(now)
+    }
+
+    /// Makes it claim that many requests.
+    pub fn want_claims(&mut self, claims: u32) {
+        self.claims_wanted += claims;
+    }
+
+    /// Kills it and starts it again, between any two of its steps.
+    pub fn restart(&mut self, timing: LeaseTiming) {
+        self.boot += 1;
+        self.lease = RouterLeaseState::new(timing);
+        self.renewal = None;
+        self.claim = None;
+    }
+
+    /// Replica that it asks.
+    pub fn replica(&self, replicas: usize) -> usize {
+        self.replica % replicas
+    }
+
+    /// What it sends now, if anything.
+    pub fn next_request(&mut self, now: Instant, rng: &mut impl Rng) -> Option<ControlRequest> {
+        self.next_claim(now, rng).or_else(|| self.next_renewal(now))
+    }
+
+    fn next_renewal(&mut self, now: Instant) -> Option<ControlRequest> {
+        match &self.renewal {
+            Some(open) if now.since(open.asked) < RESEND => return None,
+            Some(_) => self.replica += 1,
+            None => {}
+        }
+        let request = ControlRequest::Renew(Renewal {
+            holder: self.holder(),
+            applied: self.lease.applied(),
+            admin: SocketAddr::from(([127, 0, 0, 1], 1)),
+            demand: Vec::new(),
+        });
+        self.renewal = Some(Open {
+            request: request.clone(),
+            asked: now,
+        });
+        Some(request)
+    }
+
+    fn next_claim(&mut self, now: Instant, rng: &mut impl Rng) -> Option<ControlRequest> {
+        if let Some(open) = &mut self.claim {
+            if now.since(open.asked) < RESEND {
+                return None;
+            }
+            open.asked = now;
+            return Some(open.request.clone());
+        }
+        if self.claims_wanted == 0 {
+            return None;
+        }
+        self.claims_wanted -= 1;
+        self.nonce += 1;
+        let key = ClaimKey {
+            account: "account".into(),
+            key: rng.random_range(0..KEYS).to_string(),
+        };
+        let request = ControlRequest::Claim {
+            key,
+            holder: self.holder(),
+            digest: 0,
+            nonce: self.nonce,
+        };
+        self.claim = Some(Open {
+            request: request.clone(),
+            asked: now,
+        });
+        Some(request)
+    }
+
+    /// Takes the answer to a request.
+    pub fn answered(&mut self, now: Instant, request: &ControlRequest, reply: ControlReply) {
+        match (request, reply) {
+            (ControlRequest::Renew(asked), ControlReply::Granted(grant)) => {
+                let open = self.renewal.take();
+                if let Some(open) = open.filter(|_| asked.holder.boot == self.boot) {
+                    self.lease.granted(open.asked, grant.term, grant.delta);
+                }
+            }
+            (_, ControlReply::NotLeader { leader }) => {
+                self.replica = leader.map_or(self.replica + 1, usize::from);
+                if matches!(request, ControlRequest::Renew(_)) {
+                    self.renewal = None;
+                }
+            }
+            (ControlRequest::Claim { .. }, ControlReply::Claim(verdict)) => {
+                self.claim_answered(now, request, verdict);
+            }
+            (ControlRequest::Finish { .. }, ControlReply::Done) if self.is_open(request) => {
+                self.claim = None;
+            }
+            _ => {}
+        }
+    }
+
+    fn is_open(&self, request: &ControlRequest) -> bool {
+        self.claim.as_ref().is_some_and(|o| o.request == *request)
+    }
+
+    /// Runs what was granted, once, and records the answer.
+    fn claim_answered(&mut self, now: Instant, request: &ControlRequest, verdict: ClaimVerdict) {
+        if !self.is_open(request) {
+            return;
+        }
+        self.claim = None;
+        let ControlRequest::Claim { key, holder, .. } = request else {
+            return;
+        };
+        if verdict != ClaimVerdict::Granted {
+            return;
+        }
+        self.ran.push(key.key.clone());
+        let finish = ControlRequest::Finish {
+            key: key.clone(),
+            holder: holder.clone(),
+            outcome: Outcome::Answer {
+                status: 200,
+                body: Vec::new(),
+                truncated: false,
+            },
+        };
+        self.claim = Some(Open {
+            request: finish,
+            asked: now - RESEND,
+        });
+    }
+}
--- a/crates/deckwind-testkit/src/lib.rs
+++ b/crates/deckwind-testkit/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod caller;
 mod cluster;
+mod lab;
+mod lab_routers;
 mod layout;
 mod objects;
 mod processes;
@@ -13,6 +15,8 @@
 
 pub use caller::{Answer, Caller, Streaming};
 pub use cluster::Cluster;
+pub use lab::{Lab, NetFaults};
+pub use lab_routers::LabRouter;
 pub use layout::{Layout, Placement};
 pub use objects::{account, chat_template, engine_target, service_target, service_template};
 pub use processes::{Process, Processes};
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Whole-cluster tests, one file a feature.
 
 mod processes;
+mod replication;
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/replication.rs
@@ -0,0 +1,287 @@
+//! The replicated log under failure, in virtual time. [`Lab`] checks its
+//! invariants after every step.
+
+use deckwind_core::control::OperatorReply;
+use deckwind_core::membership::InForce;
+use deckwind_core::state::{Change, Rejection, Revision};
+use deckwind_testkit::{Lab, NetFaults, chat_template};
+use rand::RngExt;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use yare::parameterized;
+
+fn change(name: &str, layers: u32) -> Change {
+    Change::Template(chat_template(name, layers))
+}
+
+fn accepted(reply: &OperatorReply) -> Revision {
+    match reply {
+        OperatorReply::Accepted { revision, .. } => *revision,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+#[test]
+fn three_new_replicas_form_one_cluster() {
+    let mut lab = Lab::new(3, 1, 1, NetFaults::NONE);
+    let slot = lab.run_until_led();
+    let members = lab.node(slot).unwrap().core().replica().members().clone();
+    assert_eq!(members.voters.len(), 3);
+    let reply = lab.apply_and_wait("first", None, change("rosters", 24));
+    assert_eq!(
+        reply,
+        OperatorReply::Accepted {
+            revision: Revision(1),
+            in_force: InForce::Yes
+        }
+    );
+}
+
+#[test]
+fn two_of_three_new_replicas_form_none() {
+    let mut lab = Lab::new(3, 0, 2, NetFaults::NONE);
+    lab.crash(2, 0);
+    lab.run_for(Duration::from_secs(10));
+    assert_eq!(lab.leader(), None);
+}
+
+#[test]
+fn what_was_accepted_is_there_after_hundreds_of_changes_and_a_restart_of_all() {
+    let mut lab = Lab::new(3, 1, 3, NetFaults::NONE);
+    for i in 0..300u32 {
+        let id = format!("change-{i}");
+        let name = format!("t{}", i % 7);
+        accepted(&lab.apply_and_wait(&id, None, change(&name, i + 1)));
+    }
+    for slot in 0..3 {
+        lab.crash(slot, 0);
+    }
+    lab.heal();
+    let slot = lab.run_until_led();
+    let machine = lab.node(slot).unwrap().core().machine();
+    assert_eq!(machine.configuration().revision(), Revision(300));
+    let last = machine.configuration().template(&"t5".into()).unwrap();
+    assert_eq!(*last, chat_template("t5", 300));
+}
+
+#[test]
+fn a_resend_gets_the_first_reply_and_changes_nothing() {
+    let mut lab = Lab::new(3, 1, 4, NetFaults::NONE);
+    let first = lab.apply_and_wait("same", None, change("rosters", 24));
+    let other = lab.apply_and_wait("other", None, change("rosters", 25));
+    let again = lab.apply_and_wait("same", None, change("rosters", 24));
+    assert_eq!(accepted(&first), Revision(1));
+    assert_eq!(accepted(&other), Revision(2));
+    assert_eq!(accepted(&again), Revision(1));
+    let slot = lab.run_until_led();
+    let cfg = lab
+        .node(slot)
+        .unwrap()
+        .core()
+        .machine()
+        .configuration()
+        .clone();
+    assert_eq!(
+        *cfg.template(&"rosters".into()).unwrap(),
+        chat_template("rosters", 25)
+    );
+}
+
+#[test]
+fn of_two_operators_with_the_same_revision_one_wins_and_the_other_sees_it() {
+    let mut lab = Lab::new(3, 1, 5, NetFaults::NONE);
+    lab.apply_and_wait("first", Some(Revision::ZERO), change("rosters", 24));
+    let slot = lab.run_until_led();
+    lab.apply(slot, "a", Some(Revision(1)), change("rosters", 25));
+    lab.apply(slot, "b", Some(Revision(1)), change("rosters", 26));
+    lab.run_for(Duration::from_secs(4));
+    assert_eq!(accepted(&lab.replies["a"][0]), Revision(2));
+    assert_eq!(
+        lab.replies["b"][0],
+        OperatorReply::Rejected(Rejection::Conflict {
+            current: Revision(2)
+        })
+    );
+}
+
+#[test]
+fn a_leader_that_is_cut_off_answers_nothing_and_its_change_is_not_lost_silently() {
+    let mut lab = Lab::new(3, 1, 6, NetFaults::NONE);
+    lab.apply_and_wait("before", None, change("rosters", 24));
+    let old = lab.run_until_led();
+    lab.cut_off(old, true);
+    lab.apply(old, "cut", None, change("rosters", 99));
+    lab.run_for(Duration::from_millis(700));
+    let new = lab.run_until_led();
+    assert_ne!(new, old);
+    accepted(&lab.apply_and_wait("after", None, change("rosters", 30)));
+    assert!(
+        lab.replies
+            .get("cut")
+            .is_none_or(|r| r == &[OperatorReply::Unknown])
+    );
+    lab.cut_off(old, false);
+    lab.run_for(Duration::from_secs(3));
+    let cfg = lab
+        .node(old)
+        .unwrap()
+        .core()
+        .machine()
+        .configuration()
+        .clone();
+    assert_eq!(
+        *cfg.template(&"rosters".into()).unwrap(),
+        chat_template("rosters", 30)
+    );
+    assert_eq!(lab.replies["cut"], [OperatorReply::Unknown]);
+}
+
+#[test]
+fn a_leader_that_was_frozen_does_not_go_on_leading() {
+    let mut lab = Lab::new(3, 1, 7, NetFaults::NONE);
+    lab.apply_and_wait("before", None, change("rosters", 24));
+    let old = lab.run_until_led();
+    lab.freeze(old, true);
+    lab.run_for(Duration::from_secs(4));
+    accepted(&lab.apply_and_wait("meanwhile", None, change("rosters", 25)));
+    lab.freeze(old, false);
+    lab.run_for(Duration::from_secs(1));
+    assert_ne!(lab.leader(), Some(old));
+}
+
+#[test]
+fn a_replica_with_a_lost_disk_comes_back_under_a_new_identity() {
+    let mut lab = Lab::new(3, 1, 8, NetFaults::NONE);
+    for i in 0..40 {
+        let id = format!("change-{i}");
+        lab.apply_and_wait(&id, None, change("rosters", i + 1));
+    }
+    let leader = lab.run_until_led();
+    let lost = (leader + 1) % 3;
+    let old = lab.node(lost).unwrap().core().replica().id();
+    lab.lose_disk(lost);
+    lab.start(lost);
+    lab.run_for(Duration::from_secs(8));
+    let new = lab.node(lost).unwrap().core().replica().id();
+    assert_ne!(new, old);
+    let leader = lab.run_until_led();
+    let members = lab.node(leader).unwrap().core().replica().members().clone();
+    assert!(members.voters.contains(&new), "{members:?}");
+    assert!(!members.contains(old));
+    assert_eq!(
+        lab.node(lost)
+            .unwrap()
+            .core()
+            .machine()
+            .configuration()
+            .revision(),
+        Revision(40)
+    );
+    lab.crash((lost + 1) % 3, 0);
+    lab.run_for(Duration::from_secs(3));
+    accepted(&lab.apply_and_wait("with-it", None, change("rosters", 99)));
+}
+
+#[test]
+fn two_lost_disks_of_three_leave_no_quorum_and_form_no_second_cluster() {
+    let mut lab = Lab::new(3, 0, 9, NetFaults::NONE);
+    lab.apply_and_wait("before", None, change("rosters", 24));
+    lab.lose_disk(0);
+    lab.lose_disk(1);
+    lab.start(0);
+    lab.start(1);
+    lab.run_for(Duration::from_secs(20));
+    assert_eq!(lab.leader(), None);
+}
+
+#[test]
+fn in_force_waits_for_a_router_that_lags_until_its_lease_has_run_out() {
+    let mut lab = Lab::new(3, 2, 10, NetFaults::NONE);
+    lab.apply_and_wait("before", None, change("rosters", 24));
+    lab.run_for(Duration::from_secs(1));
+    let begun = lab.now();
+    let reply = lab.apply_and_wait("next", None, change("rosters", 25));
+    assert_eq!(accepted(&reply), Revision(2));
+    assert!(lab.now().since(begun) < Duration::from_secs(3));
+}
+
+/// Seeded schedules over everything at once: a bad network, crashes at any
+/// operation of the disk, lost disks, cuts, freezes, restarts of routers,
+/// operators and claims. One disk at a time is lost, as two of three would be
+/// beyond what three replicas can bear.
+#[parameterized(
+    first = { 1_000 }, second = { 2_000 }, third = { 3_000 }, fourth = { 4_000 },
+)]
+fn seeded_schedules_keep_the_invariants(first_seed: u64) {
+    const RUNS: u64 = 500;
+    for seed in first_seed..first_seed + RUNS {
+        run_schedule(seed);
+    }
+}
+
+fn run_schedule(seed: u64) {
+    let mut lab = Lab::new(3, 3, seed, NetFaults::BAD);
+    lab.run_until_led();
+    for round in 0..25 {
+        disturb(&mut lab);
+        for router in &mut lab.routers {
+            router.want_claims(2);
+        }
+        let slot = lab.rng().random_range(0..3);
+        let id = format!("{seed}-{round}");
+        lab.apply(slot, &id, None, change("rosters", round + 1));
+        let pause = lab.rng().random_range(50..900);
+        lab.run_for(Duration::from_millis(pause));
+    }
+    lab.heal();
+    let reply = lab.apply_and_wait(&format!("{seed}-end"), None, change("rosters", 99));
+    assert!(!matches!(reply, OperatorReply::Rejected(_)), "{reply:?}");
+    let mut runs: BTreeMap<&str, u32> = BTreeMap::new();
+    for key in lab.routers.iter().flat_map(|r| &r.ran) {
+        *runs.entry(key).or_default() += 1;
+    }
+    let twice: Vec<_> = runs.iter().filter(|(_, n)| **n > 1).collect();
+    assert!(twice.is_empty(), "seed {seed}: ran twice: {twice:?}");
+}
+
+fn disturb(lab: &mut Lab) {
+    let slot = lab.rng().random_range(0..3usize);
+    match lab.rng().random_range(0..9) {
+        0 => {
+            let torn = lab.rng().random_range(0..40);
+            lab.crash(slot, torn);
+        }
+        1 => {
+            let operations = lab.rng().random_range(0..6);
+            lab.disk(slot).fail_after(operations);
+        }
+        2 => lab.cut_off(slot, true),
+        3 => lab.freeze(slot, true),
+        4 if all_up(lab) => {
+            lab.lose_disk(slot);
+            lab.start(slot);
+        }
+        5 => {
+            let routers = lab.routers.len();
+            let router = lab.rng().random_range(0..routers);
+            lab.routers[router].restart(Default::default());
+        }
+        6 => lab.heal(),
+        _ => {}
+    }
+}
+
+/// Whether every replica is up and a voter in the leader's members.
+fn all_up(lab: &Lab) -> bool {
+    let Some(leader) = lab.leader() else {
+        return false;
+    };
+    let members = lab.node(leader).unwrap().core().replica().members();
+    let commit = lab.node(leader).unwrap().core().replica().commit();
+    (0..3).all(|slot| {
+        lab.node(slot).is_some_and(|n| {
+            let replica = n.core().replica();
+            members.voters.contains(&replica.id()) && replica.commit() == commit
+        })
+    })
+}
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -9,10 +9,12 @@
 
 mod driver;
 mod handle;
+mod node;
 mod operators;
 mod peers;
 
 pub use handle::{ControlHandle, Input};
+pub use node::{ControlNode, Effect, Now};
 
 use crate::context::Context;
 use anyhow::{Context as _, Result};
--- /dev/null
+++ b/crates/deckwindd/src/control/node.rs
@@ -0,0 +1,169 @@
+//! Core and store of a control replica, without threads, clocks or sockets.
+//!
+//! Carries out what the core asks for, in its order. A batch is all that has
+//! come in since the last one: one sync serves all its commands.
+//!
+//! ```text
+//!  events ─► core ─► early sends ─► writes ─► sync ─► Synced ─► core ─► other sends, replies
+//!                                               └── repeats until nothing is left ──┘
+//! ```
+
+use anyhow::{Context as _, Result};
+use deckwind_core::control::{
+    ControlAction, ControlCore, ControlEvent, ControlLimits, OperatorReply,
+};
+use deckwind_core::membership::LeaseTiming;
+use deckwind_core::replication::{Action, Body, Event, Position, ReplicaConfig};
+use deckwind_core::time::Instant;
+use deckwind_store::{Opened, Store};
+use deckwind_wire::{ControlReply, Message};
+
+/// What the outside must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a message.
+    Send(Message),
+    /// Answer a router.
+    Reply(u64, ControlReply),
+    /// Answer an operator.
+    OperatorReply(u64, OperatorReply),
+}
+
+/// The time of a batch.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// Monotonic.
+    pub at: Instant,
+    /// Milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+}
+
+/// A control replica on its data folder.
+pub struct ControlNode {
+    core: ControlCore,
+    store: Store,
+}
+
+impl ControlNode {
+    /// With an open store.
+    pub fn new(
+        cfg: ReplicaConfig,
+        lease: LeaseTiming,
+        limits: ControlLimits,
+        store: Store,
+        opened: Opened,
+        now: Instant,
+    ) -> Result<Self> {
+        let snapshot = opened.snapshot.as_deref();
+        let core = ControlCore::new(cfg, lease, limits, opened.stored, snapshot, now)
+            .context("the snapshot in the data folder is of another version")?;
+        Ok(Self { core, store })
+    }
+
+    /// The core.
+    pub fn core(&self) -> &ControlCore {
+        &self.core
+    }
+
+    /// The store.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// Takes a batch. After an error the replica must stop: what it has said
+    /// may not be on its disk.
+    pub fn take(
+        &mut self,
+        now: Now,
+        batch: Vec<ControlEvent>,
+        effects: &mut Vec<Effect>,
+    ) -> Result<()> {
+        let mut out = Vec::new();
+        for event in batch {
+            self.step(now, event, &mut out);
+        }
+        self.step(now, ControlEvent::Tick, &mut out);
+        self.core.flush(now.at, &mut out);
+        while !out.is_empty() {
+            let actions = std::mem::take(&mut out);
+            self.perform(now, actions, &mut out, effects)?;
+            self.core.flush(now.at, &mut out);
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, now: Now, event: ControlEvent, out: &mut Vec<ControlAction>) {
+        self.core.step(now.at, now.wall_ms, event, out);
+    }
+
+    fn perform(
+        &mut self,
+        now: Now,
+        actions: Vec<ControlAction>,
+        out: &mut Vec<ControlAction>,
+        effects: &mut Vec<Effect>,
+    ) -> Result<()> {
+        let mut after_sync = Vec::new();
+        let mut last: Option<Position> = None;
+        for action in actions {
+            match action {
+                ControlAction::Replica(Action::Send {
+                    message,
+                    needs_sync: false,
+                }) => effects.push(Effect::Send(message)),
+                ControlAction::Replica(Action::SaveHardState(h)) => self.store.put_hard_state(h),
+                ControlAction::Replica(Action::Append(entries)) => {
+                    last = entries.last().map(|e| e.at);
+                    self.store.put_entries(entries);
+                }
+                ControlAction::Replica(Action::Install { meta, data }) => {
+                    let hard = self.core.hard_state();
+                    last = None;
+                    self.store.compact(meta, data, hard, Vec::new())?;
+                }
+                ControlAction::Compact { meta, data, rest } => {
+                    let through = meta.last.index;
+                    self.store
+                        .compact(meta, data, self.core.hard_state(), rest)?;
+                    self.step(now, ControlEvent::Replica(Event::Compacted(through)), out);
+                }
+                other => after_sync.push(other),
+            }
+        }
+        self.store.commit()?;
+        if let Some(at) = last {
+            self.step(now, ControlEvent::Replica(Event::Synced(at)), out);
+        }
+        for action in after_sync {
+            self.finish(action, effects)?;
+        }
+        Ok(())
+    }
+
+    fn finish(&self, action: ControlAction, effects: &mut Vec<Effect>) -> Result<()> {
+        match action {
+            ControlAction::Replica(Action::Send { message, .. }) => {
+                effects.push(Effect::Send(message));
+            }
+            ControlAction::Replica(Action::SendSnapshot { message }) => {
+                effects.extend(self.with_snapshot(message)?.map(Effect::Send));
+            }
+            ControlAction::Reply { token, reply } => effects.push(Effect::Reply(token, reply)),
+            ControlAction::OperatorReply { token, reply } => {
+                effects.push(Effect::OperatorReply(token, reply));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn with_snapshot(&self, mut message: Message) -> Result<Option<Message>> {
+        let Some(state) = self.store.read_snapshot()? else {
+            return Ok(None);
+        };
+        if let Body::Snapshot { data, .. } = &mut message.body {
+            *data = state;
+        }
+        Ok(Some(message))
+    }
+}
--- a/crates/deckwindd/src/router/claims.rs
+++ b/crates/deckwindd/src/router/claims.rs
@@ -51,8 +51,7 @@
     };
     let request = ControlRequest::Claim {
         key: key.clone(),
-        holder: shared.vm.clone(),
-        boot: shared.boot,
+        holder: shared.holder(),
         digest: xxh3_64(body),
         nonce: shared.next_id(),
     };
@@ -150,7 +149,7 @@
 async fn send_outcome(shared: Arc<RouterShared>, key: ClaimKey, outcome: Outcome) {
     let request = ControlRequest::Finish {
         key,
-        boot: shared.boot,
+        holder: shared.holder(),
         outcome,
     };
     if shared.control.ask(&request, FINISH_WITHIN).await.is_err() {
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -25,8 +25,7 @@
     let request = {
         let mut core = shared.core();
         ControlRequest::Renew(Renewal {
-            vm: shared.vm.clone(),
-            boot: shared.boot,
+            holder: shared.holder(),
             applied: core.lease().applied(),
             admin: shared.cfg.admin,
             demand: core.demand(asked),
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -94,10 +94,7 @@
         for task in &self.tasks {
             task.abort();
         }
-        let release = ControlRequest::Release {
-            vm: self.shared.vm.clone(),
-            boot: self.shared.boot,
-        };
+        let release = ControlRequest::Release(self.shared.holder());
         let _ = self
             .shared
             .control
--- a/crates/deckwindd/src/router/shared.rs
+++ b/crates/deckwindd/src/router/shared.rs
@@ -7,7 +7,7 @@
 use deckwind_core::admission::{AdmissionConfig, TicketId};
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::router::{Admitted, Denied, RouterConfig, RouterCore};
-use deckwind_core::state::{DataCentre, VmName};
+use deckwind_core::state::{DataCentre, Holder, VmName};
 use deckwind_net::quic::QuicPeer;
 use deckwind_net::targets::{Engine, HttpEngine, HttpService, PlainService};
 use std::collections::HashMap;
@@ -120,6 +120,14 @@
         }
     }
 
+    /// This process, as it holds leases and claims.
+    pub fn holder(&self) -> Holder {
+        Holder {
+            vm: self.vm.clone(),
+            boot: self.boot,
+        }
+    }
+
     /// The decisions. Hold it only for one call.
     pub fn core(&self) -> MutexGuard<'_, RouterCore> {
         self.core.lock().expect("no holder panics")
