Contract, session, at-most-once, store, settings and command-line tests; what they found

Causes found, each by a test that failed first: - a cluster of one replica never formed: forming was only tried when another replica asked to join (at_most_once, all of it); - a stage whose substitutes had failed too made the session take a whole new chain, and ranges that had lost nothing ran their positions again (sessions::a_lost_stage..., 'range 0: [1, 3]'): the missing layers are now looked for among targets that failed before, before the whole chain is given up; - the retry budget lost a retry to rounding (10 x 0.1 < 1): it counts in thousandths; - a fake whose handle was dropped stopped serving.

--- a/crates/deckwind-core/src/admission/retry_budget.rs
+++ b/crates/deckwind-core/src/admission/retry_budget.rs
@@ -3,20 +3,20 @@
 use crate::time::Instant;
 use std::time::Duration;
 
-/// Part of the successes that may be spent on retries.
-const SHARE: f64 = 0.1;
+/// Part of the successes that may be spent on retries, in thousandths.
+const SHARE_MILLI: u64 = 100;
 
-/// Retries a second that are allowed without any success.
-const FLOOR_PER_S: f64 = 1.0;
+/// One retry, in thousandths.
+const RETRY_MILLI: u64 = 1_000;
 
-/// Most retries saved up.
-const MAX_SAVED: f64 = 50.0;
+/// Most retries saved up, in thousandths.
+const MAX_SAVED_MILLI: u64 = 50 * RETRY_MILLI;
 
 /// A budget of retries: a share of the successes, and a small floor, so that
 /// half of the targets failing does not double the load on the rest.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
-    saved: f64,
+    saved_milli: u64,
     refilled: Instant,
 }
 
@@ -24,25 +24,30 @@
     /// A budget with one retry in hand.
     pub fn new(now: Instant) -> Self {
         Self {
-            saved: 1.0,
+            saved_milli: RETRY_MILLI,
             refilled: now,
         }
     }
 
     /// A first try succeeded.
     pub fn succeeded(&mut self) {
-        self.saved = (self.saved + SHARE).min(MAX_SAVED);
+        self.add(SHARE_MILLI);
     }
 
-    /// Spends one retry, if there is one.
+    fn add(&mut self, milli: u64) {
+        self.saved_milli = (self.saved_milli + milli).min(MAX_SAVED_MILLI);
+    }
+
+    /// Spends one retry, if there is one. A second without any success earns
+    /// one too.
     pub fn spend(&mut self, now: Instant) -> bool {
-        let earned = now.since(self.refilled).as_secs_f64() * FLOOR_PER_S;
+        let idle = now.since(self.refilled).as_millis() as u64;
         self.refilled = now;
-        self.saved = (self.saved + earned).min(MAX_SAVED);
-        if self.saved < 1.0 {
+        self.add(idle);
+        if self.saved_milli < RETRY_MILLI {
             return false;
         }
-        self.saved -= 1.0;
+        self.saved_milli -= RETRY_MILLI;
         true
     }
 }
--- a/crates/deckwind-core/src/replication/join.rs
+++ b/crates/deckwind-core/src/replication/join.rs
@@ -4,7 +4,7 @@
 use super::log::{Entry, Payload};
 use super::members::{MemberChange, Members};
 use super::message::{Body, Message};
-use super::replica::{Action, Replica, Role};
+use super::replica::{Action, Replica};
 use crate::time::Instant;
 use std::time::Duration;
 
@@ -27,6 +27,10 @@
         }
         self.next_join = now + JOIN_PERIOD;
         let unformed = self.is_unformed();
+        if unformed && self.cfg.slots.len() == 1 {
+            self.form(now, out);
+            return;
+        }
         for slot in self.cfg.slots.clone() {
             if slot == self.cfg.id.slot {
                 continue;
@@ -163,11 +167,4 @@
         let last = answered.unwrap_or(leading.since);
         now.since(last) > self.cfg.timing.election_max
     }
-
-    /// Forms a cluster of one, for embedding and for tests.
-    pub fn form_alone(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if self.role == Role::Unformed && self.cfg.slots.len() == 1 {
-            self.form(now, out);
-        }
-    }
 }
--- a/crates/deckwind-fakes/src/engine.rs
+++ b/crates/deckwind-fakes/src/engine.rs
@@ -161,6 +161,11 @@
         self.lock().runs.clone()
     }
 
+    /// Whether it has died.
+    pub fn is_dead(&self) -> bool {
+        self.lock().fault == EngineFault::Dead
+    }
+
     /// Open stages.
     pub fn open_stages(&self) -> usize {
         self.lock().sessions.len()
--- a/crates/deckwind-fakes/src/serve.rs
+++ b/crates/deckwind-fakes/src/serve.rs
@@ -87,7 +87,7 @@
 {
     loop {
         let accepted = tokio::select! {
-            _ = stopped.changed() => return,
+            () = told(&mut stopped) => return,
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else { continue };
@@ -101,12 +101,19 @@
                 .serve_connection(TokioIo::new(stream), service);
             tokio::select! {
                 _ = connection => {}
-                _ = stopped.changed() => {}
+                () = told(&mut stopped) => {}
             }
         });
     }
 }
 
+/// Waits for a kill. A [`Served`] that is dropped without one serves on.
+async fn told(stopped: &mut watch::Receiver<bool>) {
+    if stopped.wait_for(|stop| *stop).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 fn whole(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).boxed()
 }
--- a/crates/deckwind-testkit/src/bin/testkit-daemon.rs
+++ b/crates/deckwind-testkit/src/bin/testkit-daemon.rs
@@ -1,5 +1,7 @@
 //! `deckwindd`, built beside the tests so that they find it.
 
-fn main() -> anyhow::Result<()> {
-    deckwindd::commands::run::exec(&deckwindd::commands::run::cli().get_matches())
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    deckwindd::commands::main()
 }
--- a/crates/deckwind-testkit/src/cluster.rs
+++ b/crates/deckwind-testkit/src/cluster.rs
@@ -84,6 +84,11 @@
         self.routers[i].take().expect("it runs")
     }
 
+    /// Takes a control replica's daemon out, to close it.
+    pub fn take_control(&mut self, slot: usize) -> Daemon {
+        self.controls[slot].take().expect("it runs")
+    }
+
     /// Where callers reach a router.
     pub fn callers(&self, i: usize) -> SocketAddr {
         self.layout.routers[i].callers
--- a/crates/deckwind-testkit/src/processes.rs
+++ b/crates/deckwind-testkit/src/processes.rs
@@ -115,14 +115,26 @@
 
     /// Runs the operators' command line.
     pub fn cli(&self, args: &[&str]) -> Result<Output> {
+        let token = self.layout.token_file().display().to_string();
+        let args = [&["--token-file", token.as_str()], args].concat();
+        self.cli_without_token(&args)
+    }
+
+    /// Runs it without naming the token's file.
+    pub fn cli_without_token(&self, args: &[&str]) -> Result<Output> {
         let mut command = Command::new(&self.cli);
         for admin in &self.layout.control_admin {
             command.arg(format!("--control={admin}"));
         }
-        command.arg("--token-file").arg(self.layout.token_file());
         Ok(command.args(args).output()?)
     }
 
+    /// Lets the daemon check a settings file.
+    pub fn daemon_check(&self, file: &str) -> Result<Output> {
+        let args = ["--settings", file, "--check"];
+        Ok(Command::new(&self.daemon).args(args).output()?)
+    }
+
     /// Applies an object from a file that is written for it.
     pub fn apply(&self, kind: &str, object: &impl serde::Serialize) -> Result<Output> {
         let file = self.layout.folder().join(format!("{kind}.jsonc"));
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/at_most_once.rs
@@ -0,0 +1,183 @@
+//! Requests that must not run twice. Runs are counted at the fake service.
+
+use crate::any;
+use deckwind_core::state::Change;
+use deckwind_fakes::{FakeService, ServiceFault, serve};
+use deckwind_testkit::{
+    Answer, Caller, Cluster, account, eventually_async, service_target, service_template,
+};
+use std::sync::Arc;
+use yare::parameterized;
+
+struct Rig {
+    cluster: Cluster,
+    service: FakeService,
+}
+
+impl Rig {
+    async fn start(routers: usize) -> Self {
+        let cluster = Cluster::start(1, routers).await.unwrap();
+        let template = service_template("confirm", false);
+        cluster.apply(Change::Template(template)).await.unwrap();
+        cluster
+            .apply(Change::Account(account("care", "key")))
+            .await
+            .unwrap();
+        cluster
+            .apply(Change::Account(account("other", "other-key")))
+            .await
+            .unwrap();
+        let service = FakeService::new("confirm");
+        let served = serve::service(any(), Arc::new(service.clone()))
+            .await
+            .unwrap();
+        let target = service_target("confirm-1", served.address, "confirm");
+        cluster.apply(Change::Target(target)).await.unwrap();
+        Self { cluster, service }
+    }
+
+    async fn confirm(&self, router: usize, key: &str, body: &str) -> Answer {
+        self.confirm_as(router, "key", key, body).await
+    }
+
+    async fn confirm_as(&self, router: usize, bearer: &str, key: &str, body: &str) -> Answer {
+        let caller = Caller::new(self.cluster.callers(router), bearer);
+        let headers = [("idempotency-key", key)];
+        caller
+            .post("/s/confirm/week-49", body.to_string(), &headers)
+            .await
+            .unwrap()
+    }
+
+    fn runs(&self, key: &str) -> u32 {
+        self.service.runs().get(key).copied().unwrap_or(0)
+    }
+
+    async fn close(self) {
+        self.cluster.close().await.unwrap();
+    }
+}
+
+#[test]
+fn a_resend_through_another_router_gets_the_recorded_answer() {
+    crate::run(async {
+        let rig = Rig::start(2).await;
+        let first = rig.confirm(0, "k", "{}").await;
+        let again = rig.confirm(1, "k", "{}").await;
+        assert_eq!((first.status, again.status), (200, 200));
+        assert_eq!(first.body, again.body);
+        assert_eq!(again.header("idempotent-replayed"), Some("true"));
+        assert_eq!(rig.runs("k"), 1);
+        rig.close().await;
+    });
+}
+
+#[test]
+fn the_same_key_with_another_body_is_refused() {
+    crate::run(async {
+        let rig = Rig::start(1).await;
+        rig.confirm(0, "k", "{}").await;
+        let other = rig.confirm(0, "k", "{\"week\":50}").await;
+        assert_eq!((other.status, other.code().as_str()), (422, "key-reused"));
+        assert_eq!(other.header("deckwind-ran"), Some("not-run"));
+        assert_eq!(rig.runs("k"), 1);
+        rig.close().await;
+    });
+}
+
+#[test]
+fn another_accounts_key_never_shows_its_answer() {
+    crate::run(async {
+        let rig = Rig::start(1).await;
+        let mine = rig.confirm(0, "k", "mine").await;
+        let theirs = rig.confirm_as(0, "other-key", "k", "theirs").await;
+        assert_eq!(mine.json()["request"], "mine");
+        assert_eq!(theirs.json()["request"], "theirs");
+        assert_eq!(theirs.header("idempotent-replayed"), None);
+        rig.close().await;
+    });
+}
+
+#[parameterized(
+    breaks = { ServiceFault::RunsThenBreaks },
+    freezes = { ServiceFault::RunsThenFreezes },
+)]
+fn what_may_have_run_is_never_sent_again(fault: ServiceFault) {
+    crate::run(async {
+        let rig = Rig::start(2).await;
+        rig.service.set_fault(fault);
+        let first = rig.confirm(0, "k", "{}").await;
+        assert_eq!(
+            (first.status, first.code().as_str()),
+            (502, "target-failed")
+        );
+        assert_eq!(first.header("deckwind-ran"), Some("unknown"));
+        rig.service.set_fault(ServiceFault::None);
+        for router in [0, 1] {
+            let again = rig.confirm(router, "k", "{}").await;
+            assert_eq!((again.status, again.code().as_str()), (409, "may-have-run"));
+        }
+        assert_eq!(rig.runs("k"), 1);
+        rig.close().await;
+    });
+}
+
+#[test]
+fn what_was_told_not_run_did_not_run_and_may_be_sent_again() {
+    crate::run(async {
+        let rig = Rig::start(2).await;
+        rig.service.set_fault(ServiceFault::Refuses);
+        let refused = rig.confirm(0, "k", "{}").await;
+        assert_eq!(refused.status, 503);
+        assert_eq!(refused.header("deckwind-ran"), Some("not-run"));
+        assert!(refused.header("retry-after").is_some());
+        assert_eq!(rig.runs("k"), 0);
+        rig.service.set_fault(ServiceFault::None);
+        let again = eventually_async("the target is trusted again", || async {
+            let answer = rig.confirm(1, "k", "{}").await;
+            (answer.status == 200).then_some(answer)
+        })
+        .await;
+        assert_eq!(again.status, 200);
+        assert_eq!(rig.runs("k"), 1);
+        rig.close().await;
+    });
+}
+
+#[test]
+fn many_tries_at_once_through_two_routers_run_once() {
+    crate::run(async {
+        let rig = Arc::new(Rig::start(2).await);
+        let mut tries = Vec::new();
+        for i in 0..24 {
+            let rig = rig.clone();
+            tries.push(tokio::spawn(
+                async move { rig.confirm(i % 2, "k", "{}").await },
+            ));
+        }
+        for one in tries {
+            let answer = one.await.unwrap();
+            let code = answer.code();
+            assert!(
+                answer.status == 200 || code == "in-progress",
+                "{} {code}",
+                answer.status
+            );
+        }
+        assert_eq!(rig.runs("k"), 1);
+        Arc::into_inner(rig).unwrap().close().await;
+    });
+}
+
+#[test]
+fn without_a_quorum_nothing_that_must_not_repeat_is_sent() {
+    crate::run(async {
+        let mut rig = Rig::start(1).await;
+        rig.cluster.take_control(0).close().await.unwrap();
+        let refused = rig.confirm(0, "k", "{}").await;
+        assert_eq!(refused.status, 503);
+        assert_eq!(refused.header("deckwind-ran"), Some("not-run"));
+        assert_eq!(rig.runs("k"), 0);
+        rig.close().await;
+    });
+}
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/contracts.rs
@@ -0,0 +1,335 @@
+//! One contract for each border: the fake in this process and the real client
+//! against the same fake behind HTTP both pass it.
+
+use crate::{any, run};
+use deckwind_core::membership::PlatformStatus;
+use deckwind_core::replication::{Fence, Term};
+use deckwind_core::session::{Activation, StepOrder};
+use deckwind_core::state::{LayerRange, Priority};
+use deckwind_fakes::{
+    EngineFault, FakeEngine, FakeEngineConfig, FakePlatformList, FakeService, FakeWeightStore,
+    ServiceFault, serve,
+};
+use deckwind_net::targets::{
+    CacheEventKind, Engine, HttpEngine, HttpPlatformList, HttpService, HttpWeightStore, OpenStage,
+    OrderKind, PlainService, PlatformList, ServiceCall, StageStream, TargetError, TargetOrder,
+    WeightStore,
+};
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use yare::parameterized;
+
+/// Which side of the border is met.
+#[derive(Clone, Copy)]
+enum Met {
+    Fake,
+    OverHttp,
+}
+
+async fn engine_met(met: Met, cfg: FakeEngineConfig) -> (Arc<dyn Engine>, FakeEngine) {
+    let fake = FakeEngine::new(cfg);
+    match met {
+        Met::Fake => (Arc::new(fake.clone()), fake),
+        Met::OverHttp => {
+            let served = serve::engine(any(), Arc::new(fake.clone())).await.unwrap();
+            (Arc::new(HttpEngine::new(served.address)), fake)
+        }
+    }
+}
+
+fn config() -> FakeEngineConfig {
+    FakeEngineConfig::new(LayerRange::new(0, 8), 8)
+}
+
+fn open(session: &str) -> OpenStage {
+    OpenStage {
+        session: session.to_string(),
+        layers: LayerRange::new(0, 8),
+        adapter: None,
+        priority: Priority::Roster,
+        prefixes: vec![1, 2],
+    }
+}
+
+fn order(attempt: u32, position: u32, inputs: &[&str], replay: bool) -> StepOrder {
+    let inputs = inputs.iter().map(|i| Activation(i.to_string())).collect();
+    StepOrder {
+        attempt,
+        position,
+        inputs,
+        replay,
+    }
+}
+
+async fn opened(engine: &dyn Engine, session: &str) -> Box<dyn StageStream> {
+    engine.open(open(session)).await.expect("it opens")
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn an_engine_runs_steps_and_replays_what_it_holds(met: Met) {
+    run(async {
+        let (engine, fake) = engine_met(met, config()).await;
+        let mut stage = opened(engine.as_ref(), "s").await;
+        let first = stage.step(order(1, 0, &["a", "b"], false)).await.unwrap();
+        assert_eq!(first.outputs.len(), 2);
+        assert!(first.token.is_some());
+        stage.step(order(1, 2, &["7"], false)).await.unwrap();
+        let replayed = stage.step(order(2, 0, &["a", "b"], true)).await.unwrap();
+        assert_eq!(replayed.outputs, first.outputs);
+        assert_eq!(fake.runs().len(), 3);
+        assert!(fake.runs().iter().all(|r| r.priority == Priority::Roster));
+    });
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn an_engine_refuses_an_older_attempt(met: Met) {
+    run(async {
+        let (engine, fake) = engine_met(met, config()).await;
+        let mut stage = opened(engine.as_ref(), "s").await;
+        stage.step(order(2, 0, &["a"], false)).await.unwrap();
+        let refused = stage.step(order(1, 1, &["b"], false)).await;
+        assert!(refused.is_err());
+        assert_eq!(fake.runs().len(), 1);
+    });
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn an_engine_refuses_layers_that_it_does_not_hold(met: Met) {
+    run(async {
+        let (engine, _) = engine_met(met, config()).await;
+        let mut wrong = open("s");
+        wrong.layers = LayerRange::new(4, 12);
+        let refused = engine.open(wrong).await.err().unwrap();
+        assert!(refused.certainly_not_run(), "{refused}");
+    });
+}
+
+#[parameterized(
+    fake_closed = { Met::Fake, true }, fake_dropped = { Met::Fake, false },
+    http_closed = { Met::OverHttp, true }, http_dropped = { Met::OverHttp, false },
+)]
+fn an_engine_frees_a_stage_that_is_closed_or_dropped(met: Met, close: bool) {
+    run(async {
+        let (engine, fake) = engine_met(met, config()).await;
+        let mut stage = opened(engine.as_ref(), "s").await;
+        stage.step(order(1, 0, &["a"], false)).await.unwrap();
+        assert_eq!(fake.open_stages(), 1);
+        if close {
+            stage.close().await;
+        } else {
+            drop(stage);
+        }
+        deckwind_testkit::eventually_async("the stage is freed", || async {
+            (fake.open_stages() == 0).then_some(())
+        })
+        .await;
+    });
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn a_step_that_never_ends_can_be_cancelled(met: Met) {
+    run(async {
+        let (engine, fake) = engine_met(met, config()).await;
+        let mut stage = opened(engine.as_ref(), "s").await;
+        fake.set_fault(EngineFault::Frozen);
+        let waited = tokio::time::timeout(
+            Duration::from_millis(50),
+            stage.step(order(1, 0, &["a"], false)),
+        );
+        assert!(waited.await.is_err());
+        drop(stage);
+        deckwind_testkit::eventually_async("the stage is freed", || async {
+            (fake.open_stages() == 0).then_some(())
+        })
+        .await;
+    });
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn an_engines_kv_cache_moves_to_another(met: Met) {
+    run(async {
+        let (from, _) = engine_met(met, config()).await;
+        let (to, fake) = engine_met(met, config()).await;
+        let mut stage = opened(from.as_ref(), "s").await;
+        stage.step(order(1, 0, &["a", "b"], false)).await.unwrap();
+        let kv = from.export_kv("s".to_string()).await.unwrap();
+        assert_eq!(kv.positions, 2);
+        to.import_kv(kv).await.unwrap();
+        let mut moved = opened(to.as_ref(), "s").await;
+        let there = moved.step(order(2, 2, &["7"], false)).await.unwrap();
+        let here = stage.step(order(2, 2, &["7"], false)).await.unwrap();
+        assert_eq!(there, here);
+        assert_eq!(fake.runs().len(), 1);
+    });
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn an_engine_reports_its_load_with_a_lag(met: Met) {
+    run(async {
+        let mut cfg = config();
+        cfg.load_lag = Duration::from_secs(3_600);
+        let (engine, _) = engine_met(met, cfg).await;
+        let _stage = opened(engine.as_ref(), "s").await;
+        let report = engine.load().await.unwrap();
+        assert_eq!((report.load, report.sessions), (0, 0));
+        assert_eq!(report.age_ms, 3_600_000);
+    });
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn cache_events_come_with_gaps(met: Met) {
+    run(async {
+        let mut cfg = config();
+        cfg.cache_prefixes = 1;
+        cfg.lose_event_every = 2;
+        let (engine, _) = engine_met(met, cfg).await;
+        let _stage = opened(engine.as_ref(), "s").await;
+        let seen = engine.cache_events(1).await.unwrap();
+        let sequences: Vec<u64> = seen.events.iter().map(|e| e.sequence).collect();
+        assert_eq!(sequences, [1, 3]);
+        assert_eq!(seen.events[1].kind, CacheEventKind::Removed);
+        assert_eq!(seen.next, 4);
+    });
+}
+
+#[parameterized(
+    fake_checks = { Met::Fake, true }, http_checks = { Met::OverHttp, true },
+    fake_does_not = { Met::Fake, false }, http_does_not = { Met::OverHttp, false },
+)]
+fn an_order_with_an_old_fence_is_refused_by_those_who_check(met: Met, checks: bool) {
+    run(async {
+        let mut cfg = config();
+        cfg.checks_fences = checks;
+        let (engine, fake) = engine_met(met, cfg).await;
+        let order = |term, sequence| TargetOrder {
+            fence: Fence {
+                term: Term(term),
+                sequence,
+            },
+            order: OrderKind::LoadAdapter {
+                adapter: "a".to_string(),
+            },
+        };
+        engine.order(order(2, 1)).await.unwrap();
+        let old = engine.order(order(1, 9)).await;
+        assert_eq!(old.is_err(), checks);
+        assert_eq!(fake.orders().len(), if checks { 1 } else { 2 });
+    });
+}
+
+async fn service_met(met: Met, fake: &FakeService) -> Arc<dyn PlainService> {
+    match met {
+        Met::Fake => Arc::new(fake.clone()),
+        Met::OverHttp => {
+            let served = serve::service(any(), Arc::new(fake.clone())).await.unwrap();
+            Arc::new(HttpService::new(served.address))
+        }
+    }
+}
+
+fn call(timeout_ms: u64) -> ServiceCall {
+    ServiceCall {
+        path: "/cap".to_string(),
+        body: b"{}".to_vec(),
+        content_type: "application/json".to_string(),
+        idempotency_key: Some("k".to_string()),
+        timeout: Duration::from_millis(timeout_ms),
+    }
+}
+
+#[parameterized(
+    fake_refuses = { Met::Fake, ServiceFault::Refuses, true, 0 },
+    http_refuses = { Met::OverHttp, ServiceFault::Refuses, true, 0 },
+    fake_breaks = { Met::Fake, ServiceFault::RunsThenBreaks, false, 1 },
+    http_breaks = { Met::OverHttp, ServiceFault::RunsThenBreaks, false, 1 },
+    fake_freezes = { Met::Fake, ServiceFault::RunsThenFreezes, false, 1 },
+    http_freezes = { Met::OverHttp, ServiceFault::RunsThenFreezes, false, 1 },
+)]
+fn a_services_failure_says_whether_it_ran(
+    met: Met,
+    fault: ServiceFault,
+    certainly_not_run: bool,
+    runs: u32,
+) {
+    run(async {
+        let fake = FakeService::new("s");
+        fake.set_fault(fault);
+        let service = service_met(met, &fake).await;
+        let error = service.call(call(300)).await.unwrap_err();
+        assert_eq!(error.certainly_not_run(), certainly_not_run, "{error}");
+        assert_eq!(fake.runs().get("k").copied().unwrap_or(0), runs);
+    });
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn a_service_answers(met: Met) {
+    run(async {
+        let fake = FakeService::new("s");
+        let answer = service_met(met, &fake)
+            .await
+            .call(call(5_000))
+            .await
+            .unwrap();
+        assert_eq!(
+            (answer.status, answer.content_type.as_str()),
+            (200, "application/json")
+        );
+        assert_eq!(fake.runs()["k"], 1);
+    });
+}
+
+#[test]
+fn a_service_that_is_not_there_was_not_run() {
+    run(async {
+        let gone = std::net::TcpListener::bind(any())
+            .unwrap()
+            .local_addr()
+            .unwrap();
+        let error = HttpService::new(gone).call(call(5_000)).await.unwrap_err();
+        assert!(matches!(error, TargetError::NotSent(_)), "{error}");
+    });
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn the_platforms_list_lags(met: Met) {
+    run(async {
+        let fake = FakePlatformList::lagging(1);
+        let list: Arc<dyn PlatformList> = match met {
+            Met::Fake => Arc::new(fake.clone()),
+            Met::OverHttp => {
+                let served = serve::platform(any(), fake.clone()).await.unwrap();
+                Arc::new(HttpPlatformList::new(served.address))
+            }
+        };
+        let ip: IpAddr = "127.0.0.9".parse().unwrap();
+        fake.set(ip, PlatformStatus::Live);
+        fake.set(ip, PlatformStatus::Leaving);
+        let seen = list.list().await.unwrap();
+        assert_eq!(
+            (seen.sequence, seen.vms),
+            (1, vec![(ip, PlatformStatus::Live)])
+        );
+    });
+}
+
+#[parameterized(fake = { Met::Fake }, http = { Met::OverHttp })]
+fn the_weight_store_reads_parts_and_keeps_its_rate(met: Met) {
+    run(async {
+        let fake = FakeWeightStore::new(100, 60);
+        let store: Arc<dyn WeightStore> = match met {
+            Met::Fake => Arc::new(fake.clone()),
+            Met::OverHttp => {
+                let served = serve::weights(any(), fake.clone()).await.unwrap();
+                Arc::new(HttpWeightStore::new(served.address))
+            }
+        };
+        let read = |offset| store.read("m".to_string(), "1".to_string(), offset, 50);
+        let first = read(0).await.unwrap();
+        assert_eq!((first.bytes.len(), first.total), (50, 100));
+        let over = read(50).await.unwrap_err();
+        assert!(over.certainly_not_run(), "{over}");
+        fake.refill(50);
+        assert_eq!(read(50).await.unwrap().bytes.len(), 50);
+    });
+}
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/decisions.rs
@@ -0,0 +1,345 @@
+//! Admission, limits, retries, leases and fences, as tables over virtual time.
+
+use deckwind_core::admission::{
+    AccountLimiter, Admission, AdmissionConfig, Offer, Refused, RefusedWhy, RetryBudget,
+    RetryPolicy, Ticket, TicketId,
+};
+use deckwind_core::burn::{Alert, BurnMeter};
+use deckwind_core::membership::{
+    AccountDemand, LeaseTiming, RouterLeaseState, ServeDecision, share_of,
+};
+use deckwind_core::replication::{Fence, FenceCheck, OrderIssuer, Term};
+use deckwind_core::routing::{BoundTarget, Health, HealthState, hardware_bound};
+use deckwind_core::state::{Configuration, Delta, LayerRange, Priority};
+use deckwind_core::time::Instant;
+use deckwind_testkit::{chat_template, service_template};
+use std::time::Duration;
+use yare::parameterized;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(10_000 + ms)
+}
+
+fn ticket(id: u64, account: &str, priority: Priority, start_by: Instant) -> Ticket {
+    Ticket {
+        id: TicketId(id),
+        account: account.into(),
+        weight: 1,
+        priority,
+        start_by,
+        cost: 1.0,
+    }
+}
+
+#[test]
+fn gates_go_before_rosters_before_drafts_before_summaries() {
+    let mut pool = Admission::new(AdmissionConfig::default(), 1);
+    let late = at(60_000);
+    assert_eq!(
+        pool.offer(at(0), ticket(0, "a", Priority::Draft, late)),
+        Offer::Start
+    );
+    for (id, p) in Priority::ALL.iter().rev().enumerate() {
+        assert_eq!(
+            pool.offer(at(0), ticket(id as u64 + 1, "a", *p, late)),
+            Offer::Queued
+        );
+    }
+    let mut order = Vec::new();
+    for i in 0..4 {
+        pool.finished(at(i));
+        order.push(pool.next(at(i)).unwrap().priority);
+    }
+    assert_eq!(order, Priority::ALL);
+}
+
+#[test]
+fn a_large_account_does_not_starve_a_small_one() {
+    let mut pool = Admission::new(AdmissionConfig::default(), 1);
+    let late = at(60_000);
+    pool.offer(at(0), ticket(0, "large", Priority::Roster, late));
+    for id in 1..=100 {
+        pool.offer(at(0), ticket(id, "large", Priority::Roster, late));
+    }
+    pool.offer(at(0), ticket(999, "small", Priority::Roster, late));
+    pool.finished(at(1));
+    pool.next(at(1));
+    pool.finished(at(2));
+    let second = pool.next(at(2)).unwrap();
+    assert_eq!(second.id, TicketId(999));
+}
+
+#[test]
+fn what_cant_start_in_time_is_refused_at_once_with_the_time_to_come_back() {
+    let mut pool = Admission::new(AdmissionConfig::default(), 1);
+    pool.offer(at(0), ticket(0, "a", Priority::Roster, at(60_000)));
+    for i in 1..=20 {
+        pool.offer(at(0), ticket(i, "a", Priority::Roster, at(60_000)));
+        pool.finished(at(i * 500));
+        pool.next(at(i * 500));
+    }
+    let now = at(10_000);
+    for i in 100..110 {
+        assert_eq!(
+            pool.offer(now, ticket(i, "a", Priority::Roster, at(60_000))),
+            Offer::Queued
+        );
+    }
+    let offer = pool.offer(now, ticket(200, "a", Priority::Roster, at(11_000)));
+    let Offer::Refused(refused) = offer else {
+        panic!("{offer:?}");
+    };
+    assert_eq!(refused.why, RefusedWhy::Deadline);
+    assert!(refused.retry_after >= Duration::from_secs(4), "{refused:?}");
+}
+
+#[test]
+fn a_waiting_request_overtaken_by_gates_hears_it_at_once() {
+    let mut pool = Admission::new(AdmissionConfig::default(), 1);
+    pool.offer(at(0), ticket(0, "a", Priority::Gate, at(90_000)));
+    for i in 1..=3 {
+        pool.offer(at(0), ticket(i, "a", Priority::Gate, at(90_000)));
+        pool.finished(at(i * 500));
+        pool.next(at(i * 500));
+    }
+    pool.offer(at(1_500), ticket(50, "a", Priority::Summary, at(4_000)));
+    assert!(pool.expire(at(1_500)).is_empty());
+    for i in 60..70 {
+        pool.offer(at(1_500), ticket(i, "a", Priority::Gate, at(90_000)));
+    }
+    let gone = pool.expire(at(1_500));
+    let ids: Vec<TicketId> = gone.iter().map(|(t, _)| t.id).collect();
+    assert_eq!(ids, [TicketId(50)]);
+}
+
+#[test]
+fn the_queue_is_bounded() {
+    let mut pool = Admission::new(AdmissionConfig { max_queued: 2 }, 0);
+    let late = at(60_000);
+    pool.offer(at(0), ticket(1, "a", Priority::Gate, late));
+    pool.offer(at(0), ticket(2, "a", Priority::Gate, late));
+    let third = pool.offer(at(0), ticket(3, "a", Priority::Gate, late));
+    let refused = Refused {
+        why: RefusedWhy::QueueFull,
+        retry_after: Duration::from_secs(1),
+    };
+    assert_eq!(third, Offer::Refused(refused));
+}
+
+/// Nine routers with uneven demand hold a limit together; when one is gone the
+/// others take over its share.
+#[parameterized(
+    even = { [50.0; 9], 9 },
+    uneven = { [400.0, 100.0, 50.0, 20.0, 10.0, 5.0, 5.0, 5.0, 5.0], 9 },
+    one_alone = { [500.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0], 9 },
+    one_gone = { [400.0, 100.0, 50.0, 20.0, 10.0, 5.0, 5.0, 5.0, 0.0], 8 },
+)]
+fn shares_hold_an_accounts_limit_within_a_tenth(demand: [f64; 9], routers: u32) {
+    const LIMIT: f64 = 200.0;
+    const SECONDS: u64 = 20;
+    let total: f64 = demand.iter().sum();
+    let mut passed = 0;
+    for per_s in demand.into_iter().take(routers as usize) {
+        let share = share_of(LIMIT, AccountDemand { per_s }, total, routers);
+        let mut limiter = AccountLimiter::default();
+        limiter.set_rate(at(0), &"a".into(), share.per_s);
+        let requests = (per_s * SECONDS as f64) as u64;
+        for i in 0..requests {
+            let now = at(i * SECONDS * 1_000 / requests);
+            passed += u64::from(limiter.take(now, &"a".into()).is_ok());
+        }
+    }
+    let rate = passed as f64 / SECONDS as f64;
+    assert!((rate - LIMIT).abs() <= LIMIT * 0.1, "{rate} a second");
+}
+
+#[test]
+fn demand_is_told_as_asked_for_not_as_let_through() {
+    let mut limiter = AccountLimiter::default();
+    limiter.set_rate(at(0), &"a".into(), 1.0);
+    for i in 0..100 {
+        let _ = limiter.take(at(i * 10), &"a".into());
+    }
+    let demand = limiter.demand(at(1_000));
+    assert_eq!(demand, [("a".into(), AccountDemand { per_s: 100.0 })]);
+}
+
+#[parameterized(
+    repeatable = { 1, true, false, 1, true },
+    certainly_not_run = { 1, false, true, 1, true },
+    may_have_run = { 1, false, false, 1, false },
+    too_often = { 3, true, true, 1, false },
+    too_late = { 1, true, true, 0, false },
+)]
+fn only_what_is_safe_is_tried_again(
+    tries: u32,
+    repeatable: bool,
+    not_run: bool,
+    left_s: u64,
+    allowed: bool,
+) {
+    let left = Duration::from_secs(left_s);
+    assert_eq!(
+        RetryPolicy::default().allows(tries, repeatable, not_run, left),
+        allowed
+    );
+}
+
+#[test]
+fn retries_are_a_tenth_of_the_successes() {
+    let mut budget = RetryBudget::new(at(0));
+    assert!(budget.spend(at(0)));
+    assert!(!budget.spend(at(0)));
+    (0..100).for_each(|_| budget.succeeded());
+    let spent = (0..100).filter(|_| budget.spend(at(0))).count();
+    assert_eq!(spent, 10);
+}
+
+#[parameterized(
+    live = { 1_999, true, ServeDecision::Serve },
+    stale = { 2_500, true, ServeDecision::ServeStale },
+    too_stale = { 3_001, true, ServeDecision::Refuse },
+    not_repeatable = { 2_001, false, ServeDecision::Refuse },
+)]
+fn after_the_lease_only_what_allows_it_is_served(
+    ms: u64,
+    repeatable: bool,
+    expected: ServeDecision,
+) {
+    let mut lease = RouterLeaseState::new(LeaseTiming::default());
+    assert!(lease.granted(at(0), Term(1), Delta::default()));
+    let mut template = service_template("cap", repeatable);
+    template.serve_stale_ms = 1_000;
+    assert_eq!(lease.decide(at(ms), &template), expected);
+}
+
+#[test]
+fn a_deposed_leaders_grant_is_dropped() {
+    let mut lease = RouterLeaseState::new(LeaseTiming::default());
+    assert!(lease.granted(at(0), Term(2), Delta::default()));
+    assert!(!lease.granted(at(5_000), Term(1), Delta::default()));
+    assert!(!lease.is_live(at(3_000)));
+}
+
+#[test]
+fn a_router_that_never_had_a_lease_serves_nothing() {
+    let lease = RouterLeaseState::new(LeaseTiming::default());
+    let mut template = chat_template("t", 4);
+    template.serve_stale_ms = 1_000_000_000;
+    assert_eq!(lease.decide(at(0), &template), ServeDecision::Refuse);
+    assert_eq!(*lease.configuration(), Configuration::default());
+}
+
+#[parameterized(
+    checks_in_lease = { FenceCheck::Checks, 100, Some(500), true },
+    checks_after_lease = { FenceCheck::Checks, 600, Some(500), false },
+    no_lease = { FenceCheck::Checks, 100, None, false },
+    unchecked_too_new = { FenceCheck::DoesNotCheck, 100, Some(5_000), false },
+    unchecked_in_time = { FenceCheck::DoesNotCheck, 300, Some(5_000), true },
+    unchecked_near_the_end = { FenceCheck::DoesNotCheck, 400, Some(500), false },
+)]
+fn orders_leave_only_while_no_other_leader_can_give_any(
+    check: FenceCheck,
+    now_ms: u64,
+    until_ms: Option<u64>,
+    allowed: bool,
+) {
+    let mut issuer = OrderIssuer::new(Term(3), at(0), Duration::from_millis(200));
+    let fence = issuer.issue(at(now_ms), until_ms.map(at), check);
+    let expected = Fence {
+        term: Term(3),
+        sequence: 1,
+    };
+    assert_eq!(fence, allowed.then_some(expected));
+}
+
+#[test]
+fn a_target_that_completes_nothing_loses_new_work_and_earns_it_back() {
+    let mut health = Health::default();
+    health.dispatched(at(0));
+    assert_eq!(health.state(at(400)), HealthState::Usable);
+    assert_eq!(health.state(at(600)), HealthState::Suspended);
+    health.failed(at(600));
+    assert_eq!(health.state(at(700)), HealthState::Suspended);
+    health.finished(at(700));
+    assert_eq!(health.state(at(1_200)), HealthState::Trial);
+    health.dispatched(at(1_200));
+    assert_eq!(health.state(at(1_200)), HealthState::Suspended);
+    health.progressed(at(1_201), 1.0, 1.0);
+    assert_eq!(health.state(at(1_201)), HealthState::Usable);
+    assert_eq!(health.weight(at(1_201)), 0.125);
+    for _ in 0..24 {
+        health.progressed(at(1_202), 1.0, 1.0);
+    }
+    assert_eq!(health.weight(at(1_202)), 1.0);
+}
+
+#[test]
+fn a_target_that_gets_slower_loses_weight_step_by_step() {
+    let mut health = Health::default();
+    let mut weights = Vec::new();
+    for _ in 0..3 {
+        (0..8).for_each(|_| health.progressed(at(0), 50.0, 10.0));
+        weights.push(health.weight(at(0)));
+    }
+    assert_eq!(weights, [0.5, 0.25, 0.125]);
+}
+
+#[test]
+fn burn_alerts_need_a_long_and_a_short_window() {
+    let mut cfg = Configuration::default();
+    let template = service_template("gates", true);
+    cfg.merge(Delta {
+        to: deckwind_core::state::Revision(1),
+        templates: vec![(
+            "gates".into(),
+            deckwind_core::state::Versioned {
+                revision: deckwind_core::state::Revision(1),
+                value: Some(template),
+            },
+        )],
+        ..Delta::default()
+    });
+    let mut meter = BurnMeter::default();
+    let hour = |h: u64| at(h * 3_600_000);
+    for i in 0..1_000u64 {
+        meter.answered(
+            hour(1) + Duration::from_millis(i),
+            &"gates".into(),
+            &"a".into(),
+            i % 4 != 0,
+        );
+    }
+    let report = meter.report(hour(1) + Duration::from_secs(2), &cfg);
+    assert_eq!(report.rows[0].alert(), Alert::Page);
+    assert!((report.rows[0].windows[0].burn - 25.0).abs() < 0.01);
+    let later = meter.report(hour(1) + Duration::from_secs(600), &cfg);
+    assert_eq!(later.rows[0].alert(), Alert::Ticket);
+    let much_later = meter.report(hour(9), &cfg);
+    assert_eq!(much_later.rows[0].alert(), Alert::Ok);
+}
+
+/// The bound of fleets whose bound is known by hand.
+#[parameterized(
+    one = { vec![(0, 10, 100.0)], 10, 1_000.0 },
+    two_alike = { vec![(0, 10, 100.0), (0, 10, 100.0)], 10, 2_000.0 },
+    two_halves = { vec![(0, 5, 100.0), (5, 10, 100.0)], 10, 2_000.0 },
+    mixed_speeds = { vec![(0, 5, 100.0), (5, 10, 50.0)], 10, 2_000.0 },
+    overlap_helps = { vec![(0, 5, 100.0), (0, 10, 50.0)], 10, 3_000.0 },
+    a_gap = { vec![(0, 4, 100.0), (5, 10, 100.0)], 10, 0.0 },
+)]
+fn the_hardware_bound_is_the_least_served_layers(
+    targets: Vec<(u32, u32, f64)>,
+    layers: u32,
+    expected: f64,
+) {
+    let targets: Vec<BoundTarget> = targets
+        .into_iter()
+        .map(|(first, last, layer_us)| BoundTarget {
+            layers: LayerRange::new(first, last),
+            layer_us,
+        })
+        .collect();
+    let bound = hardware_bound(&targets, layers);
+    assert!((bound - expected).abs() <= expected * 0.001, "{bound}");
+}
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -1,4 +1,27 @@
 //! Whole-cluster tests, one file a feature.
 
+mod at_most_once;
+mod callers;
+mod command_line;
+mod contracts;
+mod decisions;
 mod processes;
 mod replication;
+mod sessions;
+mod settings;
+mod store;
+
+use std::net::SocketAddr;
+
+/// Any free port.
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Runs an asynchronous test.
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    runtime.expect("a runtime").block_on(test);
+}
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/store.rs
@@ -0,0 +1,159 @@
+//! The data folder, killed at every operation.
+
+use deckwind_core::replication::{
+    ClusterId, Entry, HardState, Index, Payload, Position, ReplicaId, SnapshotMeta, Term,
+};
+use deckwind_store::{MemoryDisk, Store, StoreError};
+use yare::parameterized;
+
+const ID: ReplicaId = ReplicaId {
+    slot: 1,
+    identity: 7,
+};
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        at: Position {
+            term: Term(term),
+            index: Index(index),
+        },
+        payload: Payload::Command(vec![index as u8; 20]),
+    }
+}
+
+fn hard(term: u64) -> HardState {
+    HardState {
+        term: Term(term),
+        voted_for: Some(ID),
+        cluster: Some(ClusterId(9)),
+    }
+}
+
+fn meta(index: u64) -> SnapshotMeta {
+    SnapshotMeta {
+        last: entry(index, 1).at,
+        ..SnapshotMeta::default()
+    }
+}
+
+/// What was acknowledged before the disk died.
+#[derive(Default)]
+struct Acknowledged {
+    term: u64,
+    last: u64,
+    snapshot: u64,
+}
+
+/// Writes batches and snapshots until the disk dies.
+fn write_until_it_dies(disk: &MemoryDisk, acked: &mut Acknowledged) -> Result<(), StoreError> {
+    let (mut store, _) = Store::open(Box::new(disk.clone()), ID)?;
+    for i in 1..=12u64 {
+        store.put_hard_state(hard(i));
+        store.put_entries(vec![entry(2 * i - 1, 1), entry(2 * i, 1)]);
+        store.commit()?;
+        acked.term = i;
+        acked.last = 2 * i;
+        if i % 4 == 0 {
+            let data = vec![i as u8; 64];
+            store.compact(meta(2 * i - 1), data, hard(i), vec![entry(2 * i, 1)])?;
+            acked.snapshot = 2 * i - 1;
+        }
+    }
+    Ok(())
+}
+
+/// Kills the disk at each of its operations in turn, keeping any part of what
+/// was written and not synced: whatever was acknowledged is there afterwards.
+#[parameterized(
+    nothing_torn = { 0 }, half_a_header = { 6 }, a_header = { 12 }, part_of_a_body = { 30 },
+    all_but_a_byte = { 1_000 },
+)]
+fn nothing_that_was_acknowledged_is_lost(torn: usize) {
+    let clean = MemoryDisk::default();
+    write_until_it_dies(&clean, &mut Acknowledged::default()).unwrap();
+    for operations in 0..clean.operations() {
+        let disk = MemoryDisk::default();
+        disk.fail_after(operations);
+        let mut acked = Acknowledged::default();
+        let died = write_until_it_dies(&disk, &mut acked);
+        assert!(died.is_err(), "operation {operations}");
+        disk.crash(torn);
+        let (_, opened) = Store::open(Box::new(disk), ID).unwrap();
+        assert!(opened.stored.hard_state.term.0 >= acked.term);
+        let base = opened.stored.snapshot.last.index.0;
+        let last = opened.stored.entries.last().map_or(base, |e| e.at.index.0);
+        assert!(
+            last >= acked.last,
+            "operation {operations}: {last} < {}",
+            acked.last
+        );
+        assert!(base >= acked.snapshot);
+        let gapless = opened.stored.entries.iter().zip(base + 1..);
+        gapless.for_each(|(e, i)| assert_eq!(e.at.index.0, i));
+    }
+}
+
+#[test]
+fn a_replaced_tail_stays_replaced() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = Store::open(Box::new(disk.clone()), ID).unwrap();
+    store.put_entries(vec![entry(1, 1), entry(2, 1), entry(3, 1)]);
+    store.commit().unwrap();
+    store.put_entries(vec![entry(2, 2)]);
+    store.commit().unwrap();
+    let (_, opened) = Store::open(Box::new(disk), ID).unwrap();
+    assert_eq!(opened.stored.entries, [entry(1, 1), entry(2, 2)]);
+}
+
+#[test]
+fn a_damaged_middle_is_refused_with_its_place() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = Store::open(Box::new(disk.clone()), ID).unwrap();
+    let place = 20;
+    for i in 1..=3 {
+        store.put_entries(vec![entry(i, 1)]);
+        store.commit().unwrap();
+    }
+    disk.damage("log", place);
+    let refused = Store::open(Box::new(disk), ID).err().unwrap();
+    assert_eq!(
+        refused.to_string(),
+        "log: damaged at byte 0, with good records behind it: the disk lost what it had synced. \
+         Move the data folder away and start again: the replica comes back with a new identity \
+         and gets the state from the others"
+    );
+}
+
+#[test]
+fn a_torn_tail_is_cut_off_and_written_over() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = Store::open(Box::new(disk.clone()), ID).unwrap();
+    store.put_entries(vec![entry(1, 1)]);
+    store.commit().unwrap();
+    store.put_entries(vec![entry(2, 1)]);
+    disk.fail_after(1);
+    assert!(store.commit().is_err());
+    disk.crash(15);
+    let (mut store, opened) = Store::open(Box::new(disk.clone()), ID).unwrap();
+    assert_eq!(opened.cut_bytes, 15);
+    store.put_entries(vec![entry(2, 2)]);
+    store.commit().unwrap();
+    let (_, opened) = Store::open(Box::new(disk), ID).unwrap();
+    assert_eq!(opened.stored.entries, [entry(1, 1), entry(2, 2)]);
+}
+
+#[test]
+fn a_folder_of_another_slot_is_refused() {
+    let disk = MemoryDisk::default();
+    Store::open(Box::new(disk.clone()), ID).unwrap();
+    let other = ReplicaId {
+        slot: 2,
+        identity: 8,
+    };
+    let refused = Store::open(Box::new(disk), other).err().unwrap();
+    assert_eq!(
+        refused.to_string(),
+        "identity: the folder belongs to slot 1, the settings say slot 2; give each replica its \
+         own control.data_folder"
+    );
+}
--- a/crates/deckwind/src/cli.rs
+++ b/crates/deckwind/src/cli.rs
@@ -1,11 +1,12 @@
 //! The command line: shared options, and one file a subcommand.
 
 use crate::commands;
-use crate::context::{Context, Exit};
+use crate::context::{Context, Exit, exit_of};
 use anyhow::{Result, bail};
 use clap::{Arg, ArgMatches, Command, value_parser};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 const EXIT_CODES: &str = "\
 Exit codes:
@@ -61,6 +62,17 @@
         ])
 }
 
+/// Parses the arguments, runs, and tells how it ended.
+pub fn main() -> ExitCode {
+    match exec(&cli().get_matches()) {
+        Ok(exit) => ExitCode::from(exit.code()),
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::from(exit_of(&e).code())
+        }
+    }
+}
+
 /// Runs the subcommand that was named.
 pub fn exec(args: &ArgMatches) -> Result<Exit> {
     let cx = Context::of(args);
--- a/crates/deckwindd/src/main.rs
+++ b/crates/deckwindd/src/main.rs
@@ -1,13 +1,7 @@
-//! The `deckwindd` binary: parses its arguments and calls one operation.
+//! The `deckwindd` binary.
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match deckwindd::commands::run::exec(&deckwindd::commands::run::cli().get_matches()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("error: {e:#}");
-            ExitCode::FAILURE
-        }
-    }
+    deckwindd::commands::main()
 }
--- a/crates/deckwindd/src/router/chat.rs
+++ b/crates/deckwindd/src/router/chat.rs
@@ -153,13 +153,14 @@
         }
     }
 
-    /// Stages for the missing layers; if there are none, a whole new chain; if
-    /// there is none either, one with targets that failed before and are usable
-    /// again.
+    /// Stages for the missing layers, best on targets that have not failed here
+    /// yet; if there are none, a whole new chain, which costs the caches of the
+    /// stages that live.
     fn plan_once(&mut self, avoid: &BTreeSet<TargetName>, missing: LayerRange) -> Option<Chain> {
         let whole = LayerRange::new(0, self.job.work.layers);
         let ways = [
             (missing, avoid.clone()),
+            (missing, BTreeSet::new()),
             (whole, avoid.clone()),
             (whole, BTreeSet::new()),
         ];
