Specification explored exhaustively; an outcome names its try; policy measurements

Cause, found by the claim specification (shortest run: 15 steps): a router's report 'not run' that came late a second time freed the claim of its next try of the same key, and another router ran the request again. The code had the same gap: Finish named the holder, not the try. Ruled out: the holder check alone; both tries are the same process's. Change: Finish carries the claim's nonce, checked by the table. The laboratory now refuses every third request, so that NotRun is exercised, and counts a lease from when its own renewal was asked (it had taken the latest resend's time, which the daemon never does: a fault of the laboratory, seen as 'revision 1 was called in force, router-1 serves 0'). Also: examples/policies drives the real router core in virtual time.

--- /dev/null
+++ b/crates/deckwind-core/examples/policies/run.rs
@@ -0,0 +1,836 @@
+//! One run: routers, sessions and targets in virtual time.
+
+use crate::events::Events;
+use crate::fleet::{
+    BETWEEN_US, DATA_CENTRES, FakeTarget, LAYERS, WITHIN_US, bound, costs, micros, runner, template,
+};
+use crate::load::{Class, Fault, Scenario};
+use crate::report::{ClassResult, RunResult};
+use deckwind_core::admission::{AdmissionConfig, TicketId};
+use deckwind_core::membership::{AccountShare, LeaseTiming, share_of};
+use deckwind_core::replication::Term;
+use deckwind_core::router::{Admitted, Entered, Placed, RouterConfig, RouterCore, Work};
+use deckwind_core::routing::{
+    ChainNeed, Estimated, FleetGate, LeastLoaded, LoadReport, PREFILL_COST, PlannedStage, Policy,
+    PrefixHash, RoundRobin, TargetKey, plan_names, prefix_hashes,
+};
+use deckwind_core::session::{
+    Activation, Chain, EndReason, Session, SessionAction, SessionEvent, SessionLimits, Stage,
+    StageFault, StageKey, StepOrder, StepOutput, Token,
+};
+use deckwind_core::state::{
+    Account, AccountLimits, AccountName, ApplyRequest, Change, Command, CommandBody, LayerRange,
+    StateMachine, TargetName,
+};
+use deckwind_core::time::Instant;
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// The ways that are compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PolicyName {
+    Estimated,
+    RoundRobin,
+    LeastLoaded,
+    FleetGate,
+}
+
+impl PolicyName {
+    pub const ALL: [PolicyName; 4] = [
+        PolicyName::Estimated,
+        PolicyName::RoundRobin,
+        PolicyName::LeastLoaded,
+        PolicyName::FleetGate,
+    ];
+
+    fn build(self, seed: u64) -> Box<dyn Policy> {
+        match self {
+            PolicyName::Estimated => Box::new(Estimated::new(seed)),
+            PolicyName::RoundRobin => Box::new(RoundRobin::new(seed)),
+            PolicyName::LeastLoaded => Box::new(LeastLoaded::new(seed)),
+            PolicyName::FleetGate => Box::new(FleetGate::new(seed)),
+        }
+    }
+}
+
+enum Event {
+    Arrive(usize),
+    Answer {
+        session: u64,
+        key: StageKey,
+        attempt: u32,
+        position: u32,
+    },
+    Late {
+        session: u64,
+        key: StageKey,
+        order: u64,
+    },
+    Replan {
+        session: u64,
+    },
+    Tick,
+    Renew,
+    Publish,
+    Fault,
+}
+
+/// A stage that is open.
+struct OpenedStage {
+    target: TargetKey,
+    runner: usize,
+    layers: LayerRange,
+    order_sent: Instant,
+}
+
+struct Running {
+    class: usize,
+    router: usize,
+    entered: Entered,
+    session: Session,
+    stages: BTreeMap<StageKey, OpenedStage>,
+    planned: Vec<PlannedStage>,
+    prefixes: Vec<PrefixHash>,
+    orders: u64,
+    positions: usize,
+    last_token: Option<Instant>,
+    lost: Option<(BTreeSet<TargetName>, LayerRange)>,
+}
+
+struct Waiting {
+    class: usize,
+    router: usize,
+    entered: Entered,
+    conversation: u32,
+}
+
+struct ClassCounts {
+    result: ClassResult,
+    first: Histogram<u64>,
+    gap: Histogram<u64>,
+}
+
+/// A run.
+pub struct Run {
+    scenario: Scenario,
+    policy: PolicyName,
+    now: Instant,
+    rng: ChaCha8Rng,
+    events: Events<Event>,
+    machine: StateMachine,
+    runners: Vec<FakeTarget>,
+    by_name: HashMap<TargetName, usize>,
+    routers: Vec<RouterCore>,
+    sessions: HashMap<u64, Running>,
+    waiting: HashMap<(usize, TicketId), Waiting>,
+    next_session: u64,
+    counts: Vec<ClassCounts>,
+    work_done: f64,
+    bound_seconds: f64,
+    bound_now: f64,
+    /// Bound of all runners in good health: what loads are shares of.
+    full_bound: f64,
+    bound_since: Instant,
+    prompt_positions: u64,
+    cached_positions: u64,
+    rebuilds: u64,
+    changes: u64,
+}
+
+const START: Instant = Instant::from_millis(1_000);
+const TICK: Duration = Duration::from_millis(100);
+const RENEW: Duration = Duration::from_millis(500);
+/// How often targets publish their load: the lag of a report.
+const PUBLISH: Duration = Duration::from_millis(500);
+const REPLAN_PAUSE: Duration = Duration::from_millis(100);
+/// After the last arrival, time for what runs to end.
+const TAIL: Duration = Duration::from_secs(30);
+/// A broken connection is noticed after this time.
+const BREAK_NOTICED: Duration = Duration::from_millis(2);
+/// Prompt blocks: all but the last are shared by a conversation.
+const BLOCKS: u32 = 4;
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3).expect("fixed bounds")
+}
+
+impl Run {
+    pub fn new(
+        scenario: Scenario,
+        policy: PolicyName,
+        runners: u32,
+        routers: u32,
+        seed: u64,
+    ) -> Self {
+        let mut run = Self {
+            scenario,
+            policy,
+            now: START,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            events: Events::new(),
+            machine: StateMachine::default(),
+            runners: (0..runners).map(runner).collect(),
+            by_name: HashMap::new(),
+            routers: Vec::new(),
+            sessions: HashMap::new(),
+            waiting: HashMap::new(),
+            next_session: 1,
+            counts: Vec::new(),
+            work_done: 0.0,
+            bound_seconds: 0.0,
+            bound_now: 0.0,
+            full_bound: 0.0,
+            bound_since: START,
+            prompt_positions: 0,
+            cached_positions: 0,
+            rebuilds: 0,
+            changes: 0,
+        };
+        run.configure();
+        for i in 0..routers {
+            run.add_router(u64::from(i) + seed * 1_000);
+        }
+        run
+    }
+
+    fn configure(&mut self) {
+        self.full_bound = bound(self.runners.iter());
+        for class in self.scenario.classes {
+            self.change(Change::Template(template(class.template, class.priority)));
+            let digit = |c: char| char::from_digit(c as u32 % 16, 16).expect("below 16");
+            let hash: String = class.account.chars().map(digit).cycle().take(64).collect();
+            self.change(Change::Account(Account {
+                name: class.account.into(),
+                key_sha256: hash,
+                limits: AccountLimits {
+                    requests_per_s: 1e6,
+                    weight: 1,
+                },
+                parameters: BTreeMap::new(),
+            }));
+            self.counts.push(ClassCounts {
+                result: ClassResult {
+                    name: format!("{} of {}", class.template, class.account),
+                    ..ClassResult::default()
+                },
+                first: histogram(),
+                gap: histogram(),
+            });
+        }
+        let joins = matches!(self.scenario.fault, Fault::Join { .. });
+        for i in 0..self.runners.len() {
+            self.by_name.insert(self.runners[i].target.name.clone(), i);
+            self.runners[i].dead = joins && is_hit(i, 4);
+            if !self.runners[i].dead {
+                let target = self.runners[i].target.clone();
+                self.change(Change::Target(target));
+            }
+        }
+        self.bound_now = bound(self.runners.iter());
+    }
+
+    fn change(&mut self, change: Change) {
+        self.changes += 1;
+        self.machine.apply(Command {
+            at_ms: 0,
+            body: CommandBody::Apply(ApplyRequest {
+                request_id: self.changes.to_string().into(),
+                expected: None,
+                change,
+            }),
+        });
+    }
+
+    fn add_router(&mut self, seed: u64) {
+        let links = DATA_CENTRES.iter().enumerate();
+        let home = self.routers.len() % DATA_CENTRES.len();
+        let link = |i: usize| if i == home { WITHIN_US } else { BETWEEN_US };
+        let cfg = RouterConfig {
+            lease: LeaseTiming::default(),
+            costs: costs(),
+            links: links.map(|(i, dc)| ((*dc).into(), link(i))).collect(),
+            admission: AdmissionConfig::default(),
+            seed,
+        };
+        let router = RouterCore::with_policy(cfg, self.policy.build(seed), self.now);
+        self.routers.push(router);
+    }
+
+    /// Runs to the end.
+    pub fn execute(mut self) -> RunResult {
+        self.events.put(self.now, Event::Renew);
+        self.events.put(self.now, Event::Publish);
+        self.events.put(self.now, Event::Tick);
+        if let Some(at_s) = fault_time(self.scenario.fault) {
+            self.events
+                .put(START + Duration::from_secs_f64(at_s), Event::Fault);
+        }
+        let arrivals = START + Duration::from_millis(600);
+        for class in 0..self.scenario.classes.len() {
+            self.events.put(arrivals, Event::Arrive(class));
+        }
+        let end = self.arrivals_end() + TAIL;
+        while let Some((at, event)) = self.events.next() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.take(event);
+        }
+        self.result()
+    }
+
+    fn arrivals_end(&self) -> Instant {
+        START + Duration::from_secs_f64(self.scenario.seconds)
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Arrive(class) => self.arrive(class),
+            Event::Answer {
+                session,
+                key,
+                attempt,
+                position,
+            } => {
+                self.answer(session, key, attempt, position);
+            }
+            Event::Late {
+                session,
+                key,
+                order,
+            } => self.late(session, key, order),
+            Event::Replan { session } => self.replan(session),
+            Event::Tick => self.tick(),
+            Event::Renew => self.renew(),
+            Event::Publish => self.publish(),
+            Event::Fault => self.fault(),
+        }
+    }
+
+    fn class(&self, class: usize) -> Class {
+        self.scenario.classes[class]
+    }
+
+    /// Work of a request with an empty cache, in tokens.
+    fn work_of(class: &Class) -> f64 {
+        f64::from(class.answer) + f64::from(class.prompt) * PREFILL_COST
+    }
+
+    fn arrive(&mut self, class: usize) {
+        if self.now >= self.arrivals_end() {
+            return;
+        }
+        let c = self.class(class);
+        let full = self.full_bound;
+        let per_s = c.share * full / Self::work_of(&c);
+        let gap = -self.rng.random::<f64>().max(1e-9).ln() / per_s;
+        self.events
+            .put(self.now + micros(gap * 1e6), Event::Arrive(class));
+        let router = self.rng.random_range(0..self.routers.len());
+        self.counts[class].result.offered += 1;
+        let conversation = self.rng.random_range(0..c.conversations);
+        self.enter(class, router, conversation);
+    }
+
+    fn enter(&mut self, class: usize, router: usize, conversation: u32) {
+        let c = self.class(class);
+        let now = self.now;
+        let core = &mut self.routers[router];
+        let entered = core.enter(now, &c.account.into(), &c.template.into());
+        let Ok(entered) = entered else {
+            self.refuse(class, now);
+            return;
+        };
+        let waiting = Waiting {
+            class,
+            router,
+            entered,
+            conversation,
+        };
+        match core.place(now, &waiting.entered) {
+            Ok(Placed::Start) => self.start(waiting),
+            Ok(Placed::Wait) => {
+                let key = (router, waiting.entered.id);
+                self.waiting.insert(key, waiting);
+            }
+            Err(_) => self.refuse(class, now),
+        }
+    }
+
+    fn refuse(&mut self, class: usize, arrived: Instant) {
+        let r = &mut self.counts[class].result;
+        r.refused += 1;
+        let waited = self.now.since(arrived).as_secs_f64() * 1e3;
+        r.refusal_max_ms = r.refusal_max_ms.max(waited);
+    }
+
+    fn admitted(&mut self, router: usize, admitted: Vec<Admitted>) {
+        for one in admitted {
+            match one {
+                Admitted::Start(id) => {
+                    if let Some(waiting) = self.waiting.remove(&(router, id)) {
+                        self.start(waiting);
+                    }
+                }
+                Admitted::Denied(id, _) => {
+                    if let Some(w) = self.waiting.remove(&(router, id)) {
+                        self.refuse(w.class, w.entered.arrived);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, waiting: Waiting) {
+        let c = self.class(waiting.class);
+        let id = self.next_session;
+        self.next_session += 1;
+        let prompt = vec![Activation(String::new()); c.prompt as usize];
+        let limits = SessionLimits {
+            max_tokens: c.answer,
+            ..SessionLimits::default()
+        };
+        let blocks: Vec<Vec<u8>> = (0..BLOCKS)
+            .map(|b| {
+                let own = if b + 1 == BLOCKS { id } else { 0 };
+                format!(
+                    "{}/{}/{}/{b}/{own}",
+                    c.account, c.template, waiting.conversation
+                )
+                .into_bytes()
+            })
+            .collect();
+        let mut running = Running {
+            class: waiting.class,
+            router: waiting.router,
+            entered: waiting.entered,
+            session: Session::new(LAYERS, prompt, limits),
+            stages: BTreeMap::new(),
+            planned: Vec::new(),
+            prefixes: prefix_hashes(blocks.iter().map(Vec::as_slice)),
+            orders: 0,
+            positions: 0,
+            last_token: None,
+            lost: None,
+        };
+        let mut actions = Vec::new();
+        running.session.start(&mut actions);
+        self.sessions.insert(id, running);
+        self.perform(id, actions);
+    }
+
+    fn feed(&mut self, id: u64, event: SessionEvent) {
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        running.session.step(event, &mut actions);
+        self.perform(id, actions);
+    }
+
+    fn perform(&mut self, id: u64, actions: Vec<SessionAction>) {
+        for action in actions {
+            match action {
+                SessionAction::Plan { avoid, missing } => {
+                    if let Some(r) = self.sessions.get_mut(&id) {
+                        r.lost = Some((avoid, missing));
+                    }
+                    self.replan(id);
+                }
+                SessionAction::Open { key, with } => self.open(id, key, &with),
+                SessionAction::Step { key, order } => self.order(id, key, &order),
+                SessionAction::Deliver { .. } => self.deliver(id),
+                SessionAction::Close { key } => self.close(id, key),
+                SessionAction::End(reason) => self.end(id, reason),
+            }
+        }
+    }
+
+    fn replan(&mut self, id: u64) {
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some((avoid, missing)) = running.lost.clone() else {
+            return;
+        };
+        let whole = LayerRange::new(0, LAYERS);
+        let first = running.session.attempt() == 0;
+        let ways = [
+            (missing, avoid.clone()),
+            (missing, BTreeSet::new()),
+            (whole, avoid),
+            (whole, BTreeSet::new()),
+        ];
+        let chain = ways
+            .into_iter()
+            .find_map(|(layers, avoid)| self.plan(id, layers, avoid));
+        match chain {
+            Some(chain) => {
+                if let Some(r) = self.sessions.get_mut(&id) {
+                    r.lost = None;
+                }
+                self.rebuilds += u64::from(!first);
+                self.feed(id, SessionEvent::Planned(chain));
+            }
+            None if first => self.feed(id, SessionEvent::NoChain),
+            None => self
+                .events
+                .put(self.now + REPLAN_PAUSE, Event::Replan { session: id }),
+        }
+    }
+
+    fn plan(&mut self, id: u64, layers: LayerRange, avoid: BTreeSet<TargetName>) -> Option<Chain> {
+        let running = self.sessions.get_mut(&id)?;
+        let core = &mut self.routers[running.router];
+        for p in std::mem::take(&mut running.planned) {
+            core.stage_ended(self.now, p.target, p.layers);
+        }
+        let c = self.scenario.classes[running.class];
+        let Work::Chat(work) = &running.entered.work else {
+            return None;
+        };
+        let need = ChainNeed {
+            group: work.group.clone(),
+            adapter: None,
+            layers,
+            prompt: c.prompt,
+            answer: c.answer,
+            prefixes: running.prefixes.clone(),
+            avoid,
+        };
+        let planned = core.plan_chain(self.now, &need).ok()?;
+        let outside = |s: &&Stage| s.layers.last <= layers.first || s.layers.first >= layers.last;
+        let mut stages: Vec<Stage> = running.session.chain().filter(outside).cloned().collect();
+        let new = planned.iter().filter_map(|p| {
+            let target = core.fleet().get(p.target)?.name.clone();
+            Some(Stage {
+                target,
+                layers: p.layers,
+            })
+        });
+        stages.extend(new);
+        stages.sort_by_key(|s| s.layers.first);
+        debug_assert!(layers.len() < LAYERS || plan_names(core.fleet(), &planned, LAYERS).is_ok());
+        running.planned = planned;
+        Chain::new(stages, LAYERS).ok()
+    }
+
+    fn open(&mut self, id: u64, key: StageKey, with: &Stage) {
+        let runner = self.by_name[&with.target];
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(i) = running.planned.iter().position(|p| p.layers == with.layers) else {
+            return;
+        };
+        let planned = running.planned.remove(i);
+        self.runners[runner].load += with.layers.len();
+        running.stages.insert(
+            key,
+            OpenedStage {
+                target: planned.target,
+                runner,
+                layers: with.layers,
+                order_sent: self.now,
+            },
+        );
+    }
+
+    fn order(&mut self, id: u64, key: StageKey, order: &StepOrder) {
+        let now = self.now;
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        running.orders += 1;
+        running.positions = order.inputs.len();
+        let number = running.orders;
+        let prompt = order.position == 0 && order.inputs.len() > 1;
+        let Some(stage) = running.stages.get_mut(&key) else {
+            let event = SessionEvent::Fault {
+                key,
+                fault: StageFault::Broken,
+            };
+            self.feed(id, event);
+            return;
+        };
+        stage.order_sent = now;
+        let target = &mut self.runners[stage.runner];
+        let mut positions = order.inputs.len() as u32;
+        if prompt {
+            let uncached = target.uncached(&running.prefixes, positions);
+            self.prompt_positions += u64::from(positions);
+            self.cached_positions += u64::from(positions - uncached);
+            positions = uncached;
+        }
+        let done = target.step(now, stage.layers.len(), f64::from(positions));
+        let core = &self.routers[running.router];
+        let limit = core.step_limit(now, stage.target, stage.layers, order.inputs.len());
+        let dead = target.dead;
+        match done {
+            Some(at) => {
+                let answer = Event::Answer {
+                    session: id,
+                    key,
+                    attempt: order.attempt,
+                    position: order.position,
+                };
+                self.events.put(at, answer);
+            }
+            None if dead => {
+                let late = Event::Late {
+                    session: id,
+                    key,
+                    order: number,
+                };
+                self.events.put(now + BREAK_NOTICED, late);
+                return;
+            }
+            None => {}
+        }
+        let late = Event::Late {
+            session: id,
+            key,
+            order: number,
+        };
+        self.events.put(now + limit, late);
+    }
+
+    fn answer(&mut self, id: u64, key: StageKey, attempt: u32, position: u32) {
+        let now = self.now;
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let awaited = running.session.awaited();
+        let Some((_, positions)) = awaited.filter(|(k, _)| *k == key) else {
+            return;
+        };
+        let Some(stage) = running.stages.get(&key) else {
+            return;
+        };
+        if self.runners[stage.runner].dead || self.runners[stage.runner].frozen {
+            return;
+        }
+        let took = now.since(stage.order_sent);
+        let core = &mut self.routers[running.router];
+        core.stage_progressed(now, stage.target, took, stage.layers, positions);
+        running.orders += 1;
+        let token = (stage.layers.last == LAYERS).then(|| Token {
+            id: 0,
+            text: String::new(),
+            end: false,
+        });
+        let output = StepOutput {
+            attempt,
+            position,
+            outputs: vec![Activation(String::new()); positions],
+            token,
+        };
+        self.feed(id, SessionEvent::Output { key, output });
+    }
+
+    fn late(&mut self, id: u64, key: StageKey, order: u64) {
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if running.orders != order {
+            return;
+        }
+        running.orders += 1;
+        if let Some(stage) = running.stages.get(&key) {
+            self.routers[running.router].target_failed(self.now, stage.target);
+        }
+        let event = SessionEvent::Fault {
+            key,
+            fault: StageFault::Late,
+        };
+        self.feed(id, event);
+    }
+
+    fn deliver(&mut self, id: u64) {
+        let now = self.now;
+        let during_load = now < self.arrivals_end();
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let counts = &mut self.counts[running.class];
+        let micros = |d: Duration| (d.as_micros() as u64).max(1);
+        let mut work = 1.0;
+        match running.last_token {
+            None => {
+                let took = now.since(running.entered.arrived);
+                counts.first.saturating_record(micros(took));
+                let c = self.scenario.classes[running.class];
+                work += f64::from(c.prompt) * PREFILL_COST;
+            }
+            Some(last) => counts.gap.saturating_record(micros(now.since(last))),
+        }
+        running.last_token = Some(now);
+        if during_load {
+            self.work_done += work;
+        }
+    }
+
+    fn close(&mut self, id: u64, key: StageKey) {
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if let Some(stage) = running.stages.remove(&key) {
+            let runner = &mut self.runners[stage.runner];
+            runner.load = runner.load.saturating_sub(stage.layers.len());
+            self.routers[running.router].stage_ended(self.now, stage.target, stage.layers);
+        }
+    }
+
+    fn end(&mut self, id: u64, reason: EndReason) {
+        let keys: Vec<StageKey> = match self.sessions.get(&id) {
+            Some(running) => running.stages.keys().copied().collect(),
+            None => return,
+        };
+        for key in keys {
+            self.close(id, key);
+        }
+        let Some(running) = self.sessions.remove(&id) else {
+            return;
+        };
+        let core = &mut self.routers[running.router];
+        for p in running.planned {
+            core.stage_ended(self.now, p.target, p.layers);
+        }
+        let result = &mut self.counts[running.class].result;
+        match reason {
+            EndReason::Complete => result.finished += 1,
+            _ => result.failed += 1,
+        }
+        let admitted = core.leave(self.now, running.entered.id);
+        self.admitted(running.router, admitted);
+    }
+
+    fn tick(&mut self) {
+        self.events.put(self.now + TICK, Event::Tick);
+        for i in 0..self.routers.len() {
+            let admitted = self.routers[i].tick(self.now);
+            self.admitted(i, admitted);
+        }
+    }
+
+    /// The leader's grants, with the accounts' shares by demand.
+    fn renew(&mut self) {
+        self.events.put(self.now + RENEW, Event::Renew);
+        let now = self.now;
+        let routers = self.routers.len() as u32;
+        let demands: Vec<_> = self.routers.iter_mut().map(|r| r.demand(now)).collect();
+        let mut totals: BTreeMap<AccountName, f64> = BTreeMap::new();
+        for (account, d) in demands.iter().flatten() {
+            *totals.entry(account.clone()).or_default() += d.per_s;
+        }
+        let cfg = self.machine.configuration();
+        for (router, demand) in self.routers.iter_mut().zip(demands) {
+            let delta = cfg.delta_since(router.lease().applied());
+            let shares: Vec<(AccountName, AccountShare)> = demand
+                .into_iter()
+                .filter_map(|(name, d)| {
+                    let limit = cfg.account(&name)?.limits.requests_per_s;
+                    let share = share_of(limit, d, totals[&name], routers);
+                    Some((name, share))
+                })
+                .collect();
+            router.granted(now, now, Term(1), delta, shares, routers);
+        }
+    }
+
+    /// Targets publish their load; routers see it one period later.
+    fn publish(&mut self) {
+        self.events.put(self.now + PUBLISH, Event::Publish);
+        for runner in self.runners.iter_mut().filter(|r| !r.dead) {
+            let report = LoadReport {
+                load: runner.published,
+            };
+            runner.published = runner.load;
+            for router in &mut self.routers {
+                if let Some(key) = router.fleet().key(&runner.target.name) {
+                    router.load_reported(self.now, key, report);
+                }
+            }
+        }
+    }
+
+    fn settle_bound(&mut self) {
+        let until = self.now.min(self.arrivals_end());
+        self.bound_seconds += self.bound_now * until.since(self.bound_since).as_secs_f64();
+        self.bound_since = until;
+        self.bound_now = bound(self.runners.iter());
+    }
+
+    fn fault(&mut self) {
+        let fault = self.scenario.fault;
+        let every = if matches!(fault, Fault::HalfDie { .. }) {
+            2
+        } else {
+            4
+        };
+        for i in 0..self.runners.len() {
+            let hit = is_hit(i, every);
+            let runner = &mut self.runners[i];
+            match fault {
+                Fault::Dies { .. } | Fault::HalfDie { .. } if hit => runner.dead = true,
+                Fault::Freezes { .. } if hit => runner.frozen = true,
+                Fault::Slows { .. } if hit => runner.slow = 10.0,
+                Fault::LinkDegrades { .. }
+                    if runner.target.data_centre.as_str() == DATA_CENTRES[2] =>
+                {
+                    runner.link_us = BETWEEN_US * 100.0;
+                }
+                Fault::Join { .. } if runner.dead => {
+                    runner.dead = false;
+                    let target = runner.target.clone();
+                    self.change(Change::Target(target));
+                }
+                _ => {}
+            }
+        }
+        self.settle_bound();
+    }
+
+    fn result(mut self) -> RunResult {
+        self.now = self.arrivals_end();
+        self.settle_bound();
+        let classes = self
+            .counts
+            .iter()
+            .map(|c| ClassResult {
+                first_p95_ms: c.first.value_at_quantile(0.95) as f64 / 1e3,
+                gap_p95_ms: c.gap.value_at_quantile(0.95) as f64 / 1e3,
+                ..c.result.clone()
+            })
+            .collect();
+        RunResult {
+            scenario: self.scenario.name,
+            policy: self.policy.build(0).name(),
+            of_bound: self.work_done / self.bound_seconds,
+            prefix_hits: self.cached_positions as f64 / self.prompt_positions.max(1) as f64,
+            rebuilds: self.rebuilds,
+            classes,
+        }
+    }
+}
+
+fn fault_time(fault: Fault) -> Option<f64> {
+    match fault {
+        Fault::None => None,
+        Fault::Dies { at_s }
+        | Fault::Freezes { at_s }
+        | Fault::Slows { at_s }
+        | Fault::LinkDegrades { at_s }
+        | Fault::Join { at_s }
+        | Fault::HalfDie { at_s } => Some(at_s),
+    }
+}
+
+/// Whether runner `i` is one of each `every`, spread over kinds and ranges.
+fn is_hit(i: usize, every: usize) -> bool {
+    (i / 7 + (i % 7) / 2).is_multiple_of(every)
+}
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -447,11 +447,13 @@
             ControlRequest::Finish {
                 key,
                 holder,
+                nonce,
                 outcome,
             } => {
                 let body = CommandBody::Finish {
                     key,
                     holder,
+                    nonce,
                     outcome,
                 };
                 self.propose(now, body, asker, out);
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -56,6 +56,8 @@
         key: ClaimKey,
         /// The router.
         holder: Holder,
+        /// The try that it ends.
+        nonce: u64,
         /// How.
         outcome: Outcome,
     },
--- a/crates/deckwind-core/src/router/router_core.rs
+++ b/crates/deckwind-core/src/router/router_core.rs
@@ -150,6 +150,12 @@
 impl RouterCore {
     /// A router without lease or configuration.
     pub fn new(cfg: RouterConfig, now: Instant) -> Self {
+        let policy = Box::new(Estimated::new(cfg.seed));
+        Self::with_policy(cfg, policy, now)
+    }
+
+    /// A router that chooses chains in another way, for measurements.
+    pub fn with_policy(cfg: RouterConfig, policy: Box<dyn Policy>, now: Instant) -> Self {
         Self {
             lease: RouterLeaseState::new(cfg.lease),
             accounts: HashMap::new(),
@@ -158,7 +164,7 @@
             routers: 1,
             fleet: Fleet::new(cfg.costs.clone(), cfg.links.clone()),
             platform: PlatformView::default(),
-            policy: Box::new(Estimated::new(cfg.seed)),
+            policy,
             pools: BTreeMap::new(),
             retries: RetryBudget::new(now),
             burn: BurnMeter::default(),
--- a/crates/deckwind-core/src/routing/mod.rs
+++ b/crates/deckwind-core/src/routing/mod.rs
@@ -26,6 +26,6 @@
 pub use chain_search::{ChainNeed, PlannedStage, plan_names, search_chain};
 pub use fleet::{Fleet, GroupKey, LoadReport, TargetKey, TargetState};
 pub use health::{Health, HealthState};
-pub use policy::{Estimated, FleetGate, LeastLoaded, Policy, RoundRobin};
+pub use policy::{Estimated, FleetGate, LeastLoaded, PREFILL_COST, Policy, RoundRobin};
 pub use prefix::{PrefixHash, PrefixIndex, prefix_hashes};
 pub use service::choose_service;
--- a/crates/deckwind-core/src/state/claims.rs
+++ b/crates/deckwind-core/src/state/claims.rs
@@ -162,8 +162,9 @@
     }
 
     /// Records how a claim ended, if `holder` holds it. What was unknown becomes
-    /// known if the holder turns out to be alive.
-    pub(super) fn finish(&mut self, key: &ClaimKey, holder: &Holder, outcome: Outcome) {
+    /// known if the holder turns out to be alive. `nonce` names the try: an
+    /// outcome that comes late or twice does not end a later one.
+    pub(super) fn finish(&mut self, key: &ClaimKey, holder: &Holder, nonce: u64, outcome: Outcome) {
         let Some(row) = self.rows.get_mut(key) else {
             return;
         };
@@ -171,7 +172,7 @@
             row.status,
             ClaimStatus::InProgress | ClaimStatus::Ended(Outcome::Unknown)
         );
-        if row.holder != *holder || !open {
+        if row.holder != *holder || row.nonce != nonce || !open {
             return;
         }
         if outcome == Outcome::NotRun {
--- a/crates/deckwind-core/src/state/command.rs
+++ b/crates/deckwind-core/src/state/command.rs
@@ -60,6 +60,8 @@
         key: ClaimKey,
         /// Who claimed it.
         holder: Holder,
+        /// The try that it ends.
+        nonce: u64,
         /// How it ended.
         outcome: Outcome,
     },
--- a/crates/deckwind-core/src/state/machine.rs
+++ b/crates/deckwind-core/src/state/machine.rs
@@ -74,9 +74,10 @@
             CommandBody::Finish {
                 key,
                 holder,
+                nonce,
                 outcome,
             } => {
-                self.claims.finish(&key, &holder, outcome);
+                self.claims.finish(&key, &holder, nonce, outcome);
                 Reply::Done
             }
             CommandBody::HolderGone(holder) => {
--- a/crates/deckwind-testkit/src/lab.rs
+++ b/crates/deckwind-testkit/src/lab.rs
@@ -87,7 +87,8 @@
 /// Who asked for what, by token.
 #[derive(Clone, Debug)]
 enum Asked {
-    Router(usize, ControlRequest),
+    /// A router's request, and when it was asked.
+    Router(usize, ControlRequest, Instant),
     Operator(String),
 }
 
@@ -95,7 +96,7 @@
 enum Flying {
     Message(Message),
     Ask(u8, u64, ControlRequest),
-    Answer(usize, ControlRequest, ControlReply),
+    Answer(usize, ControlRequest, Instant, ControlReply),
 }
 
 /// The laboratory.
@@ -362,9 +363,9 @@
                 Flying::Ask(slot, token, request) => self.nodes[slot as usize]
                     .inbox
                     .push(ControlEvent::Request { token, request }),
-                Flying::Answer(router, request, reply) => {
+                Flying::Answer(router, request, asked, reply) => {
                     let now = self.now;
-                    self.routers[router].answered(now, &request, reply);
+                    self.routers[router].answered(now, asked, &request, reply);
                 }
             }
         }
@@ -398,8 +399,8 @@
                 }
             }
             Effect::Reply(token, reply) => {
-                if let Some(Asked::Router(i, request)) = self.asked.remove(&token) {
-                    self.fly(Flying::Answer(i, request, reply));
+                if let Some(Asked::Router(i, request, asked)) = self.asked.remove(&token) {
+                    self.fly(Flying::Answer(i, request, asked, reply));
                 }
             }
             Effect::OperatorReply(token, reply) => {
@@ -462,7 +463,8 @@
             let slot = self.routers[i].replica(replicas) as u8;
             let token = self.next_token;
             self.next_token += 1;
-            self.asked.insert(token, Asked::Router(i, request.clone()));
+            let asked = Asked::Router(i, request.clone(), self.now);
+            self.asked.insert(token, asked);
             self.fly(Flying::Ask(slot, token, request));
         }
     }
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -147,13 +147,19 @@
         Some(request)
     }
 
-    /// Takes the answer to a request.
-    pub fn answered(&mut self, now: Instant, request: &ControlRequest, reply: ControlReply) {
+    /// Takes the answer to a request that was sent at `asked`.
+    pub fn answered(
+        &mut self,
+        now: Instant,
+        asked: Instant,
+        request: &ControlRequest,
+        reply: ControlReply,
+    ) {
         match (request, reply) {
-            (ControlRequest::Renew(asked), ControlReply::Granted(grant)) => {
-                let open = self.renewal.take();
-                if let Some(open) = open.filter(|_| asked.holder.boot == self.boot) {
-                    self.lease.granted(open.asked, grant.term, grant.delta);
+            (ControlRequest::Renew(renewal), ControlReply::Granted(grant)) => {
+                self.renewal = None;
+                if renewal.holder.boot == self.boot {
+                    self.lease.granted(asked, grant.term, grant.delta);
                 }
             }
             (_, ControlReply::NotLeader { leader }) => {
@@ -176,31 +182,43 @@
         self.claim.as_ref().is_some_and(|o| o.request == *request)
     }
 
-    /// Runs what was granted, once, and records the answer.
+    /// Sends what was granted, once: some targets run it, others refuse.
     fn claim_answered(&mut self, now: Instant, request: &ControlRequest, verdict: ClaimVerdict) {
         if !self.is_open(request) {
             return;
         }
         self.claim = None;
-        let ControlRequest::Claim { key, holder, .. } = request else {
+        let ControlRequest::Claim {
+            key, holder, nonce, ..
+        } = request
+        else {
             return;
         };
         if verdict != ClaimVerdict::Granted {
             return;
         }
-        self.ran.push(key.key.clone());
+        let outcome = self.send_to_target(&key.key, *nonce);
         let finish = ControlRequest::Finish {
             key: key.clone(),
             holder: holder.clone(),
-            outcome: Outcome::Answer {
-                status: 200,
-                body: Vec::new(),
-                truncated: false,
-            },
+            nonce: *nonce,
+            outcome,
         };
         self.claim = Some(Open {
             request: finish,
             asked: now - RESEND,
         });
     }
+
+    fn send_to_target(&mut self, key: &str, nonce: u64) -> Outcome {
+        if nonce.is_multiple_of(3) {
+            return Outcome::NotRun;
+        }
+        self.ran.push(key.to_string());
+        Outcome::Answer {
+            status: 200,
+            body: Vec::new(),
+            truncated: false,
+        }
+    }
 }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod replication;
 mod sessions;
 mod settings;
+mod specification;
 mod store;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -0,0 +1,48 @@
+//! The specification, explored exhaustively within small bounds; larger ones
+//! are explored by `cargo run --release -p deckwind-spec --example explore`.
+
+use deckwind_spec::{
+    ClaimRules, ClaimSpec, LogBounds, LogRules, LogSpec, claim_cases, explore, log_cases,
+};
+
+#[test]
+fn with_all_rules_the_log_keeps_its_invariants() {
+    for bounds in LogBounds::SMALL {
+        let rules = LogRules::ALL;
+        let explored = explore(&LogSpec { rules, bounds });
+        assert_eq!(explored.counterexample, None, "{bounds:?}");
+    }
+}
+
+#[test]
+fn without_any_one_of_its_rules_the_log_breaks() {
+    for case in log_cases() {
+        let run = explore(&case.spec).counterexample;
+        let run = run.unwrap_or_else(|| panic!("without {}: nothing breaks", case.without));
+        assert_eq!(
+            run.last().map(String::as_str),
+            Some(case.breaks),
+            "{run:#?}"
+        );
+    }
+}
+
+#[test]
+fn with_all_rules_a_claimed_request_runs_at_most_once() {
+    let explored = explore(&ClaimSpec::with(ClaimRules::ALL));
+    assert_eq!(explored.counterexample, None);
+    assert!(explored.states > 1_000, "{}", explored.states);
+}
+
+#[test]
+fn without_any_one_of_their_rules_claims_break() {
+    for case in claim_cases() {
+        let run = explore(&case.spec).counterexample;
+        let run = run.unwrap_or_else(|| panic!("without {}: nothing breaks", case.without));
+        assert_eq!(
+            run.last().map(String::as_str),
+            Some(case.breaks),
+            "{run:#?}"
+        );
+    }
+}
--- a/crates/deckwindd/src/router/claims.rs
+++ b/crates/deckwindd/src/router/claims.rs
@@ -27,6 +27,7 @@
 pub struct HeldClaim {
     shared: Arc<RouterShared>,
     key: ClaimKey,
+    nonce: u64,
     finished: bool,
 }
 
@@ -49,17 +50,19 @@
         account: account.clone(),
         key: key.map_or_else(|| shared.request_id(), str::to_string),
     };
+    let nonce = shared.next_id();
     let request = ControlRequest::Claim {
         key: key.clone(),
         holder: shared.holder(),
         digest: xxh3_64(body),
-        nonce: shared.next_id(),
+        nonce,
     };
     let reply = shared.control.ask(&request, CLAIM_WITHIN).await;
     match reply {
         Ok(ControlReply::Claim(ClaimVerdict::Granted)) => Ok(Claimed::Granted(HeldClaim {
             shared: shared.clone(),
             key,
+            nonce,
             finished: false,
         })),
         Ok(ControlReply::Claim(verdict)) => refuse(verdict),
@@ -68,6 +71,7 @@
             let held = HeldClaim {
                 shared: shared.clone(),
                 key,
+                nonce,
                 finished: false,
             };
             tokio::spawn(held.finish(Outcome::NotRun));
@@ -128,11 +132,21 @@
 }
 
 impl HeldClaim {
+    fn send(&self, outcome: Outcome) -> impl Future<Output = ()> + use<> {
+        let request = ControlRequest::Finish {
+            key: self.key.clone(),
+            holder: self.shared.holder(),
+            nonce: self.nonce,
+            outcome,
+        };
+        send_outcome(self.shared.clone(), request)
+    }
+
     /// Records how it ended. Sent until it is recorded; the caller's answer
     /// waits a moment for that, not longer.
     pub async fn finish(mut self, outcome: Outcome) {
         self.finished = true;
-        let sending = tokio::spawn(send_outcome(self.shared.clone(), self.key.clone(), outcome));
+        let sending = tokio::spawn(self.send(outcome));
         let _ = tokio::time::timeout(RECORD_WITHIN, sending).await;
     }
 }
@@ -140,18 +154,13 @@
 impl Drop for HeldClaim {
     fn drop(&mut self) {
         if !self.finished {
-            let sending = send_outcome(self.shared.clone(), self.key.clone(), Outcome::Unknown);
+            let sending = self.send(Outcome::Unknown);
             self.shared.cx.runtime.spawn(sending);
         }
     }
 }
 
-async fn send_outcome(shared: Arc<RouterShared>, key: ClaimKey, outcome: Outcome) {
-    let request = ControlRequest::Finish {
-        key,
-        holder: shared.holder(),
-        outcome,
-    };
+async fn send_outcome(shared: Arc<RouterShared>, request: ControlRequest) {
     if shared.control.ask(&request, FINISH_WITHIN).await.is_err() {
         log::warn!("event=outcome_not_recorded vm={}", shared.vm);
     }
