Decisions tuned by measurement: late steps, prefix weight, waits, places

Cause 1: 79 sessions of dawn-burst and 116 of huge-account were rebuilt though nothing had failed: many prompts at once made steps 'late' against ten times the expected step. Change: a step is late only above twice the usual step (mean and deviation as in RFC 6298) too. Cause 2: prefix affinity weighed only the request's own prefill. Change: prefill counts at the target's present step time, twice, and fast targets are home to more prefixes. Weights of 4 and 8 were no better than 2 within the noise. Change: wait by Little's law with holding times by priority, less the part that higher priorities take. One mean holding time for all priorities was tried: 2,156 rosters refused without need; dropped. Cause 4: places counted targets that are suspended. Change: pools are sized each second by healthy targets. Within one priority a refusal can still come 11 to 15 s after arrival.

--- a/crates/deckwind-core/src/admission/queue.rs
+++ b/crates/deckwind-core/src/admission/queue.rs
@@ -69,12 +69,15 @@
     }
 }
 
-/// Weight of a new measurement in the time between two starts.
-const DRAIN_GAIN: f64 = 0.1;
+/// Weight of a new measurement in the time that a request holds its place.
+const HOLD_GAIN: f64 = 0.05;
 
-/// Longest gap that counts as one: a pool that stood idle says nothing of how
-/// fast it drains.
-const MAX_GAP: Duration = Duration::from_secs(1);
+/// Arrivals are averaged over this time.
+const ARRIVAL_WINDOW: Duration = Duration::from_secs(5);
+
+/// Part of the places that requests of higher priority may be expected to take;
+/// above it a request is told that it does not start in time.
+const MOST_TAKEN: f64 = 0.98;
 
 /// Shortest time that a caller is told to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -155,6 +158,25 @@
     }
 }
 
+/// Arrivals a second, averaged with exponential decay.
+#[derive(Clone, Copy, Debug, Default)]
+struct ArrivalRate {
+    per_s: f64,
+    at: Instant,
+}
+
+impl ArrivalRate {
+    fn per_s(&self, now: Instant) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.per_s * (-age / ARRIVAL_WINDOW.as_secs_f64()).exp()
+    }
+
+    fn arrived(&mut self, now: Instant) {
+        self.per_s = self.per_s(now) + 1.0 / ARRIVAL_WINDOW.as_secs_f64();
+        self.at = now;
+    }
+}
+
 /// Admission to one pool: a number of places, and queues before them.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -163,8 +185,9 @@
     in_use: u32,
     queues: [FairQueue; Priority::ALL.len()],
     arrivals: u64,
-    gap_s: f64,
-    last_end: Option<Instant>,
+    /// Mean time that a request holds its place, seconds, by priority.
+    hold_s: [f64; Priority::ALL.len()],
+    rates: [ArrivalRate; Priority::ALL.len()],
     /// Came up for a place too late; [`Admission::expire`] names them.
     lapsed: Vec<Ticket>,
 }
@@ -178,8 +201,8 @@
             in_use: 0,
             queues: Default::default(),
             arrivals: 0,
-            gap_s: 0.0,
-            last_end: None,
+            hold_s: Default::default(),
+            rates: Default::default(),
             lapsed: Vec::new(),
         }
     }
@@ -199,26 +222,50 @@
         self.queues.iter().map(|q| q.waiting.len()).sum()
     }
 
-    /// Time until a request with `ahead` others before it starts.
-    fn wait(&self, ahead: usize) -> Duration {
-        Duration::from_secs_f64(self.gap_s * (ahead + 1) as f64)
+    /// Time until a request of a priority starts, with work for `ahead_s`
+    /// seconds of one place before it.
+    ///
+    /// Places free up at places ÷ holding time (Little's law); what comes at a
+    /// higher priority in the meantime takes its part of that.
+    fn wait(&self, now: Instant, priority: usize, ahead_s: f64) -> Duration {
+        let places = f64::from(self.places.max(1));
+        let higher = self.rates[..priority].iter().zip(&self.hold_s);
+        let taken: f64 = higher
+            .map(|(rate, hold)| rate.per_s(now) * hold)
+            .sum::<f64>()
+            / places;
+        if taken >= MOST_TAKEN {
+            return MAX_RETRY_AFTER;
+        }
+        let wait_s = (ahead_s + self.hold_s[priority]) / places / (1.0 - taken);
+        Duration::from_secs_f64(wait_s)
     }
 
-    fn ahead_of(&self, ticket: &Ticket) -> usize {
+    /// Work that goes before a new ticket, in seconds of one place.
+    fn ahead_of(&self, ticket: &Ticket) -> f64 {
         let p = ticket.priority.index();
-        let before: usize = self.queues[..p].iter().map(|q| q.waiting.len()).sum();
-        before + self.queues[p].place_of(ticket)
+        let waiting = |q: usize| self.queues[q].waiting.len() as f64 * self.hold_s[q];
+        let before: f64 = (0..p).map(waiting).sum();
+        before + self.queues[p].place_of(ticket) as f64 * self.hold_s[p]
+    }
+
+    /// Whether a ticket of this priority would be the first to start.
+    fn is_next(&self, ticket: &Ticket) -> bool {
+        let p = ticket.priority.index();
+        let before = self.queues[..p].iter().all(|q| q.waiting.is_empty());
+        before && self.queues[p].place_of(ticket) == 0
     }
 
     /// Asks for a place.
     pub fn offer(&mut self, now: Instant, ticket: Ticket) -> Offer {
+        let p = ticket.priority.index();
+        self.rates[p].arrived(now);
         let free = self.in_use < self.places;
-        let ahead = self.ahead_of(&ticket);
-        if free && ahead == 0 {
+        if free && self.is_next(&ticket) {
             self.in_use += 1;
             return Offer::Start;
         }
-        let wait = self.wait(ahead);
+        let wait = self.wait(now, p, self.ahead_of(&ticket));
         if now + wait > ticket.start_by {
             return Offer::Refused(self.refusal(RefusedWhy::Deadline, now, wait, ticket.start_by));
         }
@@ -226,7 +273,6 @@
             return Offer::Refused(self.refusal(RefusedWhy::QueueFull, now, wait, ticket.start_by));
         }
         self.arrivals += 1;
-        let p = ticket.priority.index();
         self.queues[p].push(self.arrivals, ticket);
         Offer::Queued
     }
@@ -253,15 +299,15 @@
         None
     }
 
-    /// A request that had started is over.
-    pub fn finished(&mut self, now: Instant) {
+    /// A request that had its place for `held` is over.
+    pub fn finished(&mut self, priority: Priority, held: Duration) {
         self.in_use = self.in_use.saturating_sub(1);
-        if let Some(last) = self.last_end {
-            let gap = now.since(last).min(MAX_GAP).as_secs_f64();
-            let seen = if self.gap_s == 0.0 { gap } else { self.gap_s };
-            self.gap_s = seen + (gap - seen) * DRAIN_GAIN;
+        let mean = &mut self.hold_s[priority.index()];
+        let held_s = held.as_secs_f64();
+        if *mean == 0.0 {
+            *mean = held_s;
         }
-        self.last_end = Some(now);
+        *mean += (held_s - *mean) * HOLD_GAIN;
     }
 
     /// Takes out a request whose caller went away.
@@ -282,17 +328,17 @@
     pub fn expire(&mut self, now: Instant) -> Vec<(Ticket, Refused)> {
         let mut out = Vec::new();
         for ticket in std::mem::take(&mut self.lapsed) {
-            let refused = self.refusal(RefusedWhy::Deadline, now, self.wait(0), ticket.start_by);
+            let refused = self.refusal(RefusedWhy::Deadline, now, MIN_RETRY_AFTER, ticket.start_by);
             out.push((ticket, refused));
         }
-        let mut ahead = 0;
+        let mut ahead_s = 0.0;
         for p in 0..self.queues.len() {
             let ranks: Vec<Rank> = self.queues[p].waiting.keys().copied().collect();
             for rank in ranks {
-                let wait = self.wait(ahead);
+                let wait = self.wait(now, p, ahead_s);
                 let start_by = self.queues[p].waiting[&rank].start_by;
                 if now + wait <= start_by {
-                    ahead += 1;
+                    ahead_s += self.hold_s[p];
                     continue;
                 }
                 let refused = self.refusal(RefusedWhy::Deadline, now, wait, start_by);
--- a/crates/deckwind-core/src/router/router_core.rs
+++ b/crates/deckwind-core/src/router/router_core.rs
@@ -114,6 +114,17 @@
     Service(TemplateName),
 }
 
+/// A ticket's pool and priority, and when it got its place.
+#[derive(Clone, Debug)]
+struct HeldPlace {
+    pool: PoolKey,
+    priority: Priority,
+    since: Instant,
+}
+
+/// Between two sizings of the pools by the health of their targets.
+const SIZE_EVERY: Duration = Duration::from_secs(1);
+
 /// How long a caller is told to wait when this router can't serve it but
 /// another may.
 const ELSEWHERE: Duration = Duration::from_secs(1);
@@ -121,6 +132,9 @@
 /// A step that takes this many times what was expected is late.
 const LATE_FACTOR: f64 = 10.0;
 
+/// So is one that takes this many times the longest usual step of the target.
+const LATE_OVER_USUAL: f64 = 2.0;
+
 /// Shortest time after which a step counts as late.
 const MIN_STEP_LIMIT: Duration = Duration::from_millis(400);
 
@@ -142,9 +156,10 @@
     retries: RetryBudget,
     burn: BurnMeter,
     rng: ChaCha8Rng,
-    tickets: HashMap<TicketId, PoolKey>,
+    tickets: HashMap<TicketId, HeldPlace>,
     next_ticket: u64,
     draining: bool,
+    sized_at: Instant,
 }
 
 impl RouterCore {
@@ -172,6 +187,7 @@
             tickets: HashMap::new(),
             next_ticket: 1,
             draining: false,
+            sized_at: now,
             cfg,
         }
     }
@@ -212,7 +228,7 @@
             self.apply_configuration();
         }
         if changed || other_count {
-            self.size_pools();
+            self.size_pools(now);
         }
         self.set_rates(now);
     }
@@ -237,8 +253,9 @@
     }
 
     /// Gives each pool this router's part of its targets' places: those of the
-    /// least provided layer.
-    fn size_pools(&mut self) {
+    /// least provided layer. Targets that are suspended have none.
+    fn size_pools(&mut self, now: Instant) {
+        self.sized_at = now;
         let mut places: BTreeMap<PoolKey, u32> = BTreeMap::new();
         for (template, _) in self.lease.configuration().templates() {
             let pools: Vec<PoolKey> = match &template.workload {
@@ -246,7 +263,7 @@
                 Workload::Chat { model, .. } => self.chat_pools(model),
             };
             for pool in pools {
-                let total = self.places_of(&pool);
+                let total = self.places_of(now, &pool);
                 let mine = total.div_ceil(self.routers).max(1);
                 places.insert(pool, mine);
             }
@@ -266,10 +283,10 @@
         groups.map(|g| PoolKey::Chat(g.clone())).collect()
     }
 
-    fn places_of(&self, pool: &PoolKey) -> u32 {
+    fn places_of(&self, now: Instant, pool: &PoolKey) -> u32 {
         match pool {
-            PoolKey::Chat(group) => self.fleet.chain_places(group),
-            PoolKey::Service(template) => self.fleet.service_places(template),
+            PoolKey::Chat(group) => self.fleet.chain_places(now, group),
+            PoolKey::Service(template) => self.fleet.service_places(now, template),
         }
     }
 
@@ -281,7 +298,6 @@
     ) {
         if self.platform.update(sequence, vms) {
             self.mark_leaving();
-            self.size_pools();
         }
     }
 
@@ -390,7 +406,12 @@
         match admission.offer(now, ticket) {
             Offer::Refused(refused) => Err(denied(refused)),
             offer => {
-                self.tickets.insert(entered.id, pool);
+                let place = HeldPlace {
+                    pool,
+                    priority: entered.priority,
+                    since: now,
+                };
+                self.tickets.insert(entered.id, place);
                 let start = offer == Offer::Start;
                 Ok(if start { Placed::Start } else { Placed::Wait })
             }
@@ -399,21 +420,37 @@
 
     /// A request that had its place is over; others may start.
     pub fn leave(&mut self, now: Instant, id: TicketId) -> Vec<Admitted> {
-        let Some(pool) = self.tickets.remove(&id) else {
+        let Some(place) = self.tickets.remove(&id) else {
             return Vec::new();
         };
-        let Some(admission) = self.pools.get_mut(&pool) else {
+        let Some(admission) = self.pools.get_mut(&place.pool) else {
             return Vec::new();
         };
         if !admission.cancel(id) {
-            admission.finished(now);
+            admission.finished(place.priority, now.since(place.since));
         }
-        start_waiting(admission, now)
+        let started = start_waiting(admission, now);
+        self.note_started(now, started)
+    }
+
+    /// Counts the time of those that have just got their place from now on.
+    fn note_started(&mut self, now: Instant, admitted: Vec<Admitted>) -> Vec<Admitted> {
+        for one in &admitted {
+            if let Admitted::Start(id) = one
+                && let Some(place) = self.tickets.get_mut(id)
+            {
+                place.since = now;
+            }
+        }
+        admitted
     }
 
     /// Refuses what waits and can no longer start in time; call it ten times a
     /// second.
     pub fn tick(&mut self, now: Instant) -> Vec<Admitted> {
+        if now.since(self.sized_at) >= SIZE_EVERY {
+            self.size_pools(now);
+        }
         let mut out = Vec::new();
         for admission in self.pools.values_mut() {
             out.extend(start_waiting(admission, now));
@@ -422,7 +459,7 @@
                 out.push(Admitted::Denied(ticket.id, denied(refused)));
             }
         }
-        out
+        self.note_started(now, out)
     }
 
     /// Plans stages for the layers of `need`, and counts them at their targets.
@@ -456,11 +493,8 @@
         layers: LayerRange,
         positions: usize,
     ) {
-        if positions == 1 {
-            self.fleet.progressed(now, key, took, layers.len());
-        } else if let Some(t) = self.fleet.get_mut(key) {
-            t.health.progressed(now, 0.0, 1.0);
-        }
+        self.fleet
+            .progressed(now, key, took, layers.len(), positions);
     }
 
     /// How long a step may take before the stage counts as late: a multiple of
@@ -477,7 +511,8 @@
         };
         let prefill = positions as f64 * f64::from(layers.len()) * t.layer_us;
         let expected = t.step_us(now, layers.len()) + prefill;
-        let limit = Duration::from_micros((expected * LATE_FACTOR) as u64);
+        let late_us = (expected * LATE_FACTOR).max(t.usual_step_us() * LATE_OVER_USUAL);
+        let limit = Duration::from_micros(late_us as u64);
         limit.clamp(MIN_STEP_LIMIT, MAX_STEP_LIMIT)
     }
 
@@ -489,7 +524,7 @@
     /// A target answered or not: for plain services.
     pub fn service_ended(&mut self, now: Instant, key: TargetKey, ok: Option<Duration>) {
         match ok {
-            Some(took) => self.fleet.progressed(now, key, took, 1),
+            Some(took) => self.fleet.progressed(now, key, took, 1, 1),
             None => self.fleet.failed(now, key),
         }
         self.fleet.finished(now, key, 1);
--- a/crates/deckwind-core/src/routing/fleet.rs
+++ b/crates/deckwind-core/src/routing/fleet.rs
@@ -1,6 +1,6 @@
 //! The targets that a router knows, and what it knows of each.
 
-use super::health::Health;
+use super::health::{Health, HealthState};
 use crate::state::{
     Configuration, DataCentre, LayerRange, Target, TargetKind, TargetName, TargetStatus,
     TemplateName,
@@ -72,6 +72,32 @@
     own: u32,
     own_sessions: u32,
     report: Option<TakenReport>,
+    steps: StepTimes,
+}
+
+/// Mean and deviation of a target's steps, microseconds, as TCP keeps them for
+/// its retransmission timer (RFC 6298).
+#[derive(Clone, Copy, Debug, Default)]
+struct StepTimes {
+    mean_us: f64,
+    deviation_us: f64,
+}
+
+impl StepTimes {
+    const MEAN_GAIN: f64 = 1.0 / 8.0;
+    const DEVIATION_GAIN: f64 = 1.0 / 4.0;
+    /// Deviations above the mean that count as usual.
+    const DEVIATIONS: f64 = 8.0;
+
+    fn add(&mut self, took_us: f64) {
+        let off = (took_us - self.mean_us).abs();
+        self.deviation_us += (off - self.deviation_us) * Self::DEVIATION_GAIN;
+        self.mean_us += (took_us - self.mean_us) * Self::MEAN_GAIN;
+    }
+
+    fn usual_us(&self) -> f64 {
+        self.mean_us + Self::DEVIATIONS * self.deviation_us
+    }
 }
 
 /// After this time a report counts for nothing.
@@ -113,6 +139,11 @@
         self.own_sessions < self.slots
     }
 
+    /// Longest time that a step took lately, but for the odd one, microseconds.
+    pub fn usual_step_us(&self) -> f64 {
+        self.steps.usual_us()
+    }
+
     /// Expected time of one step of `layers` layers, microseconds: what stands
     /// before it, itself, and the link both ways.
     pub fn step_us(&self, now: Instant, layers: u32) -> f64 {
@@ -144,8 +175,17 @@
 /// Microseconds a layer on an accelerator kind that has no cost of its own.
 const DEFAULT_LAYER_US: f64 = 100.0;
 
-/// Points of one target on the hash ring.
-const RING_POINTS: u64 = 8;
+/// Points on the hash ring of a target that takes [`DEFAULT_LAYER_US`] a layer.
+const RING_POINTS: f64 = 8.0;
+
+/// Most points of one target on the ring.
+const MAX_RING_POINTS: f64 = 64.0;
+
+/// Points by speed, so that a fast target is home to more prefixes.
+fn ring_points(layer_us: f64) -> u64 {
+    let points = RING_POINTS * DEFAULT_LAYER_US / layer_us.max(1.0);
+    points.round().clamp(1.0, MAX_RING_POINTS) as u64
+}
 
 impl Fleet {
     /// An empty fleet. `costs` gives microseconds a layer by accelerator kind,
@@ -247,6 +287,7 @@
             own: 0,
             own_sessions: 0,
             report: None,
+            steps: StepTimes::default(),
         };
         set_kind(&mut state, &target.kind);
         state.layer_us = *self
@@ -299,8 +340,9 @@
         let candidates: Vec<TargetKey> = keys.iter().filter(can_start).copied().collect();
         let mut ring: Vec<(u64, TargetKey)> = Vec::new();
         for key in &candidates {
-            let name = &self.targets[*key].name;
-            for point in 0..RING_POINTS {
+            let t = &self.targets[*key];
+            let name = &t.name;
+            for point in 0..ring_points(t.layer_us) {
                 let hash = xxh3_64(format!("{name}/{point}").as_bytes());
                 ring.push((hash, *key));
             }
@@ -320,22 +362,23 @@
 
     /// Sessions that the targets of a group can run at once: the slots at the
     /// least provided boundary.
-    pub fn chain_places(&self, group: &GroupKey) -> u32 {
-        let slots = |b: &Boundary| {
-            let keys = b.candidates.iter();
-            let active = keys.filter_map(|k| self.targets.get(*k).filter(|t| !t.is_leaving()));
-            active.map(|t| t.slots).sum::<u32>()
-        };
+    pub fn chain_places(&self, now: Instant, group: &GroupKey) -> u32 {
+        let slots = |b: &Boundary| self.slots_of(now, &b.candidates);
         let starts = self.boundaries(group).iter();
         let inner = starts.filter(|b| !b.candidates.is_empty());
         inner.map(slots).min().unwrap_or(0)
     }
 
     /// Calls that the targets of a plain service can run at once.
-    pub fn service_places(&self, template: &TemplateName) -> u32 {
-        let keys = self.services(template).iter();
-        let active = keys.filter_map(|k| self.targets.get(*k).filter(|t| !t.is_leaving()));
-        active.map(|t| t.slots).sum()
+    pub fn service_places(&self, now: Instant, template: &TemplateName) -> u32 {
+        self.slots_of(now, self.services(template))
+    }
+
+    fn slots_of(&self, now: Instant, keys: &[TargetKey]) -> u32 {
+        let takes =
+            |t: &&TargetState| !t.is_leaving() && t.health.state(now) != HealthState::Suspended;
+        let targets = keys.iter().filter_map(|k| self.targets.get(*k));
+        targets.filter(takes).map(|t| t.slots).sum()
     }
 
     /// Notes what the platform says of the targets' VMs.
@@ -374,18 +417,31 @@
         }
     }
 
-    /// Takes the time of a step that ended: of `layers` layers, in a target
-    /// whose load was `load` layers.
-    pub fn progressed(&mut self, now: Instant, key: TargetKey, took: Duration, layers: u32) {
+    /// Takes the time of a step that ended: of `layers` layers, for `positions`
+    /// positions. Only steps of one position tell the time of a layer; a
+    /// prompt's time depends on what was cached.
+    pub fn progressed(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        took: Duration,
+        layers: u32,
+        positions: usize,
+    ) {
         let Some(t) = self.targets.get_mut(key) else {
             return;
         };
         let took_us = took.as_micros() as f64;
+        t.steps.add(took_us);
+        if positions > 1 {
+            t.health.progressed(now, took_us, took_us);
+            return;
+        }
         let work = t.load(now).max(f64::from(layers)).max(1.0);
         let layer_us = ((took_us - 2.0 * t.link_us) / work).max(1.0);
         t.layer_us += (layer_us - t.layer_us) * LAYER_TIME_GAIN;
-        t.health
-            .progressed(now, took_us, t.layer_us * work + 2.0 * t.link_us);
+        let expected_us = t.layer_us * work + 2.0 * t.link_us;
+        t.health.progressed(now, took_us, expected_us);
     }
 
     /// Takes a failure.
--- a/crates/deckwind-core/src/routing/policy.rs
+++ b/crates/deckwind-core/src/routing/policy.rs
@@ -34,10 +34,6 @@
 /// Prefixes that a router remembers.
 const PREFIXES_KEPT: usize = 65_536;
 
-/// Share of a prompt's prefill that is expected to be saved by a home target
-/// of which nothing is known: another router may have sent the prefix there.
-const HOME_CREDIT: f64 = 0.0;
-
 fn note(index: &mut PrefixIndex, need: &ChainNeed, stages: &[PlannedStage]) {
     for prefix in &need.prefixes {
         for stage in stages {
@@ -46,8 +42,8 @@
     }
 }
 
-/// Time that a stage costs a request, microseconds: its prefill, where that is
-/// not cached, and all its steps.
+/// Time that a stage costs a request, microseconds: its steps, and its prefill
+/// where that is not cached, each at the target's present time of a step.
 fn stage_us(
     fleet: &Fleet,
     index: &PrefixIndex,
@@ -61,16 +57,19 @@
     };
     let blocks = need.prefixes.len().max(1) as f64;
     let cached = index.cached_blocks(&need.prefixes, key) as f64 / blocks;
-    let uncached = f64::from(need.prompt) * (1.0 - cached.max(HOME_CREDIT));
-    let prefill = uncached * f64::from(layers.len()) * t.layer_us * PREFILL_COST;
-    let steps = f64::from(need.answer) * t.step_us(now, layers.len());
-    prefill + steps
+    let uncached = f64::from(need.prompt) * (1.0 - cached);
+    let tokens = f64::from(need.answer) + uncached * PREFILL_COST * PREFILL_WEIGHT;
+    tokens * t.step_us(now, layers.len())
 }
 
 /// Cost of a position in prefill against one in decoding: prefill runs many
 /// positions in one batch.
 pub const PREFILL_COST: f64 = 0.1;
 
+/// How much more than its time a prefill weighs: whoever waits at the same
+/// target waits for it too.
+const PREFILL_WEIGHT: f64 = 2.0;
+
 /// Least estimated time: load by own count and aged report, measured speed by
 /// layer, link, uncached prefix, health. The affinity is judged for each
 /// request against the target that it wants: an idle target keeps its prefixes
