--- /dev/null
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -0,0 +1,375 @@
+//! Slopes for docs/CAPACITY.md: state, messages and processor time of each role,
+//! each at three or more sizes.
+//!
+//! ```text
+//! cargo run --release -p deckwind-testkit --example capacity
+//! ```
+
+use anyhow::Result;
+use deckwind_core::admission::AdmissionConfig;
+use deckwind_core::control::{ControlEvent, ControlLimits, ControlRequest, Grant, Renewal};
+use deckwind_core::membership::{AccountDemand, AccountShare, LeaseTiming};
+use deckwind_core::replication::{ReplicaConfig, ReplicaId, Term};
+use deckwind_core::router::{RouterConfig, RouterCore};
+use deckwind_core::state::{
+    ApplyRequest, Change, ClaimKey, Command, CommandBody, Delta, Holder, Outcome, Revision,
+    StateMachine,
+};
+use deckwind_core::time::Instant;
+use deckwind_store::{FsDisk, MemoryDisk, Store};
+use deckwind_testkit::{account, chat_template, engine_target};
+use deckwind_wire::encode;
+use deckwindd::control::{ControlNode, Effect, Now};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant as Clock};
+
+fn resident_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|l| l.starts_with("VmRSS:"));
+    let word = line.and_then(|l| l.split_whitespace().nth(1));
+    word.and_then(|w| w.parse().ok()).unwrap_or(0)
+}
+
+fn address(i: u32) -> SocketAddr {
+    let [_, a, b, c] = i.to_be_bytes();
+    SocketAddr::from(([10, a, b, c], 7_000))
+}
+
+fn apply(machine: &mut StateMachine, id: String, change: Change) {
+    let request = ApplyRequest {
+        request_id: id.into(),
+        expected: None,
+        change,
+    };
+    let body = CommandBody::Apply(request);
+    machine.apply(Command { at_ms: 0, body });
+}
+
+fn machine(targets: u32, accounts: u32, templates: u32) -> StateMachine {
+    let mut machine = StateMachine::default();
+    for i in 0..templates {
+        let template = chat_template(&format!("template-{i}"), 32);
+        apply(&mut machine, format!("t{i}"), Change::Template(template));
+    }
+    for i in 0..accounts {
+        let account = account(&format!("account-{i}"), &format!("key-{i}"));
+        apply(&mut machine, format!("a{i}"), Change::Account(account));
+    }
+    for i in 0..targets {
+        let first = i % 4 * 8;
+        let target = engine_target(&format!("runner-{i}"), address(i), first, first + 8);
+        apply(&mut machine, format!("r{i}"), Change::Target(target));
+    }
+    machine
+}
+
+fn claim(i: u64) -> CommandBody {
+    CommandBody::Claim {
+        key: ClaimKey {
+            account: format!("account-{}", i % 330).into(),
+            key: format!("{i:032x}"),
+        },
+        holder: holder(0),
+        digest: i,
+        nonce: i,
+    }
+}
+
+fn holder(i: u32) -> Holder {
+    Holder {
+        vm: format!("vm-{i}").into(),
+        boot: u64::from(i),
+    }
+}
+
+fn configuration_state() {
+    println!("configuration: memory and snapshot by targets (330 accounts, 24 templates)");
+    for targets in [400, 1_600, 3_300, 6_600] {
+        let before = resident_kib();
+        let began = Clock::now();
+        let machine = machine(targets, 330, 24);
+        let took = began.elapsed();
+        let held = resident_kib().saturating_sub(before);
+        let bytes = machine.to_snapshot().len();
+        println!(
+            "  {targets:>5} targets: {held:>6} KiB resident, snapshot {:>5} KiB, {:.1} us a change",
+            bytes / 1_024,
+            took.as_secs_f64() * 1e6 / f64::from(targets + 354)
+        );
+        std::mem::forget(machine);
+    }
+}
+
+fn claims_state() {
+    println!("claims: memory by rows, each ended with an answer of 256 bytes");
+    for rows in [10_000u64, 20_000, 40_000, 80_000] {
+        let before = resident_kib();
+        let began = Clock::now();
+        let mut machine = StateMachine::default();
+        for i in 0..rows {
+            machine.apply(Command {
+                at_ms: i,
+                body: claim(i),
+            });
+            let CommandBody::Claim {
+                key, holder, nonce, ..
+            } = claim(i)
+            else {
+                continue;
+            };
+            let outcome = Outcome::Answer {
+                status: 200,
+                body: vec![1; 256],
+                truncated: false,
+            };
+            let body = CommandBody::Finish {
+                key,
+                holder,
+                nonce,
+                outcome,
+            };
+            machine.apply(Command { at_ms: i, body });
+        }
+        let took = began.elapsed();
+        let held = resident_kib().saturating_sub(before);
+        println!(
+            "  {rows:>6} rows: {held:>6} KiB, {:.0} bytes a row, {:.2} us a claim with its end",
+            held as f64 * 1_024.0 / rows as f64,
+            took.as_secs_f64() * 1e6 / rows as f64
+        );
+        std::mem::forget(machine);
+    }
+}
+
+fn router_state() {
+    println!("router: memory by targets, one delta that brings them all");
+    for targets in [400, 1_600, 3_300] {
+        let machine = machine(targets, 330, 24);
+        let delta = machine.configuration().delta_since(Revision::ZERO);
+        let bytes = encode(&delta).len();
+        let before = resident_kib();
+        let now = Instant::from_millis(1_000);
+        let cfg = RouterConfig {
+            lease: LeaseTiming::default(),
+            costs: BTreeMap::new(),
+            links: BTreeMap::new(),
+            admission: AdmissionConfig::default(),
+            seed: 1,
+        };
+        let mut router = RouterCore::new(cfg, now);
+        let began = Clock::now();
+        router.granted(now, now, Term(1), delta, Vec::new(), 350);
+        let first = began.elapsed();
+        let began = Clock::now();
+        let mut machine = machine;
+        for i in 0..100 {
+            let at = router.lease().applied();
+            let template = chat_template("template-0", 32 + i);
+            apply(&mut machine, format!("c{i}"), Change::Template(template));
+            let delta = machine.configuration().delta_since(at);
+            router.granted(now, now, Term(1), delta, Vec::new(), 350);
+        }
+        let each = began.elapsed() / 100;
+        let held = resident_kib().saturating_sub(before);
+        println!(
+            "  {targets:>5} targets: {held:>6} KiB, first delta {} KiB in {first:.1?}, each change after {each:.1?}",
+            bytes / 1_024
+        );
+        std::mem::forget(router);
+    }
+}
+
+fn renewal(i: u32, accounts: usize) -> Renewal {
+    Renewal {
+        holder: holder(i),
+        applied: Revision(100),
+        admin: address(i),
+        demand: (0..accounts)
+            .map(|a| (format!("account-{a}").into(), AccountDemand { per_s: 1.5 }))
+            .collect(),
+    }
+}
+
+fn messages() {
+    println!("messages, bytes (before QUIC):");
+    for accounts in [0, 10, 60, 330] {
+        let ask = encode(&ControlRequest::Renew(renewal(1, accounts))).len();
+        let shares = (0..accounts)
+            .map(|a| (format!("account-{a}").into(), AccountShare { per_s: 1.5 }))
+            .collect();
+        let grant = Grant {
+            term: Term(3),
+            delta: Delta::default(),
+            shares,
+            routers: 350,
+        };
+        let answer = encode(&deckwind_wire::ControlReply::Granted(grant)).len();
+        println!(
+            "  renewal with {accounts:>3} accounts in demand: {ask:>6} asked, {answer:>6} answered"
+        );
+    }
+    let machine = machine(1, 1, 1);
+    let one = machine.configuration().delta_since(Revision(2));
+    println!("  one changed target in a grant: {}", encode(&one).len());
+    println!("  a claim: {}", encode(&claim(1)).len());
+}
+
+/// A cluster of one, on a disk, that leads.
+fn leader(store: Store, opened: deckwind_store::Opened) -> Result<ControlNode> {
+    let cfg = ReplicaConfig::new(opened.id, [0], 1);
+    let mut node = ControlNode::new(
+        cfg,
+        LeaseTiming::default(),
+        ControlLimits::default(),
+        store,
+        opened,
+        Instant::from_millis(1_000),
+    )?;
+    for i in 0..400 {
+        let now = now(1_000 + i * 10);
+        node.take(now, Vec::new(), &mut Vec::new())?;
+    }
+    Ok(node)
+}
+
+fn now(ms: u64) -> Now {
+    Now {
+        at: Instant::from_millis(ms),
+        wall_ms: ms,
+    }
+}
+
+fn fresh() -> ReplicaId {
+    ReplicaId {
+        slot: 0,
+        identity: 1,
+    }
+}
+
+fn renewals() -> Result<()> {
+    println!("leader: processor time of renewals, 20 accounts in demand each");
+    for routers in [50u32, 150, 350, 700] {
+        let (store, opened) = Store::open(Box::new(MemoryDisk::default()), fresh())?;
+        let mut node = leader(store, opened)?;
+        let rounds = 20;
+        let began = Clock::now();
+        for round in 0..rounds {
+            let asks = (0..routers).map(|i| ControlEvent::Request {
+                token: u64::from(i),
+                request: ControlRequest::Renew(renewal(i, 20)),
+            });
+            node.take(now(6_000 + round * 400), asks.collect(), &mut Vec::new())?;
+        }
+        let each = began.elapsed() / (rounds as u32 * routers);
+        let per_s = each.as_secs_f64() * f64::from(routers) / 0.4;
+        println!(
+            "  {routers:>4} routers: {each:.2?} a renewal, {:.2}% of a core at one each 400 ms",
+            per_s * 100.0
+        );
+    }
+    Ok(())
+}
+
+fn commits() -> Result<()> {
+    println!("leader on this machine's disk: claims by batch (one sync a batch)");
+    for batch in [1u64, 10, 100, 1_000] {
+        let folder = tempfile::tempdir()?;
+        let (store, opened) = Store::open(Box::new(FsDisk::open(folder.path())?), fresh())?;
+        let mut node = leader(store, opened)?;
+        let syncs = node.store().syncs();
+        let batches = 200;
+        let began = Clock::now();
+        let mut done = 0;
+        for b in 0..batches {
+            let events = (0..batch).map(|i| {
+                let n = b * batch + i;
+                let CommandBody::Claim {
+                    key,
+                    holder,
+                    digest,
+                    nonce,
+                } = claim(n)
+                else {
+                    unreachable!("it is a claim")
+                };
+                let request = ControlRequest::Claim {
+                    key,
+                    holder,
+                    digest,
+                    nonce,
+                };
+                ControlEvent::Request { token: n, request }
+            });
+            let mut effects = Vec::new();
+            node.take(now(6_000 + b), events.collect(), &mut effects)?;
+            done += effects
+                .iter()
+                .filter(|e| matches!(e, Effect::Reply(..)))
+                .count();
+        }
+        let took = began.elapsed();
+        println!(
+            "  batch {batch:>4}: {:>8.0} claims/s, {:.2} syncs a batch, {done} replies",
+            done as f64 / took.as_secs_f64(),
+            (node.store().syncs() - syncs) as f64 / batches as f64
+        );
+    }
+    Ok(())
+}
+
+fn restarts() -> Result<()> {
+    println!("restart: opening a log by its length (entries of one changed target)");
+    for entries in [500u32, 2_000, 4_000] {
+        let folder = tempfile::tempdir()?;
+        let (store, opened) = Store::open(Box::new(FsDisk::open(folder.path())?), fresh())?;
+        let mut node = leader(store, opened)?;
+        for i in 0..entries {
+            let request = Box::new(ApplyRequest {
+                request_id: i.to_string().into(),
+                expected: None,
+                change: Change::Target(engine_target("runner", address(i), 0, 8)),
+            });
+            let request = deckwind_core::control::OperatorRequest::Apply {
+                request,
+                wait: Duration::ZERO,
+            };
+            let event = ControlEvent::Operator {
+                token: u64::from(i),
+                request,
+            };
+            node.take(now(6_000), vec![event], &mut Vec::new())?;
+        }
+        let bytes = node.store().log_bytes();
+        drop(node);
+        let began = Clock::now();
+        let raw = std::fs::read(folder.path().join("log"))?;
+        let copy = tempfile::tempdir()?;
+        for file in ["log", "identity"] {
+            std::fs::copy(folder.path().join(file), copy.path().join(file))?;
+        }
+        let copied = began.elapsed();
+        let began = Clock::now();
+        let (_, opened) = Store::open(Box::new(FsDisk::open(copy.path())?), fresh())?;
+        println!(
+            "  {entries:>5} entries: log {} KiB, opened in {:.1?} ({} entries; copying {} bytes took {copied:.1?})",
+            bytes / 1_024,
+            began.elapsed(),
+            opened.stored.entries.len(),
+            raw.len()
+        );
+    }
+    Ok(())
+}
+
+fn main() -> Result<()> {
+    configuration_state();
+    claims_state();
+    router_state();
+    messages();
+    renewals()?;
+    commits()?;
+    restarts()?;
+
+    Ok(())
+}
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -5,6 +5,8 @@
 mod command_line;
 mod contracts;
 mod decisions;
+mod examples;
+mod leaving;
 mod processes;
 mod replication;
 mod sessions;
--- a/crates/deckwindd/src/router/callers.rs
+++ b/crates/deckwindd/src/router/callers.rs
@@ -23,9 +23,10 @@
 use hyper_util::server::conn::auto;
 use sha2::{Digest, Sha256};
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -47,6 +48,21 @@
 /// Between two looks at requests that wait.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
 
+/// Connections that may wait to be accepted. With the default of 128 a burst of
+/// 500 loses handshakes, and each waits a second for its resend.
+const BACKLOG: u32 = 4_096;
+
+/// Binds the callers' address.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Accepts connections for ever.
 pub async fn accept(listener: TcpListener, shared: Arc<RouterShared>) {
     loop {
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -32,7 +32,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 /// A running router.
@@ -53,8 +52,7 @@
         let peer = QuicPeer::bind(cfg.peers, &cx.key_files(), MAX_MESSAGE)?;
         let shared = Arc::new(RouterShared::new(cx, cfg, peer.clone()));
         admin_page::serve(cfg.admin, shared.clone())?;
-        let listener = TcpListener::bind(cfg.callers)
-            .await
+        let listener = callers::listen(cfg.callers)
             .with_context(|| format!("TCP {} can't be bound", cfg.callers))?;
         let callers = listener.local_addr()?;
         let tasks = vec![
