Load reports with every answer; a margin at entry

Change: engines may put their load into every step's answer, which costs no message; 2 others are asked a second. Cause 2: requests let in with a wait just inside their deadline were refused up to 15 s later, as estimates drift. Change: 1.25 times the wait must fit at entry.

--- a/crates/deckwind-core/examples/policies/run.rs
+++ b/crates/deckwind-core/examples/policies/run.rs
@@ -158,8 +158,10 @@
 const ARRIVALS: Instant = Instant::from_millis(1_600);
 const TICK: Duration = Duration::from_millis(100);
 const RENEW: Duration = Duration::from_millis(500);
-/// How often targets publish their load: the lag of a report.
-const PUBLISH: Duration = Duration::from_millis(500);
+/// Between two rounds of asking targets for their load, which lags by as much.
+const PUBLISH: Duration = Duration::from_secs(1);
+/// Targets that a router asks in a round.
+const ASKED: usize = 2;
 const REPLAN_PAUSE: Duration = Duration::from_millis(100);
 /// After the last arrival, time for what runs to end.
 const TAIL: Duration = Duration::from_secs(30);
@@ -625,6 +627,8 @@
         let took = now.since(stage.order_sent);
         let core = &mut self.routers[running.router];
         core.stage_progressed(now, stage.target, took, stage.layers, positions);
+        let load = self.runners[stage.runner].load;
+        core.load_reported(now, stage.target, LoadReport { load });
         running.orders += 1;
         let token = (stage.layers.last == LAYERS).then(|| Token {
             id: 0,
@@ -636,6 +640,7 @@
             position,
             outputs: vec![Activation(String::new()); positions],
             token,
+            load: None,
         };
         self.feed(id, SessionEvent::Output { key, output });
     }
@@ -750,20 +755,23 @@
         }
     }
 
-    /// Targets publish their load; routers see it one period later.
+    /// Each router asks a few targets for their load, which is one period old.
+    /// Those that it uses report theirs with every answer.
     fn publish(&mut self) {
         self.events.put(self.now + PUBLISH, Event::Publish);
-        for runner in self.runners.iter_mut().filter(|r| !r.dead) {
-            let report = LoadReport {
-                load: runner.published,
-            };
-            runner.published = runner.load;
-            for router in &mut self.routers {
-                if let Some(key) = router.fleet().key(&runner.target.name) {
-                    router.load_reported(self.now, key, report);
+        for router in &mut self.routers {
+            for _ in 0..ASKED {
+                let runner = &self.runners[self.rng.random_range(0..self.runners.len())];
+                let key = router.fleet().key(&runner.target.name);
+                if let Some(key) = key.filter(|_| !runner.dead) {
+                    let load = runner.published;
+                    router.load_reported(self.now, key, LoadReport { load });
                 }
             }
         }
+        for runner in &mut self.runners {
+            runner.published = runner.load;
+        }
     }
 
     fn settle_bound(&mut self) {
--- a/crates/deckwind-core/src/admission/queue.rs
+++ b/crates/deckwind-core/src/admission/queue.rs
@@ -72,6 +72,10 @@
 /// Weight of a new measurement in the time that a request holds its place.
 const HOLD_GAIN: f64 = 0.05;
 
+/// An estimated wait times this must fit before the deadline at entry. Estimates
+/// drift; whoever is let in should not have to be sent away later.
+const ENTRY_MARGIN: f64 = 1.25;
+
 /// Arrivals are averaged over this time.
 const ARRIVAL_WINDOW: Duration = Duration::from_secs(5);
 
@@ -266,7 +270,7 @@
             return Offer::Start;
         }
         let wait = self.wait(now, p, self.ahead_of(&ticket));
-        if now + wait > ticket.start_by {
+        if wait.mul_f64(ENTRY_MARGIN) > ticket.start_by.since(now) {
             return Offer::Refused(self.refusal(RefusedWhy::Deadline, now, wait, ticket.start_by));
         }
         if self.queued() >= self.cfg.max_queued {
--- a/crates/deckwind-core/src/session/machine.rs
+++ b/crates/deckwind-core/src/session/machine.rs
@@ -51,6 +51,10 @@
     pub outputs: Vec<Activation>,
     /// The token after the last position, from a stage that ends the model.
     pub token: Option<Token>,
+    /// Layers of all open stages there, added up: a load report that costs no
+    /// message.
+    #[serde(default)]
+    pub load: Option<u32>,
 }
 
 /// What went wrong with a stage.
--- a/crates/deckwind-fakes/src/engine.rs
+++ b/crates/deckwind-fakes/src/engine.rs
@@ -414,6 +414,7 @@
             position: order.position,
             outputs,
             token,
+            load: self.loads.back().map(|(_, load, _)| *load),
         })
     }
 
--- a/crates/deckwindd/src/router/chat.rs
+++ b/crates/deckwindd/src/router/chat.rs
@@ -2,7 +2,7 @@
 
 use super::shared::RouterShared;
 use deckwind_core::router::{ChatWork, Entered};
-use deckwind_core::routing::{ChainNeed, PlannedStage, PrefixHash, TargetKey};
+use deckwind_core::routing::{ChainNeed, LoadReport, PlannedStage, PrefixHash, TargetKey};
 use deckwind_core::session::{
     Activation, Chain, EndReason, Session, SessionAction, SessionEvent, SessionLimits, Stage,
     StageFault, StageKey, StepOrder, Token,
@@ -266,9 +266,12 @@
         match result {
             Ok(output) => {
                 let took = now.since(began);
-                self.shared
-                    .core()
-                    .stage_progressed(now, target, took, layers, positions);
+                let mut core = self.shared.core();
+                core.stage_progressed(now, target, took, layers, positions);
+                if let Some(load) = output.load {
+                    core.load_reported(now, target, LoadReport { load });
+                }
+                drop(core);
                 SessionEvent::Output { key, output }
             }
             Err(e) => {
--- a/crates/deckwindd/src/router/reports.rs
+++ b/crates/deckwindd/src/router/reports.rs
@@ -12,9 +12,10 @@
 /// Between two rounds of load reports.
 const EVERY: Duration = Duration::from_secs(1);
 
-/// Targets asked in one round: a sample, so that the cost for a router does not
-/// grow with the fleet.
-const SAMPLE: usize = 32;
+/// Targets asked in one round. Those that this router uses report their load
+/// with every answer; a few others are asked, so that the cost for a router does
+/// not grow with the fleet.
+const SAMPLE: usize = 2;
 
 /// Asks a sample of the engines for their load and cache events, for ever.
 pub async fn poll_targets(shared: Arc<RouterShared>) {
