--- a/crates/deckwind-core/src/admission/limiter.rs
+++ b/crates/deckwind-core/src/admission/limiter.rs
@@ -23,6 +23,26 @@
     asked: u32,
     asked_since: Instant,
     demand_per_s: f64,
+    /// Demand as last told to the leader, and when.
+    told_per_s: f64,
+    told_at: Instant,
+}
+
+impl Cell {
+    fn count(&mut self, now: Instant) {
+        let span = now.since(self.asked_since);
+        if span >= DEMAND_WINDOW {
+            self.demand_per_s = f64::from(self.asked) / span.as_secs_f64();
+            self.asked = 0;
+            self.asked_since = now;
+        }
+    }
+
+    /// Whether what the leader knows is wrong by more than a fifth.
+    fn is_off(&self) -> bool {
+        let off = (self.demand_per_s - self.told_per_s).abs();
+        off > self.told_per_s.max(self.demand_per_s) * 0.2
+    }
 }
 
 /// Rates of all accounts at one router.
@@ -40,6 +60,8 @@
             asked: 0,
             asked_since: now,
             demand_per_s: 0.0,
+            told_per_s: 0.0,
+            told_at: Instant::ZERO,
         });
         cell.per_s = per_s;
     }
@@ -65,21 +87,31 @@
         Ok(())
     }
 
-    /// What each account asked for since the last call that was at least a
-    /// window ago; accounts without demand are left out.
-    pub fn demand(&mut self, now: Instant) -> Vec<(AccountName, AccountDemand)> {
+    /// The leader is a new one and knows nothing yet.
+    pub fn forget_told(&mut self) {
         for cell in self.cells.values_mut() {
-            let span = now.since(cell.asked_since);
-            if span >= DEMAND_WINDOW {
-                cell.demand_per_s = f64::from(cell.asked) / span.as_secs_f64();
-                cell.asked = 0;
-                cell.asked_since = now;
+            cell.told_per_s = 0.0;
+        }
+    }
+
+    /// What accounts ask for, at most `most` of them: those first of which the
+    /// leader knows something wrong, then those told longest ago. An account
+    /// without demand is told once, as zero.
+    pub fn demand(&mut self, now: Instant, most: usize) -> Vec<(AccountName, AccountDemand)> {
+        let mut due: Vec<(&AccountName, &mut Cell)> = Vec::new();
+        for (account, cell) in &mut self.cells {
+            cell.count(now);
+            if cell.demand_per_s > 0.0 || cell.told_per_s > 0.0 {
+                due.push((account, cell));
             }
         }
-        let active = self.cells.iter().filter(|(_, c)| c.demand_per_s > 0.0);
-        active
-            .map(|(account, c)| {
-                let per_s = c.demand_per_s;
+        due.sort_by_key(|(account, cell)| (!cell.is_off(), cell.told_at, (*account).clone()));
+        due.truncate(most);
+        due.into_iter()
+            .map(|(account, cell)| {
+                cell.told_per_s = cell.demand_per_s;
+                cell.told_at = now;
+                let per_s = cell.demand_per_s;
                 (account.clone(), AccountDemand { per_s })
             })
             .collect()
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -116,6 +116,11 @@
     parked: Vec<Parked>,
     force_waits: Vec<ForceWait>,
     compacting: bool,
+    /// Bytes of entries applied since the last snapshot, and its own size: a
+    /// snapshot is written only when the log has grown as large, so that its
+    /// cost stays in proportion to what is written.
+    log_bytes: usize,
+    snapshot_bytes: usize,
     asker_of: BTreeMap<u64, Asker>,
     next_token: u64,
     wall_ms: u64,
@@ -147,6 +152,8 @@
             parked: Vec::new(),
             force_waits: Vec::new(),
             compacting: false,
+            log_bytes: 0,
+            snapshot_bytes: snapshot.map_or(0, <[u8]>::len),
             asker_of: BTreeMap::new(),
             next_token: 1,
             wall_ms: 0,
@@ -334,6 +341,7 @@
     fn apply(&mut self, now: Instant, entries: Vec<Entry>, out: &mut Vec<ControlAction>) {
         let before = self.machine.configuration().revision();
         for entry in entries {
+            self.log_bytes += entry.size();
             let reply = self.apply_entry(&entry);
             let waiting = self.proposals.applied(entry.at.index, entry.at.term);
             match (waiting, reply) {
@@ -391,10 +399,13 @@
         let Some(term) = self.replica.log().term_at(applied).filter(|_| long) else {
             return;
         };
-        if self.compacting {
+        if self.compacting || self.log_bytes < self.snapshot_bytes {
             return;
         }
         self.compacting = true;
+        let data = self.machine.to_snapshot();
+        self.snapshot_bytes = data.len();
+        self.log_bytes = 0;
         let last = Position {
             term,
             index: applied,
@@ -404,7 +415,7 @@
         let rest = self.replica.log().range(applied.next(), end);
         out.push(ControlAction::Compact {
             meta: SnapshotMeta { last, members },
-            data: self.machine.to_snapshot(),
+            data,
             rest: rest.cloned().collect(),
         });
     }
@@ -468,7 +479,10 @@
         };
         let Renewal { holder, .. } = &renewal;
         let replaced = leading.leases.renew(now, holder, renewal.applied);
-        leading.demand.put(&holder.vm, renewal.demand.clone());
+        if replaced.is_some() {
+            leading.demand.remove(&holder.vm);
+        }
+        leading.demand.put(&holder.vm, &renewal.demand);
         leading.admins.insert(holder.vm.clone(), renewal.admin);
         if let Some(gone) = replaced {
             self.propose(now, CommandBody::HolderGone(gone), Asker::Nobody, out);
@@ -519,7 +533,7 @@
         Some(Grant {
             term: self.replica.term(),
             delta: cfg.delta_since(renewal.applied),
-            shares: leading.demand.shares(&renewal.holder.vm, routers, cfg),
+            shares: leading.demand.shares(&renewal.demand, routers, cfg),
             routers,
         })
     }
--- a/crates/deckwind-core/src/router/router_core.rs
+++ b/crates/deckwind-core/src/router/router_core.rs
@@ -130,6 +130,10 @@
     any: bool,
 }
 
+/// Accounts named in one renewal: bounds its size, whatever the number of
+/// accounts.
+const DEMANDS_TOLD: usize = 8;
+
 /// Between two sizings of the pools by the health of their targets.
 const SIZE_EVERY: Duration = Duration::from_secs(1);
 
@@ -230,12 +234,17 @@
             targets: !delta.targets.is_empty(),
             any: delta.to > self.lease.applied(),
         };
+        let new_leader = term > self.lease.term();
         if !self.lease.granted(asked, term, delta) {
             return;
         }
+        if new_leader {
+            self.limiter.forget_told();
+        }
         let other_count = self.routers != routers.max(1);
         self.routers = routers.max(1);
-        self.shares = shares.into_iter().map(|(a, s)| (a, s.per_s)).collect();
+        self.shares
+            .extend(shares.into_iter().map(|(a, s)| (a, s.per_s)));
         self.apply_configuration(changed);
         if changed.any || other_count {
             self.size_pools(now);
@@ -253,6 +262,7 @@
                 .map(|(a, _)| (a.key_sha256.to_ascii_lowercase(), a.name.clone()))
                 .collect();
             self.limiter.retain(|a| cfg.account(a).is_some());
+            self.shares.retain(|a, _| cfg.account(a).is_some());
         }
         if changed.targets {
             self.fleet.apply(cfg);
@@ -591,7 +601,7 @@
 
     /// What accounts asked for, for the next renewal.
     pub fn demand(&mut self, now: Instant) -> Vec<(AccountName, AccountDemand)> {
-        self.limiter.demand(now)
+        self.limiter.demand(now, DEMANDS_TOLD)
     }
 
     /// Requests that hold a ticket.
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -193,7 +193,7 @@
 
 fn messages() {
     println!("messages, bytes (before QUIC):");
-    for accounts in [0, 10, 60, 330] {
+    for accounts in [0, 4, 8, 330] {
         let ask = encode(&ControlRequest::Renew(renewal(1, accounts))).len();
         let shares = (0..accounts)
             .map(|a| (format!("account-{a}").into(), AccountShare { per_s: 1.5 }))
@@ -248,7 +248,7 @@
 }
 
 fn renewals() -> Result<()> {
-    println!("leader: processor time of renewals, 20 accounts in demand each");
+    println!("leader: processor time of renewals, 8 accounts in demand each");
     for routers in [50u32, 150, 350, 700] {
         let (store, opened) = Store::open(Box::new(MemoryDisk::default()), fresh())?;
         let mut node = leader(store, opened)?;
@@ -257,7 +257,7 @@
         for round in 0..rounds {
             let asks = (0..routers).map(|i| ControlEvent::Request {
                 token: u64::from(i),
-                request: ControlRequest::Renew(renewal(i, 20)),
+                request: ControlRequest::Renew(renewal(i, 8)),
             });
             node.take(now(6_000 + round * 400), asks.collect(), &mut Vec::new())?;
         }
--- a/crates/deckwind-testkit/tests/testsuite/decisions.rs
+++ b/crates/deckwind-testkit/tests/testsuite/decisions.rs
@@ -160,10 +160,28 @@
     for i in 0..100 {
         let _ = limiter.take(at(i * 10), &"a".into());
     }
-    let demand = limiter.demand(at(1_000));
+    let demand = limiter.demand(at(1_000), 8);
     assert_eq!(demand, [("a".into(), AccountDemand { per_s: 100.0 })]);
 }
 
+#[test]
+fn a_renewal_names_a_few_accounts_and_in_turn_all() {
+    let mut limiter = AccountLimiter::default();
+    let names: Vec<_> = (0..5).map(|i| format!("a{i}").into()).collect();
+    for name in &names {
+        limiter.set_rate(at(0), name, 100.0);
+        let _ = limiter.take(at(500), name);
+    }
+    let mut told: Vec<_> = [1_000, 1_400, 1_800]
+        .into_iter()
+        .flat_map(|ms| limiter.demand(at(ms), 2))
+        .map(|(name, _)| name)
+        .collect();
+    told.sort();
+    told.dedup();
+    assert_eq!(told, names);
+}
+
 #[parameterized(
     repeatable = { 1, true, false, 1, true },
     certainly_not_run = { 1, false, true, 1, true },
