Streams go on at another router; burn report, key, link and retry tests

Change: Last-Event-ID names the last token that came; any router runs the same request again and leaves out what the caller has. Weighed: a signed token with the session's state (grows with the answer, and nothing in it needs protecting: the caller is authenticated and sends its own request). Tests: sessions::a_stream_goes_on_at_another_router..., a_link_that_degrades...; decisions::no_storm_when_half...; command_line::the_burn_report..., keys_are_made_once....

--- a/crates/deckwind-testkit/src/caller.rs
+++ b/crates/deckwind-testkit/src/caller.rs
@@ -202,8 +202,19 @@
 
     /// A chat that is streamed.
     pub async fn stream(&self, template: &str, prompt: &str, max_tokens: u32) -> Result<Streaming> {
+        self.stream_with(template, prompt, max_tokens, &[]).await
+    }
+
+    /// A chat that is streamed, with headers of its own.
+    pub async fn stream_with(
+        &self,
+        template: &str,
+        prompt: &str,
+        max_tokens: u32,
+        headers: &[(&str, &str)],
+    ) -> Result<Streaming> {
         let body = chat_body(template, prompt, max_tokens, true);
-        let req = self.request("/v1/chat/completions", body.into(), &[])?;
+        let req = self.request("/v1/chat/completions", body.into(), headers)?;
         let (res, connection) = self.send(req).await?;
         Ok(Streaming {
             status: res.status().as_u16(),
--- a/crates/deckwind-testkit/tests/testsuite/command_line.rs
+++ b/crates/deckwind-testkit/tests/testsuite/command_line.rs
@@ -1,7 +1,9 @@
 //! The operators' command line against a running cluster.
 
+use crate::any;
 use crate::processes::processes;
-use deckwind_testkit::{account, service_template};
+use deckwind_fakes::{FakeService, serve};
+use deckwind_testkit::{Caller, account, eventually_async, service_target, service_template};
 use std::process::Output;
 
 fn code(output: &Output) -> i32 {
@@ -115,3 +117,87 @@
     let daemon = cluster.daemon_check(&bad).unwrap();
     assert_eq!(err(&daemon), err(&found));
 }
+
+/// Calls that are answered, and calls that are refused, come out in the report.
+#[test]
+fn the_burn_report_comes_as_table_json_and_page() {
+    crate::run(async {
+        let cluster = processes(1, 1);
+        let _control = cluster.control(0).unwrap();
+        let _router = cluster.router(0).unwrap();
+        cluster
+            .apply("template", &service_template("gates", true))
+            .unwrap();
+        cluster.apply("account", &account("ferry", "key")).unwrap();
+        let caller = Caller::new(cluster.layout.routers[0].callers, "key");
+        let refused = eventually_async("the router knows the account", || async {
+            let answer = caller.post("/s/gates/1", "{}", &[]).await.ok()?;
+            (answer.code() == "no-targets" || answer.code() == "deadline").then_some(answer)
+        })
+        .await;
+        assert_eq!(refused.status, 503);
+        let service = FakeService::new("gates");
+        let served = serve::service(any(), std::sync::Arc::new(service))
+            .await
+            .unwrap();
+        cluster
+            .apply("target", &service_target("g", served.address, "gates"))
+            .unwrap();
+        for _ in 0..3 {
+            assert_eq!(
+                caller.post("/s/gates/1", "{}", &[]).await.unwrap().status,
+                200
+            );
+        }
+        let page = cluster
+            .layout
+            .folder()
+            .join("burn.html")
+            .display()
+            .to_string();
+        let args = ["report", "burn", "--format", "json", "--html", &page];
+        let report = cluster.cli(&args).unwrap();
+        assert_eq!(code(&report), 0, "{}", err(&report));
+        let report: serde_json::Value = serde_json::from_slice(&report.stdout).unwrap();
+        let row = &report["rows"][0];
+        assert_eq!(
+            (row["template"].as_str(), row["account"].as_str()),
+            (Some("gates"), Some("ferry"))
+        );
+        assert_eq!(row["windows"][0]["window"], "five-minutes");
+        let total = row["since_start"]["total"].as_u64().unwrap();
+        let good = row["since_start"]["good"].as_u64().unwrap();
+        assert!(total > good && good <= 3, "{total} {good}");
+        let html = std::fs::read_to_string(page).unwrap();
+        assert!(html.contains("<svg") && html.contains("ferry"));
+        let table = cluster.cli(&["report", "burn"]).unwrap();
+        assert!(String::from_utf8_lossy(&table.stdout).contains("budget left"));
+    });
+}
+
+#[test]
+fn keys_are_made_once_and_never_written_over() {
+    let cluster = processes(1, 0);
+    let folder = cluster
+        .layout
+        .folder()
+        .join("new-keys")
+        .display()
+        .to_string();
+    let new = |vm: &str| {
+        cluster
+            .cli(&["keys", "new", "--folder", &folder, "--vm", vm])
+            .unwrap()
+    };
+    assert_eq!(code(&new("a=10.0.0.1")), 0);
+    assert_eq!(code(&new("b=10.0.0.2")), 0);
+    let again = new("a=10.0.0.1");
+    assert_eq!(code(&again), 1);
+    assert_eq!(
+        err(&again),
+        format!("error: {folder}/a.pem is there already; move it away first\n")
+    );
+    assert_eq!(code(&new("a")), 2);
+    let completions = cluster.cli(&["completions", "bash"]).unwrap();
+    assert!(String::from_utf8_lossy(&completions.stdout).contains("_deckwind"));
+}
--- a/crates/deckwind-testkit/tests/testsuite/decisions.rs
+++ b/crates/deckwind-testkit/tests/testsuite/decisions.rs
@@ -213,6 +213,35 @@
     assert_eq!(spent, 10);
 }
 
+/// Half of the targets fail every try. Each call may be tried three times; the
+/// budget keeps all tries together within an eighth of the calls.
+#[test]
+fn no_storm_when_half_of_the_targets_fail() {
+    const CALLS: u32 = 10_000;
+    let policy = RetryPolicy::default();
+    let mut budget = RetryBudget::new(at(0));
+    let mut tries = 0;
+    for call in 0..CALLS {
+        let now = at(u64::from(call));
+        for attempt in 1..=policy.max_tries {
+            tries += 1;
+            let fails = (call + attempt).is_multiple_of(2);
+            if !fails {
+                budget.succeeded();
+                break;
+            }
+            let left = Duration::from_secs(1);
+            if !policy.allows(attempt, true, false, left) || !budget.spend(now) {
+                break;
+            }
+        }
+    }
+    assert!(
+        tries <= CALLS + CALLS / 8,
+        "{tries} tries for {CALLS} calls"
+    );
+}
+
 #[parameterized(
     live = { 1_999, true, ServeDecision::Serve },
     stale = { 2_500, true, ServeDecision::ServeStale },
--- a/crates/deckwind-testkit/tests/testsuite/sessions.rs
+++ b/crates/deckwind-testkit/tests/testsuite/sessions.rs
@@ -26,7 +26,11 @@
 
 impl Rig {
     async fn start(step: Duration) -> Self {
-        let cluster = Cluster::start(1, 1).await.unwrap();
+        Self::start_with(1, step).await
+    }
+
+    async fn start_with(routers: usize, step: Duration) -> Self {
+        let cluster = Cluster::start(1, routers).await.unwrap();
         let template = chat_template("swaps", LAYERS);
         cluster.apply(Change::Template(template)).await.unwrap();
         cluster
@@ -280,3 +284,48 @@
         rig.close().await;
     });
 }
+
+/// A caller whose router is gone goes on at another where the stream broke off.
+#[test]
+fn a_stream_goes_on_at_another_router_after_its_last_event() {
+    crate::run(async {
+        let rig = Rig::start_with(2, Duration::from_millis(1)).await;
+        let mut stream = rig.caller().stream("swaps", PROMPT, TOKENS).await.unwrap();
+        let mut text = String::new();
+        for _ in 0..5 {
+            text.push_str(&stream.token().await.unwrap().unwrap());
+        }
+        drop(stream);
+        let other = Caller::new(rig.cluster.callers(1), "key");
+        let headers = [("last-event-id", "4")];
+        let rest = other
+            .stream_with("swaps", PROMPT, TOKENS, &headers)
+            .await
+            .unwrap();
+        text.push_str(&rest.text().await.unwrap());
+        assert_eq!(text, expected());
+        let wrong = [("last-event-id", "four")];
+        let refused = other.chat("swaps", PROMPT, TOKENS, &wrong).await.unwrap();
+        assert_eq!(
+            (refused.status, refused.code().as_str()),
+            (400, "bad-request")
+        );
+        rig.close().await;
+    });
+}
+
+/// The way to one engine of a range gets slow, then so slow that its steps are
+/// late: the answer stays the same.
+#[parameterized(slow = { 30 }, later_than_any_step_may_be = { 30_000 })]
+fn a_link_that_degrades_does_not_change_the_answer(more_ms: u64) {
+    crate::run(async {
+        let rig = Rig::start(Duration::from_millis(1)).await;
+        let mut stream = rig.caller().stream("swaps", PROMPT, TOKENS).await.unwrap();
+        let mut text = stream.token().await.unwrap().unwrap();
+        let busy = rig.range(1).find(|e| e.open_stages() > 0).unwrap();
+        busy.set_fault(EngineFault::Slow(Duration::from_millis(more_ms)));
+        text.push_str(&stream.text().await.unwrap());
+        assert_eq!(text, expected());
+        rig.close().await;
+    });
+}
--- a/crates/deckwindd/src/router/callers.rs
+++ b/crates/deckwindd/src/router/callers.rs
@@ -221,6 +221,26 @@
     }
 }
 
+/// Tokens that the caller has already: those up to its `Last-Event-ID` (WHATWG
+/// HTML, server-sent events). The request runs again from the start, as engines
+/// give the same answer to the same request, and what the caller has is left
+/// out; so any router can go on where one that died left off, and none keeps
+/// state for it.
+fn tokens_had(headers: &HeaderMap) -> Result<u32, CallerError> {
+    let Some(value) = headers.get("last-event-id") else {
+        return Ok(0);
+    };
+    let last = value.to_str().ok().and_then(|v| v.parse::<u32>().ok());
+    match last.and_then(|l| l.checked_add(1)) {
+        Some(had) => Ok(had),
+        None => Err(bad(
+            StatusCode::BAD_REQUEST,
+            "bad-request",
+            "Last-Event-ID must be the id of the last event that came",
+        )),
+    }
+}
+
 /// Passes the first checks and waits for a place.
 async fn admit(
     shared: &Arc<RouterShared>,
@@ -341,6 +361,7 @@
 ) -> Result<Response<Body>, CallerError> {
     let in_progress = shared.begin();
     let key = idempotency_key(req.headers())?;
+    let had = tokens_had(req.headers())?;
     let body = read_body(shared, req.into_body()).await?;
     let chat = parse_chat(&body)?;
     let template = TemplateName::from(chat.model.as_str());
@@ -370,6 +391,7 @@
         held,
         rx,
         first: None,
+        had,
         _ticket: ticket,
         _in_progress: in_progress,
     };
@@ -403,6 +425,8 @@
     held: Option<HeldClaim>,
     rx: mpsc::Receiver<ChatEvent>,
     first: Option<ChatEvent>,
+    /// Tokens that the caller has already.
+    had: u32,
     _ticket: HeldTicket,
     _in_progress: InProgress,
 }
@@ -513,6 +537,9 @@
                 ChatEvent::Token(token) => {
                     text.push_str(&token.text);
                     tokens += 1;
+                    if tokens <= self.had {
+                        continue;
+                    }
                     self.token_event(tokens - 1, &token.text)
                 }
                 ChatEvent::End(EndReason::Complete) => self.end_event(),
