Orders to engines with fences, from the configuration

Cause: fences were issued and refused in tests only; no part of the control role gave an order. Change: OrderDesk: a written engine target is ordered to load its model and adapters and to hold its layers; a new leader gives all orders again with higher fences. To targets that do not check fences an order leaves only while the lease outlasts its 200 ms, and from a new leader after as long. Sent on a connection of its own that is closed when the time is over. Unproved: a process that is frozen between the check and the send; only fences help there.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -5,6 +5,7 @@
 use super::operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
+use super::orders::{OrderBatch, OrderDesk};
 use super::pending::{Asker, ForceWait, Parked, Proposals};
 use crate::membership::{InForce, LeaseTable, LeaseTiming};
 use crate::replication::{
@@ -12,7 +13,7 @@
     SnapshotMeta, Stored, Term,
 };
 use crate::state::{
-    ClaimLimits, Command, CommandBody, Holder, Reply, Revision, StateMachine, VmName,
+    ClaimLimits, Command, CommandBody, Holder, Reply, Revision, StateMachine, TargetName, VmName,
 };
 use crate::time::Instant;
 use std::collections::BTreeMap;
@@ -54,6 +55,13 @@
         /// It.
         request: ControlRequest,
     },
+    /// A batch of orders is over.
+    OrdersDone {
+        /// The target.
+        target: TargetName,
+        /// Whether it took all of them.
+        taken: bool,
+    },
     /// An operator's request.
     Operator {
         /// Comes back with the reply.
@@ -92,6 +100,8 @@
         /// Entries after it.
         rest: Vec<Entry>,
     },
+    /// Send these orders, then report [`ControlEvent::OrdersDone`].
+    Order(OrderBatch),
 }
 
 /// What only a leader keeps.
@@ -99,6 +109,7 @@
     term: Term,
     leases: LeaseTable,
     demand: DemandTable,
+    orders: OrderDesk,
     admins: BTreeMap<VmName, SocketAddr>,
     /// Whether claims of routers that no longer exist were looked for.
     orphans_done: bool,
@@ -188,6 +199,11 @@
             ControlEvent::Replica(event) => self.feed(now, event, out),
             ControlEvent::Request { token, request } => self.request(now, token, request, out),
             ControlEvent::Operator { token, request } => self.operator(now, token, request, out),
+            ControlEvent::OrdersDone { target, taken } => {
+                if let Some(leading) = &mut self.leading {
+                    leading.orders.finished(now, &target, taken);
+                }
+            }
         }
     }
 
@@ -256,6 +272,7 @@
                 term,
                 leases: LeaseTable::new(self.lease_timing, since),
                 demand: DemandTable::default(),
+                orders: OrderDesk::new(term, since),
                 admins: BTreeMap::new(),
                 orphans_done: false,
             });
@@ -633,9 +650,22 @@
         self.release_parked(now, |p| p.until <= now, out);
         self.expire_leases(now, out);
         self.find_orphans(now, out);
+        self.give_orders(now, out);
         self.check_force(now, out);
     }
 
+    fn give_orders(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        if !self.replica.may_answer(now) {
+            return;
+        }
+        let lease_until = self.replica.lease_until();
+        let cfg = self.machine.configuration();
+        if let Some(leading) = &mut self.leading {
+            let batches = leading.orders.issue(now, lease_until, cfg);
+            out.extend(batches.into_iter().map(ControlAction::Order));
+        }
+    }
+
     fn expire_leases(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
         let Some(leading) = &mut self.leading else {
             return;
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -5,7 +5,7 @@
 //!  ControlRequest ──┐                         ┌─► Reply to a router or operator
 //!  OperatorRequest ─┼─► ControlCore ──────────┤
 //!  peers' messages ─┤   replica ─► machine    ├─► replica actions: write, sync, send
-//!  time ────────────┘   leases, shares        └─► Compact
+//!  time ────────────┘   leases, shares, orders└─► Compact, Order
 //! ```
 //!
 //! Only a leader with a valid lease answers; everybody else names the leader.
@@ -14,6 +14,7 @@
 mod demand;
 mod messages;
 mod operator;
+mod orders;
 mod pending;
 
 pub use control_core::{ControlAction, ControlCore, ControlEvent, ControlLimits};
@@ -21,3 +22,4 @@
 pub use operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
+pub use orders::{ORDER_FLIGHT, OrderBatch, OrderKind, TargetOrder};
--- a/crates/deckwind-net/src/targets/http_engine.rs
+++ b/crates/deckwind-net/src/targets/http_engine.rs
@@ -3,10 +3,11 @@
 
 use super::http_client::HttpTarget;
 use super::traits::{
-    CacheEvents, Engine, EngineLoad, KvExport, OpenStage, StageStream, TargetError, TargetOrder,
+    CacheEvents, Engine, EngineLoad, KvExport, OpenStage, StageStream, TargetError,
 };
 use crate::BoxFuture;
 use bytes::{Bytes, BytesMut};
+use deckwind_core::control::TargetOrder;
 use deckwind_core::session::{StepOrder, StepOutput};
 use http::Request;
 use http_body_util::{BodyExt, StreamBody};
--- a/crates/deckwind-net/src/targets/mod.rs
+++ b/crates/deckwind-net/src/targets/mod.rs
@@ -13,13 +13,14 @@
 mod http_weights;
 mod traits;
 
+pub use deckwind_core::control::{OrderKind, TargetOrder};
 pub use http_client::HttpTarget;
 pub use http_engine::HttpEngine;
 pub use http_platform::HttpPlatformList;
 pub use http_service::HttpService;
 pub use http_weights::HttpWeightStore;
 pub use traits::{
-    CacheEvent, CacheEventKind, CacheEvents, Engine, EngineLoad, KvExport, OpenStage, OrderKind,
-    PlainService, PlatformList, PlatformSnapshot, ServiceAnswer, ServiceCall, StageStream,
-    TargetError, TargetOrder, WeightChunk, WeightStore,
+    CacheEvent, CacheEventKind, CacheEvents, Engine, EngineLoad, KvExport, OpenStage, PlainService,
+    PlatformList, PlatformSnapshot, ServiceAnswer, ServiceCall, StageStream, TargetError,
+    WeightChunk, WeightStore,
 };
--- a/crates/deckwind-net/src/targets/traits.rs
+++ b/crates/deckwind-net/src/targets/traits.rs
@@ -1,8 +1,8 @@
 //! The traits, and what goes through them.
 
 use crate::BoxFuture;
+use deckwind_core::control::TargetOrder;
 use deckwind_core::membership::PlatformStatus;
-use deckwind_core::replication::Fence;
 use deckwind_core::session::{Activation, StepOrder, StepOutput};
 use deckwind_core::state::{LayerRange, Priority};
 use serde::{Deserialize, Serialize};
@@ -113,38 +113,6 @@
     pub data: Activation,
 }
 
-/// What a fenced order asks for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum OrderKind {
-    /// Load a version of a model.
-    LoadModel {
-        /// Model.
-        model: String,
-        /// Version.
-        version: String,
-    },
-    /// Load an adapter.
-    LoadAdapter {
-        /// Adapter.
-        adapter: String,
-    },
-    /// Hold other layers.
-    ChangeLayers {
-        /// Layers.
-        layers: LayerRange,
-    },
-}
-
-/// An order with its fence.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetOrder {
-    /// Rank of the order.
-    pub fence: Fence,
-    /// What it asks for.
-    pub order: OrderKind,
-}
-
 /// A model engine.
 pub trait Engine: Send + Sync {
     /// Opens a stage.
--- a/crates/deckwind-testkit/src/lab.rs
+++ b/crates/deckwind-testkit/src/lab.rs
@@ -8,15 +8,17 @@
 //! 3. committed entries are the same everywhere, and stay;
 //! 4. whoever may answer knows every change that was accepted;
 //! 5. when an operator was told "in force", no router that may serve is older;
-//! 6. a claimed key runs at most once.
+//! 6. a claimed key runs at most once;
+//! 7. no target gets an older leader's order after a newer one's, also where it
+//!    does not check fences.
 
 use crate::lab_routers::LabRouter;
 use deckwind_core::control::{
-    ControlEvent, ControlLimits, ControlRequest, OperatorReply, OperatorRequest,
+    ControlEvent, ControlLimits, ControlRequest, OperatorReply, OperatorRequest, OrderBatch,
 };
 use deckwind_core::membership::{InForce, LeaseTiming};
 use deckwind_core::replication::{Entry, Event, Index, Message, ReplicaConfig, ReplicaId, Term};
-use deckwind_core::state::{ApplyRequest, Change, ClaimLimits, Revision};
+use deckwind_core::state::{ApplyRequest, Change, ClaimLimits, Revision, TargetName};
 use deckwind_core::time::Instant;
 use deckwind_store::{MemoryDisk, Store};
 use deckwind_wire::ControlReply;
@@ -33,6 +35,8 @@
     pub lost: u32,
     /// Messages that come twice.
     pub doubled: u32,
+    /// Orders whose answer is lost: they are given again.
+    pub orders_unanswered: u32,
     /// Longest delay.
     pub max_delay: Duration,
 }
@@ -42,6 +46,7 @@
     pub const NONE: NetFaults = NetFaults {
         lost: 0,
         doubled: 0,
+        orders_unanswered: 0,
         max_delay: Duration::from_millis(1),
     };
 
@@ -49,6 +54,7 @@
     pub const BAD: NetFaults = NetFaults {
         lost: 100,
         doubled: 50,
+        orders_unanswered: 900,
         max_delay: Duration::from_millis(60),
     };
 }
@@ -95,6 +101,7 @@
 /// Something under way.
 enum Flying {
     Message(Message),
+    Orders(usize, OrderBatch),
     Ask(u8, u64, ControlRequest),
     Answer(usize, ControlRequest, Instant, ControlReply),
 }
@@ -115,6 +122,7 @@
     leaders: BTreeMap<Term, ReplicaId>,
     committed: BTreeMap<Index, Entry>,
     accepted: Revision,
+    ordered: BTreeMap<TargetName, Term>,
     /// Operators' replies, by request id.
     pub replies: BTreeMap<String, Vec<OperatorReply>>,
     limits: ControlLimits,
@@ -141,6 +149,7 @@
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
             accepted: Revision::ZERO,
+            ordered: BTreeMap::new(),
             replies: BTreeMap::new(),
             limits: ControlLimits {
                 compact_after: 24,
@@ -360,6 +369,7 @@
                     let event = ControlEvent::Replica(Event::Receive(m.clone()));
                     self.nodes[m.to_slot as usize].inbox.push(event);
                 }
+                Flying::Orders(slot, batch) => self.take_orders(slot, batch),
                 Flying::Ask(slot, token, request) => self.nodes[slot as usize]
                     .inbox
                     .push(ControlEvent::Request { token, request }),
@@ -403,6 +413,7 @@
                     self.fly(Flying::Answer(i, request, asked, reply));
                 }
             }
+            Effect::Order(batch) => self.fly_orders(slot, batch),
             Effect::OperatorReply(token, reply) => {
                 if let Some(Asked::Operator(id)) = self.asked.remove(&token) {
                     self.note_reply(&id, reply);
@@ -411,6 +422,39 @@
         }
     }
 
+    /// Orders arrive within their time; the leader hears that they were taken,
+    /// if it is still there.
+    fn fly_orders(&mut self, slot: usize, batch: OrderBatch) {
+        let within = batch.within.as_micros() as u64;
+        let delay = Duration::from_micros(self.rng.random_range(0..within));
+        self.put(self.now + delay, Flying::Orders(slot, batch));
+    }
+
+    /// A target that does not check fences must not get an older leader's order
+    /// after a newer one's.
+    fn take_orders(&mut self, slot: usize, batch: OrderBatch) {
+        for order in &batch.orders {
+            let term = order.fence.term;
+            let newest = self.ordered.entry(batch.target.clone()).or_insert(term);
+            assert!(
+                term >= *newest,
+                "{} got an order of {term:?} after {newest:?}",
+                batch.target
+            );
+            *newest = term;
+        }
+        let target = batch.target;
+        let taken = !self.rng.random_ratio(self.faults.orders_unanswered, 1_000);
+        self.nodes[slot]
+            .inbox
+            .push(ControlEvent::OrdersDone { target, taken });
+    }
+
+    /// Newest term whose order each target has got.
+    pub fn ordered(&self) -> &BTreeMap<TargetName, Term> {
+        &self.ordered
+    }
+
     fn note_reply(&mut self, id: &str, reply: OperatorReply) {
         if let OperatorReply::Accepted { revision, in_force } = &reply {
             self.accepted = self.accepted.max(*revision);
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod decisions;
 mod examples;
 mod leaving;
+mod orders;
 mod processes;
 mod replication;
 mod sessions;
--- a/crates/deckwind-testkit/tests/testsuite/replication.rs
+++ b/crates/deckwind-testkit/tests/testsuite/replication.rs
@@ -3,8 +3,8 @@
 
 use deckwind_core::control::OperatorReply;
 use deckwind_core::membership::InForce;
-use deckwind_core::state::{Change, Rejection, Revision};
-use deckwind_testkit::{Lab, NetFaults, chat_template};
+use deckwind_core::state::{Change, Rejection, Revision, TargetName};
+use deckwind_testkit::{Lab, NetFaults, chat_template, engine_target};
 use rand::RngExt;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -229,7 +229,7 @@
         }
         let slot = lab.rng().random_range(0..3);
         let id = format!("{seed}-{round}");
-        lab.apply(slot, &id, None, change("rosters", round + 1));
+        lab.apply(slot, &id, None, round_change(round));
         let pause = lab.rng().random_range(50..900);
         lab.run_for(Duration::from_millis(pause));
     }
@@ -244,6 +244,30 @@
     assert!(twice.is_empty(), "seed {seed}: ran twice: {twice:?}");
 }
 
+/// A template, or an engine that does not check fences.
+fn round_change(round: u32) -> Change {
+    if round.is_multiple_of(2) {
+        return change("rosters", round + 1);
+    }
+    let address = "127.0.0.1:1".parse().unwrap();
+    let name = format!("runner-{}", round % 5);
+    let mut target = engine_target(&name, address, 0, round + 1);
+    target.checks_fences = false;
+    Change::Target(target)
+}
+
+#[test]
+fn a_new_leader_gives_the_orders_again_with_a_higher_fence() {
+    let mut lab = Lab::new(3, 0, 11, NetFaults::NONE);
+    lab.apply_and_wait("runner", None, round_change(1));
+    lab.run_for(Duration::from_secs(1));
+    let first = lab.ordered()[&TargetName::from("runner-1")];
+    let leader = lab.run_until_led();
+    lab.crash(leader, 0);
+    lab.run_for(Duration::from_secs(4));
+    assert!(lab.ordered()[&TargetName::from("runner-1")] > first);
+}
+
 fn disturb(lab: &mut Lab) {
     let slot = lab.rng().random_range(0..3usize);
     match lab.rng().random_range(0..9) {
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -1,8 +1,9 @@
 //! The thread of a control replica: gathers inputs into batches, and hands the
 //! effects on. While a sync runs the next batch gathers.
 
-use super::handle::{Input, ReplyTo};
+use super::handle::{ControlHandle, Input, ReplyTo};
 use super::node::{ControlNode, Effect, Now};
+use super::orders;
 use super::peers::Senders;
 use crate::clock::Clock;
 use crate::context::Context;
@@ -16,6 +17,7 @@
 use deckwind_wire::ControlReply;
 use std::collections::HashMap;
 use std::time::Duration;
+use tokio::runtime::Handle;
 
 /// Between two ticks.
 const TICK: Duration = Duration::from_millis(10);
@@ -28,6 +30,8 @@
     clock: Clock,
     node: ControlNode,
     senders: Senders,
+    handle: ControlHandle,
+    runtime: Handle,
     router_replies: HashMap<u64, ReplyTo<ControlReply>>,
     operator_replies: HashMap<u64, ReplyTo<OperatorReply>>,
     next_token: u64,
@@ -42,6 +46,7 @@
         store: Store,
         opened: Opened,
         senders: Senders,
+        handle: ControlHandle,
     ) -> Result<Self> {
         let slots = cx.settings.control_vms.iter().map(|vm| vm.slot);
         let mut replica = ReplicaConfig::new(opened.id, slots, rand::random());
@@ -61,6 +66,8 @@
             clock: cx.clock,
             node,
             senders,
+            handle,
+            runtime: cx.runtime.clone(),
             router_replies: HashMap::new(),
             operator_replies: HashMap::new(),
             next_token: 1,
@@ -111,6 +118,7 @@
                 self.operator_replies.insert(token, reply);
                 ControlEvent::Operator { token, request }
             }
+            Input::OrdersDone(target, taken) => ControlEvent::OrdersDone { target, taken },
             Input::Stop => ControlEvent::Tick,
         }
     }
@@ -123,6 +131,10 @@
                     let _ = tx.try_send(message);
                 }
             }
+            Effect::Order(batch) => {
+                let sending = orders::send(batch, self.handle.clone());
+                self.runtime.spawn(sending);
+            }
             Effect::Reply(token, reply) => {
                 if let Some(to) = self.router_replies.remove(&token) {
                     to(reply);
--- a/crates/deckwindd/src/control/handle.rs
+++ b/crates/deckwindd/src/control/handle.rs
@@ -2,6 +2,7 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded};
 use deckwind_core::control::{OperatorReply, OperatorRequest};
+use deckwind_core::state::TargetName;
 use deckwind_wire::{ControlReply, ControlRequest, Message};
 
 /// Where a reply goes.
@@ -15,6 +16,8 @@
     Router(ControlRequest, ReplyTo<ControlReply>),
     /// An operator's request.
     Operator(OperatorRequest, ReplyTo<OperatorReply>),
+    /// A batch of orders is over: the target, and whether it took them all.
+    OrdersDone(TargetName, bool),
     /// Stop.
     Stop,
 }
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod handle;
 mod node;
 mod operators;
+mod orders;
 mod peers;
 
 pub use handle::{ControlHandle, Input};
@@ -56,7 +57,7 @@
         let senders = peers::start_senders(cx, &peer, cfg.slot);
         cx.runtime.spawn(peers::serve(peer.clone(), handle.clone()));
         operators::serve(cfg, handle.clone())?;
-        let driver = driver::Driver::new(cx, cfg, store, opened, senders)?;
+        let driver = driver::Driver::new(cx, cfg, store, opened, senders, handle.clone())?;
         let thread = std::thread::Builder::new()
             .name("control".to_string())
             .spawn(move || driver.run(rx))?;
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -10,7 +10,7 @@
 
 use anyhow::{Context as _, Result};
 use deckwind_core::control::{
-    ControlAction, ControlCore, ControlEvent, ControlLimits, OperatorReply,
+    ControlAction, ControlCore, ControlEvent, ControlLimits, OperatorReply, OrderBatch,
 };
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{Action, Body, Event, Position, ReplicaConfig};
@@ -27,6 +27,8 @@
     Reply(u64, ControlReply),
     /// Answer an operator.
     OperatorReply(u64, OperatorReply),
+    /// Send orders to a target.
+    Order(OrderBatch),
 }
 
 /// The time of a batch.
@@ -152,6 +154,7 @@
             ControlAction::OperatorReply { token, reply } => {
                 effects.push(Effect::OperatorReply(token, reply));
             }
+            ControlAction::Order(batch) => effects.push(Effect::Order(batch)),
             _ => {}
         }
         Ok(())
