Split large modules; one shape for claims in messages and commands

Change: requests.rs and upkeep.rs beside control_core; types.rs and follower.rs beside replica; answering.rs beside callers; ClaimRequest and FinishRequest shared.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -1,20 +1,16 @@
 //! The control replica as a state machine over its parts.
 
 use super::demand::DemandTable;
-use super::messages::{ControlReply, ControlRequest, Grant, Renewal};
-use super::operator::{
-    ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
-};
+use super::messages::{ControlReply, ControlRequest};
+use super::operator::{OperatorReply, OperatorRequest};
 use super::orders::{OrderBatch, OrderDesk};
 use super::pending::{Asker, ForceWait, Parked, Proposals};
-use crate::membership::{InForce, LeaseTable, LeaseTiming};
+use crate::membership::{LeaseTable, LeaseTiming};
 use crate::replication::{
     Action, Entry, Event, HardState, Index, Payload, Position, Replica, ReplicaConfig,
     SnapshotMeta, Stored, Term,
 };
-use crate::state::{
-    ClaimLimits, Command, CommandBody, Holder, Reply, Revision, StateMachine, TargetName, VmName,
-};
+use crate::state::{ClaimLimits, Command, CommandBody, Reply, StateMachine, TargetName, VmName};
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -105,27 +101,27 @@
 }
 
 /// What only a leader keeps.
-struct Leading {
-    term: Term,
-    leases: LeaseTable,
-    demand: DemandTable,
-    orders: OrderDesk,
-    admins: BTreeMap<VmName, SocketAddr>,
+pub(super) struct Leading {
+    pub(super) term: Term,
+    pub(super) leases: LeaseTable,
+    pub(super) demand: DemandTable,
+    pub(super) orders: OrderDesk,
+    pub(super) admins: BTreeMap<VmName, SocketAddr>,
     /// Whether claims of routers that no longer exist were looked for.
-    orphans_done: bool,
+    pub(super) orphans_done: bool,
 }
 
 /// A control replica without I/O.
 pub struct ControlCore {
-    replica: Replica,
-    machine: StateMachine,
-    limits: ControlLimits,
-    lease_timing: LeaseTiming,
+    pub(super) replica: Replica,
+    pub(super) machine: StateMachine,
+    pub(super) limits: ControlLimits,
+    pub(super) lease_timing: LeaseTiming,
     hard_state: HardState,
-    leading: Option<Leading>,
-    proposals: Proposals,
-    parked: Vec<Parked>,
-    force_waits: Vec<ForceWait>,
+    pub(super) leading: Option<Leading>,
+    pub(super) proposals: Proposals,
+    pub(super) parked: Vec<Parked>,
+    pub(super) force_waits: Vec<ForceWait>,
     compacting: bool,
     /// Bytes of entries applied since the last snapshot, and its own size: a
     /// snapshot is written only when the log has grown as large, so that its
@@ -307,18 +303,18 @@
         }
     }
 
-    fn leader_slot(&self) -> Option<u8> {
+    pub(super) fn leader_slot(&self) -> Option<u8> {
         let id = self.replica.id();
         self.replica.leader().filter(|l| *l != id).map(|l| l.slot)
     }
 
-    fn not_leader(&self, token: u64, out: &mut Vec<ControlAction>) {
+    pub(super) fn not_leader(&self, token: u64, out: &mut Vec<ControlAction>) {
         let leader = self.leader_slot();
         let reply = ControlReply::NotLeader { leader };
         out.push(ControlAction::Reply { token, reply });
     }
 
-    fn propose(
+    pub(super) fn propose(
         &mut self,
         now: Instant,
         body: CommandBody,
@@ -437,276 +433,6 @@
         });
     }
 
-    fn request(
-        &mut self,
-        now: Instant,
-        token: u64,
-        request: ControlRequest,
-        out: &mut Vec<ControlAction>,
-    ) {
-        if !self.replica.may_answer(now) {
-            self.not_leader(token, out);
-            return;
-        }
-        let asker = Asker::Router(token);
-        match request {
-            ControlRequest::Renew(renewal) => self.renew(now, token, renewal, out),
-            ControlRequest::Release(holder) => {
-                if let Some(leading) = &mut self.leading {
-                    leading.leases.release(&holder);
-                    leading.demand.remove(&holder.vm);
-                }
-                self.propose(now, CommandBody::HolderGone(holder), asker, out);
-            }
-            ControlRequest::Claim {
-                key,
-                holder,
-                digest,
-                nonce,
-            } => {
-                let body = CommandBody::Claim {
-                    key,
-                    holder,
-                    digest,
-                    nonce,
-                };
-                self.propose(now, body, asker, out);
-            }
-            ControlRequest::Finish {
-                key,
-                holder,
-                nonce,
-                outcome,
-            } => {
-                let body = CommandBody::Finish {
-                    key,
-                    holder,
-                    nonce,
-                    outcome,
-                };
-                self.propose(now, body, asker, out);
-            }
-        }
-    }
-
-    fn renew(&mut self, now: Instant, token: u64, renewal: Renewal, out: &mut Vec<ControlAction>) {
-        let Some(leading) = &mut self.leading else {
-            self.not_leader(token, out);
-            return;
-        };
-        let Renewal { holder, .. } = &renewal;
-        let replaced = leading.leases.renew(now, holder, renewal.applied);
-        if replaced.is_some() {
-            leading.demand.remove(&holder.vm);
-        }
-        leading.demand.put(&holder.vm, &renewal.demand);
-        leading.admins.insert(holder.vm.clone(), renewal.admin);
-        if let Some(gone) = replaced {
-            self.propose(now, CommandBody::HolderGone(gone), Asker::Nobody, out);
-        }
-        let behind = renewal.applied < self.machine.configuration().revision();
-        let until = now + self.limits.hold;
-        self.parked.push(Parked {
-            token,
-            renewal,
-            until,
-        });
-        if behind {
-            self.release_parked(now, |p| p.token == token, out);
-        }
-        self.check_force(now, out);
-    }
-
-    /// Answers the parked renewals that `which` names.
-    fn release_parked(
-        &mut self,
-        now: Instant,
-        which: impl Fn(&Parked) -> bool,
-        out: &mut Vec<ControlAction>,
-    ) {
-        let (ready, kept) = std::mem::take(&mut self.parked)
-            .into_iter()
-            .partition(which);
-        self.parked = kept;
-        for parked in ready {
-            let token = parked.token;
-            match self.grant(now, &parked.renewal) {
-                Some(grant) => out.push(ControlAction::Reply {
-                    token,
-                    reply: ControlReply::Granted(grant),
-                }),
-                None => self.not_leader(token, out),
-            }
-        }
-    }
-
-    fn grant(&self, now: Instant, renewal: &Renewal) -> Option<Grant> {
-        if !self.replica.may_answer(now) {
-            return None;
-        }
-        let leading = self.leading.as_ref()?;
-        let cfg = self.machine.configuration();
-        let routers = leading.leases.routers().count() as u32;
-        Some(Grant {
-            term: self.replica.term(),
-            delta: cfg.delta_since(renewal.applied),
-            shares: leading.demand.shares(&renewal.demand, routers, cfg),
-            routers,
-        })
-    }
-
-    fn operator(
-        &mut self,
-        now: Instant,
-        token: u64,
-        request: OperatorRequest,
-        out: &mut Vec<ControlAction>,
-    ) {
-        if !self.replica.may_answer(now) {
-            let leader = self.leader_slot();
-            let reply = OperatorReply::NotLeader { leader };
-            out.push(ControlAction::OperatorReply { token, reply });
-            return;
-        }
-        let reply = match request {
-            OperatorRequest::Apply { request, wait } => {
-                let asker = Asker::Operator(token, now + wait);
-                self.propose(now, CommandBody::Apply(*request), asker, out);
-                return;
-            }
-            OperatorRequest::Configuration => {
-                OperatorReply::Configuration(ConfigurationView::of(self.machine.configuration()))
-            }
-            OperatorRequest::Status => OperatorReply::Status(self.status(now)),
-        };
-        out.push(ControlAction::OperatorReply { token, reply });
-    }
-
-    fn status(&self, now: Instant) -> ClusterStatus {
-        let revision = self.machine.configuration().revision();
-        let lagging = match self.in_force(now, revision) {
-            InForce::Lagging(vms) => vms,
-            _ => Vec::new(),
-        };
-        let members = self.replica.members();
-        let replicas = members.all().map(|id| ReplicaView {
-            id: id.to_string(),
-            votes: members.voters.contains(&id),
-        });
-        ClusterStatus {
-            term: self.replica.term(),
-            leader: self.replica.id().slot,
-            revision,
-            in_force: self.in_force(now, revision) == InForce::Yes,
-            lagging,
-            replicas: replicas.collect(),
-            routers: self.router_views(),
-            claims: self.machine.claims().len(),
-            log_entries: self.replica.log().len(),
-        }
-    }
-
-    fn router_views(&self) -> Vec<RouterView> {
-        let Some(leading) = &self.leading else {
-            return Vec::new();
-        };
-        let view = |(vm, lease): (&VmName, &crate::membership::RouterLease)| {
-            Some(RouterView {
-                vm: vm.clone(),
-                applied: lease.applied,
-                admin: *leading.admins.get(vm)?,
-            })
-        };
-        leading.leases.routers().filter_map(view).collect()
-    }
-
-    fn in_force(&self, now: Instant, revision: Revision) -> InForce {
-        match &self.leading {
-            Some(leading) => leading.leases.in_force(now, revision),
-            None => InForce::UnknownUntil(now),
-        }
-    }
-
-    /// Answers operators whose change is in force, or who have waited enough.
-    fn check_force(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
-        let waits = std::mem::take(&mut self.force_waits);
-        for wait in waits {
-            let in_force = self.in_force(now, wait.revision);
-            if in_force != InForce::Yes && now < wait.until {
-                self.force_waits.push(wait);
-                continue;
-            }
-            out.push(ControlAction::OperatorReply {
-                token: wait.token,
-                reply: OperatorReply::Accepted {
-                    revision: wait.revision,
-                    in_force,
-                },
-            });
-        }
-    }
-
-    fn tick(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
-        self.release_parked(now, |p| p.until <= now, out);
-        self.expire_leases(now, out);
-        self.find_orphans(now, out);
-        self.give_orders(now, out);
-        self.check_force(now, out);
-    }
-
-    fn give_orders(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
-        if !self.replica.may_answer(now) {
-            return;
-        }
-        let lease_until = self.replica.lease_until();
-        let cfg = self.machine.configuration();
-        if let Some(leading) = &mut self.leading {
-            let batches = leading.orders.issue(now, lease_until, cfg);
-            out.extend(batches.into_iter().map(ControlAction::Order));
-        }
-    }
-
-    fn expire_leases(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let gone = leading.leases.expire(now);
-        for holder in &gone {
-            leading.demand.remove(&holder.vm);
-            leading.admins.remove(&holder.vm);
-        }
-        for holder in gone {
-            self.propose(now, CommandBody::HolderGone(holder), Asker::Nobody, out);
-        }
-    }
-
-    /// Once the leases of the leader before have run out: claims whose holder
-    /// has no lease are of routers that are gone.
-    fn find_orphans(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
-        if !self.replica.may_answer(now) {
-            return;
-        }
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let known = leading.leases.in_force(now, Revision::ZERO) == InForce::Yes;
-        if leading.orphans_done || !known {
-            return;
-        }
-        leading.orphans_done = true;
-        let leases = &leading.leases;
-        let holders = self.machine.claims().holders_in_progress();
-        let gone = |h: &Holder| {
-            !leases
-                .routers()
-                .any(|(vm, l)| *vm == h.vm && l.boot == h.boot)
-        };
-        let orphans: Vec<Holder> = holders.into_iter().filter(gone).collect();
-        for holder in orphans {
-            self.propose(now, CommandBody::HolderGone(holder), Asker::Nobody, out);
-        }
-    }
-
     /// Index up to which entries are applied.
     pub fn applied(&self) -> Index {
         self.replica.commit()
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -2,7 +2,9 @@
 
 use crate::membership::{AccountDemand, AccountShare};
 use crate::replication::Term;
-use crate::state::{AccountName, ClaimKey, ClaimVerdict, Delta, Holder, Outcome, Revision};
+use crate::state::{
+    AccountName, ClaimRequest, ClaimVerdict, Delta, FinishRequest, Holder, Revision,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -40,27 +42,9 @@
     /// I have stopped.
     Release(Holder),
     /// Claim a not-repeatable request.
-    Claim {
-        /// Whose.
-        key: ClaimKey,
-        /// The router.
-        holder: Holder,
-        /// Digest of the request.
-        digest: u64,
-        /// Names this try; the same on a resend.
-        nonce: u64,
-    },
+    Claim(ClaimRequest),
     /// A claimed request ended.
-    Finish {
-        /// Whose.
-        key: ClaimKey,
-        /// The router.
-        holder: Holder,
-        /// The try that it ends.
-        nonce: u64,
-        /// How.
-        outcome: Outcome,
-    },
+    Finish(FinishRequest),
 }
 
 /// Answer of a control replica.
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -16,6 +16,8 @@
 mod operator;
 mod orders;
 mod pending;
+mod requests;
+mod upkeep;
 
 pub use control_core::{ControlAction, ControlCore, ControlEvent, ControlLimits};
 pub use messages::{ControlReply, ControlRequest, Grant, Renewal};
--- /dev/null
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -0,0 +1,170 @@
+//! What routers and operators ask of the leader.
+
+use super::control_core::{ControlAction, ControlCore};
+use super::messages::{ControlReply, ControlRequest, Grant, Renewal};
+use super::operator::{
+    ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
+};
+use super::pending::{Asker, Parked};
+use crate::membership::{InForce, RouterLease};
+use crate::state::{CommandBody, VmName};
+use crate::time::Instant;
+
+impl ControlCore {
+    pub(super) fn request(
+        &mut self,
+        now: Instant,
+        token: u64,
+        request: ControlRequest,
+        out: &mut Vec<ControlAction>,
+    ) {
+        if !self.replica.may_answer(now) {
+            self.not_leader(token, out);
+            return;
+        }
+        let asker = Asker::Router(token);
+        match request {
+            ControlRequest::Renew(renewal) => self.renew(now, token, renewal, out),
+            ControlRequest::Release(holder) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.leases.release(&holder);
+                    leading.demand.remove(&holder.vm);
+                }
+                self.propose(now, CommandBody::HolderGone(holder), asker, out);
+            }
+            ControlRequest::Claim(req) => self.propose(now, CommandBody::Claim(req), asker, out),
+            ControlRequest::Finish(req) => self.propose(now, CommandBody::Finish(req), asker, out),
+        }
+    }
+
+    fn renew(&mut self, now: Instant, token: u64, renewal: Renewal, out: &mut Vec<ControlAction>) {
+        let Some(leading) = &mut self.leading else {
+            self.not_leader(token, out);
+            return;
+        };
+        let Renewal { holder, .. } = &renewal;
+        let replaced = leading.leases.renew(now, holder, renewal.applied);
+        if replaced.is_some() {
+            leading.demand.remove(&holder.vm);
+        }
+        leading.demand.put(&holder.vm, &renewal.demand);
+        leading.admins.insert(holder.vm.clone(), renewal.admin);
+        if let Some(gone) = replaced {
+            self.propose(now, CommandBody::HolderGone(gone), Asker::Nobody, out);
+        }
+        let behind = renewal.applied < self.machine.configuration().revision();
+        let until = now + self.limits.hold;
+        self.parked.push(Parked {
+            token,
+            renewal,
+            until,
+        });
+        if behind {
+            self.release_parked(now, |p| p.token == token, out);
+        }
+        self.check_force(now, out);
+    }
+
+    /// Answers the parked renewals that `which` names.
+    pub(super) fn release_parked(
+        &mut self,
+        now: Instant,
+        which: impl Fn(&Parked) -> bool,
+        out: &mut Vec<ControlAction>,
+    ) {
+        let (ready, kept) = std::mem::take(&mut self.parked)
+            .into_iter()
+            .partition(which);
+        self.parked = kept;
+        for parked in ready {
+            let token = parked.token;
+            match self.grant(now, &parked.renewal) {
+                Some(grant) => out.push(ControlAction::Reply {
+                    token,
+                    reply: ControlReply::Granted(grant),
+                }),
+                None => self.not_leader(token, out),
+            }
+        }
+    }
+
+    fn grant(&self, now: Instant, renewal: &Renewal) -> Option<Grant> {
+        if !self.replica.may_answer(now) {
+            return None;
+        }
+        let leading = self.leading.as_ref()?;
+        let cfg = self.machine.configuration();
+        let routers = leading.leases.routers().count() as u32;
+        Some(Grant {
+            term: self.replica.term(),
+            delta: cfg.delta_since(renewal.applied),
+            shares: leading.demand.shares(&renewal.demand, routers, cfg),
+            routers,
+        })
+    }
+
+    pub(super) fn operator(
+        &mut self,
+        now: Instant,
+        token: u64,
+        request: OperatorRequest,
+        out: &mut Vec<ControlAction>,
+    ) {
+        if !self.replica.may_answer(now) {
+            let leader = self.leader_slot();
+            let reply = OperatorReply::NotLeader { leader };
+            out.push(ControlAction::OperatorReply { token, reply });
+            return;
+        }
+        let reply = match request {
+            OperatorRequest::Apply { request, wait } => {
+                let asker = Asker::Operator(token, now + wait);
+                self.propose(now, CommandBody::Apply(*request), asker, out);
+                return;
+            }
+            OperatorRequest::Configuration => {
+                OperatorReply::Configuration(ConfigurationView::of(self.machine.configuration()))
+            }
+            OperatorRequest::Status => OperatorReply::Status(self.status(now)),
+        };
+        out.push(ControlAction::OperatorReply { token, reply });
+    }
+
+    fn status(&self, now: Instant) -> ClusterStatus {
+        let revision = self.machine.configuration().revision();
+        let lagging = match self.in_force(now, revision) {
+            InForce::Lagging(vms) => vms,
+            _ => Vec::new(),
+        };
+        let members = self.replica.members();
+        let replicas = members.all().map(|id| ReplicaView {
+            id: id.to_string(),
+            votes: members.voters.contains(&id),
+        });
+        ClusterStatus {
+            term: self.replica.term(),
+            leader: self.replica.id().slot,
+            revision,
+            in_force: self.in_force(now, revision) == InForce::Yes,
+            lagging,
+            replicas: replicas.collect(),
+            routers: self.router_views(),
+            claims: self.machine.claims().len(),
+            log_entries: self.replica.log().len(),
+        }
+    }
+
+    fn router_views(&self) -> Vec<RouterView> {
+        let Some(leading) = &self.leading else {
+            return Vec::new();
+        };
+        let view = |(vm, lease): (&VmName, &RouterLease)| {
+            Some(RouterView {
+                vm: vm.clone(),
+                applied: lease.applied,
+                admin: *leading.admins.get(vm)?,
+            })
+        };
+        leading.leases.routers().filter_map(view).collect()
+    }
+}
--- /dev/null
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -0,0 +1,98 @@
+//! What a leader does as time passes: answer held renewals, end leases, look for
+//! claims of routers that are gone, give orders, tell who is in force.
+
+use super::control_core::{ControlAction, ControlCore};
+use super::operator::OperatorReply;
+use super::pending::Asker;
+use crate::membership::InForce;
+use crate::state::{CommandBody, Holder, Revision};
+use crate::time::Instant;
+
+impl ControlCore {
+    pub(super) fn in_force(&self, now: Instant, revision: Revision) -> InForce {
+        match &self.leading {
+            Some(leading) => leading.leases.in_force(now, revision),
+            None => InForce::UnknownUntil(now),
+        }
+    }
+
+    /// Answers operators whose change is in force, or who have waited enough.
+    pub(super) fn check_force(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        let waits = std::mem::take(&mut self.force_waits);
+        for wait in waits {
+            let in_force = self.in_force(now, wait.revision);
+            if in_force != InForce::Yes && now < wait.until {
+                self.force_waits.push(wait);
+                continue;
+            }
+            out.push(ControlAction::OperatorReply {
+                token: wait.token,
+                reply: OperatorReply::Accepted {
+                    revision: wait.revision,
+                    in_force,
+                },
+            });
+        }
+    }
+
+    pub(super) fn tick(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        self.release_parked(now, |p| p.until <= now, out);
+        self.expire_leases(now, out);
+        self.find_orphans(now, out);
+        self.give_orders(now, out);
+        self.check_force(now, out);
+    }
+
+    fn give_orders(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        if !self.replica.may_answer(now) {
+            return;
+        }
+        let lease_until = self.replica.lease_until();
+        let cfg = self.machine.configuration();
+        if let Some(leading) = &mut self.leading {
+            let batches = leading.orders.issue(now, lease_until, cfg);
+            out.extend(batches.into_iter().map(ControlAction::Order));
+        }
+    }
+
+    fn expire_leases(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let gone = leading.leases.expire(now);
+        for holder in &gone {
+            leading.demand.remove(&holder.vm);
+            leading.admins.remove(&holder.vm);
+        }
+        for holder in gone {
+            self.propose(now, CommandBody::HolderGone(holder), Asker::Nobody, out);
+        }
+    }
+
+    /// Once the leases of the leader before have run out: claims whose holder
+    /// has no lease are of routers that are gone.
+    fn find_orphans(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        if !self.replica.may_answer(now) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let known = leading.leases.in_force(now, Revision::ZERO) == InForce::Yes;
+        if leading.orphans_done || !known {
+            return;
+        }
+        leading.orphans_done = true;
+        let leases = &leading.leases;
+        let holders = self.machine.claims().holders_in_progress();
+        let gone = |h: &Holder| {
+            !leases
+                .routers()
+                .any(|(vm, l)| *vm == h.vm && l.boot == h.boot)
+        };
+        let orphans: Vec<Holder> = holders.into_iter().filter(gone).collect();
+        for holder in orphans {
+            self.propose(now, CommandBody::HolderGone(holder), Asker::Nobody, out);
+        }
+    }
+}
--- a/crates/deckwind-core/src/replication/election.rs
+++ b/crates/deckwind-core/src/replication/election.rs
@@ -4,7 +4,8 @@
 use super::leader::Leading;
 use super::log::Payload;
 use super::message::Body;
-use super::replica::{Action, Replica, Role};
+use super::replica::Replica;
+use super::types::{Action, Role};
 use crate::time::Instant;
 
 impl Replica {
--- a/crates/deckwind-core/src/replication/join.rs
+++ b/crates/deckwind-core/src/replication/join.rs
@@ -4,7 +4,8 @@
 use super::log::{Entry, Payload};
 use super::members::{MemberChange, Members};
 use super::message::{Body, Message};
-use super::replica::{Action, Replica};
+use super::replica::Replica;
+use super::types::Action;
 use crate::time::Instant;
 use std::time::Duration;
 
--- a/crates/deckwind-core/src/replication/message.rs
+++ b/crates/deckwind-core/src/replication/message.rs
@@ -2,7 +2,7 @@
 
 use super::ids::{ClusterId, Index, Position, ReplicaId, Term};
 use super::log::Entry;
-use super::replica::SnapshotMeta;
+use super::types::SnapshotMeta;
 use crate::time::Instant;
 use serde::{Deserialize, Serialize};
 
--- a/crates/deckwind-core/src/replication/mod.rs
+++ b/crates/deckwind-core/src/replication/mod.rs
@@ -27,6 +27,7 @@
 //! write, **sync**, then the other sends, then [`Event::Synced`].
 
 mod election;
+mod follower;
 mod ids;
 mod join;
 mod leader;
@@ -35,12 +36,14 @@
 mod message;
 mod order;
 mod replica;
+mod types;
 
 pub use ids::{ClusterId, Index, Position, ReplicaId, Term};
 pub use log::{Entry, Log, Payload};
 pub use members::{MemberChange, Members};
 pub use message::{Body, Message};
 pub use order::{Fence, FenceCheck, OrderIssuer};
-pub use replica::{
-    Action, Event, HardState, Refusal, Replica, ReplicaConfig, Role, SnapshotMeta, Stored, Timing,
+pub use replica::Replica;
+pub use types::{
+    Action, Event, HardState, Refusal, ReplicaConfig, Role, SnapshotMeta, Stored, Timing,
 };
--- a/crates/deckwind-core/src/state/command.rs
+++ b/crates/deckwind-core/src/state/command.rs
@@ -38,33 +38,41 @@
     pub change: Change,
 }
 
+/// A claim of a not-repeatable request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRequest {
+    /// Whose request.
+    pub key: ClaimKey,
+    /// Who will send it.
+    pub holder: Holder,
+    /// Digest of the request: the same key with another body is an error.
+    pub digest: u64,
+    /// Names this try of the holder's: a resend of it is granted again.
+    pub nonce: u64,
+}
+
+/// How a claimed request ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinishRequest {
+    /// Whose request.
+    pub key: ClaimKey,
+    /// Who claimed it.
+    pub holder: Holder,
+    /// The try that it ends.
+    pub nonce: u64,
+    /// How.
+    pub outcome: Outcome,
+}
+
 /// What a command does.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum CommandBody {
     /// An operator's change.
     Apply(ApplyRequest),
     /// Claims a not-repeatable request before its first byte is sent.
-    Claim {
-        /// Whose request.
-        key: ClaimKey,
-        /// Who will send it.
-        holder: Holder,
-        /// Digest of the request: the same key with another body is an error.
-        digest: u64,
-        /// Names this try of the holder's: a resend of it is granted again.
-        nonce: u64,
-    },
+    Claim(ClaimRequest),
     /// Records how a claimed request ended.
-    Finish {
-        /// Whose request.
-        key: ClaimKey,
-        /// Who claimed it.
-        holder: Holder,
-        /// The try that it ends.
-        nonce: u64,
-        /// How it ended.
-        outcome: Outcome,
-    },
+    Finish(FinishRequest),
     /// The holder is gone: what it had claimed may have run.
     HolderGone(Holder),
 }
--- a/crates/deckwind-core/src/state/machine.rs
+++ b/crates/deckwind-core/src/state/machine.rs
@@ -1,7 +1,7 @@
 //! The state machine that committed commands go through.
 
 use super::claims::{Claim, ClaimLimits, ClaimStatus, ClaimTable};
-use super::command::{ApplyRequest, Command, CommandBody, Rejection, Reply};
+use super::command::{ApplyRequest, ClaimRequest, Command, CommandBody, Rejection, Reply};
 use super::configuration::Configuration;
 use super::names::{RequestId, Revision};
 use serde::{Deserialize, Serialize};
@@ -56,28 +56,10 @@
         self.clock_ms = self.clock_ms.max(command.at_ms);
         match command.body {
             CommandBody::Apply(req) => self.apply_change(req),
-            CommandBody::Claim {
-                key,
-                holder,
-                digest,
-                nonce,
-            } => {
-                let claim = Claim {
-                    holder,
-                    digest,
-                    nonce,
-                    at_ms: self.clock_ms,
-                    status: ClaimStatus::InProgress,
-                };
-                Reply::Claim(self.claims.claim(key, claim))
-            }
-            CommandBody::Finish {
-                key,
-                holder,
-                nonce,
-                outcome,
-            } => {
-                self.claims.finish(&key, &holder, nonce, outcome);
+            CommandBody::Claim(req) => self.claim(req),
+            CommandBody::Finish(req) => {
+                self.claims
+                    .finish(&req.key, &req.holder, req.nonce, req.outcome);
                 Reply::Done
             }
             CommandBody::HolderGone(holder) => {
@@ -87,6 +69,17 @@
         }
     }
 
+    fn claim(&mut self, req: ClaimRequest) -> Reply {
+        let claim = Claim {
+            holder: req.holder,
+            digest: req.digest,
+            nonce: req.nonce,
+            at_ms: self.clock_ms,
+            status: ClaimStatus::InProgress,
+        };
+        Reply::Claim(self.claims.claim(req.key, claim))
+    }
+
     fn apply_change(&mut self, req: ApplyRequest) -> Reply {
         let digest = digest(&req);
         if let Some(first) = self.results.get(&req.request_id) {
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -20,7 +20,9 @@
 pub use claims::{
     Claim, ClaimKey, ClaimLimits, ClaimStatus, ClaimTable, ClaimVerdict, Holder, Outcome,
 };
-pub use command::{ApplyRequest, Change, Command, CommandBody, Rejection, Reply};
+pub use command::{
+    ApplyRequest, Change, ClaimRequest, Command, CommandBody, FinishRequest, Rejection, Reply,
+};
 pub use configuration::{Configuration, Delta, Versioned};
 pub use machine::StateMachine;
 pub use names::{AccountName, DataCentre, RequestId, Revision, TargetName, TemplateName, VmName};
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -12,8 +12,8 @@
 use deckwind_core::replication::{ReplicaConfig, ReplicaId, Term};
 use deckwind_core::router::{RouterConfig, RouterCore};
 use deckwind_core::state::{
-    ApplyRequest, Change, ClaimKey, Command, CommandBody, Delta, Holder, Outcome, Revision,
-    StateMachine,
+    ApplyRequest, Change, ClaimKey, ClaimRequest, Command, CommandBody, Delta, FinishRequest,
+    Holder, Outcome, Revision, StateMachine,
 };
 use deckwind_core::time::Instant;
 use deckwind_store::{FsDisk, MemoryDisk, Store};
@@ -64,8 +64,8 @@
     machine
 }
 
-fn claim(i: u64) -> CommandBody {
-    CommandBody::Claim {
+fn claim(i: u64) -> ClaimRequest {
+    ClaimRequest {
         key: ClaimKey {
             account: format!("account-{}", i % 330).into(),
             key: format!("{i:032x}"),
@@ -108,28 +108,20 @@
         let began = Clock::now();
         let mut machine = StateMachine::default();
         for i in 0..rows {
-            machine.apply(Command {
-                at_ms: i,
-                body: claim(i),
-            });
-            let CommandBody::Claim {
-                key, holder, nonce, ..
-            } = claim(i)
-            else {
-                continue;
-            };
-            let outcome = Outcome::Answer {
-                status: 200,
-                body: vec![1; 256],
-                truncated: false,
-            };
-            let body = CommandBody::Finish {
-                key,
-                holder,
-                nonce,
-                outcome,
+            let claim = claim(i);
+            let finish = FinishRequest {
+                key: claim.key.clone(),
+                holder: claim.holder.clone(),
+                nonce: claim.nonce,
+                outcome: Outcome::Answer {
+                    status: 200,
+                    body: vec![1; 256],
+                    truncated: false,
+                },
             };
-            machine.apply(Command { at_ms: i, body });
+            for body in [CommandBody::Claim(claim), CommandBody::Finish(finish)] {
+                machine.apply(Command { at_ms: i, body });
+            }
         }
         let took = began.elapsed();
         let held = resident_kib().saturating_sub(before);
@@ -212,7 +204,10 @@
     let machine = machine(1, 1, 1);
     let one = machine.configuration().delta_since(Revision(2));
     println!("  one changed target in a grant: {}", encode(&one).len());
-    println!("  a claim: {}", encode(&claim(1)).len());
+    println!(
+        "  a claim: {}",
+        encode(&ControlRequest::Claim(claim(1))).len()
+    );
 }
 
 /// A cluster of one, on a disk, that leads.
@@ -284,21 +279,7 @@
         for b in 0..batches {
             let events = (0..batch).map(|i| {
                 let n = b * batch + i;
-                let CommandBody::Claim {
-                    key,
-                    holder,
-                    digest,
-                    nonce,
-                } = claim(n)
-                else {
-                    unreachable!("it is a claim")
-                };
-                let request = ControlRequest::Claim {
-                    key,
-                    holder,
-                    digest,
-                    nonce,
-                };
+                let request = ControlRequest::Claim(claim(n));
                 ControlEvent::Request { token: n, request }
             });
             let mut effects = Vec::new();
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -2,7 +2,9 @@
 //! counted.
 
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
-use deckwind_core::state::{ClaimKey, ClaimVerdict, Holder, Outcome, Revision, VmName};
+use deckwind_core::state::{
+    ClaimKey, ClaimRequest, ClaimVerdict, FinishRequest, Holder, Outcome, Revision, VmName,
+};
 use deckwind_core::time::Instant;
 use deckwind_wire::{ControlReply, ControlRequest, Renewal};
 use rand::{Rng, RngExt};
@@ -134,12 +136,12 @@
             account: "account".into(),
             key: rng.random_range(0..KEYS).to_string(),
         };
-        let request = ControlRequest::Claim {
+        let request = ControlRequest::Claim(ClaimRequest {
             key,
             holder: self.holder(),
             digest: 0,
             nonce: self.nonce,
-        };
+        });
         self.claim = Some(Open {
             request: request.clone(),
             asked: now,
@@ -168,10 +170,15 @@
                     self.renewal = None;
                 }
             }
-            (ControlRequest::Claim { .. }, ControlReply::Claim(verdict)) => {
-                self.claim_answered(now, request, verdict);
+            (ControlRequest::Claim(claim), ControlReply::Claim(verdict))
+                if self.is_open(request) =>
+            {
+                self.claim = None;
+                if verdict == ClaimVerdict::Granted {
+                    self.send_once(now, claim);
+                }
             }
-            (ControlRequest::Finish { .. }, ControlReply::Done) if self.is_open(request) => {
+            (ControlRequest::Finish(_), ControlReply::Done) if self.is_open(request) => {
                 self.claim = None;
             }
             _ => {}
@@ -183,29 +190,16 @@
     }
 
     /// Sends what was granted, once: some targets run it, others refuse.
-    fn claim_answered(&mut self, now: Instant, request: &ControlRequest, verdict: ClaimVerdict) {
-        if !self.is_open(request) {
-            return;
-        }
-        self.claim = None;
-        let ControlRequest::Claim {
-            key, holder, nonce, ..
-        } = request
-        else {
-            return;
-        };
-        if verdict != ClaimVerdict::Granted {
-            return;
-        }
-        let outcome = self.send_to_target(&key.key, *nonce);
-        let finish = ControlRequest::Finish {
-            key: key.clone(),
-            holder: holder.clone(),
-            nonce: *nonce,
+    fn send_once(&mut self, now: Instant, claim: &ClaimRequest) {
+        let outcome = self.send_to_target(&claim.key.key, claim.nonce);
+        let request = ControlRequest::Finish(FinishRequest {
+            key: claim.key.clone(),
+            holder: claim.holder.clone(),
+            nonce: claim.nonce,
             outcome,
-        };
+        });
         self.claim = Some(Open {
-            request: finish,
+            request,
             asked: now - RESEND,
         });
     }
--- /dev/null
+++ b/crates/deckwindd/src/router/answering.rs
@@ -0,0 +1,176 @@
+//! A chat's answer: whole, or as server-sent events (WHATWG HTML, section 9.2).
+
+use super::answers::{self, Body, CallerError, Ran, answer};
+use super::callers::TOKENS_WAITING;
+use super::chat::ChatEvent;
+use super::chat_body::{ChatRequest, chunk, completion};
+use super::claims::HeldClaim;
+use super::shared::{HeldTicket, InProgress, RouterShared};
+use bytes::Bytes;
+use deckwind_core::router::Entered;
+use deckwind_core::session::EndReason;
+use deckwind_core::state::Outcome;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+/// A chat whose session runs, and what it holds until it ends.
+pub struct Answering {
+    pub shared: Arc<RouterShared>,
+    pub id: String,
+    pub chat: ChatRequest,
+    pub entered: Entered,
+    pub held: Option<HeldClaim>,
+    pub rx: mpsc::Receiver<ChatEvent>,
+    pub first: Option<ChatEvent>,
+    /// Tokens that the caller has already.
+    pub had: u32,
+    pub _ticket: HeldTicket,
+    pub _in_progress: InProgress,
+}
+
+fn no_answer(reason: EndReason, delivered: bool) -> CallerError {
+    let message = format!("the session ended without its whole answer: {reason:?}");
+    let ran = if delivered { Ran::Unknown } else { Ran::NotRun };
+    CallerError::new(StatusCode::SERVICE_UNAVAILABLE, "no-targets", ran, message)
+        .retry_after(Duration::from_secs(1))
+}
+
+impl Answering {
+    /// Waits for the first token, so that an early failure has a status.
+    pub async fn wait_for_first(&mut self) -> Result<(), CallerError> {
+        let first = self.next().await;
+        let now = self.shared.clock.now();
+        let took = now.since(self.entered.arrived);
+        let ok = matches!(first, ChatEvent::Token(_));
+        self.shared
+            .core()
+            .answered(now, &self.entered, ok.then_some(took));
+        match first {
+            ChatEvent::End(reason) if reason != EndReason::Complete => {
+                self.record(Outcome::NotRun).await;
+                Err(no_answer(reason, false))
+            }
+            event => {
+                metrics::histogram!("deckwind_router_first_token_seconds")
+                    .record(took.as_secs_f64());
+                self.first = Some(event);
+                Ok(())
+            }
+        }
+    }
+
+    async fn next(&mut self) -> ChatEvent {
+        if let Some(first) = self.first.take() {
+            return first;
+        }
+        let event = self.rx.recv().await;
+        event.unwrap_or(ChatEvent::End(EndReason::TooManyFaults))
+    }
+
+    async fn record(&mut self, outcome: Outcome) {
+        if let Some(held) = self.held.take() {
+            held.finish(outcome).await;
+        }
+    }
+
+    pub async fn whole(mut self) -> Result<Response<Body>, CallerError> {
+        let mut text = String::new();
+        let mut tokens = 0;
+        loop {
+            match self.next().await {
+                ChatEvent::Token(token) => {
+                    text.push_str(&token.text);
+                    tokens += 1;
+                }
+                ChatEvent::End(EndReason::Complete) => break,
+                ChatEvent::End(reason) => {
+                    self.record(Outcome::Unknown).await;
+                    return Err(no_answer(reason, true));
+                }
+            }
+        }
+        let body = self.completion(&text, tokens);
+        self.record_answer(&body).await;
+        Ok(answer(200, "application/json", body))
+    }
+
+    fn completion(&self, text: &str, tokens: u32) -> Vec<u8> {
+        let prompt = self.chat.prompt().len();
+        completion(&self.id, &self.chat.model, text, prompt, tokens)
+    }
+
+    async fn record_answer(&mut self, body: &[u8]) {
+        self.record(Outcome::Answer {
+            status: 200,
+            body: body.to_vec(),
+            truncated: false,
+        })
+        .await;
+    }
+
+    pub fn stream(self) -> Response<Body> {
+        let (tx, rx) = mpsc::channel(TOKENS_WAITING);
+        tokio::spawn(self.send_events(tx));
+        let body = BodyExt::boxed(StreamBody::new(ReceiverStream::new(rx)));
+        let mut res = Response::new(body);
+        let headers = res.headers_mut();
+        let event_stream = HeaderValue::from_static("text/event-stream");
+        headers.insert(header::CONTENT_TYPE, event_stream);
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        res
+    }
+
+    /// Sends server-sent events. When the caller is gone `tx` is closed; the
+    /// session's receiver goes with `self`, and that cancels its stages.
+    async fn send_events(mut self, tx: mpsc::Sender<Result<Frame<Bytes>, Infallible>>) {
+        let mut text = String::new();
+        let mut tokens = 0;
+        loop {
+            let event = tokio::select! {
+                event = self.next() => event,
+                () = tx.closed() => return,
+            };
+            let data = match &event {
+                ChatEvent::Token(token) => {
+                    text.push_str(&token.text);
+                    tokens += 1;
+                    if tokens <= self.had {
+                        continue;
+                    }
+                    self.token_event(tokens - 1, &token.text)
+                }
+                ChatEvent::End(EndReason::Complete) => self.end_event(),
+                ChatEvent::End(reason) => {
+                    let body = answers::error_body(&no_answer(*reason, true));
+                    format!("event: error\ndata: {body}\n\n")
+                }
+            };
+            if event == ChatEvent::End(EndReason::Complete) {
+                let body = self.completion(&text, tokens);
+                self.record_answer(&body).await;
+            }
+            let sent = tx.send(Ok(Frame::data(Bytes::from(data)))).await;
+            if sent.is_err() || matches!(event, ChatEvent::End(_)) {
+                return;
+            }
+        }
+    }
+
+    fn token_event(&self, position: u32, text: &str) -> String {
+        let chunk = chunk(&self.id, &self.chat.model, Some(text));
+        let json = serde_json::to_string(&chunk).unwrap_or_default();
+        format!("id: {position}\ndata: {json}\n\n")
+    }
+
+    fn end_event(&self) -> String {
+        let chunk = chunk(&self.id, &self.chat.model, None);
+        let json = serde_json::to_string(&chunk).unwrap_or_default();
+        format!("data: {json}\n\ndata: [DONE]\n\n")
+    }
+}
--- a/crates/deckwindd/src/router/callers.rs
+++ b/crates/deckwindd/src/router/callers.rs
@@ -3,21 +3,21 @@
 //! oxhttp collects an answer before it sends it (see docs/DESIGN.md), so the
 //! streams go by its nearest kin here; operators are served by oxhttp.
 
+use super::answering::Answering;
 use super::answers::{self, Body, CallerError, REQUEST_ID, Ran, answer};
-use super::chat::{ChatEvent, ChatJob, ChatRun};
-use super::chat_body::{ChatRequest, chunk, completion};
+use super::chat::{ChatJob, ChatRun};
+use super::chat_body::ChatRequest;
 use super::claims::{Claimed, HeldClaim, claim};
 use super::service;
-use super::shared::{HeldTicket, InProgress, RouterShared};
+use super::shared::{HeldTicket, RouterShared};
 use bytes::Bytes;
 use deckwind_core::router::{Denied, DeniedCode, Entered, Placed, Work};
 use deckwind_core::routing::prefix_hashes;
-use deckwind_core::session::EndReason;
 use deckwind_core::state::{AccountName, Outcome, TemplateName};
 use deckwind_net::targets::ServiceCall;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -28,7 +28,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::ReceiverStream;
 
 /// Longest head of a request, bytes.
 const MAX_HEAD: usize = 64 * 1024;
@@ -43,7 +42,7 @@
 const MAX_KEY: usize = 200;
 
 /// Tokens that may wait for a slow caller.
-const TOKENS_WAITING: usize = 16;
+pub const TOKENS_WAITING: usize = 16;
 
 /// Between two looks at requests that wait.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
@@ -415,159 +414,3 @@
     }
     Ok(chat)
 }
-
-/// A chat whose session runs, and what it holds until it ends.
-struct Answering {
-    shared: Arc<RouterShared>,
-    id: String,
-    chat: ChatRequest,
-    entered: Entered,
-    held: Option<HeldClaim>,
-    rx: mpsc::Receiver<ChatEvent>,
-    first: Option<ChatEvent>,
-    /// Tokens that the caller has already.
-    had: u32,
-    _ticket: HeldTicket,
-    _in_progress: InProgress,
-}
-
-fn no_answer(reason: EndReason, delivered: bool) -> CallerError {
-    let message = format!("the session ended without its whole answer: {reason:?}");
-    let ran = if delivered { Ran::Unknown } else { Ran::NotRun };
-    CallerError::new(StatusCode::SERVICE_UNAVAILABLE, "no-targets", ran, message)
-        .retry_after(Duration::from_secs(1))
-}
-
-impl Answering {
-    /// Waits for the first token, so that an early failure has a status.
-    async fn wait_for_first(&mut self) -> Result<(), CallerError> {
-        let first = self.next().await;
-        let now = self.shared.clock.now();
-        let took = now.since(self.entered.arrived);
-        let ok = matches!(first, ChatEvent::Token(_));
-        self.shared
-            .core()
-            .answered(now, &self.entered, ok.then_some(took));
-        match first {
-            ChatEvent::End(reason) if reason != EndReason::Complete => {
-                self.record(Outcome::NotRun).await;
-                Err(no_answer(reason, false))
-            }
-            event => {
-                metrics::histogram!("deckwind_router_first_token_seconds")
-                    .record(took.as_secs_f64());
-                self.first = Some(event);
-                Ok(())
-            }
-        }
-    }
-
-    async fn next(&mut self) -> ChatEvent {
-        if let Some(first) = self.first.take() {
-            return first;
-        }
-        let event = self.rx.recv().await;
-        event.unwrap_or(ChatEvent::End(EndReason::TooManyFaults))
-    }
-
-    async fn record(&mut self, outcome: Outcome) {
-        if let Some(held) = self.held.take() {
-            held.finish(outcome).await;
-        }
-    }
-
-    async fn whole(mut self) -> Result<Response<Body>, CallerError> {
-        let mut text = String::new();
-        let mut tokens = 0;
-        loop {
-            match self.next().await {
-                ChatEvent::Token(token) => {
-                    text.push_str(&token.text);
-                    tokens += 1;
-                }
-                ChatEvent::End(EndReason::Complete) => break,
-                ChatEvent::End(reason) => {
-                    self.record(Outcome::Unknown).await;
-                    return Err(no_answer(reason, true));
-                }
-            }
-        }
-        let body = self.completion(&text, tokens);
-        self.record_answer(&body).await;
-        Ok(answer(200, "application/json", body))
-    }
-
-    fn completion(&self, text: &str, tokens: u32) -> Vec<u8> {
-        let prompt = self.chat.prompt().len();
-        completion(&self.id, &self.chat.model, text, prompt, tokens)
-    }
-
-    async fn record_answer(&mut self, body: &[u8]) {
-        self.record(Outcome::Answer {
-            status: 200,
-            body: body.to_vec(),
-            truncated: false,
-        })
-        .await;
-    }
-
-    fn stream(self) -> Response<Body> {
-        let (tx, rx) = mpsc::channel(TOKENS_WAITING);
-        tokio::spawn(self.send_events(tx));
-        let body = BodyExt::boxed(StreamBody::new(ReceiverStream::new(rx)));
-        let mut res = Response::new(body);
-        let headers = res.headers_mut();
-        let event_stream = HeaderValue::from_static("text/event-stream");
-        headers.insert(header::CONTENT_TYPE, event_stream);
-        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
-        res
-    }
-
-    /// Sends server-sent events. When the caller is gone `tx` is closed; the
-    /// session's receiver goes with `self`, and that cancels its stages.
-    async fn send_events(mut self, tx: mpsc::Sender<Result<Frame<Bytes>, Infallible>>) {
-        let mut text = String::new();
-        let mut tokens = 0;
-        loop {
-            let event = tokio::select! {
-                event = self.next() => event,
-                () = tx.closed() => return,
-            };
-            let data = match &event {
-                ChatEvent::Token(token) => {
-                    text.push_str(&token.text);
-                    tokens += 1;
-                    if tokens <= self.had {
-                        continue;
-                    }
-                    self.token_event(tokens - 1, &token.text)
-                }
-                ChatEvent::End(EndReason::Complete) => self.end_event(),
-                ChatEvent::End(reason) => {
-                    let body = answers::error_body(&no_answer(*reason, true));
-                    format!("event: error\ndata: {body}\n\n")
-                }
-            };
-            if event == ChatEvent::End(EndReason::Complete) {
-                let body = self.completion(&text, tokens);
-                self.record_answer(&body).await;
-            }
-            let sent = tx.send(Ok(Frame::data(Bytes::from(data)))).await;
-            if sent.is_err() || matches!(event, ChatEvent::End(_)) {
-                return;
-            }
-        }
-    }
-
-    fn token_event(&self, position: u32, text: &str) -> String {
-        let chunk = chunk(&self.id, &self.chat.model, Some(text));
-        let json = serde_json::to_string(&chunk).unwrap_or_default();
-        format!("id: {position}\ndata: {json}\n\n")
-    }
-
-    fn end_event(&self) -> String {
-        let chunk = chunk(&self.id, &self.chat.model, None);
-        let json = serde_json::to_string(&chunk).unwrap_or_default();
-        format!("data: {json}\n\ndata: [DONE]\n\n")
-    }
-}
--- a/crates/deckwindd/src/router/claims.rs
+++ b/crates/deckwindd/src/router/claims.rs
@@ -3,7 +3,9 @@
 
 use super::answers::{Body, CallerError, Ran, answer};
 use super::shared::RouterShared;
-use deckwind_core::state::{AccountName, ClaimKey, ClaimVerdict, Outcome};
+use deckwind_core::state::{
+    AccountName, ClaimKey, ClaimRequest, ClaimVerdict, FinishRequest, Outcome,
+};
 use deckwind_wire::{ControlReply, ControlRequest};
 use http::{Response, StatusCode};
 use std::sync::Arc;
@@ -51,12 +53,12 @@
         key: key.map_or_else(|| shared.request_id(), str::to_string),
     };
     let nonce = shared.next_id();
-    let request = ControlRequest::Claim {
+    let request = ControlRequest::Claim(ClaimRequest {
         key: key.clone(),
         holder: shared.holder(),
         digest: xxh3_64(body),
         nonce,
-    };
+    });
     let reply = shared.control.ask(&request, CLAIM_WITHIN).await;
     match reply {
         Ok(ControlReply::Claim(ClaimVerdict::Granted)) => Ok(Claimed::Granted(HeldClaim {
@@ -133,12 +135,12 @@
 
 impl HeldClaim {
     fn send(&self, outcome: Outcome) -> impl Future<Output = ()> + use<> {
-        let request = ControlRequest::Finish {
+        let request = ControlRequest::Finish(FinishRequest {
             key: self.key.clone(),
             holder: self.shared.holder(),
             nonce: self.nonce,
             outcome,
-        };
+        });
         send_outcome(self.shared.clone(), request)
     }
 
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! ```text
 //!  callers ─► callers.rs ─► chat.rs ────► stages at engines
+//!         ◄─ answering.rs ◄──┘
 //!                    │  └─► service.rs ─► plain services
 //!                    ▼
 //!               RouterCore (one lock, short calls)
@@ -11,6 +12,7 @@
 //! ```
 
 mod admin_page;
+mod answering;
 mod answers;
 mod callers;
 mod chat;
