--- a/crates/deckwindd/src/router/callers.rs
+++ b/crates/deckwindd/src/router/callers.rs
@@ -105,7 +105,8 @@
     let result = route(&shared, &id, req).await;
     let mut res = result.unwrap_or_else(|e| {
         log::info!(
-            "event=request_refused request={id} path={path:?} code={} status={}",
+            "event=request_refused request={id} revision={} path={path:?} code={} status={}",
+            shared.revision(),
             e.code,
             e.status
         );
--- a/crates/deckwindd/src/router/chat.rs
+++ b/crates/deckwindd/src/router/chat.rs
@@ -120,8 +120,9 @@
             SessionAction::End(reason) => {
                 let _ = self.tx.send(ChatEvent::End(reason)).await;
                 log::info!(
-                    "event=session_ended request={} reason={reason:?} tokens={} attempts={}",
+                    "event=session_ended request={} revision={} reason={reason:?} tokens={} attempts={}",
                     self.job.id,
+                    self.shared.revision(),
                     self.session.delivered(),
                     self.session.attempt()
                 );
--- a/crates/deckwindd/src/router/shared.rs
+++ b/crates/deckwindd/src/router/shared.rs
@@ -7,7 +7,7 @@
 use deckwind_core::admission::{AdmissionConfig, TicketId};
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::router::{Admitted, Denied, RouterConfig, RouterCore};
-use deckwind_core::state::{DataCentre, Holder, VmName};
+use deckwind_core::state::{DataCentre, Holder, Revision, VmName};
 use deckwind_net::quic::QuicPeer;
 use deckwind_net::targets::{Engine, HttpEngine, HttpService, PlainService};
 use std::collections::HashMap;
@@ -133,6 +133,11 @@
         self.core.lock().expect("no holder panics")
     }
 
+    /// Revision of the configuration that is applied here, for logs.
+    pub fn revision(&self) -> Revision {
+        self.core().lease().applied()
+    }
+
     /// A number that no other request or try of this boot has.
     pub fn next_id(&self) -> u64 {
         self.next_id.fetch_add(1, Ordering::Relaxed)
