A test for the callers' backlog

Cause: the lost handshakes of 500 callers were found by a measurement and had no test. Change: 500 connections are made before any is accepted.

--- a/crates/deckwind-testkit/tests/testsuite/callers.rs
+++ b/crates/deckwind-testkit/tests/testsuite/callers.rs
@@ -147,3 +147,20 @@
         cluster.close().await.unwrap();
     });
 }
+
+/// A burst of callers finds room before any of them is accepted; one that finds
+/// none would wait a second for its handshake to be sent again.
+#[test]
+fn five_hundred_callers_at_once_lose_no_handshake() {
+    crate::run(async {
+        let listener = deckwindd::router::listen(any()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut open = Vec::new();
+        for _ in 0..500 {
+            open.push(tokio::net::TcpStream::connect(address).await.unwrap());
+        }
+        for _ in 0..500 {
+            listener.accept().await.unwrap();
+        }
+    });
+}
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -24,6 +24,7 @@
 mod service;
 mod shared;
 
+pub use callers::listen;
 pub use shared::{RouterShared, TargetClients};
 
 use crate::context::Context;
