--- a/crates/deckwind-testkit/tests/testsuite/sessions.rs
+++ b/crates/deckwind-testkit/tests/testsuite/sessions.rs
@@ -202,6 +202,7 @@
         frozen.iter().for_each(|e| e.set_fault(EngineFault::None));
         text.push_str(&stream.text().await.unwrap());
         assert_eq!(text, expected());
+        rig.check_runs(&[1]);
         rig.close().await;
     });
 }
@@ -326,6 +327,7 @@
         busy.set_fault(EngineFault::Slow(Duration::from_millis(more_ms)));
         text.push_str(&stream.text().await.unwrap());
         assert_eq!(text, expected());
+        rig.check_runs(&[1]);
         rig.close().await;
     });
 }
