--- a/crates/deckwind-config/src/check.rs
+++ b/crates/deckwind-config/src/check.rs
@@ -3,7 +3,7 @@
 use crate::finding::{Finding, Findings};
 use crate::place::Collector;
 use crate::schema::{SETTINGS, check_object};
-use crate::settings::{ControlSettings, RouterSettings, Settings};
+use crate::settings::{ControlSettings, RouterSettings, SeedSettings, Settings};
 use jsonc_parser::ast::Value;
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
@@ -19,6 +19,7 @@
     let settings = parse(&text, &mut out).map(|mut s| {
         let folder = file.parent().unwrap_or(Path::new("."));
         make_absolute(&mut s, folder);
+        name_slot(&mut s);
         check(&s, &mut out);
         s
     });
@@ -69,9 +70,11 @@
 
 fn make_absolute(s: &mut Settings, folder: &Path) {
     let fix = |p: &mut PathBuf| *p = folder.join(&*p);
-    fix(&mut s.keys.ca);
-    fix(&mut s.keys.certificate);
-    fix(&mut s.keys.key);
+    if let Some(keys) = &mut s.keys {
+        fix(&mut keys.ca);
+        fix(&mut keys.certificate);
+        fix(&mut keys.key);
+    }
     if let Some(c) = &mut s.control {
         fix(&mut c.data_folder);
     }
@@ -80,6 +83,13 @@
     }
 }
 
+/// With seeds a replica's slot is its address.
+fn name_slot(s: &mut Settings) {
+    if let (Some(seeds), Some(control)) = (&s.seeds, &mut s.control) {
+        control.slot = u32::from(seeds.ip);
+    }
+}
+
 fn check(s: &Settings, out: &mut Collector) {
     if s.router.is_none() && s.control.is_none() {
         out.add(
@@ -88,6 +98,7 @@
             "has neither a router nor a control part; write at least one",
         );
     }
+    check_what_seeds_replace(s, out);
     check_files(s, out);
     check_control_vms(s, out);
     if let Some(c) = &s.control {
@@ -99,11 +110,34 @@
     check_clashes(s, out);
 }
 
+/// What may only be left out where replicas are found by seeds.
+fn check_what_seeds_replace(s: &Settings, out: &mut Collector) {
+    if s.seeds.is_some() {
+        return;
+    }
+    if s.keys.is_none() {
+        out.add_at_key("keys", "is missing; write an object { … }");
+    }
+    let control = s.control.as_ref();
+    if control.is_some_and(|c| c.operator_token_sha256.is_none()) {
+        let message = "is missing; make it with `deckwind keys token`";
+        out.add_at_key("control.operator_token_sha256", message);
+    }
+    let router = s.router.as_ref();
+    if router.is_some_and(|r| r.callers.is_none()) {
+        let message = "is missing; write an IP and port such as \"127.0.0.1:7000\"";
+        out.add_at_key("router.callers", message);
+    }
+}
+
 fn check_files(s: &Settings, out: &mut Collector) {
+    let Some(keys) = &s.keys else {
+        return;
+    };
     let files = [
-        ("keys.ca", &s.keys.ca),
-        ("keys.certificate", &s.keys.certificate),
-        ("keys.key", &s.keys.key),
+        ("keys.ca", &keys.ca),
+        ("keys.certificate", &keys.certificate),
+        ("keys.key", &keys.key),
     ];
     for (key, path) in files {
         if !path.is_file() {
@@ -118,6 +152,10 @@
 
 fn check_control_vms(s: &Settings, out: &mut Collector) {
     let count = s.control_vms.len();
+    if let Some(seeds) = &s.seeds {
+        check_seeds(seeds, count, out);
+        return;
+    }
     if !matches!(count, 1 | 3 | 5 | 7) {
         let message = format!("has {count} entries; write 3, 5 or 7 (1 for a trial)");
         out.add_at_key("control_vms", message);
@@ -134,8 +172,20 @@
     }
 }
 
+fn check_seeds(seeds: &SeedSettings, listed: usize, out: &mut Collector) {
+    if listed > 0 {
+        let message = "stands beside control_vms; write one of the two";
+        out.add_at_key("seeds", message);
+    }
+    if seeds.control.is_empty() {
+        let message = "names nobody; write at least one control replica";
+        out.add_at_key("seeds.control", message);
+    }
+}
+
 fn check_control(s: &Settings, c: &ControlSettings, out: &mut Collector) {
-    if !s.control_vms.iter().any(|vm| vm.slot == c.slot) {
+    let listed = s.control_vms.iter().any(|vm| vm.slot == c.slot);
+    if s.seeds.is_none() && !listed {
         let message = format!("slot {} is not in control_vms; add it there", c.slot);
         out.add_at_key("control.slot", message);
     }
@@ -171,11 +221,17 @@
 fn check_clashes(s: &Settings, out: &mut Collector) {
     let mut tcp: Vec<(&str, SocketAddr)> = Vec::new();
     if let Some(r) = &s.router {
-        tcp.push(("router.callers", r.callers));
+        let optional = [
+            ("router.callers", r.callers),
+            ("router.routes", r.routes),
+            ("router.ready", r.ready),
+        ];
+        tcp.extend(optional.into_iter().filter_map(|(k, a)| Some((k, a?))));
         tcp.push(("router.admin", r.admin));
     }
     if let Some(c) = &s.control {
         tcp.push(("control.admin", c.admin));
+        tcp.extend(c.calls.map(|a| ("control.calls", a)));
     }
     for (i, (key, address)) in tcp.iter().enumerate() {
         let first = tcp[..i].iter().find(|(_, a)| a == address && a.port() != 0);
--- a/crates/deckwind-config/src/lib.rs
+++ b/crates/deckwind-config/src/lib.rs
@@ -18,6 +18,6 @@
 pub use check::load;
 pub use finding::{Finding, Findings};
 pub use settings::{
-    ControlSettings, ControlVm, KeySettings, LogSettings, PlatformSettings, RouterSettings,
-    Settings,
+    ControlSettings, ControlVm, KeySettings, LogSettings, PlatformSettings, RepeatSettings,
+    RouterSettings, SeedSettings, Settings,
 };
--- a/crates/deckwind-config/src/schema.rs
+++ b/crates/deckwind-config/src/schema.rs
@@ -19,6 +19,12 @@
     Choice(&'static [&'static str]),
     /// 64 hexadecimal digits.
     Sha256,
+    /// A number, 0 or more.
+    Number,
+    /// `true` or `false`.
+    Flag,
+    /// A list of addresses.
+    Addresses,
     /// Any keys, each with such a value.
     Map(&'static Kind),
     /// A list of objects.
@@ -54,7 +60,7 @@
 pub static SETTINGS: &[Field] = &[
     must("vm", Kind::Text),
     must("data_centre", Kind::Text),
-    must(
+    may(
         "keys",
         Kind::Object(&[
             must("ca", Kind::Text),
@@ -62,13 +68,29 @@
             must("key", Kind::Text),
         ]),
     ),
-    must(
+    may(
         "control_vms",
         Kind::List(&[
             must("slot", Kind::Integer { min: 0, max: 6 }),
             must("address", Kind::Address),
         ]),
     ),
+    may(
+        "seeds",
+        Kind::Object(&[
+            must("ip", Kind::Text),
+            must(
+                "peer_port",
+                Kind::Integer {
+                    min: 1,
+                    max: 65_535,
+                },
+            ),
+            must("control", Kind::Addresses),
+            may("first_start", Kind::Flag),
+            must("lost_at_once", Kind::Integer { min: 0, max: 7 }),
+        ]),
+    ),
     may(
         "log",
         Kind::Object(&[
@@ -83,7 +105,24 @@
     may(
         "router",
         Kind::Object(&[
-            must("callers", Kind::Address),
+            may("callers", Kind::Address),
+            may("routes", Kind::Address),
+            may("ready", Kind::Address),
+            may("killed_after", Kind::Duration),
+            may(
+                "repeats",
+                Kind::Object(&[
+                    must("share", Kind::Number),
+                    must(
+                        "beyond",
+                        Kind::Integer {
+                            min: 0,
+                            max: 1 << 20,
+                        },
+                    ),
+                    must("window", Kind::Duration),
+                ]),
+            ),
             must("peers", Kind::Address),
             must("admin", Kind::Address),
             may("lease", Kind::Duration),
@@ -109,10 +148,11 @@
     may(
         "control",
         Kind::Object(&[
-            must("slot", Kind::Integer { min: 0, max: 6 }),
+            may("slot", Kind::Integer { min: 0, max: 6 }),
             must("data_folder", Kind::Text),
+            may("calls", Kind::Address),
             must("admin", Kind::Address),
-            must("operator_token_sha256", Kind::Sha256),
+            may("operator_token_sha256", Kind::Sha256),
             may("lease", Kind::Duration),
             may("heartbeat", Kind::Duration),
             may("election_min", Kind::Duration),
@@ -189,6 +229,9 @@
         Kind::Integer { min, max } => format!("a whole number from {min} to {max}"),
         Kind::Choice(words) => format!("one of \"{}\"", words.join("\", \"")),
         Kind::Sha256 => "64 hexadecimal digits, as `deckwind keys token` prints them".to_string(),
+        Kind::Number => "a number, 0 or more".to_string(),
+        Kind::Flag => "true or false".to_string(),
+        Kind::Addresses => "a list of IPs and ports".to_string(),
         Kind::Map(_) | Kind::Object(_) => "an object { … }".to_string(),
         Kind::List(_) => "a list [ … ] of objects".to_string(),
     }
@@ -222,6 +265,11 @@
             .value
             .parse::<u64>()
             .is_ok_and(|v| (*min..=*max).contains(&v)),
+        (Kind::Number, Value::NumberLit(n)) => n.value.parse::<f64>().is_ok_and(|v| v >= 0.0),
+        (Kind::Flag, Value::BooleanLit(_)) => true,
+        (Kind::Addresses, Value::Array(list)) => {
+            list.elements.iter().all(|e| fits(e, &Kind::Address))
+        }
         (kind, Value::StringLit(s)) => text_fits(&s.value, kind),
         _ => false,
     }
--- a/crates/deckwind-config/src/settings.rs
+++ b/crates/deckwind-config/src/settings.rs
@@ -3,7 +3,7 @@
 use deckwind_core::state::{DataCentre, VmName};
 use serde::{Deserialize, Deserializer};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -14,10 +14,13 @@
     pub vm: VmName,
     /// Data centre that it stands in.
     pub data_centre: DataCentre,
-    /// Certificates.
-    pub keys: KeySettings,
-    /// All control VMs.
+    /// Certificates; without them any peer that reaches an address is trusted.
+    pub keys: Option<KeySettings>,
+    /// All control VMs; empty where `seeds` are given instead.
+    #[serde(default)]
     pub control_vms: Vec<ControlVm>,
+    /// How control replicas are found where there is no list of them.
+    pub seeds: Option<SeedSettings>,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
@@ -44,18 +47,35 @@
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct ControlVm {
     /// Its slot.
-    pub slot: u8,
+    pub slot: u32,
     /// Its UDP address.
     pub address: SocketAddr,
 }
 
+/// Control replicas find each other by a few addresses.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct SeedSettings {
+    /// This VM's address.
+    pub ip: Ipv4Addr,
+    /// UDP port of control replicas; the same on every VM.
+    pub peer_port: u16,
+    /// Where some control replicas take calls. Only their IPs matter here.
+    pub control: Vec<SocketAddrV4>,
+    /// Whether the whole system starts for the first time: only then is a
+    /// cluster formed.
+    #[serde(default)]
+    pub first_start: bool,
+    /// Control VMs that may be lost at once.
+    pub lost_at_once: u8,
+}
+
 /// Logs.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub struct LogSettings {
     /// Least severe level that is written.
     pub level: String,
-    /// Folder for log files; standard error if there is none.
+    /// Folder for log files; standard output if there is none.
     pub folder: Option<PathBuf>,
 }
 
@@ -81,8 +101,19 @@
 /// The router's role.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct RouterSettings {
-    /// TCP address for callers.
-    pub callers: SocketAddr,
+    /// TCP address for callers of templates.
+    pub callers: Option<SocketAddr>,
+    /// TCP address for callers of published routes.
+    pub routes: Option<SocketAddr>,
+    /// TCP address at which a balancer asks whether it is ready.
+    pub ready: Option<SocketAddr>,
+    /// How long after SIGTERM the process is killed: requests in progress end
+    /// before.
+    #[serde(default, deserialize_with = "maybe_duration")]
+    pub killed_after: Option<Duration>,
+    /// Bound on what is sent again, over all routers.
+    #[serde(default)]
+    pub repeats: RepeatSettings,
     /// UDP address towards the control replicas.
     pub peers: SocketAddr,
     /// TCP address for health, metrics and reports.
@@ -107,17 +138,45 @@
     pub links: BTreeMap<String, Duration>,
 }
 
+/// Bound on what is sent again, over all routers together: within any window at
+/// most a share of the requests, and some more.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+pub struct RepeatSettings {
+    /// Share of the requests.
+    pub share: f64,
+    /// Repeats beyond the share.
+    pub beyond: u32,
+    /// The window.
+    #[serde(deserialize_with = "duration")]
+    pub window: Duration,
+}
+
+impl Default for RepeatSettings {
+    /// A fifth, as usual for retry budgets; a hundred over all routers so that
+    /// the loss of one chain under little load is still repaired.
+    fn default() -> Self {
+        Self {
+            share: 0.2,
+            beyond: 100,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
 /// The control replica's role.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct ControlSettings {
-    /// Its slot in `control_vms`.
-    pub slot: u8,
+    /// Its slot in `control_vms`; with `seeds` its address.
+    #[serde(default)]
+    pub slot: u32,
     /// Folder that it has for itself.
     pub data_folder: PathBuf,
     /// TCP address for operators.
     pub admin: SocketAddr,
-    /// SHA-256 of the operators' token.
-    pub operator_token_sha256: String,
+    /// SHA-256 of the operators' token; without it no operator is let in there.
+    pub operator_token_sha256: Option<String>,
+    /// TCP address for published releases and announcements of targets.
+    pub calls: Option<SocketAddr>,
     /// Length of a router's lease; the same on every VM.
     #[serde(default = "two_seconds", deserialize_with = "duration")]
     pub lease: Duration,
@@ -169,6 +228,10 @@
     humantime::parse_duration(&text).map_err(serde::de::Error::custom)
 }
 
+fn maybe_duration<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Duration>, D::Error> {
+    duration(d).map(Some)
+}
+
 fn durations<'de, D: Deserializer<'de>>(d: D) -> Result<BTreeMap<String, Duration>, D::Error> {
     let texts = BTreeMap::<String, String>::deserialize(d)?;
     texts
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -1,16 +1,20 @@
 //! The control replica as a state machine over its parts.
 
 use super::demand::DemandTable;
-use super::messages::{ControlReply, ControlRequest};
+use super::messages::{ControlReply, ControlRequest, PathUse};
 use super::operator::{OperatorReply, OperatorRequest};
 use super::orders::{OrderBatch, OrderDesk};
 use super::pending::{Asker, ForceWait, Parked, Proposals};
+use super::placement_desk::{PlaceOrder, PlacementDesk};
 use crate::membership::{LeaseTable, LeaseTiming};
 use crate::replication::{
     Action, Entry, Event, HardState, Index, Payload, Position, Replica, ReplicaConfig,
     SnapshotMeta, Stored, Term,
 };
-use crate::state::{ClaimLimits, Command, CommandBody, Reply, StateMachine, TargetName, VmName};
+use crate::state::{
+    ClaimLimits, Command, CommandBody, InstanceId, LayerRange, Reply, StateMachine, TargetName,
+    VmName,
+};
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,6 +26,8 @@
 pub struct ControlLimits {
     /// Entries after which the log is folded into a snapshot.
     pub compact_after: usize,
+    /// Bytes of entries after which it is: whole releases are large.
+    pub compact_bytes: usize,
     /// How long a renewal waits for a change.
     pub hold: Duration,
     /// Claims.
@@ -32,6 +38,7 @@
     fn default() -> Self {
         Self {
             compact_after: 4_096,
+            compact_bytes: 4 << 20,
             hold: Duration::from_millis(400),
             claims: ClaimLimits::default(),
         }
@@ -59,6 +66,13 @@
         /// Whether it took all of them.
         taken: bool,
     },
+    /// An order to place layers is over.
+    Placed {
+        /// The engine.
+        id: InstanceId,
+        /// What it then held, where that is known.
+        held: Option<LayerRange>,
+    },
     /// An operator's request.
     Operator {
         /// Comes back with the reply.
@@ -99,6 +113,8 @@
     },
     /// Send these orders, then report [`ControlEvent::OrdersDone`].
     Order(OrderBatch),
+    /// Have an engine hold other layers, then report [`ControlEvent::Placed`].
+    Place(PlaceOrder),
     /// Stop at once: what was agreed can't be read here. Going on would let this
     /// replica's state differ from the others'.
     Stop(Unreadable),
@@ -124,6 +140,13 @@
     pub(super) leases: LeaseTable,
     pub(super) demand: DemandTable,
     pub(super) orders: OrderDesk,
+    pub(super) placement: PlacementDesk,
+    /// When each target last announced itself.
+    pub(super) heard: BTreeMap<InstanceId, Instant>,
+    /// When silent targets are next looked for.
+    pub(super) next_look: Instant,
+    /// What each router's streams hold.
+    pub(super) in_use: BTreeMap<VmName, Vec<PathUse>>,
     pub(super) admins: BTreeMap<VmName, SocketAddr>,
     /// Whether claims of routers that no longer exist were looked for.
     pub(super) orphans_done: bool,
@@ -213,6 +236,7 @@
             ControlEvent::Replica(event) => self.feed(now, event, out),
             ControlEvent::Request { token, request } => self.request(now, token, request, out),
             ControlEvent::Operator { token, request } => self.operator(now, token, request, out),
+            ControlEvent::Placed { id, held } => self.placed(now, &id, held, out),
             ControlEvent::OrdersDone { target, taken } => {
                 if let Some(leading) = &mut self.leading {
                     leading.orders.finished(now, &target, taken);
@@ -284,6 +308,10 @@
                 leases: LeaseTable::new(self.lease_timing, since),
                 demand: DemandTable::default(),
                 orders: OrderDesk::new(term, since),
+                placement: PlacementDesk::default(),
+                heard: BTreeMap::new(),
+                next_look: since,
+                in_use: BTreeMap::new(),
                 admins: BTreeMap::new(),
                 orphans_done: false,
             });
@@ -318,7 +346,7 @@
         }
     }
 
-    pub(super) fn leader_slot(&self) -> Option<u8> {
+    pub(super) fn leader_slot(&self) -> Option<u32> {
         let id = self.replica.id();
         self.replica.leader().filter(|l| *l != id).map(|l| l.slot)
     }
@@ -427,7 +455,8 @@
     fn compact_if_long(&mut self, out: &mut Vec<ControlAction>) {
         let applied = self.replica.commit();
         let base = self.replica.log().base().index;
-        let long = applied.0 - base.0 >= self.limits.compact_after as u64;
+        let many = applied.0 - base.0 >= self.limits.compact_after as u64;
+        let long = many || self.log_bytes >= self.limits.compact_bytes;
         let Some(term) = self.replica.log().term_at(applied).filter(|_| long) else {
             return;
         };
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -3,7 +3,7 @@
 use crate::membership::{AccountDemand, AccountShare};
 use crate::replication::Term;
 use crate::state::{
-    AccountName, ClaimRequest, ClaimVerdict, Delta, FinishRequest, Holder, Revision,
+    AccountName, ClaimRequest, ClaimVerdict, DataCentre, Delta, FinishRequest, Holder, Revision,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -19,6 +19,19 @@
     pub admin: SocketAddr,
     /// What accounts asked of it.
     pub demand: Vec<(AccountName, AccountDemand)>,
+    /// What its streams hold.
+    pub in_use: Vec<PathUse>,
+}
+
+/// What one router's streams hold in one data centre's chain.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PathUse {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Tokens that they will keep, as far as can be told.
+    pub tokens: u64,
+    /// Streams.
+    pub streams: u32,
 }
 
 /// The leader grants a lease.
@@ -32,6 +45,10 @@
     pub shares: Vec<(AccountName, AccountShare)>,
     /// Routers with a live lease.
     pub routers: u32,
+    /// What all other routers' streams hold.
+    pub in_use: Vec<PathUse>,
+    /// Slots of the control replicas.
+    pub replicas: Vec<u32>,
 }
 
 /// A request to a control replica.
@@ -55,7 +72,7 @@
     /// Ask another replica; nothing was done.
     NotLeader {
         /// Slot of the leader, where known.
-        leader: Option<u8>,
+        leader: Option<u32>,
     },
     /// Verdict on a claim.
     Claim(ClaimVerdict),
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -10,18 +10,21 @@
 //!
 //! Only a leader with a valid lease answers; everybody else names the leader.
 
+mod announcements;
 mod control_core;
 mod demand;
 mod messages;
 mod operator;
 mod orders;
 mod pending;
+mod placement_desk;
 mod requests;
 mod upkeep;
 
 pub use control_core::{ControlAction, ControlCore, ControlEvent, ControlLimits, Unreadable};
-pub use messages::{ControlReply, ControlRequest, Grant, Renewal};
+pub use messages::{ControlReply, ControlRequest, Grant, PathUse, Renewal};
 pub use operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
 pub use orders::{ORDER_FLIGHT, OrderBatch, OrderKind, TargetOrder};
+pub use placement_desk::{PlaceOrder, PlaceWork, PlacementDesk};
--- a/crates/deckwind-core/src/control/operator.rs
+++ b/crates/deckwind-core/src/control/operator.rs
@@ -3,7 +3,8 @@
 use crate::membership::InForce;
 use crate::replication::{Role, Term};
 use crate::state::{
-    Account, ApplyRequest, Configuration, Rejection, Revision, Target, Template, VmName,
+    Account, ApplyRequest, Configuration, Instance, InstanceId, Published, Rejection, Revision,
+    Target, Template, VmName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -19,6 +20,14 @@
         /// How long to wait for it to be in force.
         wait: Duration,
     },
+    /// Publish a release. Accepted as soon as it is agreed.
+    Publish(Box<Published>),
+    /// Read the document of the release that holds.
+    Document,
+    /// A target says how it is.
+    Announce(Box<Instance>),
+    /// A target has left.
+    Leave(InstanceId),
     /// Read the configuration.
     Configuration,
     /// Read how the cluster is.
@@ -37,6 +46,8 @@
     },
     /// Not accepted.
     Rejected(Rejection),
+    /// The document of the release that holds; nothing if there is none.
+    Document(Option<Vec<u8>>),
     /// The configuration.
     Configuration(ConfigurationView),
     /// How the cluster is.
@@ -44,7 +55,7 @@
     /// Ask another replica; nothing was done.
     NotLeader {
         /// Slot of the leader, where known.
-        leader: Option<u8>,
+        leader: Option<u32>,
     },
     /// Leadership was lost on the way. Send it again with the same request id.
     Unknown,
@@ -101,7 +112,7 @@
     /// Leader's term.
     pub term: Term,
     /// Leader's slot.
-    pub leader: u8,
+    pub leader: u32,
     /// Revision accepted last.
     pub revision: Revision,
     /// Whether it is in force everywhere.
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -1,14 +1,34 @@
 //! What routers and operators ask of the leader.
 
-use super::control_core::{ControlAction, ControlCore};
-use super::messages::{ControlReply, ControlRequest, Grant, Renewal};
+use super::control_core::{ControlAction, ControlCore, Leading};
+use super::messages::{ControlReply, ControlRequest, Grant, PathUse, Renewal};
 use super::operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
 use super::pending::{Asker, Parked};
 use crate::membership::{InForce, RouterLease};
-use crate::state::{CommandBody, VmName};
+use crate::state::{CommandBody, DataCentre, VmName};
 use crate::time::Instant;
+use std::collections::BTreeMap;
+
+impl Leading {
+    /// What the streams of all routers but one hold, by data centre.
+    fn in_use_of_others(&self, vm: &VmName) -> Vec<PathUse> {
+        let mut sums: BTreeMap<DataCentre, PathUse> = BTreeMap::new();
+        let others = self.in_use.iter().filter(|(other, _)| *other != vm);
+        for one in others.flat_map(|(_, uses)| uses) {
+            let none = || PathUse {
+                data_centre: one.data_centre.clone(),
+                tokens: 0,
+                streams: 0,
+            };
+            let sum = sums.entry(one.data_centre.clone()).or_insert_with(none);
+            sum.tokens += one.tokens;
+            sum.streams += one.streams;
+        }
+        sums.into_values().collect()
+    }
+}
 
 impl ControlCore {
     pub(super) fn request(
@@ -29,6 +49,7 @@
                 if let Some(leading) = &mut self.leading {
                     leading.leases.release(&holder);
                     leading.demand.remove(&holder.vm);
+                    leading.in_use.remove(&holder.vm);
                 }
                 self.propose(now, CommandBody::HolderGone(holder), asker, out);
             }
@@ -49,6 +70,8 @@
         }
         leading.demand.put(&holder.vm, &renewal.demand);
         leading.admins.insert(holder.vm.clone(), renewal.admin);
+        let in_use = renewal.in_use.clone();
+        leading.in_use.insert(holder.vm.clone(), in_use);
         if let Some(gone) = replaced {
             self.propose(now, CommandBody::HolderGone(gone), Asker::Nobody, out);
         }
@@ -95,11 +118,14 @@
         let leading = self.leading.as_ref()?;
         let cfg = self.machine.configuration();
         let routers = leading.leases.routers().count() as u32;
+        let replicas = self.replica.members().all().map(|id| id.slot);
         Some(Grant {
             term: self.replica.term(),
             delta: cfg.delta_since(renewal.applied),
             shares: leading.demand.shares(&renewal.demand, routers, cfg),
             routers,
+            in_use: leading.in_use_of_others(&renewal.holder.vm),
+            replicas: replicas.collect(),
         })
     }
 
@@ -122,6 +148,24 @@
                 self.propose(now, CommandBody::Apply(*request), asker, out);
                 return;
             }
+            OperatorRequest::Publish(published) => {
+                let asker = Asker::Operator(token, now);
+                self.propose(now, CommandBody::Publish(published), asker, out);
+                return;
+            }
+            OperatorRequest::Announce(instance) => {
+                self.announced(now, token, *instance, out);
+                return;
+            }
+            OperatorRequest::Leave(id) => {
+                self.left(now, token, id, out);
+                return;
+            }
+            OperatorRequest::Document => {
+                let cfg = self.machine.configuration();
+                let document = cfg.release().map(|_| cfg.document().to_vec());
+                OperatorReply::Document(document)
+            }
             OperatorRequest::Configuration => {
                 OperatorReply::Configuration(ConfigurationView::of(self.machine.configuration()))
             }
--- a/crates/deckwind-core/src/control/upkeep.rs
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -40,6 +40,7 @@
         self.expire_leases(now, out);
         self.find_orphans(now, out);
         self.give_orders(now, out);
+        self.look_for_silent(now, out);
         self.check_force(now, out);
     }
 
@@ -63,6 +64,7 @@
         for holder in &gone {
             leading.demand.remove(&holder.vm);
             leading.admins.remove(&holder.vm);
+            leading.in_use.remove(&holder.vm);
         }
         for holder in gone {
             self.propose(now, CommandBody::HolderGone(holder), Asker::Nobody, out);
--- a/crates/deckwind-core/src/lib.rs
+++ b/crates/deckwind-core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod membership;
 pub mod replication;
 pub mod router;
+pub mod routes;
 pub mod routing;
 pub mod session;
 pub mod state;
--- a/crates/deckwind-core/src/replication/ids.rs
+++ b/crates/deckwind-core/src/replication/ids.rs
@@ -43,7 +43,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ReplicaId {
     /// Which control VM, from the settings.
-    pub slot: u8,
+    pub slot: u32,
     /// Random, made with the data folder.
     pub identity: u64,
 }
--- a/crates/deckwind-core/src/replication/leader.rs
+++ b/crates/deckwind-core/src/replication/leader.rs
@@ -33,7 +33,7 @@
     pub peers: BTreeMap<ReplicaId, Progress>,
     pub next_heartbeat: Instant,
     /// Replicas that asked to be taken in.
-    pub joining: BTreeMap<u8, ReplicaId>,
+    pub joining: BTreeMap<u32, ReplicaId>,
 }
 
 impl Leading {
--- a/crates/deckwind-core/src/replication/members.rs
+++ b/crates/deckwind-core/src/replication/members.rs
@@ -42,7 +42,7 @@
     }
 
     /// The member at a slot.
-    pub fn at_slot(&self, slot: u8) -> Option<ReplicaId> {
+    pub fn at_slot(&self, slot: u32) -> Option<ReplicaId> {
         self.all().find(|id| id.slot == slot)
     }
 
--- a/crates/deckwind-core/src/replication/message.rs
+++ b/crates/deckwind-core/src/replication/message.rs
@@ -14,7 +14,7 @@
     /// Sender.
     pub from: ReplicaId,
     /// Slot it goes to.
-    pub to_slot: u8,
+    pub to_slot: u32,
     /// Identity it is meant for; nothing for "whoever is there".
     pub to_identity: Option<u64>,
     /// Sender's term.
--- a/crates/deckwind-core/src/replication/mod.rs
+++ b/crates/deckwind-core/src/replication/mod.rs
@@ -44,6 +44,7 @@
 pub use message::{Body, Message};
 pub use order::{Fence, FenceCheck, OrderIssuer};
 pub use replica::Replica;
+pub use types::BySeeds;
 pub use types::{
     Action, Event, HardState, Refusal, ReplicaConfig, Role, SnapshotMeta, Stored, Timing,
 };
--- a/crates/deckwind-core/src/replication/replica.rs
+++ b/crates/deckwind-core/src/replication/replica.rs
@@ -33,7 +33,7 @@
     pub(super) failed_elections: u32,
     pub(super) leading: Option<Leading>,
     pub(super) next_join: Instant,
-    pub(super) unformed_peers: BTreeMap<u8, ReplicaId>,
+    pub(super) unformed_peers: BTreeMap<u32, ReplicaId>,
 }
 
 impl Replica {
@@ -130,6 +130,7 @@
             Event::Tick => self.tick(now, out),
             Event::Receive(message) => self.receive(now, message, out),
             Event::Propose { token, command } => self.propose(token, command, out),
+            Event::Seeds(slots) => self.take_seeds(slots),
             Event::Change(change) => self.change_members(change, out),
             Event::Synced(at) => self.on_synced(at, out),
             Event::Compacted(through) => self.on_compacted(through),
--- a/crates/deckwind-core/src/replication/types.rs
+++ b/crates/deckwind-core/src/replication/types.rs
@@ -71,13 +71,27 @@
     pub entries: Vec<Entry>,
 }
 
+/// Members that find each other by a few addresses instead of a fixed list of
+/// slots. A slot is then the replica's IPv4 address as a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BySeeds {
+    /// Whether this replica may form the cluster with the other seeds: it is one
+    /// of them, and the whole system starts for the first time.
+    pub may_form: bool,
+    /// Voters that are enough: above this number a silent one is taken out.
+    pub voters_wanted: usize,
+}
+
 /// Who a replica is and how it keeps time.
 #[derive(Clone, Debug)]
 pub struct ReplicaConfig {
     /// Its id.
     pub id: ReplicaId,
-    /// Slots of all control VMs, this one among them.
-    pub slots: BTreeSet<u8>,
+    /// Slots of all control VMs, this one among them; with `by_seeds`, those
+    /// that are known from the start.
+    pub slots: BTreeSet<u32>,
+    /// How members find each other where the slots are no fixed list.
+    pub by_seeds: Option<BySeeds>,
     /// Periods.
     pub timing: Timing,
     /// Seed of its election timeouts.
@@ -88,11 +102,12 @@
 
 impl ReplicaConfig {
     /// Default periods and bounds.
-    pub fn new(id: ReplicaId, slots: impl IntoIterator<Item = u8>, seed: u64) -> Self {
+    pub fn new(id: ReplicaId, slots: impl IntoIterator<Item = u32>, seed: u64) -> Self {
         const MAX_BATCH_BYTES: usize = 256 * 1024;
         Self {
             id,
             slots: slots.into_iter().collect(),
+            by_seeds: None,
             timing: Timing::default(),
             seed,
             max_batch_bytes: MAX_BATCH_BYTES,
@@ -114,6 +129,8 @@
         /// The command, encoded.
         command: Vec<u8>,
     },
+    /// The settings name other seeds: these slots.
+    Seeds(BTreeSet<u32>),
     /// An operator wants other members.
     Change(MemberChange),
     /// Everything up to here is synced.
--- /dev/null
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -0,0 +1,106 @@
+//! Which target or path a request takes.
+
+use super::book::TargetBook;
+use crate::routing::paths::{EnginePath, paths};
+use crate::state::{DataCentre, EngineModel, Instance, InstanceState};
+use crate::time::Instant;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+/// Part of a chain's memory that is given out. The rest is for answers that
+/// grow beyond their estimate: past the edge every stream of the chain is late.
+const MEMORY_GIVEN: f64 = 0.92;
+
+/// Part of the first stage's places that is given out, for what other routers
+/// have begun since they last told.
+const PLACES_GIVEN: f64 = 0.95;
+
+/// Below this use a request stays in its own data centre.
+const STAY_BELOW: f64 = 0.7;
+
+/// A target, and the path where engines hold layers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Where the request is sent.
+    pub address: SocketAddr,
+    /// Only this life of it may run it.
+    pub instance: String,
+    /// The path.
+    pub path: Option<EnginePath>,
+}
+
+/// Why there is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoChoice {
+    /// No target, or no whole chain.
+    NoTarget,
+    /// All are as full as they may be.
+    Full,
+}
+
+/// The path for a request that will keep `tokens` tokens.
+pub fn choose_path(
+    model: &EngineModel,
+    instances: &[Instance],
+    book: &TargetBook,
+    own: &DataCentre,
+    tokens: u64,
+    now: Instant,
+) -> Result<Choice, NoChoice> {
+    let mut open = Vec::new();
+    let found = paths(model, instances.iter(), &book.at(now));
+    if found.is_empty() {
+        return Err(NoChoice::NoTarget);
+    }
+    for path in found {
+        if let Some(used) = use_with(model, book, &path, tokens) {
+            let home = path.data_centre == *own && used < STAY_BELOW;
+            open.push((if home { 0.0 } else { used }, path));
+        }
+    }
+    let best = open.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
+    let (_, path) = best.ok_or(NoChoice::Full)?;
+    Ok(Choice {
+        address: path.stages[0].address,
+        instance: path.first_id.clone(),
+        path: Some(path),
+    })
+}
+
+/// How full a chain is with one more request, as a part of what is given out;
+/// nothing if it does not fit.
+fn use_with(model: &EngineModel, book: &TargetBook, path: &EnginePath, tokens: u64) -> Option<f64> {
+    let held = book.tokens(&path.data_centre);
+    let streams = book.streams(&path.data_centre);
+    let memory = (held + tokens) as f64 / (path.tokens * MEMORY_GIVEN).max(1.0);
+    let places = f64::from(streams + 1) / (f64::from(model.slots.max(1)) * PLACES_GIVEN);
+    let used = memory.max(places);
+    (used <= 1.0 || streams == 0).then_some(used)
+}
+
+/// The target for a request that one target serves alone: the least busy; one's
+/// own data centre where that is equal.
+pub fn choose_plain(
+    instances: &[Instance],
+    book: &TargetBook,
+    own: &DataCentre,
+    avoid: &HashSet<SocketAddr>,
+    at: f64,
+    now: Instant,
+) -> Result<Choice, NoChoice> {
+    let usable = |i: &&Instance| i.state != InstanceState::Draining && !avoid.contains(&i.address);
+    let usable: Vec<&Instance> = instances.iter().filter(usable).collect();
+    let start = (at * usable.len() as f64) as usize;
+    let rotated = usable.iter().cycle().skip(start).take(usable.len());
+    let cost = |i: &Instance| {
+        let doubtful = i.state == InstanceState::Silent || book.avoids(now, i.address);
+        let load = book.in_flight(i.address) * 1_000 / i.slots.max(1);
+        (doubtful, load, i.data_centre != *own)
+    };
+    let best = rotated.min_by_key(|i| cost(i)).ok_or(NoChoice::NoTarget)?;
+    Ok(Choice {
+        address: best.address,
+        instance: best.id.clone(),
+        path: None,
+    })
+}
--- /dev/null
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -0,0 +1,16 @@
+//! Published routes: which one a request takes, who may, and which target.
+//!
+//! For: routers that serve releases and announced targets. Not for: chat
+//! completions and services by template, which `crate::router` decides.
+
+mod book;
+mod choice;
+mod events;
+mod index;
+mod repeats;
+
+pub use book::{BookAt, TargetBook};
+pub use choice::{Choice, NoChoice, choose_path, choose_plain};
+pub use events::{EventCutter, Events};
+pub use index::{InstanceIndex, KeyRights, ReleaseIndex, UnknownKey};
+pub use repeats::{RepeatBudget, RepeatLimits};
--- a/crates/deckwind-core/src/routing/mod.rs
+++ b/crates/deckwind-core/src/routing/mod.rs
@@ -18,6 +18,8 @@
 mod chain_search;
 mod fleet;
 mod health;
+pub mod paths;
+pub mod placement;
 mod policy;
 mod prefix;
 mod service;
--- /dev/null
+++ b/crates/deckwind-core/src/routing/paths.rs
@@ -0,0 +1,186 @@
+//! Paths through engines that hand on to each other.
+//!
+//! A path names a range of layers at each engine, in order, so that together
+//! they are all layers once. It stays inside one data centre wherever one holds
+//! a whole chain: what crosses between data centres is a token's activations at
+//! every boundary.
+
+use super::placement::tokens_beside;
+use crate::state::{DataCentre, EngineModel, Instance, InstanceState, LayerRange};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// One stage of a path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stage {
+    /// Engine.
+    pub address: SocketAddr,
+    /// Layers that it runs.
+    pub layers: LayerRange,
+}
+
+/// A path and where it runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EnginePath {
+    /// Stages in order.
+    pub stages: Vec<Stage>,
+    /// Data centre of its first stage.
+    pub data_centre: DataCentre,
+    /// Id of the first stage's instance.
+    pub first_id: String,
+    /// Tokens that its scarcest stage can keep.
+    pub tokens: f64,
+}
+
+/// What a router counts against an engine.
+pub trait EngineView {
+    /// Whether nothing is to be sent through it for now.
+    fn avoids(&self, address: SocketAddr) -> bool;
+    /// Streams of this router that run through it.
+    fn streams(&self, address: SocketAddr) -> u32;
+}
+
+/// Streams through an engine that make it count as twice as slow when two
+/// engines hold the same layers: a share of a router's usual number.
+const STREAMS_THAT_DOUBLE: f64 = 16.0;
+
+/// Cost of one more stage, in layers of the reference: handing on takes a
+/// fraction of a millisecond, a layer some hundredths.
+const STAGE_COST: f64 = 5.0;
+
+struct Holder<'a> {
+    instance: &'a Instance,
+    factor: f64,
+    memory_mb: f64,
+}
+
+/// The cheapest path in each data centre that has one; where none has, the
+/// cheapest over all of them.
+pub fn paths<'a>(
+    model: &EngineModel,
+    instances: impl Iterator<Item = &'a Instance>,
+    view: &dyn EngineView,
+) -> Vec<EnginePath> {
+    let mut by_centre: BTreeMap<&DataCentre, Vec<Holder>> = BTreeMap::new();
+    for i in instances {
+        let usable = i.state == InstanceState::Ready && !i.layers.is_empty();
+        let kind = i.accelerator.as_deref().and_then(|k| model.kind(k));
+        let (Some(kind), true) = (kind, usable && !view.avoids(i.address)) else {
+            continue;
+        };
+        let holder = Holder {
+            instance: i,
+            factor: kind.step_factor,
+            memory_mb: kind.memory_mb,
+        };
+        by_centre.entry(&i.data_centre).or_default().push(holder);
+    }
+    let within = by_centre.values().filter_map(|h| cheapest(model, h, view));
+    let within: Vec<EnginePath> = within.collect();
+    if !within.is_empty() {
+        return within;
+    }
+    let all: Vec<Holder> = by_centre.into_values().flatten().collect();
+    cheapest(model, &all, view).into_iter().collect()
+}
+
+/// The best way to have run all layers below some boundary.
+#[derive(Clone, Copy)]
+struct Best {
+    cost: f64,
+    from: u32,
+    holder: usize,
+}
+
+/// Shortest path over the layer boundaries at which some engine starts or ends.
+fn cheapest(model: &EngineModel, holders: &[Holder], view: &dyn EngineView) -> Option<EnginePath> {
+    let mut ends: Vec<u32> = holders
+        .iter()
+        .flat_map(|h| [h.instance.layers.first, h.instance.layers.last])
+        .chain([0, model.layers])
+        .filter(|b| *b <= model.layers)
+        .collect();
+    ends.sort_unstable();
+    ends.dedup();
+    let mut best: BTreeMap<u32, Best> = BTreeMap::new();
+    for &to in &ends[1..] {
+        for (i, h) in holders.iter().enumerate() {
+            let held = h.instance.layers;
+            if !(held.first < to && to <= held.last) {
+                continue;
+            }
+            for &from in ends.iter().filter(|f| held.first <= **f && **f < to) {
+                let before = match from {
+                    0 => 0.0,
+                    _ => match best.get(&from) {
+                        Some(b) => b.cost,
+                        None => continue,
+                    },
+                };
+                let cost = before + stage_cost(h, to - from, view);
+                if best.get(&to).is_none_or(|b| cost < b.cost) {
+                    best.insert(
+                        to,
+                        Best {
+                            cost,
+                            from,
+                            holder: i,
+                        },
+                    );
+                }
+            }
+        }
+    }
+    walk_back(model, holders, &best)
+}
+
+fn stage_cost(h: &Holder, layers: u32, view: &dyn EngineView) -> f64 {
+    let streams = f64::from(view.streams(h.instance.address));
+    let load = 1.0 + streams / STREAMS_THAT_DOUBLE;
+    STAGE_COST + f64::from(layers) * h.factor * load
+}
+
+fn walk_back(
+    model: &EngineModel,
+    holders: &[Holder],
+    best: &BTreeMap<u32, Best>,
+) -> Option<EnginePath> {
+    let mut stages = Vec::new();
+    let mut tokens = f64::INFINITY;
+    let mut to = model.layers;
+    let mut first = None;
+    while to > 0 {
+        let b = best.get(&to)?;
+        let h = &holders[b.holder];
+        let layers = LayerRange::new(b.from, to);
+        tokens = tokens.min(tokens_kept(model, h, layers));
+        stages.push(Stage {
+            address: h.instance.address,
+            layers,
+        });
+        first = Some(h.instance);
+        to = b.from;
+    }
+    stages.reverse();
+    let first = first?;
+    let mut addresses: Vec<SocketAddr> = stages.iter().map(|s| s.address).collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    if addresses.len() < stages.len() {
+        return None;
+    }
+    Some(EnginePath {
+        data_centre: first.data_centre.clone(),
+        first_id: first.id.clone(),
+        stages,
+        tokens,
+    })
+}
+
+/// Tokens that an engine can keep for a part of the layers that it holds.
+fn tokens_kept(model: &EngineModel, h: &Holder, layers: LayerRange) -> f64 {
+    let held = h.instance.layers.len();
+    let beside = tokens_beside(model, h.memory_mb, held);
+    let part = f64::from(held) / f64::from(layers.len().max(1));
+    (beside * part).min(model.max_tokens as f64)
+}
--- a/crates/deckwind-core/src/state/command.rs
+++ b/crates/deckwind-core/src/state/command.rs
@@ -1,8 +1,10 @@
 //! Commands that go through the log, and their replies.
 
 use super::claims::{ClaimKey, ClaimVerdict, Holder, Outcome};
+use super::instances::InstanceChange;
 use super::names::{AccountName, RequestId, Revision, TargetName, TemplateName};
 use super::objects::{Account, Target, Template};
+use super::release::Published;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -75,6 +77,10 @@
     Finish(FinishRequest),
     /// The holder is gone: what it had claimed may have run.
     HolderGone(Holder),
+    /// Publishes a release, unless one of its version or above holds.
+    Publish(Box<Published>),
+    /// Targets announced themselves, changed, or left.
+    Instances(Vec<InstanceChange>),
 }
 
 /// A command with the leader's wall clock, which only ever moves forward.
--- a/crates/deckwind-core/src/state/configuration.rs
+++ b/crates/deckwind-core/src/state/configuration.rs
@@ -1,8 +1,10 @@
 //! Templates, client accounts and targets, each with its revision.
 
 use super::command::{Change, Rejection};
+use super::instances::{Instance, InstanceChange, InstanceId, Instances};
 use super::names::{AccountName, Revision, TargetName, TemplateName};
 use super::objects::{Account, Target, TargetKind, TargetStatus, Template, Workload};
+use super::release::{Published, Release};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -27,6 +29,10 @@
     pub accounts: Vec<(AccountName, Versioned<Account>)>,
     /// Targets written or retired.
     pub targets: Vec<(TargetName, Versioned<Target>)>,
+    /// The release, if it is newer. Its document stays with the control replicas.
+    pub release: Option<Versioned<Release>>,
+    /// Instances that changed or left.
+    pub instances: Vec<(InstanceId, Versioned<Instance>)>,
 }
 
 /// The configuration as of a revision.
@@ -36,6 +42,9 @@
     templates: BTreeMap<TemplateName, Versioned<Template>>,
     accounts: BTreeMap<AccountName, Versioned<Account>>,
     targets: BTreeMap<TargetName, Versioned<Target>>,
+    release: Option<Versioned<Release>>,
+    document: Vec<u8>,
+    instances: Instances,
 }
 
 fn live<K, V>(map: &BTreeMap<K, Versioned<V>>) -> impl Iterator<Item = (&V, Revision)> {
@@ -124,6 +133,8 @@
             templates: changed_since(&self.templates, since),
             accounts: changed_since(&self.accounts, since),
             targets: changed_since(&self.targets, since),
+            release: self.release.clone().filter(|r| r.revision > since),
+            instances: self.instances.since(since),
         }
     }
 
@@ -132,9 +143,67 @@
         merge(&mut self.templates, delta.templates);
         merge(&mut self.accounts, delta.accounts);
         merge(&mut self.targets, delta.targets);
+        if let Some(new) = delta.release
+            && self
+                .release
+                .as_ref()
+                .is_none_or(|r| r.revision < new.revision)
+        {
+            self.release = Some(new);
+        }
+        self.instances.merge(delta.instances);
         self.revision = self.revision.max(delta.to);
     }
 
+    /// The release that holds.
+    pub fn release(&self) -> Option<&Release> {
+        self.release.as_ref()?.value.as_ref()
+    }
+
+    /// Revision that wrote the release; zero if there is none.
+    pub fn release_revision(&self) -> Revision {
+        self.release.as_ref().map_or(Revision::ZERO, |r| r.revision)
+    }
+
+    /// The document that the release was read from; empty if there is none, and
+    /// on routers.
+    pub fn document(&self) -> &[u8] {
+        &self.document
+    }
+
+    /// Targets that have announced themselves.
+    pub fn instances(&self) -> &Instances {
+        &self.instances
+    }
+
+    /// Takes a release, unless one of its version or above holds. The revision
+    /// that it is in force with.
+    pub(super) fn publish(&mut self, published: Published) -> Result<Revision, Rejection> {
+        if let Err(why) = published.release.check() {
+            return Err(Rejection::Invalid { why });
+        }
+        let held = self.release().map_or(0, |r| r.version);
+        if self.release.is_some() && published.release.version <= held {
+            return Ok(self.release_revision());
+        }
+        self.revision = self.revision.next();
+        self.document = published.document;
+        self.release = Some(Versioned {
+            revision: self.revision,
+            value: Some(published.release),
+        });
+        Ok(self.revision)
+    }
+
+    /// Writes changes of instances as one revision.
+    pub(super) fn change_instances(&mut self, changes: Vec<InstanceChange>) -> Revision {
+        self.revision = self.revision.next();
+        for change in changes {
+            self.instances.apply(change, self.revision);
+        }
+        self.revision
+    }
+
     /// Writes one change as the next revision, or says why not.
     pub(super) fn write(&mut self, change: Change) -> Result<Revision, Rejection> {
         self.check(&change)?;
--- /dev/null
+++ b/crates/deckwind-core/src/state/instances.rs
@@ -0,0 +1,184 @@
+//! Targets that announce themselves: one life of one target's process.
+//!
+//! ```text
+//!  announced ready ──► announced draining ──► left
+//!       │  ▲                                   ▲
+//!       ▼  │ heard again                       │ another life at its address
+//!     silent ──────────────────────────────────┘
+//! ```
+//!
+//! Each change goes through the log, so that what was acknowledged to a target
+//! (that nothing new will come) holds on every router within its lease.
+
+use super::configuration::Versioned;
+use super::names::{DataCentre, Revision};
+use super::objects::LayerRange;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Names one life of one target's process.
+pub type InstanceId = String;
+
+/// Whether an instance takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum InstanceState {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// The leader has not heard from it for a while; routers may still reach it.
+    Silent,
+}
+
+/// An instance as agreed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Its id.
+    pub id: InstanceId,
+    /// Pool that it serves.
+    pub pool: String,
+    /// IP and port.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: InstanceState,
+    /// Kind of its accelerator, for engines that hold layers.
+    pub accelerator: Option<String>,
+    /// Layers that it holds; empty for none.
+    pub layers: LayerRange,
+    /// Number of the announcement that said so; it rises with each one, so an
+    /// older one that arrives late is known.
+    pub announced: u64,
+}
+
+/// A change of the instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum InstanceChange {
+    /// It announced itself so. An older announcement than the one that is known
+    /// changes nothing.
+    Announced {
+        /// The instance.
+        instance: Instance,
+        /// Whether the layers that are known stay: an order to change them is
+        /// under way, and what it announces may be old.
+        keep_layers: bool,
+    },
+    /// It holds these layers.
+    Holds(InstanceId, LayerRange),
+    /// The leader has not heard from it for a while.
+    Silent(InstanceId),
+    /// It has left.
+    Left(InstanceId),
+}
+
+/// Instances that have left and are still remembered, so that a late
+/// announcement does not bring one back: days of a thousand restarts.
+const MAX_LEFT: usize = 4_096;
+
+/// All instances, each with the revision that wrote it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Instances(BTreeMap<InstanceId, Versioned<Instance>>);
+
+impl Instances {
+    /// Those that have not left.
+    pub fn iter(&self) -> impl Iterator<Item = &Instance> {
+        self.0.values().filter_map(|v| v.value.as_ref())
+    }
+
+    /// The one with this id, unless it has left.
+    pub fn get(&self, id: &str) -> Option<&Instance> {
+        self.0.get(id)?.value.as_ref()
+    }
+
+    /// Whether it has been here and left.
+    pub fn has_left(&self, id: &str) -> bool {
+        self.0.get(id).is_some_and(|v| v.value.is_none())
+    }
+
+    /// Applies a change as a revision. Another life at the same address is over.
+    pub(super) fn apply(&mut self, change: InstanceChange, revision: Revision) {
+        match change {
+            InstanceChange::Left(id) => self.write(id, None, revision),
+            InstanceChange::Announced {
+                instance,
+                keep_layers,
+            } => self.announced(instance, keep_layers, revision),
+            InstanceChange::Holds(id, layers) => {
+                self.alter(&id, revision, |i| i.layers = layers);
+            }
+            InstanceChange::Silent(id) => self.alter(&id, revision, |i| {
+                if i.state == InstanceState::Ready {
+                    i.state = InstanceState::Silent;
+                }
+            }),
+        }
+        self.forget_oldest();
+    }
+
+    fn announced(&mut self, mut instance: Instance, keep_layers: bool, revision: Revision) {
+        if self.has_left(&instance.id) {
+            return;
+        }
+        if let Some(known) = self.get(&instance.id) {
+            if known.announced > instance.announced {
+                return;
+            }
+            if keep_layers {
+                instance.layers = known.layers;
+            }
+        }
+        let same_address = |o: &&Instance| o.address == instance.address;
+        let others = self.iter().filter(same_address);
+        let others = others.filter(|o| o.id != instance.id);
+        let over: Vec<InstanceId> = others.map(|o| o.id.clone()).collect();
+        for id in over {
+            self.write(id, None, revision);
+        }
+        self.write(instance.id.clone(), Some(instance), revision);
+    }
+
+    fn alter(&mut self, id: &str, revision: Revision, change: impl FnOnce(&mut Instance)) {
+        if let Some(mut instance) = self.get(id).cloned() {
+            change(&mut instance);
+            self.write(id.to_string(), Some(instance), revision);
+        }
+    }
+
+    fn write(&mut self, id: InstanceId, value: Option<Instance>, revision: Revision) {
+        self.0.insert(id, Versioned { revision, value });
+    }
+
+    fn forget_oldest(&mut self) {
+        let left = |v: &Versioned<Instance>| v.value.is_none();
+        if self.0.values().filter(|v| left(v)).count() <= MAX_LEFT {
+            return;
+        }
+        let oldest = self.0.iter().filter(|(_, v)| left(v));
+        let oldest = oldest
+            .min_by_key(|(_, v)| v.revision)
+            .map(|(k, _)| k.clone());
+        if let Some(id) = oldest {
+            self.0.remove(&id);
+        }
+    }
+
+    /// What changed after `since`.
+    pub fn since(&self, since: Revision) -> Vec<(InstanceId, Versioned<Instance>)> {
+        let changed = self.0.iter().filter(|(_, v)| v.revision > since);
+        changed.map(|(k, v)| (k.clone(), v.clone())).collect()
+    }
+
+    /// Takes over changes; never goes back.
+    pub fn merge(&mut self, changes: Vec<(InstanceId, Versioned<Instance>)>) {
+        for (id, v) in changes {
+            let newer = self.0.get(&id).is_none_or(|old| old.revision < v.revision);
+            if newer {
+                self.0.insert(id, v);
+            }
+        }
+    }
+}
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -13,8 +13,10 @@
 mod claims;
 mod command;
 mod configuration;
+mod instances;
 mod names;
 mod objects;
+mod release;
 mod state_machine;
 
 pub use claims::{
@@ -24,9 +26,14 @@
     ApplyRequest, Change, ClaimRequest, Command, CommandBody, FinishRequest, Rejection, Reply,
 };
 pub use configuration::{Configuration, Delta, Versioned};
+pub use instances::{Instance, InstanceChange, InstanceId, InstanceState, Instances};
 pub use names::{AccountName, DataCentre, RequestId, Revision, TargetName, TemplateName, VmName};
 pub use objects::{
     Account, AccountLimits, LayerRange, Objective, Parameters, Priority, Target, TargetKind,
     TargetStatus, Template, Workload,
 };
+pub use release::{
+    AcceleratorKind, CallerLimits, EngineModel, KeyDigest, KeyHolder, Pool, PoolName, Published,
+    Release, Route, RouteKind, Split,
+};
 pub use state_machine::StateMachine;
--- a/crates/deckwind-core/src/state/objects.rs
+++ b/crates/deckwind-core/src/state/objects.rs
@@ -37,7 +37,9 @@
 }
 
 /// Layers `first..last` of a model; `last` is not included.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct LayerRange {
     /// First layer.
     pub first: u32,
--- a/crates/deckwind-core/src/state/state_machine.rs
+++ b/crates/deckwind-core/src/state/state_machine.rs
@@ -62,6 +62,13 @@
                     .finish(&req.key, &req.holder, req.nonce, req.outcome);
                 Reply::Done
             }
+            CommandBody::Publish(published) => match self.configuration.publish(*published) {
+                Ok(revision) => Reply::Accepted { revision },
+                Err(rejection) => Reply::Rejected(rejection),
+            },
+            CommandBody::Instances(changes) => Reply::Accepted {
+                revision: self.configuration.change_instances(changes),
+            },
             CommandBody::HolderGone(holder) => {
                 self.claims.holder_gone(&holder);
                 Reply::Done
--- a/crates/deckwind-net/src/lib.rs
+++ b/crates/deckwind-net/src/lib.rs
@@ -3,7 +3,9 @@
 //! For: sockets, certificates, and the traits that stand for outside systems
 //! ([`targets`]). Not for: decisions; those are `deckwind-core`'s.
 
+pub mod edge;
 pub mod keys;
+mod open_peers;
 pub mod quic;
 pub mod targets;
 
--- a/crates/deckwind-net/src/quic.rs
+++ b/crates/deckwind-net/src/quic.rs
@@ -10,6 +10,7 @@
 //! the next use; nothing is sent twice from here.
 
 use crate::keys::{KeyFiles, LoadedKeys, load};
+use crate::open_peers;
 use anyhow::{Context, Result, anyhow};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig};
@@ -63,13 +64,21 @@
 }
 
 impl QuicPeer {
-    /// Binds `address`, with mutual TLS by the files.
-    pub fn bind(address: SocketAddr, files: &KeyFiles, max_message: usize) -> Result<Self> {
-        let keys = load(files)?;
-        let server = server_config(&keys)?;
+    /// Binds `address`, with mutual TLS by the files. Without files it encrypts
+    /// with a certificate made now and takes any peer: for networks that only
+    /// our own VMs reach.
+    pub fn bind(address: SocketAddr, files: Option<&KeyFiles>, max_message: usize) -> Result<Self> {
+        let (server, client) = match files {
+            Some(files) => {
+                let keys = load(files)?;
+                (server_config(&keys)?, client_config(keys)?)
+            }
+            None => open_peers::configs(address.ip(), ALPN)?,
+        };
+        let (server, client) = (with_transport(server)?, client_transport(client)?);
         let mut endpoint = Endpoint::server(server, address)
             .with_context(|| format!("UDP {address} can't be bound"))?;
-        endpoint.set_default_client_config(client_config(keys)?);
+        endpoint.set_default_client_config(client);
         Ok(Self {
             endpoint,
             max_message,
@@ -212,7 +221,17 @@
         .with_client_cert_verifier(verifier)
         .with_single_cert(keys.chain.clone(), keys.key.clone_key())?;
     tls.alpn_protocols = vec![ALPN.to_vec()];
-    let mut cfg = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
+    Ok(ServerConfig::with_crypto(Arc::new(
+        QuicServerConfig::try_from(tls)?,
+    )))
+}
+
+fn with_transport(mut cfg: ServerConfig) -> Result<ServerConfig> {
+    cfg.transport_config(transport()?);
+    Ok(cfg)
+}
+
+fn client_transport(mut cfg: ClientConfig) -> Result<ClientConfig> {
     cfg.transport_config(transport()?);
     Ok(cfg)
 }
@@ -223,7 +242,7 @@
         .with_root_certificates(keys.roots)
         .with_client_auth_cert(keys.chain, keys.key)?;
     tls.alpn_protocols = vec![ALPN.to_vec()];
-    let mut cfg = ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
-    cfg.transport_config(transport()?);
-    Ok(cfg)
+    Ok(ClientConfig::new(Arc::new(QuicClientConfig::try_from(
+        tls,
+    )?)))
 }
--- a/crates/deckwind-net/src/targets/mod.rs
+++ b/crates/deckwind-net/src/targets/mod.rs
@@ -11,6 +11,7 @@
 pub mod http_platform;
 pub mod http_service;
 mod http_weights;
+mod kept;
 mod traits;
 
 pub use deckwind_core::control::{OrderKind, TargetOrder};
@@ -19,6 +20,7 @@
 pub use http_platform::HttpPlatformList;
 pub use http_service::HttpService;
 pub use http_weights::HttpWeightStore;
+pub use kept::{KeptConnections, TargetConnection, call_target, watch_over};
 pub use traits::{
     CacheEvent, CacheEventKind, CacheEvents, Engine, EngineLoad, KvExport, OpenStage, PlainService,
     PlatformList, PlatformSnapshot, ServiceAnswer, ServiceCall, StageStream, TargetError,
--- a/crates/deckwind-store/src/store.rs
+++ b/crates/deckwind-store/src/store.rs
@@ -39,9 +39,9 @@
     )]
     OtherSlot {
         /// Slot in the folder.
-        found: u8,
+        found: u32,
         /// Slot in the settings.
-        wanted: u8,
+        wanted: u32,
     },
 }
 
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -204,6 +204,7 @@
         demand: (0..accounts)
             .map(|a| (format!("account-{a}").into(), AccountDemand { per_s: 1.5 }))
             .collect(),
+        in_use: Vec::new(),
     }
 }
 
@@ -219,6 +220,8 @@
             delta: Delta::default(),
             shares,
             routers: 350,
+            in_use: Vec::new(),
+            replicas: Vec::new(),
         };
         let answer = encode(&deckwind_wire::ControlReply::Granted(grant)).len();
         println!(
--- a/crates/deckwind-testkit/src/lab.rs
+++ b/crates/deckwind-testkit/src/lab.rs
@@ -102,7 +102,7 @@
 enum Flying {
     Message(Message),
     Orders(usize, OrderBatch),
-    Ask(u8, u64, ControlRequest),
+    Ask(u32, u64, ControlRequest),
     Answer(usize, ControlRequest, Instant, ControlReply),
 }
 
@@ -114,7 +114,7 @@
     nodes: Vec<LabNode>,
     /// Routers; see [`LabRouter`].
     pub routers: Vec<LabRouter>,
-    cut: BTreeSet<(u8, u8)>,
+    cut: BTreeSet<(u32, u32)>,
     flying: BTreeMap<(Instant, u64), Flying>,
     sequence: u64,
     asked: BTreeMap<u64, Asked>,
@@ -212,14 +212,14 @@
     pub fn start(&mut self, slot: usize) {
         let now = self.local(slot).at;
         let fresh = ReplicaId {
-            slot: slot as u8,
+            slot: slot as u32,
             identity: self.rng.random(),
         };
         let disk = Box::new(self.nodes[slot].disk.clone());
         let opened = Store::open(disk, fresh);
         let (store, opened) = opened.expect("a crash never leaves a folder that can't be opened");
         let seed = self.rng.random();
-        let cfg = ReplicaConfig::new(opened.id, 0..self.nodes.len() as u8, seed);
+        let cfg = ReplicaConfig::new(opened.id, 0..self.nodes.len() as u32, seed);
         let node = ControlNode::new(cfg, self.lease, self.limits, store, opened, now);
         let lab_node = &mut self.nodes[slot];
         lab_node.node = Some(node.expect("the snapshot can be read"));
@@ -247,8 +247,8 @@
 
     /// Cuts a replica off from the others, or heals that.
     pub fn cut_off(&mut self, slot: usize, cut: bool) {
-        for other in 0..self.nodes.len() as u8 {
-            let slot = slot as u8;
+        for other in 0..self.nodes.len() as u32 {
+            let slot = slot as u32;
             for pair in [(slot, other), (other, slot)] {
                 if cut {
                     self.cut.insert(pair);
@@ -404,7 +404,7 @@
     fn take_effect(&mut self, slot: usize, effect: Effect) {
         match effect {
             Effect::Send(m) => {
-                if !self.cut.contains(&(slot as u8, m.to_slot)) {
+                if !self.cut.contains(&(slot as u32, m.to_slot)) {
                     self.fly(Flying::Message(m));
                 }
             }
@@ -414,6 +414,8 @@
                 }
             }
             Effect::Order(batch) => self.fly_orders(slot, batch),
+            // No target of the laboratory announces itself.
+            Effect::Place(_) => {}
             Effect::OperatorReply(token, reply) => {
                 if let Some(Asked::Operator(id)) = self.asked.remove(&token) {
                     self.note_reply(&id, reply);
@@ -504,7 +506,7 @@
             let Some(request) = request else {
                 continue;
             };
-            let slot = self.routers[i].replica(replicas) as u8;
+            let slot = self.routers[i].replica(replicas) as u32;
             let token = self.next_token;
             self.next_token += 1;
             let asked = Asked::Router(i, request.clone(), self.now);
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -111,6 +111,7 @@
             applied: self.lease.applied(),
             admin: SocketAddr::from(([127, 0, 0, 1], 1)),
             demand: Vec::new(),
+            in_use: Vec::new(),
         });
         self.renewal = Some(Open {
             request: request.clone(),
@@ -165,7 +166,7 @@
                 }
             }
             (_, ControlReply::NotLeader { leader }) => {
-                self.replica = leader.map_or(self.replica + 1, usize::from);
+                self.replica = leader.map_or(self.replica + 1, |slot| slot as usize);
                 if matches!(request, ControlRequest::Renew(_)) {
                     self.renewal = None;
                 }
--- a/crates/deckwind-wire/src/operator.rs
+++ b/crates/deckwind-wire/src/operator.rs
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NotLeaderAnswer {
     /// Its slot, where known.
-    pub leader: Option<u8>,
+    pub leader: Option<u32>,
 }
 
 /// Something else went wrong.
--- a/crates/deckwindd/src/commands/run.rs
+++ b/crates/deckwindd/src/commands/run.rs
@@ -5,8 +5,8 @@
 use anyhow::{Context, Result, bail};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use deckwind_config::{Settings, load};
-use std::path::PathBuf;
-use std::time::Duration;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Between two looks at whether the daemon still works.
@@ -42,8 +42,8 @@
         return Ok(());
     }
     let _log = logging::start(&settings.log)?;
-    let runtime = tokio::runtime::Runtime::new()?;
-    let result = runtime.block_on(serve(settings));
+    let runtime = runtime()?;
+    let result = runtime.block_on(serve(settings, file));
     if let Err(e) = &result {
         log::error!("event=failed error={:?}", format!("{e:#}"));
     }
@@ -51,7 +51,20 @@
     result
 }
 
-async fn serve(settings: Settings) -> Result<()> {
+/// One thread on one core: nothing is gained by handing tasks between threads
+/// that take turns.
+fn runtime() -> Result<tokio::runtime::Runtime> {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let mut builder = match cores {
+        1 => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    Ok(builder.enable_all().build()?)
+}
+
+async fn serve(settings: Settings, file: &Path) -> Result<()> {
+    let mut hup = signal(SignalKind::hangup())?;
+    let mut seen = SettingsFile::new(file);
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     let daemon = Daemon::start(settings).await?;
@@ -59,8 +72,12 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
+            _ = hup.recv() => seen.forget(),
             () = tokio::time::sleep(WATCH_EVERY) => {}
         }
+        if let Some(settings) = seen.changed() {
+            daemon.reload(settings);
+        }
         if !daemon.is_alive() {
             daemon.close().await?;
             bail!("the control replica stopped; see event=store_failed in the log");
@@ -69,3 +86,49 @@
     log::info!("event=draining");
     daemon.close().await
 }
+
+/// The settings file, and how it looked when it was last read.
+struct SettingsFile {
+    path: PathBuf,
+    read: Option<(SystemTime, u64)>,
+}
+
+impl SettingsFile {
+    /// A file that has just been read.
+    fn new(path: &Path) -> Self {
+        let mut file = Self {
+            path: path.to_path_buf(),
+            read: None,
+        };
+        file.read = file.look();
+        file
+    }
+
+    fn look(&self) -> Option<(SystemTime, u64)> {
+        let meta = std::fs::metadata(&self.path).ok()?;
+        Some((meta.modified().ok()?, meta.len()))
+    }
+
+    /// Has the file read again, whether it looks changed or not.
+    fn forget(&mut self) {
+        log::info!("event=reload_asked file={}", self.path.display());
+        self.read = None;
+    }
+
+    /// The settings, if the file has changed. One that can't be taken is told
+    /// once, and the settings stay as they are.
+    fn changed(&mut self) -> Option<Settings> {
+        let now = self.look()?;
+        if self.read == Some(now) {
+            return None;
+        }
+        self.read = Some(now);
+        match load(&self.path) {
+            Ok(settings) => Some(settings),
+            Err(findings) => {
+                log::error!("event=reload_refused error={:?}", findings.to_string());
+                None
+            }
+        }
+    }
+}
--- a/crates/deckwindd/src/context.rs
+++ b/crates/deckwindd/src/context.rs
@@ -2,9 +2,10 @@
 
 use crate::clock::Clock;
 use anyhow::Result;
-use deckwind_config::Settings;
+use deckwind_config::{SeedSettings, Settings};
+use deckwind_net::edge::Dialects;
 use deckwind_net::keys::KeyFiles;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use tokio::runtime::Handle;
 
@@ -19,6 +20,8 @@
     pub runtime: Handle,
     /// Random number of this start of the process.
     pub boot: u64,
+    /// How callers, targets and operators of published routes speak.
+    pub dialects: Dialects,
 }
 
 impl Context {
@@ -29,23 +32,42 @@
             clock: Clock::start(),
             runtime,
             boot: rand::random(),
+            dialects: deckwind_platform::dialects(),
         }
     }
 
-    /// Files of its certificates.
-    pub fn key_files(&self) -> KeyFiles {
-        let keys = &self.settings.keys;
-        KeyFiles {
+    /// Files of its certificates; nothing where any peer is trusted.
+    pub fn key_files(&self) -> Option<KeyFiles> {
+        let keys = self.settings.keys.as_ref()?;
+        Some(KeyFiles {
             ca: keys.ca.clone(),
             certificate: keys.certificate.clone(),
             key: keys.key.clone(),
+        })
+    }
+
+    /// Slots of the control replicas that are known from the settings.
+    pub fn known_slots(&self) -> Vec<u32> {
+        match &self.settings.seeds {
+            Some(seeds) => slots_of(seeds),
+            None => self.settings.control_vms.iter().map(|vm| vm.slot).collect(),
         }
     }
 
     /// UDP address of a control slot.
-    pub fn control_address(&self, slot: u8) -> Result<SocketAddr> {
+    pub fn control_address(&self, slot: u32) -> Result<SocketAddr> {
+        if let Some(seeds) = &self.settings.seeds {
+            let ip = Ipv4Addr::from(slot);
+            return Ok(SocketAddr::from((ip, seeds.peer_port)));
+        }
         let vm = self.settings.control_vms.iter().find(|vm| vm.slot == slot);
         vm.map(|vm| vm.address)
             .ok_or_else(|| anyhow::anyhow!("slot {slot} is not in control_vms"))
     }
 }
+
+/// Slots of the replicas that seeds name: their addresses as numbers.
+pub fn slots_of(seeds: &SeedSettings) -> Vec<u32> {
+    let slot = |a: &SocketAddrV4| u32::from(*a.ip());
+    seeds.control.iter().map(slot).collect()
+}
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -5,6 +5,7 @@
 use super::node::{ControlNode, Effect, Now};
 use super::orders;
 use super::peers::Senders;
+use super::placing;
 use crate::clock::Clock;
 use crate::context::Context;
 use anyhow::Result;
@@ -12,10 +13,12 @@
 use deckwind_config::ControlSettings;
 use deckwind_core::control::{ControlEvent, ControlLimits, OperatorReply};
 use deckwind_core::membership::LeaseTiming;
-use deckwind_core::replication::{Event, ReplicaConfig, Role, Timing};
+use deckwind_core::replication::{BySeeds, Event, ReplicaConfig, Role, Timing};
+use deckwind_net::edge::EngineDialect;
 use deckwind_store::{Opened, Store};
 use deckwind_wire::ControlReply;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
 
@@ -32,6 +35,7 @@
     senders: Senders,
     handle: ControlHandle,
     runtime: Handle,
+    dialect: Arc<dyn EngineDialect>,
     router_replies: HashMap<u64, ReplyTo<ControlReply>>,
     operator_replies: HashMap<u64, ReplyTo<OperatorReply>>,
     next_token: u64,
@@ -48,8 +52,14 @@
         senders: Senders,
         handle: ControlHandle,
     ) -> Result<Self> {
-        let slots = cx.settings.control_vms.iter().map(|vm| vm.slot);
+        let mut slots = cx.known_slots();
+        let is_seed = slots.contains(&cfg.slot);
+        slots.push(cfg.slot);
         let mut replica = ReplicaConfig::new(opened.id, slots, rand::random());
+        replica.by_seeds = cx.settings.seeds.as_ref().map(|s| BySeeds {
+            may_form: s.first_start && is_seed,
+            voters_wanted: 2 * usize::from(s.lost_at_once) + 1,
+        });
         replica.timing = Timing {
             heartbeat: cfg.heartbeat,
             election_min: cfg.election_min,
@@ -68,6 +78,7 @@
             senders,
             handle,
             runtime: cx.runtime.clone(),
+            dialect: cx.dialects.engines.clone(),
             router_replies: HashMap::new(),
             operator_replies: HashMap::new(),
             next_token: 1,
@@ -119,17 +130,18 @@
                 ControlEvent::Operator { token, request }
             }
             Input::OrdersDone(target, taken) => ControlEvent::OrdersDone { target, taken },
+            Input::Placed(id, held) => ControlEvent::Placed { id, held },
+            Input::Seeds(slots) => ControlEvent::Replica(Event::Seeds(slots.into_iter().collect())),
             Input::Stop => ControlEvent::Tick,
         }
     }
 
     fn hand_on(&mut self, effect: Effect) {
         match effect {
-            Effect::Send(message) => {
-                if let Some(tx) = self.senders.get(&message.to_slot) {
-                    // A full queue drops the message; the protocol resends.
-                    let _ = tx.try_send(message);
-                }
+            Effect::Send(message) => self.senders.send(message),
+            Effect::Place(order) => {
+                let placing = placing::place(order, self.dialect.clone(), self.handle.clone());
+                self.runtime.spawn(placing);
             }
             Effect::Order(batch) => {
                 let sending = orders::send(batch, self.handle.clone());
--- a/crates/deckwindd/src/control/handle.rs
+++ b/crates/deckwindd/src/control/handle.rs
@@ -2,7 +2,7 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded};
 use deckwind_core::control::{OperatorReply, OperatorRequest};
-use deckwind_core::state::TargetName;
+use deckwind_core::state::{InstanceId, LayerRange, TargetName};
 use deckwind_wire::{ControlReply, ControlRequest, Message};
 
 /// Where a reply goes.
@@ -18,6 +18,10 @@
     Operator(OperatorRequest, ReplyTo<OperatorReply>),
     /// A batch of orders is over: the target, and whether it took them all.
     OrdersDone(TargetName, bool),
+    /// An order to place layers is over: what the engine then held, if known.
+    Placed(InstanceId, Option<LayerRange>),
+    /// Other seeds: these slots.
+    Seeds(Vec<u32>),
     /// Stop.
     Stop,
 }
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -7,12 +7,14 @@
 //!                              └─► replies
 //! ```
 
+mod calls;
 mod driver;
 mod handle;
 mod node;
 mod operators;
 mod orders;
 mod peers;
+mod placing;
 
 pub use handle::{ControlHandle, Input};
 pub use node::{ControlNode, Effect, Now};
@@ -52,11 +54,15 @@
         );
         let _guard = cx.runtime.enter();
         let address = cx.control_address(cfg.slot)?;
-        let peer = QuicPeer::bind(address, &cx.key_files(), MAX_MESSAGE)?;
+        let peer = QuicPeer::bind(address, cx.key_files().as_ref(), MAX_MESSAGE)?;
         let (handle, rx) = ControlHandle::new();
-        let senders = peers::start_senders(cx, &peer, cfg.slot);
+        let senders = peers::Senders::new(cx, &peer);
         cx.runtime.spawn(peers::serve(peer.clone(), handle.clone()));
         operators::serve(cfg, handle.clone())?;
+        if let Some(address) = cfg.calls {
+            let serving = calls::serve(cx, address, handle.clone())?;
+            cx.runtime.spawn(serving);
+        }
         let driver = driver::Driver::new(cx, cfg, store, opened, senders, handle.clone())?;
         let thread = std::thread::Builder::new()
             .name("control".to_string())
@@ -68,6 +74,11 @@
         })
     }
 
+    /// Other seeds: the settings have changed.
+    pub fn take_seeds(&self, slots: Vec<u32>) {
+        self.handle.send(Input::Seeds(slots));
+    }
+
     /// Whether the driver's thread still runs.
     pub fn is_alive(&self) -> bool {
         !self.thread.is_finished()
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -10,7 +10,7 @@
 
 use anyhow::{Context as _, Result};
 use deckwind_core::control::{
-    ControlAction, ControlCore, ControlEvent, ControlLimits, OperatorReply, OrderBatch,
+    ControlAction, ControlCore, ControlEvent, ControlLimits, OperatorReply, OrderBatch, PlaceOrder,
 };
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{Action, Body, Event, Position, ReplicaConfig};
@@ -29,6 +29,8 @@
     OperatorReply(u64, OperatorReply),
     /// Send orders to a target.
     Order(OrderBatch),
+    /// Have an engine hold other layers.
+    Place(PlaceOrder),
 }
 
 /// The time of a batch.
@@ -156,6 +158,7 @@
                 effects.push(Effect::OperatorReply(token, reply));
             }
             ControlAction::Order(batch) => effects.push(Effect::Order(batch)),
+            ControlAction::Place(order) => effects.push(Effect::Place(order)),
             _ => {}
         }
         Ok(())
--- a/crates/deckwindd/src/control/operators.rs
+++ b/crates/deckwindd/src/control/operators.rs
@@ -37,7 +37,8 @@
 
 /// Serves operators until the process ends.
 pub fn serve(cfg: &ControlSettings, handle: ControlHandle) -> Result<()> {
-    let token_sha256 = cfg.operator_token_sha256.to_ascii_lowercase();
+    let token_sha256 = cfg.operator_token_sha256.clone().unwrap_or_default();
+    let token_sha256 = token_sha256.to_ascii_lowercase();
     admin::serve(cfg.admin, move |req| answer(&handle, &token_sha256, req))
 }
 
@@ -128,6 +129,10 @@
         }
         OperatorReply::Configuration(view) => json(StatusCode::OK, &view),
         OperatorReply::Status(status) => json(StatusCode::OK, &status),
+        OperatorReply::Document(document) => {
+            let document = document.unwrap_or_default();
+            text(StatusCode::OK, String::from_utf8_lossy(&document))
+        }
         OperatorReply::NotLeader { leader } => {
             json(StatusCode::MISDIRECTED_REQUEST, &NotLeaderAnswer { leader })
         }
--- a/crates/deckwindd/src/control/peers.rs
+++ b/crates/deckwindd/src/control/peers.rs
@@ -11,23 +11,53 @@
 /// Messages that may wait for one peer; more are dropped, as a network would.
 const MAX_WAITING: usize = 1_024;
 
-/// One queue a slot: keeps the order of messages to a peer.
-pub type Senders = BTreeMap<u8, mpsc::Sender<Message>>;
+/// One queue a slot, made at the first message: keeps the order of messages to
+/// a peer.
+pub struct Senders {
+    cx: Context,
+    peer: QuicPeer,
+    queues: BTreeMap<u32, mpsc::Sender<Message>>,
+}
+
+impl Senders {
+    /// Without any queue.
+    pub fn new(cx: &Context, peer: &QuicPeer) -> Self {
+        Self {
+            cx: cx.clone(),
+            peer: peer.clone(),
+            queues: BTreeMap::new(),
+        }
+    }
+
+    /// Queues a message. A full queue drops it; the protocol sends again.
+    pub fn send(&mut self, message: Message) {
+        let slot = message.to_slot;
+        if !self.queues.contains_key(&slot)
+            && let Some(tx) = self.start(slot)
+        {
+            self.queues.insert(slot, tx);
+        }
+        if let Some(tx) = self.queues.get(&slot)
+            && tx.try_send(message).is_err()
+        {
+            metrics::counter!("deckwind_control_messages_dropped_total").increment(1);
+        }
+    }
 
-/// Starts a sender task for each other slot.
-pub fn start_senders(cx: &Context, peer: &QuicPeer, own_slot: u8) -> Senders {
-    let others = cx
-        .settings
-        .control_vms
-        .iter()
-        .filter(|vm| vm.slot != own_slot);
-    others
-        .map(|vm| {
-            let (tx, rx) = mpsc::channel(MAX_WAITING);
-            cx.runtime.spawn(send_all(peer.clone(), vm.address, rx));
-            (vm.slot, tx)
-        })
-        .collect()
+    fn start(&self, slot: u32) -> Option<mpsc::Sender<Message>> {
+        let address = match self.cx.control_address(slot) {
+            Ok(address) => address,
+            Err(e) => {
+                log::warn!("event=unknown_slot slot={slot} error={:?}", e.to_string());
+                return None;
+            }
+        };
+        let (tx, rx) = mpsc::channel(MAX_WAITING);
+        self.cx
+            .runtime
+            .spawn(send_all(self.peer.clone(), address, rx));
+        Some(tx)
+    }
 }
 
 async fn send_all(peer: QuicPeer, to: SocketAddr, mut rx: mpsc::Receiver<Message>) {
--- a/crates/deckwindd/src/lib.rs
+++ b/crates/deckwindd/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod commands;
 pub mod context;
 pub mod control;
+mod log_queue;
 pub mod logging;
 pub mod metrics_page;
 pub mod ops;
--- a/crates/deckwindd/src/logging.rs
+++ b/crates/deckwindd/src/logging.rs
@@ -4,6 +4,7 @@
 //! ts=2026-12-02T06:01:02.345Z level=info event=lease_lost vm=recife-a-1 revision=41
 //! ```
 
+use crate::log_queue::QueueWriter;
 use anyhow::{Context, Result};
 use deckwind_config::LogSettings;
 use flexi_logger::{DeferredNow, FileSpec, Logger, LoggerHandle};
@@ -25,7 +26,7 @@
     let logger = Logger::try_with_str(spec)?.format(line);
     let logger = match &cfg.folder {
         Some(folder) => logger.log_to_file(FileSpec::default().directory(folder)),
-        None => logger.log_to_stderr(),
+        None => logger.log_to_writer(Box::new(QueueWriter::start(line)?)),
     };
     logger.start().context("the log can't be started")
 }
--- a/crates/deckwindd/src/ops/daemon.rs
+++ b/crates/deckwindd/src/ops/daemon.rs
@@ -1,6 +1,6 @@
 //! A daemon: the roles that its settings name.
 
-use crate::context::Context;
+use crate::context::{Context, slots_of};
 use crate::control::Control;
 use crate::metrics_page;
 use crate::router::Router;
@@ -47,6 +47,22 @@
         self.control.as_ref().is_none_or(Control::is_alive)
     }
 
+    /// Takes over what may change while it runs: the seeds. All else needs a
+    /// restart, which the log says.
+    pub fn reload(&self, settings: Settings) {
+        let slots = settings.seeds.as_ref().map(slots_of).unwrap_or_default();
+        log::info!("event=settings_read seeds={slots:?}");
+        if slots.is_empty() {
+            return;
+        }
+        if let Some(control) = &self.control {
+            control.take_seeds(slots.clone());
+        }
+        if let Some(router) = &self.router {
+            router.take_seeds(slots);
+        }
+    }
+
     /// A planned stop: the router first, so that it can still give its lease
     /// back.
     pub async fn close(self) -> Result<()> {
--- a/crates/deckwindd/src/router/control_client.rs
+++ b/crates/deckwindd/src/router/control_client.rs
@@ -1,10 +1,10 @@
 //! Requests to whichever control replica leads.
 
+use crate::context::Context;
 use anyhow::{Result, bail};
 use deckwind_net::quic::QuicPeer;
 use deckwind_wire::{ControlReply, ControlRequest, decode, encode};
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 /// Pause before another round when nobody leads.
@@ -20,25 +20,67 @@
 
 /// Knows the control replicas and who led last.
 pub struct ControlClient {
+    cx: Context,
     peer: QuicPeer,
-    replicas: Vec<(u8, SocketAddr)>,
-    current: AtomicUsize,
+    known: Mutex<Known>,
+}
+
+/// Slots that may be asked, and whose turn it is.
+struct Known {
+    /// From the settings.
+    seeds: Vec<u32>,
+    /// As the leader told; empty before it did.
+    members: Vec<u32>,
+    /// Who is asked next.
+    current: u32,
+}
+
+impl Known {
+    /// Everybody: replicas that have gone come back at other addresses, and the
+    /// settings may name the newer ones.
+    fn all(&self) -> Vec<u32> {
+        let mut all = self.members.clone();
+        all.extend(&self.seeds);
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
 }
 
 impl ControlClient {
-    /// Of the replicas at these slots.
-    pub fn new(peer: QuicPeer, replicas: Vec<(u8, SocketAddr)>) -> Self {
+    /// Of the replicas that the settings name.
+    pub fn new(cx: Context, peer: QuicPeer) -> Self {
+        let seeds = cx.known_slots();
+        let known = Known {
+            current: seeds.first().copied().unwrap_or_default(),
+            seeds,
+            members: Vec::new(),
+        };
         Self {
+            cx,
             peer,
-            replicas,
-            current: AtomicUsize::new(0),
+            known: Mutex::new(known),
         }
     }
 
+    /// The leader named the replicas.
+    pub fn replicas_are(&self, slots: &[u32]) {
+        self.known().members = slots.to_vec();
+    }
+
+    /// Other seeds: the settings have changed.
+    pub fn take_seeds(&self, slots: Vec<u32>) {
+        self.known().seeds = slots;
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().expect("no holder panics")
+    }
+
     /// One try at the replica that led last; moves on when it does not lead.
     pub async fn ask_once(&self, request: &[u8], within: Duration) -> Result<ControlReply> {
-        let i = self.current.load(Ordering::Relaxed) % self.replicas.len();
-        let (_, address) = self.replicas[i];
+        let i = self.known().current;
+        let address = self.cx.control_address(i)?;
         let asked = tokio::time::timeout(within, self.peer.request(address, request)).await;
         let answer = match asked {
             Ok(Ok(bytes)) => decode::<ControlReply>(&bytes)?,
@@ -57,10 +99,12 @@
         Ok(answer)
     }
 
-    fn move_on(&self, from: usize, leader: Option<u8>) {
-        let named = leader.and_then(|slot| self.replicas.iter().position(|(s, _)| *s == slot));
-        let next = named.unwrap_or((from + 1) % self.replicas.len());
-        self.current.store(next, Ordering::Relaxed);
+    fn move_on(&self, from: u32, leader: Option<u32>) {
+        let mut known = self.known();
+        let all = known.all();
+        let after = all.iter().find(|slot| **slot > from);
+        let next = leader.or(after.copied()).or(all.first().copied());
+        known.current = next.unwrap_or(from);
     }
 
     /// Asks until a leader answers or the time is over. The request must be one
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -30,6 +30,7 @@
             applied: core.lease().applied(),
             admin: shared.cfg.admin,
             demand: core.demand(asked),
+            in_use: shared.routes.book().own_use(),
         })
     };
     let Ok(ControlReply::Granted(grant)) = shared
@@ -39,6 +40,8 @@
     else {
         return false;
     };
+    shared.control.replicas_are(&grant.replicas);
+    shared.routes.others_told(grant.routers, grant.in_use);
     let now = shared.clock.now();
     let before = shared.core().lease().applied();
     shared.core().granted(
@@ -52,6 +55,8 @@
     let applied = shared.core().lease().applied();
     if applied > before {
         forget_gone_targets(shared);
+        let cfg = shared.core().configuration().clone();
+        shared.routes.configuration_changed(&cfg);
         metrics::gauge!("deckwind_router_revision", "vm" => shared.vm.to_string())
             .set(applied.0 as f64);
         log::info!(
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -21,6 +21,7 @@
 mod control_client;
 mod lease;
 mod reports;
+mod routes;
 mod service;
 mod shared;
 
@@ -41,7 +42,8 @@
 pub struct Router {
     shared: Arc<RouterShared>,
     drain: Duration,
-    callers: SocketAddr,
+    killed_after: Option<Duration>,
+    callers: Option<SocketAddr>,
     tasks: Vec<JoinHandle<()>>,
     peer: QuicPeer,
 }
@@ -49,36 +51,63 @@
 /// Between two looks at what still runs while the router drains.
 const DRAIN_STEP: Duration = Duration::from_millis(20);
 
+/// How long after a planned stop began callers of routes are still served as
+/// usual: balancers ask each second, and leave out one that said no twice.
+const STILL_ACCEPT: Duration = Duration::from_millis(2_800);
+
+/// What is done after the last answer must end before the process is killed.
+const KILL_MARGIN: Duration = Duration::from_millis(900);
+
+fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
+    callers::listen(address).with_context(|| format!("TCP {address} can't be bound"))
+}
+
 impl Router {
     /// Binds its addresses and starts.
     pub async fn start(cx: &Context, cfg: &RouterSettings) -> Result<Self> {
-        let peer = QuicPeer::bind(cfg.peers, &cx.key_files(), MAX_MESSAGE)?;
+        let peer = QuicPeer::bind(cfg.peers, cx.key_files().as_ref(), MAX_MESSAGE)?;
         let shared = Arc::new(RouterShared::new(cx, cfg, peer.clone()));
         admin_page::serve(cfg.admin, shared.clone())?;
-        let listener = callers::listen(cfg.callers)
-            .with_context(|| format!("TCP {} can't be bound", cfg.callers))?;
-        let callers = listener.local_addr()?;
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(lease::keep(shared.clone())),
-            tokio::spawn(callers::accept(listener, shared.clone())),
             tokio::spawn(callers::expire_waiting(shared.clone())),
             tokio::spawn(reports::poll_targets(shared.clone())),
             tokio::spawn(reports::poll_platform(shared.clone())),
         ];
+        let mut callers = None;
+        if let Some(address) = cfg.callers {
+            let listener = bind(address)?;
+            callers = Some(listener.local_addr()?);
+            tasks.push(tokio::spawn(callers::accept(listener, shared.clone())));
+        }
+        if let Some(address) = cfg.ready {
+            let serving = routes::accept_ready(bind(address)?, shared.clone());
+            tasks.push(tokio::spawn(serving));
+        }
+        if let Some(address) = cfg.routes {
+            let serving = routes::accept(bind(address)?, shared.clone());
+            tasks.push(tokio::spawn(serving));
+        }
         Ok(Self {
             shared,
             drain: cfg.drain,
+            killed_after: cfg.killed_after,
             callers,
             tasks,
             peer,
         })
     }
 
-    /// Where callers reach it.
-    pub fn callers(&self) -> SocketAddr {
+    /// Where callers of templates reach it.
+    pub fn callers(&self) -> Option<SocketAddr> {
         self.callers
     }
 
+    /// Other seeds: the settings have changed.
+    pub fn take_seeds(&self, slots: Vec<u32>) {
+        self.shared.control.take_seeds(slots);
+    }
+
     /// What it shares between its tasks.
     pub fn shared(&self) -> &Arc<RouterShared> {
         &self.shared
@@ -88,7 +117,14 @@
     /// back, closes.
     pub async fn close(self) {
         self.shared.core().drain();
-        let deadline = tokio::time::Instant::now() + self.drain;
+        self.shared.routes.drain();
+        let began = tokio::time::Instant::now();
+        if self.shared.cfg.routes.is_some() {
+            tokio::time::sleep(STILL_ACCEPT).await;
+            self.shared.routes.close_connections();
+        }
+        let killed = self.killed_after.map(|d| d.saturating_sub(KILL_MARGIN));
+        let deadline = began + killed.unwrap_or(self.drain).min(self.drain);
         while self.shared.in_progress() > 0 && tokio::time::Instant::now() < deadline {
             tokio::time::sleep(DRAIN_STEP).await;
         }
--- /dev/null
+++ b/crates/deckwindd/src/router/routes/answers.rs
@@ -0,0 +1,158 @@
+//! Answers of the router itself, and bodies.
+
+use bytes::Bytes;
+use deckwind_core::routes::NoChoice;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use std::time::Duration;
+
+/// Why a body broke off.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Body of an answer.
+pub type RouteBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Why a request got no target's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// It can't be read.
+    BadRequest(String),
+    /// Its head or body is too long.
+    TooLarge,
+    /// Its body did not come in time; it has not run.
+    BodyLate,
+    /// No route.
+    NoRoute,
+    /// No known key.
+    UnknownKey,
+    /// Not run: no lease on the configuration.
+    NoLease,
+    /// Not run: no target.
+    NoTarget,
+    /// Not run: all targets are full.
+    Full,
+    /// Not run: targets refused it.
+    Refused,
+    /// Not run: its time was over before it could be sent.
+    NoTime,
+    /// It may have run: the target's answer broke off or was no answer.
+    Broken(String),
+    /// It may have run: no answer in time.
+    Late,
+}
+
+/// Least and most time after which a refused caller may ask again, by cause.
+/// The most spreads the return of many that were refused at once.
+const AGAIN_LEASE: (u64, u64) = (300, 900);
+const AGAIN_TARGET: (u64, u64) = (200, 700);
+const AGAIN_FULL: (u64, u64) = (400, 2_000);
+
+impl Failure {
+    /// Status that the caller gets.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Failure::BadRequest(_) => StatusCode::BAD_REQUEST,
+            Failure::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Failure::BodyLate => StatusCode::REQUEST_TIMEOUT,
+            Failure::NoRoute => StatusCode::NOT_FOUND,
+            Failure::UnknownKey => StatusCode::UNAUTHORIZED,
+            Failure::NoLease
+            | Failure::NoTarget
+            | Failure::Full
+            | Failure::Refused
+            | Failure::NoTime => StatusCode::SERVICE_UNAVAILABLE,
+            Failure::Broken(_) => StatusCode::BAD_GATEWAY,
+            Failure::Late => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Its name in logs.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Failure::BadRequest(_) => "bad-request",
+            Failure::TooLarge => "too-large",
+            Failure::BodyLate => "body-late",
+            Failure::NoRoute => "no-route",
+            Failure::UnknownKey => "unknown-key",
+            Failure::NoLease => "no-lease",
+            Failure::NoTarget => "no-target",
+            Failure::Full => "full",
+            Failure::Refused => "refused-by-targets",
+            Failure::NoTime => "no-time",
+            Failure::Broken(_) => "target-broke",
+            Failure::Late => "target-late",
+        }
+    }
+
+    /// When a request that has not run may come again; spread at random.
+    fn retry_after(&self) -> Option<Duration> {
+        let (least, most) = match self {
+            Failure::NoLease => AGAIN_LEASE,
+            Failure::NoTarget | Failure::Refused => AGAIN_TARGET,
+            Failure::Full => AGAIN_FULL,
+            _ => return None,
+        };
+        let ms = rand::random_range(least..=most);
+        Some(Duration::from_millis(ms))
+    }
+
+    /// The answer.
+    pub fn response(&self) -> Response<RouteBody> {
+        let text = match self {
+            Failure::BadRequest(why) | Failure::Broken(why) => format!("{}: {why}\n", self.code()),
+            _ => format!("{}\n", self.code()),
+        };
+        let mut res = Response::new(full(text));
+        *res.status_mut() = self.status();
+        if let Some(after) = self.retry_after()
+            && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
+        {
+            res.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+        res
+    }
+}
+
+impl From<NoChoice> for Failure {
+    fn from(none: NoChoice) -> Self {
+        match none {
+            NoChoice::NoTarget => Failure::NoTarget,
+            NoChoice::Full => Failure::Full,
+        }
+    }
+}
+
+/// A whole body.
+pub fn full(bytes: impl Into<Bytes>) -> RouteBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const PER_CONNECTION: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Takes out what concerns one connection only, the headers that `Connection`
+/// names among them.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named = headers.get_all(header::CONNECTION).iter();
+    let named: Vec<HeaderName> = named
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&PER_CONNECTION) {
+        headers.remove(name);
+    }
+    headers.remove(HeaderName::from_static("proxy-connection"));
+    headers.remove(header::EXPECT);
+}
--- /dev/null
+++ b/crates/deckwindd/src/router/routes/callers.rs
@@ -0,0 +1,298 @@
+//! Callers of published routes, by HTTP/1.1.
+
+use super::answers::{BodyError, Failure, RouteBody, full, strip_connection_headers};
+use super::{opening, plain};
+use crate::router::shared::RouterShared;
+use bytes::Bytes;
+use deckwind_core::routes::ReleaseIndex;
+use deckwind_core::state::{CallerLimits, Pool, Route, RouteKind};
+use deckwind_net::edge::CallerHead;
+use deckwind_net::targets::watch_over;
+use http::request::Parts;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How often a connection looks whether it is to end.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Smallest buffer for a head that hyper takes.
+const LEAST_BUFFER: usize = 8 * 1024;
+
+/// A request that may run.
+pub struct Job {
+    /// What all tasks share.
+    pub shared: Arc<RouterShared>,
+    /// What its head says.
+    pub head: CallerHead,
+    /// Method, path, headers without those of the connection.
+    pub parts: Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Route,
+    /// The pool that was drawn for it.
+    pub pool: Pool,
+    /// The account that asks.
+    pub account: Option<String>,
+    /// Rank for targets; 0 goes first.
+    pub rank: u8,
+    /// When it came.
+    pub arrived: Instant,
+    /// When it is given up.
+    pub until: Instant,
+}
+
+impl Job {
+    /// Time left.
+    pub fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// Whether the lease still stands. Asked just before each send: a key that
+    /// was taken away meanwhile must not run.
+    pub fn has_lease(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.core().lease().is_live(now)
+    }
+
+    /// The request to a target, without the headers of the dialect.
+    pub fn request(&self) -> http::request::Builder {
+        let uri = self.parts.uri.path_and_query().map_or("/", |p| p.as_str());
+        let mut req = Request::builder()
+            .method(self.parts.method.clone())
+            .uri(uri);
+        if let Some(headers) = req.headers_mut() {
+            *headers = self.parts.headers.clone();
+        }
+        req
+    }
+}
+
+/// Accepts callers for ever.
+pub async fn accept(listener: TcpListener, shared: Arc<RouterShared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                watch_over(&stream);
+                tokio::spawn(serve(stream, shared.clone()));
+            }
+            Err(e) => {
+                log::warn!("event=accept_failed error={:?}", e.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Arc<RouterShared>) {
+    let release = shared.routes.release();
+    let limits = release.map_or_else(CallerLimits::default, |r| r.release().limits);
+    let for_requests = shared.clone();
+    let service = service_fn(move |req| handle(for_requests.clone(), req));
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.head_ms)))
+        .max_buf_size((2 * limits.head_bytes as usize).max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut serving = pin!(serving);
+    let mut told = false;
+    loop {
+        tokio::select! {
+            ended = serving.as_mut() => {
+                if let Err(e) = ended {
+                    log::debug!("event=caller_connection_ended error={:?}", e.to_string());
+                }
+                return;
+            }
+            () = tokio::time::sleep(LOOK_EVERY), if !told => {
+                if shared.routes.is_closing() {
+                    serving.as_mut().graceful_shutdown();
+                    told = true;
+                }
+            }
+        }
+    }
+}
+
+async fn handle(
+    shared: Arc<RouterShared>,
+    req: Request<Incoming>,
+) -> Result<Response<RouteBody>, BodyError> {
+    let arrived = Instant::now();
+    let _in_progress = shared.begin();
+    shared.routes.requested(shared.clock.now());
+    let (parts, body) = req.into_parts();
+    let read = shared.cx.dialects.callers.read_head(&parts);
+    let head = match read {
+        Ok(head) => head,
+        Err(e) => {
+            let failure = Failure::BadRequest(e.to_string());
+            note_refused(&shared, "-", &parts, &failure);
+            return Ok(failure.response());
+        }
+    };
+    let request_id = head.id.clone();
+    let mut res = match prepare(&shared, head, &parts, body, arrived).await {
+        Ok(job) => run(job).await,
+        Err(failure) => {
+            note_refused(&shared, &request_id, &parts, &failure);
+            failure.response()
+        }
+    };
+    if shared.routes.is_closing() {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    let labels = [("status", res.status().as_u16().to_string())];
+    metrics::counter!("deckwind_route_answers_total", &labels).increment(1);
+    Ok(res)
+}
+
+fn note_refused(shared: &RouterShared, id: &str, parts: &Parts, failure: &Failure) {
+    let release = shared.routes.release();
+    let version = release.map_or(0, |r| r.release().version);
+    log::info!(
+        "event=request_refused request={id} path={:?} release={version} revision={} status={} code={}",
+        parts.uri.path(),
+        shared.revision(),
+        failure.status().as_u16(),
+        failure.code()
+    );
+}
+
+/// Finds route, account and pool, and reads the body.
+async fn prepare(
+    shared: &Arc<RouterShared>,
+    head: CallerHead,
+    parts: &Parts,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<Job, Failure> {
+    let release = shared.routes.release().ok_or(Failure::NoLease)?;
+    let allowed = allow(shared, &release, &head, parts)?;
+    let (route, account, priority) = allowed;
+    let limits = release.release().limits;
+    let body = read_body(body, limits).await?;
+    // The body may have taken long: what was allowed may no longer be.
+    let release = shared.routes.release().ok_or(Failure::NoLease)?;
+    allow(shared, &release, &head, parts)?;
+    let pool = release.pool(&route, rand::random());
+    let pool = pool.cloned().ok_or(Failure::NoTarget)?;
+    let mut parts = parts.clone();
+    strip_connection_headers(&mut parts.headers);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    let patience = head.patience.unwrap_or(route.timeout());
+    Ok(Job {
+        shared: shared.clone(),
+        until: arrived + patience.min(route.timeout()),
+        rank: rank(priority, route.priority),
+        account,
+        head,
+        parts,
+        body,
+        route,
+        pool,
+        arrived,
+    })
+}
+
+/// Ranks of an account that are told apart; within each those of the route.
+fn rank(account: Option<u8>, route: u8) -> u8 {
+    const ROUTE_RANKS: u8 = 3;
+    let account = account.unwrap_or(1);
+    account
+        .saturating_mul(ROUTE_RANKS)
+        .saturating_add(route.min(ROUTE_RANKS - 1))
+}
+
+type Allowed = (Route, Option<String>, Option<u8>);
+
+fn allow(
+    shared: &RouterShared,
+    release: &ReleaseIndex,
+    head: &CallerHead,
+    parts: &Parts,
+) -> Result<Allowed, Failure> {
+    if !shared.core().lease().is_live(shared.clock.now()) {
+        return Err(Failure::NoLease);
+    }
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
+    let route = release.route(host, parts.uri.path());
+    let route = route.ok_or(Failure::NoRoute)?;
+    let rights = release.admit(route, head.key.as_ref());
+    let rights = rights.map_err(|_| Failure::UnknownKey)?;
+    let account = rights.map(|r| r.account.to_string());
+    let priority = rights.and_then(|r| r.priority);
+    Ok((route.clone(), account, priority))
+}
+
+async fn read_body(body: Incoming, limits: CallerLimits) -> Result<Bytes, Failure> {
+    let within = Duration::from_millis(limits.idle_ms);
+    let collecting = Limited::new(body, limits.body_bytes as usize).collect();
+    match tokio::time::timeout(within, collecting).await {
+        Err(_) => Err(Failure::BodyLate),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Failure::TooLarge),
+        Ok(Err(e)) => Err(Failure::BadRequest(e.to_string())),
+    }
+}
+
+async fn run(job: Job) -> Response<RouteBody> {
+    match job.route.kind {
+        RouteKind::Stream { .. } => opening::run(job).await,
+        RouteKind::Repeatable | RouteKind::Once => plain::run(job).await,
+    }
+}
+
+/// Answers a balancer that asks whether this router is ready, for ever.
+pub async fn accept_ready(listener: TcpListener, shared: Arc<RouterShared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        watch_over(&stream);
+        let shared = shared.clone();
+        let service = service_fn(move |req| {
+            let res = ready(&shared, &req);
+            async move { Ok::<_, Infallible>(res) }
+        });
+        let serving = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            if let Err(e) = serving.await {
+                log::debug!("event=balancer_connection_ended error={:?}", e.to_string());
+            }
+        });
+    }
+}
+
+fn ready(shared: &RouterShared, req: &Request<Incoming>) -> Response<RouteBody> {
+    let known =
+        req.method() == Method::GET && req.uri().path() == shared.cx.dialects.callers.ready_path();
+    let live = shared.core().lease().is_live(shared.clock.now());
+    let serves = live && shared.routes.release().is_some() && !shared.routes.is_draining();
+    let status = match (known, serves) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut res = Response::new(full(""));
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -0,0 +1,149 @@
+//! Published routes: callers in front, announced targets behind.
+//!
+//! ```text
+//!  callers.rs ─► plain.rs ──► one target, retries where that is safe
+//!       │    └─► opening.rs ─► relay.rs    a path, events as they come
+//!       ▼
+//!  Routes: release and targets as agreed, counts, connections
+//! ```
+
+mod answers;
+mod callers;
+mod opening;
+mod plain;
+mod relay;
+mod stalls;
+
+pub use callers::{accept, accept_ready};
+
+use crate::context::Context;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use deckwind_config::RouterSettings;
+use deckwind_core::control::PathUse;
+use deckwind_core::routes::{InstanceIndex, ReleaseIndex, RepeatBudget, RepeatLimits, TargetBook};
+use deckwind_core::state::Configuration;
+use deckwind_core::time::Instant;
+use deckwind_net::targets::KeptConnections;
+use stalls::StallWatch;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// What the tasks of published routes share.
+pub struct Routes {
+    release: ArcSwapOption<ReleaseIndex>,
+    instances: ArcSwap<InstanceIndex>,
+    book: Mutex<TargetBook>,
+    repeats: Mutex<RepeatBudget>,
+    /// Connections to targets.
+    pub connections: KeptConnections,
+    /// Streams that stand still.
+    pub stalls: StallWatch,
+    routers: AtomicU32,
+    draining: AtomicBool,
+    closing: AtomicBool,
+}
+
+impl Routes {
+    /// Nothing is published yet.
+    pub fn new(cx: &Context, cfg: &RouterSettings) -> Self {
+        let limits = RepeatLimits {
+            share: cfg.repeats.share,
+            beyond: f64::from(cfg.repeats.beyond),
+            window: cfg.repeats.window,
+        };
+        Self {
+            release: ArcSwapOption::empty(),
+            instances: ArcSwap::default(),
+            book: Mutex::default(),
+            repeats: Mutex::new(RepeatBudget::new(limits)),
+            connections: KeptConnections::default(),
+            stalls: StallWatch::new(cx.dialects.engines.clone()),
+            routers: AtomicU32::new(1),
+            draining: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+        }
+    }
+
+    /// The release in force here.
+    pub fn release(&self) -> Option<Arc<ReleaseIndex>> {
+        self.release.load_full()
+    }
+
+    /// The targets as agreed.
+    pub fn instances(&self) -> Arc<InstanceIndex> {
+        self.instances.load_full()
+    }
+
+    /// The counts. Hold it only for one call.
+    pub fn book(&self) -> MutexGuard<'_, TargetBook> {
+        self.book.lock().expect("no holder panics")
+    }
+
+    /// A request came.
+    pub fn requested(&self, now: Instant) {
+        self.repeats
+            .lock()
+            .expect("no holder panics")
+            .requested(now);
+    }
+
+    /// Whether something may be sent again.
+    pub fn may_repeat(&self, now: Instant) -> bool {
+        let routers = self.routers.load(Ordering::Relaxed);
+        let mut repeats = self.repeats.lock().expect("no holder panics");
+        let spent = repeats.spend(now, routers);
+        if !spent {
+            metrics::counter!("deckwind_route_repeats_denied_total").increment(1);
+        }
+        spent
+    }
+
+    /// Takes a changed configuration over.
+    pub fn configuration_changed(&self, cfg: &Configuration) {
+        let before = self.release().map(|r| r.revision());
+        if before != Some(cfg.release_revision()) {
+            let index = ReleaseIndex::of(cfg);
+            if let Some(index) = &index {
+                log::info!(
+                    "event=release_in_force version={} revision={}",
+                    index.release().version,
+                    index.revision()
+                );
+            }
+            self.release.store(index.map(Arc::new));
+        }
+        let index = InstanceIndex::of(cfg);
+        let addresses: HashSet<SocketAddr> = index.iter().map(|i| i.address).collect();
+        self.connections.retain(|a| addresses.contains(a));
+        self.book().retain(|a| addresses.contains(a));
+        self.instances.store(Arc::new(index));
+    }
+
+    /// Takes what the leader tells of the other routers.
+    pub fn others_told(&self, routers: u32, in_use: Vec<PathUse>) {
+        self.routers.store(routers.max(1), Ordering::Relaxed);
+        self.book().others_hold(in_use);
+    }
+
+    /// A planned stop has begun: no longer ready, but still serving.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Connections end with their next answer.
+    pub fn close_connections(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether connections end with their next answer.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -0,0 +1,425 @@
+//! Opens a stream at a target: choose a path, send, wait for the head.
+//!
+//! Used for the first try and for each one that goes on after the last event.
+
+use super::answers::{Failure, RouteBody, full, strip_connection_headers};
+use super::callers::Job;
+use super::relay;
+use bytes::Bytes;
+use deckwind_core::routes::{Choice, NoChoice, choose_path, choose_plain};
+use deckwind_core::state::DataCentre;
+use deckwind_net::edge::TargetHead;
+use deckwind_net::targets::{TargetConnection, TargetError};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest rest of a connection that a stream is opened on.
+const REST: Duration = Duration::from_secs(60);
+
+/// Longest answer that is no stream, bytes.
+const MAX_ANSWER: usize = 1 << 20;
+
+/// Targets that may refuse or be unreachable before a request is refused.
+const MAX_REFUSED: u32 = 4;
+
+/// Without a head for this long a stream is looked after: a prompt is usually
+/// read within a tenth of it.
+const FIRST_LOOK: Duration = Duration::from_millis(600);
+
+/// Between two looks after that.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Part of an answer's estimated tokens that a stream keeps on the mean of its
+/// life, in hundredths: it begins with none.
+const ANSWER_KEPT_PERCENT: u64 = 60;
+
+/// A stream that a target has begun.
+pub struct Opened {
+    /// Its path or target.
+    pub hold: Hold,
+    /// Its connection.
+    pub connection: TargetConnection,
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// Its events.
+    pub body: Incoming,
+}
+
+/// What came of opening.
+pub enum Opening {
+    /// A stream.
+    Stream(Box<Opened>),
+    /// A whole answer that is no stream, to be passed on.
+    Whole(StatusCode, HeaderMap, Bytes),
+}
+
+/// What one try holds at its targets, for as long as this lives.
+pub struct Hold {
+    shared: Arc<crate::router::shared::RouterShared>,
+    addresses: Vec<SocketAddr>,
+    memory: Option<(DataCentre, u64)>,
+}
+
+impl Hold {
+    fn new(job: &Job, choice: &Choice, tokens: u64) -> Self {
+        let addresses = match &choice.path {
+            Some(path) => path.stages.iter().map(|s| s.address).collect(),
+            None => vec![choice.address],
+        };
+        let memory = choice.path.as_ref();
+        let memory = memory.map(|p| (p.data_centre.clone(), tokens));
+        let mut book = job.shared.routes.book();
+        book.began(&addresses);
+        if let Some((dc, tokens)) = &memory {
+            book.takes(dc, *tokens);
+        }
+        drop(book);
+        Self {
+            shared: job.shared.clone(),
+            addresses,
+            memory,
+        }
+    }
+
+    /// The target that the request was sent to.
+    pub fn first(&self) -> SocketAddr {
+        self.addresses[0]
+    }
+
+    /// Whether a target on the way is avoided by now.
+    pub fn is_avoided(&self) -> bool {
+        let now = self.shared.clock.now();
+        let book = self.shared.routes.book();
+        self.addresses.iter().any(|a| book.avoids(now, *a))
+    }
+
+    /// Data centre of the path, for logs.
+    pub fn data_centre(&self) -> String {
+        let dc = self.memory.as_ref().map(|(dc, _)| dc.to_string());
+        dc.unwrap_or_else(|| "-".to_string())
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let mut book = self.shared.routes.book();
+        book.ended(&self.addresses);
+        if let Some((dc, tokens)) = &self.memory {
+            book.gives_back(dc, *tokens);
+        }
+    }
+}
+
+/// Opens streams of one request, and counts its tries.
+pub struct Opener {
+    /// The request.
+    pub job: Job,
+    /// Sent so often to a target that may have run it.
+    pub tries: u32,
+    refused: u32,
+    avoid: HashSet<SocketAddr>,
+}
+
+enum Ended {
+    Unreachable(String),
+    NotRun(Option<SocketAddr>),
+    Stalled,
+    Broken(String),
+}
+
+/// Runs one request to its end.
+pub async fn run(job: Job) -> Response<RouteBody> {
+    let mut opener = Opener {
+        job,
+        tries: 0,
+        refused: 0,
+        avoid: HashSet::new(),
+    };
+    let last_event = opener.job.head.last_event;
+    match opener.open(last_event, false).await {
+        Ok(Opening::Stream(opened)) => relay::start(opener, *opened),
+        Ok(Opening::Whole(status, headers, body)) => {
+            opener.note(status, "answered", None);
+            let mut res = Response::new(full(body));
+            *res.status_mut() = status;
+            *res.headers_mut() = headers;
+            res
+        }
+        Err(failure) => {
+            opener.note(failure.status(), failure.code(), None);
+            failure.response()
+        }
+    }
+}
+
+impl Opener {
+    /// Opens a stream after `last_event`. With `again` it is a repeat from the
+    /// start on.
+    pub async fn open(
+        &mut self,
+        last_event: Option<u64>,
+        mut again: bool,
+    ) -> Result<Opening, Failure> {
+        let mut ran = again;
+        loop {
+            let choice = self.choose();
+            let choice = choice.map_err(|e| {
+                if ran {
+                    Failure::Broken(e.code().into())
+                } else {
+                    e
+                }
+            })?;
+            let late = if ran { Failure::Late } else { Failure::NoTime };
+            if self.job.left().is_zero() {
+                return Err(late);
+            }
+            if !self.job.has_lease() {
+                let failure = Failure::NoLease;
+                return Err(if ran {
+                    Failure::Broken(failure.code().into())
+                } else {
+                    failure
+                });
+            }
+            if again && !self.may_repeat() {
+                let why = "no repeat left".to_string();
+                return Err(if ran {
+                    Failure::Broken(why)
+                } else {
+                    Failure::Refused
+                });
+            }
+            let ended = match self.attempt(&choice, last_event).await {
+                Ok(opening) => return Ok(opening),
+                Err(ended) => ended,
+            };
+            again = !matches!(ended, Ended::Unreachable(_)) || again;
+            ran |= matches!(ended, Ended::Stalled | Ended::Broken(_));
+            self.judge(choice.address, ended)?;
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        let now = self.job.shared.clock.now();
+        self.job.shared.routes.may_repeat(now)
+    }
+
+    /// Whether to go on after a try that ended so; an error is the answer.
+    fn judge(&mut self, address: SocketAddr, ended: Ended) -> Result<(), Failure> {
+        let resumable = self.job.route.kind.may_repeat();
+        match ended {
+            Ended::Unreachable(why) => {
+                self.avoid_target(address, &why);
+                self.refused += 1;
+            }
+            Ended::NotRun(at_fault) => {
+                let at_fault = at_fault.unwrap_or(address);
+                self.avoid_target(at_fault, "refused");
+                self.refused += 1;
+            }
+            Ended::Stalled if resumable && self.tries_left() => {}
+            Ended::Stalled => return Err(Failure::Late),
+            Ended::Broken(why) => {
+                self.avoid_target(address, &why);
+                if !(resumable && self.tries_left()) {
+                    return Err(Failure::Broken(why));
+                }
+            }
+        }
+        match self.refused > MAX_REFUSED {
+            true => Err(Failure::Refused),
+            false => Ok(()),
+        }
+    }
+
+    /// Whether another target may be sent the request.
+    pub fn tries_left(&self) -> bool {
+        self.tries < self.job.route.attempts
+    }
+
+    fn avoid_target(&mut self, address: SocketAddr, why: &str) {
+        self.avoid.insert(address);
+        let now = self.job.shared.clock.now();
+        let wait = self.job.shared.routes.book().failed(now, address);
+        log::warn!(
+            "event=target_avoided request={} target={address} for_ms={} why={why:?}",
+            self.job.head.id,
+            wait.as_millis()
+        );
+    }
+
+    /// Tokens that the stream will keep on the mean of its life.
+    fn tokens(&self) -> u64 {
+        let g = self.job.head.generation.unwrap_or_default();
+        let usual = self.job.pool.engine.as_ref().map(|e| e.usual_answer);
+        let answer = g.likely.or(usual).unwrap_or(g.most).min(g.most.max(1));
+        g.prompt + answer * ANSWER_KEPT_PERCENT / 100
+    }
+
+    fn choose(&self) -> Result<Choice, Failure> {
+        let shared = &self.job.shared;
+        let instances = shared.routes.instances();
+        let instances = instances.of_pool(&self.job.pool.name);
+        let book = shared.routes.book();
+        let own = &shared.cx.settings.data_centre;
+        let now = shared.clock.now();
+        let choice = match self.job.pool.engine.as_ref().filter(|e| e.layers > 0) {
+            Some(model) => choose_path(model, instances, &book, own, self.tokens(), now),
+            None => {
+                let at = rand::random();
+                choose_plain(instances, &book, own, &self.avoid, at, now)
+            }
+        };
+        choice.map_err(|e: NoChoice| e.into())
+    }
+
+    async fn attempt(
+        &mut self,
+        choice: &Choice,
+        last_event: Option<u64>,
+    ) -> Result<Opening, Ended> {
+        let hold = Hold::new(&self.job, choice, self.tokens());
+        let shared = self.job.shared.clone();
+        let connections = &shared.routes.connections;
+        let connection = connections.get(choice.address, REST).await;
+        let mut connection = connection.map_err(|e| Ended::Unreachable(e.to_string()))?;
+        let req = self.request(choice, last_event)?;
+        self.tries += 1;
+        let res = {
+            let mut sending = pin!(connection.send(req));
+            let mut look_at = Instant::now() + FIRST_LOOK;
+            loop {
+                let until = look_at.min(self.job.until);
+                tokio::select! {
+                    res = sending.as_mut() => break res.map_err(ended)?,
+                    () = tokio::time::sleep_until(until) => {}
+                }
+                if self.job.left().is_zero() {
+                    return Err(Ended::Stalled);
+                }
+                look_at = Instant::now() + LOOK_EVERY;
+                shared
+                    .routes
+                    .stalls
+                    .look(&shared.routes, shared.clock, hold.first())
+                    .await;
+                if hold.is_avoided() && self.can_move() {
+                    return Err(Ended::Stalled);
+                }
+            }
+        };
+        self.read_head(hold, connection, res).await
+    }
+
+    /// Whether a stream that stands still may go on elsewhere.
+    pub fn can_move(&self) -> bool {
+        let resumable = self.job.route.kind.may_repeat();
+        resumable && self.tries_left() && self.choose().is_ok()
+    }
+
+    fn request(
+        &self,
+        choice: &Choice,
+        last_event: Option<u64>,
+    ) -> Result<http::Request<Full<Bytes>>, Ended> {
+        let job = &self.job;
+        let mut req = job.request();
+        if let Some(headers) = req.headers_mut() {
+            let target = TargetHead {
+                instance: &choice.instance,
+                account: job.account.as_deref(),
+                left: Some(job.left()),
+                path: choice.path.as_ref().map(|p| p.stages.as_slice()),
+                rank: job.rank,
+                last_event,
+            };
+            job.shared.cx.dialects.callers.to_target(headers, &target);
+        }
+        req.body(Full::new(job.body.clone()))
+            .map_err(|e| Ended::Unreachable(e.to_string()))
+    }
+
+    async fn read_head(
+        &mut self,
+        hold: Hold,
+        connection: TargetConnection,
+        res: Response<Incoming>,
+    ) -> Result<Opening, Ended> {
+        let (mut head, body) = res.into_parts();
+        let shared = self.job.shared.clone();
+        let answer = shared
+            .cx
+            .dialects
+            .callers
+            .read_answer(head.status, &head.headers);
+        if answer.id.as_ref().is_some_and(|id| *id != self.job.head.id) {
+            return Err(Ended::Broken("the answer is another request's".to_string()));
+        }
+        if answer.not_run {
+            self.tries -= 1;
+            return Err(Ended::NotRun(answer.at_fault));
+        }
+        if head.status.is_success() {
+            if !answer.signed || answer.encoded {
+                let why = "the answer is not the target's own".to_string();
+                return Err(Ended::Broken(why));
+            }
+            return Ok(Opening::Stream(Box::new(Opened {
+                hold,
+                connection,
+                head,
+                body,
+            })));
+        }
+        let collected = Limited::new(body, MAX_ANSWER).collect().await;
+        let body = collected.map_err(|e| Ended::Broken(e.to_string()))?;
+        shared
+            .routes
+            .connections
+            .give_back(connection, &head.headers);
+        strip_connection_headers(&mut head.headers);
+        Ok(Opening::Whole(head.status, head.headers, body.to_bytes()))
+    }
+
+    /// The line of a request that has ended.
+    pub fn note(&self, status: StatusCode, code: &str, stream: Option<&relay::Progress>) {
+        let job = &self.job;
+        let took = Instant::now().duration_since(job.arrived);
+        let first = stream.and_then(|s| s.first_after);
+        if let Some(first) = first {
+            metrics::histogram!("deckwind_route_first_event_seconds").record(first.as_secs_f64());
+        }
+        let ms = |d: Option<Duration>| d.map_or(-1, |d| d.as_millis() as i64);
+        log::info!(
+            "event=stream_ended request={} route={} pool={} at={} tries={} refused={} tokens={} events={} longest_pause_ms={} first_ms={} revision={} status={} code={code} took_ms={}",
+            job.head.id,
+            job.route.name,
+            job.pool.name,
+            stream.map_or("-", |s| s.data_centre.as_str()),
+            self.tries,
+            self.refused,
+            self.tokens(),
+            stream.map_or(0, |s| s.events),
+            ms(stream.map(|s| s.longest_pause)),
+            ms(first),
+            job.shared.revision(),
+            status.as_u16(),
+            took.as_millis()
+        );
+    }
+}
+
+fn ended(e: TargetError) -> Ended {
+    match e {
+        TargetError::NotSent(why) => Ended::Unreachable(why),
+        other => Ended::Broken(other.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -0,0 +1,309 @@
+//! Requests with a whole answer: choose, send, repeat where that is safe.
+
+use super::answers::{Failure, RouteBody, full, strip_connection_headers};
+use super::callers::Job;
+use bytes::Bytes;
+use deckwind_core::routes::{Choice, choose_plain};
+use deckwind_core::state::RouteKind;
+use deckwind_net::edge::TargetHead;
+use deckwind_net::targets::TargetError;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest rest of a connection that a request which must not be repeated is
+/// sent on: the target may close it at the same moment.
+const REST_FOR_ONCE: Duration = Duration::from_millis(400);
+
+/// Longest rest for others.
+const REST: Duration = Duration::from_secs(60);
+
+/// Longest answer, bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// Targets that may be unreachable before a request is refused.
+const MAX_UNREACHABLE: u32 = 3;
+
+/// A try of a request that may be repeated is given up after this many times
+/// the route's objective, so that another target can still answer.
+const TRY_OBJECTIVES: u32 = 2;
+
+/// Shortest such time, whatever the objective.
+const LEAST_TRY: Duration = Duration::from_millis(150);
+
+/// A target's whole answer.
+struct Answered {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// How one try ended without an answer to pass on.
+enum Ended {
+    /// No byte can have been taken.
+    Unreachable(String),
+    /// The target says that it did not run it.
+    NotRun,
+    /// It may have run.
+    MayHaveRun(Failure),
+}
+
+/// Runs one request to its end.
+pub async fn run(job: Job) -> Response<RouteBody> {
+    let mut run = Run {
+        avoid: HashSet::new(),
+        tries: 0,
+        unreachable: 0,
+        target: None,
+        job,
+    };
+    let result = run.tries().await;
+    run.note(&result);
+    match result {
+        Ok(answered) => {
+            let mut res = Response::new(full(answered.body));
+            *res.status_mut() = answered.status;
+            *res.headers_mut() = answered.headers;
+            res
+        }
+        Err(failure) => failure.response(),
+    }
+}
+
+struct Run {
+    job: Job,
+    avoid: HashSet<SocketAddr>,
+    tries: u32,
+    unreachable: u32,
+    target: Option<SocketAddr>,
+}
+
+impl Run {
+    async fn tries(&mut self) -> Result<Answered, Failure> {
+        let mut before: Option<Failure> = None;
+        loop {
+            let choice = match self.choose() {
+                Ok(choice) => choice,
+                Err(e) => return Err(before.unwrap_or(e)),
+            };
+            if !self.job.has_lease() {
+                return Err(before.unwrap_or(Failure::NoLease));
+            }
+            if self.job.left().is_zero() {
+                return Err(before.unwrap_or(Failure::NoTime));
+            }
+            let address = choice.address;
+            self.target = Some(address);
+            self.job.shared.routes.book().began(&[address]);
+            let ended = self.send(&choice).await;
+            self.job.shared.routes.book().ended(&[address]);
+            let failure = match ended {
+                Ok(answered) if self.should_repeat(&answered) => {
+                    self.avoid.insert(address);
+                    if !self.may_repeat() {
+                        return Ok(answered);
+                    }
+                    continue;
+                }
+                Ok(answered) => return Ok(answered),
+                Err(ended) => self.judge(address, ended, &mut before)?,
+            };
+            before = failure;
+        }
+    }
+
+    /// Whether to go on after a try that ended so; an error is the answer.
+    fn judge(
+        &mut self,
+        address: SocketAddr,
+        ended: Ended,
+        before: &mut Option<Failure>,
+    ) -> Result<Option<Failure>, Failure> {
+        self.avoid.insert(address);
+        match ended {
+            Ended::Unreachable(why) => {
+                self.tries -= 1;
+                self.unreachable += 1;
+                self.avoid_target(address, &why);
+                match self.unreachable < MAX_UNREACHABLE {
+                    true => Ok(before.take()),
+                    false => Err(before.take().unwrap_or(Failure::NoTarget)),
+                }
+            }
+            Ended::NotRun => match self.may_repeat() {
+                true => Ok(before.take()),
+                false => Err(before.take().unwrap_or(Failure::Refused)),
+            },
+            Ended::MayHaveRun(failure) => {
+                let repeatable = self.job.route.kind.may_repeat();
+                match repeatable && self.may_repeat() {
+                    true => Ok(Some(failure)),
+                    false => Err(failure),
+                }
+            }
+        }
+    }
+
+    fn avoid_target(&self, address: SocketAddr, why: &str) {
+        let now = self.job.shared.clock.now();
+        let wait = self.job.shared.routes.book().failed(now, address);
+        log::warn!(
+            "event=target_avoided request={} target={address} for_ms={} why=unreachable error={why:?}",
+            self.job.head.id,
+            wait.as_millis()
+        );
+    }
+
+    fn choose(&self) -> Result<Choice, Failure> {
+        let shared = &self.job.shared;
+        let instances = shared.routes.instances();
+        let book = shared.routes.book();
+        let choice = choose_plain(
+            instances.of_pool(&self.job.pool.name),
+            &book,
+            &shared.cx.settings.data_centre,
+            &self.avoid,
+            rand::random(),
+            shared.clock.now(),
+        );
+        Ok(choice?)
+    }
+
+    /// A target's own error may be answered better by another one.
+    fn should_repeat(&self, answered: &Answered) -> bool {
+        let failed = answered.status.is_server_error();
+        failed && self.job.route.kind == RouteKind::Repeatable
+    }
+
+    fn may_repeat(&self) -> bool {
+        let now = self.job.shared.clock.now();
+        let time = !self.job.left().is_zero();
+        let tries = self.tries < self.job.route.attempts;
+        time && tries && self.job.shared.routes.may_repeat(now)
+    }
+
+    /// How long this try may take.
+    fn try_within(&self) -> Duration {
+        let left = self.job.left();
+        let last = self.tries >= self.job.route.attempts;
+        if self.job.route.kind != RouteKind::Repeatable || last {
+            return left;
+        }
+        let objective = Duration::from_millis(self.job.route.objective_ms);
+        left.min((objective * TRY_OBJECTIVES).max(LEAST_TRY))
+    }
+
+    async fn send(&mut self, choice: &Choice) -> Result<Answered, Ended> {
+        self.tries += 1;
+        let within = self.try_within();
+        let job = &self.job;
+        let rest = match job.route.kind {
+            RouteKind::Once => REST_FOR_ONCE,
+            _ => REST,
+        };
+        let connections = &job.shared.routes.connections;
+        let connection = connections.get(choice.address, rest).await;
+        let mut connection = connection.map_err(|e| Ended::Unreachable(e.to_string()))?;
+        let sending = async {
+            let req = self.request(choice)?;
+            let res = connection.send(req).await.map_err(ended)?;
+            let (head, body) = res.into_parts();
+            let collected = Limited::new(body, MAX_ANSWER).collect().await;
+            let body = collected.map_err(|e| broken(e.to_string()))?;
+            Ok((head, body.to_bytes()))
+        };
+        let (head, body) = match tokio::time::timeout(within, sending).await {
+            Ok(sent) => sent?,
+            Err(_) => return Err(Ended::MayHaveRun(Failure::Late)),
+        };
+        let kept = head.headers.clone();
+        let checked = self.check(head.status, head.headers, body);
+        if !matches!(checked, Err(Ended::MayHaveRun(_))) {
+            connections.give_back(connection, &kept);
+        }
+        checked
+    }
+
+    fn request(&self, choice: &Choice) -> Result<http::Request<Full<Bytes>>, Ended> {
+        let job = &self.job;
+        let mut req = job.request();
+        if let Some(headers) = req.headers_mut() {
+            let target = TargetHead {
+                instance: &choice.instance,
+                account: job.account.as_deref(),
+                left: Some(job.left()),
+                path: None,
+                rank: job.rank,
+                last_event: None,
+            };
+            job.shared.cx.dialects.callers.to_target(headers, &target);
+        }
+        req.body(Full::new(job.body.clone()))
+            .map_err(|e| Ended::Unreachable(e.to_string()))
+    }
+
+    /// Whether an answer is this request's and the target's own.
+    fn check(
+        &self,
+        status: StatusCode,
+        mut headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Answered, Ended> {
+        let dialect = &self.job.shared.cx.dialects.callers;
+        let answer = dialect.read_answer(status, &headers);
+        if answer.id.as_ref().is_some_and(|id| *id != self.job.head.id) {
+            return Err(broken("the answer is another request's".to_string()));
+        }
+        if answer.not_run {
+            return Err(Ended::NotRun);
+        }
+        if status.is_success() && (!answer.signed || answer.encoded) {
+            return Err(broken("the answer is not the target's own".to_string()));
+        }
+        if let Some(address) = self.target {
+            self.job.shared.routes.book().answered(address);
+        }
+        strip_connection_headers(&mut headers);
+        Ok(Answered {
+            status,
+            headers,
+            body,
+        })
+    }
+
+    fn note(&self, result: &Result<Answered, Failure>) {
+        let job = &self.job;
+        let took = Instant::now().duration_since(job.arrived);
+        metrics::histogram!("deckwind_route_answer_seconds").record(took.as_secs_f64());
+        let (status, code) = match result {
+            Ok(a) => (a.status, "answered"),
+            Err(f) => (f.status(), f.code()),
+        };
+        let target = self.target.map_or("-".to_string(), |a| a.to_string());
+        log::info!(
+            "event=request_ended request={} route={} pool={} target={target} tries={} unreachable={} revision={} status={} code={code} took_ms={}",
+            job.head.id,
+            job.route.name,
+            job.pool.name,
+            self.tries,
+            self.unreachable,
+            job.shared.revision(),
+            status.as_u16(),
+            took.as_millis()
+        );
+    }
+}
+
+fn ended(e: TargetError) -> Ended {
+    match e {
+        TargetError::NotSent(why) => Ended::Unreachable(why),
+        other => broken(other.to_string()),
+    }
+}
+
+fn broken(why: String) -> Ended {
+    Ended::MayHaveRun(Failure::Broken(why))
+}
--- /dev/null
+++ b/crates/deckwindd/src/router/routes/relay.rs
@@ -0,0 +1,224 @@
+//! Passes a stream's events on as they come, and goes on at another target
+//! after the last one when its target breaks off or stands still.
+
+use super::answers::{BodyError, Failure, RouteBody, strip_connection_headers};
+use super::opening::{Opened, Opener, Opening};
+use bytes::Bytes;
+use deckwind_core::routes::EventCutter;
+use http::{Response, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_stream::wrappers::ReceiverStream;
+
+/// Pieces that may wait for a slow caller.
+const MAX_WAITING: usize = 16;
+
+/// Without an event for this long a stream is looked after: some ten times the
+/// usual pause, and short of what callers bear.
+const SILENT: Duration = Duration::from_millis(350);
+
+type Piece = Result<Frame<Bytes>, BodyError>;
+
+/// How far a stream has come.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    /// Last event that was passed on.
+    pub last: Option<u64>,
+    /// Events.
+    pub events: u32,
+    /// Time to the first.
+    pub first_after: Option<Duration>,
+    /// Longest time between two.
+    pub longest_pause: Duration,
+    /// Data centre of the latest path.
+    pub data_centre: String,
+}
+
+/// How a target's part of a stream ended.
+enum PartEnd {
+    Whole,
+    Broken(String),
+    Stalled,
+    CallerLeft,
+    TimeOver,
+}
+
+struct Relay {
+    opener: Opener,
+    progress: Progress,
+    passed_at: Instant,
+    tx: mpsc::Sender<Piece>,
+}
+
+/// Answers with the stream's head, and passes its events on in a task.
+pub fn start(opener: Opener, opened: Opened) -> Response<RouteBody> {
+    let (tx, rx) = mpsc::channel(MAX_WAITING);
+    let mut res = Response::new(StreamBody::new(ReceiverStream::new(rx)).boxed_unsync());
+    *res.status_mut() = opened.head.status;
+    *res.headers_mut() = opened.head.headers.clone();
+    strip_connection_headers(res.headers_mut());
+    res.headers_mut().remove(header::CONTENT_LENGTH);
+    let progress = Progress {
+        last: opener.job.head.last_event,
+        ..Progress::default()
+    };
+    let relay = Relay {
+        passed_at: opener.job.arrived,
+        opener,
+        progress,
+        tx,
+    };
+    let in_progress = relay.opener.job.shared.begin();
+    tokio::spawn(async move {
+        relay.run(opened).await;
+        drop(in_progress);
+    });
+    res
+}
+
+impl Relay {
+    async fn run(mut self, mut opened: Opened) {
+        let status = opened.head.status;
+        let code = loop {
+            self.progress.data_centre = opened.hold.data_centre();
+            let end = self.pass_on(opened).await;
+            let why = match end {
+                PartEnd::Whole => break "whole",
+                PartEnd::CallerLeft => break "caller-left",
+                PartEnd::TimeOver => {
+                    self.break_off("time is over").await;
+                    break "time-over";
+                }
+                PartEnd::Broken(why) => why,
+                PartEnd::Stalled => "stalled".to_string(),
+            };
+            match self.go_on(&why).await {
+                Ok(next) => opened = next,
+                Err(failure) => {
+                    self.break_off(failure.code()).await;
+                    break "broken-off";
+                }
+            }
+        };
+        self.opener.note(status, code, Some(&self.progress));
+    }
+
+    /// Opens the rest of the stream elsewhere.
+    async fn go_on(&mut self, why: &str) -> Result<Opened, Failure> {
+        log::warn!(
+            "event=stream_moved request={} at={} last_event={:?} tries={} why={why:?}",
+            self.opener.job.head.id,
+            self.progress.data_centre,
+            self.progress.last,
+            self.opener.tries
+        );
+        let resumable = self.opener.job.route.kind.may_repeat();
+        if !resumable || !self.opener.tries_left() {
+            return Err(Failure::Broken(why.to_string()));
+        }
+        metrics::counter!("deckwind_route_streams_moved_total").increment(1);
+        let tx = self.tx.clone();
+        let opening = self.opener.open(self.progress.last, true);
+        let opening = tokio::select! {
+            opening = opening => opening?,
+            () = tx.closed() => return Err(Failure::Broken("the caller left".to_string())),
+        };
+        match opening {
+            Opening::Stream(opened) => Ok(*opened),
+            Opening::Whole(status, ..) => Err(Failure::Broken(format!(
+                "answered {status} when asked to go on"
+            ))),
+        }
+    }
+
+    async fn break_off(&self, why: &str) {
+        let error: BodyError = why.to_string().into();
+        if self.tx.send(Err(error)).await.is_err() {
+            log::debug!("event=caller_left request={}", self.opener.job.head.id);
+        }
+    }
+
+    async fn pass_on(&mut self, opened: Opened) -> PartEnd {
+        let Opened {
+            hold,
+            connection,
+            head,
+            mut body,
+        } = opened;
+        let tx = self.tx.clone();
+        let shared = self.opener.job.shared.clone();
+        let mut cutter = EventCutter::default();
+        let mut heard = Instant::now();
+        loop {
+            let look_at = (heard + SILENT).min(self.opener.job.until);
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = tx.closed() => return PartEnd::CallerLeft,
+                () = tokio::time::sleep_until(look_at) => {
+                    if self.opener.job.left().is_zero() {
+                        return PartEnd::TimeOver;
+                    }
+                    let routes = &shared.routes;
+                    routes.stalls.look(routes, shared.clock, hold.first()).await;
+                    if hold.is_avoided() && self.opener.can_move() {
+                        return PartEnd::Stalled;
+                    }
+                    heard = Instant::now();
+                    continue;
+                }
+            };
+            heard = Instant::now();
+            match frame {
+                Some(Ok(frame)) => {
+                    let Some(data) = frame.data_ref() else {
+                        continue;
+                    };
+                    if let Some(end) = self.take(&mut cutter, data).await {
+                        return end;
+                    }
+                }
+                Some(Err(e)) => return PartEnd::Broken(e.to_string()),
+                None => break,
+            }
+        }
+        shared.routes.book().answered(hold.first());
+        shared
+            .routes
+            .connections
+            .give_back(connection, &head.headers);
+        let rest = cutter.rest();
+        if !rest.is_empty() && self.send(rest).await.is_err() {
+            return PartEnd::CallerLeft;
+        }
+        PartEnd::Whole
+    }
+
+    async fn take(&mut self, cutter: &mut EventCutter, data: &Bytes) -> Option<PartEnd> {
+        let events = cutter.take(data, self.progress.last)?;
+        let now = Instant::now();
+        let progress = &mut self.progress;
+        progress.last = events.last.or(progress.last);
+        progress.events += events.count;
+        match progress.first_after {
+            None => progress.first_after = Some(now.duration_since(self.passed_at)),
+            Some(_) => {
+                let pause = now.duration_since(self.passed_at);
+                progress.longest_pause = progress.longest_pause.max(pause);
+            }
+        }
+        self.passed_at = now;
+        let sent = tokio::time::timeout(self.opener.job.left(), self.send(events.bytes)).await;
+        match sent {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(PartEnd::CallerLeft),
+            Err(_) => Some(PartEnd::TimeOver),
+        }
+    }
+
+    async fn send(&self, bytes: Vec<u8>) -> Result<(), mpsc::error::SendError<Piece>> {
+        self.tx.send(Ok(Frame::data(Bytes::from(bytes)))).await
+    }
+}
--- /dev/null
+++ b/crates/deckwindd/src/router/routes/stalls.rs
@@ -0,0 +1,88 @@
+//! Finds the stage that a silent stream waits for.
+//!
+//! A stream that has been silent for a while may wait behind others, or for a
+//! stage that is gone. Its first engine knows which; it is asked once for all
+//! the streams that began there.
+
+use super::Routes;
+use crate::clock::Clock;
+use deckwind_net::edge::{EngineDialect, EngineReport};
+use deckwind_net::targets::call_target;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest wait for a report: a hundred round trips.
+const REPORT_WITHIN: Duration = Duration::from_millis(300);
+
+/// Between two reports of one engine: its reports lag by some 200 ms.
+const ASK_EVERY: Duration = Duration::from_millis(350);
+
+/// When each engine was last asked.
+pub struct StallWatch {
+    dialect: Arc<dyn EngineDialect>,
+    asked: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+impl StallWatch {
+    /// Nobody has been asked.
+    pub fn new(dialect: Arc<dyn EngineDialect>) -> Self {
+        Self {
+            dialect,
+            asked: Mutex::default(),
+        }
+    }
+
+    /// Asks the first engine of a silent stream, unless it was asked lately, and
+    /// has the targets that are gone avoided.
+    pub async fn look(&self, routes: &Routes, clock: Clock, first: SocketAddr) {
+        if !self.is_due(first) {
+            return;
+        }
+        let call = self.dialect.report();
+        let called = call_target(&routes.connections, first, &call, REPORT_WITHIN).await;
+        let report = called
+            .map_err(|e| e.to_string())
+            .and_then(|(_, body)| self.dialect.read_report(&body).map_err(|e| e.to_string()));
+        match report {
+            Ok(report) => note_stalled(routes, clock, first, &report),
+            Err(why) => {
+                let wait = routes.book().failed(clock.now(), first);
+                log::warn!(
+                    "event=target_avoided target={first} for_ms={} why=no_report error={why:?}",
+                    wait.as_millis()
+                );
+            }
+        }
+    }
+
+    fn is_due(&self, first: SocketAddr) -> bool {
+        let mut asked = self.asked.lock().expect("no holder panics");
+        let now = Instant::now();
+        let before = asked.get(&first);
+        if before.is_some_and(|at| now.duration_since(*at) < ASK_EVERY) {
+            return false;
+        }
+        asked.insert(first, now);
+        true
+    }
+}
+
+fn note_stalled(routes: &Routes, clock: Clock, first: SocketAddr, report: &EngineReport) {
+    let mut stages: Vec<SocketAddr> = report.stalled.iter().map(|(_, a)| *a).collect();
+    stages.sort_unstable();
+    stages.dedup();
+    for stage in stages {
+        let now = clock.now();
+        if routes.book().avoids(now, stage) {
+            continue;
+        }
+        let wait = routes.book().failed(now, stage);
+        log::warn!(
+            "event=target_avoided target={stage} for_ms={} why=stalled told_by={first}",
+            wait.as_millis()
+        );
+    }
+}
--- a/crates/deckwindd/src/router/shared.rs
+++ b/crates/deckwindd/src/router/shared.rs
@@ -1,6 +1,7 @@
 //! What a router's tasks share.
 
 use super::control_client::ControlClient;
+use super::routes::Routes;
 use crate::clock::Clock;
 use crate::context::Context;
 use deckwind_config::RouterSettings;
@@ -70,6 +71,8 @@
     pub clients: TargetClients,
     /// Client of the control replicas.
     pub control: ControlClient,
+    /// Published routes.
+    pub routes: Routes,
     core: Mutex<RouterCore>,
     waiters: Mutex<HashMap<TicketId, Waiter>>,
     in_progress: AtomicUsize,
@@ -100,11 +103,6 @@
             },
             seed: rand::random(),
         };
-        let addresses = cx
-            .settings
-            .control_vms
-            .iter()
-            .map(|vm| (vm.slot, vm.address));
         Self {
             cx: cx.clone(),
             vm: cx.settings.vm.clone(),
@@ -112,7 +110,8 @@
             clock: cx.clock,
             cfg: cfg.clone(),
             clients: TargetClients::default(),
-            control: ControlClient::new(peer, addresses.collect()),
+            control: ControlClient::new(cx.clone(), peer),
+            routes: Routes::new(cx, cfg),
             core: Mutex::new(RouterCore::new(core, cx.clock.now())),
             waiters: Mutex::default(),
             in_progress: AtomicUsize::new(0),
