One search for the parting of two logs at a time; planned stops let in no streams late

(3) A replica on a full disk ended its process. Ruled out: heartbeats overtaking large messages (the test without parted logs passes on the old code). Change: after a rejection one probe without entries is awaited; large messages are awaited; a queue to an unreachable peer is dropped; streams are refused 2.8 s after SIGTERM, everything 4.5 s after it; a replica whose disk failed opens its folder again in the process. The test replication_flow fails on the old code.

--- a/crates/deckwind-core/src/replication/leader.rs
+++ b/crates/deckwind-core/src/replication/leader.rs
@@ -21,6 +21,18 @@
     pub answered: Option<Instant>,
     /// When a snapshot was last sent.
     pub snapshot_sent: Option<Instant>,
+    /// A large message, or a probe after a rejection, whose answer is waited for
+    /// before more entries are sent.
+    pub awaited: Option<Awaited>,
+}
+
+/// A message on its way to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Awaited {
+    /// When it was sent: its answer names this.
+    pub sent: Instant,
+    /// First index that it offers.
+    pub from: Index,
 }
 
 /// What only a leader has.
@@ -56,10 +68,20 @@
             matched: Index(0),
             answered: None,
             snapshot_sent: None,
+            awaited: None,
         }
     }
 }
 
+/// Bytes of entries above which nothing more is sent until they are answered: a
+/// heartbeat that overtakes them would be rejected, and each rejection would
+/// send them again.
+const AWAIT_ABOVE: usize = 32 * 1024;
+
+/// How long to wait for the answer to entries before they are sent again: the
+/// time of a large message on a slow link, and of some syncs.
+const ENTRIES_RESEND: Duration = Duration::from_millis(500);
+
 /// How long to wait for the answer to a snapshot before it is sent again.
 const SNAPSHOT_RESEND: Duration = Duration::from_secs(2);
 
@@ -147,7 +169,7 @@
         let behind: Vec<ReplicaId> = leading
             .peers
             .iter()
-            .filter(|(_, p)| p.next <= last)
+            .filter(|(_, p)| p.next <= last && p.awaited.is_none())
             .map(|(id, _)| *id)
             .collect();
         for peer in behind {
@@ -158,16 +180,20 @@
     /// Sends what comes next for `to`, and counts on its arrival. A peer that
     /// missed a message says so in its next answer.
     fn send_append(&mut self, now: Instant, to: ReplicaId, out: &mut Vec<Action>) {
-        let next = match self.leading.as_ref().and_then(|l| l.peers.get(&to)) {
-            Some(p) => p.next,
-            None => return,
+        let Some(next) = self.next_for(now, to) else {
+            return;
         };
+        let waits = self.awaits(to);
         let prev_index = next.prev();
         let Some(prev_term) = self.log.term_at(prev_index) else {
             self.send_snapshot(now, to, out);
             return;
         };
-        let entries = self.log.slice(next, self.cfg.max_batch_bytes);
+        let entries = match waits {
+            true => Vec::new(),
+            false => self.log.slice(next, self.cfg.max_batch_bytes),
+        };
+        let large = entries.iter().map(Entry::size).sum::<usize>() > AWAIT_ABOVE;
         let sent_next = entries.last().map_or(next, |e| e.at.index.next());
         let body = Body::Append {
             prev: Position {
@@ -181,9 +207,32 @@
         self.send(to, body, false, out);
         if let Some(p) = self.progress(to) {
             p.next = sent_next;
+            if large {
+                p.awaited = Some(Awaited {
+                    sent: now,
+                    from: next,
+                });
+            }
         }
     }
 
+    /// Next index to send to a peer. Entries that were not answered in time go
+    /// again.
+    fn next_for(&mut self, now: Instant, to: ReplicaId) -> Option<Index> {
+        let p = self.progress(to)?;
+        let lost = |a: &Awaited| now.since(a.sent) > ENTRIES_RESEND;
+        if let Some(awaited) = p.awaited.take_if(|a| lost(a)) {
+            p.next = awaited.from.max(p.matched.next());
+        }
+        Some(p.next)
+    }
+
+    /// Whether entries on their way to a peer are waited for.
+    fn awaits(&self, id: ReplicaId) -> bool {
+        let progress = self.leading.as_ref().and_then(|l| l.peers.get(&id));
+        progress.is_some_and(|p| p.awaited.is_some())
+    }
+
     fn send_snapshot(&mut self, now: Instant, to: ReplicaId, out: &mut Vec<Action>) {
         let waiting = |p: &Progress| {
             p.snapshot_sent
@@ -223,18 +272,31 @@
         if self.role != Role::Leader || term != self.hard.term {
             return;
         }
+        let end = self.log.last().index;
         let Some(p) = self.progress(from) else {
             return;
         };
         p.answered = p.answered.max(Some(sent));
         p.snapshot_sent = None;
+        let is_awaited = p.awaited.is_some_and(|a| a.sent == sent);
+        if is_awaited {
+            p.awaited = None;
+        }
         if !agreed {
-            p.next = matched.next().max(p.matched.next());
-            self.send_append(now, from, out);
+            // Only one message at a time looks for where the logs part: else
+            // each rejection of what was sent before starts a search of its own.
+            if p.awaited.is_none() {
+                p.next = matched.next().max(p.matched.next());
+                self.probe(now, from, out);
+            }
             return;
         }
         p.matched = p.matched.max(matched);
         p.next = p.next.max(matched.next());
+        let behind = is_awaited && p.next <= end;
+        if behind {
+            self.send_append(now, from, out);
+        }
         self.advance_commit(out);
     }
 
@@ -259,6 +321,15 @@
         }
     }
 
+    /// Asks whether a peer's log matches below `next`, without entries.
+    fn probe(&mut self, now: Instant, to: ReplicaId, out: &mut Vec<Action>) {
+        if let Some(p) = self.progress(to) {
+            let from = p.next;
+            p.awaited = Some(Awaited { sent: now, from });
+        }
+        self.send_append(now, to, out);
+    }
+
     fn matched_of(&self, leading: &Leading, id: ReplicaId) -> Index {
         if id == self.cfg.id {
             return self.synced.index;
--- a/crates/deckwind-net/src/quic.rs
+++ b/crates/deckwind-net/src/quic.rs
@@ -28,9 +28,16 @@
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// Longest wait for peers to hear of the close.
+const CLOSE: Duration = Duration::from_millis(100);
+
 /// Streams that a peer may have open at once.
 const MAX_STREAMS: u32 = 1_024;
 
+/// Bytes that may be on their way to one peer: 16 times what a second of a
+/// 1 Mbit/s link carries, and little beside the memory of a small VM.
+const SEND_WINDOW: u64 = 2 << 20;
+
 /// Names the protocol in the handshake (RFC 7301).
 const ALPN: &[u8] = b"deckwind/1";
 
@@ -166,7 +173,10 @@
     /// Closes all connections.
     pub async fn close(self) {
         self.endpoint.close(0u32.into(), b"closed");
-        self.endpoint.wait_idle().await;
+        let gone = tokio::time::timeout(CLOSE, self.endpoint.wait_idle()).await;
+        if gone.is_err() {
+            log::debug!("event=peers_not_told_of_close");
+        }
     }
 }
 
@@ -205,6 +215,7 @@
     transport.keep_alive_interval(Some(KEEP_ALIVE));
     transport.max_concurrent_bidi_streams(MAX_STREAMS.into());
     transport.max_concurrent_uni_streams(MAX_STREAMS.into());
+    transport.send_window(SEND_WINDOW);
     Ok(Arc::new(transport))
 }
 
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod processes;
 mod replication;
+mod replication_flow;
 mod sessions;
 mod settings;
 mod specification;
--- a/crates/deckwindd/src/commands/run.rs
+++ b/crates/deckwindd/src/commands/run.rs
@@ -9,6 +9,9 @@
 use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Longest wait for tasks that still run at the end.
+const SHUTDOWN: Duration = Duration::from_millis(50);
+
 /// Between two looks at whether the daemon still works.
 const WATCH_EVERY: Duration = Duration::from_millis(200);
 
@@ -47,7 +50,7 @@
     if let Err(e) = &result {
         log::error!("event=failed error={:?}", format!("{e:#}"));
     }
-    runtime.shutdown_timeout(Duration::from_secs(1));
+    runtime.shutdown_timeout(SHUTDOWN);
     result
 }
 
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -88,8 +88,8 @@
 
     /// Runs until it is told to stop, or until the disk fails: a replica that
     /// can't write must not vote or acknowledge.
-    pub fn run(mut self, rx: Receiver<Input>) -> Result<()> {
-        while let Some(batch) = gather(&rx) {
+    pub fn run(mut self, rx: &Receiver<Input>) -> Result<()> {
+        while let Some(batch) = gather(rx) {
             if let Err(e) = self.take_batch(batch) {
                 log::error!("event=store_failed error={:?}", format!("{e:#}"));
                 return Err(e);
@@ -179,7 +179,7 @@
 
 /// All inputs that have come in, after a wait of at most a tick; nothing when
 /// it is time to stop.
-fn gather(rx: &Receiver<Input>) -> Option<Vec<Input>> {
+pub fn gather(rx: &Receiver<Input>) -> Option<Vec<Input>> {
     let mut batch = Vec::new();
     match rx.recv_timeout(TICK) {
         Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return None,
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod calls;
 mod driver;
 mod handle;
+mod keeper;
 mod node;
 mod operators;
 mod orders;
@@ -20,12 +21,11 @@
 pub use node::{ControlNode, Effect, Now};
 
 use crate::context::Context;
-use anyhow::{Context as _, Result};
+use anyhow::Result;
 use deckwind_config::ControlSettings;
-use deckwind_core::replication::ReplicaId;
 use deckwind_net::quic::QuicPeer;
-use deckwind_store::{FsDisk, Store};
 use deckwind_wire::MAX_MESSAGE;
+use keeper::Keeper;
 use std::thread::JoinHandle;
 
 /// A running control replica.
@@ -38,35 +38,27 @@
 impl Control {
     /// Opens the data folder and starts.
     pub fn start(cx: &Context, cfg: &ControlSettings) -> Result<Self> {
-        let disk = FsDisk::open(&cfg.data_folder)?;
-        let fresh = ReplicaId {
-            slot: cfg.slot,
-            identity: rand::random(),
-        };
-        let (store, opened) = Store::open(Box::new(disk), fresh)
-            .with_context(|| format!("data folder {}", cfg.data_folder.display()))?;
-        log::info!(
-            "event=store_opened replica={} fresh={} entries={} cut_bytes={}",
-            opened.id,
-            opened.fresh,
-            opened.stored.entries.len(),
-            opened.cut_bytes
-        );
+        let (store, opened) = keeper::open(cfg)?;
         let _guard = cx.runtime.enter();
         let address = cx.control_address(cfg.slot)?;
         let peer = QuicPeer::bind(address, cx.key_files().as_ref(), MAX_MESSAGE)?;
         let (handle, rx) = ControlHandle::new();
-        let senders = peers::Senders::new(cx, &peer);
         cx.runtime.spawn(peers::serve(peer.clone(), handle.clone()));
         operators::serve(cfg, handle.clone())?;
         if let Some(address) = cfg.calls {
             let serving = calls::serve(cx, address, handle.clone())?;
             cx.runtime.spawn(serving);
         }
-        let driver = driver::Driver::new(cx, cfg, store, opened, senders, handle.clone())?;
+        let keeper = Keeper {
+            cx: cx.clone(),
+            cfg: cfg.clone(),
+            peer: peer.clone(),
+            handle: handle.clone(),
+        };
+        let driver = keeper.driver(store, opened)?;
         let thread = std::thread::Builder::new()
             .name("control".to_string())
-            .spawn(move || driver.run(rx))?;
+            .spawn(move || keeper.run(driver, &rx))?;
         Ok(Self {
             handle,
             thread,
--- a/crates/deckwindd/src/control/peers.rs
+++ b/crates/deckwindd/src/control/peers.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 /// Messages that may wait for one peer; more are dropped, as a network would.
-const MAX_WAITING: usize = 1_024;
+const MAX_WAITING: usize = 256;
 
 /// One queue a slot, made at the first message: keeps the order of messages to
 /// a peer.
@@ -62,9 +62,18 @@
 
 async fn send_all(peer: QuicPeer, to: SocketAddr, mut rx: mpsc::Receiver<Message>) {
     while let Some(message) = rx.recv().await {
-        if let Err(e) = peer.send(to, &encode(&message)).await {
-            log::debug!("event=send_failed peer={to} error={:?}", e.to_string());
+        let Err(e) = peer.send(to, &encode(&message)).await else {
+            continue;
+        };
+        // What waited meanwhile is as old; the protocol sends what matters again.
+        let mut dropped = 1;
+        while rx.try_recv().is_ok() {
+            dropped += 1;
         }
+        log::debug!(
+            "event=send_failed peer={to} dropped={dropped} error={:?}",
+            e.to_string()
+        );
     }
 }
 
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -33,6 +33,7 @@
 use deckwind_config::RouterSettings;
 use deckwind_net::quic::QuicPeer;
 use deckwind_wire::{ControlRequest, MAX_MESSAGE};
+use routes::LetIn;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,8 +56,15 @@
 /// usual: balancers ask each second, and leave out one that said no twice.
 const STILL_ACCEPT: Duration = Duration::from_millis(2_800);
 
+/// After this no request is let in: what takes longest with a whole answer ends
+/// before the process is killed.
+const LAST_ACCEPT: Duration = Duration::from_millis(4_500);
+
 /// What is done after the last answer must end before the process is killed.
-const KILL_MARGIN: Duration = Duration::from_millis(900);
+const KILL_MARGIN: Duration = Duration::from_millis(600);
+
+/// Longest wait for the leader to take the lease back; else it runs out.
+const RELEASE_WITHIN: Duration = Duration::from_millis(200);
 
 fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
     callers::listen(address).with_context(|| format!("TCP {address} can't be bound"))
@@ -119,24 +127,31 @@
         self.shared.core().drain();
         self.shared.routes.drain();
         let began = tokio::time::Instant::now();
+        let end = began + self.stop_within();
         if self.shared.cfg.routes.is_some() {
-            tokio::time::sleep(STILL_ACCEPT).await;
-            self.shared.routes.close_connections();
+            let steps = [
+                (STILL_ACCEPT, LetIn::NoStreams),
+                (LAST_ACCEPT, LetIn::Nothing),
+            ];
+            for (after, let_in) in steps {
+                tokio::time::sleep_until((began + after).min(end)).await;
+                self.shared.routes.restrict(let_in);
+            }
         }
-        let killed = self.killed_after.map(|d| d.saturating_sub(KILL_MARGIN));
-        let deadline = began + killed.unwrap_or(self.drain).min(self.drain);
-        while self.shared.in_progress() > 0 && tokio::time::Instant::now() < deadline {
+        while self.shared.in_progress() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(DRAIN_STEP).await;
         }
         for task in &self.tasks {
             task.abort();
         }
         let release = ControlRequest::Release(self.shared.holder());
-        let _ = self
-            .shared
-            .control
-            .ask(&release, Duration::from_secs(1))
-            .await;
+        let _ = self.shared.control.ask(&release, RELEASE_WITHIN).await;
         self.peer.close().await;
     }
+
+    /// Longest time that requests in progress are waited for.
+    fn stop_within(&self) -> Duration {
+        let killed = self.killed_after.map(|d| d.saturating_sub(KILL_MARGIN));
+        killed.unwrap_or(self.drain).min(self.drain)
+    }
 }
--- a/crates/deckwindd/src/router/routes/answers.rs
+++ b/crates/deckwindd/src/router/routes/answers.rs
@@ -28,6 +28,8 @@
     UnknownKey,
     /// Not run: no lease on the configuration.
     NoLease,
+    /// Not run: this router is about to stop.
+    Stopping,
     /// Not run: no target.
     NoTarget,
     /// Not run: all targets are full.
@@ -46,6 +48,7 @@
 /// The most spreads the return of many that were refused at once.
 const AGAIN_LEASE: (u64, u64) = (300, 900);
 const AGAIN_TARGET: (u64, u64) = (200, 700);
+const AGAIN_STOPPING: (u64, u64) = (20, 200);
 const AGAIN_FULL: (u64, u64) = (400, 2_000);
 
 impl Failure {
@@ -58,6 +61,7 @@
             Failure::NoRoute => StatusCode::NOT_FOUND,
             Failure::UnknownKey => StatusCode::UNAUTHORIZED,
             Failure::NoLease
+            | Failure::Stopping
             | Failure::NoTarget
             | Failure::Full
             | Failure::Refused
@@ -76,6 +80,7 @@
             Failure::NoRoute => "no-route",
             Failure::UnknownKey => "unknown-key",
             Failure::NoLease => "no-lease",
+            Failure::Stopping => "stopping",
             Failure::NoTarget => "no-target",
             Failure::Full => "full",
             Failure::Refused => "refused-by-targets",
@@ -89,6 +94,7 @@
     fn retry_after(&self) -> Option<Duration> {
         let (least, most) = match self {
             Failure::NoLease => AGAIN_LEASE,
+            Failure::Stopping => AGAIN_STOPPING,
             Failure::NoTarget | Failure::Refused => AGAIN_TARGET,
             Failure::Full => AGAIN_FULL,
             _ => return None,
--- a/crates/deckwindd/src/router/routes/callers.rs
+++ b/crates/deckwindd/src/router/routes/callers.rs
@@ -184,6 +184,9 @@
     let release = shared.routes.release().ok_or(Failure::NoLease)?;
     let allowed = allow(shared, &release, &head, parts)?;
     let (route, account, priority) = allowed;
+    if !shared.routes.lets_in(route.kind) {
+        return Err(Failure::Stopping);
+    }
     let limits = release.release().limits;
     let body = read_body(body, limits).await?;
     // The body may have taken long: what was allowed may no longer be.
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -21,13 +21,13 @@
 use deckwind_config::RouterSettings;
 use deckwind_core::control::PathUse;
 use deckwind_core::routes::{InstanceIndex, ReleaseIndex, RepeatBudget, RepeatLimits, TargetBook};
-use deckwind_core::state::Configuration;
+use deckwind_core::state::{Configuration, RouteKind};
 use deckwind_core::time::Instant;
 use deckwind_net::targets::KeptConnections;
 use stalls::StallWatch;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// What the tasks of published routes share.
@@ -42,7 +42,19 @@
     pub stalls: StallWatch,
     routers: AtomicU32,
     draining: AtomicBool,
-    closing: AtomicBool,
+    /// What a planned stop still lets in; see [`LetIn`].
+    let_in: AtomicU8,
+}
+
+/// What is let in while the router stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LetIn {
+    /// Everything.
+    All = 0,
+    /// Requests with a whole answer; a stream could outlast the process.
+    NoStreams = 1,
+    /// Nothing.
+    Nothing = 2,
 }
 
 impl Routes {
@@ -62,7 +74,7 @@
             stalls: StallWatch::new(cx.dialects.engines.clone()),
             routers: AtomicU32::new(1),
             draining: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
+            let_in: AtomicU8::new(LetIn::All as u8),
         }
     }
 
@@ -137,13 +149,22 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    /// Connections end with their next answer.
-    pub fn close_connections(&self) {
-        self.closing.store(true, Ordering::Relaxed);
+    /// Lets less in from now on.
+    pub fn restrict(&self, let_in: LetIn) {
+        self.let_in.store(let_in as u8, Ordering::Relaxed);
+    }
+
+    /// Whether requests of this kind are let in.
+    pub fn lets_in(&self, kind: RouteKind) -> bool {
+        let refused_from = match kind.is_stream() {
+            true => LetIn::NoStreams,
+            false => LetIn::Nothing,
+        };
+        self.let_in.load(Ordering::Relaxed) < refused_from as u8
     }
 
     /// Whether connections end with their next answer.
     pub fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Relaxed)
+        self.let_in.load(Ordering::Relaxed) > LetIn::All as u8
     }
 }
