Chains that mend without giving layers up; kinds mixed along a chain

Change: engines hold old and new layers together first, where enough memory stays; plans prefer such; where layers must be given up in a broken chain they are cut; kinds are mixed along a chain and cards with little memory are not filled, so that a neighbour with room is near; scarce chains are improved once calm; an order waits until the engine is idle, and is not given if the engine holds other layers than believed.

--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -27,4 +27,4 @@
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
 pub use orders::{ORDER_FLIGHT, OrderBatch, OrderKind, TargetOrder};
-pub use placement_desk::{PlaceOrder, PlaceWork, PlacementDesk};
+pub use placement_desk::{GiveUp, PlaceOrder, PlaceWork, PlacementDesk};
--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -2,13 +2,18 @@
 //!
 //! A chain that is whole stays as it is. One that lacks layers is planned anew
 //! over the engines that are there, once they have been the same for a while.
-//! What an engine is to give up is taken from the agreed state before the order
-//! leaves, so that no router counts on it any more.
+//! An engine first holds what it has and what it is to have together, as far as
+//! its memory goes: giving layers up waits for the requests that pass through
+//! them, loading more does not. What is too much is given up later, when the
+//! chain has been whole for a while. What an engine is to give up is taken from
+//! the agreed state before the order leaves, so that no router counts on it.
 
-use crate::routing::placement::{Card, chain_groups, is_whole, plan_chain};
+use crate::routing::placement::{
+    Card, chain_groups, common, is_whole, plan_chain, together, tokens_beside,
+};
 use crate::state::{
-    EngineModel, Instance, InstanceChange, InstanceId, InstanceState, Instances, LayerRange, Pool,
-    Release,
+    DataCentre, EngineModel, Instance, InstanceChange, InstanceId, InstanceState, Instances,
+    LayerRange, Pool, Release,
 };
 use crate::time::Instant;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,9 +31,26 @@
 /// After a failed order, until the same engine gets another.
 const AGAIN_AFTER: Duration = Duration::from_millis(800);
 
+/// How long a chain must have been whole before it is improved: what failed may
+/// come back, or fail again.
+const CALM: Duration = Duration::from_millis(1_000);
+
+/// Part of the tokens that an engine keeps at most, below which it gives up what
+/// is held twice.
+const SCARCE: f64 = 0.45;
+
 /// Longest time that one order may take; loads are much shorter.
 const WITHIN: Duration = Duration::from_secs(15);
 
+/// What becomes of requests that pass through layers that an engine gives up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUp {
+    /// They end first, however long that takes.
+    WhenUnused,
+    /// They are broken off: their chain serves nobody until more is loaded.
+    AtOnce,
+}
+
 /// Have an engine hold exactly these layers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlaceOrder {
@@ -38,6 +60,11 @@
     pub address: SocketAddr,
     /// Layers.
     pub layers: LayerRange,
+    /// Layers that it is believed to hold. If it holds others nothing is
+    /// ordered: another leader's order was carried out meanwhile.
+    pub believed: LayerRange,
+    /// What becomes of requests that pass through layers it gives up.
+    pub give_up: GiveUp,
     /// Given up after this time.
     pub within: Duration,
 }
@@ -58,11 +85,21 @@
     until: Instant,
 }
 
+/// What an order under way does to its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doing {
+    /// It loads layers.
+    Loading,
+    /// It waits until the layers that it gives up are unused.
+    GivingUp,
+}
+
 /// What the leader knows of its orders to place layers.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementDesk {
     seen: BTreeMap<String, Seen>,
-    under_way: BTreeMap<InstanceId, LayerRange>,
+    under_way: BTreeMap<InstanceId, Doing>,
+    whole_since: BTreeMap<(String, DataCentre), Instant>,
     not_before: BTreeMap<InstanceId, Instant>,
 }
 
@@ -91,7 +128,7 @@
             let ready = instances.iter().filter(|i| is_usable(i, pool));
             let ready: Vec<&Instance> = ready.collect();
             if self.has_settled(now, pool, &ready) {
-                self.work_of_pool(now, model, &ready, &mut work);
+                self.work_of_pool(now, &pool.name, model, &ready, &mut work);
             }
         }
         work
@@ -102,7 +139,11 @@
         match self.seen.get(&pool.name) {
             Some(seen) if seen.ids == ids => now >= seen.until,
             before => {
-                let lost = before.is_some_and(|seen| ids.is_subset(&seen.ids));
+                let lost = match before {
+                    Some(seen) => ids.is_subset(&seen.ids),
+                    // A new leader: these were placed before its time.
+                    None => ready.iter().any(|i| !i.layers.is_empty()),
+                };
                 let until = now + if lost { SETTLE_LOST } else { SETTLE };
                 let seen = Seen { ids, until };
                 self.seen.insert(pool.name.clone(), seen);
@@ -114,6 +155,7 @@
     fn work_of_pool(
         &mut self,
         now: Instant,
+        pool: &str,
         model: &EngineModel,
         ready: &[&Instance],
         work: &mut PlaceWork,
@@ -121,34 +163,65 @@
         let cards: Vec<Card> = ready.iter().filter_map(|i| card_of(model, i)).collect();
         for group in chain_groups(model, &cards) {
             let whole = is_whole(model.layers, group.iter().map(|c| c.held));
-            let busy = group.iter().any(|c| self.is_under_way(&c.id));
-            if whole || busy {
+            let calm_at = self.whole_since(now, pool, &group, whole) + CALM;
+            let under_way = |c: &Card| self.under_way.get(&c.id);
+            let blocked = match whole {
+                true => group.iter().any(|c| under_way(c).is_some()),
+                false => group.iter().any(|c| under_way(c) == Some(&Doing::Loading)),
+            };
+            if blocked {
                 continue;
             }
-            if let Some(plan) = plan_chain(model, &group) {
-                self.order_group(now, ready, &group, &plan, work);
+            let Some(plan) = plan_chain(model, &group) else {
+                continue;
+            };
+            let steps: Vec<(Card, LayerRange)> = group.into_iter().zip(plan).collect();
+            if !whole {
+                let steps = steps.into_iter().map(|(card, want)| {
+                    let step = together(model, &card, want).unwrap_or(want);
+                    (card, step)
+                });
+                self.order(now, ready, steps, GiveUp::AtOnce, work);
+            } else if now >= calm_at {
+                let steps = improvement(model, steps);
+                self.order(now, ready, steps, GiveUp::WhenUnused, work);
             }
         }
     }
 
-    fn order_group(
+    /// Since when a chain is whole; `now` if it is not.
+    fn whole_since(&mut self, now: Instant, pool: &str, group: &[Card], whole: bool) -> Instant {
+        let key = (pool.to_string(), group[0].data_centre.clone());
+        if !whole {
+            self.whole_since.remove(&key);
+            return now;
+        }
+        *self.whole_since.entry(key).or_insert(now)
+    }
+
+    fn order(
         &mut self,
         now: Instant,
         ready: &[&Instance],
-        group: &[Card],
-        plan: &[LayerRange],
+        steps: impl IntoIterator<Item = (Card, LayerRange)>,
+        give_up: GiveUp,
         work: &mut PlaceWork,
     ) {
-        for (card, want) in group.iter().zip(plan) {
-            let waits = self.not_before.get(&card.id).is_some_and(|at| *at > now);
-            if card.held == *want || want.is_empty() || waits {
+        for (card, want) in steps {
+            let failed = self.not_before.get(&card.id).is_some_and(|at| *at > now);
+            let waits = failed || self.is_under_way(&card.id);
+            if card.held == want || want.is_empty() || waits {
                 continue;
             }
             let Some(instance) = ready.iter().find(|i| i.id == card.id) else {
                 continue;
             };
-            self.under_way.insert(card.id.clone(), *want);
-            let kept = common(card.held, *want);
+            let kept = common(card.held, want);
+            let doing = match kept == want {
+                true => Doing::GivingUp,
+                false => Doing::Loading,
+            };
+            self.under_way.insert(card.id.clone(), doing);
             if kept != card.held {
                 let less = InstanceChange::Holds(card.id.clone(), kept);
                 work.changes.push(less);
@@ -156,13 +229,40 @@
             work.orders.push(PlaceOrder {
                 id: card.id.clone(),
                 address: instance.address,
-                layers: *want,
+                layers: want,
+                believed: card.held,
+                give_up,
                 within: WITHIN,
             });
         }
     }
 }
 
+/// What makes a whole chain keep more requests, if its memory is scarce: more
+/// layers on cards that have room, or, once nothing is to be loaded, less on
+/// those that have little.
+fn improvement(model: &EngineModel, plan: Vec<(Card, LayerRange)>) -> Vec<(Card, LayerRange)> {
+    let is_scarce = |card: &Card| {
+        let beside = tokens_beside(model, card.memory_mb, card.held.len());
+        !card.held.is_empty() && beside < SCARCE * model.max_tokens as f64
+    };
+    if !plan.iter().any(|(card, _)| is_scarce(card)) {
+        return Vec::new();
+    }
+    let loads = |(card, want): &(Card, LayerRange)| common(card.held, *want) != *want;
+    if !plan.iter().any(loads) {
+        return plan.into_iter().filter(|(c, _)| is_scarce(c)).collect();
+    }
+    let first = |(card, want): (Card, LayerRange)| {
+        let step = match card.held.is_empty() {
+            true => want,
+            false => together(model, &card, want)?,
+        };
+        Some((card, step))
+    };
+    plan.into_iter().filter_map(first).collect()
+}
+
 fn is_usable(instance: &Instance, pool: &Pool) -> bool {
     instance.pool == pool.name && instance.state == InstanceState::Ready
 }
@@ -177,12 +277,3 @@
         held: instance.layers,
     })
 }
-
-/// Layers in both ranges; empty if there is none.
-fn common(a: LayerRange, b: LayerRange) -> LayerRange {
-    let range = LayerRange::new(a.first.max(b.first), a.last.min(b.last));
-    match range.is_empty() {
-        true => LayerRange::new(0, 0),
-        false => range,
-    }
-}
--- a/crates/deckwind-core/src/routing/placement.rs
+++ b/crates/deckwind-core/src/routing/placement.rs
@@ -61,11 +61,20 @@
     None
 }
 
-/// Gives each layer to the card whose stage stays shortest with it.
+/// How much a card that is nearly full of layers counts as slower: the layers of
+/// a lost neighbour need room.
+const FULL_WEIGHT: f64 = 4.0;
+
+/// Gives each layer to the card whose stage stays shortest with it, and keeps
+/// room on all of them.
 fn balance(model: &EngineModel, cards: &[Card], most: &[u32]) -> Vec<u32> {
     let mut counts = vec![0; cards.len()];
     for _ in 0..model.layers {
-        let time = |i: &usize| f64::from(counts[*i] + 1) * cards[*i].step_factor;
+        let time = |i: &usize| {
+            let count = f64::from(counts[*i] + 1);
+            let full = count / f64::from(most[*i].max(1));
+            count * cards[*i].step_factor * (1.0 + FULL_WEIGHT * full.powi(3))
+        };
         let open = (0..cards.len()).filter(|i| counts[*i] < most[*i]);
         if let Some(i) = open.min_by(|a, b| time(a).total_cmp(&time(b))) {
             counts[i] += 1;
@@ -117,8 +126,12 @@
 }
 
 /// Cards in the order of their chain: those that hold layers by these, and the
-/// empty ones where the first layer is missing, the fastest first.
+/// empty ones where the first layer is missing. In a new chain the kinds are
+/// mixed evenly, so that a card with little memory has neighbours with more.
 fn chain_order(cards: &[Card]) -> Vec<usize> {
+    if cards.iter().all(|c| c.held.is_empty()) {
+        return mixed_order(cards);
+    }
     let gap = first_gap(cards);
     let place = |c: &Card| match c.held.is_empty() {
         true => (gap, 0),
@@ -135,6 +148,27 @@
     order
 }
 
+fn mixed_order(cards: &[Card]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..cards.len()).collect();
+    order.sort_by(|a, b| cards[*a].id.cmp(&cards[*b].id));
+    let kind = |c: &Card| (c.memory_mb.to_bits(), c.step_factor.to_bits());
+    let place = |i: usize| {
+        let same = order
+            .iter()
+            .filter(|o| kind(&cards[**o]) == kind(&cards[i]));
+        let same: Vec<usize> = same.copied().collect();
+        let before = same.iter().position(|o| *o == i).unwrap_or_default();
+        (before as f64 + 0.5) / same.len() as f64
+    };
+    let mut placed: Vec<(f64, usize)> = order.iter().map(|i| (place(*i), *i)).collect();
+    placed.sort_by(|a, b| {
+        let factor = |i: usize| cards[i].step_factor;
+        a.0.total_cmp(&b.0)
+            .then(factor(a.1).total_cmp(&factor(b.1)))
+    });
+    placed.into_iter().map(|(_, i)| i).collect()
+}
+
 /// The first layer that no card holds.
 fn first_gap(cards: &[Card]) -> u32 {
     let mut held: Vec<LayerRange> = cards.iter().map(|c| c.held).collect();
@@ -154,6 +188,21 @@
 /// (six layers on an accelerator sixteen times slower than the reference).
 const STAGE_WEIGHT: f64 = 0.000_5;
 
+/// Cost of having to give layers up before others are loaded: as of twenty
+/// layers to load, since it waits for answers or breaks them off.
+const GIVE_UP_COST: f64 = 400.0;
+
+/// Cost of a card that is left without any memory for requests: as of some
+/// twelve layers to load.
+const SCARCE_COST: f64 = 150.0;
+
+/// Part of the tokens that an engine keeps at most, with which it holds up no
+/// chain.
+const ENOUGH: f64 = 0.8;
+
+/// The same below which a card does not hold old and new layers together.
+const LEAST_BESIDE: f64 = 0.3;
+
 /// New ranges for cards in the order of their chain, with few layers to load on
 /// any of them: loads run side by side, so the largest decides how long the
 /// chain is broken.
@@ -182,7 +231,7 @@
             let least = to.saturating_sub(most[i] as usize);
             for first in least..=to {
                 let range = LayerRange::new(first as u32, to as u32);
-                let total = cost[i][first] + card_cost(card, range);
+                let total = cost[i][first] + card_cost(model, card, range);
                 if total < cost[i + 1][to] {
                     cost[i + 1][to] = total;
                     from[i + 1][to] = first;
@@ -202,11 +251,50 @@
     Some(ranges)
 }
 
-fn card_cost(card: &Card, range: LayerRange) -> f64 {
-    let kept = (range.last.min(card.held.last)).saturating_sub(range.first.max(card.held.first));
-    let loaded = f64::from(range.len() - kept.min(range.len()));
+fn card_cost(model: &EngineModel, card: &Card, range: LayerRange) -> f64 {
+    if range.is_empty() {
+        return 0.0;
+    }
+    let loaded = f64::from(range.len() - common(card.held, range).len());
     let time = f64::from(range.len()) * card.step_factor;
-    loaded * loaded + STAGE_WEIGHT * time * time
+    loaded * loaded + STAGE_WEIGHT * time * time + step_cost(model, card, range)
+}
+
+/// What it costs that a card holds old and new layers together at first, or
+/// that it has to give up before it can load.
+fn step_cost(model: &EngineModel, card: &Card, range: LayerRange) -> f64 {
+    if card.held.is_empty() {
+        return 0.0;
+    }
+    let Some(both) = together(model, card, range) else {
+        return GIVE_UP_COST;
+    };
+    let beside = tokens_beside(model, card.memory_mb, both.len());
+    let part = f64::from(both.len()) / f64::from(range.len());
+    let missing = 1.0 - (beside * part / (ENOUGH * model.max_tokens as f64)).min(1.0);
+    SCARCE_COST * missing * missing
+}
+
+/// Layers in both ranges; empty if there is none.
+pub fn common(a: LayerRange, b: LayerRange) -> LayerRange {
+    let range = LayerRange::new(a.first.max(b.first), a.last.min(b.last));
+    match range.is_empty() {
+        true => LayerRange::default(),
+        false => range,
+    }
+}
+
+/// What a card has and what it is to have as one range, where they adjoin and
+/// its memory allows.
+pub fn together(model: &EngineModel, card: &Card, want: LayerRange) -> Option<LayerRange> {
+    let held = card.held;
+    let adjoin = want.first <= held.last && held.first <= want.last;
+    if want.is_empty() || held.is_empty() || !adjoin {
+        return None;
+    }
+    let both = LayerRange::new(held.first.min(want.first), held.last.max(want.last));
+    let beside = tokens_beside(model, card.memory_mb, both.len());
+    (beside >= LEAST_BESIDE * model.max_tokens as f64).then_some(both)
 }
 
 /// The cards that should hold a chain together: those of each data centre that
--- a/crates/deckwind-net/src/edge.rs
+++ b/crates/deckwind-net/src/edge.rs
@@ -5,6 +5,7 @@
 //! translates, nothing more.
 
 use bytes::Bytes;
+use deckwind_core::control::GiveUp;
 use deckwind_core::routing::paths::Stage;
 use deckwind_core::state::{Instance, InstanceId, KeyDigest, LayerRange, Published};
 use http::{HeaderMap, Method, StatusCode, request::Parts};
@@ -115,7 +116,7 @@
     fn read_report(&self, body: &[u8]) -> Result<EngineReport, BadInput>;
     /// Has an engine that has taken `orders` orders hold these layers; one that
     /// has taken more must refuse.
-    fn place(&self, layers: LayerRange, orders: u64) -> TargetCall;
+    fn place(&self, layers: LayerRange, give_up: GiveUp, orders: u64) -> TargetCall;
 }
 
 /// A call to a control replica.
--- a/crates/deckwindd/src/control/placing.rs
+++ b/crates/deckwindd/src/control/placing.rs
@@ -63,12 +63,18 @@
 
 impl Placing {
     async fn run(&self) -> Result<LayerRange, String> {
-        let report = self.report().await?;
-        if !report.busy && report.layers == self.order.layers {
+        let report = self.idle_report().await?;
+        let as_believed = report.layers == self.order.believed;
+        if report.layers == self.order.layers || !as_believed {
             return Ok(report.layers);
         }
         let started = Instant::now();
-        let call = self.dialect.place(self.order.layers, report.orders);
+        let call = {
+            let PlaceOrder {
+                layers, give_up, ..
+            } = self.order;
+            self.dialect.place(layers, give_up, report.orders)
+        };
         let called = call_target(&self.connections, self.order.address, &call, ANSWER);
         let (status, _) = called.await.map_err(|e| e.to_string())?;
         if !matches!(status, StatusCode::OK | StatusCode::ACCEPTED) {
@@ -86,6 +92,18 @@
         Ok(held)
     }
 
+    /// Its report once it carries out no order: a leader before this one may
+    /// have given one.
+    async fn idle_report(&self) -> Result<EngineReport, String> {
+        loop {
+            let report = self.report().await?;
+            if !report.busy {
+                return Ok(report);
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
     async fn follow(&self) -> Result<LayerRange, String> {
         let mut idle_looks = 0;
         loop {
