Streams change their path before an engine leaves, and are let go late

Repairs planned for the most tokens first, and so moved whole chains. Change: a stream changes its path, with the same first engine, when an engine on the way drains; a stream that stands still keeps its target until another has begun; begun streams may crowd a chain by a fifth and wait up to 1.7 s for a whole one; targets that have ended do not count as tries; repairs weigh scarce memory against layers to load, and the total of loads; nine tenths of the repeats are used.

--- a/crates/deckwind-core/src/routes/choice.rs
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -18,6 +18,19 @@
 /// Below this use a request stays in its own data centre.
 const STAY_BELOW: f64 = 0.7;
 
+/// How full a chain may get with requests that have begun elsewhere: breaking
+/// one off costs more than a little crowding.
+const BEGUN_MOST: f64 = 1.2;
+
+/// What a request takes of a chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Tokens that it will keep.
+    pub tokens: u64,
+    /// Whether it has begun at another target.
+    pub begun: bool,
+}
+
 /// A target, and the path where engines hold layers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -47,14 +60,14 @@
     },
 }
 
-/// The path for a request that will keep `tokens` tokens; through targets in
+/// The path for a request that needs this room; through targets in
 /// `avoid` only if there is no other.
 pub fn choose_path(
     model: &EngineModel,
     instances: &[Instance],
     book: &TargetBook,
     own: &DataCentre,
-    tokens: u64,
+    room: Room,
     avoid: &HashSet<SocketAddr>,
     now: Instant,
 ) -> Result<Choice, NoChoice> {
@@ -69,7 +82,7 @@
     let roomiest = found.iter().max_by(|a, b| a.tokens.total_cmp(&b.tokens));
     let full = roomiest.map(|path| full(book, path));
     for path in found {
-        if let Some(used) = use_with(model, book, &path, tokens) {
+        if let Some(used) = use_with(model, book, &path, room) {
             let home = path.data_centre == *own && used < STAY_BELOW;
             open.push((if home { 0.0 } else { used }, path));
         }
@@ -96,13 +109,14 @@
 
 /// How full a chain is with one more request, as a part of what is given out;
 /// nothing if it does not fit.
-fn use_with(model: &EngineModel, book: &TargetBook, path: &EnginePath, tokens: u64) -> Option<f64> {
+fn use_with(model: &EngineModel, book: &TargetBook, path: &EnginePath, room: Room) -> Option<f64> {
     let held = book.tokens(&path.data_centre);
     let streams = book.streams(&path.data_centre);
-    let memory = (held + tokens) as f64 / (path.tokens * MEMORY_GIVEN).max(1.0);
+    let memory = (held + room.tokens) as f64 / (path.tokens * MEMORY_GIVEN).max(1.0);
     let places = f64::from(streams + 1) / (f64::from(model.slots.max(1)) * PLACES_GIVEN);
     let used = memory.max(places);
-    (used <= 1.0 || streams == 0).then_some(used)
+    let most = if room.begun { BEGUN_MOST } else { 1.0 };
+    (used <= most || streams == 0).then_some(used)
 }
 
 /// The target for a request that one target serves alone: the least busy; one's
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -10,7 +10,7 @@
 mod repeats;
 
 pub use book::{BookAt, TargetBook};
-pub use choice::{Choice, NoChoice, choose_path, choose_plain};
+pub use choice::{Choice, NoChoice, Room, choose_path, choose_plain};
 pub use events::{EventCutter, Events};
 pub use index::{InstanceIndex, KeyRights, ReleaseIndex, UnknownKey};
 pub use repeats::{RepeatBudget, RepeatLimits};
--- a/crates/deckwind-core/src/routes/repeats.rs
+++ b/crates/deckwind-core/src/routes/repeats.rs
@@ -21,7 +21,7 @@
 
 /// Part of the bound that is used: a router that restarts forgets what it has
 /// sent.
-const USED: f64 = 0.75;
+const USED: f64 = 0.9;
 
 /// Spans that a window is counted in.
 const SPANS: u32 = 20;
--- a/crates/deckwind-core/src/routing/paths.rs
+++ b/crates/deckwind-core/src/routing/paths.rs
@@ -54,14 +54,14 @@
     memory_mb: f64,
 }
 
-/// The cheapest path in each data centre that has one; where none has, the
-/// cheapest over all of them.
-pub fn paths<'a>(
+type Holders<'a> = BTreeMap<&'a DataCentre, Vec<Holder<'a>>>;
+
+fn holders_by_centre<'a>(
     model: &EngineModel,
     instances: impl Iterator<Item = &'a Instance>,
     view: &dyn EngineView,
-) -> Vec<EnginePath> {
-    let mut by_centre: BTreeMap<&DataCentre, Vec<Holder>> = BTreeMap::new();
+) -> Holders<'a> {
+    let mut by_centre = Holders::new();
     for i in instances {
         let usable = i.state == InstanceState::Ready && !i.layers.is_empty();
         let kind = i.accelerator.as_deref().and_then(|k| model.kind(k));
@@ -75,13 +75,41 @@
         };
         by_centre.entry(&i.data_centre).or_default().push(holder);
     }
-    let within = by_centre.values().filter_map(|h| cheapest(model, h, view));
+    by_centre
+}
+
+/// The cheapest path in each data centre that has one; where none has, the
+/// cheapest over all of them.
+pub fn paths<'a>(
+    model: &EngineModel,
+    instances: impl Iterator<Item = &'a Instance>,
+    view: &dyn EngineView,
+) -> Vec<EnginePath> {
+    let by_centre = holders_by_centre(model, instances, view);
+    let within = by_centre.values();
+    let within = within.filter_map(|h| cheapest(model, h, view, 0));
     let within: Vec<EnginePath> = within.collect();
     if !within.is_empty() {
         return within;
     }
     let all: Vec<Holder> = by_centre.into_values().flatten().collect();
-    cheapest(model, &all, view).into_iter().collect()
+    cheapest(model, &all, view, 0).into_iter().collect()
+}
+
+/// The cheapest path that begins with `first`, for a request that runs there
+/// already; inside the data centre of that engine.
+pub fn path_from<'a>(
+    model: &EngineModel,
+    instances: impl Iterator<Item = &'a Instance>,
+    view: &dyn EngineView,
+    first: &Stage,
+    data_centre: &DataCentre,
+) -> Option<EnginePath> {
+    let mut others = holders_by_centre(model, instances, view).remove(data_centre)?;
+    others.retain(|h| h.instance.address != first.address);
+    let mut path = cheapest(model, &others, view, first.layers.last)?;
+    path.stages.insert(0, first.clone());
+    Some(path)
 }
 
 /// The best way to have run all layers below some boundary.
@@ -92,13 +120,19 @@
     holder: usize,
 }
 
-/// Shortest path over the layer boundaries at which some engine starts or ends.
-fn cheapest(model: &EngineModel, holders: &[Holder], view: &dyn EngineView) -> Option<EnginePath> {
+/// Shortest path from layer `start` on, over the layer boundaries at which some
+/// engine starts or ends.
+fn cheapest(
+    model: &EngineModel,
+    holders: &[Holder],
+    view: &dyn EngineView,
+    start: u32,
+) -> Option<EnginePath> {
     let mut ends: Vec<u32> = holders
         .iter()
         .flat_map(|h| [h.instance.layers.first, h.instance.layers.last])
-        .chain([0, model.layers])
-        .filter(|b| *b <= model.layers)
+        .chain([start, model.layers])
+        .filter(|b| (start..=model.layers).contains(b))
         .collect();
     ends.sort_unstable();
     ends.dedup();
@@ -110,28 +144,20 @@
                 continue;
             }
             for &from in ends.iter().filter(|f| held.first <= **f && **f < to) {
-                let before = match from {
-                    0 => 0.0,
-                    _ => match best.get(&from) {
-                        Some(b) => b.cost,
-                        None => continue,
-                    },
+                let before = match best.get(&from) {
+                    Some(b) => b.cost,
+                    None if from == start => 0.0,
+                    None => continue,
                 };
                 let cost = before + stage_cost(h, to - from, view);
                 if best.get(&to).is_none_or(|b| cost < b.cost) {
-                    best.insert(
-                        to,
-                        Best {
-                            cost,
-                            from,
-                            holder: i,
-                        },
-                    );
+                    let holder = i;
+                    best.insert(to, Best { cost, from, holder });
                 }
             }
         }
     }
-    walk_back(model, holders, &best)
+    walk_back(model, holders, &best, start)
 }
 
 fn stage_cost(h: &Holder, layers: u32, view: &dyn EngineView) -> f64 {
@@ -144,12 +170,13 @@
     model: &EngineModel,
     holders: &[Holder],
     best: &BTreeMap<u32, Best>,
+    start: u32,
 ) -> Option<EnginePath> {
     let mut stages = Vec::new();
     let mut tokens = f64::INFINITY;
     let mut to = model.layers;
     let mut first = None;
-    while to > 0 {
+    while to > start {
         let b = best.get(&to)?;
         let h = &holders[b.holder];
         let layers = LayerRange::new(b.from, to);
--- a/crates/deckwind-core/src/routing/placement.rs
+++ b/crates/deckwind-core/src/routing/placement.rs
@@ -203,21 +203,25 @@
 /// The same below which a card does not hold old and new layers together.
 const LEAST_BESIDE: f64 = 0.3;
 
+/// Tokens that every card must at least keep in a repaired chain, as parts of
+/// what an engine keeps at most; tried in this order. Above them scarce memory
+/// is weighed against layers to load.
+const REPAIR_SHARES: [f64; 3] = [0.3, 0.1, 0.02];
+
+/// Weight of each layer to load beside the square of a card's: all loads read
+/// from one store, which is slower the more there are.
+const SHARED_STORE: f64 = 3.0;
+
 /// New ranges for cards in the order of their chain, with few layers to load on
 /// any of them: loads run side by side, so the largest decides how long the
 /// chain is broken.
 fn repair(model: &EngineModel, cards: &[Card]) -> Option<Vec<LayerRange>> {
-    for share in TOKEN_SHARES {
+    let with = |share: f64| {
         let tokens = model.max_tokens as f64 * share;
-        let most: Vec<u32> = cards
-            .iter()
-            .map(|c| most_layers(model, c, tokens))
-            .collect();
-        if most.iter().sum::<u32>() >= model.layers {
-            return cheapest_repair(model, cards, &most);
-        }
-    }
-    None
+        let most = cards.iter().map(|c| most_layers(model, c, tokens));
+        cheapest_repair(model, cards, &most.collect::<Vec<u32>>())
+    };
+    REPAIR_SHARES.into_iter().find_map(with)
 }
 
 fn cheapest_repair(model: &EngineModel, cards: &[Card], most: &[u32]) -> Option<Vec<LayerRange>> {
@@ -257,22 +261,23 @@
     }
     let loaded = f64::from(range.len() - common(card.held, range).len());
     let time = f64::from(range.len()) * card.step_factor;
-    loaded * loaded + STAGE_WEIGHT * time * time + step_cost(model, card, range)
+    loaded * (loaded + SHARED_STORE) + STAGE_WEIGHT * time * time + step_cost(model, card, range)
 }
 
-/// What it costs that a card holds old and new layers together at first, or
-/// that it has to give up before it can load.
+/// What it costs that a card keeps few tokens, while it holds old and new layers
+/// together or for good, or that it has to give up before it can load.
 fn step_cost(model: &EngineModel, card: &Card, range: LayerRange) -> f64 {
-    if card.held.is_empty() {
-        return 0.0;
-    }
-    let Some(both) = together(model, card, range) else {
-        return GIVE_UP_COST;
+    let both = together(model, card, range);
+    let gives_up = common(card.held, range) != card.held;
+    let waits = match both.is_none() && gives_up {
+        true => GIVE_UP_COST,
+        false => 0.0,
     };
-    let beside = tokens_beside(model, card.memory_mb, both.len());
-    let part = f64::from(both.len()) / f64::from(range.len());
+    let held = both.unwrap_or(range);
+    let beside = tokens_beside(model, card.memory_mb, held.len());
+    let part = f64::from(held.len()) / f64::from(range.len());
     let missing = 1.0 - (beside * part / (ENOUGH * model.max_tokens as f64)).min(1.0);
-    SCARCE_COST * missing * missing
+    waits + SCARCE_COST * missing * missing
 }
 
 /// Layers in both ranges; empty if there is none.
--- a/crates/deckwind-net/src/edge.rs
+++ b/crates/deckwind-net/src/edge.rs
@@ -114,6 +114,9 @@
     fn report(&self) -> TargetCall;
     /// Reads a report.
     fn read_report(&self, body: &[u8]) -> Result<EngineReport, BadInput>;
+    /// Has a request that runs go on over another path with the same first
+    /// stage.
+    fn change_path(&self, request: &str, path: &[Stage]) -> TargetCall;
     /// Has an engine that has taken `orders` orders hold these layers; one that
     /// has taken more must refuse.
     fn place(&self, layers: LayerRange, give_up: GiveUp, orders: u64) -> TargetCall;
--- a/crates/deckwindd/src/router/routes/answers.rs
+++ b/crates/deckwindd/src/router/routes/answers.rs
@@ -36,10 +36,14 @@
     Full,
     /// Not run: targets refused it.
     Refused,
+    /// Not run: nothing may be sent again for now.
+    NoRepeat,
     /// Not run: its time was over before it could be sent.
     NoTime,
     /// It may have run: the target's answer broke off or was no answer.
     Broken(String),
+    /// It may have run, and could not be sent again, for this reason.
+    NoRoom(String),
     /// It may have run: no answer in time.
     Late,
 }
@@ -65,8 +69,9 @@
             | Failure::NoTarget
             | Failure::Full
             | Failure::Refused
+            | Failure::NoRepeat
             | Failure::NoTime => StatusCode::SERVICE_UNAVAILABLE,
-            Failure::Broken(_) => StatusCode::BAD_GATEWAY,
+            Failure::Broken(_) | Failure::NoRoom(_) => StatusCode::BAD_GATEWAY,
             Failure::Late => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -84,8 +89,10 @@
             Failure::NoTarget => "no-target",
             Failure::Full => "full",
             Failure::Refused => "refused-by-targets",
+            Failure::NoRepeat => "no-repeat-left",
             Failure::NoTime => "no-time",
             Failure::Broken(_) => "target-broke",
+            Failure::NoRoom(_) => "not-sent-again",
             Failure::Late => "target-late",
         }
     }
@@ -95,7 +102,7 @@
         let (least, most) = match self {
             Failure::NoLease => AGAIN_LEASE,
             Failure::Stopping => AGAIN_STOPPING,
-            Failure::NoTarget | Failure::Refused => AGAIN_TARGET,
+            Failure::NoTarget | Failure::Refused | Failure::NoRepeat => AGAIN_TARGET,
             Failure::Full => AGAIN_FULL,
             _ => return None,
         };
@@ -106,7 +113,9 @@
     /// The answer.
     pub fn response(&self) -> Response<RouteBody> {
         let text = match self {
-            Failure::BadRequest(why) | Failure::Broken(why) => format!("{}: {why}\n", self.code()),
+            Failure::BadRequest(why) | Failure::Broken(why) | Failure::NoRoom(why) => {
+                format!("{}: {why}\n", self.code())
+            }
             _ => format!("{}\n", self.code()),
         };
         let mut res = Response::new(full(text));
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -6,8 +6,9 @@
 use super::callers::Job;
 use super::relay;
 use bytes::Bytes;
-use deckwind_core::routes::{Choice, NoChoice, choose_path, choose_plain};
-use deckwind_core::state::DataCentre;
+use deckwind_core::routes::{Choice, InstanceIndex, NoChoice, Room, choose_path, choose_plain};
+use deckwind_core::routing::paths::{EnginePath, Stage, path_from};
+use deckwind_core::state::{DataCentre, Instance, InstanceState};
 use deckwind_net::edge::TargetHead;
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
@@ -64,17 +65,38 @@
 pub struct Hold {
     shared: Arc<crate::router::shared::RouterShared>,
     addresses: Vec<SocketAddr>,
+    /// Empty where a target serves alone.
+    stages: Vec<Stage>,
     memory: Option<(DataCentre, u64)>,
 }
 
 impl Hold {
     fn new(job: &Job, choice: &Choice, tokens: u64) -> Self {
-        let addresses = match &choice.path {
-            Some(path) => path.stages.iter().map(|s| s.address).collect(),
-            None => vec![choice.address],
-        };
+        let stages = choice
+            .path
+            .as_ref()
+            .map_or(Vec::new(), |p| p.stages.clone());
         let memory = choice.path.as_ref();
         let memory = memory.map(|p| (p.data_centre.clone(), tokens));
+        Self::begin(job, choice.address, stages, memory)
+    }
+
+    /// The same request on another path with the same first stage.
+    pub fn on_path(&self, job: &Job, path: &EnginePath) -> Self {
+        let stages = path.stages.clone();
+        Self::begin(job, self.first(), stages, self.memory.clone())
+    }
+
+    fn begin(
+        job: &Job,
+        first: SocketAddr,
+        stages: Vec<Stage>,
+        memory: Option<(DataCentre, u64)>,
+    ) -> Self {
+        let addresses = match stages.is_empty() {
+            true => vec![first],
+            false => stages.iter().map(|s| s.address).collect(),
+        };
         let mut book = job.shared.routes.book();
         book.began(&addresses);
         if let Some((dc, tokens)) = &memory {
@@ -84,6 +106,7 @@
         Self {
             shared: job.shared.clone(),
             addresses,
+            stages,
             memory,
         }
     }
@@ -100,6 +123,28 @@
         self.addresses.iter().any(|a| book.avoids(now, *a))
     }
 
+    /// Whether a target on the way, but the first, no longer takes new work.
+    pub fn is_leaving(&self, instances: &InstanceIndex) -> bool {
+        let ready = |a: &SocketAddr| {
+            let mut all = instances.iter();
+            all.any(|i| i.address == *a && i.state == InstanceState::Ready)
+        };
+        !self.addresses.iter().skip(1).all(ready)
+    }
+
+    /// Another path with the same first stage.
+    pub fn other_path(&self, job: &Job) -> Option<EnginePath> {
+        let (data_centre, _) = self.memory.as_ref()?;
+        let model = job.pool.engine.as_ref()?;
+        let instances = self.shared.routes.instances();
+        let instances = instances.of_pool(&job.pool.name).iter();
+        let book = self.shared.routes.book();
+        let none = HashSet::new();
+        let view = book.at(self.shared.clock.now(), &none);
+        let path = path_from(model, instances, &view, self.stages.first()?, data_centre)?;
+        (path.stages != self.stages).then_some(path)
+    }
+
     /// Data centre of the path, for logs.
     pub fn data_centre(&self) -> String {
         let dc = self.memory.as_ref().map(|(dc, _)| dc.to_string());
@@ -124,6 +169,8 @@
     /// Sent so often to a target that may have run it.
     pub tries: u32,
     refused: u32,
+    /// Tries whose target has ended since.
+    ended: u32,
     avoid: HashSet<SocketAddr>,
 }
 
@@ -140,6 +187,7 @@
         job,
         tries: 0,
         refused: 0,
+        ended: 0,
         avoid: HashSet::new(),
     };
     let last_event = opener.job.head.last_event;
@@ -169,33 +217,19 @@
     ) -> Result<Opening, Failure> {
         let mut ran = again;
         loop {
-            let choice = self.choose();
-            let choice = choice.map_err(|e| {
-                if ran {
-                    Failure::Broken(e.code().into())
-                } else {
-                    e
-                }
-            })?;
-            let late = if ran { Failure::Late } else { Failure::NoTime };
+            let give_up = |failure: Failure| match ran {
+                true => Failure::NoRoom(failure.code().to_string()),
+                false => failure,
+            };
+            let choice = self.choose().map_err(give_up)?;
             if self.job.left().is_zero() {
-                return Err(late);
+                return Err(if ran { Failure::Late } else { Failure::NoTime });
             }
             if !self.job.has_lease() {
-                let failure = Failure::NoLease;
-                return Err(if ran {
-                    Failure::Broken(failure.code().into())
-                } else {
-                    failure
-                });
+                return Err(give_up(Failure::NoLease));
             }
             if again && !self.may_repeat() {
-                let why = "no repeat left".to_string();
-                return Err(if ran {
-                    Failure::Broken(why)
-                } else {
-                    Failure::Refused
-                });
+                return Err(give_up(Failure::NoRepeat));
             }
             let ended = match self.attempt(&choice, last_event).await {
                 Ok(opening) => return Ok(opening),
@@ -225,8 +259,12 @@
                 self.avoid_target(at_fault, "refused");
                 self.refused += 1;
             }
-            Ended::Stalled if resumable && self.tries_left() => {}
-            Ended::Stalled => return Err(Failure::Late),
+            Ended::Stalled => {
+                self.count_ended(address);
+                if !(resumable && self.tries_left()) {
+                    return Err(Failure::Late);
+                }
+            }
             Ended::Broken(why) => {
                 self.avoid_target(address, &why);
                 if !(resumable && self.tries_left()) {
@@ -245,9 +283,19 @@
         self.avoid.insert(address);
     }
 
-    /// Whether another target may be sent the request.
+    /// Whether another target may be sent the request. One that has ended since
+    /// does not count.
     pub fn tries_left(&self) -> bool {
-        self.tries < self.job.route.attempts
+        self.tries < self.job.route.attempts + self.ended
+    }
+
+    /// The target that ran the request has ended, if it is no longer ready.
+    pub fn count_ended(&mut self, first: SocketAddr) {
+        let instances = self.job.shared.routes.instances();
+        let ready = |i: &Instance| i.address == first && i.state == InstanceState::Ready;
+        if !instances.iter().any(ready) {
+            self.ended += 1;
+        }
     }
 
     fn avoid_target(&mut self, address: SocketAddr, why: &str) {
@@ -279,7 +327,11 @@
         let choice = match self.job.pool.engine.as_ref().filter(|e| e.layers > 0) {
             Some(model) => {
                 let tokens = self.tokens();
-                choose_path(model, instances, &book, own, tokens, &self.avoid, now)
+                let room = Room {
+                    tokens,
+                    begun: self.tries > 0,
+                };
+                choose_path(model, instances, &book, own, room, &self.avoid, now)
             }
             None => {
                 let at = rand::random();
--- a/crates/deckwindd/src/router/routes/relay.rs
+++ b/crates/deckwindd/src/router/routes/relay.rs
@@ -2,12 +2,14 @@
 //! after the last one when its target breaks off or stands still.
 
 use super::answers::{BodyError, Failure, RouteBody, strip_connection_headers};
-use super::opening::{Opened, Opener, Opening};
+use super::opening::{Hold, Opened, Opener, Opening};
 use bytes::Bytes;
 use deckwind_core::routes::EventCutter;
+use deckwind_net::targets::call_target;
 use http::{Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -24,6 +26,20 @@
 /// some ten times the usual pause, and short of what callers bear.
 const ASK_AFTER: Duration = Duration::from_millis(350);
 
+/// Between two looks whether a target on the way is about to leave, and between
+/// two tries to go round it: a chain is mended within a second.
+const PATH_LOOK: Duration = Duration::from_millis(250);
+
+/// Longest pause for which callers wait, less the time to read a prompt anew:
+/// they give a stream up after two seconds.
+const BEARABLE_PAUSE: Duration = Duration::from_millis(1_700);
+
+/// Between two tries to open the rest of a stream.
+const OPEN_AGAIN_AFTER: Duration = Duration::from_millis(150);
+
+/// Longest wait for the answer to a changed path.
+const PATH_WITHIN: Duration = Duration::from_millis(300);
+
 type Piece = Result<Frame<Bytes>, BodyError>;
 
 /// How far a stream has come.
@@ -45,7 +61,8 @@
 enum PartEnd {
     Whole,
     Broken(String),
-    Stalled,
+    /// It stood still, and goes on elsewhere.
+    Moved(Box<Opened>),
     CallerLeft,
     TimeOver,
 }
@@ -54,6 +71,8 @@
     opener: Opener,
     progress: Progress,
     passed_at: Instant,
+    /// When its path is looked at again.
+    look_at_path: Instant,
     tx: mpsc::Sender<Piece>,
 }
 
@@ -71,6 +90,7 @@
     };
     let relay = Relay {
         passed_at: opener.job.arrived,
+        look_at_path: Instant::now() + PATH_LOOK,
         opener,
         progress,
         tx,
@@ -96,12 +116,21 @@
                     self.break_off("time is over").await;
                     break "time-over";
                 }
+                PartEnd::Moved(next) => {
+                    opened = *next;
+                    continue;
+                }
                 PartEnd::Broken(why) => why,
-                PartEnd::Stalled => "stalled".to_string(),
             };
             match self.go_on(&why).await {
                 Ok(next) => opened = next,
                 Err(failure) => {
+                    log::warn!(
+                        "event=stream_broken_off request={} last_event={:?} tries={} first={why:?} then={failure:?}",
+                        self.opener.job.head.id,
+                        self.progress.last,
+                        self.opener.tries
+                    );
                     self.break_off(failure.code()).await;
                     break "broken-off";
                 }
@@ -110,27 +139,58 @@
         self.opener.note(status, code, Some(&self.progress));
     }
 
-    /// Opens the rest of the stream elsewhere.
-    async fn go_on(&mut self, why: &str) -> Result<Opened, Failure> {
+    /// Opens the rest of a stream that stands still elsewhere. Its first target is
+    /// let go only once another one has begun: if none can, that one may still go
+    /// on, and is the one to break off.
+    async fn move_on(&mut self, first: SocketAddr) -> Option<Box<Opened>> {
+        if !self.opener.can_move() {
+            return None;
+        }
+        self.opener.count_ended(first);
+        self.note_move("stalled");
+        let tx = self.tx.clone();
+        let opening = tokio::select! {
+            opening = self.opener.open(self.progress.last, true) => opening,
+            () = tx.closed() => return None,
+        };
+        match opening {
+            Ok(Opening::Stream(opened)) => Some(opened),
+            Ok(Opening::Whole(status, ..)) => {
+                log::warn!(
+                    "event=stream_not_moved request={} answered={status}",
+                    self.opener.job.head.id
+                );
+                None
+            }
+            Err(failure) => {
+                log::warn!(
+                    "event=stream_not_moved request={} error={failure:?}",
+                    self.opener.job.head.id
+                );
+                None
+            }
+        }
+    }
+
+    fn note_move(&self, why: &str) {
         log::warn!(
-            "event=stream_moved request={} at={} last_event={:?} tries={} why={why:?}",
+            "event=stream_moves request={} at={} last_event={:?} tries={} why={why:?}",
             self.opener.job.head.id,
             self.progress.data_centre,
             self.progress.last,
             self.opener.tries
         );
+        metrics::counter!("deckwind_route_streams_moved_total").increment(1);
+    }
+
+    /// Opens the rest of a stream that broke off elsewhere.
+    async fn go_on(&mut self, why: &str) -> Result<Opened, Failure> {
+        self.note_move(why);
         let resumable = self.opener.job.route.kind.may_repeat();
         if !resumable || !self.opener.tries_left() {
             return Err(Failure::Broken(why.to_string()));
         }
-        metrics::counter!("deckwind_route_streams_moved_total").increment(1);
-        let tx = self.tx.clone();
-        let opening = self.opener.open(self.progress.last, true);
-        let opening = tokio::select! {
-            opening = opening => opening?,
-            () = tx.closed() => return Err(Failure::Broken("the caller left".to_string())),
-        };
-        match opening {
+        match self.open_again().await? {
             Opening::Stream(opened) => Ok(*opened),
             Opening::Whole(status, ..) => Err(Failure::Broken(format!(
                 "answered {status} when asked to go on"
@@ -138,6 +198,28 @@
         }
     }
 
+    /// Opens the rest of the stream. Where there is no room or no whole chain, it
+    /// tries again for as long as callers bear a pause: a chain is mended within
+    /// a second.
+    async fn open_again(&mut self) -> Result<Opening, Failure> {
+        let tx = self.tx.clone();
+        let until = (self.passed_at + BEARABLE_PAUSE).min(self.opener.job.until);
+        loop {
+            let opening = self.opener.open(self.progress.last, true);
+            let opening = tokio::select! {
+                opening = opening => opening,
+                () = tx.closed() => return Err(Failure::Broken("the caller left".to_string())),
+            };
+            let again = Instant::now() + OPEN_AGAIN_AFTER;
+            match opening {
+                Err(Failure::NoRoom(_)) if again < until => {
+                    tokio::time::sleep_until(again).await;
+                }
+                opening => return opening,
+            }
+        }
+    }
+
     async fn break_off(&self, why: &str) {
         let error: BodyError = why.to_string().into();
         if self.tx.send(Err(error)).await.is_err() {
@@ -147,7 +229,7 @@
 
     async fn pass_on(&mut self, opened: Opened) -> PartEnd {
         let Opened {
-            hold,
+            mut hold,
             connection,
             head,
             mut body,
@@ -170,8 +252,13 @@
                         let routes = &shared.routes;
                         routes.stalls.look(routes, shared.clock, hold.first()).await;
                     }
-                    if hold.is_avoided() && self.opener.can_move() {
-                        return PartEnd::Stalled;
+                    if hold.is_avoided() {
+                        if let Some(next) = self.move_on(hold.first()).await {
+                            return PartEnd::Moved(next);
+                        }
+                        if let Some(other) = self.change_path(&hold).await {
+                            hold = other;
+                        }
                     }
                     look_at = Instant::now() + SILENT;
                     continue;
@@ -179,6 +266,9 @@
             };
             heard = Instant::now();
             look_at = heard + SILENT;
+            if let Some(other) = self.path_without_leaving(&hold).await {
+                hold = other;
+            }
             match frame {
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else {
@@ -190,6 +280,7 @@
                 }
                 Some(Err(e)) => {
                     self.opener.avoid(hold.first());
+                    self.opener.count_ended(hold.first());
                     return PartEnd::Broken(e.to_string());
                 }
                 None => break,
@@ -207,6 +298,40 @@
         PartEnd::Whole
     }
 
+    /// The stream on another path, if a target on its way is about to leave:
+    /// before it does, so that nothing stands still.
+    async fn path_without_leaving(&mut self, hold: &Hold) -> Option<Hold> {
+        if Instant::now() < self.look_at_path {
+            return None;
+        }
+        self.look_at_path = Instant::now() + PATH_LOOK;
+        let instances = self.opener.job.shared.routes.instances();
+        if !hold.is_leaving(&instances) {
+            return None;
+        }
+        self.change_path(hold).await
+    }
+
+    /// Has the stream go on over another path with the same first target.
+    async fn change_path(&self, hold: &Hold) -> Option<Hold> {
+        let job = &self.opener.job;
+        let path = hold.other_path(job)?;
+        let dialect = &job.shared.cx.dialects.engines;
+        let call = dialect.change_path(&job.head.id, &path.stages);
+        let connections = &job.shared.routes.connections;
+        let called = call_target(connections, hold.first(), &call, PATH_WITHIN).await;
+        let status = called.as_ref().map(|(status, _)| status.as_u16());
+        log::info!(
+            "event=path_changed request={} first={} stages={} status={}",
+            job.head.id,
+            hold.first(),
+            path.stages.len(),
+            status.unwrap_or_default()
+        );
+        let taken = matches!(&called, Ok((status, _)) if status.is_success());
+        taken.then(|| hold.on_path(job, &path))
+    }
+
     async fn take(&mut self, cutter: &mut EventCutter, data: &Bytes) -> Option<PartEnd> {
         let events = cutter.take(data, self.progress.last)?;
         let now = Instant::now();
