A replica's folder can be opened again by its own process

Change: the lock is held by the open folder, with the standard library's file lock; the disk under a data folder is a trait object.

--- a/crates/deckwind-store/src/fs_disk.rs
+++ b/crates/deckwind-store/src/fs_disk.rs
@@ -2,16 +2,16 @@
 
 use crate::disk::Disk;
 use anyhow::{Context, anyhow};
-use fd_lock::RwLock;
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-/// A data folder. The lock lasts as long as the process: it is never released
-/// early, so no second daemon can write beside this one.
+/// A data folder. The lock lasts as long as this does, so no second daemon can
+/// write beside this one, and the same one can open the folder again.
 pub struct FsDisk {
     folder: PathBuf,
+    _lock: File,
     open: BTreeMap<String, File>,
 }
 
@@ -22,21 +22,21 @@
     pub fn open(folder: &Path) -> anyhow::Result<Self> {
         let place = || format!("data folder {}", folder.display());
         fs::create_dir_all(folder).with_context(place)?;
-        let file = OpenOptions::new()
+        let lock = OpenOptions::new()
             .create(true)
             .truncate(false)
             .write(true)
             .open(folder.join(LOCK))
             .with_context(place)?;
-        let lock = Box::leak(Box::new(RwLock::new(file)));
-        let guard = lock.try_write().map_err(|_| {
+        let locked = lock.try_lock().map_err(|_| {
             anyhow!(
                 "another deckwindd uses this folder; stop it or set another control.data_folder"
             )
         });
-        std::mem::forget(guard.with_context(place)?);
+        locked.with_context(place)?;
         Ok(Self {
             folder: folder.to_path_buf(),
+            _lock: lock,
             open: BTreeMap::new(),
         })
     }
--- a/crates/deckwind-testkit/tests/testsuite/store.rs
+++ b/crates/deckwind-testkit/tests/testsuite/store.rs
@@ -3,7 +3,7 @@
 use deckwind_core::replication::{
     ClusterId, Entry, HardState, Index, Payload, Position, ReplicaId, SnapshotMeta, Term,
 };
-use deckwind_store::{MemoryDisk, Store, StoreError};
+use deckwind_store::{FsDisk, MemoryDisk, Store, StoreError};
 use yare::parameterized;
 
 const ID: ReplicaId = ReplicaId {
@@ -157,3 +157,14 @@
          own control.data_folder"
     );
 }
+
+#[test]
+fn a_folder_is_one_process_s_while_it_is_open_and_can_be_opened_again() {
+    let folder = tempfile::TempDir::new().expect("a folder");
+    let first = FsDisk::open(folder.path()).expect("it opens");
+    assert!(FsDisk::open(folder.path()).is_err(), "it is in use");
+    drop(first);
+    for _ in 0..3 {
+        FsDisk::open(folder.path()).expect("it opens again");
+    }
+}
--- a/crates/deckwindd/src/control/keeper.rs
+++ b/crates/deckwindd/src/control/keeper.rs
@@ -13,7 +13,8 @@
 use deckwind_config::ControlSettings;
 use deckwind_core::replication::ReplicaId;
 use deckwind_net::quic::QuicPeer;
-use deckwind_store::{FsDisk, Opened, Store, StoreError};
+use deckwind_store::{Disk, FsDisk, Opened, Store, StoreError};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 /// Between two tries to open the data folder: as often as a supervisor would
@@ -26,16 +27,25 @@
     pub cfg: ControlSettings,
     pub peer: QuicPeer,
     pub handle: ControlHandle,
+    pub open_disk: OpenDisk,
+}
+
+/// Opens the disk under a data folder.
+pub type OpenDisk = Box<dyn Fn(&Path) -> Result<Box<dyn Disk>> + Send>;
+
+/// The folder on the VM's own disk.
+pub fn open_fs_disk(folder: &Path) -> Result<Box<dyn Disk>> {
+    Ok(Box::new(FsDisk::open(folder)?))
 }
 
 /// Opens the data folder of a replica.
-pub fn open(cfg: &ControlSettings) -> Result<(Store, Opened)> {
-    let disk = FsDisk::open(&cfg.data_folder)?;
+pub fn open(open_disk: &OpenDisk, cfg: &ControlSettings) -> Result<(Store, Opened)> {
+    let disk = open_disk(&cfg.data_folder)?;
     let fresh = ReplicaId {
         slot: cfg.slot,
         identity: rand::random(),
     };
-    let (store, opened) = Store::open(Box::new(disk), fresh)
+    let (store, opened) = Store::open(disk, fresh)
         .with_context(|| format!("data folder {}", cfg.data_folder.display()))?;
     log::info!(
         "event=store_opened replica={} fresh={} entries={} cut_bytes={}",
@@ -80,7 +90,7 @@
                     return Ok(None);
                 }
             }
-            match open(&self.cfg) {
+            match open(&self.open_disk, &self.cfg) {
                 Ok((store, opened)) => return self.driver(store, opened).map(Some),
                 Err(e) if is_of_disk(&e) => {
                     log::warn!("event=store_not_opened error={:?}", format!("{e:#}"));
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod placing;
 
 pub use handle::{ControlHandle, Input};
+pub use keeper::OpenDisk;
 pub use node::{ControlNode, Effect, Now};
 
 use crate::context::Context;
@@ -25,7 +26,7 @@
 use deckwind_config::ControlSettings;
 use deckwind_net::quic::QuicPeer;
 use deckwind_wire::MAX_MESSAGE;
-use keeper::Keeper;
+use keeper::{Keeper, open_fs_disk};
 use std::thread::JoinHandle;
 
 /// A running control replica.
@@ -38,7 +39,12 @@
 impl Control {
     /// Opens the data folder and starts.
     pub fn start(cx: &Context, cfg: &ControlSettings) -> Result<Self> {
-        let (store, opened) = keeper::open(cfg)?;
+        Self::start_on(cx, cfg, Box::new(open_fs_disk))
+    }
+
+    /// The same on another disk.
+    pub fn start_on(cx: &Context, cfg: &ControlSettings, open_disk: OpenDisk) -> Result<Self> {
+        let (store, opened) = keeper::open(&open_disk, cfg)?;
         let _guard = cx.runtime.enter();
         let address = cx.control_address(cfg.slot)?;
         let peer = QuicPeer::bind(address, cx.key_files().as_ref(), MAX_MESSAGE)?;
@@ -54,6 +60,7 @@
             cfg: cfg.clone(),
             peer: peer.clone(),
             handle: handle.clone(),
+            open_disk,
         };
         let driver = keeper.driver(store, opened)?;
         let thread = std::thread::Builder::new()
@@ -66,6 +73,11 @@
         })
     }
 
+    /// The way into it.
+    pub fn handle(&self) -> &ControlHandle {
+        &self.handle
+    }
+
     /// Other seeds: the settings have changed.
     pub fn take_seeds(&self, slots: Vec<u32>) {
         self.handle.send(Input::Seeds(slots));
