Cut-off routers send callers elsewhere at once; failures are told to all routers

Change: a router that hears from no replica for 1.3 s is not ready, and says 10 to 60 ms in its refusals, as another one serves; targets that fail one router are told to the leader and all routers at once, and streams through them move after 95 ms of silence; scarce memory weighs more in repairs.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -158,6 +158,8 @@
     pub(super) placement: PlacementDesk,
     /// When each target last announced itself.
     pub(super) heard: BTreeMap<InstanceId, Instant>,
+    /// When each target last failed a router.
+    pub(super) failing: BTreeMap<SocketAddr, Instant>,
     /// When each target that routers call failing was last asked.
     pub(super) checked: BTreeMap<InstanceId, Instant>,
     /// When silent targets are next looked for.
@@ -328,6 +330,7 @@
                 orders: OrderDesk::new(term, since),
                 placement: PlacementDesk::default(),
                 heard: BTreeMap::new(),
+                failing: BTreeMap::new(),
                 checked: BTreeMap::new(),
                 next_look: since,
                 in_use: BTreeMap::new(),
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -51,6 +51,8 @@
     pub in_use: Vec<PathUse>,
     /// Slots of the control replicas.
     pub replicas: Vec<u32>,
+    /// Targets that have just failed some router.
+    pub failing: Vec<SocketAddr>,
 }
 
 /// A request to a control replica.
@@ -58,6 +60,8 @@
 pub enum ControlRequest {
     /// Renew my lease. Answered when something changed, or after a while.
     Renew(Renewal),
+    /// These targets have just failed me.
+    Failing(Vec<SocketAddr>),
     /// I have stopped.
     Release(Holder),
     /// Claim a not-repeatable request.
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -10,8 +10,21 @@
 use crate::state::{CommandBody, DataCentre, VmName};
 use crate::time::Instant;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long routers are told of a target that failed one of them: as long as a
+/// dead one takes to be found out.
+const FAILING_FOR: Duration = Duration::from_millis(1_000);
 
 impl Leading {
+    /// Targets that have failed some router lately.
+    fn failing_now(&self, now: Instant) -> Vec<SocketAddr> {
+        let lately = |at: &Instant| now.since(*at) < FAILING_FOR;
+        let lately = self.failing.iter().filter(|(_, at)| lately(at));
+        lately.map(|(address, _)| *address).collect()
+    }
+
     /// What the streams of all routers but one hold, by data centre.
     fn in_use_of_others(&self, vm: &VmName) -> Vec<PathUse> {
         let mut sums: BTreeMap<DataCentre, PathUse> = BTreeMap::new();
@@ -45,6 +58,7 @@
         let asker = Asker::Router(token);
         match request {
             ControlRequest::Renew(renewal) => self.renew(now, token, renewal, out),
+            ControlRequest::Failing(targets) => self.failing(now, token, &targets, out),
             ControlRequest::Release(holder) => {
                 if let Some(leading) = &mut self.leading {
                     leading.leases.release(&holder);
@@ -90,6 +104,30 @@
         self.check_force(now, out);
     }
 
+    /// A router says which targets have just failed it: they are checked, and all
+    /// routers hear of them at once.
+    fn failing(
+        &mut self,
+        now: Instant,
+        token: u64,
+        targets: &[SocketAddr],
+        out: &mut Vec<ControlAction>,
+    ) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.failing.retain(|_, at| now.since(*at) < FAILING_FOR);
+        let known = leading.failing.len();
+        leading.failing.extend(targets.iter().map(|a| (*a, now)));
+        let news = leading.failing.len() > known;
+        let reply = ControlReply::Done;
+        out.push(ControlAction::Reply { token, reply });
+        self.check_targets(now, targets, out);
+        if news {
+            self.release_parked(now, |_| true, out);
+        }
+    }
+
     /// Answers the parked renewals that `which` names.
     pub(super) fn release_parked(
         &mut self,
@@ -128,6 +166,7 @@
             routers,
             in_use: leading.in_use_of_others(&renewal.holder.vm),
             replicas: replicas.collect(),
+            failing: leading.failing_now(now),
         })
     }
 
--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -19,6 +19,8 @@
 struct Account {
     in_flight: u32,
     avoided_until: Instant,
+    /// Until when another router's failure counts.
+    doubted_until: Instant,
     failures: u32,
 }
 
@@ -76,6 +78,19 @@
         account.is_some_and(|a| a.avoided_until > now)
     }
 
+    /// Other routers say that these targets fail them.
+    pub fn doubt(&mut self, until: Instant, addresses: &[SocketAddr]) {
+        for address in addresses {
+            self.targets.entry(*address).or_default().doubted_until = until;
+        }
+    }
+
+    /// Whether a target has failed this router or another one lately.
+    pub fn doubts(&self, now: Instant, address: SocketAddr) -> bool {
+        let account = self.targets.get(&address);
+        account.is_some_and(|a| a.avoided_until.max(a.doubted_until) > now)
+    }
+
     /// A request is sent through these targets.
     pub fn began(&mut self, addresses: &[SocketAddr]) {
         for address in addresses {
--- a/crates/deckwind-core/src/routing/placement.rs
+++ b/crates/deckwind-core/src/routing/placement.rs
@@ -192,9 +192,10 @@
 /// layers to load, since it waits for answers or breaks them off.
 const GIVE_UP_COST: f64 = 400.0;
 
-/// Cost of a card that is left without any memory for requests: as of some
-/// twenty layers to load.
-const SCARCE_COST: f64 = 400.0;
+/// Cost of a card that is left without any memory for requests: the whole chain is
+/// of little use then, so it is above that of giving layers up, as of some
+/// forty layers to load.
+const SCARCE_COST: f64 = 1_500.0;
 
 /// Part of the tokens that an engine keeps at most, with which it holds up no
 /// chain.
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -223,6 +223,7 @@
             routers: 350,
             in_use: Vec::new(),
             replicas: Vec::new(),
+            failing: Vec::new(),
         };
         let answer = encode(&deckwind_wire::ControlReply::Granted(Box::new(grant))).len();
         println!(
--- a/crates/deckwindd/src/router/control_client.rs
+++ b/crates/deckwindd/src/router/control_client.rs
@@ -6,6 +6,7 @@
 use deckwind_wire::{ControlReply, ControlRequest, decode, encode};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Pause before another round when nobody leads.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -18,11 +19,17 @@
 /// replica that died gives no answer at all. What was asked may be sent again.
 const SHORT_TRY: Duration = Duration::from_millis(200);
 
+/// Without any answer for this long a router is cut off: longer than a renewal
+/// is held and one replica is waited for.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(1_300);
+
 /// Knows the control replicas and who led last.
 pub struct ControlClient {
     cx: Context,
     peer: QuicPeer,
     known: Mutex<Known>,
+    /// When a replica last answered anything; the start before the first.
+    heard: Mutex<Instant>,
 }
 
 /// Slots that may be asked, and whose turn it is.
@@ -60,6 +67,7 @@
             cx,
             peer,
             known: Mutex::new(known),
+            heard: Mutex::new(Instant::now()),
         }
     }
 
@@ -73,6 +81,14 @@
         self.known().seeds = slots;
     }
 
+    /// Whether no replica has answered for a while: this router is cut off, and
+    /// callers are better served by another one. A replica that does not lead
+    /// answers too.
+    pub fn is_cut_off(&self) -> bool {
+        let heard = *self.heard.lock().expect("no holder panics");
+        heard.elapsed() > CUT_OFF_AFTER
+    }
+
     fn known(&self) -> MutexGuard<'_, Known> {
         self.known.lock().expect("no holder panics")
     }
@@ -83,7 +99,10 @@
         let address = self.cx.control_address(i)?;
         let asked = tokio::time::timeout(within, self.peer.request(address, request)).await;
         let answer = match asked {
-            Ok(Ok(bytes)) => decode::<ControlReply>(&bytes)?,
+            Ok(Ok(bytes)) => {
+                *self.heard.lock().expect("no holder panics") = Instant::now();
+                decode::<ControlReply>(&bytes)?
+            }
             Ok(Err(e)) => {
                 self.move_on(i, None);
                 return Err(e);
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -6,6 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Longest try to tell the leader of failing targets; the next renewal does.
+const TELL_WITHIN: Duration = Duration::from_millis(400);
+
 /// Pause after an answer that was no grant.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -21,6 +24,17 @@
     }
 }
 
+/// Tells the leader of failing targets as they fail, for ever.
+pub async fn tell_failing(shared: Arc<RouterShared>) {
+    loop {
+        let failing = shared.routes.failing().await;
+        let request = ControlRequest::Failing(failing);
+        if let Err(e) = shared.control.ask(&request, TELL_WITHIN).await {
+            log::debug!("event=failing_not_told error={:?}", e.to_string());
+        }
+    }
+}
+
 async fn renew(shared: &RouterShared) -> bool {
     let asked = shared.clock.now();
     let (in_use, failing) = {
@@ -46,8 +60,8 @@
         return false;
     };
     shared.control.replicas_are(&grant.replicas);
-    shared.routes.others_told(grant.routers, grant.in_use);
     let now = shared.clock.now();
+    shared.routes.others_told(now, &grant);
     let before = shared.core().lease().applied();
     shared.core().granted(
         asked,
--- a/crates/deckwindd/src/router/routes/answers.rs
+++ b/crates/deckwindd/src/router/routes/answers.rs
@@ -28,6 +28,9 @@
     UnknownKey,
     /// Not run: no lease on the configuration.
     NoLease,
+    /// Not run: no lease, and no control replica answers: others may be better
+    /// off.
+    CutOff,
     /// Not run: this router is about to stop.
     Stopping,
     /// Not run: no target.
@@ -52,7 +55,7 @@
 /// The most spreads the return of many that were refused at once.
 const AGAIN_LEASE: (u64, u64) = (300, 900);
 const AGAIN_TARGET: (u64, u64) = (200, 700);
-const AGAIN_STOPPING: (u64, u64) = (20, 200);
+const AGAIN_ELSEWHERE: (u64, u64) = (10, 60);
 const AGAIN_FULL: (u64, u64) = (400, 2_000);
 
 impl Failure {
@@ -65,6 +68,7 @@
             Failure::NoRoute => StatusCode::NOT_FOUND,
             Failure::UnknownKey => StatusCode::UNAUTHORIZED,
             Failure::NoLease
+            | Failure::CutOff
             | Failure::Stopping
             | Failure::NoTarget
             | Failure::Full
@@ -85,6 +89,7 @@
             Failure::NoRoute => "no-route",
             Failure::UnknownKey => "unknown-key",
             Failure::NoLease => "no-lease",
+            Failure::CutOff => "cut-off",
             Failure::Stopping => "stopping",
             Failure::NoTarget => "no-target",
             Failure::Full => "full",
@@ -101,7 +106,7 @@
     fn retry_after(&self) -> Option<Duration> {
         let (least, most) = match self {
             Failure::NoLease => AGAIN_LEASE,
-            Failure::Stopping => AGAIN_STOPPING,
+            Failure::Stopping | Failure::CutOff => AGAIN_ELSEWHERE,
             Failure::NoTarget | Failure::Refused | Failure::NoRepeat => AGAIN_TARGET,
             Failure::Full => AGAIN_FULL,
             _ => return None,
--- a/crates/deckwindd/src/router/routes/callers.rs
+++ b/crates/deckwindd/src/router/routes/callers.rs
@@ -191,7 +191,8 @@
     arrived: Instant,
 ) -> Result<Job, Failure> {
     await_first_release(shared, &head).await;
-    let release = shared.routes.release().ok_or(Failure::NoLease)?;
+    let release = shared.routes.release();
+    let release = release.ok_or_else(|| no_lease(shared))?;
     let allowed = allow(shared, &release, &head, parts)?;
     let (route, account, priority) = allowed;
     if !shared.routes.lets_in(route.kind) {
@@ -200,7 +201,8 @@
     let limits = release.release().limits;
     let body = read_body(body, limits).await?;
     // The body may have taken long: what was allowed may no longer be.
-    let release = shared.routes.release().ok_or(Failure::NoLease)?;
+    let release = shared.routes.release();
+    let release = release.ok_or_else(|| no_lease(shared))?;
     allow(shared, &release, &head, parts)?;
     let pool = release.pool(&route, rand::random());
     let pool = pool.cloned().ok_or(Failure::NoTarget)?;
@@ -241,6 +243,13 @@
         .saturating_add(route.min(ROUTE_RANKS - 1))
 }
 
+fn no_lease(shared: &RouterShared) -> Failure {
+    match shared.control.is_cut_off() {
+        true => Failure::CutOff,
+        false => Failure::NoLease,
+    }
+}
+
 type Allowed = (Route, Option<String>, Option<u8>);
 
 fn allow(
@@ -250,7 +259,7 @@
     parts: &Parts,
 ) -> Result<Allowed, Failure> {
     if !shared.core().lease().is_live(shared.clock.now()) {
-        return Err(Failure::NoLease);
+        return Err(no_lease(shared));
     }
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
@@ -309,7 +318,10 @@
     let known =
         req.method() == Method::GET && req.uri().path() == shared.cx.dialects.callers.ready_path();
     let live = shared.core().lease().is_live(shared.clock.now());
-    let serves = live && shared.routes.release().is_some() && !shared.routes.is_draining();
+    let serves = live
+        && shared.routes.release().is_some()
+        && !shared.routes.is_draining()
+        && !shared.control.is_cut_off();
     let status = match (known, serves) {
         (false, _) => StatusCode::NOT_FOUND,
         (true, true) => StatusCode::OK,
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -19,7 +19,7 @@
 use crate::context::Context;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use deckwind_config::RouterSettings;
-use deckwind_core::control::PathUse;
+use deckwind_core::control::Grant;
 use deckwind_core::routes::{InstanceIndex, ReleaseIndex, RepeatBudget, RepeatLimits, TargetBook};
 use deckwind_core::state::{Configuration, RouteKind};
 use deckwind_core::time::Instant;
@@ -29,6 +29,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// How long another router's failure makes a silent stream move: a renewal's
+/// time and some.
+const DOUBT_FOR: Duration = Duration::from_millis(1_000);
 
 /// What the tasks of published routes share.
 pub struct Routes {
@@ -40,6 +46,9 @@
     pub connections: KeptConnections,
     /// Streams that stand still.
     pub stalls: StallWatch,
+    /// Targets that have failed and of which the leader has not been told.
+    failing: Mutex<Vec<SocketAddr>>,
+    to_tell: Notify,
     routers: AtomicU32,
     draining: AtomicBool,
     /// What a planned stop still lets in; see [`LetIn`].
@@ -72,6 +81,8 @@
             repeats: Mutex::new(RepeatBudget::new(limits)),
             connections: KeptConnections::default(),
             stalls: StallWatch::new(cx.dialects.engines.clone()),
+            failing: Mutex::default(),
+            to_tell: Notify::new(),
             routers: AtomicU32::new(1),
             draining: AtomicBool::new(false),
             let_in: AtomicU8::new(LetIn::All as u8),
@@ -134,9 +145,39 @@
     }
 
     /// Takes what the leader tells of the other routers.
-    pub fn others_told(&self, routers: u32, in_use: Vec<PathUse>) {
-        self.routers.store(routers.max(1), Ordering::Relaxed);
-        self.book().others_hold(in_use);
+    pub fn others_told(&self, now: Instant, grant: &Grant) {
+        self.routers.store(grant.routers.max(1), Ordering::Relaxed);
+        let mut book = self.book();
+        book.others_hold(grant.in_use.clone());
+        book.doubt(now + DOUBT_FOR, &grant.failing);
+    }
+
+    /// A target has failed: it is avoided for a while, and the other routers
+    /// hear of it.
+    pub fn target_failed(&self, now: Instant, address: SocketAddr, why: &str) {
+        let news = !self.book().avoids(now, address);
+        let wait = self.book().failed(now, address);
+        if !news {
+            return;
+        }
+        log::warn!(
+            "event=target_avoided target={address} for_ms={} why={why:?}",
+            wait.as_millis()
+        );
+        let mut failing = self.failing.lock().expect("no holder panics");
+        failing.push(address);
+        self.to_tell.notify_one();
+    }
+
+    /// Waits until targets have failed that the leader has not been told of.
+    pub async fn failing(&self) -> Vec<SocketAddr> {
+        loop {
+            self.to_tell.notified().await;
+            let mut failing = self.failing.lock().expect("no holder panics");
+            if !failing.is_empty() {
+                return std::mem::take(&mut failing);
+            }
+        }
     }
 
     /// A planned stop has begun: no longer ready, but still serving.
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -116,11 +116,11 @@
         self.addresses[0]
     }
 
-    /// Whether a target on the way is avoided by now.
-    pub fn is_avoided(&self) -> bool {
+    /// Whether a target on the way has failed this router or another one by now.
+    pub fn is_doubted(&self) -> bool {
         let now = self.shared.clock.now();
         let book = self.shared.routes.book();
-        self.addresses.iter().any(|a| book.avoids(now, *a))
+        self.addresses.iter().any(|a| book.doubts(now, *a))
     }
 
     /// Whether a target on the way, but the first, no longer takes new work.
@@ -300,13 +300,11 @@
 
     fn avoid_target(&mut self, address: SocketAddr, why: &str) {
         self.avoid.insert(address);
-        let now = self.job.shared.clock.now();
-        let wait = self.job.shared.routes.book().failed(now, address);
-        log::warn!(
-            "event=target_avoided request={} target={address} for_ms={} why={why:?}",
-            self.job.head.id,
-            wait.as_millis()
-        );
+        let shared = &self.job.shared;
+        let why = format!("{why} for {}", self.job.head.id);
+        shared
+            .routes
+            .target_failed(shared.clock.now(), address, &why);
     }
 
     /// Tokens that the stream will keep on the mean of its life.
@@ -392,7 +390,7 @@
                     .stalls
                     .look(&shared.routes, shared.clock, hold.first())
                     .await;
-                if hold.is_avoided() && self.can_move() {
+                if hold.is_doubted() && self.can_move() {
                     return Err(Ended::Stalled);
                 }
             }
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -148,13 +148,11 @@
     }
 
     fn avoid_target(&self, address: SocketAddr, why: &str) {
-        let now = self.job.shared.clock.now();
-        let wait = self.job.shared.routes.book().failed(now, address);
-        log::warn!(
-            "event=target_avoided request={} target={address} for_ms={} why=unreachable error={why:?}",
-            self.job.head.id,
-            wait.as_millis()
-        );
+        let shared = &self.job.shared;
+        let why = format!("unreachable for {}: {why}", self.job.head.id);
+        shared
+            .routes
+            .target_failed(shared.clock.now(), address, &why);
     }
 
     fn choose(&self) -> Result<Choice, Failure> {
--- a/crates/deckwindd/src/router/routes/relay.rs
+++ b/crates/deckwindd/src/router/routes/relay.rs
@@ -20,7 +20,7 @@
 
 /// Without an event for this long a stream moves if a target on its way is known
 /// to fail: twice the usual pause under load.
-const SILENT: Duration = Duration::from_millis(110);
+const SILENT: Duration = Duration::from_millis(95);
 
 /// Without an event for this long its first target is asked what it waits for:
 /// some ten times the usual pause, and short of what callers bear.
@@ -252,7 +252,7 @@
                         let routes = &shared.routes;
                         routes.stalls.look(routes, shared.clock, hold.first()).await;
                     }
-                    if hold.is_avoided() {
+                    if hold.is_doubted() {
                         if let Some(next) = self.move_on(hold.first()).await {
                             return PartEnd::Moved(next);
                         }
--- a/crates/deckwindd/src/router/routes/stalls.rs
+++ b/crates/deckwindd/src/router/routes/stalls.rs
@@ -49,11 +49,7 @@
         match report {
             Ok(report) => note_stalled(routes, clock, first, &report),
             Err(why) => {
-                let wait = routes.book().failed(clock.now(), first);
-                log::warn!(
-                    "event=target_avoided target={first} for_ms={} why=no_report error={why:?}",
-                    wait.as_millis()
-                );
+                routes.target_failed(clock.now(), first, &format!("no report: {why}"));
             }
         }
     }
@@ -75,14 +71,6 @@
     stages.sort_unstable();
     stages.dedup();
     for stage in stages {
-        let now = clock.now();
-        if routes.book().avoids(now, stage) {
-            continue;
-        }
-        let wait = routes.book().failed(now, stage);
-        log::warn!(
-            "event=target_avoided target={stage} for_ms={} why=stalled told_by={first}",
-            wait.as_millis()
-        );
+        routes.target_failed(clock.now(), stage, &format!("stalled, says {first}"));
     }
 }
