Log lines for targets, releases and the age of what others told

Cause: the letter asks for a line for each change of what a process believes, with inputs and their age; target states, accepted releases and the age of the other routers' counts were in no line.

--- a/crates/deckwindd/src/control/calls.rs
+++ b/crates/deckwindd/src/control/calls.rs
@@ -116,20 +116,31 @@
 
 impl Calls {
     async fn ask(&self, path: &str, call: ControlCall) -> Response<Full<Bytes>> {
+        let is_release = matches!(call, ControlCall::Publish(_));
         let request = request_of(call);
         let (tx, rx) = oneshot::channel();
         let reply = Box::new(move |r| drop(tx.send(r)));
         self.handle.send(Input::Operator(request, reply));
         match tokio::time::timeout(ANSWER_WITHIN, rx).await {
-            Ok(Ok(reply)) => self.to_response(path, reply),
+            Ok(Ok(reply)) => self.to_response(path, is_release, reply),
             Ok(Err(_)) | Err(_) => not_now(path, "no answer in time"),
         }
     }
 
-    fn to_response(&self, path: &str, reply: OperatorReply) -> Response<Full<Bytes>> {
+    fn to_response(
+        &self,
+        path: &str,
+        is_release: bool,
+        reply: OperatorReply,
+    ) -> Response<Full<Bytes>> {
         match reply {
             OperatorReply::Accepted { revision, .. } => {
-                log::debug!("event=call_accepted path={path} revision={revision}");
+                // Announcements come each second from every target.
+                let level = match is_release {
+                    true => log::Level::Info,
+                    false => log::Level::Debug,
+                };
+                log::log!(level, "event=call_accepted path={path} revision={revision}");
                 respond(StatusCode::OK, Bytes::from_static(b"{}"))
             }
             OperatorReply::Rejected(rejection) => {
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -21,7 +21,7 @@
 use deckwind_config::RouterSettings;
 use deckwind_core::control::Grant;
 use deckwind_core::routes::{InstanceIndex, ReleaseIndex, RepeatBudget, RepeatLimits, TargetBook};
-use deckwind_core::state::{Configuration, RouteKind};
+use deckwind_core::state::{Configuration, Revision, RouteKind};
 use deckwind_core::time::Instant;
 use deckwind_net::targets::KeptConnections;
 use stalls::StallWatch;
@@ -49,6 +49,8 @@
     /// Targets that have failed and of which the leader has not been told.
     failing: Mutex<Vec<SocketAddr>>,
     to_tell: Notify,
+    /// When the leader last told of the other routers.
+    told_at: Mutex<Instant>,
     routers: AtomicU32,
     draining: AtomicBool,
     /// What a planned stop still lets in; see [`LetIn`].
@@ -83,6 +85,7 @@
             stalls: StallWatch::new(cx.dialects.engines.clone()),
             failing: Mutex::default(),
             to_tell: Notify::new(),
+            told_at: Mutex::new(Instant::ZERO),
             routers: AtomicU32::new(1),
             draining: AtomicBool::new(false),
             let_in: AtomicU8::new(LetIn::All as u8),
@@ -138,6 +141,7 @@
             self.release.store(index.map(Arc::new));
         }
         let index = InstanceIndex::of(cfg);
+        note_targets(&self.instances(), &index, cfg.revision());
         let addresses: HashSet<SocketAddr> = index.iter().map(|i| i.address).collect();
         self.connections.retain(|a| addresses.contains(a));
         self.book().retain(|a| addresses.contains(a));
@@ -150,6 +154,13 @@
         let mut book = self.book();
         book.others_hold(grant.in_use.clone());
         book.doubt(now + DOUBT_FOR, &grant.failing);
+        drop(book);
+        *self.told_at.lock().expect("no holder panics") = now;
+    }
+
+    /// How old it is what the leader told of the other routers, for logs.
+    pub fn told_age(&self, now: Instant) -> Duration {
+        now.since(*self.told_at.lock().expect("no holder panics"))
     }
 
     /// A target has failed: it is avoided for a while, and the other routers
@@ -209,3 +220,32 @@
         self.let_in.load(Ordering::Relaxed) > LetIn::All as u8
     }
 }
+
+/// A line for each target of which this router now believes something else.
+fn note_targets(before: &InstanceIndex, now: &InstanceIndex, revision: Revision) {
+    for i in now.iter() {
+        let known = before.of_pool(&i.pool).iter().find(|o| o.id == i.id);
+        if known.is_some_and(|o| o.state == i.state && o.layers == i.layers) {
+            continue;
+        }
+        log::info!(
+            "event=target_changed target={} instance={} pool={} state={:?} layers={}-{} revision={revision}",
+            i.address,
+            i.id,
+            i.pool,
+            i.state,
+            i.layers.first,
+            i.layers.last
+        );
+    }
+    for gone in before.iter() {
+        let there = now.of_pool(&gone.pool).iter().any(|i| i.id == gone.id);
+        if !there {
+            log::info!(
+                "event=target_gone target={} instance={} revision={revision}",
+                gone.address,
+                gone.id
+            );
+        }
+    }
+}
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -345,6 +345,7 @@
 
     /// What decided that no target was chosen.
     fn note_none(&self, none: &NoChoice) {
+        let shared = &self.job.shared;
         if let NoChoice::Full {
             data_centre,
             tokens,
@@ -353,9 +354,11 @@
         } = none
         {
             log::info!(
-                "event=no_room request={} wanted={} roomiest={data_centre} held={tokens} keeps={most} streams={streams}",
+                "event=no_room request={} wanted={} roomiest={data_centre} held={tokens} keeps={most} streams={streams} revision={} told_ms_ago={}",
                 self.job.head.id,
-                self.tokens()
+                self.tokens(),
+                shared.revision(),
+                shared.routes.told_age(shared.clock.now()).as_millis()
             );
         }
     }
