Orders that are not answered are looked after at once

Ruled out: slow loads (those that were answered took 0.5 to 1.9 s). Change: after 150 ms without an answer the engine's report tells whether the order was taken; if not it is given again, and the number of orders in it keeps the late one from being done after it. Routers log what is in progress when they stop.

--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -39,6 +39,9 @@
     Unframed,
     /// It sends a second answer after the first.
     Extra,
+    /// It leaves each order unanswered the first time, and carries it out when
+    /// the next one has been.
+    OrdersLate,
     /// It breaks a stream off inside the event after this one.
     CutsAfter(u64),
     /// A stream stands still after this event; its report names the stage.
@@ -69,9 +72,23 @@
     stalled: Vec<(String, SocketAddr)>,
     layers: (u32, u32),
     orders: u64,
+    /// An order that was not answered: layers, and the orders it expects.
+    late: Option<((u32, u32), u64)>,
     connections: u32,
 }
 
+impl State {
+    /// Takes an order, if it expects as many as have been taken.
+    fn take_order(&mut self, layers: (u32, u32), expects: u64) -> bool {
+        let fits = expects == self.orders;
+        if fits {
+            self.orders += 1;
+            self.layers = layers;
+        }
+        fits
+    }
+}
+
 /// A target that is being served; clones share it.
 #[derive(Clone)]
 pub struct FakeRunner {
@@ -119,6 +136,11 @@
         self.lock().connections
     }
 
+    /// Orders that it has taken.
+    pub fn orders(&self) -> u64 {
+        self.lock().orders
+    }
+
     /// Layers that it holds: first, and one past the last.
     pub fn layers(&self) -> (u32, u32) {
         self.lock().layers
@@ -325,14 +347,25 @@
 async fn order(s: &mut Stream, req: &SeenRequest, state: &Mutex<State>) -> Result<bool> {
     let order: Value = serde_json::from_slice(&req.body)?;
     let number = |name: &str| order[name].as_u64().unwrap_or_default();
+    let layers = (number("from") as u32, number("targetVersion") as u32);
+    let expects = number("expectedRev");
     let taken = {
         let mut state = state.lock().expect("no holder panics");
-        let fits = number("expectedRev") == state.orders;
-        if fits {
-            state.orders += 1;
-            state.layers = (number("from") as u32, number("targetVersion") as u32);
+        let lost = state.fault == RunnerFault::OrdersLate && state.late.is_none();
+        if lost {
+            state.late = Some((layers, expects));
+            None
+        } else {
+            let taken = state.take_order(layers, expects);
+            if let Some((layers, expects)) = state.late.take() {
+                state.take_order(layers, expects);
+            }
+            Some(taken)
         }
-        fits
+    };
+    let Some(taken) = taken else {
+        tokio::time::sleep(Duration::from_secs(600)).await;
+        return Ok(false);
     };
     match taken {
         true => whole(s, "202 Accepted", b"").await,
--- a/crates/deckwind-testkit/tests/testsuite/routes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/routes.rs
@@ -374,6 +374,32 @@
     });
 }
 
+#[test]
+fn an_order_that_is_not_answered_is_given_again_and_done_once() {
+    run(async {
+        let mut rig = Rig::start(0, 0).await;
+        for i in 0..4 {
+            let runner = FakeRunner::start(&format!("e-{i}")).await;
+            let runner = runner.expect("an engine");
+            runner.set_fault(RunnerFault::OrdersLate);
+            rig.engines.push(runner);
+            rig.announce("engines", "e", i, "ready").await;
+        }
+        eventually_async("the layers are placed", || {
+            let held: u32 = rig
+                .engines
+                .iter()
+                .map(|e| e.layers().1 - e.layers().0)
+                .sum();
+            async move { (held >= 8).then_some(()) }
+        })
+        .await;
+        let orders: Vec<u64> = rig.engines.iter().map(FakeRunner::orders).collect();
+        assert_eq!(orders, [1; 4], "the late one was refused by its number");
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
 #[derive(Clone, Copy)]
 enum StreamFault {
     Cuts(u64),
--- a/crates/deckwindd/src/control/placing.rs
+++ b/crates/deckwindd/src/control/placing.rs
@@ -4,7 +4,7 @@
 use deckwind_core::control::PlaceOrder;
 use deckwind_core::state::{InstanceId, LayerRange};
 use deckwind_net::edge::{EngineDialect, EngineReport};
-use deckwind_net::targets::{KeptConnections, call_target};
+use deckwind_net::targets::{KeptConnections, TargetError, call_target};
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +14,10 @@
 /// Longest wait for one answer of an engine: a hundred round trips.
 const ANSWER: Duration = Duration::from_millis(500);
 
+/// Longest wait for the answer to an order, after which its report tells whether
+/// it was taken: fifty round trips.
+const ORDER_ANSWER: Duration = Duration::from_millis(150);
+
 /// Between two looks at an engine that loads.
 const LOOK_EVERY: Duration = Duration::from_millis(120);
 
@@ -55,6 +59,14 @@
     handle.send(Input::Checked(id, called.is_ok()));
 }
 
+/// What came of an order.
+enum Ordered {
+    /// It is being carried out.
+    Taken,
+    /// There is nothing to do, or the engine is not as believed: it holds this.
+    Holds(LayerRange),
+}
+
 struct Placing {
     order: PlaceOrder,
     dialect: Arc<dyn EngineDialect>,
@@ -63,24 +75,11 @@
 
 impl Placing {
     async fn run(&self) -> Result<LayerRange, String> {
-        let report = self.idle_report().await?;
-        let as_believed = report.layers == self.order.believed;
-        if report.layers == self.order.layers || !as_believed {
-            return Ok(report.layers);
-        }
         let started = Instant::now();
-        let call = {
-            let PlaceOrder {
-                layers, give_up, ..
-            } = self.order;
-            self.dialect.place(layers, give_up, report.orders)
+        let held = match self.order().await? {
+            Ordered::Holds(layers) => return Ok(layers),
+            Ordered::Taken => self.follow().await?,
         };
-        let called = call_target(&self.connections, self.order.address, &call, ANSWER);
-        let (status, _) = called.await.map_err(|e| e.to_string())?;
-        if !matches!(status, StatusCode::OK | StatusCode::ACCEPTED) {
-            return Err(format!("refused with {status}"));
-        }
-        let held = self.follow().await?;
         log::info!(
             "event=layers_placed instance={} address={} layers={}-{} took_ms={}",
             self.order.id,
@@ -92,6 +91,37 @@
         Ok(held)
     }
 
+    /// Gives the order until it is taken. One that is not answered may have been
+    /// taken, or may be carried out later: its report tells the first, and the
+    /// number of orders in the next one keeps the second from being done after
+    /// it.
+    async fn order(&self) -> Result<Ordered, String> {
+        let PlaceOrder {
+            layers,
+            believed,
+            give_up,
+            address,
+            ..
+        } = self.order;
+        loop {
+            let report = self.idle_report().await?;
+            if report.layers == layers || report.layers != believed {
+                return Ok(Ordered::Holds(report.layers));
+            }
+            let call = self.dialect.place(layers, give_up, report.orders);
+            match call_target(&self.connections, address, &call, ORDER_ANSWER).await {
+                Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => return Ok(Ordered::Taken),
+                Ok((status, _)) => return Err(format!("refused with {status}")),
+                Err(TargetError::Late(_)) => log::info!(
+                    "event=order_unanswered instance={} address={address} orders={}",
+                    self.order.id,
+                    report.orders
+                ),
+                Err(e) => return Err(e.to_string()),
+            }
+        }
+    }
+
     /// Its report once it carries out no order: a leader before this one may
     /// have given one.
     async fn idle_report(&self) -> Result<EngineReport, String> {
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -142,6 +142,7 @@
         while self.shared.in_progress() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(DRAIN_STEP).await;
         }
+        log::info!("event=drained in_progress={}", self.shared.in_progress());
         for task in &self.tasks {
             task.abort();
         }
