A soak of the real programs: signals, a harmful proxy, promises checked from outside

Change: testkit::soak (proxy with delays, resets, silence and one-way cuts; kills, stops, pauses; targets replaced), an example for many seeds, a seed of six seconds in the tests. Daemons' output goes to their log file again.

--- /dev/null
+++ b/crates/deckwind-testkit/examples/soak.rs
@@ -0,0 +1,41 @@
+//! Soaks the real programs with seeds by hand:
+//! `cargo run --release -p deckwind-testkit --example soak -- FOLDER FIRST COUNT SECONDS`
+//! where FOLDER has the programs (`target/release`). Logs of a seed that fails
+//! stay in the folder that is printed.
+
+use anyhow::{Context, Result, bail};
+use deckwind_testkit::{Layout, Processes, soak};
+use std::path::Path;
+use std::time::Duration;
+
+fn main() -> Result<()> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let [folder, first, count, seconds] = args.as_slice() else {
+        bail!("give FOLDER FIRST COUNT SECONDS");
+    };
+    let (first, count): (u64, u64) = (first.parse()?, count.parse()?);
+    let length = Duration::from_secs(seconds.parse()?);
+    let program = |name: &str| Path::new(folder).join(name).display().to_string();
+    let runtime = tokio::runtime::Runtime::new()?;
+    let mut failed = 0;
+    for seed in first..first + count {
+        let layout = Layout::new(3, 2).context("a layout")?;
+        let logs = layout.folder().to_path_buf();
+        let daemon = program("testkit-daemon");
+        let processes = Processes::new(layout, &daemon, &daemon, &daemon);
+        match runtime.block_on(soak::run(processes, seed, length)) {
+            Ok(seen) => println!("seed {seed}: {seen:?}"),
+            Err(e) => {
+                failed += 1;
+                let kept = std::env::temp_dir().join(format!("deckwind-soak-{seed}"));
+                println!(
+                    "seed {seed}: FAILED: {e:#}; logs were in {}",
+                    logs.display()
+                );
+                println!("  run it again alone with its logs in {}", kept.display());
+            }
+        }
+    }
+    println!("{failed} of {count} failed");
+    Ok(())
+}
--- a/crates/deckwind-testkit/src/lib.rs
+++ b/crates/deckwind-testkit/src/lib.rs
@@ -11,6 +11,7 @@
 mod layout;
 mod objects;
 mod processes;
+pub mod soak;
 mod wait;
 
 pub use caller::{Answer, Caller, Streaming};
--- a/crates/deckwind-testkit/src/processes.rs
+++ b/crates/deckwind-testkit/src/processes.rs
@@ -2,6 +2,7 @@
 
 use crate::layout::Layout;
 use anyhow::{Context, Result, bail};
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -11,12 +12,11 @@
 pub struct Process(Child);
 
 impl Process {
-    fn spawn(program: &Path, args: &[String], log: &Path) -> Result<Self> {
-        let log = std::fs::File::create(log)?;
+    fn spawn(program: &Path, args: &[String], out: Stdio, log: File) -> Result<Self> {
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
+            .stdout(out)
             .stderr(log)
             .spawn()
             .with_context(|| format!("{} can't be started", program.display()))?;
@@ -36,11 +36,18 @@
 
     /// Asks it to stop (SIGTERM) and waits; answers with its exit code.
     pub fn terminate(mut self) -> Result<Option<i32>> {
-        let status = Command::new("kill").arg(self.id().to_string()).status()?;
+        self.signal("TERM")?;
+        Ok(self.0.wait()?.code())
+    }
+
+    /// Sends it a signal, by its name without `SIG`.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let id = self.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status()?;
         if !status.success() {
-            bail!("process {} can't be signalled", self.id());
+            bail!("process {id} can't be signalled");
         }
-        Ok(self.0.wait()?.code())
+        Ok(())
     }
 
     fn first_line(&mut self) -> Result<String> {
@@ -78,14 +85,18 @@
         }
     }
 
-    fn start(&self, program: &Path, name: &str, args: &[String]) -> Result<Process> {
-        let log = self.layout.folder().join(format!("{name}.log"));
-        Process::spawn(program, args, &log)
+    /// Its log, which goes on when it is started again.
+    fn log(&self, name: &str) -> Result<File> {
+        let path = self.layout.folder().join(format!("{name}.log"));
+        let file = File::options().create(true).append(true).open(path)?;
+        Ok(file)
     }
 
     fn start_daemon(&self, name: &str, settings: PathBuf) -> Result<Process> {
         let args = ["--settings".to_string(), settings.display().to_string()];
-        self.start(&self.daemon, name, &args)
+        let log = self.log(name)?;
+        let out = Stdio::from(log.try_clone()?);
+        Process::spawn(&self.daemon, &args, out, log)
     }
 
     /// Starts a control replica.
@@ -104,7 +115,7 @@
     pub fn fake(&self, name: &str, args: &[&str]) -> Result<(Process, SocketAddr)> {
         let mut all: Vec<String> = args.iter().map(ToString::to_string).collect();
         all.push("--listen=127.0.0.1:0".to_string());
-        let mut process = self.start(&self.fake, name, &all)?;
+        let mut process = Process::spawn(&self.fake, &all, Stdio::piped(), self.log(name)?)?;
         let line = process.first_line()?;
         let address = line.trim().rsplit('=').next().unwrap_or_default().parse();
         Ok((
--- /dev/null
+++ b/crates/deckwind-testkit/src/soak/world.rs
@@ -0,0 +1,454 @@
+//! Targets, callers and an operator round the processes, and what they check.
+
+use super::{Harm, Proxy, Seen};
+use crate::layout::Layout;
+use anyhow::{Result, bail, ensure};
+use bytes::Bytes;
+use deckwind_fakes::{EVENTS, FakeRunner};
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+
+/// Callers at once.
+const CALLERS: u64 = 6;
+
+/// Between two announcements of a target.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(300);
+
+/// Between two releases.
+const RELEASE_EVERY: Duration = Duration::from_millis(700);
+
+/// Longest wait for one answer.
+const ANSWER_WITHIN: Duration = Duration::from_secs(5);
+
+/// Caller ids begin with this where a request must not run twice.
+const ONCE: &str = "once";
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// A target with the proxy in front of it.
+struct Target {
+    id: String,
+    pool: &'static str,
+    data_centre: &'static str,
+    runner: FakeRunner,
+    proxy: Proxy,
+    gone: AtomicBool,
+}
+
+/// What all tasks share.
+struct Shared {
+    http: Http,
+    control: Vec<SocketAddr>,
+    routers: Vec<SocketAddr>,
+    targets: Mutex<Vec<Arc<Target>>>,
+    /// Highest version that was acknowledged.
+    acknowledged: AtomicU64,
+    asked: AtomicU64,
+    served: AtomicU64,
+    refused: AtomicU64,
+    /// Requests whose answer promised that they have not run.
+    not_run: Mutex<BTreeSet<String>>,
+    broken: Mutex<Vec<String>>,
+    stop: AtomicBool,
+}
+
+/// Everything round the processes.
+pub struct World {
+    shared: Arc<Shared>,
+    announcing: JoinHandle<()>,
+    next_target: u64,
+}
+
+/// Callers and the operator at work.
+pub struct Work(Arc<Shared>, Vec<JoinHandle<()>>);
+
+impl Work {
+    /// Lets each finish what it does.
+    pub async fn stop(self) {
+        self.0.stop.store(true, Ordering::Relaxed);
+        for task in self.1 {
+            let _ = task.await;
+        }
+    }
+}
+
+impl World {
+    /// Targets that announce themselves, and a first release.
+    pub async fn start(layout: &Layout, seed: u64) -> Result<Self> {
+        let shared = Arc::new(Shared {
+            http: Client::builder(TokioExecutor::new()).build_http(),
+            control: layout.control_calls.clone(),
+            routers: layout.routers.iter().map(|r| r.routes).collect(),
+            targets: Mutex::default(),
+            acknowledged: AtomicU64::new(0),
+            asked: AtomicU64::new(0),
+            served: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            not_run: Mutex::default(),
+            broken: Mutex::default(),
+            stop: AtomicBool::new(false),
+        });
+        let announcing = tokio::spawn(announce_all(shared.clone()));
+        let mut world = Self {
+            shared,
+            announcing,
+            next_target: seed % 1_000 * 1_000,
+        };
+        for i in 0..3 {
+            world.add("plain", ["recife-a", "fortaleza"][i % 2]).await?;
+        }
+        for i in 0..4 {
+            world
+                .add("engines", ["recife-a", "fortaleza"][i % 2])
+                .await?;
+        }
+        Ok(world)
+    }
+
+    async fn add(&mut self, pool: &'static str, data_centre: &'static str) -> Result<()> {
+        self.next_target += 1;
+        let id = format!("{pool}-{}", self.next_target);
+        let runner = FakeRunner::start(&id).await?;
+        let proxy = Proxy::start(runner.address).await?;
+        let target = Target {
+            id,
+            pool,
+            data_centre,
+            runner,
+            proxy,
+            gone: AtomicBool::new(false),
+        };
+        let mut all = self.shared.targets.lock().expect("no holder panics");
+        all.push(Arc::new(target));
+        Ok(())
+    }
+
+    /// Waits until each kind of request is served.
+    pub async fn until_served(&self, within: Duration) -> Result<()> {
+        let end = Instant::now() + within;
+        while Instant::now() < end {
+            if self.shared.acknowledged.load(Ordering::Relaxed) == 0 {
+                self.shared.publish(1).await;
+            }
+            let mut served = 0;
+            for (i, kind) in ["safe", ONCE, "stream"].iter().enumerate() {
+                let id = format!("{kind}-probe-{}-{i}", self.shared.next_id());
+                served += u32::from(self.shared.ask(kind, &id, 0).await == Outcome::Served);
+            }
+            if served == 3 {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        bail!(
+            "not served again within {within:?}; {:?}",
+            self.shared.broken()
+        );
+    }
+
+    /// Starts callers and an operator.
+    pub fn work(&self) -> Work {
+        let mut tasks = vec![tokio::spawn(operate(self.shared.clone()))];
+        for i in 0..CALLERS {
+            tasks.push(tokio::spawn(call(self.shared.clone(), i)));
+        }
+        Work(self.shared.clone(), tasks)
+    }
+
+    /// Harms the connections of some targets for a while.
+    pub fn harm_some(&self, rng: &mut ChaCha8Rng, length: Duration) {
+        let harms = [
+            Harm::Reset,
+            Harm::Silent,
+            Harm::OneWay,
+            Harm::Delayed(Duration::from_millis(80)),
+        ];
+        let harm = harms[rng.random_range(0..harms.len())];
+        let targets = self
+            .shared
+            .targets
+            .lock()
+            .expect("no holder panics")
+            .clone();
+        let target = targets[rng.random_range(0..targets.len())].clone();
+        target.proxy.set(harm);
+        tokio::spawn(async move {
+            tokio::time::sleep(length).await;
+            target.proxy.set(Harm::None);
+        });
+    }
+
+    /// A target drains and leaves, and another comes.
+    pub async fn replace_some(&mut self, rng: &mut ChaCha8Rng) -> Result<()> {
+        let targets = self
+            .shared
+            .targets
+            .lock()
+            .expect("no holder panics")
+            .clone();
+        let live = targets.iter().filter(|t| !t.gone.load(Ordering::Relaxed));
+        let live: Vec<&Arc<Target>> = live.collect();
+        let old = live[rng.random_range(0..live.len())];
+        self.add(old.pool, old.data_centre).await?;
+        old.gone.store(true, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Ends all harms.
+    pub fn heal(&self) {
+        for target in self.shared.targets.lock().expect("no holder panics").iter() {
+            target.proxy.set(Harm::None);
+        }
+    }
+
+    /// Checks what must hold at the end.
+    pub async fn check(&self, within: Duration) -> Result<Seen> {
+        let acknowledged = self.shared.acknowledged.load(Ordering::Relaxed);
+        let end = Instant::now() + within;
+        let read = loop {
+            match self.shared.read().await {
+                Some(version) => break version,
+                None if Instant::now() < end => tokio::time::sleep(ANNOUNCE_EVERY).await,
+                None => bail!("the release can't be read back within {within:?}"),
+            }
+        };
+        ensure!(
+            read >= acknowledged,
+            "version {read} is read back, {acknowledged} was acknowledged"
+        );
+        self.announcing.abort();
+        self.check_runs()?;
+        let broken = self.shared.broken();
+        ensure!(broken.is_empty(), "{broken:?}");
+        let count = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        Ok(Seen {
+            asked: count(&self.shared.asked),
+            served: count(&self.shared.served),
+            refused: count(&self.shared.refused),
+            released: acknowledged,
+            faults: 0,
+        })
+    }
+
+    /// What targets saw: once means once, and "not run" is true.
+    fn check_runs(&self) -> Result<()> {
+        let mut ran = BTreeSet::new();
+        let not_run = self.shared.not_run.lock().expect("no holder panics");
+        for target in self.shared.targets.lock().expect("no holder panics").iter() {
+            for seen in target.runner.seen() {
+                let id = seen.headers.get("x-deckwind-request-id");
+                let id = id.cloned().unwrap_or_default();
+                ensure!(
+                    !not_run.contains(&id),
+                    "{id} ran, but was refused as not run"
+                );
+                let again = !ran.insert(id.clone());
+                ensure!(!(again && id.starts_with(ONCE)), "{id} ran twice");
+                let key = seen.headers.contains_key("authorization");
+                ensure!(!key, "{id} carried its key to a target");
+            }
+        }
+        Ok(())
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Served,
+    Refused,
+    Unknown,
+}
+
+impl Shared {
+    fn next_id(&self) -> u64 {
+        self.asked.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn broken(&self) -> Vec<String> {
+        self.broken.lock().expect("no holder panics").clone()
+    }
+
+    fn note_broken(&self, what: String) {
+        self.broken.lock().expect("no holder panics").push(what);
+    }
+
+    async fn send(&self, req: Request<Full<Bytes>>) -> Option<(StatusCode, Option<Bytes>)> {
+        let sending = async {
+            let res = self.http.request(req).await.ok()?;
+            let status = res.status();
+            let body = res.into_body().collect().await.ok();
+            Some((status, body.map(|b| b.to_bytes())))
+        };
+        tokio::time::timeout(ANSWER_WITHIN, sending).await.ok()?
+    }
+
+    /// Asks control replicas in turn until one answers with 200.
+    async fn call(&self, method: &str, path: &str, body: &Value) -> Option<Bytes> {
+        for address in &self.control {
+            let req = Request::builder()
+                .method(method)
+                .uri(format!("http://{address}{path}"))
+                .body(Full::new(Bytes::from(body.to_string())))
+                .ok()?;
+            if let Some((StatusCode::OK, Some(body))) = self.send(req).await {
+                return Some(body);
+            }
+        }
+        None
+    }
+
+    async fn publish(&self, version: u64) {
+        let document = document(version);
+        let put = self.call("POST", "/v1/config/put", &document).await;
+        if put.is_some() {
+            self.acknowledged.fetch_max(version, Ordering::Relaxed);
+        }
+    }
+
+    async fn read(&self) -> Option<u64> {
+        let read = self.call("GET", "/v1/config/get", &Value::Null).await?;
+        let read: Value = serde_json::from_slice(&read).ok()?;
+        read["version"].as_u64()
+    }
+
+    async fn ask(&self, kind: &str, id: &str, router: usize) -> Outcome {
+        let address = self.routers[router % self.routers.len()];
+        let mut req = Request::post(format!("http://{address}/{kind}/x"))
+            .header("host", "site.example")
+            .header("x-deckwind-request-id", id)
+            .header("x-deckwind-deadline-ms", "3000")
+            .header("authorization", "Bearer a-key");
+        if kind == "stream" {
+            req = req.header("x-deckwind-token-count", "50,24");
+        }
+        let Ok(req) = req.body(Full::new(Bytes::from("body"))) else {
+            return Outcome::Unknown;
+        };
+        let Some((status, body)) = self.send(req).await else {
+            return Outcome::Unknown;
+        };
+        self.judge(kind, id, status, body)
+    }
+
+    fn judge(&self, kind: &str, id: &str, status: StatusCode, body: Option<Bytes>) -> Outcome {
+        match (status.as_u16(), body) {
+            (200, Some(body)) => {
+                let want = match kind {
+                    "stream" => whole_stream(),
+                    _ => format!("answer to {id}"),
+                };
+                if body != want.as_bytes() {
+                    let body = String::from_utf8_lossy(&body);
+                    self.note_broken(format!("{id} was answered with {body:?}"));
+                }
+                self.served.fetch_add(1, Ordering::Relaxed);
+                Outcome::Served
+            }
+            (503 | 429 | 408 | 421, _) => {
+                let mut not_run = self.not_run.lock().expect("no holder panics");
+                not_run.insert(id.to_string());
+                self.refused.fetch_add(1, Ordering::Relaxed);
+                Outcome::Refused
+            }
+            (401 | 404, _) => {
+                self.note_broken(format!("{id} was denied with {status}"));
+                Outcome::Refused
+            }
+            _ => Outcome::Unknown,
+        }
+    }
+}
+
+fn whole_stream() -> String {
+    let event = |i| format!("id: {i}\ndata: token {i}\n\n");
+    (1..=EVENTS).map(event).collect()
+}
+
+async fn call(shared: Arc<Shared>, number: u64) {
+    let kinds = ["safe", ONCE, "stream"];
+    while !shared.stop.load(Ordering::Relaxed) {
+        let next = shared.next_id();
+        let kind = kinds[(next % 3) as usize];
+        let id = format!("{kind}-{number}-{next}");
+        let outcome = shared.ask(kind, &id, next as usize / 3).await;
+        if outcome != Outcome::Served {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// Publishes rising versions, and reads back what was acknowledged before.
+async fn operate(shared: Arc<Shared>) {
+    let mut version = 1;
+    while !shared.stop.load(Ordering::Relaxed) {
+        version += 1;
+        shared.publish(version).await;
+        let acknowledged = shared.acknowledged.load(Ordering::Relaxed);
+        if let Some(read) = shared.read().await
+            && read < acknowledged
+        {
+            let what = format!("version {read} was read after {acknowledged}");
+            shared.note_broken(what);
+        }
+        tokio::time::sleep(RELEASE_EVERY).await;
+    }
+}
+
+/// Announces all targets, and takes leave of those that are gone.
+async fn announce_all(shared: Arc<Shared>) {
+    let mut number = 0;
+    loop {
+        number += 1;
+        let targets = shared.targets.lock().expect("no holder panics").clone();
+        for t in &targets {
+            let gone = t.gone.load(Ordering::Relaxed);
+            let state = if gone { "draining" } else { "ready" };
+            let mut body = t.runner.announcement(t.pool, t.data_centre, state, number);
+            body["address"] = json!(t.proxy.address);
+            let path = format!("/v1/instances/{}/heartbeat", t.id);
+            if shared.call("POST", &path, &body).await.is_none() {
+                break;
+            }
+        }
+        tokio::time::sleep(ANNOUNCE_EVERY).await;
+    }
+}
+
+fn document(version: u64) -> Value {
+    let route = |name: &str, kind: &str, pool: &str, attempts: u32| {
+        json!({
+            "name": name, "host": "site.example", "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 3000, "sloMs": 100, "priority": 1, "backend": pool,
+            "maxAttempts": attempts, "public": false, "resumable": kind == "streaming",
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("safe", "safe", "plain", 2),
+            route(ONCE, "unsafe", "plain", 1),
+            route("stream", "streaming", "engines", 2),
+        ],
+        "services": [
+            {"name": "plain", "maxConns": 50},
+            {"name": "engines", "maxConns": 50, "engine": {
+                "slots": 64, "kvCapacity": 10000, "kvTokenBytes": 100000, "step_ms": 1.0,
+                "models": [{"name": "m", "load_s": 1.0}], "layers": 4, "layer_mb": 100.0,
+                "usual": {"prompt": 50, "answer": 20},
+                "kinds": [{"name": "card", "mb": 900.0, "pace": 1.0, "read_x": 1.0}]}},
+        ],
+        "tenants": [{"name": "account", "apiKeys": ["a-key"], "priority": 1}],
+    })
+}
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod seeds;
 mod sessions;
 mod settings;
+mod soak;
 mod specification;
 mod store;
 
