Several chains in a large data centre

Change: a data centre's cards make as many chains as keep most tokens together; the groups follow from what the engines hold, so a new leader finds the same; capacity is that of the layer that has least; requests are spread over engines that are alike by a random draw each.

--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -8,9 +8,8 @@
 //! chain has been whole for a while. What an engine is to give up is taken from
 //! the agreed state before the order leaves, so that no router counts on it.
 
-use crate::routing::placement::{
-    Card, chain_groups, common, is_whole, plan_chain, together, tokens_beside,
-};
+use crate::routing::chains::chain_groups;
+use crate::routing::placement::{Card, common, is_whole, plan_chain, together, tokens_beside};
 use crate::state::{
     DataCentre, EngineModel, Instance, InstanceChange, InstanceId, InstanceState, Instances,
     LayerRange, Pool, Release,
@@ -99,7 +98,8 @@
 pub struct PlacementDesk {
     seen: BTreeMap<String, Seen>,
     under_way: BTreeMap<InstanceId, Doing>,
-    whole_since: BTreeMap<(String, DataCentre), Instant>,
+    /// By pool, number of the chain and data centre.
+    whole_since: BTreeMap<(String, usize, DataCentre), Instant>,
     not_before: BTreeMap<InstanceId, Instant>,
 }
 
@@ -161,9 +161,9 @@
         work: &mut PlaceWork,
     ) {
         let cards: Vec<Card> = ready.iter().filter_map(|i| card_of(model, i)).collect();
-        for group in chain_groups(model, &cards) {
+        for (number, group) in chain_groups(model, &cards).into_iter().enumerate() {
             let whole = is_whole(model.layers, group.iter().map(|c| c.held));
-            let calm_at = self.whole_since(now, pool, &group, whole) + CALM;
+            let calm_at = self.whole_since(now, (pool, number), &group, whole) + CALM;
             let under_way = |c: &Card| self.under_way.get(&c.id);
             let blocked = match whole {
                 true => group.iter().any(|c| under_way(c).is_some()),
@@ -190,8 +190,14 @@
     }
 
     /// Since when a chain is whole; `now` if it is not.
-    fn whole_since(&mut self, now: Instant, pool: &str, group: &[Card], whole: bool) -> Instant {
-        let key = (pool.to_string(), group[0].data_centre.clone());
+    fn whole_since(
+        &mut self,
+        now: Instant,
+        (pool, number): (&str, usize),
+        group: &[Card],
+        whole: bool,
+    ) -> Instant {
+        let key = (pool.to_string(), number, group[0].data_centre.clone());
         if !whole {
             self.whole_since.remove(&key);
             return now;
--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -6,6 +6,7 @@
 use crate::state::DataCentre;
 use crate::time::Instant;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -44,6 +45,8 @@
     now: Instant,
     /// Targets that this request is not to be sent through.
     avoid: &'a HashSet<SocketAddr>,
+    /// Spreads this request over engines that are alike.
+    draw: u64,
 }
 
 impl EngineView for BookAt<'_> {
@@ -54,16 +57,23 @@
     fn streams(&self, address: SocketAddr) -> u32 {
         self.book.in_flight(address)
     }
+
+    fn spread(&self, address: SocketAddr) -> f64 {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::with_seed(self.draw);
+        address.hash(&mut hasher);
+        hasher.finish() as f64 / u64::MAX as f64
+    }
 }
 
 impl TargetBook {
     /// The book as of `now`, for a request that is not to be sent through the
-    /// targets in `avoid`.
-    pub fn at<'a>(&'a self, now: Instant, avoid: &'a HashSet<SocketAddr>) -> BookAt<'a> {
+    /// targets in `avoid`; `draw` is a random number.
+    pub fn at<'a>(&'a self, now: Instant, avoid: &'a HashSet<SocketAddr>, draw: u64) -> BookAt<'a> {
         BookAt {
             book: self,
             now,
             avoid,
+            draw,
         }
     }
 
--- a/crates/deckwind-core/src/routes/choice.rs
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -29,6 +29,8 @@
     pub tokens: u64,
     /// Whether it has begun at another target.
     pub begun: bool,
+    /// A random number that spreads requests over engines that are alike.
+    pub draw: u64,
 }
 
 /// A target, and the path where engines hold layers.
@@ -72,9 +74,13 @@
     now: Instant,
 ) -> Result<Choice, NoChoice> {
     let mut open = Vec::new();
-    let mut found = paths(model, instances.iter(), &book.at(now, avoid));
+    let mut found = paths(model, instances.iter(), &book.at(now, avoid, room.draw));
     if found.is_empty() {
-        found = paths(model, instances.iter(), &book.at(now, &HashSet::new()));
+        found = paths(
+            model,
+            instances.iter(),
+            &book.at(now, &HashSet::new(), room.draw),
+        );
     }
     if found.is_empty() {
         return Err(NoChoice::NoTarget);
@@ -82,7 +88,7 @@
     let roomiest = found.iter().max_by(|a, b| a.tokens.total_cmp(&b.tokens));
     let full = roomiest.map(|path| full(book, path));
     for path in found {
-        if let Some(used) = use_with(model, book, &path, room) {
+        if let Some(used) = use_with(book, &path, room) {
             let home = path.data_centre == *own && used < STAY_BELOW;
             open.push((if home { 0.0 } else { used }, path));
         }
@@ -109,11 +115,11 @@
 
 /// How full a chain is with one more request, as a part of what is given out;
 /// nothing if it does not fit.
-fn use_with(model: &EngineModel, book: &TargetBook, path: &EnginePath, room: Room) -> Option<f64> {
+fn use_with(book: &TargetBook, path: &EnginePath, room: Room) -> Option<f64> {
     let held = book.tokens(&path.data_centre);
     let streams = book.streams(&path.data_centre);
     let memory = (held + room.tokens) as f64 / (path.tokens * MEMORY_GIVEN).max(1.0);
-    let places = f64::from(streams + 1) / (f64::from(model.slots.max(1)) * PLACES_GIVEN);
+    let places = f64::from(streams + 1) / (f64::from(path.places.max(1)) * PLACES_GIVEN);
     let used = memory.max(places);
     let most = if room.begun { BEGUN_MOST } else { 1.0 };
     (used <= most || streams == 0).then_some(used)
--- a/crates/deckwind-core/src/routing/mod.rs
+++ b/crates/deckwind-core/src/routing/mod.rs
@@ -16,6 +16,7 @@
 
 mod bound;
 mod chain_search;
+pub mod chains;
 mod fleet;
 mod health;
 pub mod paths;
--- a/crates/deckwind-core/src/routing/paths.rs
+++ b/crates/deckwind-core/src/routing/paths.rs
@@ -28,8 +28,11 @@
     pub data_centre: DataCentre,
     /// Id of the first stage's instance.
     pub first_id: String,
-    /// Tokens that its scarcest stage can keep.
+    /// Tokens that all engines of its data centre keep of the layer that has
+    /// least.
     pub tokens: f64,
+    /// Requests that may begin in its data centre at once.
+    pub places: u32,
 }
 
 /// What a router counts against an engine.
@@ -38,12 +41,20 @@
     fn avoids(&self, address: SocketAddr) -> bool;
     /// Streams of this router that run through it.
     fn streams(&self, address: SocketAddr) -> u32;
+    /// A number in 0..1 that spreads requests over engines that are alike: the
+    /// same for one engine and request, another for the next.
+    fn spread(&self, address: SocketAddr) -> f64;
 }
 
 /// Streams through an engine that make it count as twice as slow when two
 /// engines hold the same layers: a share of a router's usual number.
 const STREAMS_THAT_DOUBLE: f64 = 16.0;
 
+/// How much slower an engine may be drawn than it is: enough that engines that
+/// hold the same layers share the requests, not enough that a slow kind is taken
+/// before a fast one.
+const SPREAD: f64 = 1.0;
+
 /// Cost of one more stage, in layers of the reference: handing on takes a
 /// fraction of a millisecond, a layer some hundredths.
 const STAGE_COST: f64 = 5.0;
@@ -162,7 +173,8 @@
 
 fn stage_cost(h: &Holder, layers: u32, view: &dyn EngineView) -> f64 {
     let streams = f64::from(view.streams(h.instance.address));
-    let load = 1.0 + streams / STREAMS_THAT_DOUBLE;
+    let spread = SPREAD * view.spread(h.instance.address);
+    let load = 1.0 + streams / STREAMS_THAT_DOUBLE + spread;
     STAGE_COST + f64::from(layers) * h.factor * load
 }
 
@@ -196,14 +208,28 @@
     if addresses.len() < stages.len() {
         return None;
     }
+    let places = holders.iter().filter(|h| h.instance.layers.first == 0);
     Some(EnginePath {
         data_centre: first.data_centre.clone(),
         first_id: first.id.clone(),
         stages,
-        tokens,
+        tokens: tokens.max(scarcest_layer(model, holders)),
+        places: places.map(|h| h.instance.slots).sum(),
     })
 }
 
+/// Tokens that all holders together keep of the layer that has least.
+fn scarcest_layer(model: &EngineModel, holders: &[Holder]) -> f64 {
+    let kept = |layer: u32| {
+        let hold = holders.iter().filter(|h| h.instance.layers.contains(layer));
+        let beside = hold.map(|h| tokens_beside(model, h.memory_mb, h.instance.layers.len()));
+        beside.sum::<f64>()
+    };
+    // What is kept changes only where some holder begins.
+    let firsts = holders.iter().map(|h| h.instance.layers.first);
+    firsts.map(kept).fold(f64::INFINITY, f64::min)
+}
+
 /// Tokens that an engine can keep for a part of the layers that it holds.
 fn tokens_kept(model: &EngineModel, h: &Holder, layers: LayerRange) -> f64 {
     let held = h.instance.layers.len();
--- a/crates/deckwind-core/src/routing/placement.rs
+++ b/crates/deckwind-core/src/routing/placement.rs
@@ -39,7 +39,7 @@
     (free_mb / per_token_mb).clamp(0.0, model.max_tokens as f64)
 }
 
-fn most_layers(model: &EngineModel, card: &Card, tokens: f64) -> u32 {
+pub(super) fn most_layers(model: &EngineModel, card: &Card, tokens: f64) -> u32 {
     let per_layer_mb = model.layer_mb + tokens * model.layer_token_bytes() / 1e6;
     let most = (card.memory_mb / per_layer_mb).floor();
     (most.max(0.0) as u32).min(model.layers)
@@ -47,7 +47,7 @@
 
 /// Layers for each card of one chain, in the cards' order; nothing if they
 /// can't hold the model together.
-fn share_out(model: &EngineModel, cards: &[Card]) -> Option<Vec<u32>> {
+pub(super) fn share_out(model: &EngineModel, cards: &[Card]) -> Option<Vec<u32>> {
     for share in TOKEN_SHARES {
         let tokens = model.max_tokens as f64 * share;
         let most: Vec<u32> = cards
@@ -302,24 +302,3 @@
     let beside = tokens_beside(model, card.memory_mb, both.len());
     (beside >= LEAST_BESIDE * model.max_tokens as f64).then_some(both)
 }
-
-/// The cards that should hold a chain together: those of each data centre that
-/// can hold one alone, and all cards where none can.
-pub fn chain_groups(model: &EngineModel, cards: &[Card]) -> Vec<Vec<Card>> {
-    let mut centres: Vec<&DataCentre> = cards.iter().map(|c| &c.data_centre).collect();
-    centres.sort();
-    centres.dedup();
-    let of = |dc: &DataCentre| {
-        let there = cards.iter().filter(|c| c.data_centre == *dc);
-        there.cloned().collect::<Vec<Card>>()
-    };
-    let groups: Vec<Vec<Card>> = centres.into_iter().map(of).collect();
-    let alone: Vec<Vec<Card>> = groups
-        .into_iter()
-        .filter(|g| share_out(model, g).is_some())
-        .collect();
-    if alone.is_empty() && !cards.is_empty() {
-        return vec![cards.to_vec()];
-    }
-    alone
-}
--- a/crates/deckwind-testkit/tests/testsuite/placement.rs
+++ b/crates/deckwind-testkit/tests/testsuite/placement.rs
@@ -1,10 +1,9 @@
 //! Which engine holds which layers, and the paths over them.
 
 use deckwind_core::control::{GiveUp, PlacementDesk};
+use deckwind_core::routing::chains::chain_groups;
 use deckwind_core::routing::paths::{EngineView, paths};
-use deckwind_core::routing::placement::{
-    Card, chain_groups, common, is_whole, plan_chain, tokens_beside,
-};
+use deckwind_core::routing::placement::{Card, common, is_whole, plan_chain, tokens_beside};
 use deckwind_core::state::{
     AcceleratorKind, DataCentre, EngineModel, Instance, InstanceState, Instances, LayerRange, Pool,
     Release,
@@ -206,6 +205,10 @@
     fn streams(&self, _: SocketAddr) -> u32 {
         0
     }
+
+    fn spread(&self, _: SocketAddr) -> f64 {
+        0.0
+    }
 }
 
 #[test]
@@ -358,3 +361,37 @@
         );
     }
 }
+
+#[test]
+fn a_large_data_centre_holds_several_chains_and_mends_one_beside_the_others() {
+    let cards = cards("a", 2, 13, 22);
+    let mut desk = Desk::new(&cards);
+    desk.looks(12);
+    let chains = |desk: &Desk| {
+        let held: Vec<LayerRange> = desk
+            .instances()
+            .iter()
+            .filter(|i| i.state == InstanceState::Ready)
+            .map(|i| i.layers)
+            .collect();
+        let holders = |layer| held.iter().filter(|r| r.contains(layer)).count();
+        (0..80).map(holders).min().unwrap_or_default()
+    };
+    assert!(chains(&desk) >= 3, "{} chains", chains(&desk));
+    let groups = chain_groups(&model(), &cards);
+    assert!(
+        groups.iter().all(|g| g.len() <= 28),
+        "a path has 32 stages at most"
+    );
+    for lost in cards.iter().step_by(5) {
+        desk.apply(vec![InstanceChange::Silent(lost.id.clone())]);
+        desk.looks(30);
+        assert!(desk.is_whole(), "without {}", lost.id);
+        assert!(
+            chains(&desk) >= 2,
+            "without {}: {} chains",
+            lost.id,
+            chains(&desk)
+        );
+    }
+}
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -140,7 +140,7 @@
         let instances = instances.of_pool(&job.pool.name).iter();
         let book = self.shared.routes.book();
         let none = HashSet::new();
-        let view = book.at(self.shared.clock.now(), &none);
+        let view = book.at(self.shared.clock.now(), &none, rand::random());
         let path = path_from(model, instances, &view, self.stages.first()?, data_centre)?;
         (path.stages != self.stages).then_some(path)
     }
@@ -328,6 +328,7 @@
                 let room = Room {
                     tokens,
                     begun: self.tries > 0,
+                    draw: rand::random(),
                 };
                 choose_path(model, instances, &book, own, room, &self.avoid, now)
             }
