Repeats are bounded by pool

Ruled out: sends after an unreachable target (nothing arrives there). Change: a budget a pool, earned by its own requests; four fifths are used. Test published::requests_for_one_pool_earn_no_repeats_for_another.

--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -13,4 +13,4 @@
 pub use choice::{Choice, NoChoice, Room, choose_path, choose_plain};
 pub use events::{EventCutter, Events};
 pub use index::{InstanceIndex, KeyRights, ReleaseIndex, UnknownKey};
-pub use repeats::{RepeatBudget, RepeatLimits};
+pub use repeats::{RepeatBudget, RepeatBudgets, RepeatLimits};
--- a/crates/deckwind-core/src/routes/repeats.rs
+++ b/crates/deckwind-core/src/routes/repeats.rs
@@ -5,7 +5,7 @@
 //! the rest: then all together keep it too.
 
 use crate::time::Instant;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 /// The bound over all routers.
@@ -21,7 +21,7 @@
 
 /// Part of the bound that is used: a router that restarts forgets what it has
 /// sent.
-const USED: f64 = 0.9;
+const USED: f64 = 0.8;
 
 /// Spans that a window is counted in.
 const SPANS: u32 = 20;
@@ -84,3 +84,35 @@
         self.spans.back_mut().expect("one was just pushed")
     }
 }
+
+/// The budgets of all pools: the bound holds for each pool by itself, and the
+/// requests for one earn nothing for another.
+#[derive(Clone, Debug)]
+pub struct RepeatBudgets {
+    limits: RepeatLimits,
+    by_pool: HashMap<String, RepeatBudget>,
+}
+
+impl RepeatBudgets {
+    /// Nothing has been sent.
+    pub fn new(limits: RepeatLimits) -> Self {
+        Self {
+            limits,
+            by_pool: HashMap::new(),
+        }
+    }
+
+    /// The budget of a pool.
+    pub fn of_pool(&mut self, pool: &str) -> &mut RepeatBudget {
+        if !self.by_pool.contains_key(pool) {
+            let fresh = RepeatBudget::new(self.limits);
+            self.by_pool.insert(pool.to_string(), fresh);
+        }
+        self.by_pool.get_mut(pool).expect("just put there")
+    }
+
+    /// Forgets pools that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.by_pool.retain(|pool, _| keep(pool));
+    }
+}
--- a/crates/deckwind-testkit/tests/testsuite/published.rs
+++ b/crates/deckwind-testkit/tests/testsuite/published.rs
@@ -1,7 +1,7 @@
 //! Releases, announced targets, events and repeats, as tables and in virtual
 //! time.
 
-use deckwind_core::routes::{EventCutter, ReleaseIndex, RepeatBudget, RepeatLimits};
+use deckwind_core::routes::{EventCutter, ReleaseIndex, RepeatBudget, RepeatBudgets, RepeatLimits};
 use deckwind_core::state::{
     Command, CommandBody, Configuration, Instance, InstanceChange, InstanceState, KeyHolder,
     LayerRange, Pool, Published, Rejection, Release, Reply, Revision, Route, RouteKind, Split,
@@ -356,3 +356,24 @@
     }
     assert!(repeats.len() > 100, "the bound is made use of");
 }
+
+#[test]
+fn requests_for_one_pool_earn_no_repeats_for_another() {
+    let limits = RepeatLimits {
+        share: 0.5,
+        beyond: 0.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budgets = RepeatBudgets::new(limits);
+    let now = Instant::from_millis(1_000);
+    for _ in 0..100 {
+        budgets.of_pool("busy").requested(now);
+    }
+    assert!(!budgets.of_pool("idle").spend(now, 1));
+    assert!(budgets.of_pool("busy").spend(now, 1));
+    budgets.retain(|pool| pool == "idle");
+    assert!(
+        !budgets.of_pool("busy").spend(now, 1),
+        "a pool that is gone is forgotten"
+    );
+}
--- a/crates/deckwindd/src/router/routes/callers.rs
+++ b/crates/deckwindd/src/router/routes/callers.rs
@@ -142,7 +142,6 @@
 ) -> Result<Response<RouteBody>, BodyError> {
     let arrived = Instant::now();
     let _in_progress = shared.begin();
-    shared.routes.requested(shared.clock.now());
     let (parts, body) = req.into_parts();
     let read = shared.cx.dialects.callers.read_head(&parts);
     let head = match read {
@@ -206,6 +205,7 @@
     allow(shared, &release, &head, parts)?;
     let pool = release.pool(&route, rand::random());
     let pool = pool.cloned().ok_or(Failure::NoTarget)?;
+    shared.routes.requested(shared.clock.now(), &pool.name);
     let mut parts = parts.clone();
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -20,7 +20,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use deckwind_config::RouterSettings;
 use deckwind_core::control::Grant;
-use deckwind_core::routes::{InstanceIndex, ReleaseIndex, RepeatBudget, RepeatLimits, TargetBook};
+use deckwind_core::routes::{InstanceIndex, ReleaseIndex, RepeatBudgets, RepeatLimits, TargetBook};
 use deckwind_core::state::{Configuration, Revision, RouteKind};
 use deckwind_core::time::Instant;
 use deckwind_net::targets::KeptConnections;
@@ -41,7 +41,7 @@
     release: ArcSwapOption<ReleaseIndex>,
     instances: ArcSwap<InstanceIndex>,
     book: Mutex<TargetBook>,
-    repeats: Mutex<RepeatBudget>,
+    repeats: Mutex<RepeatBudgets>,
     /// Connections to targets.
     pub connections: KeptConnections,
     /// Streams that stand still.
@@ -80,7 +80,7 @@
             release: ArcSwapOption::empty(),
             instances: ArcSwap::default(),
             book: Mutex::default(),
-            repeats: Mutex::new(RepeatBudget::new(limits)),
+            repeats: Mutex::new(RepeatBudgets::new(limits)),
             connections: KeptConnections::default(),
             stalls: StallWatch::new(cx.dialects.engines.clone()),
             failing: Mutex::default(),
@@ -107,19 +107,20 @@
         self.book.lock().expect("no holder panics")
     }
 
-    /// A request came.
-    pub fn requested(&self, now: Instant) {
+    /// A request for a pool came.
+    pub fn requested(&self, now: Instant, pool: &str) {
         self.repeats
             .lock()
             .expect("no holder panics")
+            .of_pool(pool)
             .requested(now);
     }
 
-    /// Whether something may be sent again.
-    pub fn may_repeat(&self, now: Instant) -> bool {
+    /// Whether something may be sent to a pool again.
+    pub fn may_repeat(&self, now: Instant, pool: &str) -> bool {
         let routers = self.routers.load(Ordering::Relaxed);
         let mut repeats = self.repeats.lock().expect("no holder panics");
-        let spent = repeats.spend(now, routers);
+        let spent = repeats.of_pool(pool).spend(now, routers);
         if !spent {
             metrics::counter!("deckwind_route_repeats_denied_total").increment(1);
         }
@@ -138,6 +139,11 @@
                     index.revision()
                 );
             }
+            if let Some(index) = &index {
+                let known = |pool: &str| index.release().pool(pool).is_some();
+                let mut repeats = self.repeats.lock().expect("no holder panics");
+                repeats.retain(known);
+            }
             self.release.store(index.map(Arc::new));
         }
         let index = InstanceIndex::of(cfg);
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -243,7 +243,7 @@
 
     fn may_repeat(&self) -> bool {
         let now = self.job.shared.clock.now();
-        self.job.shared.routes.may_repeat(now)
+        self.job.shared.routes.may_repeat(now, &self.job.pool.name)
     }
 
     /// Whether to go on after a try that ended so; an error is the answer.
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -180,7 +180,7 @@
         let now = self.job.shared.clock.now();
         let time = !self.job.left().is_zero();
         let tries = self.tries < self.job.route.attempts;
-        time && tries && self.job.shared.routes.may_repeat(now)
+        time && tries && self.job.shared.routes.may_repeat(now, &self.job.pool.name)
     }
 
     /// How long this try may take.
