--- /dev/null
+++ b/crates/deckwind-core/examples/policies/run/sessions.rs
@@ -0,0 +1,347 @@
+//! The sessions of a run: planned, fed, and ended.
+
+use super::{BLOCKS, BREAK_NOTICED, Event, OpenedStage, REPLAN_PAUSE, Run, Running, Waiting};
+use crate::fleet::LAYERS;
+use deckwind_core::router::Work;
+use deckwind_core::routing::{ChainNeed, LoadReport, PREFILL_COST, plan_names, prefix_hashes};
+use deckwind_core::session::{
+    Activation, Chain, EndReason, Session, SessionAction, SessionEvent, SessionLimits, Stage,
+    StageFault, StageKey, StepOrder, StepOutput, Token,
+};
+use deckwind_core::state::{LayerRange, TargetName};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+impl Run {
+    pub(super) fn start(&mut self, waiting: Waiting) {
+        let c = self.class(waiting.class);
+        let id = self.next_session;
+        self.next_session += 1;
+        let prompt = vec![Activation(String::new()); c.prompt as usize];
+        let limits = SessionLimits {
+            max_tokens: c.answer,
+            ..SessionLimits::default()
+        };
+        let blocks: Vec<Vec<u8>> = (0..BLOCKS)
+            .map(|b| {
+                let own = if b + 1 == BLOCKS { id } else { 0 };
+                format!(
+                    "{}/{}/{}/{b}/{own}",
+                    c.account, c.template, waiting.conversation
+                )
+                .into_bytes()
+            })
+            .collect();
+        let mut running = Running {
+            class: waiting.class,
+            router: waiting.router,
+            entered: waiting.entered,
+            session: Session::new(LAYERS, prompt, limits),
+            stages: BTreeMap::new(),
+            planned: Vec::new(),
+            prefixes: prefix_hashes(blocks.iter().map(Vec::as_slice)),
+            orders: 0,
+            positions: 0,
+            last_token: None,
+            lost: None,
+        };
+        let mut actions = Vec::new();
+        running.session.start(&mut actions);
+        self.sessions.insert(id, running);
+        self.perform(id, actions);
+    }
+
+    pub(super) fn feed(&mut self, id: u64, event: SessionEvent) {
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        running.session.step(event, &mut actions);
+        self.perform(id, actions);
+    }
+
+    pub(super) fn perform(&mut self, id: u64, actions: Vec<SessionAction>) {
+        for action in actions {
+            match action {
+                SessionAction::Plan { avoid, missing } => {
+                    if let Some(r) = self.sessions.get_mut(&id) {
+                        r.lost = Some((avoid, missing));
+                    }
+                    self.replan(id);
+                }
+                SessionAction::Open { key, with } => self.open(id, key, &with),
+                SessionAction::Step { key, order } => self.order(id, key, &order),
+                SessionAction::Deliver { .. } => self.deliver(id),
+                SessionAction::Close { key } => self.close(id, key),
+                SessionAction::End(reason) => self.end(id, reason),
+            }
+        }
+    }
+
+    pub(super) fn replan(&mut self, id: u64) {
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some((avoid, missing)) = running.lost.clone() else {
+            return;
+        };
+        let whole = LayerRange::new(0, LAYERS);
+        let first = running.session.attempt() == 0;
+        let ways = [
+            (missing, avoid.clone()),
+            (missing, BTreeSet::new()),
+            (whole, avoid),
+            (whole, BTreeSet::new()),
+        ];
+        let chain = ways
+            .into_iter()
+            .find_map(|(layers, avoid)| self.plan(id, layers, avoid));
+        match chain {
+            Some(chain) => {
+                if let Some(r) = self.sessions.get_mut(&id) {
+                    r.lost = None;
+                }
+                self.rebuilds += u64::from(!first);
+                self.feed(id, SessionEvent::Planned(chain));
+            }
+            None if first => self.feed(id, SessionEvent::NoChain),
+            None => self
+                .events
+                .put(self.now + REPLAN_PAUSE, Event::Replan { session: id }),
+        }
+    }
+
+    pub(super) fn plan(
+        &mut self,
+        id: u64,
+        layers: LayerRange,
+        avoid: BTreeSet<TargetName>,
+    ) -> Option<Chain> {
+        let running = self.sessions.get_mut(&id)?;
+        let core = &mut self.routers[running.router];
+        for p in std::mem::take(&mut running.planned) {
+            core.stage_ended(self.now, p.target, p.layers);
+        }
+        let c = self.scenario.classes[running.class];
+        let Work::Chat(work) = &running.entered.work else {
+            return None;
+        };
+        let need = ChainNeed {
+            group: work.group.clone(),
+            adapter: None,
+            layers,
+            prompt: c.prompt,
+            answer: c.answer,
+            prefixes: running.prefixes.clone(),
+            avoid,
+        };
+        let planned = core.plan_chain(self.now, &need).ok()?;
+        let outside = |s: &&Stage| s.layers.last <= layers.first || s.layers.first >= layers.last;
+        let mut stages: Vec<Stage> = running.session.chain().filter(outside).cloned().collect();
+        let new = planned.iter().filter_map(|p| {
+            let target = core.fleet().get(p.target)?.name.clone();
+            Some(Stage {
+                target,
+                layers: p.layers,
+            })
+        });
+        stages.extend(new);
+        stages.sort_by_key(|s| s.layers.first);
+        debug_assert!(layers.len() < LAYERS || plan_names(core.fleet(), &planned, LAYERS).is_ok());
+        running.planned = planned;
+        Chain::new(stages, LAYERS).ok()
+    }
+
+    pub(super) fn open(&mut self, id: u64, key: StageKey, with: &Stage) {
+        let runner = self.by_name[&with.target];
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(i) = running.planned.iter().position(|p| p.layers == with.layers) else {
+            return;
+        };
+        let planned = running.planned.remove(i);
+        self.runners[runner].load += with.layers.len();
+        running.stages.insert(
+            key,
+            OpenedStage {
+                target: planned.target,
+                runner,
+                layers: with.layers,
+                order_sent: self.now,
+            },
+        );
+    }
+
+    pub(super) fn order(&mut self, id: u64, key: StageKey, order: &StepOrder) {
+        let now = self.now;
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        running.orders += 1;
+        running.positions = order.inputs.len();
+        let number = running.orders;
+        let prompt = order.position == 0 && order.inputs.len() > 1;
+        let Some(stage) = running.stages.get_mut(&key) else {
+            let event = SessionEvent::Fault {
+                key,
+                fault: StageFault::Broken,
+            };
+            self.feed(id, event);
+            return;
+        };
+        stage.order_sent = now;
+        let target = &mut self.runners[stage.runner];
+        let mut positions = order.inputs.len() as u32;
+        if prompt {
+            let uncached = target.uncached(&running.prefixes, positions);
+            self.prompt_positions += u64::from(positions);
+            self.cached_positions += u64::from(positions - uncached);
+            positions = uncached;
+        }
+        let done = target.step(now, stage.layers.len(), f64::from(positions));
+        let core = &self.routers[running.router];
+        let limit = core.step_limit(now, stage.target, stage.layers, order.inputs.len());
+        let dead = target.dead;
+        match done {
+            Some(at) => {
+                let answer = Event::Answer {
+                    session: id,
+                    key,
+                    attempt: order.attempt,
+                    position: order.position,
+                };
+                self.events.put(at, answer);
+            }
+            None if dead => {
+                let late = Event::Late {
+                    session: id,
+                    key,
+                    order: number,
+                };
+                self.events.put(now + BREAK_NOTICED, late);
+                return;
+            }
+            None => {}
+        }
+        let late = Event::Late {
+            session: id,
+            key,
+            order: number,
+        };
+        self.events.put(now + limit, late);
+    }
+
+    pub(super) fn answer(&mut self, id: u64, key: StageKey, attempt: u32, position: u32) {
+        let now = self.now;
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let awaited = running.session.awaited();
+        let Some((_, positions)) = awaited.filter(|(k, _)| *k == key) else {
+            return;
+        };
+        let Some(stage) = running.stages.get(&key) else {
+            return;
+        };
+        if self.runners[stage.runner].dead || self.runners[stage.runner].frozen {
+            return;
+        }
+        let took = now.since(stage.order_sent);
+        let core = &mut self.routers[running.router];
+        core.stage_progressed(now, stage.target, took, stage.layers, positions);
+        let load = self.runners[stage.runner].load;
+        core.load_reported(now, stage.target, LoadReport { load });
+        running.orders += 1;
+        let token = (stage.layers.last == LAYERS).then(|| Token {
+            id: 0,
+            text: String::new(),
+            end: false,
+        });
+        let output = StepOutput {
+            attempt,
+            position,
+            outputs: vec![Activation(String::new()); positions],
+            token,
+            load: None,
+        };
+        self.feed(id, SessionEvent::Output { key, output });
+    }
+
+    pub(super) fn late(&mut self, id: u64, key: StageKey, order: u64) {
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if running.orders != order {
+            return;
+        }
+        running.orders += 1;
+        if let Some(stage) = running.stages.get(&key) {
+            self.routers[running.router].target_failed(self.now, stage.target);
+        }
+        let event = SessionEvent::Fault {
+            key,
+            fault: StageFault::Late,
+        };
+        self.feed(id, event);
+    }
+
+    pub(super) fn deliver(&mut self, id: u64) {
+        let now = self.now;
+        let during_load = now < self.arrivals_end();
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let counts = &mut self.counts[running.class];
+        let micros = |d: Duration| (d.as_micros() as u64).max(1);
+        let mut work = 1.0;
+        match running.last_token {
+            None => {
+                let took = now.since(running.entered.arrived);
+                counts.first.saturating_record(micros(took));
+                let c = self.scenario.classes[running.class];
+                work += f64::from(c.prompt) * PREFILL_COST;
+            }
+            Some(last) => counts.gap.saturating_record(micros(now.since(last))),
+        }
+        running.last_token = Some(now);
+        if during_load {
+            self.work_done += work;
+        }
+    }
+
+    pub(super) fn close(&mut self, id: u64, key: StageKey) {
+        let Some(running) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if let Some(stage) = running.stages.remove(&key) {
+            let runner = &mut self.runners[stage.runner];
+            runner.load = runner.load.saturating_sub(stage.layers.len());
+            self.routers[running.router].stage_ended(self.now, stage.target, stage.layers);
+        }
+    }
+
+    pub(super) fn end(&mut self, id: u64, reason: EndReason) {
+        let keys: Vec<StageKey> = match self.sessions.get(&id) {
+            Some(running) => running.stages.keys().copied().collect(),
+            None => return,
+        };
+        for key in keys {
+            self.close(id, key);
+        }
+        let Some(running) = self.sessions.remove(&id) else {
+            return;
+        };
+        let core = &mut self.routers[running.router];
+        for p in running.planned {
+            core.stage_ended(self.now, p.target, p.layers);
+        }
+        let result = &mut self.counts[running.class].result;
+        match reason {
+            EndReason::Complete => result.finished += 1,
+            _ => result.failed += 1,
+        }
+        let admitted = core.leave(self.now, running.entered.id);
+        self.admitted(running.router, admitted);
+    }
+}
--- a/crates/deckwind-core/src/routing/chains.rs
+++ b/crates/deckwind-core/src/routing/chains.rs
@@ -59,7 +59,8 @@
     groups
 }
 
-/// As many chains as keep most tokens together.
+/// As many chains as keep most tokens together; the fewer of two that keep as
+/// many, as each then has more cards to mend it with.
 fn chain_count(model: &EngineModel, cards: &[Card]) -> usize {
     let chains_at = |share: f64| {
         let tokens = model.max_tokens as f64 * share;
--- a/crates/deckwind-fakes/src/lib.rs
+++ b/crates/deckwind-fakes/src/lib.rs
@@ -12,6 +12,7 @@
 mod runner;
 pub mod serve;
 mod service;
+mod site;
 mod weights;
 
 pub use engine::{EngineFault, FakeEngine, FakeEngineConfig, Run};
@@ -19,4 +20,5 @@
 pub use platform::FakePlatformList;
 pub use runner::{EVENTS, FakeRunner, RunnerFault, SeenRequest};
 pub use service::{FakeService, ServiceFault};
+pub use site::{FakeCall, release_document, request_id};
 pub use weights::FakeWeightStore;
--- a/crates/deckwind-testkit/src/soak/world.rs
+++ b/crates/deckwind-testkit/src/soak/world.rs
@@ -4,7 +4,7 @@
 use crate::layout::Layout;
 use anyhow::{Result, bail, ensure};
 use bytes::Bytes;
-use deckwind_fakes::{EVENTS, FakeRunner};
+use deckwind_fakes::{EVENTS, FakeCall, FakeRunner, release_document, request_id};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -32,6 +32,9 @@
 /// Longest wait for one answer.
 const ANSWER_WITHIN: Duration = Duration::from_secs(5);
 
+/// The callers' key.
+const KEY: &str = "a-key";
+
 /// Caller ids begin with this where a request must not run twice.
 const ONCE: &str = "once";
 
@@ -248,8 +251,7 @@
         let not_run = self.shared.not_run.lock().expect("no holder panics");
         for target in self.shared.targets.lock().expect("no holder panics").iter() {
             for seen in target.runner.seen() {
-                let id = seen.headers.get("x-deckwind-request-id");
-                let id = id.cloned().unwrap_or_default();
+                let id = request_id(&seen);
                 ensure!(
                     !not_run.contains(&id),
                     "{id} ran, but was refused as not run"
@@ -310,7 +312,7 @@
     }
 
     async fn publish(&self, version: u64) {
-        let document = document(version);
+        let document = release_document(version, &[KEY]);
         let put = self.call("POST", "/v1/config/put", &document).await;
         if put.is_some() {
             self.acknowledged.fetch_max(version, Ordering::Relaxed);
@@ -325,15 +327,15 @@
 
     async fn ask(&self, kind: &str, id: &str, router: usize) -> Outcome {
         let address = self.routers[router % self.routers.len()];
-        let mut req = Request::post(format!("http://{address}/{kind}/x"))
-            .header("host", "site.example")
-            .header("x-deckwind-request-id", id)
-            .header("x-deckwind-deadline-ms", "3000")
-            .header("authorization", "Bearer a-key");
-        if kind == "stream" {
-            req = req.header("x-deckwind-token-count", "50,24");
-        }
-        let Ok(req) = req.body(Full::new(Bytes::from("body"))) else {
+        let path = format!("/{kind}/x");
+        let call = FakeCall {
+            id,
+            path: &path,
+            key: KEY,
+            generation: kind == "stream",
+            last_event: None,
+        };
+        let Ok(req) = call.request(address) else {
             return Outcome::Unknown;
         };
         let Some((status, body)) = self.send(req).await else {
@@ -425,30 +427,3 @@
         tokio::time::sleep(ANNOUNCE_EVERY).await;
     }
 }
-
-fn document(version: u64) -> Value {
-    let route = |name: &str, kind: &str, pool: &str, attempts: u32| {
-        json!({
-            "name": name, "host": "site.example", "pathPrefix": format!("/{name}/"), "kind": kind,
-            "timeoutMs": 3000, "sloMs": 100, "priority": 1, "backend": pool,
-            "maxAttempts": attempts, "public": false, "resumable": kind == "streaming",
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("safe", "safe", "plain", 2),
-            route(ONCE, "unsafe", "plain", 1),
-            route("stream", "streaming", "engines", 2),
-        ],
-        "services": [
-            {"name": "plain", "maxConns": 50},
-            {"name": "engines", "maxConns": 50, "engine": {
-                "slots": 64, "kvCapacity": 10000, "kvTokenBytes": 100000, "step_ms": 1.0,
-                "models": [{"name": "m", "load_s": 1.0}], "layers": 4, "layer_mb": 100.0,
-                "usual": {"prompt": 50, "answer": 20},
-                "kinds": [{"name": "card", "mb": 900.0, "pace": 1.0, "read_x": 1.0}]}},
-        ],
-        "tenants": [{"name": "account", "apiKeys": ["a-key"], "priority": 1}],
-    })
-}
--- a/crates/deckwind-testkit/tests/testsuite/routes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/routes.rs
@@ -2,13 +2,13 @@
 
 use crate::run;
 use bytes::Bytes;
-use deckwind_fakes::{EVENTS, FakeRunner, RunnerFault};
+use deckwind_fakes::{EVENTS, FakeCall, FakeRunner, RunnerFault, release_document};
 use deckwind_testkit::{Cluster, eventually_async};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use yare::parameterized;
@@ -36,33 +36,6 @@
     body: Result<String, String>,
 }
 
-fn document(version: u64, keys: &[&str]) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, pool: &str, attempts: u32| {
-        json!({
-            "name": name, "host": "site.example", "pathPrefix": prefix, "kind": kind,
-            "timeoutMs": 3000, "sloMs": 100, "priority": 1, "backend": pool,
-            "maxAttempts": attempts, "public": false, "resumable": kind == "streaming",
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("safe", "/safe/", "safe", "plain", 2),
-            route("once", "/once/", "unsafe", "plain", 1),
-            route("stream", "/stream/", "streaming", "engines", 2),
-        ],
-        "services": [
-            {"name": "plain", "healthPath": "/health", "maxConns": 50},
-            {"name": "engines", "healthPath": "/health", "maxConns": 50, "engine": {
-                "slots": 8, "kvCapacity": 10000, "kvTokenBytes": 100000, "step_ms": 1.0,
-                "models": [{"name": "m", "load_s": 1.0}], "layers": 4, "layer_mb": 100.0,
-                "usual": {"prompt": 50, "answer": 20},
-                "kinds": [{"name": "card", "mb": 900.0, "pace": 1.0, "read_x": 1.0}]}},
-        ],
-        "tenants": [{"name": "account", "apiKeys": keys, "priority": 1}],
-    })
-}
-
 async fn post(address: SocketAddr, path: &str, body: &Value) -> StatusCode {
     let client = Client::builder(TokioExecutor::new()).build_http();
     let req = Request::post(format!("http://{address}{path}"))
@@ -101,7 +74,7 @@
     }
 
     async fn publish(&self, version: u64, keys: &[&str]) -> StatusCode {
-        let document = document(version, keys);
+        let document = release_document(version, keys);
         post(self.control(), "/v1/config/put", &document).await
     }
 
@@ -143,19 +116,14 @@
     ) -> Heard {
         let router = self.cluster.layout.routers[0].routes;
         let client = Client::builder(TokioExecutor::new()).build_http();
-        let mut req = Request::post(format!("http://{router}{path}"))
-            .header("host", "site.example")
-            .header("x-deckwind-request-id", id)
-            .header("x-deckwind-deadline-ms", "3000")
-            .header("x-deckwind-tenant", "somebody-else")
-            .header("authorization", format!("Bearer {key}"));
-        if tokens {
-            req = req.header("x-deckwind-token-count", "50,24");
-        }
-        if let Some(last) = last_event {
-            req = req.header("last-event-id", last.to_string());
-        }
-        let req = req.body(Full::new(Bytes::from("body"))).expect("a request");
+        let call = FakeCall {
+            id,
+            path,
+            key,
+            generation: tokens,
+            last_event,
+        };
+        let req = call.request(router).expect("a request");
         let res = client.request(req).await.expect("an answer's head");
         let (head, body) = res.into_parts();
         let body = body.collect().await.map_err(|e| e.to_string());
@@ -478,7 +446,11 @@
         let body = res.expect("an answer").into_body().collect().await;
         let body = body.expect("a body").to_bytes();
         let held: Value = serde_json::from_slice(&body).expect("JSON");
-        assert_eq!(held, document(1, &[KEY]), "read back as it was sent");
+        assert_eq!(
+            held,
+            release_document(1, &[KEY]),
+            "read back as it was sent"
+        );
         rig.until_served("/safe/x", false).await;
         rig.cluster.close().await.expect("closed");
     });
--- a/crates/deckwindd/src/router/routes/answers.rs
+++ b/crates/deckwindd/src/router/routes/answers.rs
@@ -46,7 +46,7 @@
     /// It may have run: the target's answer broke off or was no answer.
     Broken(String),
     /// It may have run, and could not be sent again, for this reason.
-    NoRoom(String),
+    NotSentAgain(String),
     /// It may have run: no answer in time.
     Late,
 }
@@ -75,7 +75,7 @@
             | Failure::Refused
             | Failure::NoRepeat
             | Failure::NoTime => StatusCode::SERVICE_UNAVAILABLE,
-            Failure::Broken(_) | Failure::NoRoom(_) => StatusCode::BAD_GATEWAY,
+            Failure::Broken(_) | Failure::NotSentAgain(_) => StatusCode::BAD_GATEWAY,
             Failure::Late => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -97,7 +97,7 @@
             Failure::NoRepeat => "no-repeat-left",
             Failure::NoTime => "no-time",
             Failure::Broken(_) => "target-broke",
-            Failure::NoRoom(_) => "not-sent-again",
+            Failure::NotSentAgain(_) => "not-sent-again",
             Failure::Late => "target-late",
         }
     }
@@ -118,7 +118,7 @@
     /// The answer.
     pub fn response(&self) -> Response<RouteBody> {
         let text = match self {
-            Failure::BadRequest(why) | Failure::Broken(why) | Failure::NoRoom(why) => {
+            Failure::BadRequest(why) | Failure::Broken(why) | Failure::NotSentAgain(why) => {
                 format!("{}: {why}\n", self.code())
             }
             _ => format!("{}\n", self.code()),
--- a/crates/deckwindd/src/router/routes/callers.rs
+++ b/crates/deckwindd/src/router/routes/callers.rs
@@ -4,13 +4,13 @@
 use super::{opening, plain};
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
-use deckwind_core::routes::ReleaseIndex;
+use deckwind_core::routes::{Choice, ReleaseIndex};
 use deckwind_core::state::{CallerLimits, Pool, Route, RouteKind};
-use deckwind_net::edge::CallerHead;
+use deckwind_net::edge::{CallerHead, TargetHead};
 use deckwind_net::targets::watch_over;
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -77,16 +77,29 @@
         self.shared.core().lease().is_live(now)
     }
 
-    /// The request to a target, without the headers of the dialect.
-    pub fn request(&self) -> http::request::Builder {
+    /// The request to a target, to go on after `last_event`.
+    pub fn request(
+        &self,
+        choice: &Choice,
+        last_event: Option<u64>,
+    ) -> http::Result<Request<Full<Bytes>>> {
         let uri = self.parts.uri.path_and_query().map_or("/", |p| p.as_str());
         let mut req = Request::builder()
             .method(self.parts.method.clone())
-            .uri(uri);
-        if let Some(headers) = req.headers_mut() {
-            *headers = self.parts.headers.clone();
-        }
-        req
+            .uri(uri)
+            .body(Full::new(self.body.clone()))?;
+        *req.headers_mut() = self.parts.headers.clone();
+        let target = TargetHead {
+            instance: &choice.instance,
+            account: self.account.as_deref(),
+            left: Some(self.left()),
+            path: choice.path.as_ref().map(|p| p.stages.as_slice()),
+            rank: self.rank,
+            last_event,
+        };
+        let dialect = &self.shared.cx.dialects.callers;
+        dialect.to_target(req.headers_mut(), &target);
+        Ok(req)
     }
 }
 
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -9,6 +9,7 @@
 
 mod answers;
 mod callers;
+mod hold;
 mod opening;
 mod plain;
 mod relay;
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -4,20 +4,18 @@
 
 use super::answers::{Failure, RouteBody, full, strip_connection_headers};
 use super::callers::Job;
+use super::hold::Hold;
 use super::relay;
 use bytes::Bytes;
-use deckwind_core::routes::{Choice, InstanceIndex, NoChoice, Room, choose_path, choose_plain};
-use deckwind_core::routing::paths::{EnginePath, Stage, path_from};
-use deckwind_core::state::{DataCentre, Instance, InstanceState};
-use deckwind_net::edge::TargetHead;
+use deckwind_core::routes::{Choice, NoChoice, Room, choose_path, choose_plain};
+use deckwind_core::state::{Instance, InstanceState};
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -61,107 +59,6 @@
     Whole(StatusCode, HeaderMap, Bytes),
 }
 
-/// What one try holds at its targets, for as long as this lives.
-pub struct Hold {
-    shared: Arc<crate::router::shared::RouterShared>,
-    addresses: Vec<SocketAddr>,
-    /// Empty where a target serves alone.
-    stages: Vec<Stage>,
-    memory: Option<(DataCentre, u64)>,
-}
-
-impl Hold {
-    fn new(job: &Job, choice: &Choice, tokens: u64) -> Self {
-        let stages = choice
-            .path
-            .as_ref()
-            .map_or(Vec::new(), |p| p.stages.clone());
-        let memory = choice.path.as_ref();
-        let memory = memory.map(|p| (p.data_centre.clone(), tokens));
-        Self::begin(job, choice.address, stages, memory)
-    }
-
-    /// The same request on another path with the same first stage.
-    pub fn on_path(&self, job: &Job, path: &EnginePath) -> Self {
-        let stages = path.stages.clone();
-        Self::begin(job, self.first(), stages, self.memory.clone())
-    }
-
-    fn begin(
-        job: &Job,
-        first: SocketAddr,
-        stages: Vec<Stage>,
-        memory: Option<(DataCentre, u64)>,
-    ) -> Self {
-        let addresses = match stages.is_empty() {
-            true => vec![first],
-            false => stages.iter().map(|s| s.address).collect(),
-        };
-        let mut book = job.shared.routes.book();
-        book.began(&addresses);
-        if let Some((dc, tokens)) = &memory {
-            book.takes(dc, *tokens);
-        }
-        drop(book);
-        Self {
-            shared: job.shared.clone(),
-            addresses,
-            stages,
-            memory,
-        }
-    }
-
-    /// The target that the request was sent to.
-    pub fn first(&self) -> SocketAddr {
-        self.addresses[0]
-    }
-
-    /// Whether a target on the way has failed this router or another one by now.
-    pub fn is_doubted(&self) -> bool {
-        let now = self.shared.clock.now();
-        let book = self.shared.routes.book();
-        self.addresses.iter().any(|a| book.doubts(now, *a))
-    }
-
-    /// Whether a target on the way, but the first, no longer takes new work.
-    pub fn is_leaving(&self, instances: &InstanceIndex) -> bool {
-        let ready = |a: &SocketAddr| {
-            let mut all = instances.iter();
-            all.any(|i| i.address == *a && i.state == InstanceState::Ready)
-        };
-        !self.addresses.iter().skip(1).all(ready)
-    }
-
-    /// Another path with the same first stage.
-    pub fn other_path(&self, job: &Job) -> Option<EnginePath> {
-        let (data_centre, _) = self.memory.as_ref()?;
-        let model = job.pool.engine.as_ref()?;
-        let instances = self.shared.routes.instances();
-        let instances = instances.of_pool(&job.pool.name).iter();
-        let book = self.shared.routes.book();
-        let none = HashSet::new();
-        let view = book.at(self.shared.clock.now(), &none, rand::random());
-        let path = path_from(model, instances, &view, self.stages.first()?, data_centre)?;
-        (path.stages != self.stages).then_some(path)
-    }
-
-    /// Data centre of the path, for logs.
-    pub fn data_centre(&self) -> String {
-        let dc = self.memory.as_ref().map(|(dc, _)| dc.to_string());
-        dc.unwrap_or_else(|| "-".to_string())
-    }
-}
-
-impl Drop for Hold {
-    fn drop(&mut self) {
-        let mut book = self.shared.routes.book();
-        book.ended(&self.addresses);
-        if let Some((dc, tokens)) = &self.memory {
-            book.gives_back(dc, *tokens);
-        }
-    }
-}
-
 /// Opens streams of one request, and counts its tries.
 pub struct Opener {
     /// The request.
@@ -218,7 +115,7 @@
         let mut ran = again;
         loop {
             let give_up = |failure: Failure| match ran {
-                true => Failure::NoRoom(failure.code().to_string()),
+                true => Failure::NotSentAgain(failure.code().to_string()),
                 false => failure,
             };
             let choice = self.choose().map_err(give_up)?;
@@ -374,7 +271,8 @@
         let connections = &shared.routes.connections;
         let connection = connections.get(choice.address, REST).await;
         let mut connection = connection.map_err(|e| Ended::Unreachable(e.to_string()))?;
-        let req = self.request(choice, last_event)?;
+        let req = self.job.request(choice, last_event);
+        let req = req.map_err(|e| Ended::Unreachable(e.to_string()))?;
         self.tries += 1;
         let res = {
             let mut sending = pin!(connection.send(req));
@@ -408,28 +306,6 @@
         resumable && self.tries_left() && self.choose().is_ok()
     }
 
-    fn request(
-        &self,
-        choice: &Choice,
-        last_event: Option<u64>,
-    ) -> Result<http::Request<Full<Bytes>>, Ended> {
-        let job = &self.job;
-        let mut req = job.request();
-        if let Some(headers) = req.headers_mut() {
-            let target = TargetHead {
-                instance: &choice.instance,
-                account: job.account.as_deref(),
-                left: Some(job.left()),
-                path: choice.path.as_ref().map(|p| p.stages.as_slice()),
-                rank: job.rank,
-                last_event,
-            };
-            job.shared.cx.dialects.callers.to_target(headers, &target);
-        }
-        req.body(Full::new(job.body.clone()))
-            .map_err(|e| Ended::Unreachable(e.to_string()))
-    }
-
     async fn read_head(
         &mut self,
         hold: Hold,
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -5,10 +5,9 @@
 use bytes::Bytes;
 use deckwind_core::routes::{Choice, choose_plain};
 use deckwind_core::state::RouteKind;
-use deckwind_net::edge::TargetHead;
 use deckwind_net::targets::TargetError;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -206,7 +205,8 @@
         let connection = connections.get(choice.address, rest).await;
         let mut connection = connection.map_err(|e| Ended::Unreachable(e.to_string()))?;
         let sending = async {
-            let req = self.request(choice)?;
+            let req = job.request(choice, None);
+            let req = req.map_err(|e| Ended::Unreachable(e.to_string()))?;
             let res = connection.send(req).await.map_err(ended)?;
             let (head, body) = res.into_parts();
             let collected = Limited::new(body, MAX_ANSWER).collect().await;
@@ -225,24 +225,6 @@
         checked
     }
 
-    fn request(&self, choice: &Choice) -> Result<http::Request<Full<Bytes>>, Ended> {
-        let job = &self.job;
-        let mut req = job.request();
-        if let Some(headers) = req.headers_mut() {
-            let target = TargetHead {
-                instance: &choice.instance,
-                account: job.account.as_deref(),
-                left: Some(job.left()),
-                path: None,
-                rank: job.rank,
-                last_event: None,
-            };
-            job.shared.cx.dialects.callers.to_target(headers, &target);
-        }
-        req.body(Full::new(job.body.clone()))
-            .map_err(|e| Ended::Unreachable(e.to_string()))
-    }
-
     /// Whether an answer is this request's and the target's own.
     fn check(
         &self,
--- a/crates/deckwindd/src/router/routes/relay.rs
+++ b/crates/deckwindd/src/router/routes/relay.rs
@@ -2,7 +2,8 @@
 //! after the last one when its target breaks off or stands still.
 
 use super::answers::{BodyError, Failure, RouteBody, strip_connection_headers};
-use super::opening::{Hold, Opened, Opener, Opening};
+use super::hold::Hold;
+use super::opening::{Opened, Opener, Opening};
 use bytes::Bytes;
 use deckwind_core::routes::EventCutter;
 use deckwind_net::targets::call_target;
@@ -212,7 +213,7 @@
             };
             let again = Instant::now() + OPEN_AGAIN_AFTER;
             match opening {
-                Err(Failure::NoRoom(_)) if again < until => {
+                Err(Failure::NotSentAgain(_)) if again < until => {
                     tokio::time::sleep_until(again).await;
                 }
                 opening => return opening,
