--- a/crates/deckwind-core/src/routing/chains.rs
+++ b/crates/deckwind-core/src/routing/chains.rs
@@ -68,9 +68,9 @@
         (layers / model.layers.max(1)) as usize
     };
     let kept = |share: &f64| chains_at(*share) as f64 * share;
-    let best = SHARES
-        .into_iter()
-        .max_by(|a, b| kept(a).total_cmp(&kept(b)));
+    // Of equal ones `max_by` takes the last: the largest share.
+    let rising = SHARES.into_iter().rev();
+    let best = rising.max_by(|a, b| kept(a).total_cmp(&kept(b)));
     let most = best.map_or(1, chains_at);
     most.clamp(cards.len().div_ceil(MOST_CARDS), MOST_CHAINS)
 }
