A request that ran is not refused as not run when its repeat is

Cause: found by reading: a repeatable request that one target had answered with 500 was sent again, and where that target refused it, or none was left, the caller got 503, which says that nothing ran. The count of requests in flight at a plain target was not taken back when a caller left in between. Change: what a try came to that may have run stands before later refusals; counts are held by a guard, as for streams.

--- a/crates/deckwind-testkit/tests/testsuite/routes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/routes.rs
@@ -227,6 +227,21 @@
     });
 }
 
+#[test]
+fn a_request_that_ran_is_not_refused_as_not_run_when_its_repeat_is() {
+    run(async {
+        let rig = Rig::start(2, 0).await;
+        rig.until_served("/safe/x", false).await;
+        rig.plain[0].set_fault(RunnerFault::Fails);
+        rig.plain[1].set_fault(RunnerFault::Refuses { at_fault: None });
+        for i in 0..12 {
+            let heard = rig.ask(&format!("r{i}"), "/safe/x", KEY, false).await;
+            assert_eq!(heard.status.as_u16(), 500, "request r{i}");
+        }
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
 #[parameterized(
     no_route = { "/none/x", KEY, 404 },
     wrong_key = { "/safe/x", "another", 401 },
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -2,6 +2,7 @@
 
 use super::answers::{Failure, RouteBody, full, strip_connection_headers};
 use super::callers::Job;
+use super::hold::Hold;
 use bytes::Bytes;
 use deckwind_core::routes::{Choice, choose_plain};
 use deckwind_core::state::RouteKind;
@@ -50,6 +51,20 @@
     MayHaveRun(Failure),
 }
 
+/// What one try came to.
+enum Tried {
+    /// The answer to pass on.
+    Final(Answered),
+    /// Nothing was sent, and nothing more may be.
+    Stopped(Failure),
+    /// Nothing was sent.
+    Unreachable,
+    /// The target did not run it.
+    NotRun,
+    /// It ran, or may have: the outcome unless a later try has a better one.
+    Ran(Result<Answered, Failure>),
+}
+
 /// Runs one request to its end.
 pub async fn run(job: Job) -> Response<RouteBody> {
     let mut run = Run {
@@ -81,68 +96,57 @@
 }
 
 impl Run {
+    /// Tries until there is an answer to pass on, or nothing more may be tried.
+    /// What a try came to that may have run stands before any later refusal: the
+    /// caller must not hear that nothing ran.
     async fn tries(&mut self) -> Result<Answered, Failure> {
-        let mut before: Option<Failure> = None;
+        let mut ran: Option<Result<Answered, Failure>> = None;
         loop {
-            let choice = match self.choose() {
-                Ok(choice) => choice,
-                Err(e) => return Err(before.unwrap_or(e)),
-            };
-            if !self.job.has_lease() {
-                return Err(before.unwrap_or(Failure::NoLease));
-            }
-            if self.job.left().is_zero() {
-                return Err(before.unwrap_or(Failure::NoTime));
-            }
-            let address = choice.address;
-            self.target = Some(address);
-            self.job.shared.routes.book().began(&[address]);
-            let ended = self.send(&choice).await;
-            self.job.shared.routes.book().ended(&[address]);
-            let failure = match ended {
-                Ok(answered) if self.should_repeat(&answered) => {
-                    self.avoid.insert(address);
-                    if !self.may_repeat() {
-                        return Ok(answered);
-                    }
-                    continue;
+            let (goes_on, failure) = match self.one_try().await {
+                Tried::Final(answered) => return Ok(answered),
+                Tried::Stopped(failure) => (false, failure),
+                Tried::Unreachable => (self.unreachable < MAX_UNREACHABLE, Failure::NoTarget),
+                Tried::NotRun => (self.may_repeat(), Failure::Refused),
+                Tried::Ran(result) => {
+                    ran = Some(result);
+                    let repeatable = self.job.route.kind.may_repeat();
+                    (repeatable && self.may_repeat(), Failure::Refused)
                 }
-                Ok(answered) => return Ok(answered),
-                Err(ended) => self.judge(address, ended, &mut before)?,
             };
-            before = failure;
+            if !goes_on {
+                return ran.unwrap_or(Err(failure));
+            }
         }
     }
 
-    /// Whether to go on after a try that ended so; an error is the answer.
-    fn judge(
-        &mut self,
-        address: SocketAddr,
-        ended: Ended,
-        before: &mut Option<Failure>,
-    ) -> Result<Option<Failure>, Failure> {
+    async fn one_try(&mut self) -> Tried {
+        let choice = match self.choose() {
+            Ok(choice) => choice,
+            Err(failure) => return Tried::Stopped(failure),
+        };
+        if !self.job.has_lease() {
+            return Tried::Stopped(Failure::NoLease);
+        }
+        if self.job.left().is_zero() {
+            return Tried::Stopped(Failure::NoTime);
+        }
+        let address = choice.address;
+        self.target = Some(address);
+        let hold = Hold::new(&self.job, &choice, 0);
+        let ended = self.send(&choice).await;
+        drop(hold);
         self.avoid.insert(address);
         match ended {
-            Ended::Unreachable(why) => {
+            Ok(answered) if self.should_repeat(&answered) => Tried::Ran(Ok(answered)),
+            Ok(answered) => Tried::Final(answered),
+            Err(Ended::Unreachable(why)) => {
                 self.tries -= 1;
                 self.unreachable += 1;
                 self.avoid_target(address, &why);
-                match self.unreachable < MAX_UNREACHABLE {
-                    true => Ok(before.take()),
-                    false => Err(before.take().unwrap_or(Failure::NoTarget)),
-                }
-            }
-            Ended::NotRun => match self.may_repeat() {
-                true => Ok(before.take()),
-                false => Err(before.take().unwrap_or(Failure::Refused)),
-            },
-            Ended::MayHaveRun(failure) => {
-                let repeatable = self.job.route.kind.may_repeat();
-                match repeatable && self.may_repeat() {
-                    true => Ok(Some(failure)),
-                    false => Err(failure),
-                }
+                Tried::Unreachable
             }
+            Err(Ended::NotRun) => Tried::NotRun,
+            Err(Ended::MayHaveRun(failure)) => Tried::Ran(Err(failure)),
         }
     }
 
