--- a/crates/deckwind-testkit/tests/testsuite/settings.rs
+++ b/crates/deckwind-testkit/tests/testsuite/settings.rs
@@ -117,3 +117,71 @@
         assert_eq!(ports.len(), all);
     }
 }
+
+/// Settings by seeds, with one line replaced.
+fn by_seeds(from: &str, to: &str) -> String {
+    let text = r#"{
+  "vm": "core-1",
+  "data_centre": "recife-a",
+  "seeds": {
+    "ip": "10.1.0.43",
+    "peer_port": 7340,
+    "control": ["10.1.0.43:8229", "10.2.0.32:8229"],
+    "first_start": true,
+    "lost_at_once": 2
+  },
+  "router": {
+    "routes": "10.1.0.43:8227",
+    "ready": "10.1.0.43:8220",
+    "peers": "10.1.0.43:7341",
+    "admin": "10.1.0.43:9464",
+    "killed_after": "8s",
+    "repeats": { "share": 0.2, "beyond": 202, "window": "10s" }
+  },
+  "control": {
+    "data_folder": "data",
+    "admin": "10.1.0.43:9465",
+    "calls": "10.1.0.43:8229"
+  }
+}"#;
+    assert!(text.contains(from), "{from}");
+    text.replace(from, to)
+}
+
+#[yare::parameterized(
+    good = { "\"vm\"", "\"vm\"", &[] },
+    no_replica = { "[\"10.1.0.43:8229\", \"10.2.0.32:8229\"]", "[]", &["seeds.control: names nobody; write at least one control replica"] },
+    name_for_address = { "\"10.2.0.32:8229\"", "\"core-2:8229\"", &["seeds.control: must be a list of IPs and ports"] },
+    word_for_flag = { "true", "\"yes\"", &["seeds.first_start: must be true or false"] },
+    port_out_of_range = { "7340", "73400", &["seeds.peer_port: must be a whole number from 1 to 65535"] },
+    too_many_lost = { "\"lost_at_once\": 2", "\"lost_at_once\": 20", &["seeds.lost_at_once: must be a whole number from 0 to 7"] },
+    negative_share = { "0.2", "-0.2", &["router.repeats.share: must be a number, 0 or more"] },
+    time_without_unit = { "\"8s\"", "\"8\"", &["router.killed_after: must be a time with its unit"] },
+    same_address_twice = { "10.1.0.43:8220", "10.1.0.43:8227", &["router.ready", "router.routes"] },
+    both_kinds_of_members = { "\"vm\": \"core-1\",", "\"vm\": \"core-1\", \"control_vms\": [{ \"slot\": 0, \"address\": \"10.1.0.43:7340\" }],", &["seeds: stands beside control_vms; write one of the two"] },
+)]
+fn settings_by_seeds_are_checked(from: &str, to: &str, want: &[&str]) {
+    let found = findings(&by_seeds(from, to));
+    assert_eq!(found.is_empty(), want.is_empty(), "{found:?}");
+    for part in want {
+        assert!(
+            found.iter().any(|f| f.contains(part)),
+            "{part} in {found:?}"
+        );
+    }
+}
+
+#[yare::parameterized(
+    keys = { "\"keys\": { \"ca\": \"a\", \"certificate\": \"b\", \"key\": \"c\" },", "keys: is missing" },
+    callers = { "\"callers\": \"127.0.0.1:8080\",", "router.callers: is missing" },
+)]
+fn what_only_seeds_replace_must_be_there_without_them(line: &str, want: &str) {
+    let text = r#"{
+  "vm": "r", "data_centre": "a",
+  "keys": { "ca": "a", "certificate": "b", "key": "c" },
+  "control_vms": [ { "slot": 0, "address": "127.0.0.1:7000" } ],
+  "router": { "callers": "127.0.0.1:8080", "peers": "127.0.0.1:7100", "admin": "127.0.0.1:9100" }
+}"#;
+    let found = findings(&text.replace(line, ""));
+    assert!(found.iter().any(|f| f.contains(want)), "{found:?}");
+}
