Refusals after a try that may have run promise nothing; no plan for a good chain

Cause: found by reading: a stream whose first try had stood still and whose next ones were all refused was answered as not run; the leader planned every chain ten times a second, also those that need nothing. Change: such a stream is answered 502; a chain is planned only when it is broken, or calm and short of memory.

--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -164,12 +164,13 @@
         for (number, group) in chain_groups(model, &cards).into_iter().enumerate() {
             let whole = is_whole(model.layers, group.iter().map(|c| c.held));
             let calm_at = self.whole_since(now, (pool, number), &group, whole) + CALM;
+            let good = whole && (now < calm_at || !group.iter().any(|c| is_scarce(model, c)));
             let under_way = |c: &Card| self.under_way.get(&c.id);
             let blocked = match whole {
                 true => group.iter().any(|c| under_way(c).is_some()),
                 false => group.iter().any(|c| under_way(c) == Some(&Doing::Loading)),
             };
-            if blocked {
+            if good || blocked {
                 continue;
             }
             let Some(plan) = plan_chain(model, &group) else {
@@ -182,7 +183,7 @@
                     (card, step)
                 });
                 self.order(now, ready, steps, GiveUp::AtOnce, work);
-            } else if now >= calm_at {
+            } else {
                 let steps = improvement(model, steps);
                 self.order(now, ready, steps, GiveUp::WhenUnused, work);
             }
@@ -244,20 +245,21 @@
     }
 }
 
-/// What makes a whole chain keep more requests, if its memory is scarce: more
-/// layers on cards that have room, or, once nothing is to be loaded, less on
+/// Whether an engine keeps too few tokens beside its layers.
+fn is_scarce(model: &EngineModel, card: &Card) -> bool {
+    let beside = tokens_beside(model, card.memory_mb, card.held.len());
+    !card.held.is_empty() && beside < SCARCE * model.max_tokens as f64
+}
+
+/// What makes a whole chain with scarce memory keep more requests: more layers on cards that have room, or, once nothing is to be loaded, less on
 /// those that have little.
 fn improvement(model: &EngineModel, plan: Vec<(Card, LayerRange)>) -> Vec<(Card, LayerRange)> {
-    let is_scarce = |card: &Card| {
-        let beside = tokens_beside(model, card.memory_mb, card.held.len());
-        !card.held.is_empty() && beside < SCARCE * model.max_tokens as f64
-    };
-    if !plan.iter().any(|(card, _)| is_scarce(card)) {
-        return Vec::new();
-    }
     let loads = |(card, want): &(Card, LayerRange)| common(card.held, *want) != *want;
     if !plan.iter().any(loads) {
-        return plan.into_iter().filter(|(c, _)| is_scarce(c)).collect();
+        return plan
+            .into_iter()
+            .filter(|(c, _)| is_scarce(model, c))
+            .collect();
     }
     let first = |(card, want): (Card, LayerRange)| {
         let step = match card.held.is_empty() {
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -134,7 +134,12 @@
             };
             again = !matches!(ended, Ended::Unreachable(_)) || again;
             ran |= matches!(ended, Ended::Stalled | Ended::Broken(_));
-            self.judge(choice.address, ended)?;
+            let judged = self.judge(choice.address, ended);
+            // Refusals after a try that may have run promise nothing.
+            judged.map_err(|failure| match failure {
+                Failure::Refused if ran => Failure::NotSentAgain(failure.code().to_string()),
+                other => other,
+            })?;
         }
     }
 
