Routers that stopped lately share the bound on repeats

Change: the leader counts each start of a router that had a lease within 12 s; a router keeps the most that it was told within a window, for new leaders. The test published::the_bound_on_repeats_holds_while_routers_restart_in_turn fails when only routers with a lease are counted.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -6,7 +6,7 @@
 use super::orders::{OrderBatch, OrderDesk};
 use super::pending::{Asker, ForceWait, Parked, Proposals};
 use super::placement_desk::{PlaceOrder, PlacementDesk};
-use crate::membership::{LeaseTable, LeaseTiming};
+use crate::membership::{LeaseTable, LeaseTiming, RecentRouters};
 use crate::replication::{
     Action, Entry, Event, HardState, Index, Payload, Position, Replica, ReplicaConfig,
     SnapshotMeta, Stored, Term,
@@ -164,6 +164,8 @@
     pub(super) checked: BTreeMap<InstanceId, Instant>,
     /// When silent targets are next looked for.
     pub(super) next_look: Instant,
+    /// Routers that had a lease lately.
+    pub(super) recent: RecentRouters,
     /// What each router's streams hold.
     pub(super) in_use: BTreeMap<VmName, Vec<PathUse>>,
     pub(super) admins: BTreeMap<VmName, SocketAddr>,
@@ -333,6 +335,7 @@
                 failing: BTreeMap::new(),
                 checked: BTreeMap::new(),
                 next_look: since,
+                recent: RecentRouters::default(),
                 in_use: BTreeMap::new(),
                 admins: BTreeMap::new(),
                 orphans_done: false,
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -47,6 +47,8 @@
     pub shares: Vec<(AccountName, AccountShare)>,
     /// Routers with a live lease.
     pub routers: u32,
+    /// Starts of routers that had a lease lately, for bounds that they share.
+    pub routers_lately: u32,
     /// What all other routers' streams hold.
     pub in_use: Vec<PathUse>,
     /// Slots of the control replicas.
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -86,6 +86,7 @@
         leading.admins.insert(holder.vm.clone(), renewal.admin);
         let in_use = renewal.in_use.clone();
         leading.in_use.insert(holder.vm.clone(), in_use);
+        leading.recent.renewed(now, holder);
         let failing = renewal.failing.clone();
         if let Some(gone) = replaced {
             self.propose(now, CommandBody::HolderGone(gone), Asker::Nobody, out);
@@ -164,6 +165,7 @@
             delta: cfg.delta_since(renewal.applied),
             shares: leading.demand.shares(&renewal.demand, routers, cfg),
             routers,
+            routers_lately: leading.recent.count(now),
             in_use: leading.in_use_of_others(&renewal.holder.vm),
             replicas: replicas.collect(),
             failing: leading.failing_now(now),
--- a/crates/deckwind-core/src/membership/mod.rs
+++ b/crates/deckwind-core/src/membership/mod.rs
@@ -14,10 +14,12 @@
 
 mod lease_table;
 mod platform;
+mod recent;
 mod router_lease;
 mod shares;
 
 pub use lease_table::{InForce, LeaseTable, LeaseTiming, RouterLease};
 pub use platform::{PlatformStatus, PlatformView};
+pub use recent::RecentRouters;
 pub use router_lease::{RouterLeaseState, ServeDecision};
 pub use shares::{AccountDemand, AccountShare, share_of};
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -221,6 +221,7 @@
             delta: Delta::default(),
             shares,
             routers: 350,
+            routers_lately: 350,
             in_use: Vec::new(),
             replicas: Vec::new(),
             failing: Vec::new(),
--- a/crates/deckwind-testkit/tests/testsuite/published.rs
+++ b/crates/deckwind-testkit/tests/testsuite/published.rs
@@ -1,11 +1,12 @@
 //! Releases, announced targets, events and repeats, as tables and in virtual
 //! time.
 
+use deckwind_core::membership::RecentRouters;
 use deckwind_core::routes::{EventCutter, ReleaseIndex, RepeatBudget, RepeatBudgets, RepeatLimits};
 use deckwind_core::state::{
-    Command, CommandBody, Configuration, Instance, InstanceChange, InstanceState, KeyHolder,
-    LayerRange, Pool, Published, Rejection, Release, Reply, Revision, Route, RouteKind, Split,
-    StateMachine,
+    Command, CommandBody, Configuration, Holder, Instance, InstanceChange, InstanceState,
+    KeyHolder, LayerRange, Pool, Published, Rejection, Release, Reply, Revision, Route, RouteKind,
+    Split, StateMachine,
 };
 use deckwind_core::time::Instant;
 use rand::{RngExt, SeedableRng};
@@ -377,3 +378,48 @@
         "a pool that is gone is forgotten"
     );
 }
+
+/// Routers that stop and start in turn forget what they sent, and fewer of them
+/// have a lease at any time: the bound holds all the same.
+#[test]
+fn the_bound_on_repeats_holds_while_routers_restart_in_turn() {
+    const BEYOND: f64 = 200.0;
+    let limits = RepeatLimits {
+        share: 0.0,
+        beyond: BEYOND,
+        window: Duration::from_secs(10),
+    };
+    let holder = |vm: usize, boot| Holder {
+        vm: format!("r{vm}").as_str().into(),
+        boot,
+    };
+    let mut routers: Vec<_> = (0..9).map(|_| (RepeatBudget::new(limits), 0u64)).collect();
+    let mut recent = RecentRouters::default();
+    let mut repeats = Vec::new();
+    for ms in (0..40_000u64).step_by(10) {
+        let now = Instant::from_millis(1_000 + ms);
+        // Each is down for 3 s, one after the other, from 5 s on.
+        let stopped = |i: usize| {
+            let from = 5_000 + 1_300 * i as u64;
+            (from..from + 3_000).contains(&ms)
+        };
+        for (i, (budget, boot)) in routers.iter_mut().enumerate() {
+            if stopped(i) {
+                (*budget, *boot) = (RepeatBudget::new(limits), 1);
+                continue;
+            }
+            recent.renewed(now, &holder(i, *boot));
+            if budget.spend(now, recent.count(now)) {
+                repeats.push(ms);
+            }
+        }
+    }
+    for start in (0..30_000u64).step_by(100) {
+        let inside = repeats
+            .iter()
+            .filter(|t| **t >= start && **t < start + 10_000);
+        let sent = inside.count() as f64;
+        assert!(sent <= BEYOND, "{sent} repeats from {start} ms on");
+    }
+    assert!(repeats.len() > 100, "the bound is made use of");
+}
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -53,6 +53,10 @@
     /// When the leader last told of the other routers.
     told_at: Mutex<Instant>,
     routers: AtomicU32,
+    /// Until when a smaller number of routers does not count.
+    counted_until: Mutex<Instant>,
+    /// Window of the bound on repeats.
+    window: Duration,
     draining: AtomicBool,
     /// What a planned stop still lets in; see [`LetIn`].
     let_in: AtomicU8,
@@ -88,6 +92,8 @@
             to_tell: Notify::new(),
             told_at: Mutex::new(Instant::ZERO),
             routers: AtomicU32::new(1),
+            counted_until: Mutex::new(Instant::ZERO),
+            window: cfg.repeats.window,
             draining: AtomicBool::new(false),
             let_in: AtomicU8::new(LetIn::All as u8),
         }
@@ -157,7 +163,7 @@
 
     /// Takes what the leader tells of the other routers.
     pub fn others_told(&self, now: Instant, grant: &Grant) {
-        self.routers.store(grant.routers.max(1), Ordering::Relaxed);
+        self.count_routers(now, grant.routers_lately);
         let mut book = self.book();
         book.others_hold(grant.in_use.clone());
         book.doubt(now + DOUBT_FOR, &grant.failing);
@@ -165,6 +171,16 @@
         *self.told_at.lock().expect("no holder panics") = now;
     }
 
+    /// The most that were told within a window count: a new leader does not know
+    /// those that stopped before its time.
+    fn count_routers(&self, now: Instant, told: u32) {
+        let mut until = self.counted_until.lock().expect("no holder panics");
+        if told >= self.routers.load(Ordering::Relaxed) || now >= *until {
+            self.routers.store(told.max(1), Ordering::Relaxed);
+            *until = now + self.window;
+        }
+    }
+
     /// How old it is what the leader told of the other routers, for logs.
     pub fn told_age(&self, now: Instant) -> Duration {
         now.since(*self.told_at.lock().expect("no holder panics"))
