Tests for late streams at a planned stop and for stalled streams that nobody takes

Change: the stand-in's stalled streams go on when the fault is over; two route tests. They were not run against the code before the mends.

--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -44,7 +44,8 @@
     OrdersLate,
     /// It breaks a stream off inside the event after this one.
     CutsAfter(u64),
-    /// A stream stands still after this event; its report names the stage.
+    /// A stream stands still after this event, until the fault is over; its
+    /// report names the stage.
     StallsAfter {
         /// Last event before.
         event: u64,
@@ -306,16 +307,27 @@
             RunnerFault::StallsAfter { event: at, stage } if event > *at => {
                 let stall = (request.to_string(), *stage);
                 state.lock().expect("no holder panics").stalled.push(stall);
-                tokio::time::sleep(Duration::from_secs(600)).await;
-                return Ok(false);
+                while is_stalled(state) {
+                    tokio::time::sleep(EVENT_GAP).await;
+                }
+                chunk(s, &event_text(event)).await?;
             }
-            _ => chunk(s, &format!("id: {event}\ndata: token {event}\n\n")).await?,
+            _ => chunk(s, &event_text(event)).await?,
         }
     }
     s.write_all(b"0\r\n\r\n").await?;
     Ok(true)
 }
 
+fn is_stalled(state: &Mutex<State>) -> bool {
+    let state = state.lock().expect("no holder panics");
+    matches!(state.fault, RunnerFault::StallsAfter { .. })
+}
+
+fn event_text(event: u64) -> String {
+    format!("id: {event}\ndata: token {event}\n\n")
+}
+
 async fn chunk(s: &mut Stream, text: &str) -> Result<()> {
     let chunk = format!("{:x}\r\n{text}\r\n", text.len());
     Ok(s.write_all(chunk.as_bytes()).await?)
--- a/crates/deckwind-testkit/tests/testsuite/routes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/routes.rs
@@ -424,6 +424,66 @@
     });
 }
 
+/// The target may still go on; a router that had let it go would have broken the
+/// stream off itself.
+#[test]
+fn a_stream_that_stands_still_keeps_its_target_while_no_other_takes_it() {
+    run(async {
+        let rig = placed().await;
+        for (i, engine) in rig.engines.iter().enumerate() {
+            engine.set_fault(match i % 2 {
+                0 => RunnerFault::StallsAfter {
+                    event: 4,
+                    stage: engine.address,
+                },
+                _ => RunnerFault::Refuses { at_fault: None },
+            });
+        }
+        let go_on = async {
+            eventually_async("another target has refused it", || async {
+                let away = rig.engines.iter().skip(1).step_by(2);
+                let mut seen = away.flat_map(FakeRunner::seen);
+                let came = seen.any(|r| r.headers["x-deckwind-request-id"] == "r1");
+                came.then_some(())
+            })
+            .await;
+            for engine in rig.engines.iter().step_by(2) {
+                engine.set_fault(RunnerFault::None);
+            }
+        };
+        let (heard, ()) = tokio::join!(rig.ask("r1", "/stream/x", KEY, true), go_on);
+        assert_eq!(heard.body, Ok(whole_stream()));
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// A stream that is let in late would outlast the process and be cut.
+#[test]
+fn a_router_that_stops_lets_no_streams_in_before_it_refuses_the_rest() {
+    run(async {
+        let mut rig = placed().await;
+        let runner = FakeRunner::start("p-0").await.expect("a target");
+        rig.plain.push(runner);
+        rig.announce("plain", "p", 0, "ready").await;
+        rig.until_served("/once/x", false).await;
+        let router = rig.cluster.take_router(0);
+        let stopping = tokio::spawn(router.close());
+        let before = rig.ask("r1", "/stream/x", KEY, true).await;
+        assert_eq!(before.body, Ok(whole_stream()), "still let in at first");
+        let refused = eventually_async("streams are refused", || async {
+            let heard = rig.ask("late", "/stream/x", KEY, true).await;
+            (heard.status != StatusCode::OK).then_some(heard)
+        })
+        .await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(refused.headers.contains_key("retry-after"));
+        let plain = rig.ask("r2", "/once/x", KEY, false).await;
+        assert_eq!(plain.status, StatusCode::OK, "short requests still run");
+        stopping.await.expect("no panic").expect("closed");
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
 #[test]
 fn a_stream_that_nobody_can_take_up_does_not_look_whole() {
     run(async {
