--- a/crates/deckwindd/src/router/routes/hold.rs
+++ b/crates/deckwindd/src/router/routes/hold.rs
@@ -91,7 +91,9 @@
         let none = HashSet::new();
         let view = book.at(self.shared.clock.now(), &none, rand::random());
         let path = path_from(model, instances, &view, self.stages.first()?, data_centre)?;
-        (path.stages != self.stages).then_some(path)
+        let now = self.shared.clock.now();
+        let good = path.stages.iter().all(|s| !book.doubts(now, s.address));
+        (good && path.stages != self.stages).then_some(path)
     }
 
     /// Data centre of the path, for logs.
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -191,11 +191,12 @@
         self.tries < self.job.route.attempts + self.ended
     }
 
-    /// The target that ran the request has ended, if it is no longer ready.
+    /// The target that ran the request has ended, if it has left or is silent. One
+    /// that drains still runs it.
     pub fn count_ended(&mut self, first: SocketAddr) {
         let instances = self.job.shared.routes.instances();
-        let ready = |i: &Instance| i.address == first && i.state == InstanceState::Ready;
-        if !instances.iter().any(ready) {
+        let runs = |i: &Instance| i.address == first && i.state != InstanceState::Silent;
+        if !instances.iter().any(runs) {
             self.ended += 1;
         }
     }
--- a/crates/deckwindd/src/router/routes/relay.rs
+++ b/crates/deckwindd/src/router/routes/relay.rs
@@ -257,7 +257,7 @@
                         if let Some(next) = self.move_on(hold.first()).await {
                             return PartEnd::Moved(next);
                         }
-                        if let Some(other) = self.change_path(&hold).await {
+                        if let Some(other) = self.path_without_doubted(&hold).await {
                             hold = other;
                         }
                     }
@@ -313,6 +313,15 @@
         self.change_path(hold).await
     }
 
+    /// The stream on another path, if one has no target that fails.
+    async fn path_without_doubted(&mut self, hold: &Hold) -> Option<Hold> {
+        if Instant::now() < self.look_at_path {
+            return None;
+        }
+        self.look_at_path = Instant::now() + PATH_LOOK;
+        self.change_path(hold).await
+    }
+
     /// Has the stream go on over another path with the same first target.
     async fn change_path(&self, hold: &Hold) -> Option<Hold> {
         let job = &self.opener.job;
