--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -1,7 +1,8 @@
 //! The control replica as a state machine over its parts.
 
 use super::demand::DemandTable;
-use super::messages::{ControlReply, ControlRequest, PathUse};
+use super::in_use::UseTable;
+use super::messages::{ControlReply, ControlRequest};
 use super::operator::{OperatorReply, OperatorRequest};
 use super::orders::{OrderBatch, OrderDesk};
 use super::pending::{Asker, ForceWait, Parked, Proposals};
@@ -167,7 +168,7 @@
     /// Routers that had a lease lately.
     pub(super) recent: RecentRouters,
     /// What each router's streams hold.
-    pub(super) in_use: BTreeMap<VmName, Vec<PathUse>>,
+    pub(super) in_use: UseTable,
     pub(super) admins: BTreeMap<VmName, SocketAddr>,
     /// Whether claims of routers that no longer exist were looked for.
     pub(super) orphans_done: bool,
@@ -336,7 +337,7 @@
                 checked: BTreeMap::new(),
                 next_look: since,
                 recent: RecentRouters::default(),
-                in_use: BTreeMap::new(),
+                in_use: UseTable::default(),
                 admins: BTreeMap::new(),
                 orphans_done: false,
             });
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -2,8 +2,9 @@
 
 use crate::membership::{AccountDemand, AccountShare};
 use crate::replication::Term;
+use crate::routing::paths::Held;
 use crate::state::{
-    AccountName, ClaimRequest, ClaimVerdict, DataCentre, Delta, FinishRequest, Holder, Revision,
+    AccountName, ClaimRequest, ClaimVerdict, Delta, FinishRequest, Holder, Revision,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -20,20 +21,40 @@
     /// What accounts asked of it.
     pub demand: Vec<(AccountName, AccountDemand)>,
     /// What its streams hold.
-    pub in_use: Vec<PathUse>,
+    pub in_use: Vec<EngineUse>,
     /// Targets that have failed it lately.
     pub failing: Vec<SocketAddr>,
 }
 
-/// What one router's streams hold in one data centre's chain.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PathUse {
-    /// The data centre.
-    pub data_centre: DataCentre,
-    /// Tokens that they will keep, as far as can be told.
-    pub tokens: u64,
-    /// Streams.
-    pub streams: u32,
+/// What streams hold at one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineUse {
+    /// The engine.
+    pub address: SocketAddr,
+    /// Tokens that they will keep, as far as can be told, times the layers that
+    /// keep them.
+    pub layer_tokens: u64,
+    /// Streams that begin there.
+    pub begun: u32,
+}
+
+impl EngineUse {
+    /// Of what is held at this engine.
+    pub fn new(address: SocketAddr, held: Held) -> Self {
+        Self {
+            address,
+            layer_tokens: held.layer_tokens,
+            begun: held.begun,
+        }
+    }
+
+    /// What is held.
+    pub fn held(&self) -> Held {
+        Held {
+            layer_tokens: self.layer_tokens,
+            begun: self.begun,
+        }
+    }
 }
 
 /// The leader grants a lease.
@@ -50,7 +71,7 @@
     /// Starts of routers that had a lease lately, for bounds that they share.
     pub routers_lately: u32,
     /// What all other routers' streams hold.
-    pub in_use: Vec<PathUse>,
+    pub in_use: Vec<EngineUse>,
     /// Slots of the control replicas.
     pub replicas: Vec<u32>,
     /// Targets that have just failed some router.
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod announcements;
 mod control_core;
 mod demand;
+mod in_use;
 mod messages;
 mod operator;
 mod orders;
@@ -22,7 +23,7 @@
 mod upkeep;
 
 pub use control_core::{ControlAction, ControlCore, ControlEvent, ControlLimits, Unreadable};
-pub use messages::{ControlReply, ControlRequest, Grant, PathUse, Renewal};
+pub use messages::{ControlReply, ControlRequest, EngineUse, Grant, Renewal};
 pub use operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -161,8 +161,15 @@
         work: &mut PlaceWork,
     ) {
         let cards: Vec<Card> = ready.iter().filter_map(|i| card_of(model, i)).collect();
-        for (number, group) in chain_groups(model, &cards).into_iter().enumerate() {
-            let whole = is_whole(model.layers, group.iter().map(|c| c.held));
+        let is_whole = |group: &[Card]| is_whole(model.layers, group.iter().map(|c| c.held));
+        let groups = chain_groups(model, &cards);
+        let whole_in: BTreeSet<DataCentre> = groups
+            .iter()
+            .filter(|g| is_whole(g))
+            .map(|g| g[0].data_centre.clone())
+            .collect();
+        for (number, group) in groups.into_iter().enumerate() {
+            let whole = is_whole(&group);
             let calm_at = self.whole_since(now, (pool, number), &group, whole) + CALM;
             let good = whole && (now < calm_at || !group.iter().any(|c| is_scarce(model, c)));
             let under_way = |c: &Card| self.under_way.get(&c.id);
@@ -177,16 +184,15 @@
                 continue;
             };
             let steps: Vec<(Card, LayerRange)> = group.into_iter().zip(plan).collect();
-            if !whole {
-                let steps = steps.into_iter().map(|(card, want)| {
-                    let step = together(model, &card, want).unwrap_or(want);
-                    (card, step)
-                });
-                self.order(now, ready, steps, GiveUp::AtOnce, work);
-            } else {
-                let steps = improvement(model, steps);
-                self.order(now, ready, steps, GiveUp::WhenUnused, work);
-            }
+            let beside_a_whole_one = whole_in.contains(&steps[0].0.data_centre);
+            let (steps, give_up) = match (whole, beside_a_whole_one) {
+                (true, _) => (improvement(model, steps), GiveUp::WhenUnused),
+                // Requests go over the whole chain, and over what this one's
+                // engines hold: none of it is taken from them.
+                (false, true) => (additions(model, steps), GiveUp::WhenUnused),
+                (false, false) => (with_what_is_held(model, steps), GiveUp::AtOnce),
+            };
+            self.order(now, ready, steps, give_up, work);
         }
     }
 
@@ -271,6 +277,35 @@
     plan.into_iter().filter_map(first).collect()
 }
 
+/// Each card with what it holds beside what it is to hold, where there is room.
+fn with_what_is_held(
+    model: &EngineModel,
+    plan: Vec<(Card, LayerRange)>,
+) -> Vec<(Card, LayerRange)> {
+    let step = |(card, want): (Card, LayerRange)| {
+        let step = together(model, &card, want).unwrap_or(want);
+        (card, step)
+    };
+    plan.into_iter().map(step).collect()
+}
+
+/// Those cards that can hold what they are to hold beside what they hold. If
+/// that does not make the chain whole, those whose requests end first as well.
+fn additions(model: &EngineModel, plan: Vec<(Card, LayerRange)>) -> Vec<(Card, LayerRange)> {
+    let adds = |(card, want): &(Card, LayerRange)| {
+        let step = match card.held.is_empty() {
+            true => *want,
+            false => together(model, card, *want)?,
+        };
+        (step != card.held).then(|| (card.clone(), step))
+    };
+    let added: Vec<(Card, LayerRange)> = plan.iter().filter_map(adds).collect();
+    match added.is_empty() {
+        true => with_what_is_held(model, plan),
+        false => added,
+    }
+}
+
 fn is_usable(instance: &Instance, pool: &Pool) -> bool {
     instance.pool == pool.name && instance.state == InstanceState::Ready
 }
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -1,15 +1,14 @@
 //! What routers and operators ask of the leader.
 
 use super::control_core::{ControlAction, ControlCore, Leading};
-use super::messages::{ControlReply, ControlRequest, Grant, PathUse, Renewal};
+use super::messages::{ControlReply, ControlRequest, Grant, Renewal};
 use super::operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
 use super::pending::{Asker, Parked};
 use crate::membership::{InForce, RouterLease};
-use crate::state::{CommandBody, DataCentre, VmName};
+use crate::state::{CommandBody, VmName};
 use crate::time::Instant;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,23 +23,6 @@
         let lately = self.failing.iter().filter(|(_, at)| lately(at));
         lately.map(|(address, _)| *address).collect()
     }
-
-    /// What the streams of all routers but one hold, by data centre.
-    fn in_use_of_others(&self, vm: &VmName) -> Vec<PathUse> {
-        let mut sums: BTreeMap<DataCentre, PathUse> = BTreeMap::new();
-        let others = self.in_use.iter().filter(|(other, _)| *other != vm);
-        for one in others.flat_map(|(_, uses)| uses) {
-            let none = || PathUse {
-                data_centre: one.data_centre.clone(),
-                tokens: 0,
-                streams: 0,
-            };
-            let sum = sums.entry(one.data_centre.clone()).or_insert_with(none);
-            sum.tokens += one.tokens;
-            sum.streams += one.streams;
-        }
-        sums.into_values().collect()
-    }
 }
 
 impl ControlCore {
@@ -84,8 +66,7 @@
         }
         leading.demand.put(&holder.vm, &renewal.demand);
         leading.admins.insert(holder.vm.clone(), renewal.admin);
-        let in_use = renewal.in_use.clone();
-        leading.in_use.insert(holder.vm.clone(), in_use);
+        leading.in_use.put(&holder.vm, &renewal.in_use);
         leading.recent.renewed(now, holder);
         let failing = renewal.failing.clone();
         if let Some(gone) = replaced {
@@ -166,7 +147,7 @@
             shares: leading.demand.shares(&renewal.demand, routers, cfg),
             routers,
             routers_lately: leading.recent.count(now),
-            in_use: leading.in_use_of_others(&renewal.holder.vm),
+            in_use: leading.in_use.of_others(&renewal.holder.vm),
             replicas: replicas.collect(),
             failing: leading.failing_now(now),
         })
--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -1,11 +1,10 @@
-//! What a router counts against targets: requests in flight, tokens that its
-//! streams keep, and failures.
+//! What a router counts against targets: requests in flight, tokens that
+//! streams keep there, and failures.
 
-use crate::control::PathUse;
-use crate::routing::paths::EngineView;
-use crate::state::DataCentre;
+use crate::control::EngineUse;
+use crate::routing::paths::{EngineView, Held, Stage};
 use crate::time::Instant;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +15,9 @@
 /// Longest such time: a target that came back is soon tried again.
 const AVOID_MOST: Duration = Duration::from_secs(4);
 
+/// How long an engine without room is avoided: a few answers end meanwhile.
+const NO_ROOM_FOR: Duration = Duration::from_millis(300);
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Account {
     in_flight: u32,
@@ -25,18 +27,14 @@
     failures: u32,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Held {
-    tokens: u64,
-    streams: u32,
-}
-
 /// Counts of one router.
 #[derive(Clone, Debug, Default)]
 pub struct TargetBook {
     targets: HashMap<SocketAddr, Account>,
-    own: BTreeMap<DataCentre, Held>,
-    others: BTreeMap<DataCentre, Held>,
+    /// What this router's streams hold at engines.
+    own: HashMap<SocketAddr, Held>,
+    /// What those of all others hold, as the leader last told.
+    others: HashMap<SocketAddr, Held>,
 }
 
 /// The book at one moment, for one request.
@@ -54,8 +52,8 @@
         self.avoid.contains(&address) || self.book.avoids(self.now, address)
     }
 
-    fn streams(&self, address: SocketAddr) -> u32 {
-        self.book.in_flight(address)
+    fn held(&self, address: SocketAddr) -> Held {
+        self.book.held(address)
     }
 
     fn spread(&self, address: SocketAddr) -> f64 {
@@ -129,6 +127,13 @@
         wait
     }
 
+    /// A target had no room. It is avoided for a moment by this router alone: it
+    /// is well, and others may know of its room.
+    pub fn had_no_room(&mut self, now: Instant, address: SocketAddr) {
+        let account = self.targets.entry(address).or_default();
+        account.avoided_until = account.avoided_until.max(now + NO_ROOM_FOR);
+    }
+
     /// A target has answered well.
     pub fn answered(&mut self, address: SocketAddr) {
         if let Some(account) = self.targets.get_mut(&address) {
@@ -136,41 +141,51 @@
         }
     }
 
-    /// A stream takes memory in a data centre.
-    pub fn takes(&mut self, data_centre: &DataCentre, tokens: u64) {
-        let held = self.own.entry(data_centre.clone()).or_default();
-        held.tokens += tokens;
-        held.streams += 1;
+    /// A stream takes memory at the engines on its path.
+    pub fn takes(&mut self, stages: &[Stage], tokens: u64) {
+        for stage in stages {
+            let held = self.own.entry(stage.address).or_default();
+            held.layer_tokens += tokens * u64::from(stage.layers.len());
+        }
+        if let Some(first) = stages.first() {
+            self.own.entry(first.address).or_default().begun += 1;
+        }
     }
 
     /// It gives it back.
-    pub fn gives_back(&mut self, data_centre: &DataCentre, tokens: u64) {
-        if let Some(held) = self.own.get_mut(data_centre) {
-            held.tokens = held.tokens.saturating_sub(tokens);
-            held.streams = held.streams.saturating_sub(1);
+    pub fn gives_back(&mut self, stages: &[Stage], tokens: u64) {
+        for stage in stages {
+            let held = self.own.entry(stage.address).or_default();
+            let less = tokens * u64::from(stage.layers.len());
+            held.layer_tokens = held.layer_tokens.saturating_sub(less);
+        }
+        if let Some(first) = stages.first() {
+            let held = self.own.entry(first.address).or_default();
+            held.begun = held.begun.saturating_sub(1);
         }
+        self.own.retain(|_, held| *held != Held::default());
     }
 
     /// What all other routers' streams hold.
-    pub fn others_hold(&mut self, uses: Vec<PathUse>) {
-        let held = |u: PathUse| {
-            let held = Held {
-                tokens: u.tokens,
-                streams: u.streams,
-            };
-            (u.data_centre, held)
-        };
-        self.others = uses.into_iter().map(held).collect();
+    pub fn others_hold(&mut self, uses: &[EngineUse]) {
+        self.others = uses.iter().map(|u| (u.address, u.held())).collect();
     }
 
     /// What this router's streams hold, for the others.
-    pub fn own_use(&self) -> Vec<PathUse> {
-        let one = |(dc, held): (&DataCentre, &Held)| PathUse {
-            data_centre: dc.clone(),
-            tokens: held.tokens,
-            streams: held.streams,
-        };
-        self.own.iter().map(one).collect()
+    pub fn own_use(&self) -> Vec<EngineUse> {
+        let own = self.own.iter();
+        own.map(|(address, held)| EngineUse::new(*address, *held))
+            .collect()
+    }
+
+    /// What the streams of all routers hold at an engine.
+    pub fn held(&self, address: SocketAddr) -> Held {
+        let of = |map: &HashMap<SocketAddr, Held>| map.get(&address).copied().unwrap_or_default();
+        let (own, others) = (of(&self.own), of(&self.others));
+        Held {
+            layer_tokens: own.layer_tokens + others.layer_tokens,
+            begun: own.begun + others.begun,
+        }
     }
 
     /// Targets that are avoided now.
@@ -179,18 +194,6 @@
         failing.map(|(a, _)| *a).collect()
     }
 
-    /// Tokens that all routers' streams hold in a data centre.
-    pub fn tokens(&self, data_centre: &DataCentre) -> u64 {
-        let of = |map: &BTreeMap<DataCentre, Held>| map.get(data_centre).map_or(0, |h| h.tokens);
-        of(&self.own) + of(&self.others)
-    }
-
-    /// Streams of all routers in a data centre.
-    pub fn streams(&self, data_centre: &DataCentre) -> u32 {
-        let of = |map: &BTreeMap<DataCentre, Held>| map.get(data_centre).map_or(0, |h| h.streams);
-        of(&self.own) + of(&self.others)
-    }
-
     /// Forgets targets that `keep` does not name and that serve nothing.
     pub fn retain(&mut self, keep: impl Fn(&SocketAddr) -> bool) {
         self.targets.retain(|a, t| t.in_flight > 0 || keep(a));
--- a/crates/deckwind-core/src/routing/chains.rs
+++ b/crates/deckwind-core/src/routing/chains.rs
@@ -2,8 +2,9 @@
 //! centre.
 //!
 //! The groups follow from what the engines hold, so that a new leader finds the
-//! same ones: whole chains are taken out first, and what is left is a chain that
-//! is broken, one that is not placed yet, or spare.
+//! same ones: whole chains are taken out first, those whose engines join without
+//! overlap before others, and what is left is a chain that is broken, one that is
+//! not placed yet, or spare.
 
 use super::placement::{Card, most_layers, share_out};
 use crate::state::{DataCentre, EngineModel};
@@ -75,24 +76,58 @@
     most.clamp(cards.len().div_ceil(MOST_CARDS), MOST_CHAINS)
 }
 
-/// Takes a whole chain out of the cards: at each layer the one that goes on
-/// furthest.
+/// Takes a whole chain out of the cards: one whose engines join without overlap
+/// if there is one.
 fn take_chain(model: &EngineModel, cards: &mut Vec<Card>) -> Option<Vec<Card>> {
+    let mut picked = joined_chain(model, cards).or_else(|| any_chain(model, cards))?;
+    picked.sort_unstable_by(|a, b| b.cmp(a));
+    Some(picked.into_iter().map(|i| cards.swap_remove(i)).collect())
+}
+
+/// Places of cards each of which begins where the one before ends. Which of the
+/// cards that begin at one layer is taken does not matter to the other chains
+/// through that layer, but some may lead nowhere: those are found from the end
+/// backwards.
+fn joined_chain(model: &EngineModel, cards: &[Card]) -> Option<Vec<usize>> {
+    // next[layer]: the card that begins there and leads on to the end.
+    let mut next = vec![None; model.layers as usize];
+    let mut by_first: Vec<usize> = (0..cards.len()).collect();
+    by_first.sort_by_key(|i| (cards[*i].held.first, cards[*i].held.last));
+    for i in by_first.into_iter().rev() {
+        let held = cards[i].held;
+        let after = next.get(held.last as usize);
+        let leads_on = held.last == model.layers || after.is_some_and(Option::is_some);
+        if !held.is_empty() && leads_on {
+            next[held.first as usize] = Some(i);
+        }
+    }
+    let mut picked = Vec::new();
+    let mut layer = 0;
+    while layer < model.layers {
+        let card = (*next.get(layer as usize)?)?;
+        picked.push(card);
+        layer = cards[card].held.last;
+    }
+    Some(picked)
+}
+
+/// Places of cards that hold all layers, with as little overlap as can be told
+/// from one card to the next.
+fn any_chain(model: &EngineModel, cards: &[Card]) -> Option<Vec<usize>> {
     let mut picked: Vec<usize> = Vec::new();
-    let mut next = 0;
-    while next < model.layers {
+    let mut layer = 0;
+    while layer < model.layers {
         let fits = |i: &usize| {
             let held = cards[*i].held;
-            !picked.contains(i) && held.first <= next && next < held.last
+            !picked.contains(i) && held.first <= layer && layer < held.last
         };
-        let best = (0..cards.len())
+        let next = (0..cards.len())
             .filter(fits)
-            .max_by_key(|i| cards[*i].held.last)?;
-        picked.push(best);
-        next = cards[best].held.last;
+            .max_by_key(|i| (cards[*i].held.first, cards[*i].held.last))?;
+        picked.push(next);
+        layer = cards[next].held.last;
     }
-    picked.sort_unstable_by(|a, b| b.cmp(a));
-    Some(picked.into_iter().map(|i| cards.swap_remove(i)).collect())
+    Some(picked)
 }
 
 /// Cards that hold no whole chain, as `count` groups of mixed kinds; as fewer if
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod full_disk;
 mod leaving;
 mod orders;
+mod paths;
 mod placement;
 mod processes;
 mod published;
@@ -21,6 +22,7 @@
 mod soak;
 mod specification;
 mod store;
+mod support;
 
 use std::net::SocketAddr;
 
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/paths.rs
@@ -0,0 +1,195 @@
+//! Paths over engines that hold layers, and the room on them.
+
+use crate::support::{cards, instances, model, place};
+use deckwind_core::control::EngineUse;
+use deckwind_core::routes::{Choice, NoChoice, Room, TargetBook, choose_path};
+use deckwind_core::routing::paths::{EngineView, Held, Need, NoPath, paths};
+use deckwind_core::routing::placement::{Card, common};
+use deckwind_core::state::{Instance, LayerRange};
+use deckwind_core::time::Instant;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use yare::parameterized;
+
+const SOME: Need = Need {
+    tokens: 1_000,
+    most: 1.0,
+};
+
+struct Avoiding(Vec<SocketAddr>);
+
+impl EngineView for Avoiding {
+    fn avoids(&self, address: SocketAddr) -> bool {
+        self.0.contains(&address)
+    }
+
+    fn held(&self, _: SocketAddr) -> Held {
+        Held::default()
+    }
+
+    fn spread(&self, _: SocketAddr) -> f64 {
+        0.0
+    }
+}
+
+#[test]
+fn a_path_runs_each_layer_once_and_stays_inside_a_data_centre() {
+    let mut a = cards("a", 1, 5, 8);
+    place(&mut a);
+    let mut b = cards("b", 3, 3, 5);
+    place(&mut b);
+    a.extend(b);
+    let all = instances(&a);
+    let found = paths(&model(), all.iter(), &Avoiding(Vec::new()), &SOME).expect("two");
+    assert_eq!(found.len(), 2);
+    for path in found {
+        let mut next = 0;
+        for stage in &path.stages {
+            assert_eq!(stage.layers.first, next);
+            next = stage.layers.last;
+            let engine = all.iter().find(|i| i.address == stage.address);
+            let engine = engine.expect("it exists");
+            assert_eq!(engine.data_centre, path.data_centre);
+            assert_eq!(common(engine.layers, stage.layers), stage.layers);
+        }
+        assert_eq!(next, 80);
+    }
+}
+
+fn overlapping() -> Vec<Instance> {
+    let range = LayerRange::new;
+    let mut all = cards("a", 0, 4, 0);
+    let held = [range(0, 9), range(5, 14), range(9, 18), range(12, 18)];
+    all.iter_mut().zip(held).for_each(|(c, r)| c.held = r);
+    instances(&all)
+}
+
+#[test]
+fn a_path_goes_round_an_engine_whose_layers_others_hold() {
+    let mut model = model();
+    model.layers = 18;
+    let all = overlapping();
+    let round = |avoided: usize| {
+        let view = Avoiding(vec![all[avoided].address]);
+        paths(&model, all.iter(), &view, &SOME)
+    };
+    let found = round(2).expect("one");
+    let addresses: Vec<_> = found[0].stages.iter().map(|s| s.address).collect();
+    assert_eq!(addresses, [all[0].address, all[1].address, all[3].address]);
+    let none = round(0);
+    assert_eq!(
+        none,
+        Err(NoPath::Broken),
+        "nobody else holds the first layers"
+    );
+}
+
+fn choose(book: &TargetBook, all: &[Instance], room: Room) -> Result<Choice, NoChoice> {
+    let own = all[0].data_centre.clone();
+    let now = Instant::from_millis(1);
+    choose_path(&model(), all, book, &own, room, &HashSet::new(), now)
+}
+
+fn room(tokens: u64, begun: bool, draw: u64) -> Room {
+    Room {
+        tokens,
+        begun,
+        draw,
+    }
+}
+
+fn several_chains(count: usize) -> Vec<Card> {
+    let mut all = Vec::new();
+    for chain in 0..count {
+        let mut cards = cards("a", 0, 4, 8);
+        place(&mut cards);
+        for card in &mut cards {
+            card.id = format!("{}-{chain}", card.id);
+        }
+        all.extend(cards);
+    }
+    all
+}
+
+#[parameterized(
+    one_chain = { 1 },
+    three_chains = { 3 },
+)]
+fn requests_fill_all_engines_evenly_and_none_beyond_its_memory(chains: usize) {
+    let all = instances(&several_chains(chains));
+    let mut book = TargetBook::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut given = 0;
+    let refused = loop {
+        let room = room(900, false, rng.random());
+        match choose(&book, &all, room) {
+            Ok(choice) => {
+                let path = choice.path.expect("a path");
+                assert!(path.fullest.used <= 1.0);
+                book.takes(&path.stages, room.tokens);
+                given += 1;
+            }
+            Err(none) => break none,
+        }
+    };
+    assert!(matches!(refused, NoChoice::Full(_)), "{refused:?}");
+    let least = chains as u32 * 100_000 / 900;
+    assert!(
+        given * 100 >= least * 85,
+        "{given} of {least}: some engine filled up before the others"
+    );
+    assert!(
+        choose(&book, &all, room(900, true, 1)).is_ok(),
+        "one that has begun may crowd the others a little"
+    );
+}
+
+#[test]
+fn what_other_routers_hold_counts_as_ones_own() {
+    let all = instances(&several_chains(2));
+    let mut book = TargetBook::default();
+    let first = choose(&book, &all, room(900, false, 1)).expect("a path");
+    let path = first.path.expect("a path");
+    let of = |stage: &deckwind_core::routing::paths::Stage| EngineUse {
+        address: stage.address,
+        layer_tokens: 99_500 * u64::from(stage.layers.len()),
+        begun: 100,
+    };
+    let told: Vec<EngineUse> = path.stages.iter().map(of).collect();
+    book.others_hold(&told);
+    for draw in 0..20 {
+        let next = choose(&book, &all, room(900, false, draw)).expect("the other chain");
+        let next = next.path.expect("a path");
+        let meets = |a: &SocketAddr| path.stages.iter().any(|s| s.address == *a);
+        assert!(!next.stages.iter().any(|s| meets(&s.address)));
+    }
+    book.others_hold(&[]);
+    assert_eq!(book.held(path.stages[0].address), Held::default());
+}
+
+#[test]
+fn memory_that_streams_give_back_can_be_given_again() {
+    let all = instances(&several_chains(1));
+    let mut book = TargetBook::default();
+    let path = choose(&book, &all, room(60_000, false, 1)).expect("a path");
+    let path = path.path.expect("a path");
+    book.takes(&path.stages, 60_000);
+    assert!(choose(&book, &all, room(60_000, false, 2)).is_err());
+    book.gives_back(&path.stages, 60_000);
+    assert!(choose(&book, &all, room(60_000, false, 2)).is_ok());
+    assert!(book.own_use().is_empty());
+}
+
+#[test]
+fn an_engine_without_room_is_avoided_for_a_moment_and_not_reported() {
+    let mut book = TargetBook::default();
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let at = Instant::from_millis;
+    for _ in 0..10 {
+        book.had_no_room(at(1_000), address);
+    }
+    assert!(book.avoids(at(1_200), address));
+    assert!(!book.avoids(at(1_400), address), "however often it refused");
+}
--- a/crates/deckwind-testkit/tests/testsuite/placement.rs
+++ b/crates/deckwind-testkit/tests/testsuite/placement.rs
@@ -1,68 +1,16 @@
 //! Which engine holds which layers, and the paths over them.
 
+use crate::support::{cards, instances, model, place};
 use deckwind_core::control::{GiveUp, PlacementDesk};
 use deckwind_core::routing::chains::chain_groups;
-use deckwind_core::routing::paths::{EngineView, paths};
 use deckwind_core::routing::placement::{Card, common, is_whole, plan_chain, tokens_beside};
-use deckwind_core::state::{
-    AcceleratorKind, DataCentre, EngineModel, Instance, InstanceState, Instances, LayerRange, Pool,
-    Release,
-};
 use deckwind_core::state::{Command, CommandBody, InstanceChange, StateMachine};
+use deckwind_core::state::{DataCentre, InstanceState, Instances, LayerRange, Pool, Release};
 use deckwind_core::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::net::SocketAddr;
 use yare::parameterized;
 
-const KINDS: [(&str, f64, f64); 3] = [
-    ("fast", 36_000.0, 3.1),
-    ("middle", 21_600.0, 16.0),
-    ("small", 14_400.0, 15.0),
-];
-
-fn model() -> EngineModel {
-    let kind = |(name, memory_mb, step_factor): &(&str, f64, f64)| AcceleratorKind {
-        name: name.to_string(),
-        memory_mb: *memory_mb,
-        step_factor: *step_factor,
-        read_factor: *step_factor,
-    };
-    EngineModel {
-        layers: 80,
-        layer_mb: 1_750.0,
-        token_bytes: 459_000.0,
-        max_tokens: 100_000,
-        slots: 192,
-        step_ms: 0.85,
-        load_ms: 14_000.0,
-        loads_at_once: 6,
-        usual_prompt: 772,
-        usual_answer: 154,
-        kinds: KINDS.iter().map(kind).collect(),
-    }
-}
-
-fn cards(data_centre: &str, fast: usize, middle: usize, small: usize) -> Vec<Card> {
-    let of = |kind: usize, count| (0..count).map(move |i| (kind, i));
-    let all = of(0, fast).chain(of(1, middle)).chain(of(2, small));
-    all.map(|(kind, i)| Card {
-        id: format!("{data_centre}-{}-{i}", KINDS[kind].0),
-        data_centre: data_centre.into(),
-        memory_mb: KINDS[kind].1,
-        step_factor: KINDS[kind].2,
-        held: LayerRange::default(),
-    })
-    .collect()
-}
-
-fn place(cards: &mut [Card]) {
-    let plan = plan_chain(&model(), cards).expect("they can hold it");
-    for (card, range) in cards.iter_mut().zip(plan) {
-        card.held = range;
-    }
-}
-
 fn check(cards: &[Card], plan: &[LayerRange]) {
     assert!(is_whole(80, plan.iter().copied()));
     assert_eq!(
@@ -176,79 +124,6 @@
     assert_eq!(groups[0].len(), 12, "one chain over both");
 }
 
-fn instance(card: &Card, port: u16) -> Instance {
-    Instance {
-        id: card.id.clone(),
-        pool: "engines".to_string(),
-        address: SocketAddr::from(([127, 0, 0, 1], port)),
-        data_centre: card.data_centre.clone(),
-        slots: 192,
-        state: InstanceState::Ready,
-        accelerator: Some(card.id.split('-').nth(1).expect("a kind").to_string()),
-        layers: card.held,
-        announced: 1,
-    }
-}
-
-fn instances(cards: &[Card]) -> Vec<Instance> {
-    let numbered = cards.iter().zip(1..);
-    numbered.map(|(c, port)| instance(c, port)).collect()
-}
-
-struct Avoiding(Vec<SocketAddr>);
-
-impl EngineView for Avoiding {
-    fn avoids(&self, address: SocketAddr) -> bool {
-        self.0.contains(&address)
-    }
-
-    fn streams(&self, _: SocketAddr) -> u32 {
-        0
-    }
-
-    fn spread(&self, _: SocketAddr) -> f64 {
-        0.0
-    }
-}
-
-#[test]
-fn a_path_runs_each_layer_once_and_stays_inside_a_data_centre() {
-    let mut a = cards("a", 1, 5, 8);
-    place(&mut a);
-    let mut b = cards("b", 3, 3, 5);
-    place(&mut b);
-    a.extend(b);
-    let all = instances(&a);
-    let found = paths(&model(), all.iter(), &Avoiding(Vec::new()));
-    assert_eq!(found.len(), 2);
-    for path in found {
-        let mut next = 0;
-        for stage in &path.stages {
-            assert_eq!(stage.layers.first, next);
-            next = stage.layers.last;
-            let engine = all.iter().find(|i| i.address == stage.address);
-            let engine = engine.expect("it exists");
-            assert_eq!(engine.data_centre, path.data_centre);
-            assert_eq!(common(engine.layers, stage.layers), stage.layers);
-        }
-        assert_eq!(next, 80);
-    }
-}
-
-#[test]
-fn a_path_goes_round_an_engine_whose_layers_others_hold() {
-    let range = LayerRange::new;
-    let mut all = cards("a", 0, 4, 0);
-    let held = [range(0, 40), range(20, 60), range(40, 80), range(55, 80)];
-    all.iter_mut().zip(held).for_each(|(c, r)| c.held = r);
-    let all = instances(&all);
-    let found = paths(&model(), all.iter(), &Avoiding(vec![all[2].address]));
-    let addresses: Vec<_> = found[0].stages.iter().map(|s| s.address).collect();
-    assert_eq!(addresses, [all[0].address, all[1].address, all[3].address]);
-    let none = paths(&model(), all.iter(), &Avoiding(vec![all[0].address]));
-    assert!(none.is_empty(), "nobody else holds the first layers");
-}
-
 /// Drives the desk against a state machine, as a leader does.
 struct Desk {
     desk: PlacementDesk,
@@ -395,3 +270,41 @@
         );
     }
 }
+
+/// Layers of chains whose engines begin and end at different ones.
+fn chains_with_cuts(cuts: &[&[u32]]) -> Vec<Card> {
+    let mut all = Vec::new();
+    for (chain, cuts) in cuts.iter().enumerate() {
+        for (i, pair) in cuts.windows(2).enumerate() {
+            let mut card = cards("a", 0, 1, 0).remove(0);
+            card.id = format!("a-middle-{chain}-{i}");
+            card.held = LayerRange::new(pair[0], pair[1]);
+            all.push(card);
+        }
+    }
+    all
+}
+
+#[test]
+fn whole_chains_are_told_apart_where_their_engines_overlap() {
+    let first: &[u32] = &[0, 8, 17, 26, 35, 44, 53, 62, 71, 80];
+    let second: &[u32] = &[0, 9, 18, 26, 35, 43, 52, 61, 70, 80];
+    let third: &[u32] = &[0, 7, 16, 25, 34, 43, 52, 61, 70, 80];
+    let all = chains_with_cuts(&[first, second, third]);
+    let groups = chain_groups(&model(), &all);
+    let whole = |g: &&Vec<Card>| is_whole(80, g.iter().map(|c| c.held));
+    assert_eq!(groups.iter().filter(whole).count(), 3);
+}
+
+#[test]
+fn a_chain_beside_a_whole_one_is_mended_without_taking_layers_from_requests() {
+    let cards = cards("a", 2, 13, 22);
+    let mut desk = Desk::new(&cards);
+    desk.looks(12);
+    for lost in cards.iter().step_by(5) {
+        desk.apply(vec![InstanceChange::Silent(lost.id.clone())]);
+        let (orders, cut) = desk.looks(30);
+        assert_eq!(cut, 0, "without {}", lost.id);
+        assert!(orders <= 45, "{orders} orders for {}", lost.id);
+    }
+}
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/support.rs
@@ -0,0 +1,77 @@
+//! Engines of the sizes of today's deployments, for tests of placement and paths.
+
+use deckwind_core::routing::placement::{Card, plan_chain};
+use deckwind_core::state::{AcceleratorKind, EngineModel, Instance, InstanceState, LayerRange};
+use std::net::SocketAddr;
+
+const KINDS: [(&str, f64, f64); 3] = [
+    ("fast", 36_000.0, 3.1),
+    ("middle", 21_600.0, 16.0),
+    ("small", 14_400.0, 15.0),
+];
+
+/// A model of 80 layers over accelerators of three kinds.
+pub fn model() -> EngineModel {
+    let kind = |(name, memory_mb, step_factor): &(&str, f64, f64)| AcceleratorKind {
+        name: name.to_string(),
+        memory_mb: *memory_mb,
+        step_factor: *step_factor,
+        read_factor: *step_factor,
+    };
+    EngineModel {
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 459_000.0,
+        max_tokens: 100_000,
+        slots: 192,
+        step_ms: 0.85,
+        load_ms: 14_000.0,
+        loads_at_once: 6,
+        usual_prompt: 772,
+        usual_answer: 154,
+        kinds: KINDS.iter().map(kind).collect(),
+    }
+}
+
+/// Engines of one data centre that hold nothing: so many of each kind.
+pub fn cards(data_centre: &str, fast: usize, middle: usize, small: usize) -> Vec<Card> {
+    let of = |kind: usize, count| (0..count).map(move |i| (kind, i));
+    let all = of(0, fast).chain(of(1, middle)).chain(of(2, small));
+    all.map(|(kind, i)| Card {
+        id: format!("{data_centre}-{}-{i}", KINDS[kind].0),
+        data_centre: data_centre.into(),
+        memory_mb: KINDS[kind].1,
+        step_factor: KINDS[kind].2,
+        held: LayerRange::default(),
+    })
+    .collect()
+}
+
+/// Has them hold one chain.
+pub fn place(cards: &mut [Card]) {
+    let plan = plan_chain(&model(), cards).expect("they can hold it");
+    for (card, range) in cards.iter_mut().zip(plan) {
+        card.held = range;
+    }
+}
+
+/// An engine as announced.
+fn instance(card: &Card, port: u16) -> Instance {
+    Instance {
+        id: card.id.clone(),
+        pool: "engines".to_string(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        data_centre: card.data_centre.clone(),
+        slots: 192,
+        state: InstanceState::Ready,
+        accelerator: Some(card.id.split('-').nth(1).expect("a kind").to_string()),
+        layers: card.held,
+        announced: 1,
+    }
+}
+
+/// Engines as announced, each at a port of its own.
+pub fn instances(cards: &[Card]) -> Vec<Instance> {
+    let numbered = cards.iter().zip(1..);
+    numbered.map(|(c, port)| instance(c, port)).collect()
+}
--- a/crates/deckwindd/src/router/routes/answers.rs
+++ b/crates/deckwindd/src/router/routes/answers.rs
@@ -138,7 +138,7 @@
     fn from(none: NoChoice) -> Self {
         match none {
             NoChoice::NoTarget => Failure::NoTarget,
-            NoChoice::Full { .. } => Failure::Full,
+            NoChoice::Full(_) => Failure::Full,
         }
     }
 }
--- a/crates/deckwindd/src/router/routes/hold.rs
+++ b/crates/deckwindd/src/router/routes/hold.rs
@@ -2,7 +2,7 @@
 
 use super::callers::Job;
 use crate::router::shared::RouterShared;
-use deckwind_core::routes::{Choice, InstanceIndex};
+use deckwind_core::routes::{Choice, InstanceIndex, Room};
 use deckwind_core::routing::paths::{EnginePath, Stage, path_from};
 use deckwind_core::state::{DataCentre, InstanceState};
 use std::collections::HashSet;
@@ -15,32 +15,33 @@
     addresses: Vec<SocketAddr>,
     /// Empty where a target serves alone.
     stages: Vec<Stage>,
-    memory: Option<(DataCentre, u64)>,
+    /// Tokens that it keeps at each stage.
+    tokens: u64,
+    data_centre: Option<DataCentre>,
 }
 
 impl Hold {
     /// Of a try on this choice that keeps so many tokens.
     pub fn new(job: &Job, choice: &Choice, tokens: u64) -> Self {
-        let stages = choice
-            .path
-            .as_ref()
-            .map_or(Vec::new(), |p| p.stages.clone());
-        let memory = choice.path.as_ref();
-        let memory = memory.map(|p| (p.data_centre.clone(), tokens));
-        Self::begin(job, choice.address, stages, memory)
+        let path = choice.path.as_ref();
+        let stages = path.map_or(Vec::new(), |p| p.stages.clone());
+        let data_centre = path.map(|p| p.data_centre.clone());
+        Self::begin(job, choice.address, stages, tokens, data_centre)
     }
 
     /// The same request on another path with the same first stage.
     pub fn on_path(&self, job: &Job, path: &EnginePath) -> Self {
         let stages = path.stages.clone();
-        Self::begin(job, self.first(), stages, self.memory.clone())
+        let data_centre = self.data_centre.clone();
+        Self::begin(job, self.first(), stages, self.tokens, data_centre)
     }
 
     fn begin(
         job: &Job,
         first: SocketAddr,
         stages: Vec<Stage>,
-        memory: Option<(DataCentre, u64)>,
+        tokens: u64,
+        data_centre: Option<DataCentre>,
     ) -> Self {
         let addresses = match stages.is_empty() {
             true => vec![first],
@@ -48,18 +49,22 @@
         };
         let mut book = job.shared.routes.book();
         book.began(&addresses);
-        if let Some((dc, tokens)) = &memory {
-            book.takes(dc, *tokens);
-        }
+        book.takes(&stages, tokens);
         drop(book);
         Self {
             shared: job.shared.clone(),
             addresses,
             stages,
-            memory,
+            tokens,
+            data_centre,
         }
     }
 
+    /// All targets on the way have answered.
+    pub fn answered(&self) {
+        self.shared.routes.targets_answered(&self.addresses);
+    }
+
     /// The target that the request was sent to.
     pub fn first(&self) -> SocketAddr {
         self.addresses[0]
@@ -83,23 +88,29 @@
 
     /// Another path with the same first stage.
     pub fn other_path(&self, job: &Job) -> Option<EnginePath> {
-        let (data_centre, _) = self.memory.as_ref()?;
+        let data_centre = self.data_centre.as_ref()?;
         let model = job.pool.engine.as_ref()?;
         let instances = self.shared.routes.instances();
         let instances = instances.of_pool(&job.pool.name).iter();
+        let now = self.shared.clock.now();
+        let room = Room {
+            tokens: self.tokens,
+            begun: true,
+            draw: rand::random(),
+        };
         let book = self.shared.routes.book();
         let none = HashSet::new();
-        let view = book.at(self.shared.clock.now(), &none, rand::random());
-        let path = path_from(model, instances, &view, self.stages.first()?, data_centre)?;
-        let now = self.shared.clock.now();
+        let view = book.at(now, &none, room.draw);
+        let first = self.stages.first()?;
+        let path = path_from(model, instances, &view, &room.need(), first, data_centre)?;
         let good = path.stages.iter().all(|s| !book.doubts(now, s.address));
         (good && path.stages != self.stages).then_some(path)
     }
 
     /// Data centre of the path, for logs.
     pub fn data_centre(&self) -> String {
-        let dc = self.memory.as_ref().map(|(dc, _)| dc.to_string());
-        dc.unwrap_or_else(|| "-".to_string())
+        let dc = self.data_centre.as_ref();
+        dc.map_or("-".to_string(), DataCentre::to_string)
     }
 }
 
@@ -107,8 +118,6 @@
     fn drop(&mut self) {
         let mut book = self.shared.routes.book();
         book.ended(&self.addresses);
-        if let Some((dc, tokens)) = &self.memory {
-            book.gives_back(dc, *tokens);
-        }
+        book.gives_back(&self.stages, self.tokens);
     }
 }
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -165,7 +165,7 @@
     pub fn others_told(&self, now: Instant, grant: &Grant) {
         self.count_routers(now, grant.routers_lately);
         let mut book = self.book();
-        book.others_hold(grant.in_use.clone());
+        book.others_hold(&grant.in_use);
         book.doubt(now + DOUBT_FOR, &grant.failing);
         drop(book);
         *self.told_at.lock().expect("no holder panics") = now;
@@ -203,6 +203,12 @@
         self.to_tell.notify_one();
     }
 
+    /// Engines that a stream passed through have answered.
+    pub fn targets_answered(&self, addresses: &[SocketAddr]) {
+        let mut book = self.book();
+        addresses.iter().for_each(|a| book.answered(*a));
+    }
+
     /// Waits until targets have failed that the leader has not been told of.
     pub async fn failing(&self) -> Vec<SocketAddr> {
         loop {
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -157,8 +157,7 @@
                 self.refused += 1;
             }
             Ended::NotRun(at_fault) => {
-                let at_fault = at_fault.unwrap_or(address);
-                self.avoid_target(at_fault, "refused");
+                self.had_no_room(at_fault.unwrap_or(address));
                 self.refused += 1;
             }
             Ended::Stalled => {
@@ -201,6 +200,23 @@
         }
     }
 
+    /// A target refused the request without running it.
+    fn had_no_room(&mut self, address: SocketAddr) {
+        self.avoid.insert(address);
+        let shared = &self.job.shared;
+        let now = shared.clock.now();
+        let mut book = shared.routes.book();
+        book.had_no_room(now, address);
+        let held = book.held(address);
+        drop(book);
+        log::info!(
+            "event=target_refused target={address} request={} layer_tokens={} begun={}",
+            self.job.head.id,
+            held.layer_tokens,
+            held.begun
+        );
+    }
+
     fn avoid_target(&mut self, address: SocketAddr, why: &str) {
         self.avoid.insert(address);
         let shared = &self.job.shared;
@@ -250,17 +266,16 @@
     /// What decided that no target was chosen.
     fn note_none(&self, none: &NoChoice) {
         let shared = &self.job.shared;
-        if let NoChoice::Full {
-            data_centre,
-            tokens,
-            most,
-            streams,
-        } = none
-        {
+        if let NoChoice::Full(fullest) = none {
+            let held = shared.routes.book().held(fullest.address);
             log::info!(
-                "event=no_room request={} wanted={} roomiest={data_centre} held={tokens} keeps={most} streams={streams} revision={} told_ms_ago={}",
+                "event=no_room request={} wanted={} fullest={} used={:.2} layer_tokens={} begun={} revision={} told_ms_ago={}",
                 self.job.head.id,
                 self.tokens(),
+                fullest.address,
+                fullest.used,
+                held.layer_tokens,
+                held.begun,
                 shared.revision(),
                 shared.routes.told_age(shared.clock.now()).as_millis()
             );
@@ -337,6 +352,7 @@
                 let why = "the answer is not the target's own".to_string();
                 return Err(Ended::Broken(why));
             }
+            hold.answered();
             return Ok(Opening::Stream(Box::new(Opened {
                 hold,
                 connection,
--- a/crates/deckwindd/src/router/routes/relay.rs
+++ b/crates/deckwindd/src/router/routes/relay.rs
@@ -287,7 +287,7 @@
                 None => break,
             }
         }
-        shared.routes.book().answered(hold.first());
+        hold.answered();
         shared
             .routes
             .connections
