An engine that fails often is avoided for longer, whatever it answers between

Ruled out: the leader (it asks an engine that routers call failing, and that engine answers); a lost record at a restart (no router restarted then).

Change: a failure counts two, an answer takes back one.

Test: a_target_that_fails_often_is_avoided_for_longer; fails_two_of_five failed before.

--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -14,6 +14,13 @@
 /// Longest such time: a target that came back is soon tried again.
 const AVOID_MOST: Duration = Duration::from_secs(4);
 
+/// Answers that make up for one failure: a target that fails more than a third
+/// of its requests is avoided for longer and longer.
+const FAULTS_PER_FAILURE: u32 = 2;
+
+/// Most faults that are remembered: those of four failures.
+const MOST_FAULTS: u32 = 4 * FAULTS_PER_FAILURE;
+
 /// How long an engine without room is avoided: a few answers end meanwhile.
 const NO_ROOM_FOR: Duration = Duration::from_millis(300);
 
@@ -23,7 +30,8 @@
     avoided_until: Instant,
     /// Until when another router's failure counts.
     doubted_until: Instant,
-    failures: u32,
+    /// Rises with failures, falls with answers.
+    faults: u32,
 }
 
 /// Counts of one router.
@@ -110,9 +118,9 @@
         if account.avoided_until > now {
             return account.avoided_until.since(now);
         }
-        let wait = AVOID_FIRST * 2u32.pow(account.failures.min(8));
-        let wait = wait.min(AVOID_MOST);
-        account.failures += 1;
+        let doubled = account.faults / FAULTS_PER_FAILURE;
+        let wait = (AVOID_FIRST * 2u32.pow(doubled)).min(AVOID_MOST);
+        account.faults = (account.faults + FAULTS_PER_FAILURE).min(MOST_FAULTS);
         account.avoided_until = now + wait;
         wait
     }
@@ -127,7 +135,7 @@
     /// A target has answered well.
     pub fn answered(&mut self, address: SocketAddr) {
         if let Some(account) = self.targets.get_mut(&address) {
-            account.failures = 0;
+            account.faults = account.faults.saturating_sub(1);
         }
     }
 
--- a/crates/deckwind-testkit/tests/testsuite/paths.rs
+++ b/crates/deckwind-testkit/tests/testsuite/paths.rs
@@ -236,3 +236,32 @@
     assert!(most <= 120, "{most} of 200 began at the emptiest engine");
     assert_eq!(begun.len(), 4, "each chain is used");
 }
+
+#[parameterized(
+    fails_two_of_five = { &[false, true, true, false, true], 2_000 },
+    fails_one_of_five = { &[false, true, true, true, true], 1_000 },
+)]
+fn a_target_that_fails_often_is_avoided_for_longer(answers: &[bool], most_ms: u64) {
+    let mut book = TargetBook::default();
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let mut longest = std::time::Duration::ZERO;
+    for (i, good) in answers.iter().cycle().take(60).enumerate() {
+        // Each is sent well after the one before.
+        let now = Instant::from_millis(10_000 * (i as u64 + 1));
+        match good {
+            true => book.answered(address),
+            false => longest = longest.max(book.failed(now, address)),
+        }
+    }
+    let often = most_ms >= 2_000;
+    assert_eq!(longest.as_millis() as u64 >= 2_000, often, "{longest:?}");
+    for _ in 0..8 {
+        book.answered(address);
+    }
+    let now = Instant::from_millis(10_000_000);
+    assert_eq!(
+        book.failed(now, address).as_millis(),
+        500,
+        "it is well again"
+    );
+}
