A data centre is drawn by its room

Change: where home has no room to spare, one is drawn in proportion to the square of its room.

Test: routers_with_the_same_old_report_do_not_rush_to_one_data_centre.

--- a/crates/deckwind-core/src/routes/choice.rs
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -1,6 +1,7 @@
 //! Which target or path a request takes.
 
 use super::book::TargetBook;
+use crate::routing::draws::Draws;
 use crate::routing::paths::{EnginePath, Fullest, Need, NoPath, paths};
 use crate::state::{DataCentre, EngineModel, Instance, InstanceState};
 use crate::time::Instant;
@@ -84,14 +85,7 @@
         NoPath::Broken => NoChoice::NoTarget,
         NoPath::Full(fullest) => NoChoice::Full(fullest),
     })?;
-    let cost = |path: &EnginePath| {
-        let used = path.fullest.used;
-        let home = path.data_centre == *own && used < STAY_BELOW;
-        if home { 0.0 } else { used }
-    };
-    let best = found.into_iter();
-    let best = best.min_by(|a, b| cost(a).total_cmp(&cost(b)));
-    let path = best.ok_or(NoChoice::NoTarget)?;
+    let path = draw_data_centre(found, own, room.draw).ok_or(NoChoice::NoTarget)?;
     Ok(Choice {
         address: path.stages[0].address,
         instance: path.first_id.clone(),
@@ -99,6 +93,27 @@
     })
 }
 
+/// The path at home if there is room to spare; else one of all, in proportion to
+/// the square of their room. If all routers took the emptiest data centre, what
+/// they were told would be out of date before the next of them chose.
+fn draw_data_centre(mut found: Vec<EnginePath>, own: &DataCentre, draw: u64) -> Option<EnginePath> {
+    let home = |p: &EnginePath| p.data_centre == *own && p.fullest.used < STAY_BELOW;
+    let drawn = match found.iter().position(home) {
+        Some(home) => home,
+        None => {
+            let room = |p: &EnginePath| (1.0 - p.fullest.used).max(LEAST_ROOM).powi(2);
+            Draws::new(draw, DATA_CENTRES).in_proportion(found.iter().map(room))?
+        }
+    };
+    Some(found.swap_remove(drawn))
+}
+
+/// Tells the draw of a data centre from those of the stages in it.
+const DATA_CENTRES: u64 = u64::MAX;
+
+/// Room that a full data centre counts with, for requests that may crowd it.
+const LEAST_ROOM: f64 = 0.02;
+
 /// The target for a request that one target serves alone: the least busy; one's
 /// own data centre where that is equal.
 pub fn choose_plain(
--- a/crates/deckwind-core/src/routing/mod.rs
+++ b/crates/deckwind-core/src/routing/mod.rs
@@ -17,6 +17,7 @@
 mod bound;
 mod chain_search;
 pub mod chains;
+pub mod draws;
 mod fleet;
 mod health;
 pub mod paths;
--- a/crates/deckwind-core/src/routing/paths.rs
+++ b/crates/deckwind-core/src/routing/paths.rs
@@ -12,6 +12,7 @@
 //! least full of a few such paths is taken (Mitzenmacher, "How Useful Is Old
 //! Information?", IEEE TPDS 2000).
 
+use super::draws::Draws;
 use super::placement::tokens_beside;
 use crate::state::{DataCentre, EngineModel, Instance, InstanceState, LayerRange};
 use std::collections::BTreeMap;
@@ -295,33 +296,7 @@
     let fits = holders.iter().map(|h| (h, h.from(first)));
     let fits = fits.filter(|(h, layers)| !layers.is_empty() && h.has_room(need, *layers));
     let fits: Vec<(&Holder, LayerRange)> = fits.collect();
-    let weight = |(h, layers): &(&Holder, LayerRange)| h.weight(need, *layers);
-    let total: f64 = fits.iter().map(weight).sum();
-    let mut left = draws.next() * total;
-    let drawn = fits.iter().find(|f| {
-        left -= weight(f);
-        left < 0.0
-    });
-    drawn.or(fits.last()).copied()
-}
-
-/// Random numbers in 0..1 that follow from a request's draw.
-struct Draws {
-    seed: u64,
-    count: u64,
-}
-
-impl Draws {
-    fn new(draw: u64, number: u64) -> Self {
-        Self {
-            seed: draw ^ number.rotate_right(8),
-            count: 0,
-        }
-    }
-
-    fn next(&mut self) -> f64 {
-        self.count += 1;
-        let bits = xxhash_rust::xxh3::xxh3_64_with_seed(&self.count.to_le_bytes(), self.seed);
-        bits as f64 / u64::MAX as f64
-    }
+    let weights = fits.iter().map(|(h, layers)| h.weight(need, *layers));
+    let drawn = draws.in_proportion(weights);
+    fits.get(drawn?).copied()
 }
--- a/crates/deckwind-testkit/tests/testsuite/paths.rs
+++ b/crates/deckwind-testkit/tests/testsuite/paths.rs
@@ -237,6 +237,39 @@
     assert_eq!(begun.len(), 4, "each chain is used");
 }
 
+#[test]
+fn routers_with_the_same_old_report_do_not_rush_to_one_data_centre() {
+    let mut all = Vec::new();
+    for dc in ["a", "b", "c"] {
+        let mut cards = cards(dc, 0, 4, 8);
+        place(&mut cards);
+        all.extend(cards);
+    }
+    let all = instances(&all);
+    let mut told = TargetBook::default();
+    let tokens = |i: &Instance| match i.data_centre.as_str() {
+        "a" => 85_000,
+        "b" => 60_000,
+        _ => 50_000,
+    };
+    let used = |i: &Instance| EngineUse {
+        address: i.address,
+        layer_tokens: tokens(i) * u64::from(i.layers.len()),
+        begun: 50,
+    };
+    let uses: Vec<EngineUse> = all.iter().map(used).collect();
+    told.others_hold(&uses);
+    let mut begun = std::collections::BTreeMap::new();
+    for draw in 0..300 {
+        let path = choose(&told, &all, room(900, false, draw)).expect("room");
+        let path = path.path.expect("a path");
+        *begun.entry(path.data_centre.to_string()).or_insert(0) += 1;
+    }
+    assert!(begun["b"] > 60 && begun["c"] > 100, "{begun:?}");
+    assert!(begun["c"] < 220, "{begun:?}");
+    assert!(begun["a"] < 60, "little is left there: {begun:?}");
+}
+
 #[parameterized(
     fails_two_of_five = { &[false, true, true, false, true], 2_000 },
     fails_one_of_five = { &[false, true, true, true, true], 1_000 },
