Two tests of streams bite now; a refusal after a try that may have run has one

Cause: both tests were written after their mends and had never failed. Run on code with the mend taken out they passed: one took any refusal for that of a stopping router (it was 'no-target'), the other did not look whether its target had been let go and taken up again.

Change: they ask for the reason, and for one send. New: only_a_stream_that_has_not_run_is_refused_as_not_run.

--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -27,7 +27,8 @@
     },
     /// It runs them and answers 500.
     Fails,
-    /// It runs them and closes in the middle of the answer.
+    /// It runs them and closes in the middle of the answer; a stream before its
+    /// head.
     Cuts,
     /// It runs them and never answers.
     Mute,
@@ -296,6 +297,9 @@
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
+    if *fault == RunnerFault::Cuts {
+        return Ok(false);
+    }
     s.write_all(head.as_bytes()).await?;
     for event in last + 1..=EVENTS {
         tokio::time::sleep(EVENT_GAP).await;
--- a/crates/deckwind-testkit/tests/testsuite/routes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/routes.rs
@@ -3,7 +3,7 @@
 use crate::rig::{KEY, Rig, data_centre, post};
 use crate::run;
 use bytes::Bytes;
-use deckwind_fakes::{EVENTS, FakeRunner, RunnerFault, release_document};
+use deckwind_fakes::{EVENTS, FakeRunner, RunnerFault, release_document, request_id};
 use deckwind_testkit::eventually_async;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -294,6 +294,30 @@
     });
 }
 
+/// `at_home` is what is wrong with the engines that are asked first.
+#[parameterized(
+    may_have_run = { RunnerFault::Cuts, 502 },
+    has_not_run = { RunnerFault::Refuses { at_fault: None }, 503 },
+)]
+fn only_a_stream_that_has_not_run_is_refused_as_not_run(at_home: RunnerFault, status: u16) {
+    run(async move {
+        let rig = placed().await;
+        for (i, engine) in rig.engines.iter().enumerate() {
+            engine.set_fault(match i % 2 {
+                0 => at_home.clone(),
+                _ => RunnerFault::Refuses { at_fault: None },
+            });
+        }
+        let heard = rig.ask("r1", "/stream/x", KEY, true).await;
+        let at_home = rig.engines.iter().step_by(2).flat_map(FakeRunner::seen);
+        let mut at_home = at_home.map(|r| request_id(&r));
+        assert!(at_home.any(|id| id == "r1"), "it was sent there first");
+        assert_eq!(heard.status.as_u16(), status);
+        assert_eq!(heard.headers.contains_key("retry-after"), status == 503);
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
 /// The target may still go on; a router that had let it go would have broken the
 /// stream off itself.
 #[test]
@@ -323,6 +347,9 @@
         };
         let (heard, ()) = tokio::join!(rig.ask("r1", "/stream/x", KEY, true), go_on);
         assert_eq!(heard.body, Ok(whole_stream()));
+        let at_home = rig.engines.iter().step_by(2).flat_map(FakeRunner::seen);
+        let sent = at_home.filter(|r| r.headers["x-deckwind-request-id"] == "r1");
+        assert_eq!(sent.count(), 1, "it was not let go and taken up again");
         rig.cluster.close().await.expect("closed");
     });
 }
@@ -346,6 +373,7 @@
         })
         .await;
         assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(refused.body.as_deref(), Ok("stopping\n"));
         assert!(refused.headers.contains_key("retry-after"));
         let plain = rig.ask("r2", "/once/x", KEY, false).await;
         assert_eq!(plain.status, StatusCode::OK, "short requests still run");
