--- a/crates/deckwind-core/src/control/announcements.rs
+++ b/crates/deckwind-core/src/control/announcements.rs
@@ -1,6 +1,7 @@
 //! Targets that announce themselves to the leader.
 
-use super::control_core::{ControlAction, ControlCore};
+use super::control_core::ControlCore;
+use super::event::ControlAction;
 use super::operator::OperatorReply;
 use super::pending::Asker;
 use crate::membership::InForce;
--- /dev/null
+++ b/crates/deckwind-core/src/control/event.rs
@@ -0,0 +1,139 @@
+//! What happens to a control replica, and what its driver must do.
+
+use super::messages::{ControlReply, ControlRequest};
+use super::operator::{OperatorReply, OperatorRequest};
+use super::orders::OrderBatch;
+use super::placement_desk::PlaceOrder;
+use crate::replication::{Action, Entry, Event, SnapshotMeta};
+use crate::state::{ClaimLimits, InstanceId, LayerRange, TargetName};
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Bounds of a control replica.
+#[derive(Clone, Copy, Debug)]
+pub struct ControlLimits {
+    /// Entries after which the log is folded into a snapshot.
+    pub compact_after: usize,
+    /// Bytes of entries after which it is: whole releases are large.
+    pub compact_bytes: usize,
+    /// How long a renewal waits for a change.
+    pub hold: Duration,
+    /// Claims.
+    pub claims: ClaimLimits,
+}
+
+impl Default for ControlLimits {
+    fn default() -> Self {
+        Self {
+            compact_after: 4_096,
+            compact_bytes: 4 << 20,
+            hold: Duration::from_millis(400),
+            claims: ClaimLimits::default(),
+        }
+    }
+}
+
+/// What happens to a control replica.
+#[derive(Clone, Debug)]
+pub enum ControlEvent {
+    /// Time passed.
+    Tick,
+    /// Something for the replica: a message, a sync, a compaction.
+    Replica(Event),
+    /// A router's request.
+    Request {
+        /// Comes back with the reply.
+        token: u64,
+        /// It.
+        request: ControlRequest,
+    },
+    /// A batch of orders is over.
+    OrdersDone {
+        /// The target.
+        target: TargetName,
+        /// Whether it took all of them.
+        taken: bool,
+    },
+    /// A target was asked whether it is there.
+    Checked {
+        /// The target.
+        id: InstanceId,
+        /// Whether it answered.
+        there: bool,
+    },
+    /// An order to place layers is over.
+    Placed {
+        /// The engine.
+        id: InstanceId,
+        /// What it then held, where that is known.
+        held: Option<LayerRange>,
+    },
+    /// An operator's request.
+    Operator {
+        /// Comes back with the reply.
+        token: u64,
+        /// It.
+        request: OperatorRequest,
+    },
+}
+
+/// What the driver must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ControlAction {
+    /// See [`Action`]; [`Action::Apply`] and proposals never come out here.
+    Replica(Action),
+    /// Answer a router.
+    Reply {
+        /// From the request.
+        token: u64,
+        /// The answer.
+        reply: ControlReply,
+    },
+    /// Answer an operator.
+    OperatorReply {
+        /// From the request.
+        token: u64,
+        /// The answer.
+        reply: OperatorReply,
+    },
+    /// Write this snapshot and a log that starts after it, then report
+    /// [`Event::Compacted`].
+    Compact {
+        /// What it covers.
+        meta: SnapshotMeta,
+        /// The state.
+        data: Vec<u8>,
+        /// Entries after it.
+        rest: Vec<Entry>,
+    },
+    /// Send these orders, then report [`ControlEvent::OrdersDone`].
+    Order(OrderBatch),
+    /// Have an engine hold other layers, then report [`ControlEvent::Placed`].
+    Place(PlaceOrder),
+    /// Ask a target whether it is there, then report
+    /// [`ControlEvent::Checked`].
+    Check {
+        /// The target.
+        id: InstanceId,
+        /// Where it is.
+        address: SocketAddr,
+    },
+    /// Stop at once: what was agreed can't be read here. Going on would let this
+    /// replica's state differ from the others'.
+    Stop(Unreadable),
+}
+
+/// What can't be read: it was written by a newer version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Unreadable {
+    /// A command in the log.
+    #[error("the command at index {index} is of another version; update this replica")]
+    Command {
+        /// Its index.
+        index: u64,
+    },
+    /// A snapshot from the leader.
+    #[error("the leader's snapshot is of another version; update this replica")]
+    Snapshot,
+}
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod announcements;
 mod control_core;
 mod demand;
+mod event;
 mod in_use;
 mod messages;
 mod operator;
@@ -22,7 +23,8 @@
 mod requests;
 mod upkeep;
 
-pub use control_core::{ControlAction, ControlCore, ControlEvent, ControlLimits, Unreadable};
+pub use control_core::ControlCore;
+pub use event::{ControlAction, ControlEvent, ControlLimits, Unreadable};
 pub use messages::{ControlReply, ControlRequest, EngineUse, Grant, Renewal};
 pub use operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -1,6 +1,7 @@
 //! What routers and operators ask of the leader.
 
-use super::control_core::{ControlAction, ControlCore, Leading};
+use super::control_core::{ControlCore, Leading};
+use super::event::ControlAction;
 use super::messages::{ControlReply, ControlRequest, Grant, Renewal};
 use super::operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
--- a/crates/deckwind-core/src/control/upkeep.rs
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -1,7 +1,8 @@
 //! What a leader does as time passes: answer held renewals, end leases, look for
 //! claims of routers that are gone, give orders, tell who is in force.
 
-use super::control_core::{ControlAction, ControlCore};
+use super::control_core::ControlCore;
+use super::event::ControlAction;
 use super::operator::OperatorReply;
 use super::pending::Asker;
 use crate::membership::InForce;
