Several chains where one engine still holds layers; layers beyond the model are left out

Cause: reading the diff. Where some card holds anything, all that hold no whole chain became one group: of 37 engines of which one had survived, one chain with two layers each was made, with more stages than a path may have (32), so the data centre served nobody and looked whole. And a path did not end with the model's last layer where an engine announced more.

Change: they count as new unless they hold half a chain; what an engine holds is cut at the model's layers, in the plan and in paths.

Tests, both failed before: several_chains_are_made_where_one_engine_still_holds _layers, a_path_ends_with_the_model_s_last_layer; beside them engines_that_announce_layers_beyond_the_model_do_no_harm.

--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -305,8 +305,8 @@
     plan.into_iter().map(step).collect()
 }
 
-/// Those cards that can hold what they are to hold beside what they hold. If
-/// that does not make the chain whole, those whose requests end first as well.
+/// Those cards that can hold what they are to hold beside what they hold. Only
+/// where there is none, the others too: they give layers up once nobody uses them.
 fn additions(model: &EngineModel, plan: Vec<(Card, LayerRange)>) -> Vec<(Card, LayerRange)> {
     let adds = |(card, want): &(Card, LayerRange)| {
         let step = match card.held.is_empty() {
@@ -333,6 +333,6 @@
         data_centre: instance.data_centre.clone(),
         memory_mb: kind.memory_mb,
         step_factor: kind.step_factor,
-        held: instance.layers,
+        held: common(instance.layers, LayerRange::new(0, model.layers)),
     })
 }
--- a/crates/deckwind-core/src/routes/choice.rs
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -19,6 +19,12 @@
 /// Below this use a request stays in its own data centre.
 const STAY_BELOW: f64 = 0.7;
 
+/// Tells the draw of a data centre from those of the stages in it.
+const DATA_CENTRES: u64 = u64::MAX;
+
+/// Room that a full data centre counts with, for requests that may crowd it.
+const LEAST_ROOM: f64 = 0.02;
+
 /// What a request takes of the engines on its path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Room {
@@ -108,12 +114,6 @@
     Some(found.swap_remove(drawn))
 }
 
-/// Tells the draw of a data centre from those of the stages in it.
-const DATA_CENTRES: u64 = u64::MAX;
-
-/// Room that a full data centre counts with, for requests that may crowd it.
-const LEAST_ROOM: f64 = 0.02;
-
 /// The target for a request that one target serves alone: the least busy; one's
 /// own data centre where that is equal.
 pub fn choose_plain(
--- a/crates/deckwind-core/src/routing/chains.rs
+++ b/crates/deckwind-core/src/routing/chains.rs
@@ -166,10 +166,10 @@
 }
 
 /// Cards that hold no whole chain, as `count` groups of mixed kinds; as one if
-/// some of them hold layers.
+/// they hold a good part of a chain.
 fn new_groups(model: &EngineModel, cards: Vec<Card>, count: usize) -> Vec<Vec<Card>> {
-    let empty = cards.iter().all(|c| c.held.is_empty());
-    let count = if empty { count } else { 1 };
+    let held: u32 = cards.iter().map(|c| c.held.len()).sum();
+    let count = if held < model.layers / 2 { count } else { 1 };
     let mut groups = spread(model, cards, count);
     groups.retain(|g| share_out(model, g).is_some());
     groups
--- a/crates/deckwind-core/src/routing/paths.rs
+++ b/crates/deckwind-core/src/routing/paths.rs
@@ -13,7 +13,7 @@
 //! Information?", IEEE TPDS 2000).
 
 use super::draws::Draws;
-use super::placement::tokens_beside;
+use super::placement::{common, tokens_beside};
 use crate::state::{DataCentre, EngineModel, Instance, InstanceState, LayerRange};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -110,6 +110,8 @@
 
 struct Holder<'a> {
     instance: &'a Instance,
+    /// What it holds of the model's layers.
+    layers: LayerRange,
     /// Tokens times layers that it keeps, and what is taken of them.
     keeps: f64,
     taken: f64,
@@ -119,7 +121,8 @@
 
 impl<'a> Holder<'a> {
     fn new(model: &EngineModel, instance: &'a Instance, view: &dyn EngineView) -> Option<Self> {
-        let usable = instance.state == InstanceState::Ready && !instance.layers.is_empty();
+        let layers = common(instance.layers, LayerRange::new(0, model.layers));
+        let usable = instance.state == InstanceState::Ready && !layers.is_empty();
         let kind = model.kind(instance.accelerator.as_deref()?)?;
         if !usable || view.avoids(instance.address) {
             return None;
@@ -130,6 +133,7 @@
         let places = f64::from(instance.slots.max(1)) * PLACES_GIVEN;
         Some(Self {
             instance,
+            layers,
             keeps,
             taken: held.layer_tokens as f64,
             places_used: f64::from(held.begun + 1) / places,
@@ -153,7 +157,7 @@
 
     /// What it runs of the layers from `first` on.
     fn from(&self, first: u32) -> LayerRange {
-        let held = self.instance.layers;
+        let held = self.layers;
         match held.contains(first) {
             true => LayerRange::new(first, held.last),
             false => LayerRange::default(),
@@ -164,7 +168,7 @@
     /// its memory that this is, and by how much of what it holds is used.
     fn weight(&self, need: &Need, layers: LayerRange) -> f64 {
         let room = (1.0 - self.used(need, layers)).max(LEAST_ROOM);
-        let held = f64::from(self.instance.layers.len());
+        let held = f64::from(self.layers.len());
         let tokens = self.keeps / held * room;
         tokens.max(1.0) * room * f64::from(layers.len()) / held
     }
--- a/crates/deckwind-testkit/tests/testsuite/paths.rs
+++ b/crates/deckwind-testkit/tests/testsuite/paths.rs
@@ -83,6 +83,18 @@
     );
 }
 
+#[test]
+fn a_path_ends_with_the_model_s_last_layer() {
+    let mut model = model();
+    model.layers = 16;
+    let all = overlapping();
+    let found = paths(&model, all.iter(), &Avoiding(Vec::new()), &SOME).expect("one");
+    for path in found {
+        let last = path.stages.last().expect("a stage");
+        assert_eq!(last.layers.last, 16);
+    }
+}
+
 fn choose(book: &TargetBook, all: &[Instance], room: Room) -> Result<Choice, NoChoice> {
     let own = all[0].data_centre.clone();
     let now = Instant::from_millis(1);
--- a/crates/deckwind-testkit/tests/testsuite/placement.rs
+++ b/crates/deckwind-testkit/tests/testsuite/placement.rs
@@ -348,3 +348,25 @@
         assert!(orders <= 45, "{orders} orders for {}", lost.id);
     }
 }
+
+#[test]
+fn engines_that_announce_layers_beyond_the_model_do_no_harm() {
+    let mut all = cards("a", 2, 13, 22);
+    all[0].held = LayerRange::new(95, 110);
+    all[1].held = LayerRange::new(70, 90);
+    let mut desk = Desk::new(&all);
+    desk.looks(30);
+    assert!(desk.is_whole());
+}
+
+/// One chain over all cards would have more stages than a path may.
+#[test]
+fn several_chains_are_made_where_one_engine_still_holds_layers() {
+    let mut all = cards("a", 2, 13, 22);
+    all[20].held = LayerRange::new(30, 36);
+    let mut desk = Desk::new(&all);
+    desk.looks(30);
+    let held: Vec<LayerRange> = desk.instances().iter().map(|i| i.layers).collect();
+    let holders = |layer| held.iter().filter(|r| r.contains(layer)).count();
+    assert!((0..80).all(|layer| holders(layer) >= 2), "{held:?}");
+}
