A stream that has not begun is let go only once its repeat is paid for

Since streams are looked at each 100 ms, one whose path is doubted was let go at once, and only then was it seen that no repeat was left: it was answered 502, though its target might have run it, or refused it as not run.

Change: the repeat is taken first; without one the stream stays where it is.

Test: a_stream_that_has_not_begun_keeps_its_target_while_no_repeat_is_left. The stand-in sends its head with the first event now, as the users' engines do.

--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -77,6 +77,7 @@
     /// An order that was not answered: layers, and the orders it expects.
     late: Option<((u32, u32), u64)>,
     connections: u32,
+    reports: u32,
 }
 
 impl State {
@@ -138,6 +139,11 @@
         self.lock().connections
     }
 
+    /// Reports that it was asked for.
+    pub fn reports(&self) -> u32 {
+        self.lock().reports
+    }
+
     /// Orders that it has taken.
     pub fn orders(&self) -> u64 {
         self.lock().orders
@@ -300,9 +306,14 @@
     if *fault == RunnerFault::Cuts {
         return Ok(false);
     }
-    s.write_all(head.as_bytes()).await?;
+    // As the users' engines do, the head comes with the first event.
+    let mut head = Some(head);
     for event in last + 1..=EVENTS {
         tokio::time::sleep(EVENT_GAP).await;
+        let stalls = matches!(fault, RunnerFault::StallsAfter { event: at, .. } if event > *at);
+        if let Some(head) = head.take_if(|_| !stalls) {
+            s.write_all(head.as_bytes()).await?;
+        }
         match fault {
             RunnerFault::CutsAfter(at) if event > *at => {
                 chunk(s, &format!("id: {event}\nda")).await?;
@@ -314,6 +325,9 @@
                 while is_stalled(state) {
                     tokio::time::sleep(EVENT_GAP).await;
                 }
+                if let Some(head) = head.take() {
+                    s.write_all(head.as_bytes()).await?;
+                }
                 chunk(s, &event_text(event)).await?;
             }
             _ => chunk(s, &event_text(event)).await?,
@@ -346,7 +360,8 @@
 
 async fn report(s: &mut Stream, state: &Mutex<State>) -> Result<bool> {
     let body = {
-        let state = state.lock().expect("no holder panics");
+        let mut state = state.lock().expect("no holder panics");
+        state.reports += 1;
         let stalled = state.stalled.iter();
         let stalled: Vec<Value> = stalled
             .map(|(id, address)| json!({"id": id, "address": address}))
--- a/crates/deckwind-testkit/src/layout.rs
+++ b/crates/deckwind-testkit/src/layout.rs
@@ -39,6 +39,8 @@
     pub routers: Vec<Placement>,
     /// The platform's list, if there is one.
     pub platform: Option<SocketAddr>,
+    /// Share of the requests that routers may repeat, and repeats beyond it.
+    pub repeats: (f64, u32),
 }
 
 /// Ports of the OS's choice that nobody else gets while this lives.
@@ -108,6 +110,7 @@
             control_admin,
             control_calls,
             routers: placements,
+            repeats: (0.2, 100),
             platform: None,
             _ports: ports,
         })
@@ -176,6 +179,7 @@
             "routes": at.routes,
             "ready": at.ready,
             "accelerators": { "fake": "50us" },
+            "repeats": { "share": self.repeats.0, "beyond": self.repeats.1, "window": "10s" },
         });
         if let Some(list) = self.platform {
             settings["platform"] = serde_json::json!({ "list": list, "every": "100ms" });
--- a/crates/deckwind-testkit/tests/testsuite/rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rig.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use deckwind_fakes::{FakeCall, FakeRunner, release_document};
-use deckwind_testkit::{Cluster, eventually_async};
+use deckwind_testkit::{Cluster, Layout, eventually_async};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -49,7 +49,13 @@
 impl Rig {
     /// One control replica, one router, so many plain targets and engines.
     pub async fn start(plain: usize, engines: usize) -> Self {
-        let cluster = Cluster::start(1, 1).await.expect("a cluster");
+        let layout = Layout::new(1, 1).expect("a layout");
+        Self::start_with(layout, plain, engines).await
+    }
+
+    /// The same with a layout that was changed.
+    pub async fn start_with(layout: Layout, plain: usize, engines: usize) -> Self {
+        let cluster = Cluster::start_with(layout).await.expect("a cluster");
         let mut rig = Self {
             cluster,
             plain: Vec::new(),
--- a/crates/deckwind-testkit/tests/testsuite/routes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/routes.rs
@@ -4,7 +4,7 @@
 use crate::run;
 use bytes::Bytes;
 use deckwind_fakes::{EVENTS, FakeRunner, RunnerFault, release_document, request_id};
-use deckwind_testkit::eventually_async;
+use deckwind_testkit::{Layout, eventually_async};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -182,7 +182,11 @@
 
 /// Two engines in each of two data centres, each with a whole chain.
 async fn placed() -> Rig {
-    let mut rig = Rig::start(0, 4).await;
+    placed_with(Layout::new(1, 1).expect("a layout")).await
+}
+
+async fn placed_with(layout: Layout) -> Rig {
+    let mut rig = Rig::start_with(layout, 0, 4).await;
     eventually_async("the layers are placed", || {
         let held: u32 = rig
             .engines
@@ -354,6 +358,37 @@
     });
 }
 
+#[test]
+fn a_stream_that_has_not_begun_keeps_its_target_while_no_repeat_is_left() {
+    run(async {
+        let mut layout = Layout::new(1, 1).expect("a layout");
+        layout.repeats = (0.0, 0);
+        let rig = placed_with(layout).await;
+        for engine in rig.engines.iter().step_by(2) {
+            engine.set_fault(RunnerFault::StallsAfter {
+                event: 0,
+                stage: engine.address,
+            });
+        }
+        let reports = || rig.engines.iter().map(FakeRunner::reports).sum::<u32>();
+        let before = reports();
+        let go_on = async {
+            eventually_async("the router has asked what it waits for", || async {
+                (reports() >= before + 4).then_some(())
+            })
+            .await;
+            for engine in &rig.engines {
+                engine.set_fault(RunnerFault::None);
+            }
+        };
+        let (heard, ()) = tokio::join!(rig.ask("r1", "/stream/x", KEY, true), go_on);
+        assert_eq!(heard.status, StatusCode::OK);
+        assert_eq!(heard.body, Ok(whole_stream()));
+        assert_eq!(rig.sends("r1"), 1);
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
 /// A stream that is let in late would outlast the process and be cut.
 #[test]
 fn a_router_that_stops_lets_no_streams_in_before_it_refuses_the_rest() {
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -69,6 +69,8 @@
     /// Tries whose target has ended since.
     ended: u32,
     avoid: HashSet<SocketAddr>,
+    /// The next repeat has been paid for.
+    paid: bool,
 }
 
 enum Ended {
@@ -86,6 +88,7 @@
         refused: 0,
         ended: 0,
         avoid: HashSet::new(),
+        paid: false,
     };
     let last_event = opener.job.head.last_event;
     match opener.open(last_event, false).await {
@@ -125,7 +128,8 @@
             if !self.job.has_lease() {
                 return Err(give_up(Failure::NoLease));
             }
-            if again && !self.may_repeat() {
+            let paid = std::mem::take(&mut self.paid);
+            if again && !paid && !self.may_repeat() {
                 return Err(give_up(Failure::NoRepeat));
             }
             let ended = match self.attempt(&choice, last_event).await {
@@ -313,7 +317,10 @@
                     let routes = &shared.routes;
                     routes.stalls.look(routes, shared.clock, hold.first()).await;
                 }
-                if hold.is_doubted() && self.can_move() {
+                // Without a repeat it is better off where it is: it may still be
+                // run there, or be refused as not run.
+                if hold.is_doubted() && self.can_move() && self.may_repeat() {
+                    self.paid = true;
                     return Err(Ended::Stalled);
                 }
             }
