The bound on repeats holds over restarts of all routers at once

The fixed part of the bound was split by the routers that the leader had heard of. A new leader has heard of one, then two, and so on, so after a restart of everything six routers took 1/1, 1/2, ... 1/6 of it, 2.4 times the whole, beside what they had sent before they stopped.

Change: RouterCount in core::routes. A leader says whether it has led for long enough to know all routers (13 s: the window and a lease). A leader that does not can raise the count but not lower it. A router uses none of the fixed part for a window and a lease after its start, or after 8 s without a word of any leader.

Tests: shared_bound (4 rows of herds, a property over random schedules of restarts, cuts and leaders); all 7 fail with the count as it was.

What it costs: repeats after a full restart are bound to 0.16 of the requests for 13 s; not measured apart yet.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -204,7 +204,7 @@
                 failing: BTreeMap::new(),
                 checked: BTreeMap::new(),
                 next_look: since,
-                recent: RecentRouters::default(),
+                recent: RecentRouters::new(since),
                 in_use: UseTable::default(),
                 admins: BTreeMap::new(),
                 orphans_done: false,
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -1,6 +1,6 @@
 //! What routers ask of the control replicas, and what they hear.
 
-use crate::membership::{AccountDemand, AccountShare};
+use crate::membership::{AccountDemand, AccountShare, RoutersLately};
 use crate::replication::Term;
 use crate::routing::paths::Held;
 use crate::state::{
@@ -68,8 +68,8 @@
     pub shares: Vec<(AccountName, AccountShare)>,
     /// Routers with a live lease.
     pub routers: u32,
-    /// Starts of routers that had a lease lately, for bounds that they share.
-    pub routers_lately: u32,
+    /// Routers that had a lease lately, for bounds that they share.
+    pub routers_lately: RoutersLately,
     /// What all other routers' streams hold.
     pub in_use: Vec<EngineUse>,
     /// Slots of the control replicas.
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -147,7 +147,7 @@
             delta: cfg.delta_since(renewal.applied),
             shares: leading.demand.shares(&renewal.demand, routers, cfg),
             routers,
-            routers_lately: leading.recent.count(now),
+            routers_lately: leading.recent.lately(now),
             in_use: leading.in_use.of_others(&renewal.holder.vm),
             replicas: replicas.collect(),
             failing: leading.failing_now(now),
--- a/crates/deckwind-core/src/membership/mod.rs
+++ b/crates/deckwind-core/src/membership/mod.rs
@@ -20,6 +20,6 @@
 
 pub use lease_table::{InForce, LeaseTable, LeaseTiming, RouterLease};
 pub use platform::{PlatformStatus, PlatformView};
-pub use recent::RecentRouters;
+pub use recent::{RecentRouters, RoutersLately};
 pub use router_lease::{RouterLeaseState, ServeDecision};
 pub use shares::{AccountDemand, AccountShare, share_of};
--- a/crates/deckwind-core/src/membership/recent.rs
+++ b/crates/deckwind-core/src/membership/recent.rs
@@ -6,20 +6,39 @@
 
 use crate::state::Holder;
 use crate::time::Instant;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// How long a router counts after its last renewal: the longest window that a
-/// shared bound is kept over, and some.
-const LATELY: Duration = Duration::from_secs(12);
+/// How long a router counts after its last renewal: a window of 10 s that a
+/// shared bound is kept over, and the 2.8 s of the lease in which it still sends.
+const LATELY: Duration = Duration::from_secs(13);
+
+/// How many routers had a lease lately.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutersLately {
+    /// Starts of routers, each for itself.
+    pub count: u32,
+    /// Whether the leader has led for long enough to know all of them.
+    pub complete: bool,
+}
 
 /// When each router last renewed its lease.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RecentRouters {
+    since: Instant,
     seen: BTreeMap<Holder, Instant>,
 }
 
 impl RecentRouters {
+    /// Of a leader that has led since then.
+    pub fn new(since: Instant) -> Self {
+        Self {
+            since,
+            seen: BTreeMap::new(),
+        }
+    }
+
     /// A router has renewed its lease.
     pub fn renewed(&mut self, now: Instant, holder: &Holder) {
         self.seen.insert(holder.clone(), now);
@@ -27,8 +46,11 @@
     }
 
     /// Starts of routers that had a lease lately.
-    pub fn count(&self, now: Instant) -> u32 {
+    pub fn lately(&self, now: Instant) -> RoutersLately {
         let lately = self.seen.values().filter(|at| now.since(**at) <= LATELY);
-        lately.count() as u32
+        RoutersLately {
+            count: lately.count() as u32,
+            complete: now.since(self.since) >= LATELY,
+        }
     }
 }
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -8,9 +8,11 @@
 mod events;
 mod index;
 mod repeats;
+mod router_count;
 
 pub use book::{BookAt, TargetBook};
 pub use choice::{Choice, NoChoice, Room, choose_path, choose_plain};
 pub use events::{EventCutter, Events};
 pub use index::{InstanceIndex, KeyRights, ReleaseIndex, UnknownKey};
 pub use repeats::{RepeatBudget, RepeatBudgets, RepeatLimits};
+pub use router_count::RouterCount;
--- a/crates/deckwind-core/src/routes/repeats.rs
+++ b/crates/deckwind-core/src/routes/repeats.rs
@@ -2,7 +2,9 @@
 //!
 //! Within any window all routers may repeat at most a share of the requests and
 //! some more. Each router keeps the share of its own requests, and its part of
-//! the rest: then all together keep it too.
+//! the rest: then all together keep it too. A start forgets what the one before
+//! it has sent, so it uses no part of the rest for a window (see
+//! [`RouterCount`](super::RouterCount)).
 
 use crate::time::Instant;
 use std::collections::{HashMap, VecDeque};
@@ -19,8 +21,8 @@
     pub window: Duration,
 }
 
-/// Part of the bound that is used: a router that restarts forgets what it has
-/// sent.
+/// Part of the bound that is used: a window is counted in whole spans, and what
+/// a caller counts as a request may never have come here.
 const USED: f64 = 0.8;
 
 /// Spans that a window is counted in.
@@ -54,12 +56,15 @@
         self.span(now).requests += 1;
     }
 
-    /// Spends one repeat if there is one, where `routers` share the bound.
-    pub fn spend(&mut self, now: Instant, routers: u32) -> bool {
+    /// Spends one repeat if there is one. `sharers` are the routers that share
+    /// what is allowed beyond the share of the requests; without them none of it
+    /// is used.
+    pub fn spend(&mut self, now: Instant, sharers: Option<u32>) -> bool {
         self.span(now);
         let requests: u32 = self.spans.iter().map(|s| s.requests).sum();
         let repeats: u32 = self.spans.iter().map(|s| s.repeats).sum();
-        let beyond = self.limits.beyond / f64::from(routers.max(1));
+        let part = |routers: u32| self.limits.beyond / f64::from(routers.max(1));
+        let beyond = sharers.map_or(0.0, part);
         let most = USED * (self.limits.share * f64::from(requests) + beyond);
         if f64::from(repeats + 1) > most {
             return false;
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -8,7 +8,7 @@
 use anyhow::Result;
 use deckwind_core::admission::AdmissionConfig;
 use deckwind_core::control::{ControlEvent, ControlLimits, ControlRequest, Grant, Renewal};
-use deckwind_core::membership::{AccountDemand, AccountShare, LeaseTiming};
+use deckwind_core::membership::{AccountDemand, AccountShare, LeaseTiming, RoutersLately};
 use deckwind_core::replication::{
     Entry, Index, Log, Payload, Position, ReplicaConfig, ReplicaId, Term,
 };
@@ -221,7 +221,10 @@
             delta: Delta::default(),
             shares,
             routers: 350,
-            routers_lately: 350,
+            routers_lately: RoutersLately {
+                count: 350,
+                complete: true,
+            },
             in_use: Vec::new(),
             replicas: Vec::new(),
             failing: Vec::new(),
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod seeds;
 mod sessions;
 mod settings;
+mod shared_bound;
 mod soak;
 mod specification;
 mod store;
--- a/crates/deckwind-testkit/tests/testsuite/published.rs
+++ b/crates/deckwind-testkit/tests/testsuite/published.rs
@@ -342,7 +342,7 @@
             requests.push(ms);
         }
         for _ in 0..2 {
-            if budgets[i].spend(now, routers) {
+            if budgets[i].spend(now, Some(routers)) {
                 repeats.push(ms);
             }
         }
@@ -375,11 +375,11 @@
     for _ in 0..100 {
         budgets.of_pool("busy").requested(now);
     }
-    assert!(!budgets.of_pool("idle").spend(now, 1));
-    assert!(budgets.of_pool("busy").spend(now, 1));
+    assert!(!budgets.of_pool("idle").spend(now, Some(1)));
+    assert!(budgets.of_pool("busy").spend(now, Some(1)));
     budgets.retain(|pool| pool == "idle");
     assert!(
-        !budgets.of_pool("busy").spend(now, 1),
+        !budgets.of_pool("busy").spend(now, Some(1)),
         "a pool that is gone is forgotten"
     );
 }
@@ -399,10 +399,11 @@
         boot,
     };
     let mut routers: Vec<_> = (0..9).map(|_| (RepeatBudget::new(limits), 0u64)).collect();
-    let mut recent = RecentRouters::default();
+    let mut recent = RecentRouters::new(Instant::ZERO);
     let mut repeats = Vec::new();
     for ms in (0..40_000u64).step_by(10) {
-        let now = Instant::from_millis(1_000 + ms);
+        // The leader has led for long enough to know all routers.
+        let now = Instant::from_millis(20_000 + ms);
         // Each is down for 3 s, one after the other, from 5 s on.
         let stopped = |i: usize| {
             let from = 5_000 + 1_300 * i as u64;
@@ -414,7 +415,7 @@
                 continue;
             }
             recent.renewed(now, &holder(i, *boot));
-            if budget.spend(now, recent.count(now)) {
+            if budget.spend(now, Some(recent.lately(now).count)) {
                 repeats.push(ms);
             }
         }
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -21,14 +21,16 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use deckwind_config::RouterSettings;
 use deckwind_core::control::Grant;
-use deckwind_core::routes::{InstanceIndex, ReleaseIndex, RepeatBudgets, RepeatLimits, TargetBook};
+use deckwind_core::routes::{
+    InstanceIndex, ReleaseIndex, RepeatBudgets, RepeatLimits, RouterCount, TargetBook,
+};
 use deckwind_core::state::{Configuration, Revision, RouteKind};
 use deckwind_core::time::Instant;
 use deckwind_net::targets::KeptConnections;
 use stalls::StallWatch;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -52,11 +54,8 @@
     to_tell: Notify,
     /// When the leader last told of the other routers.
     told_at: Mutex<Instant>,
-    routers: AtomicU32,
-    /// Until when a smaller number of routers does not count.
-    counted_until: Mutex<Instant>,
-    /// Window of the bound on repeats.
-    window: Duration,
+    /// Routers that share the bound on repeats.
+    routers: Mutex<RouterCount>,
     draining: AtomicBool,
     /// What a planned stop still lets in; see [`LetIn`].
     let_in: AtomicU8,
@@ -91,9 +90,7 @@
             failing: Mutex::default(),
             to_tell: Notify::new(),
             told_at: Mutex::new(Instant::ZERO),
-            routers: AtomicU32::new(1),
-            counted_until: Mutex::new(Instant::ZERO),
-            window: cfg.repeats.window,
+            routers: Mutex::new(RouterCount::new(cfg.repeats.window)),
             draining: AtomicBool::new(false),
             let_in: AtomicU8::new(LetIn::All as u8),
         }
@@ -125,9 +122,11 @@
 
     /// Whether something may be sent to a pool again.
     pub fn may_repeat(&self, now: Instant, pool: &str) -> bool {
-        let routers = self.routers.load(Ordering::Relaxed);
+        let routers = self.routers.lock().expect("no holder panics");
+        let sharers = routers.sharers(now);
+        drop(routers);
         let mut repeats = self.repeats.lock().expect("no holder panics");
-        let spent = repeats.of_pool(pool).spend(now, routers);
+        let spent = repeats.of_pool(pool).spend(now, sharers);
         if !spent {
             metrics::counter!("deckwind_route_repeats_denied_total").increment(1);
         }
@@ -163,7 +162,9 @@
 
     /// Takes what the leader tells of the other routers.
     pub fn others_told(&self, now: Instant, grant: &Grant) {
-        self.count_routers(now, grant.routers_lately);
+        let mut routers = self.routers.lock().expect("no holder panics");
+        routers.told(now, grant.routers_lately);
+        drop(routers);
         let mut book = self.book();
         book.others_hold(&grant.in_use);
         book.doubt(now + DOUBT_FOR, &grant.failing);
@@ -171,16 +172,6 @@
         *self.told_at.lock().expect("no holder panics") = now;
     }
 
-    /// The most that were told within a window count: a new leader does not know
-    /// those that stopped before its time.
-    fn count_routers(&self, now: Instant, told: u32) {
-        let mut until = self.counted_until.lock().expect("no holder panics");
-        if told >= self.routers.load(Ordering::Relaxed) || now >= *until {
-            self.routers.store(told.max(1), Ordering::Relaxed);
-            *until = now + self.window;
-        }
-    }
-
     /// How old it is what the leader told of the other routers, for logs.
     pub fn told_age(&self, now: Instant) -> Duration {
         now.since(*self.told_at.lock().expect("no holder panics"))
