Layers go to the fastest cards, and the slowest stay spare

Cause: a stream keeps its memory for as long as its tokens take, and layers were shared out for equal stage times, so a card sixteen times slower than the reference held as many layers as its memory allowed.

Change: core::routing::layout deals the layers so that the sum of the stage times is short, by as many of the fastest cards as pay for their stage; the others are spares. Chains are counted by what they carry (tokens kept by the time of a token with that many requests in a pass), not by tokens alone. Empty cards are put where layers are missing, largest gap first, not all at the first gap. Mends beside a whole chain try three token shares instead of nine: finer steps moved up to 50 layers for few tokens. The desk works groups out only when cards change.

--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -103,6 +103,14 @@
     /// By pool, number of the chain and data centre.
     whole_since: BTreeMap<(String, usize, DataCentre), Instant>,
     not_before: BTreeMap<InstanceId, Instant>,
+    grouped: BTreeMap<String, Grouped>,
+}
+
+/// Cards of a pool and the chains that they make.
+#[derive(Clone, Debug)]
+struct Grouped {
+    cards: Vec<Card>,
+    groups: Vec<Vec<Card>>,
 }
 
 impl PlacementDesk {
@@ -164,7 +172,7 @@
     ) {
         let cards: Vec<Card> = ready.iter().filter_map(|i| card_of(model, i)).collect();
         let is_whole = |group: &[Card]| is_whole(model.layers, group.iter().map(|c| c.held));
-        let groups = chain_groups(model, &cards);
+        let groups = self.groups(pool, model, cards);
         let whole_in = |dc: &DataCentre| {
             let there = groups.iter().filter(|g| g[0].data_centre == *dc);
             there.filter(|g| is_whole(g)).count()
@@ -201,6 +209,22 @@
         }
     }
 
+    /// The chains of a pool, worked out anew when its cards have changed.
+    fn groups(&mut self, pool: &str, model: &EngineModel, cards: Vec<Card>) -> Vec<Vec<Card>> {
+        if let Some(grouped) = self.grouped.get(pool)
+            && grouped.cards == cards
+        {
+            return grouped.groups.clone();
+        }
+        let groups = chain_groups(model, &cards);
+        let grouped = Grouped {
+            cards,
+            groups: groups.clone(),
+        };
+        self.grouped.insert(pool.to_string(), grouped);
+        groups
+    }
+
     /// Since when a chain is whole; `now` if it is not.
     fn whole_since(
         &mut self,
--- a/crates/deckwind-core/src/routing/mod.rs
+++ b/crates/deckwind-core/src/routing/mod.rs
@@ -20,6 +20,7 @@
 pub mod draws;
 mod fleet;
 mod health;
+mod layout;
 pub mod paths;
 pub mod placement;
 mod policy;
--- a/crates/deckwind-core/src/routing/placement.rs
+++ b/crates/deckwind-core/src/routing/placement.rs
@@ -3,11 +3,12 @@
 //! Each token crosses every boundary of a chain, so chains stay inside a data
 //! centre. Memory that layers leave free holds the requests' caches: a card that
 //! is filled with layers can hold few requests, and the scarcest card bounds the
-//! whole chain. So the planner first fixes how many tokens every card of the
-//! chain must be able to keep, as many as can be, and spreads the layers for
-//! equal stage times within that.
+//! whole chain. How a new chain is laid out, and what it carries, is told in
+//! [`layout`](super::layout); here a chain is planned or mended.
 
+use super::layout::{lay_out, most_layers};
 use crate::state::{DataCentre, EngineModel, LayerRange};
+use std::cmp::Ordering;
 
 /// An engine as the planner sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,17 +25,6 @@
     pub held: LayerRange,
 }
 
-/// Tokens that every card of a chain should be able to keep, as parts of what
-/// an engine keeps at most; tried in this order. Below the last a chain serves
-/// a handful of requests.
-pub(super) const TOKEN_SHARES: [f64; 13] = [
-    1.0, 0.95, 0.9, 0.85, 0.8, 0.75, 0.7, 0.6, 0.5, 0.4, 0.2, 0.1, 0.05,
-];
-
-/// How many of them are good enough for a chain beside a whole one: half of what
-/// an engine keeps at most. With less its engines are of more use to the others.
-const WELL_SHARES: usize = 9;
-
 /// Tokens that `card` can keep while it holds `layers` layers.
 pub fn tokens_beside(model: &EngineModel, memory_mb: f64, layers: u32) -> f64 {
     if layers == 0 {
@@ -45,50 +35,6 @@
     (free_mb / per_token_mb).clamp(0.0, model.max_tokens as f64)
 }
 
-pub(super) fn most_layers(model: &EngineModel, card: &Card, tokens: f64) -> u32 {
-    let per_layer_mb = model.layer_mb + tokens * model.layer_token_bytes() / 1e6;
-    let most = (card.memory_mb / per_layer_mb).floor();
-    (most.max(0.0) as u32).min(model.layers)
-}
-
-/// Layers for each card of one chain, in the cards' order; nothing if they
-/// can't hold the model together.
-pub(super) fn share_out(model: &EngineModel, cards: &[Card]) -> Option<Vec<u32>> {
-    for share in TOKEN_SHARES {
-        let tokens = model.max_tokens as f64 * share;
-        let most: Vec<u32> = cards
-            .iter()
-            .map(|c| most_layers(model, c, tokens))
-            .collect();
-        if most.iter().sum::<u32>() >= model.layers {
-            return Some(balance(model, cards, &most));
-        }
-    }
-    None
-}
-
-/// How much a card that is nearly full of layers counts as slower: the layers of
-/// a lost neighbour need room.
-const FULL_WEIGHT: f64 = 4.0;
-
-/// Gives each layer to the card whose stage stays shortest with it, and keeps
-/// room on all of them.
-fn balance(model: &EngineModel, cards: &[Card], most: &[u32]) -> Vec<u32> {
-    let mut counts = vec![0; cards.len()];
-    for _ in 0..model.layers {
-        let time = |i: &usize| {
-            let count = f64::from(counts[*i] + 1);
-            let full = count / f64::from(most[*i].max(1));
-            count * cards[*i].step_factor * (1.0 + FULL_WEIGHT * full.powi(3))
-        };
-        let open = (0..cards.len()).filter(|i| counts[*i] < most[*i]);
-        if let Some(i) = open.min_by(|a, b| time(a).total_cmp(&time(b))) {
-            counts[i] += 1;
-        }
-    }
-    counts
-}
-
 /// Whether the cards hold every layer between them.
 pub fn is_whole(layers: u32, held: impl IntoIterator<Item = LayerRange>) -> bool {
     let mut held: Vec<LayerRange> = held.into_iter().filter(|r| !r.is_empty()).collect();
@@ -119,7 +65,7 @@
     fn shares(self) -> &'static [f64] {
         match self {
             Mend::Soon => &REPAIR_SHARES,
-            Mend::Well => &TOKEN_SHARES[..WELL_SHARES],
+            Mend::Well => &WELL_SHARES,
         }
     }
 }
@@ -128,11 +74,11 @@
 /// the model together. Where some of them hold layers already, as little as can
 /// be is loaded.
 pub fn plan_chain(model: &EngineModel, cards: &[Card], mend: Mend) -> Option<Vec<LayerRange>> {
-    let order = chain_order(cards);
+    let order = chain_order(model, cards);
     let sorted: Vec<Card> = order.iter().map(|i| cards[*i].clone()).collect();
     let empty = sorted.iter().all(|c| c.held.is_empty());
     let ranges = match empty {
-        true => in_a_row(&share_out(model, &sorted)?),
+        true => in_a_row(&lay_out(model, &sorted)?.counts),
         false => repair(model, &sorted, mend)?,
     };
     let mut plan = vec![LayerRange::default(); cards.len()];
@@ -153,28 +99,69 @@
 }
 
 /// Cards in the order of their chain: those that hold layers by these, and the
-/// empty ones where the first layer is missing. In a new chain the kinds are
-/// mixed evenly, so that a card with little memory has neighbours with more.
-fn chain_order(cards: &[Card]) -> Vec<usize> {
+/// empty ones where layers are missing. In a new chain the kinds are mixed
+/// evenly, so that a card with little memory has neighbours with more.
+fn chain_order(model: &EngineModel, cards: &[Card]) -> Vec<usize> {
     if cards.iter().all(|c| c.held.is_empty()) {
         return mixed_order(cards);
     }
-    let gap = first_gap(cards);
-    let place = |c: &Card| match c.held.is_empty() {
-        true => (gap, 0),
-        false => (c.held.first, 1),
+    let places = empty_places(model, cards);
+    let place = |i: usize| match cards[i].held.is_empty() {
+        true => (places[i], 0),
+        false => (cards[i].held.first, 1),
     };
     let mut order: Vec<usize> = (0..cards.len()).collect();
-    order.sort_by(|a, b| {
-        let (a, b) = (&cards[*a], &cards[*b]);
-        place(a)
-            .cmp(&place(b))
-            .then(a.step_factor.total_cmp(&b.step_factor))
-            .then(a.id.cmp(&b.id))
-    });
+    order.sort_by(|a, b| place(*a).cmp(&place(*b)).then(by_speed(cards, *a, *b)));
     order
 }
 
+fn by_speed(cards: &[Card], a: usize, b: usize) -> Ordering {
+    let (a, b) = (&cards[a], &cards[b]);
+    let factors = a.step_factor.total_cmp(&b.step_factor);
+    factors.then(a.id.cmp(&b.id))
+}
+
+/// The layer before which each empty card stands: the fastest go where most
+/// layers are missing.
+fn empty_places(model: &EngineModel, cards: &[Card]) -> Vec<u32> {
+    let mut places = vec![0; cards.len()];
+    let mut missing = gaps(model.layers, cards);
+    let mut empty: Vec<usize> = (0..cards.len())
+        .filter(|i| cards[*i].held.is_empty())
+        .collect();
+    empty.sort_by(|a, b| by_speed(cards, *a, *b));
+    for i in empty {
+        let Some((gap, left)) = missing
+            .iter_mut()
+            .max_by_key(|(gap, left)| (*left, gap.last))
+        else {
+            break;
+        };
+        places[i] = gap.first;
+        let filled = most_layers(model, &cards[i], model.max_tokens as f64);
+        *left -= i64::from(filled);
+    }
+    places
+}
+
+/// Layers that no card holds, as ranges, each with its length.
+fn gaps(layers: u32, cards: &[Card]) -> Vec<(LayerRange, i64)> {
+    let mut held: Vec<LayerRange> = cards.iter().map(|c| c.held).collect();
+    held.retain(|r| !r.is_empty());
+    held.push(LayerRange::new(layers, layers));
+    held.sort_by_key(|r| r.first);
+    let mut next = 0;
+    let mut gaps = Vec::new();
+    for range in held {
+        if range.first > next {
+            let gap = LayerRange::new(next, range.first);
+            gaps.push((gap, i64::from(gap.len())));
+        }
+        next = next.max(range.last);
+    }
+    gaps
+}
+
 fn mixed_order(cards: &[Card]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..cards.len()).collect();
     order.sort_by(|a, b| cards[*a].id.cmp(&cards[*b].id));
@@ -196,20 +183,6 @@
     placed.into_iter().map(|(_, i)| i).collect()
 }
 
-/// The first layer that no card holds.
-fn first_gap(cards: &[Card]) -> u32 {
-    let mut held: Vec<LayerRange> = cards.iter().map(|c| c.held).collect();
-    held.sort_by_key(|r| r.first);
-    let mut next = 0;
-    for range in held.iter().filter(|r| !r.is_empty()) {
-        if range.first > next {
-            return next;
-        }
-        next = next.max(range.last);
-    }
-    next
-}
-
 /// Weight of a stage's time against layers to load, both squared: two loaded
 /// layers more are as bad as a stage that is half as long again as a usual one
 /// (six layers on an accelerator sixteen times slower than the reference).
@@ -235,6 +208,11 @@
 /// Above them scarce memory is weighed against layers to load.
 const REPAIR_SHARES: [f64; 3] = [0.3, 0.1, 0.02];
 
+/// The same for a chain that is mended well: with less than half its engines are
+/// of more use to the others. Finer steps at the top move many layers for few
+/// tokens more.
+const WELL_SHARES: [f64; 3] = [0.75, 0.6, 0.5];
+
 /// Weight of each layer to load beside the square of a card's: all loads read
 /// from one store, which is slower the more there are.
 const SHARED_STORE: f64 = 3.0;
--- a/crates/deckwind-testkit/tests/testsuite/placement.rs
+++ b/crates/deckwind-testkit/tests/testsuite/placement.rs
@@ -58,6 +58,78 @@
     }
 }
 
+/// Cards of so many kinds: how many, memory in MB, step factor.
+fn mixed_cards(kinds: &[(usize, f64, f64)]) -> Vec<Card> {
+    let numbered = kinds.iter().enumerate();
+    let of = |(kind, (count, memory_mb, step_factor)): (usize, &(usize, f64, f64))| {
+        let card = (*memory_mb, *step_factor);
+        (0..*count).map(move |i| Card {
+            id: format!("k{kind}-{i}"),
+            data_centre: "a".into(),
+            memory_mb: card.0,
+            step_factor: card.1,
+            held: LayerRange::default(),
+        })
+    };
+    numbered.flat_map(of).collect()
+}
+
+const LARGE: (usize, f64, f64) = (2, 72_000.0, 2.4);
+
+/// Time of a token through all stages, in layers on the reference accelerator,
+/// and how many cards stay spare.
+#[parameterized(
+    three_kinds = { &[LARGE, (4, 14_400.0, 5.3), (4, 21_600.0, 16.0)], 250.0, 4 },
+    few_large = { &[(1, 72_000.0, 2.4), (10, 14_400.0, 5.3), (4, 21_600.0, 16.0)], 360.0, 3 },
+    two_kinds = { &[(4, 72_000.0, 2.4), (20, 14_400.0, 15.0)], 192.0, 20 },
+    all_alike = { &[(14, 21_600.0, 16.0)], 1_280.0, 0 },
+    large_and_alike = { &[(3, 250_000.0, 1.0)], 80.0, 1 },
+    one_card = { &[(1, 250_000.0, 1.0)], 80.0, 0 },
+)]
+fn a_new_chain_is_short_and_leaves_slow_cards_spare(
+    kinds: &[(usize, f64, f64)],
+    longest: f64,
+    spares: usize,
+) {
+    let cards = mixed_cards(kinds);
+    let plan = plan_chain(&model(), &cards, Mend::Soon).expect("they can hold it");
+    check(&cards, &plan);
+    let stages = cards.iter().zip(&plan);
+    let time: f64 = stages
+        .map(|(c, r)| f64::from(r.len()) * c.step_factor)
+        .sum();
+    assert!(time <= longest, "{time}: {plan:?}");
+    let empty = plan.iter().filter(|r| r.is_empty()).count();
+    assert!(empty >= spares, "{empty} spares: {plan:?}");
+    for (card, range) in cards.iter().zip(&plan).filter(|(_, r)| !r.is_empty()) {
+        let kept = tokens_beside(&model(), card.memory_mb, range.len());
+        assert!(kept >= 100_000.0, "{} keeps {kept}", card.id);
+    }
+}
+
+/// Spares stand in for cards that are lost at two places of a chain, each where
+/// layers are missing.
+#[test]
+fn spares_fill_two_gaps_of_a_chain_at_once() {
+    let mut cards = mixed_cards(&[LARGE, (4, 14_400.0, 5.3), (6, 21_600.0, 16.0)]);
+    place(&mut cards);
+    let small: Vec<usize> = (0..cards.len())
+        .filter(|i| cards[*i].step_factor == 5.3 && !cards[*i].held.is_empty())
+        .collect();
+    let (a, b) = (small[0], small[small.len() - 1]);
+    let lost = [cards[a].id.clone(), cards[b].id.clone()];
+    let moved = cards[a].held.len() + cards[b].held.len();
+    cards.retain(|c| !lost.contains(&c.id));
+    let plan = plan_chain(&model(), &cards, Mend::Soon).expect("they can hold it");
+    check(&cards, &plan);
+    let loaded = |(c, r): (&Card, &LayerRange)| r.len() - common(c.held, *r).len();
+    let loaded: u32 = cards.iter().zip(&plan).map(loaded).sum();
+    assert!(
+        loaded <= moved + 2,
+        "{loaded} layers loaded for {moved}: {plan:?}"
+    );
+}
+
 #[test]
 fn cards_that_can_not_hold_the_model_have_no_plan() {
     assert_eq!(plan_chain(&model(), &cards("a", 0, 0, 9), Mend::Soon), None);
