Only a silent target counts as ended

The stream's first target had announced that it leaves and was taken out of the agreed targets, but still ran the stream (its run ended whole 2 s later). A router took a target that is not among the agreed ones for one that has ended, and gave the stream another try.

Ruled out: the bound on repeats over all routers (this is the count of a single request); a false silence (the target was removed, not silent).

Change: InstanceIndex::has_ended in the core, which is true for silent targets alone.

Test: a table (ready, drains, silent, left); the row of left fails without it.

--- a/crates/deckwind-core/src/routes/index.rs
+++ b/crates/deckwind-core/src/routes/index.rs
@@ -1,9 +1,10 @@
 //! A release and the announced targets, ready to be looked up.
 
 use crate::state::{
-    AccountName, Configuration, Instance, KeyDigest, Pool, Release, Revision, Route,
+    AccountName, Configuration, Instance, InstanceState, KeyDigest, Pool, Release, Revision, Route,
 };
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 
 /// What a key gives.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -128,6 +129,13 @@
         self.by_pool.get(pool).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether the target at this address no longer runs what it was sent. One
+    /// that drains or has left may do so for seconds yet.
+    pub fn has_ended(&self, address: SocketAddr) -> bool {
+        let ended = |i: &Instance| i.address == address && i.state == InstanceState::Silent;
+        self.iter().any(ended)
+    }
+
     /// All targets.
     pub fn iter(&self) -> impl Iterator<Item = &Instance> {
         self.by_pool.values().flatten()
--- a/crates/deckwind-testkit/tests/testsuite/published.rs
+++ b/crates/deckwind-testkit/tests/testsuite/published.rs
@@ -1,8 +1,11 @@
 //! Releases, announced targets, events and repeats, as tables and in virtual
 //! time.
 
+use crate::support::{cards, instances};
 use deckwind_core::membership::RecentRouters;
-use deckwind_core::routes::{EventCutter, ReleaseIndex, RepeatBudget, RepeatBudgets, RepeatLimits};
+use deckwind_core::routes::{
+    EventCutter, InstanceIndex, ReleaseIndex, RepeatBudget, RepeatBudgets, RepeatLimits,
+};
 use deckwind_core::state::{
     Command, CommandBody, Configuration, Holder, Instance, InstanceChange, InstanceState,
     KeyHolder, LayerRange, Pool, Published, Rejection, Release, Reply, Revision, Route, RouteKind,
@@ -429,3 +432,30 @@
     }
     assert!(repeats.len() > 100, "the bound is made use of");
 }
+
+/// A request may go to one target more than its route allows where one has ended
+/// meanwhile. A target that has left may still run what it has.
+#[parameterized(
+    ready = { InstanceState::Ready, &[], false },
+    drains = { InstanceState::Draining, &[], false },
+    silent = { InstanceState::Ready, &[InstanceChange::Silent("a-fast-0".to_string())], true },
+    left = { InstanceState::Ready, &[InstanceChange::Left("a-fast-0".to_string())], false },
+)]
+fn only_a_silent_target_has_ended(state: InstanceState, changes: &[InstanceChange], ended: bool) {
+    let target = Instance {
+        state,
+        ..instances(&cards("a", 1, 0, 0)).remove(0)
+    };
+    let address = target.address;
+    let announced = InstanceChange::Announced {
+        instance: target,
+        keep_layers: false,
+    };
+    let mut machine = StateMachine::default();
+    machine.apply(Command {
+        at_ms: 1,
+        body: CommandBody::Instances([&[announced], changes].concat()),
+    });
+    let index = InstanceIndex::of(machine.configuration());
+    assert_eq!(index.has_ended(address), ended);
+}
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -8,7 +8,6 @@
 use super::relay;
 use bytes::Bytes;
 use deckwind_core::routes::{Choice, NoChoice, Room, choose_path, choose_plain};
-use deckwind_core::state::{Instance, InstanceState};
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -194,12 +193,9 @@
         self.tries < self.job.route.attempts + self.ended
     }
 
-    /// The target that ran the request has ended, if it has left or is silent. One
-    /// that drains still runs it.
+    /// Counts the target that ran the request as ended, if it has.
     pub fn count_ended(&mut self, first: SocketAddr) {
-        let instances = self.job.shared.routes.instances();
-        let runs = |i: &Instance| i.address == first && i.state != InstanceState::Silent;
-        if !instances.iter().any(runs) {
+        if self.job.shared.routes.instances().has_ended(first) {
             self.ended += 1;
         }
     }
