Engines that answer badly are used before a request is refused

Cause: a target that broke off one answer was avoided for 0.5 to 4 s, the same as one that can't be reached. Where it is the only one with a range of layers, its data centre has no chain meanwhile.

Change: TargetFault tells targets that are down (not reached, or stalled) from those that answered badly. Streams leave, and other routers and the leader hear of, only the first. Paths go round the second while there is another with room; before a refusal they take it.

Test: a table, both faults; also that streams leave only what is down.

--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -24,10 +24,22 @@
 /// How long an engine without room is avoided: a few answers end meanwhile.
 const NO_ROOM_FOR: Duration = Duration::from_millis(300);
 
+/// How a target failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetFault {
+    /// It can't be reached, or what passes through it stands still.
+    Down,
+    /// It answered, but badly, or broke one answer off. Others may be whole.
+    Answer,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Account {
     in_flight: u32,
+    /// Until when it is avoided, whatever its fault.
     avoided_until: Instant,
+    /// Until when it counts as down.
+    down_until: Instant,
     /// Until when another router's failure counts.
     doubted_until: Instant,
     /// Rises with failures, falls with answers.
@@ -50,11 +62,17 @@
     now: Instant,
     /// Targets that this request is not to be sent through.
     avoid: &'a HashSet<SocketAddr>,
+    /// Whether targets that have lately answered badly may be used.
+    takes_faulty: bool,
 }
 
 impl EngineView for BookAt<'_> {
     fn avoids(&self, address: SocketAddr) -> bool {
-        self.avoid.contains(&address) || self.book.avoids(self.now, address)
+        let avoided = match self.takes_faulty {
+            true => self.book.is_down(self.now, address),
+            false => self.book.avoids(self.now, address),
+        };
+        avoided || self.avoid.contains(&address)
     }
 
     fn held(&self, address: SocketAddr) -> Held {
@@ -70,6 +88,20 @@
             book: self,
             now,
             avoid,
+            takes_faulty: false,
+        }
+    }
+
+    /// The same, where a target that has lately answered badly is better than
+    /// none.
+    pub fn with_faulty_at<'a>(
+        &'a self,
+        now: Instant,
+        avoid: &'a HashSet<SocketAddr>,
+    ) -> BookAt<'a> {
+        BookAt {
+            takes_faulty: true,
+            ..self.at(now, avoid)
         }
     }
 
@@ -84,17 +116,24 @@
         account.is_some_and(|a| a.avoided_until > now)
     }
 
-    /// Other routers say that these targets fail them.
+    /// Whether a target could not be reached, or stood still, lately.
+    pub fn is_down(&self, now: Instant, address: SocketAddr) -> bool {
+        let account = self.targets.get(&address);
+        account.is_some_and(|a| a.down_until > now)
+    }
+
+    /// Other routers say that these targets are down.
     pub fn doubt(&mut self, until: Instant, addresses: &[SocketAddr]) {
         for address in addresses {
             self.targets.entry(*address).or_default().doubted_until = until;
         }
     }
 
-    /// Whether a target has failed this router or another one lately.
+    /// Whether a target was down lately, for this router or another one: streams
+    /// that stand still are better off without it.
     pub fn doubts(&self, now: Instant, address: SocketAddr) -> bool {
         let account = self.targets.get(&address);
-        account.is_some_and(|a| a.avoided_until.max(a.doubted_until) > now)
+        account.is_some_and(|a| a.down_until.max(a.doubted_until) > now)
     }
 
     /// A request is sent through these targets.
@@ -113,15 +152,21 @@
     }
 
     /// A target has failed: it is avoided for a while. How long.
-    pub fn failed(&mut self, now: Instant, address: SocketAddr) -> Duration {
+    pub fn failed(&mut self, now: Instant, address: SocketAddr, fault: TargetFault) -> Duration {
         let account = self.targets.entry(address).or_default();
         if account.avoided_until > now {
+            if fault == TargetFault::Down {
+                account.down_until = account.avoided_until;
+            }
             return account.avoided_until.since(now);
         }
         let doubled = account.faults / FAULTS_PER_FAILURE;
         let wait = (AVOID_FIRST * 2u32.pow(doubled)).min(AVOID_MOST);
         account.faults = (account.faults + FAULTS_PER_FAILURE).min(MOST_FAULTS);
         account.avoided_until = now + wait;
+        if fault == TargetFault::Down {
+            account.down_until = account.avoided_until;
+        }
         wait
     }
 
@@ -186,9 +231,9 @@
         }
     }
 
-    /// Targets that are avoided now.
+    /// Targets that are down now.
     pub fn failing(&self, now: Instant) -> Vec<SocketAddr> {
-        let failing = self.targets.iter().filter(|(_, t)| t.avoided_until > now);
+        let failing = self.targets.iter().filter(|(_, t)| t.down_until > now);
         failing.map(|(a, _)| *a).collect()
     }
 
--- a/crates/deckwind-core/src/routes/choice.rs
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -68,7 +68,10 @@
 }
 
 /// The path for a request that needs this room; through targets in
-/// `avoid` only if there is no other.
+/// `avoid` only if there is no other. Before it is refused for want of room, it
+/// is sent through targets that have lately answered badly: most of their
+/// answers may be whole, and one without whose range a data centre has no chain
+/// would take all of its engines away.
 pub fn choose_path(
     model: &EngineModel,
     instances: &[Instance],
@@ -83,9 +86,16 @@
         let view = book.at(now, avoid);
         paths(model, instances.iter(), &view, &need)
     };
+    let find_any = |avoid: &HashSet<SocketAddr>| {
+        let view = book.with_faulty_at(now, avoid);
+        paths(model, instances.iter(), &view, &need)
+    };
     let mut found = find(avoid);
+    if found.is_err() {
+        found = find_any(avoid);
+    }
     if found == Err(NoPath::Broken) {
-        found = find(&HashSet::new());
+        found = find_any(&HashSet::new());
     }
     let found = found.map_err(|none| match none {
         NoPath::Broken => NoChoice::NoTarget,
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -10,7 +10,7 @@
 mod repeats;
 mod router_count;
 
-pub use book::{BookAt, TargetBook};
+pub use book::{BookAt, TargetBook, TargetFault};
 pub use choice::{Choice, NoChoice, Room, choose_path, choose_plain};
 pub use events::{EventCutter, Events};
 pub use index::{InstanceIndex, KeyRights, ReleaseIndex, UnknownKey};
--- a/crates/deckwind-testkit/tests/testsuite/paths.rs
+++ b/crates/deckwind-testkit/tests/testsuite/paths.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{cards, instances, model, place};
 use deckwind_core::control::EngineUse;
-use deckwind_core::routes::{Choice, NoChoice, Room, TargetBook, choose_path};
+use deckwind_core::routes::{Choice, NoChoice, Room, TargetBook, TargetFault, choose_path};
 use deckwind_core::routing::paths::{EngineView, Held, Need, NoPath, paths};
 use deckwind_core::routing::placement::{Card, common};
 use deckwind_core::state::{Instance, LayerRange};
@@ -295,7 +295,7 @@
         let now = Instant::from_millis(10_000 * (i as u64 + 1));
         match good {
             true => book.answered(address),
-            false => longest = longest.max(book.failed(now, address)),
+            false => longest = longest.max(book.failed(now, address, TargetFault::Answer)),
         }
     }
     let often = most_ms >= 2_000;
@@ -305,8 +305,44 @@
     }
     let now = Instant::from_millis(10_000_000);
     assert_eq!(
-        book.failed(now, address).as_millis(),
+        book.failed(now, address, TargetFault::Answer).as_millis(),
         500,
         "it is well again"
     );
 }
+
+/// One engine that all of a data centre's paths need has broken an answer off:
+/// its answers are better than a refusal. One that is down is not.
+#[parameterized(
+    answers_badly = { TargetFault::Answer, true },
+    down = { TargetFault::Down, false },
+)]
+fn an_engine_that_answers_badly_is_used_before_a_request_is_refused(
+    fault: TargetFault,
+    used: bool,
+) {
+    let mut all = Vec::new();
+    for dc in ["a", "b"] {
+        let mut cards = cards(dc, 0, 4, 8);
+        place(&mut cards);
+        all.extend(cards);
+    }
+    let all = instances(&all);
+    let mut book = TargetBook::default();
+    let full = |i: &&Instance| i.data_centre.as_str() == "b";
+    let uses = all.iter().filter(full).map(|i| EngineUse {
+        address: i.address,
+        layer_tokens: 100_000 * u64::from(i.layers.len()),
+        begun: 100,
+    });
+    book.others_hold(&uses.collect::<Vec<EngineUse>>());
+    let first = all.iter().find(|i| i.layers.first == 0).expect("one");
+    book.failed(Instant::from_millis(1_000), first.address, fault);
+    let chosen = choose(&book, &all, room(900, false, 1));
+    assert_eq!(chosen.is_ok(), used, "{chosen:?}");
+    assert_eq!(
+        book.doubts(Instant::from_millis(1_000), first.address),
+        !used,
+        "streams leave only what is down"
+    );
+}
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -22,7 +22,7 @@
 use deckwind_config::RouterSettings;
 use deckwind_core::control::Grant;
 use deckwind_core::routes::{
-    InstanceIndex, ReleaseIndex, RepeatBudgets, RepeatLimits, RouterCount, TargetBook,
+    InstanceIndex, ReleaseIndex, RepeatBudgets, RepeatLimits, RouterCount, TargetBook, TargetFault,
 };
 use deckwind_core::state::{Configuration, Revision, RouteKind};
 use deckwind_core::time::Instant;
@@ -178,17 +178,25 @@
     }
 
     /// A target has failed: it is avoided for a while, and the other routers
-    /// hear of it.
-    pub fn target_failed(&self, now: Instant, address: SocketAddr, why: &str) {
-        let news = !self.book().avoids(now, address);
-        let wait = self.book().failed(now, address);
+    /// hear of it if it is down.
+    pub fn target_failed(&self, now: Instant, address: SocketAddr, fault: TargetFault, why: &str) {
+        let mut book = self.book();
+        let news = match fault {
+            TargetFault::Down => !book.is_down(now, address),
+            TargetFault::Answer => !book.avoids(now, address),
+        };
+        let wait = book.failed(now, address, fault);
+        drop(book);
         if !news {
             return;
         }
         log::warn!(
-            "event=target_avoided target={address} for_ms={} why={why:?}",
+            "event=target_avoided target={address} fault={fault:?} for_ms={} why={why:?}",
             wait.as_millis()
         );
+        if fault == TargetFault::Answer {
+            return;
+        }
         let mut failing = self.failing.lock().expect("no holder panics");
         failing.push(address);
         self.to_tell.notify_one();
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -7,7 +7,7 @@
 use super::hold::Hold;
 use super::relay;
 use bytes::Bytes;
-use deckwind_core::routes::{Choice, NoChoice, Room, choose_path, choose_plain};
+use deckwind_core::routes::{Choice, NoChoice, Room, TargetFault, choose_path, choose_plain};
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -156,7 +156,7 @@
         let resumable = self.job.route.kind.may_repeat();
         match ended {
             Ended::Unreachable(why) => {
-                self.avoid_target(address, &why);
+                self.avoid_target(address, TargetFault::Down, &why);
                 self.refused += 1;
             }
             Ended::NotRun(at_fault) => {
@@ -170,7 +170,7 @@
                 }
             }
             Ended::Broken(why) => {
-                self.avoid_target(address, &why);
+                self.avoid_target(address, TargetFault::Answer, &why);
                 if !(resumable && self.tries_left()) {
                     return Err(Failure::Broken(why));
                 }
@@ -217,13 +217,13 @@
         );
     }
 
-    fn avoid_target(&mut self, address: SocketAddr, why: &str) {
+    fn avoid_target(&mut self, address: SocketAddr, fault: TargetFault, why: &str) {
         self.avoid.insert(address);
         let shared = &self.job.shared;
         let why = format!("{why} for {}", self.job.head.id);
         shared
             .routes
-            .target_failed(shared.clock.now(), address, &why);
+            .target_failed(shared.clock.now(), address, fault, &why);
     }
 
     /// Tokens that the stream will keep on the mean of its life.
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -4,7 +4,7 @@
 use super::callers::Job;
 use super::hold::Hold;
 use bytes::Bytes;
-use deckwind_core::routes::{Choice, choose_plain};
+use deckwind_core::routes::{Choice, TargetFault, choose_plain};
 use deckwind_core::state::RouteKind;
 use deckwind_net::targets::TargetError;
 use http::{HeaderMap, Response, StatusCode};
@@ -155,7 +155,7 @@
         let why = format!("unreachable for {}: {why}", self.job.head.id);
         shared
             .routes
-            .target_failed(shared.clock.now(), address, &why);
+            .target_failed(shared.clock.now(), address, TargetFault::Down, &why);
     }
 
     fn choose(&self) -> Result<Choice, Failure> {
--- a/crates/deckwindd/src/router/routes/stalls.rs
+++ b/crates/deckwindd/src/router/routes/stalls.rs
@@ -6,6 +6,7 @@
 
 use super::Routes;
 use crate::clock::Clock;
+use deckwind_core::routes::TargetFault;
 use deckwind_net::edge::{EngineDialect, EngineReport};
 use deckwind_net::targets::call_target;
 use std::collections::HashMap;
@@ -50,7 +51,8 @@
         match report {
             Ok(report) => note_stalled(routes, clock, first, &report),
             Err(why) => {
-                routes.target_failed(clock.now(), first, &format!("no report: {why}"));
+                let why = format!("no report: {why}");
+                routes.target_failed(clock.now(), first, TargetFault::Down, &why);
             }
         }
     }
@@ -72,6 +74,7 @@
     stages.sort_unstable();
     stages.dedup();
     for stage in stages {
-        routes.target_failed(clock.now(), stage, &format!("stalled, says {first}"));
+        let why = format!("stalled, says {first}");
+        routes.target_failed(clock.now(), stage, TargetFault::Down, &why);
     }
 }
