An engine that is avoided and then found down is down for the whole time

Cause: a slip in the change that tells faults apart. Streams went on through it, and the next routers found it anew.

Change: each fault has its own time. Test: the slip as a case.

--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -154,18 +154,19 @@
     /// A target has failed: it is avoided for a while. How long.
     pub fn failed(&mut self, now: Instant, address: SocketAddr, fault: TargetFault) -> Duration {
         let account = self.targets.entry(address).or_default();
-        if account.avoided_until > now {
-            if fault == TargetFault::Down {
-                account.down_until = account.avoided_until;
-            }
-            return account.avoided_until.since(now);
+        let until = match fault {
+            TargetFault::Down => account.down_until,
+            TargetFault::Answer => account.avoided_until,
+        };
+        if until > now {
+            return until.since(now);
         }
         let doubled = account.faults / FAULTS_PER_FAILURE;
         let wait = (AVOID_FIRST * 2u32.pow(doubled)).min(AVOID_MOST);
         account.faults = (account.faults + FAULTS_PER_FAILURE).min(MOST_FAULTS);
-        account.avoided_until = now + wait;
+        account.avoided_until = account.avoided_until.max(now + wait);
         if fault == TargetFault::Down {
-            account.down_until = account.avoided_until;
+            account.down_until = now + wait;
         }
         wait
     }
--- a/crates/deckwind-core/src/routing/placement.rs
+++ b/crates/deckwind-core/src/routing/placement.rs
@@ -4,7 +4,7 @@
 //! centre. Memory that layers leave free holds the requests' caches: a card that
 //! is filled with layers can hold few requests, and the scarcest card bounds the
 //! whole chain. How a new chain is laid out, and what it carries, is told in
-//! [`layout`](super::layout); here a chain is planned or mended.
+//! `layout`; here a chain is planned or mended.
 
 use super::layout::{lay_out, most_layers};
 use crate::state::{DataCentre, EngineModel, LayerRange};
--- a/crates/deckwind-testkit/tests/testsuite/paths.rs
+++ b/crates/deckwind-testkit/tests/testsuite/paths.rs
@@ -346,3 +346,14 @@
         "streams leave only what is down"
     );
 }
+
+/// An engine that is avoided for another reason is down for the whole time.
+#[test]
+fn an_engine_that_is_avoided_and_then_down_is_down_for_the_whole_time() {
+    let mut book = TargetBook::default();
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    book.had_no_room(Instant::from_millis(1_000), address);
+    let wait = book.failed(Instant::from_millis(1_280), address, TargetFault::Down);
+    assert_eq!(wait.as_millis(), 500);
+    assert!(book.is_down(Instant::from_millis(1_700), address));
+}
