The last room is for callers that can still be in time

Change: a caller says how long it will still wait; one that says less than the longest patience seen on its route, by more than the objective, is late already. It may fill engines to 0.99, new ones to 1.0, streams that have begun elsewhere to 1.1.

Tests: tables of patience and of claims at the edge.

--- a/crates/deckwind-core/src/routes/choice.rs
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -11,6 +11,13 @@
 /// How full an engine may get with requests that begin.
 const MOST: f64 = 1.0;
 
+/// How full with requests that are late already, as their callers were refused
+/// before: the last room is for those that can still be in time. Past the edge
+/// this serves more of all: at 1.25 times the load that fits, 0.90 of the worth
+/// instead of 0.82, and 0.044 refused instead of 0.067. With 0.9 a little more
+/// there, but 0.02 less where the want of room passes.
+const LATE_MOST: f64 = 0.99;
+
 /// How full with requests that have begun elsewhere: breaking one off costs more
 /// than a little crowding. Well past the edge engines refuse, and each refusal
 /// costs a repeat.
@@ -25,13 +32,35 @@
 /// Room that a full data centre counts with, for requests that may crowd it.
 const LEAST_ROOM: f64 = 0.02;
 
+/// What a request may claim of the room that is left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// It begins, and can still be in time.
+    New,
+    /// It begins, and is late already.
+    Late,
+    /// It has begun at another target.
+    Begun,
+}
+
+impl Claim {
+    /// How full an engine may get with it, as a part of what it has.
+    fn most(self) -> f64 {
+        match self {
+            Claim::New => MOST,
+            Claim::Late => LATE_MOST,
+            Claim::Begun => BEGUN_MOST,
+        }
+    }
+}
+
 /// What a request takes of the engines on its path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Room {
     /// Tokens that it will keep.
     pub tokens: u64,
-    /// Whether it has begun at another target.
-    pub begun: bool,
+    /// What it may claim.
+    pub claim: Claim,
     /// A random number that spreads requests over engines that are alike.
     pub draw: u64,
 }
@@ -41,7 +70,7 @@
     pub fn need(&self) -> Need {
         Need {
             tokens: self.tokens,
-            most: if self.begun { BEGUN_MOST } else { MOST },
+            most: self.claim.most(),
             draw: self.draw,
         }
     }
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -7,12 +7,14 @@
 mod choice;
 mod events;
 mod index;
+mod patience;
 mod repeats;
 mod router_count;
 
 pub use book::{BookAt, TargetBook, TargetFault};
-pub use choice::{Choice, NoChoice, Room, choose_path, choose_plain};
+pub use choice::{Choice, Claim, NoChoice, Room, choose_path, choose_plain};
 pub use events::{EventCutter, Events};
 pub use index::{InstanceIndex, KeyRights, ReleaseIndex, UnknownKey};
+pub use patience::Patience;
 pub use repeats::{RepeatBudget, RepeatBudgets, RepeatLimits};
 pub use router_count::RouterCount;
--- a/crates/deckwind-testkit/tests/testsuite/paths.rs
+++ b/crates/deckwind-testkit/tests/testsuite/paths.rs
@@ -2,7 +2,9 @@
 
 use crate::support::{cards, instances, model, place};
 use deckwind_core::control::EngineUse;
-use deckwind_core::routes::{Choice, NoChoice, Room, TargetBook, TargetFault, choose_path};
+use deckwind_core::routes::{
+    Choice, Claim, NoChoice, Patience, Room, TargetBook, TargetFault, choose_path,
+};
 use deckwind_core::routing::paths::{EngineView, Held, Need, NoPath, paths};
 use deckwind_core::routing::placement::{Card, common};
 use deckwind_core::state::{Instance, LayerRange};
@@ -11,6 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 use yare::parameterized;
 
 const SOME: Need = Need {
@@ -102,9 +105,13 @@
 }
 
 fn room(tokens: u64, begun: bool, draw: u64) -> Room {
+    let claim = match begun {
+        true => Claim::Begun,
+        false => Claim::New,
+    };
     Room {
         tokens,
-        begun,
+        claim,
         draw,
     }
 }
@@ -357,3 +364,49 @@
     assert_eq!(wait.as_millis(), 500);
     assert!(book.is_down(Instant::from_millis(1_700), address));
 }
+
+/// A caller that was refused and comes back says less patience than at first.
+#[parameterized(
+    first = { 20_000, false },
+    soon_back = { 19_700, false },
+    late = { 18_900, true },
+)]
+fn callers_that_come_back_late_are_told_apart(patience_ms: u64, late: bool) {
+    let ms = Duration::from_millis;
+    let mut patience = Patience::default();
+    assert!(!patience.is_late("r", ms(20_000), ms(500)), "the first one");
+    assert_eq!(patience.is_late("r", ms(patience_ms), ms(500)), late);
+    assert!(
+        !patience.is_late("s", ms(patience_ms), ms(500)),
+        "another route"
+    );
+    patience.retain(|_| false);
+    assert!(
+        !patience.is_late("r", ms(patience_ms), ms(500)),
+        "forgotten"
+    );
+}
+
+/// What is left at the edge is for callers that can still be in time.
+#[parameterized(
+    new = { Claim::New, true },
+    late = { Claim::Late, false },
+    begun = { Claim::Begun, true },
+)]
+fn late_callers_leave_the_last_room_to_others(claim: Claim, has_room: bool) {
+    let mut cards = cards("a", 0, 4, 8);
+    place(&mut cards);
+    let all = instances(&cards);
+    let mut book = TargetBook::default();
+    let uses = all.iter().map(|i| EngineUse {
+        address: i.address,
+        layer_tokens: 94_500 * u64::from(i.layers.len()),
+        begun: 80,
+    });
+    book.others_hold(&uses.collect::<Vec<EngineUse>>());
+    let room = Room {
+        claim,
+        ..room(900, false, 1)
+    };
+    assert_eq!(choose(&book, &all, room).is_ok(), has_room);
+}
--- a/crates/deckwindd/src/router/routes/callers.rs
+++ b/crates/deckwindd/src/router/routes/callers.rs
@@ -56,6 +56,8 @@
     pub pool: Pool,
     /// The account that asks.
     pub account: Option<String>,
+    /// Whether its caller came back too late for it to be in time.
+    pub late: bool,
     /// Rank for targets; 0 goes first.
     pub rank: u8,
     /// When it came.
@@ -224,6 +226,7 @@
     parts.headers.remove(header::CONTENT_LENGTH);
     let patience = head.patience.unwrap_or(route.timeout());
     Ok(Job {
+        late: shared.routes.is_late(&route, patience.min(route.timeout())),
         shared: shared.clone(),
         until: arrived + patience.min(route.timeout()),
         rank: rank(priority, route.priority),
--- a/crates/deckwindd/src/router/routes/hold.rs
+++ b/crates/deckwindd/src/router/routes/hold.rs
@@ -2,7 +2,7 @@
 
 use super::callers::Job;
 use crate::router::shared::RouterShared;
-use deckwind_core::routes::{Choice, InstanceIndex, Room};
+use deckwind_core::routes::{Choice, Claim, InstanceIndex, Room};
 use deckwind_core::routing::paths::{EnginePath, Stage, path_from};
 use deckwind_core::state::{DataCentre, InstanceState};
 use std::collections::HashSet;
@@ -95,7 +95,7 @@
         let now = self.shared.clock.now();
         let room = Room {
             tokens: self.tokens,
-            begun: true,
+            claim: Claim::Begun,
             draw: rand::random(),
         };
         let book = self.shared.routes.book();
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -22,9 +22,10 @@
 use deckwind_config::RouterSettings;
 use deckwind_core::control::Grant;
 use deckwind_core::routes::{
-    InstanceIndex, ReleaseIndex, RepeatBudgets, RepeatLimits, RouterCount, TargetBook, TargetFault,
+    InstanceIndex, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits, RouterCount, TargetBook,
+    TargetFault,
 };
-use deckwind_core::state::{Configuration, Revision, RouteKind};
+use deckwind_core::state::{Configuration, Revision, Route, RouteKind};
 use deckwind_core::time::Instant;
 use deckwind_net::targets::KeptConnections;
 use stalls::StallWatch;
@@ -54,6 +55,7 @@
     to_tell: Notify,
     /// When the leader last told of the other routers.
     told_at: Mutex<Instant>,
+    patience: Mutex<Patience>,
     /// Routers that share the bound on repeats.
     routers: Mutex<RouterCount>,
     draining: AtomicBool,
@@ -90,6 +92,7 @@
             failing: Mutex::default(),
             to_tell: Notify::new(),
             told_at: Mutex::new(Instant::ZERO),
+            patience: Mutex::default(),
             routers: Mutex::new(RouterCount::new(cfg.repeats.window)),
             draining: AtomicBool::new(false),
             let_in: AtomicU8::new(LetIn::All as u8),
@@ -120,6 +123,13 @@
             .requested(now);
     }
 
+    /// Whether a caller of this route that will wait for so long is late already.
+    pub fn is_late(&self, route: &Route, patience: Duration) -> bool {
+        let objective = Duration::from_millis(route.objective_ms);
+        let mut known = self.patience.lock().expect("no holder panics");
+        known.is_late(&route.name, patience, objective)
+    }
+
     /// Whether something may be sent to a pool again.
     pub fn may_repeat(&self, now: Instant, pool: &str) -> bool {
         let routers = self.routers.lock().expect("no holder panics");
@@ -149,6 +159,10 @@
                 let known = |pool: &str| index.release().pool(pool).is_some();
                 let mut repeats = self.repeats.lock().expect("no holder panics");
                 repeats.retain(known);
+                let routes = &index.release().routes;
+                let known = |name: &str| routes.iter().any(|r| r.name == name);
+                let mut patience = self.patience.lock().expect("no holder panics");
+                patience.retain(known);
             }
             self.release.store(index.map(Arc::new));
         }
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -7,7 +7,9 @@
 use super::hold::Hold;
 use super::relay;
 use bytes::Bytes;
-use deckwind_core::routes::{Choice, NoChoice, Room, TargetFault, choose_path, choose_plain};
+use deckwind_core::routes::{
+    Choice, Claim, NoChoice, Room, TargetFault, choose_path, choose_plain,
+};
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -234,6 +236,14 @@
         g.prompt + answer * ANSWER_KEPT_PERCENT / 100
     }
 
+    fn claim(&self) -> Claim {
+        match (self.tries, self.job.late) {
+            (0, true) => Claim::Late,
+            (0, false) => Claim::New,
+            _ => Claim::Begun,
+        }
+    }
+
     fn choose(&self) -> Result<Choice, Failure> {
         let shared = &self.job.shared;
         let instances = shared.routes.instances();
@@ -246,7 +256,7 @@
                 let tokens = self.tokens();
                 let room = Room {
                     tokens,
-                    begun: self.tries > 0,
+                    claim: self.claim(),
                     draw: rand::random(),
                 };
                 choose_path(model, instances, &book, own, room, &self.avoid, now)
@@ -269,8 +279,9 @@
         if let NoChoice::Full(fullest) = none {
             let held = shared.routes.book().held(fullest.address);
             log::info!(
-                "event=no_room request={} wanted={} fullest={} used={:.2} layer_tokens={} begun={} revision={} told_ms_ago={}",
+                "event=no_room request={} claim={:?} wanted={} fullest={} used={:.2} layer_tokens={} begun={} revision={} told_ms_ago={}",
                 self.job.head.id,
+                self.claim(),
                 self.tokens(),
                 fullest.address,
                 fullest.used,
