--- a/crates/deckwind-testkit/tests/testsuite/shared_bound.rs
+++ b/crates/deckwind-testkit/tests/testsuite/shared_bound.rs
@@ -5,6 +5,7 @@
 use deckwind_core::state::Holder;
 use deckwind_core::time::Instant;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::time::Duration;
 use yare::parameterized;
 
@@ -200,7 +201,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(200))]
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn the_bound_on_repeats_holds_over_any_restarts_cuts_and_leaders(
