--- a/crates/deckwindd/src/logging.rs
+++ b/crates/deckwindd/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs: one line of key=value pairs an event.
 //!
 //! ```text
-//! ts=2026-12-02T06:01:02.345Z level=info event=lease_lost vm=recife-a-1 revision=41
+//! ts=2026-12-02T06:01:02.345Z level=info event=lease_lost vm=router-1 revision=41
 //! ```
 
 use crate::log_queue::QueueWriter;
