Settings take whatever number the platform fills in

Ruled out: rounding in the template (it has no functions). Change: numbers may be fractions and may stand in quotes; times too; an optional key that is empty counts as not given and has its default; the replicas that may be lost reach to 15. A value that can't be used is still a finding with its place. Tests: template.rs fills the deployed template with fractions, large, zero and missing values of each field; on the code before 9 of its 20 rows fail.

--- a/crates/deckwind-config/src/check.rs
+++ b/crates/deckwind-config/src/check.rs
@@ -59,15 +59,34 @@
     if !out.is_clean() {
         return None;
     }
-    match parse_to_serde_value::<Settings>(text, &ParseOptions::default()) {
+    match to_settings(text) {
         Ok(settings) => Some(settings),
         Err(e) => {
-            out.add(0, "", format!("can't be taken in: {e}"));
+            out.add(0, "", format!("can't be taken in: {e:#}"));
             None
         }
     }
 }
 
+fn to_settings(text: &str) -> anyhow::Result<Settings> {
+    let mut value = parse_to_serde_value::<serde_json::Value>(text, &ParseOptions::default())?;
+    drop_empty(&mut value);
+    Ok(serde_json::from_value(value)?)
+}
+
+/// Drops keys that a template left empty; the schema has refused those that
+/// must not be.
+fn drop_empty(value: &mut serde_json::Value) {
+    match value {
+        serde_json::Value::Object(map) => {
+            map.retain(|_, v| v.as_str() != Some(""));
+            map.values_mut().for_each(drop_empty);
+        }
+        serde_json::Value::Array(list) => list.iter_mut().for_each(drop_empty),
+        _ => {}
+    }
+}
+
 fn make_absolute(s: &mut Settings, folder: &Path) {
     let fix = |p: &mut PathBuf| *p = folder.join(&*p);
     if let Some(keys) = &mut s.keys {
--- a/crates/deckwind-config/src/lib.rs
+++ b/crates/deckwind-config/src/lib.rs
@@ -10,6 +10,7 @@
 //! ```
 
 mod check;
+mod duration;
 mod finding;
 mod place;
 mod schema;
--- a/crates/deckwind-config/src/schema.rs
+++ b/crates/deckwind-config/src/schema.rs
@@ -1,5 +1,6 @@
 //! Which keys there are and what they hold.
 
+use crate::duration::parse_duration;
 use crate::place::Collector;
 use jsonc_parser::ast::{Object, Value};
 use jsonc_parser::common::Ranged;
@@ -21,6 +22,8 @@
     Sha256,
     /// A number, 0 or more.
     Number,
+    /// A whole number up to `max`, as a number or as text.
+    Count { max: u64 },
     /// `true` or `false`.
     Flag,
     /// A list of addresses.
@@ -56,6 +59,10 @@
     }
 }
 
+/// Most control VMs that may be lost at once: a quorum over more than 31 would
+/// cost a leader more messages than any deployment needs.
+const MOST_LOST: u64 = 15;
+
 /// Keys of a settings file.
 pub static SETTINGS: &[Field] = &[
     must("vm", Kind::Text),
@@ -88,7 +95,7 @@
             ),
             must("control", Kind::Addresses),
             may("first_start", Kind::Flag),
-            must("lost_at_once", Kind::Integer { min: 0, max: 7 }),
+            may("lost_at_once", Kind::Count { max: MOST_LOST }),
         ]),
     ),
     may(
@@ -112,15 +119,9 @@
             may(
                 "repeats",
                 Kind::Object(&[
-                    must("share", Kind::Number),
-                    must(
-                        "beyond",
-                        Kind::Integer {
-                            min: 0,
-                            max: 1 << 20,
-                        },
-                    ),
-                    must("window", Kind::Duration),
+                    may("share", Kind::Number),
+                    may("beyond", Kind::Number),
+                    may("window", Kind::Duration),
                 ]),
             ),
             must("peers", Kind::Address),
@@ -168,6 +169,7 @@
         let key = join(path, name);
         out.place(&key, prop.value.start());
         match fields.iter().find(|f| f.name == name) {
+            Some(field) if !field.required && is_left_empty(&prop.value) => {}
             Some(field) => check_value(&prop.value, &field.kind, &key, out),
             None => out.add(prop.name.start(), &key, unknown(name, fields)),
         }
@@ -188,6 +190,12 @@
     }
 }
 
+/// Whether a template left this gap empty. An optional key that is empty counts
+/// as not given, so that its default holds.
+fn is_left_empty(value: &Value) -> bool {
+    matches!(value, Value::StringLit(s) if s.value.is_empty())
+}
+
 fn join(path: &str, name: &str) -> String {
     if path.is_empty() {
         name.to_string()
@@ -230,6 +238,7 @@
         Kind::Choice(words) => format!("one of \"{}\"", words.join("\", \"")),
         Kind::Sha256 => "64 hexadecimal digits, as `deckwind keys token` prints them".to_string(),
         Kind::Number => "a number, 0 or more".to_string(),
+        Kind::Count { max } => format!("a whole number from 0 to {max}"),
         Kind::Flag => "true or false".to_string(),
         Kind::Addresses => "a list of IPs and ports".to_string(),
         Kind::Map(_) | Kind::Object(_) => "an object { … }".to_string(),
@@ -265,7 +274,8 @@
             .value
             .parse::<u64>()
             .is_ok_and(|v| (*min..=*max).contains(&v)),
-        (Kind::Number, Value::NumberLit(n)) => n.value.parse::<f64>().is_ok_and(|v| v >= 0.0),
+        (Kind::Number, Value::NumberLit(n)) => is_number(n.value),
+        (Kind::Count { max }, Value::NumberLit(n)) => is_count(n.value, *max),
         (Kind::Flag, Value::BooleanLit(_)) => true,
         (Kind::Addresses, Value::Array(list)) => {
             list.elements.iter().all(|e| fits(e, &Kind::Address))
@@ -275,11 +285,22 @@
     }
 }
 
+fn is_number(text: &str) -> bool {
+    let number = text.parse::<f64>();
+    number.is_ok_and(|v| v >= 0.0 && v.is_finite())
+}
+
+fn is_count(text: &str, max: u64) -> bool {
+    text.parse::<u64>().is_ok_and(|v| v <= max)
+}
+
 fn text_fits(text: &str, kind: &Kind) -> bool {
     match kind {
         Kind::Text => !text.is_empty(),
+        Kind::Number => is_number(text),
+        Kind::Count { max } => is_count(text, *max),
         Kind::Address => text.parse::<SocketAddr>().is_ok(),
-        Kind::Duration => humantime::parse_duration(text).is_ok(),
+        Kind::Duration => parse_duration(text).is_some(),
         Kind::Choice(words) => words.contains(&text),
         Kind::Sha256 => text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit()),
         _ => false,
--- a/crates/deckwind-config/src/settings.rs
+++ b/crates/deckwind-config/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings as types.
 
+use crate::duration::parse_duration;
 use deckwind_core::state::{DataCentre, VmName};
 use serde::{Deserialize, Deserializer};
 use std::collections::BTreeMap;
@@ -66,6 +67,7 @@
     #[serde(default)]
     pub first_start: bool,
     /// Control VMs that may be lost at once.
+    #[serde(default = "one_lost", deserialize_with = "count")]
     pub lost_at_once: u8,
 }
 
@@ -141,11 +143,14 @@
 /// Bound on what is sent again, over all routers together: within any window at
 /// most a share of the requests, and some more.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default)]
 pub struct RepeatSettings {
     /// Share of the requests.
+    #[serde(deserialize_with = "number")]
     pub share: f64,
     /// Repeats beyond the share.
-    pub beyond: u32,
+    #[serde(deserialize_with = "number")]
+    pub beyond: f64,
     /// The window.
     #[serde(deserialize_with = "duration")]
     pub window: Duration,
@@ -157,7 +162,7 @@
     fn default() -> Self {
         Self {
             share: 0.2,
-            beyond: 100,
+            beyond: 100.0,
             window: Duration::from_secs(10),
         }
     }
@@ -191,6 +196,11 @@
     pub election_max: Duration,
 }
 
+/// The fewest that agreement over several VMs is good for.
+fn one_lost() -> u8 {
+    1
+}
+
 fn one_second() -> Duration {
     Duration::from_secs(1)
 }
@@ -225,7 +235,31 @@
 
 fn duration<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
     let text = String::deserialize(d)?;
-    humantime::parse_duration(&text).map_err(serde::de::Error::custom)
+    duration_of(&text)
+}
+
+fn duration_of<E: serde::de::Error>(text: &str) -> Result<Duration, E> {
+    parse_duration(text).ok_or_else(|| E::custom(format!("{text:?} is no time")))
+}
+
+/// A number as such or as text: templates fill gaps inside quotes.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum NumberOrText {
+    Number(f64),
+    Text(String),
+}
+
+fn number<'de, D: Deserializer<'de>>(d: D) -> Result<f64, D::Error> {
+    match NumberOrText::deserialize(d)? {
+        NumberOrText::Number(v) => Ok(v),
+        NumberOrText::Text(text) => text.parse().map_err(serde::de::Error::custom),
+    }
+}
+
+fn count<'de, D: Deserializer<'de>>(d: D) -> Result<u8, D::Error> {
+    // The schema has checked that it is whole and small.
+    number(d).map(|v| v as u8)
 }
 
 fn maybe_duration<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Duration>, D::Error> {
@@ -236,9 +270,6 @@
     let texts = BTreeMap::<String, String>::deserialize(d)?;
     texts
         .into_iter()
-        .map(|(k, v)| match humantime::parse_duration(&v) {
-            Ok(parsed) => Ok((k, parsed)),
-            Err(e) => Err(serde::de::Error::custom(e)),
-        })
+        .map(|(k, v)| Ok((k, duration_of(&v)?)))
         .collect()
 }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod specification;
 mod store;
 mod support;
+mod template;
 
 use std::net::SocketAddr;
 
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -79,7 +79,7 @@
     pub fn new(cx: &Context, cfg: &RouterSettings) -> Self {
         let limits = RepeatLimits {
             share: cfg.repeats.share,
-            beyond: f64::from(cfg.repeats.beyond),
+            beyond: cfg.repeats.beyond,
             window: cfg.repeats.window,
         };
         Self {
