Releases go by difference, packed and paced; changes go out together

Cause: each change sent the whole release (50 to 207 KB) to each of 195 routers: 9.7 to 40 MB through the leader's link of 170 Mbit/s, asked for again after 0.7 s. Heartbeats waited behind it, followers held elections, and each new leader sent everything again. Some 16 changes of targets a second woke all routers. Ruled out: faults on control machines (none at those times); the elections themselves (they stop when the link is free). Change: a release goes as the routes, pools and keys written or removed since the revision that the router applied; deltas are packed once for all that lack the same; rounds of answers are 200 ms apart, 20 ms for what is urgent; state above 2 KB leaves at half the link and never holds a lease back; what others' streams hold goes with undisturbed renewals only. Releases are shared, not copied, at routers.

--- a/crates/deckwind-config/src/schema.rs
+++ b/crates/deckwind-config/src/schema.rs
@@ -155,6 +155,7 @@
             must("admin", Kind::Address),
             may("operator_token_sha256", Kind::Sha256),
             may("lease", Kind::Duration),
+            may("link_mbps", Kind::Number),
             may("heartbeat", Kind::Duration),
             may("election_min", Kind::Duration),
             may("election_max", Kind::Duration),
--- a/crates/deckwind-config/src/settings.rs
+++ b/crates/deckwind-config/src/settings.rs
@@ -185,6 +185,9 @@
     /// Length of a router's lease; the same on every VM.
     #[serde(default = "two_seconds", deserialize_with = "duration")]
     pub lease: Duration,
+    /// This VM's link, Mbit/s: bounds how fast a leader hands out state.
+    #[serde(default, deserialize_with = "maybe_number")]
+    pub link_mbps: Option<f64>,
     /// Between two heartbeats of the leader.
     #[serde(default = "heartbeat", deserialize_with = "duration")]
     pub heartbeat: Duration,
@@ -257,6 +260,10 @@
     }
 }
 
+fn maybe_number<'de, D: Deserializer<'de>>(d: D) -> Result<Option<f64>, D::Error> {
+    number(d).map(Some)
+}
+
 fn count<'de, D: Deserializer<'de>>(d: D) -> Result<u8, D::Error> {
     // The schema has checked that it is whole and small.
     number(d).map(|v| v as u8)
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -2,12 +2,15 @@
 
 use super::demand::DemandTable;
 use super::event::{ControlAction, ControlEvent, ControlLimits, Unreadable};
+use super::grants::DeltaCache;
 use super::in_use::UseTable;
 use super::messages::ControlReply;
 use super::operator::OperatorReply;
 use super::orders::OrderDesk;
+use super::pace::Pace;
 use super::pending::{Asker, ForceWait, Parked, Proposals};
 use super::placement_desk::PlacementDesk;
+use super::wake::{Urgency, Wake};
 use crate::membership::{LeaseTable, LeaseTiming, RecentRouters};
 use crate::replication::{
     Action, Entry, Event, HardState, Index, Payload, Position, Replica, ReplicaConfig,
@@ -37,6 +40,8 @@
     pub(super) recent: RecentRouters,
     /// What each router's streams hold.
     pub(super) in_use: UseTable,
+    /// When each router was last told what the others' streams hold.
+    pub(super) use_told: BTreeMap<VmName, Instant>,
     pub(super) admins: BTreeMap<VmName, SocketAddr>,
     /// Whether claims of routers that no longer exist were looked for.
     pub(super) orphans_done: bool,
@@ -52,6 +57,9 @@
     pub(super) leading: Option<Leading>,
     pub(super) proposals: Proposals,
     pub(super) parked: Vec<Parked>,
+    pub(super) wake: Wake,
+    pub(super) pace: Pace,
+    pub(super) deltas: DeltaCache,
     pub(super) force_waits: Vec<ForceWait>,
     compacting: bool,
     /// Bytes of entries applied since the last snapshot, and its own size: a
@@ -88,6 +96,9 @@
             leading: None,
             proposals: Proposals::default(),
             parked: Vec::new(),
+            wake: Wake::default(),
+            pace: Pace::new(limits.state_bytes_per_s, now),
+            deltas: DeltaCache::default(),
             force_waits: Vec::new(),
             compacting: false,
             log_bytes: 0,
@@ -194,6 +205,8 @@
             self.drop_askers(out);
         }
         if let (None, Some(since)) = (&self.leading, since) {
+            self.wake = Wake::default();
+            self.pace = Pace::new(self.limits.state_bytes_per_s, since);
             self.leading = Some(Leading {
                 term,
                 leases: LeaseTable::new(self.lease_timing, since),
@@ -206,6 +219,7 @@
                 next_look: since,
                 recent: RecentRouters::new(since),
                 in_use: UseTable::default(),
+                use_told: BTreeMap::new(),
                 admins: BTreeMap::new(),
                 orphans_done: false,
             });
@@ -290,9 +304,10 @@
 
     fn apply(&mut self, now: Instant, entries: Vec<Entry>, out: &mut Vec<ControlAction>) {
         let before = self.machine.configuration().revision();
+        let mut urgency = None;
         for entry in entries {
             self.log_bytes += entry.size();
-            let reply = self.apply_entry(&entry, out);
+            let reply = self.apply_entry(&entry, &mut urgency, out);
             let waiting = self.proposals.applied(entry.at.index, entry.at.term);
             match (waiting, reply) {
                 (Some((asker, true)), Some(reply)) => self.answer(now, asker, reply, out),
@@ -300,13 +315,19 @@
                 (None, _) => {}
             }
         }
-        if self.machine.configuration().revision() > before {
-            self.release_parked(now, |_| true, out);
+        let changed = self.machine.configuration().revision() > before;
+        if let Some(urgency) = urgency.filter(|_| changed && self.leading.is_some()) {
+            self.wake_routers(now, urgency, out);
         }
         self.compact_if_long(out);
     }
 
-    fn apply_entry(&mut self, entry: &Entry, out: &mut Vec<ControlAction>) -> Option<Reply> {
+    fn apply_entry(
+        &mut self,
+        entry: &Entry,
+        urgency: &mut Option<Urgency>,
+        out: &mut Vec<ControlAction>,
+    ) -> Option<Reply> {
         let Payload::Command(bytes) = &entry.payload else {
             return None;
         };
@@ -315,6 +336,7 @@
             out.push(ControlAction::Stop(Unreadable::Command { index }));
             return None;
         };
+        *urgency = (*urgency).max(Urgency::of(&command.body));
         Some(self.machine.apply(command))
     }
 
--- a/crates/deckwind-core/src/control/event.rs
+++ b/crates/deckwind-core/src/control/event.rs
@@ -19,16 +19,36 @@
     pub compact_bytes: usize,
     /// How long a renewal waits for a change.
     pub hold: Duration,
+    /// Bytes of state a second that a leader hands out, beside leases.
+    pub state_bytes_per_s: f64,
     /// Claims.
     pub claims: ClaimLimits,
 }
 
+/// Link of a control VM where the settings name none, Mbit/s: what small VMs
+/// have at least.
+const DEFAULT_LINK_MBPS: f64 = 100.0;
+
+/// Part of the link that state may take. The other half is for leases, log
+/// entries and heartbeats: 195 routers under load hear 1.3 MB/s, 0.06 of a link
+/// of 170 Mbit/s, and releases go to four followers.
+const STATE_PART: f64 = 0.5;
+
+impl ControlLimits {
+    /// Bytes of state a second that may leave through a link of so many Mbit/s.
+    pub fn state_pace(link_mbps: f64) -> f64 {
+        const BYTES_PER_MBIT: f64 = 125_000.0;
+        link_mbps * BYTES_PER_MBIT * STATE_PART
+    }
+}
+
 impl Default for ControlLimits {
     fn default() -> Self {
         Self {
             compact_after: 4_096,
             compact_bytes: 4 << 20,
             hold: Duration::from_millis(400),
+            state_bytes_per_s: Self::state_pace(DEFAULT_LINK_MBPS),
             claims: ClaimLimits::default(),
         }
     }
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -4,7 +4,8 @@
 use crate::replication::Term;
 use crate::routing::paths::Held;
 use crate::state::{
-    AccountName, ClaimRequest, ClaimVerdict, Delta, FinishRequest, Holder, Revision,
+    AccountName, ClaimRequest, ClaimVerdict, Delta, FinishRequest, Holder, PackedDelta, Revision,
+    Unpackable,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -62,22 +63,35 @@
 pub struct Grant {
     /// Leader's term.
     pub term: Term,
-    /// What changed since the revision that the router had applied.
-    pub delta: Delta,
+    /// What changed since the revision that the router had applied. Nothing if
+    /// nothing did, or if it comes with a later answer: the lease counts anyhow.
+    pub delta: Option<PackedDelta>,
     /// The router's part of the accounts' limits.
     pub shares: Vec<(AccountName, AccountShare)>,
     /// Routers with a live lease.
     pub routers: u32,
     /// Routers that had a lease lately, for bounds that they share.
     pub routers_lately: RoutersLately,
-    /// What all other routers' streams hold.
-    pub in_use: Vec<EngineUse>,
+    /// What all other routers' streams hold; nothing if the router has just been
+    /// told.
+    pub in_use: Option<Vec<EngineUse>>,
     /// Slots of the control replicas.
     pub replicas: Vec<u32>,
     /// Targets that have just failed some router.
     pub failing: Vec<SocketAddr>,
 }
 
+impl Grant {
+    /// What the router lacks that has applied `applied`.
+    pub fn changes(&self, applied: Revision) -> Result<Delta, Unpackable> {
+        let none = Delta {
+            to: applied,
+            ..Delta::default()
+        };
+        self.delta.as_ref().map_or(Ok(none), PackedDelta::unpack)
+    }
+}
+
 /// A request to a control replica.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ControlRequest {
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -14,14 +14,17 @@
 mod control_core;
 mod demand;
 mod event;
+mod grants;
 mod in_use;
 mod messages;
 mod operator;
 mod orders;
+mod pace;
 mod pending;
 mod placement_desk;
 mod requests;
 mod upkeep;
+mod wake;
 
 pub use control_core::ControlCore;
 pub use event::{ControlAction, ControlEvent, ControlLimits, Unreadable};
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -1,30 +1,18 @@
 //! What routers and operators ask of the leader.
 
-use super::control_core::{ControlCore, Leading};
+use super::control_core::ControlCore;
 use super::event::ControlAction;
-use super::messages::{ControlReply, ControlRequest, Grant, Renewal};
+use super::grants::FAILING_FOR;
+use super::messages::{ControlReply, ControlRequest, Renewal};
 use super::operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
 use super::pending::{Asker, Parked};
+use super::wake::Urgency;
 use crate::membership::{InForce, RouterLease};
 use crate::state::{CommandBody, VmName};
 use crate::time::Instant;
 use std::net::SocketAddr;
-use std::time::Duration;
-
-/// How long routers are told of a target that failed one of them: as long as a
-/// dead one takes to be found out.
-const FAILING_FOR: Duration = Duration::from_millis(1_000);
-
-impl Leading {
-    /// Targets that have failed some router lately.
-    fn failing_now(&self, now: Instant) -> Vec<SocketAddr> {
-        let lately = |at: &Instant| now.since(*at) < FAILING_FOR;
-        let lately = self.failing.iter().filter(|(_, at)| lately(at));
-        lately.map(|(address, _)| *address).collect()
-    }
-}
 
 impl ControlCore {
     pub(super) fn request(
@@ -74,16 +62,13 @@
             self.propose(now, CommandBody::HolderGone(gone), Asker::Nobody, out);
         }
         self.check_targets(now, &failing, out);
-        let behind = renewal.applied < self.machine.configuration().revision();
         let until = now + self.limits.hold;
         self.parked.push(Parked {
             token,
             renewal,
             until,
         });
-        if behind {
-            self.release_parked(now, |p| p.token == token, out);
-        }
+        self.answer_parked(now, out);
         self.check_force(now, out);
     }
 
@@ -107,53 +92,10 @@
         out.push(ControlAction::Reply { token, reply });
         self.check_targets(now, targets, out);
         if news {
-            self.release_parked(now, |_| true, out);
+            self.wake_routers(now, Urgency::Urgent, out);
         }
     }
 
-    /// Answers the parked renewals that `which` names.
-    pub(super) fn release_parked(
-        &mut self,
-        now: Instant,
-        which: impl Fn(&Parked) -> bool,
-        out: &mut Vec<ControlAction>,
-    ) {
-        let (ready, kept) = std::mem::take(&mut self.parked)
-            .into_iter()
-            .partition(which);
-        self.parked = kept;
-        for parked in ready {
-            let token = parked.token;
-            match self.grant(now, &parked.renewal) {
-                Some(grant) => out.push(ControlAction::Reply {
-                    token,
-                    reply: ControlReply::Granted(Box::new(grant)),
-                }),
-                None => self.not_leader(token, out),
-            }
-        }
-    }
-
-    fn grant(&self, now: Instant, renewal: &Renewal) -> Option<Grant> {
-        if !self.replica.may_answer(now) {
-            return None;
-        }
-        let leading = self.leading.as_ref()?;
-        let cfg = self.machine.configuration();
-        let routers = leading.leases.routers().count() as u32;
-        let replicas = self.replica.members().all().map(|id| id.slot);
-        Some(Grant {
-            term: self.replica.term(),
-            delta: cfg.delta_since(renewal.applied),
-            shares: leading.demand.shares(&renewal.demand, routers, cfg),
-            routers,
-            routers_lately: leading.recent.lately(now),
-            in_use: leading.in_use.of_others(&renewal.holder.vm),
-            replicas: replicas.collect(),
-            failing: leading.failing_now(now),
-        })
-    }
-
     pub(super) fn operator(
         &mut self,
         now: Instant,
--- a/crates/deckwind-core/src/control/upkeep.rs
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -17,15 +17,20 @@
         }
     }
 
+    fn is_in_force(&self, now: Instant, revision: Revision) -> bool {
+        let leases = self.leading.as_ref().map(|l| &l.leases);
+        leases.is_some_and(|l| l.is_in_force(now, revision))
+    }
+
     /// Answers operators whose change is in force, or who have waited enough.
     pub(super) fn check_force(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
         let waits = std::mem::take(&mut self.force_waits);
         for wait in waits {
-            let in_force = self.in_force(now, wait.revision);
-            if in_force != InForce::Yes && now < wait.until {
+            if now < wait.until && !self.is_in_force(now, wait.revision) {
                 self.force_waits.push(wait);
                 continue;
             }
+            let in_force = self.in_force(now, wait.revision);
             out.push(ControlAction::OperatorReply {
                 token: wait.token,
                 reply: OperatorReply::Accepted {
@@ -37,7 +42,7 @@
     }
 
     pub(super) fn tick(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
-        self.release_parked(now, |p| p.until <= now, out);
+        self.answer_parked(now, out);
         self.expire_leases(now, out);
         self.find_orphans(now, out);
         self.give_orders(now, out);
@@ -66,6 +71,7 @@
             leading.demand.remove(&holder.vm);
             leading.admins.remove(&holder.vm);
             leading.in_use.remove(&holder.vm);
+            leading.use_told.remove(&holder.vm);
         }
         for holder in gone {
             self.propose(now, CommandBody::HolderGone(holder), Asker::Nobody, out);
--- a/crates/deckwind-core/src/membership/lease_table.rs
+++ b/crates/deckwind-core/src/membership/lease_table.rs
@@ -121,7 +121,15 @@
         self.routers.iter()
     }
 
-    /// Whether `revision` is in force on every router.
+    /// Whether `revision` is in force on every router. Cheap: it is asked with
+    /// every renewal for every change that someone waits for.
+    pub fn is_in_force(&self, now: Instant, revision: Revision) -> bool {
+        let lags = |l: &RouterLease| l.until > now && l.applied < revision;
+        now >= self.since + self.timing.with_drift() && !self.routers.values().any(lags)
+    }
+
+    /// Whether `revision` is in force on every router, and if not, where it is
+    /// not.
     pub fn in_force(&self, now: Instant, revision: Revision) -> InForce {
         let known_at = self.since + self.timing.with_drift();
         let lagging: Vec<VmName> = self
--- a/crates/deckwind-core/src/routes/index.rs
+++ b/crates/deckwind-core/src/routes/index.rs
@@ -5,6 +5,7 @@
 };
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// What a key gives.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,7 +19,7 @@
 /// A release by host and path, and by key.
 #[derive(Clone, Debug, Default)]
 pub struct ReleaseIndex {
-    release: Release,
+    release: Arc<Release>,
     revision: Revision,
     /// Routes of a host, the longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
--- a/crates/deckwind-core/src/state/configuration.rs
+++ b/crates/deckwind-core/src/state/configuration.rs
@@ -5,8 +5,10 @@
 use super::names::{AccountName, Revision, TargetName, TemplateName};
 use super::objects::{Account, Target, TargetKind, TargetStatus, Template, Workload};
 use super::release::{Published, Release};
+use super::release_change::{ReleaseDelta, ReleaseHistory};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// An object, or the fact that it is gone, as of a revision.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,8 +31,8 @@
     pub accounts: Vec<(AccountName, Versioned<Account>)>,
     /// Targets written or retired.
     pub targets: Vec<(TargetName, Versioned<Target>)>,
-    /// The release, if it is newer. Its document stays with the control replicas.
-    pub release: Option<Versioned<Release>>,
+    /// What changed in the release. Its document stays with the control replicas.
+    pub release: Option<ReleaseDelta>,
     /// Instances that changed or left.
     pub instances: Vec<(InstanceId, Versioned<Instance>)>,
 }
@@ -42,9 +44,11 @@
     templates: BTreeMap<TemplateName, Versioned<Template>>,
     accounts: BTreeMap<AccountName, Versioned<Account>>,
     targets: BTreeMap<TargetName, Versioned<Target>>,
-    release: Option<Versioned<Release>>,
+    release: Option<Versioned<Arc<Release>>>,
     document: Vec<u8>,
     instances: Instances,
+    #[serde(skip)]
+    history: ReleaseHistory,
 }
 
 fn live<K, V>(map: &BTreeMap<K, Versioned<V>>) -> impl Iterator<Item = (&V, Revision)> {
@@ -133,7 +137,7 @@
             templates: changed_since(&self.templates, since),
             accounts: changed_since(&self.accounts, since),
             targets: changed_since(&self.targets, since),
-            release: self.release.clone().filter(|r| r.revision > since),
+            release: self.release_since(since),
             instances: self.instances.since(since),
         }
     }
@@ -143,20 +147,46 @@
         merge(&mut self.templates, delta.templates);
         merge(&mut self.accounts, delta.accounts);
         merge(&mut self.targets, delta.targets);
-        if let Some(new) = delta.release
-            && self
-                .release
-                .as_ref()
-                .is_none_or(|r| r.revision < new.revision)
-        {
-            self.release = Some(new);
-        }
         self.instances.merge(delta.instances);
-        self.revision = self.revision.max(delta.to);
+        let fits = delta.release.is_none_or(|r| self.merge_release(r));
+        if fits {
+            self.revision = self.revision.max(delta.to);
+        }
+    }
+
+    fn release_since(&self, since: Revision) -> Option<ReleaseDelta> {
+        self.history.delta(since, self.release.as_ref()?)
+    }
+
+    /// Takes a newer release over. False if the release held here is older than
+    /// the change builds on: the revision must then stay, so that the next
+    /// answer brings what is missing.
+    fn merge_release(&mut self, delta: ReleaseDelta) -> bool {
+        let held = self.release_revision();
+        match delta {
+            ReleaseDelta::Whole(new) => {
+                if new.revision > held {
+                    self.release = Some(new);
+                }
+                true
+            }
+            ReleaseDelta::Changes(change) if change.revision <= held => true,
+            ReleaseDelta::Changes(change) if change.base > self.revision => false,
+            ReleaseDelta::Changes(change) => {
+                let Some(own) = &mut self.release else {
+                    return false;
+                };
+                own.revision = change.revision;
+                if let Some(release) = &mut own.value {
+                    change.apply(Arc::make_mut(release));
+                }
+                true
+            }
+        }
     }
 
     /// The release that holds.
-    pub fn release(&self) -> Option<&Release> {
+    pub fn release(&self) -> Option<&Arc<Release>> {
         self.release.as_ref()?.value.as_ref()
     }
 
@@ -186,11 +216,17 @@
         if self.release.is_some() && published.release.version <= held {
             return Ok(self.release_revision());
         }
+        let before = self.release_revision();
         self.revision = self.revision.next();
         self.document = published.document;
+        let new = Arc::new(published.release);
+        if let Some(old) = self.release() {
+            let old = old.clone();
+            self.history.replaced(before, &old, &new, self.revision);
+        }
         self.release = Some(Versioned {
             revision: self.revision,
-            value: Some(published.release),
+            value: Some(new),
         });
         Ok(self.revision)
     }
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -16,7 +16,9 @@
 mod instances;
 mod names;
 mod objects;
+mod packed;
 mod release;
+mod release_change;
 mod state_machine;
 
 pub use claims::{
@@ -32,8 +34,10 @@
     Account, AccountLimits, LayerRange, Objective, Parameters, Priority, Target, TargetKind,
     TargetStatus, Template, Workload,
 };
+pub use packed::{PackedDelta, Unpackable};
 pub use release::{
     AcceleratorKind, CallerLimits, EngineModel, KeyDigest, KeyHolder, Pool, PoolName, Published,
     Release, Route, RouteKind, Split,
 };
+pub use release_change::{Changed, ReleaseChange, ReleaseDelta, RoutePlace};
 pub use state_machine::StateMachine;
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -14,8 +14,8 @@
 };
 use deckwind_core::router::{RouterConfig, RouterCore};
 use deckwind_core::state::{
-    ApplyRequest, Change, ClaimKey, ClaimRequest, Command, CommandBody, Delta, FinishRequest,
-    Holder, Outcome, Revision, StateMachine,
+    ApplyRequest, Change, ClaimKey, ClaimRequest, Command, CommandBody, FinishRequest, Holder,
+    Outcome, Revision, StateMachine,
 };
 use deckwind_core::time::Instant;
 use deckwind_store::{FsDisk, MemoryDisk, Store};
@@ -218,14 +218,14 @@
             .collect();
         let grant = Grant {
             term: Term(3),
-            delta: Delta::default(),
+            delta: None,
             shares,
             routers: 350,
             routers_lately: RoutersLately {
                 count: 350,
                 complete: true,
             },
-            in_use: Vec::new(),
+            in_use: None,
             replicas: Vec::new(),
             failing: Vec::new(),
         };
--- /dev/null
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -0,0 +1,290 @@
+//! One leader and hundreds of routers in virtual time, with the leader's link.
+//!
+//! The control node is the daemon's own; routers are a lease and a renewal in
+//! flight each. Every answer goes through the leader's link, byte by byte, so
+//! what a change costs there and how long the queue grows can be told.
+
+use anyhow::{Context, Result, ensure};
+use deckwind_core::control::{
+    ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineUse, OperatorRequest, Renewal,
+};
+use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
+use deckwind_core::replication::{ReplicaConfig, ReplicaId};
+use deckwind_core::routing::paths::Held;
+use deckwind_core::state::{Holder, Instance, Published, Release, Revision};
+use deckwind_core::time::Instant;
+use deckwind_store::{MemoryDisk, Store};
+use deckwind_wire::encode;
+use deckwindd::control::{ControlNode, Effect, Now};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Step of the virtual time.
+const STEP: Duration = Duration::from_millis(1);
+
+/// One way between a router and the leader.
+const ONE_WAY: Duration = Duration::from_millis(1);
+
+/// Headers of IP, UDP and QUIC for one message, bytes.
+const HEADERS: usize = 60;
+
+/// Bytes of a message that go into one packet.
+const PACKET: usize = 1_200;
+
+/// Length of a lease.
+const LEASE: Duration = Duration::from_millis(2_800);
+
+struct Router {
+    lease: RouterLeaseState,
+    /// When the renewal on its way was sent.
+    asked: Option<Instant>,
+    was_live: bool,
+}
+
+enum Arrival {
+    Asked(usize, Box<Renewal>),
+    Answered(usize, Box<ControlReply>),
+}
+
+/// What the leader's link has carried.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Carried {
+    /// Answers.
+    pub answers: u64,
+    /// Their bytes, headers included.
+    pub bytes: u64,
+    /// Longest time for which bytes stood in the link's queue.
+    pub longest_queue: Duration,
+    /// Leases that ran out.
+    pub leases_lost: u64,
+}
+
+/// The leader and its routers.
+pub struct FanOut {
+    node: ControlNode,
+    now: Instant,
+    start: Instant,
+    routers: Vec<Router>,
+    engines_in_use: usize,
+    bytes_per_s: f64,
+    link_free_at: Instant,
+    on_the_way: BTreeMap<(Instant, u64), Arrival>,
+    asked_by: BTreeMap<u64, usize>,
+    next_number: u64,
+    operator: Vec<ControlEvent>,
+    carried: Carried,
+}
+
+impl FanOut {
+    /// A leader that leads, and routers with live leases. Each router's streams
+    /// hold something at a quarter of `engines_in_use` engines.
+    pub fn new(routers: usize, engines_in_use: usize, link_mbps: f64) -> Result<Self> {
+        let id = ReplicaId {
+            slot: 0,
+            identity: 1,
+        };
+        let (store, opened) = Store::open(Box::new(MemoryDisk::default()), id)?;
+        let start = Instant::from_millis(1_000);
+        let lease = LeaseTiming {
+            ttl: LEASE,
+            ..LeaseTiming::default()
+        };
+        let limits = ControlLimits {
+            state_bytes_per_s: ControlLimits::state_pace(link_mbps),
+            ..ControlLimits::default()
+        };
+        let cfg = ReplicaConfig::new(id, [0], 1);
+        let router = |_| Router {
+            lease: RouterLeaseState::new(lease),
+            asked: None,
+            was_live: false,
+        };
+        let mut fan_out = Self {
+            node: ControlNode::new(cfg, lease, limits, store, opened, start)?,
+            now: start,
+            start,
+            routers: (0..routers).map(router).collect(),
+            engines_in_use,
+            bytes_per_s: link_mbps * 125_000.0,
+            link_free_at: start,
+            on_the_way: BTreeMap::new(),
+            asked_by: BTreeMap::new(),
+            next_number: 1,
+            operator: Vec::new(),
+            carried: Carried::default(),
+        };
+        fan_out.run_for(Duration::from_secs(5))?;
+        ensure!(fan_out.routers.iter().all(|r| r.was_live), "no lease");
+        fan_out.carried = Carried::default();
+        Ok(fan_out)
+    }
+
+    /// What the link has carried since this was last asked.
+    pub fn take_carried(&mut self) -> Carried {
+        std::mem::take(&mut self.carried)
+    }
+
+    /// Publishes a release.
+    pub fn publish(&mut self, release: Release) {
+        let document = Vec::new();
+        let published = Published { release, document };
+        let request = OperatorRequest::Publish(Box::new(published));
+        self.operator
+            .push(ControlEvent::Operator { token: 0, request });
+    }
+
+    /// A target announces itself.
+    pub fn announce(&mut self, instance: Instance) {
+        let request = OperatorRequest::Announce(Box::new(instance));
+        self.operator
+            .push(ControlEvent::Operator { token: 0, request });
+    }
+
+    /// Routers that have not applied all that is agreed.
+    pub fn lagging(&self) -> usize {
+        let agreed = self.revision();
+        let lags = |r: &&Router| r.lease.applied() < agreed;
+        self.routers.iter().filter(lags).count()
+    }
+
+    /// The revision that is agreed.
+    pub fn revision(&self) -> Revision {
+        self.node.core().machine().configuration().revision()
+    }
+
+    /// The release at each router.
+    pub fn releases(&self) -> impl Iterator<Item = &Release> {
+        let cfgs = self.routers.iter().map(|r| r.lease.configuration());
+        cfgs.filter_map(|cfg| cfg.release().map(|r| &**r))
+    }
+
+    /// Runs until all routers have applied what is agreed; the time it took.
+    pub fn run_until_applied(&mut self, most: Duration) -> Result<Duration> {
+        let begun = self.now;
+        self.step()?;
+        while self.lagging() > 0 {
+            ensure!(self.now.since(begun) < most, "{} lag", self.lagging());
+            self.step()?;
+        }
+        Ok(self.now.since(begun))
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, time: Duration) -> Result<()> {
+        let until = self.now + time;
+        while self.now < until {
+            self.step()?;
+        }
+        Ok(())
+    }
+
+    fn step(&mut self) -> Result<()> {
+        self.now = self.now + STEP;
+        let mut batch = std::mem::take(&mut self.operator);
+        while let Some(entry) = self.on_the_way.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            match entry.remove() {
+                Arrival::Asked(router, renewal) => batch.push(self.request(router, *renewal)),
+                Arrival::Answered(router, reply) => self.take_answer(router, *reply)?,
+            }
+        }
+        let mut effects = Vec::new();
+        let now = Now {
+            at: self.now,
+            wall_ms: self.now.since(self.start).as_millis() as u64,
+        };
+        self.node.take(now, batch, &mut effects)?;
+        for effect in effects {
+            if let Effect::Reply(token, reply) = effect {
+                self.send_answer(token, reply)?;
+            }
+        }
+        for router in 0..self.routers.len() {
+            self.renew(router);
+        }
+        Ok(())
+    }
+
+    fn request(&mut self, router: usize, renewal: Renewal) -> ControlEvent {
+        self.next_number += 1;
+        let token = self.next_number;
+        self.asked_by.insert(token, router);
+        let request = ControlRequest::Renew(renewal);
+        ControlEvent::Request { token, request }
+    }
+
+    fn renew(&mut self, router: usize) {
+        let in_use = self.in_use_of(router);
+        let r = &mut self.routers[router];
+        let live = r.lease.is_live(self.now);
+        self.carried.leases_lost += u64::from(r.was_live && !live);
+        r.was_live = live;
+        if r.asked.is_some() {
+            return;
+        }
+        r.asked = Some(self.now);
+        let renewal = Renewal {
+            holder: Holder {
+                vm: format!("router-{router}").as_str().into(),
+                boot: 1,
+            },
+            applied: r.lease.applied(),
+            admin: SocketAddr::from(([127, 0, 0, 1], 1)),
+            demand: Vec::new(),
+            in_use,
+            failing: Vec::new(),
+        };
+        let arrival = Arrival::Asked(router, Box::new(renewal));
+        self.put(self.now + ONE_WAY, arrival);
+    }
+
+    fn in_use_of(&self, router: usize) -> Vec<EngineUse> {
+        let held = Held {
+            layer_tokens: 40_000,
+            begun: 1,
+        };
+        let engine = |e: usize| {
+            let address = SocketAddr::from(([127, 0, 1, 1], e as u16 + 1));
+            EngineUse::new(address, held)
+        };
+        let own = (0..self.engines_in_use).filter(|e| e % 4 == router % 4);
+        own.map(engine).collect()
+    }
+
+    fn send_answer(&mut self, token: u64, reply: ControlReply) -> Result<()> {
+        let router = self
+            .asked_by
+            .remove(&token)
+            .context("an answer to nobody")?;
+        let bytes = encode(&reply).len();
+        let on_link = bytes + HEADERS * (1 + bytes / PACKET);
+        let begins = self.link_free_at.max(self.now);
+        let takes = Duration::from_secs_f64(on_link as f64 / self.bytes_per_s);
+        self.link_free_at = begins + takes;
+        let queued = self.link_free_at.since(self.now);
+        self.carried.longest_queue = self.carried.longest_queue.max(queued);
+        self.carried.answers += 1;
+        self.carried.bytes += on_link as u64;
+        let arrival = Arrival::Answered(router, Box::new(reply));
+        self.put(self.link_free_at + ONE_WAY, arrival);
+        Ok(())
+    }
+
+    fn take_answer(&mut self, router: usize, reply: ControlReply) -> Result<()> {
+        let r = &mut self.routers[router];
+        let asked = r.asked.take().context("an answer to no question")?;
+        if let ControlReply::Granted(grant) = reply {
+            let delta = grant.changes(r.lease.applied())?;
+            r.lease.granted(asked, grant.term, delta);
+        }
+        Ok(())
+    }
+
+    fn put(&mut self, at: Instant, arrival: Arrival) {
+        self.next_number += 1;
+        self.on_the_way.insert((at, self.next_number), arrival);
+    }
+}
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -163,7 +163,10 @@
             (ControlRequest::Renew(renewal), ControlReply::Granted(grant)) => {
                 self.renewal = None;
                 if renewal.holder.boot == self.boot {
-                    self.lease.granted(asked, grant.term, grant.delta);
+                    let delta = grant
+                        .changes(self.lease.applied())
+                        .expect("nothing is damaged here");
+                    self.lease.granted(asked, grant.term, delta);
                 }
             }
             (_, ControlReply::NotLeader { leader }) => {
--- a/crates/deckwind-testkit/src/lib.rs
+++ b/crates/deckwind-testkit/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod cluster;
+pub mod fan_out;
 mod lab;
 mod lab_routers;
 mod layout;
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/fan_out.rs
@@ -0,0 +1,132 @@
+//! What hundreds of routers cost the leader's link, in virtual time: no change,
+//! however large or frequent, makes a queue there or costs a router its lease.
+
+use deckwind_core::state::{
+    Instance, InstanceState, LayerRange, Pool, Release, Route, RouteKind, Split,
+};
+use deckwind_testkit::fan_out::FanOut;
+use std::time::Duration;
+use yare::parameterized;
+
+/// Link of a control VM, Mbit/s.
+const LINK_MBPS: f64 = 170.0;
+
+/// Longest queue on the leader's link: a heartbeat that waits longer than that
+/// beside a round trip comes late.
+const MOST_QUEUE: Duration = Duration::from_millis(60);
+
+fn release(version: u64, routes: u64) -> Release {
+    let route = |i: u64| Route {
+        name: format!("route-{i}"),
+        host: format!("host-{}.example", i % 40),
+        path_prefix: format!("/path-{:x}", i * 0x9e37_79b9),
+        kind: RouteKind::Repeatable,
+        split: vec![Split {
+            pool: "p".to_string(),
+            weight: 1.0,
+        }],
+        // One of them changes with every version.
+        timeout_ms: 1_000 + if i == 0 { version } else { 0 },
+        objective_ms: 100,
+        pause_ms: None,
+        priority: 1,
+        attempts: 2,
+        open: true,
+    };
+    Release {
+        version,
+        routes: (0..routes).map(route).collect(),
+        pools: vec![Pool {
+            name: "p".to_string(),
+            max_connections: 10,
+            engine: None,
+        }],
+        ..Release::default()
+    }
+}
+
+fn instance(number: u16, layers: u32, announced: u64) -> Instance {
+    Instance {
+        id: format!("engine-{number}"),
+        pool: "p".to_string(),
+        address: ([127, 0, 1, 1], number + 1).into(),
+        data_centre: "a".into(),
+        slots: 192,
+        state: InstanceState::Ready,
+        accelerator: Some("fast".to_string()),
+        layers: LayerRange {
+            first: 0,
+            last: layers,
+        },
+        in_memory: layers,
+        announced,
+    }
+}
+
+#[parameterized(
+    fifty = { 50 },
+    two_hundred = { 195 },
+    as_in_two_years = { 350 },
+)]
+fn a_release_of_1_400_routes_is_everywhere_in_a_second(routers: usize) {
+    let mut fan_out = FanOut::new(routers, 0, LINK_MBPS).unwrap();
+    fan_out.publish(release(1, 240));
+    fan_out.run_until_applied(Duration::from_secs(1)).unwrap();
+    fan_out.take_carried();
+    fan_out.publish(release(2, 1_640));
+    fan_out.run_until_applied(Duration::from_secs(1)).unwrap();
+    let carried = fan_out.take_carried();
+    assert!(carried.longest_queue < MOST_QUEUE, "{carried:?}");
+    for held in fan_out.releases() {
+        assert_eq!(held.routes.len(), 1_640);
+    }
+}
+
+/// A storm: the large release changes three times a second, targets take layers
+/// twenty times a second, for five seconds, under load.
+#[test]
+fn a_storm_costs_no_lease_and_makes_no_queue() {
+    let mut fan_out = FanOut::new(195, 218, LINK_MBPS).unwrap();
+    fan_out.publish(release(1, 1_640));
+    fan_out.run_until_applied(Duration::from_secs(1)).unwrap();
+    fan_out.take_carried();
+    let mut version = 1;
+    for tick in 0..100u64 {
+        fan_out.announce(instance((tick % 218) as u16, 1 + tick as u32, tick + 1));
+        if tick % 7 == 0 {
+            version += 1;
+            fan_out.publish(release(version, 1_640));
+        }
+        fan_out.run_for(Duration::from_millis(50)).unwrap();
+    }
+    let carried = fan_out.take_carried();
+    fan_out
+        .run_until_applied(Duration::from_millis(500))
+        .unwrap();
+    assert_eq!(carried.leases_lost, 0, "{carried:?}");
+    assert!(carried.longest_queue < MOST_QUEUE, "{carried:?}");
+    let of_link = carried.bytes as f64 / 5.0 / (LINK_MBPS * 125_000.0);
+    assert!(of_link < 0.25, "{of_link} of the link: {carried:?}");
+}
+
+/// State that is handed out slowly holds no lease back.
+#[test]
+fn a_link_too_slow_for_the_state_still_carries_the_leases() {
+    let mut fan_out = FanOut::new(195, 0, 10.0).unwrap();
+    fan_out.publish(release(1, 3_000));
+    fan_out.run_for(Duration::from_secs(2)).unwrap();
+    assert!(fan_out.lagging() > 0, "the state takes longer than this");
+    fan_out.run_until_applied(Duration::from_secs(20)).unwrap();
+    assert_eq!(fan_out.take_carried().leases_lost, 0);
+}
+
+#[test]
+fn an_idle_router_costs_little() {
+    let mut fan_out = FanOut::new(350, 0, LINK_MBPS).unwrap();
+    fan_out.publish(release(1, 240));
+    fan_out.run_until_applied(Duration::from_secs(1)).unwrap();
+    fan_out.take_carried();
+    fan_out.run_for(Duration::from_secs(4)).unwrap();
+    let each = fan_out.take_carried().bytes / 4 / 350;
+    assert!(each < 2_000, "{each} bytes a second");
+}
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -70,7 +70,10 @@
             ttl: cfg.lease,
             ..LeaseTiming::default()
         };
-        let limits = ControlLimits::default();
+        let mut limits = ControlLimits::default();
+        if let Some(mbps) = cfg.link_mbps {
+            limits.state_bytes_per_s = ControlLimits::state_pace(mbps);
+        }
         let node = ControlNode::new(replica, lease, limits, store, opened, cx.clock.now())?;
         Ok(Self {
             clock: cx.clock,
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -2,6 +2,8 @@
 
 use super::control_client::RENEWAL_TRY;
 use super::shared::RouterShared;
+use deckwind_core::control::Grant;
+use deckwind_core::state::{Delta, PackedDelta};
 use deckwind_wire::{ControlReply, ControlRequest, Renewal, encode};
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,17 +62,15 @@
         return false;
     };
     shared.control.replicas_are(&grant.replicas);
+    let Some(delta) = unpacked(shared, &grant) else {
+        return false;
+    };
     let now = shared.clock.now();
     shared.routes.others_told(now, &grant);
     let before = shared.core().lease().applied();
-    shared.core().granted(
-        asked,
-        now,
-        grant.term,
-        grant.delta,
-        grant.shares,
-        grant.routers,
-    );
+    shared
+        .core()
+        .granted(asked, now, grant.term, delta, grant.shares, grant.routers);
     let applied = shared.core().lease().applied();
     if applied > before {
         forget_gone_targets(shared);
@@ -86,6 +86,20 @@
     true
 }
 
+/// What changed. Nothing if it can't be read: such an answer renews no lease.
+fn unpacked(shared: &RouterShared, grant: &Grant) -> Option<Delta> {
+    let bytes = grant.delta.as_ref().map_or(0, PackedDelta::size);
+    metrics::counter!("deckwind_router_state_bytes_total").increment(bytes as u64);
+    match grant.changes(shared.revision()) {
+        Ok(delta) => Some(delta),
+        Err(e) => {
+            let error = e.to_string();
+            log::error!("event=state_unreadable vm={} error={error:?}", shared.vm);
+            None
+        }
+    }
+}
+
 fn forget_gone_targets(shared: &RouterShared) {
     let addresses: std::collections::HashSet<_> = shared
         .core()
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -180,10 +180,14 @@
         routers.told(now, grant.routers_lately);
         drop(routers);
         let mut book = self.book();
-        book.others_hold(&grant.in_use);
+        if let Some(in_use) = &grant.in_use {
+            book.others_hold(in_use);
+        }
         book.doubt(now + DOUBT_FOR, &grant.failing);
         drop(book);
-        *self.told_at.lock().expect("no holder panics") = now;
+        if grant.in_use.is_some() {
+            *self.told_at.lock().expect("no holder panics") = now;
+        }
     }
 
     /// How old it is what the leader told of the other routers, for logs.
