Routers without a lease look for the leader at two replicas, not at all at once

With the commit before, every router without a lease asked all five replicas; a follower that knew the leader answered at once and was asked again 50 ms later: 195 routers made 3,900 questions a second at each follower, more than 0.3 of a core answers, so followers stopped acknowledging entries and no leader could act. Handshakes that were given up after 0.6 s and begun anew added to it. Change: two searches side by side, each router in an order of its own; whoever is named as the leader is asked at once, all else after a pause of 100 ms; a handshake is made once for all that wait for it and goes on when they give up. Short waits between lost elections stay short for three tries before they double.

--- a/crates/deckwind-core/src/replication/election.rs
+++ b/crates/deckwind-core/src/replication/election.rs
@@ -12,6 +12,10 @@
 /// with waits of 400 to 800 ms, 50 to 100 ms, some ten times a vote with its sync.
 const RETRY_PART: u32 = 8;
 
+/// Elections lost in a row before the wait doubles: replicas that start over half
+/// a second, each of which gives no vote for 400 ms, are asked in time.
+const TRIES_ALIKE: u32 = 3;
+
 impl Replica {
     /// Whether a leader may still hold its lease by this replica's word.
     pub(super) fn protects_leader(&self, now: Instant) -> bool {
@@ -34,11 +38,10 @@
 
     /// Waits before another election. The first waits are short: after a start of
     /// all replicas the first pre-votes are refused by those that protect a leader
-    /// of before, and two candidates may split the votes. Then they double, up to
-    /// an ordinary wait. A full start with split votes has a leader 0.4 to 0.6 s
-    /// sooner than with an ordinary wait for each.
+    /// of before, and two candidates may split the votes. After some tries they
+    /// double, up to an ordinary wait.
     fn reset_retry_timer(&mut self, now: Instant) {
-        let doublings = self.failed_elections.saturating_sub(1);
+        let doublings = self.failed_elections.saturating_sub(1) / TRIES_ALIKE;
         let part = RETRY_PART.checked_shr(doublings).unwrap_or(0).max(1);
         let min = self.cfg.timing.election_min / part;
         let max = self.cfg.timing.election_max / part;
--- a/crates/deckwind-core/src/replication/join.rs
+++ b/crates/deckwind-core/src/replication/join.rs
@@ -15,7 +15,7 @@
 
 /// Elections lost in a row before a replica asks whether it was removed: some
 /// two of the longest waits before an election.
-const ELECTIONS_BEFORE_JOIN: u32 = 5;
+const ELECTIONS_BEFORE_JOIN: u32 = 9;
 
 impl Replica {
     /// Asks all other slots to be taken in, if this replica is in no members or
--- a/crates/deckwind-net/src/quic.rs
+++ b/crates/deckwind-net/src/quic.rs
@@ -18,6 +18,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Without a packet for this long a connection is dead: half of a lease, so that
 /// a new one still renews it. A path may fall silent while new ones work.
@@ -75,8 +76,12 @@
     endpoint: Endpoint,
     max_message: usize,
     connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+    connecting: Arc<Mutex<HashMap<SocketAddr, watch::Receiver<Option<Made>>>>>,
 }
 
+/// What came of making a connection, or why nothing did.
+type Made = Result<Connection, String>;
+
 impl QuicPeer {
     /// Binds `address`, with mutual TLS by the files. Without files it encrypts
     /// with a certificate made now and takes any peer: for networks that only
@@ -97,6 +102,7 @@
             endpoint,
             max_message,
             connections: Arc::default(),
+            connecting: Arc::default(),
         })
     }
 
@@ -141,25 +147,56 @@
         })
     }
 
+    /// The connection to a peer. While one is being made everybody waits for it;
+    /// it goes on when they stop waiting, so that a peer under load is not asked
+    /// to begin anew again and again.
     async fn connection(&self, to: SocketAddr) -> Result<Connection> {
-        let known = self
-            .connections
-            .lock()
-            .expect("no holder panics")
-            .get(&to)
-            .cloned();
-        if let Some(connection) = known.filter(|c| c.close_reason().is_none()) {
+        if let Some(connection) = self.known(to) {
             return Ok(connection);
         }
+        let mut made = self.connecting(to);
+        let made = made.wait_for(Option::is_some).await;
+        let made = made.map(|m| m.clone().expect("waited for"));
+        match made {
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(why)) => Err(anyhow!("{to} can't be reached: {why}")),
+            Err(_) => Err(anyhow!("{to} can't be reached: the endpoint stops")),
+        }
+    }
+
+    fn known(&self, to: SocketAddr) -> Option<Connection> {
+        let connections = self.connections.lock().expect("no holder panics");
+        let known = connections.get(&to).cloned();
+        known.filter(|c| c.close_reason().is_none())
+    }
+
+    /// What comes of the connection that is being made, begun now if none is.
+    fn connecting(&self, to: SocketAddr) -> watch::Receiver<Option<Made>> {
+        let mut connecting = self.connecting.lock().expect("no holder panics");
+        if let Some(made) = connecting.get(&to) {
+            return made.clone();
+        }
+        let (tx, rx) = watch::channel(None);
+        connecting.insert(to, rx.clone());
+        drop(connecting);
+        let peer = self.clone();
+        tokio::spawn(async move {
+            let made = peer.connect(to).await.map_err(|e| format!("{e:#}"));
+            let mut connecting = peer.connecting.lock().expect("no holder panics");
+            connecting.remove(&to);
+            drop(connecting);
+            tx.send_replace(Some(made));
+        });
+        rx
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<Connection> {
         let name = to.ip().to_string();
         let connecting = self.endpoint.connect(to, &name)?;
-        let connection = tokio::time::timeout(CONNECT, connecting)
-            .await
-            .with_context(|| format!("{to} can't be reached"))??;
-        self.connections
-            .lock()
-            .expect("no holder panics")
-            .insert(to, connection.clone());
+        let made = tokio::time::timeout(CONNECT, connecting).await;
+        let connection = made.context("no answer to the handshake")??;
+        let mut connections = self.connections.lock().expect("no holder panics");
+        connections.insert(to, connection.clone());
         Ok(connection)
     }
 
--- a/crates/deckwindd/src/router/control_client.rs
+++ b/crates/deckwindd/src/router/control_client.rs
@@ -1,12 +1,11 @@
 //! Requests to whichever control replica leads.
 
-use crate::clock::Clock;
 use crate::context::Context;
 use anyhow::{Result, bail};
 use deckwind_net::quic::QuicPeer;
 use deckwind_wire::{ControlReply, ControlRequest, decode, encode};
-use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard};
+use rand::seq::SliceRandom;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -22,12 +21,19 @@
 /// replica that died gives no answer at all. What was asked may be sent again.
 const SHORT_TRY: Duration = Duration::from_millis(200);
 
-/// Longest wait for one replica's answer where all are asked at once: some may
-/// be down, and a first lease is not held.
-const RACE_TRY: Duration = Duration::from_millis(600);
+/// Searches for the leader that run side by side while there is no lease: one
+/// that waits for a replica that is down holds nothing up. More would cost each
+/// replica a handshake with every router at the moment when all start: 195 at
+/// once, repeated by those that had waited too long, have kept replicas with 0.3
+/// of a core from serving anybody for 15 s.
+const SEARCHES: usize = 2;
 
-/// Pause after a replica that is not up or does not lead was asked.
-const RACE_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for one replica's answer in a search. A replica that knows no
+/// leader holds the question for 400 ms.
+const SEARCH_TRY: Duration = Duration::from_millis(600);
+
+/// Pause after a replica did not help.
+const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 
 /// Without any answer for this long a router is cut off: longer than a renewal
 /// is held and one replica is waited for.
@@ -36,28 +42,49 @@
 /// When something was asked for, by the router's clock.
 pub type Asked = deckwind_core::time::Instant;
 
-/// Asks one replica again and again.
-struct Asker {
+/// Looks for the leader, one replica after the other.
+struct Search {
+    cx: Context,
     peer: QuicPeer,
-    clock: Clock,
-    address: SocketAddr,
     request: Vec<u8>,
+    heard: Arc<Mutex<Instant>>,
+    /// Replicas in the order in which they are asked, again and again.
+    slots: Vec<u32>,
 }
 
-impl Asker {
-    async fn ask_until_led(self) -> (Asked, ControlReply) {
+impl Search {
+    /// The slot of the leader, when it was asked, and its grant.
+    async fn run(self) -> (u32, Asked, ControlReply) {
+        let mut turn = self.slots.iter().cycle();
+        let mut named = None;
         loop {
-            let asked = self.clock.now();
-            let answering = self.peer.request(self.address, &self.request);
-            let answer = tokio::time::timeout(RACE_TRY, answering).await;
-            if let Ok(Ok(bytes)) = answer
-                && let Ok(reply @ ControlReply::Granted(_)) = decode(&bytes)
-            {
-                return (asked, reply);
+            let was_named = named.is_some();
+            let slot = named.take().or_else(|| turn.next().copied());
+            let slot = slot.unwrap_or_default();
+            let asked = self.cx.clock.now();
+            match self.ask(slot).await {
+                Some(reply @ ControlReply::Granted(_)) => return (slot, asked, reply),
+                // Whoever leads is asked at once, but not along a chain of
+                // replicas that know it no better.
+                Some(ControlReply::NotLeader { leader }) if !was_named => named = leader,
+                _ => {}
+            }
+            if named.is_none() {
+                tokio::time::sleep(SEARCH_PAUSE).await;
             }
-            tokio::time::sleep(RACE_PAUSE).await;
         }
     }
+
+    async fn ask(&self, slot: u32) -> Option<ControlReply> {
+        let address = self.cx.control_address(slot).ok()?;
+        let answering = self.peer.request(address, &self.request);
+        let answer = tokio::time::timeout(SEARCH_TRY, answering)
+            .await
+            .ok()?
+            .ok()?;
+        *self.heard.lock().expect("no holder panics") = Instant::now();
+        decode(&answer).ok()
+    }
 }
 
 /// Knows the control replicas and who led last.
@@ -66,7 +93,7 @@
     peer: QuicPeer,
     known: Mutex<Known>,
     /// When a replica last answered anything; the start before the first.
-    heard: Mutex<Instant>,
+    heard: Arc<Mutex<Instant>>,
 }
 
 /// Slots that may be asked, and whose turn it is.
@@ -104,7 +131,7 @@
             cx,
             peer,
             known: Mutex::new(known),
-            heard: Mutex::new(Instant::now()),
+            heard: Arc::new(Mutex::new(Instant::now())),
         }
     }
 
@@ -155,30 +182,35 @@
         Ok(answer)
     }
 
-    /// Asks all replicas at once until one of them leads, or the time is over.
-    /// For a router without a lease, which does not know who leads: asking one
-    /// after the other, each that is not up costs a time-out. The answer, and
-    /// when it was asked for.
-    pub async fn ask_all(&self, request: &[u8], within: Duration) -> Result<(Asked, ControlReply)> {
-        let slots = self.known().all();
-        let mut asking = JoinSet::new();
-        for slot in slots {
-            let address = self.cx.control_address(slot)?;
-            let asker = Asker {
+    /// Looks for the leader until it answers, or the time is over: for a router
+    /// without a lease, which does not know who leads. Each router asks in an
+    /// order of its own, so that all of them together load the replicas alike.
+    /// The answer, and when it was asked for.
+    pub async fn find_leader(
+        &self,
+        request: &[u8],
+        within: Duration,
+    ) -> Result<(Asked, ControlReply)> {
+        let mut slots = self.known().all();
+        slots.shuffle(&mut rand::rng());
+        let mut searches = JoinSet::new();
+        for _ in 0..SEARCHES {
+            let search = Search {
+                cx: self.cx.clone(),
                 peer: self.peer.clone(),
-                clock: self.cx.clock,
-                address,
                 request: request.to_vec(),
+                heard: self.heard.clone(),
+                slots: slots.clone(),
             };
-            asking.spawn(async move { (slot, asker.ask_until_led().await) });
+            searches.spawn(search.run());
+            slots.rotate_left(1);
         }
-        let Ok(Some(Ok((slot, answered)))) = tokio::time::timeout(within, asking.join_next()).await
-        else {
+        let found = tokio::time::timeout(within, searches.join_next()).await;
+        let Ok(Some(Ok((slot, asked, reply)))) = found else {
             bail!("no control replica led within {within:?}");
         };
-        *self.heard.lock().expect("no holder panics") = Instant::now();
         self.known().current = slot;
-        Ok(answered)
+        Ok((asked, reply))
     }
 
     fn move_on(&self, from: u32, leader: Option<u32>) {
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -11,8 +11,8 @@
 /// Longest try to tell the leader of failing targets; the next renewal does.
 const TELL_WITHIN: Duration = Duration::from_millis(400);
 
-/// Longest time for which the same replicas are asked for a first lease: the
-/// settings may name others by then.
+/// Longest search for a leader with one question: the settings may name other
+/// replicas by then, and what streams hold has changed.
 const LOOK_ANEW: Duration = Duration::from_secs(2);
 
 /// Pause after an answer that was no grant.
@@ -94,7 +94,7 @@
             let answering = shared.control.ask_once(request, RENEWAL_TRY);
             answering.await.map(|reply| (now, reply))
         }
-        false => shared.control.ask_all(request, LOOK_ANEW).await,
+        false => shared.control.find_leader(request, LOOK_ANEW).await,
     };
     match answered {
         Ok((asked, ControlReply::Granted(grant))) => Some((asked, grant)),
