--- a/crates/deckwind-testkit/examples/fan_out.rs
+++ b/crates/deckwind-testkit/examples/fan_out.rs
@@ -4,10 +4,7 @@
 //! `cargo run --release -p deckwind-testkit --example fan_out`
 
 use anyhow::Result;
-use deckwind_core::state::{
-    Instance, InstanceState, LayerRange, Pool, Release, Route, RouteKind, Split,
-};
-use deckwind_testkit::fan_out::{Carried, FanOut};
+use deckwind_testkit::fan_out::{Carried, FanOut, engine, release};
 use std::time::Duration;
 
 /// Link of a control VM, Mbit/s.
@@ -16,57 +13,6 @@
 /// Length of each run, seconds.
 const SECONDS: u32 = 5;
 
-fn route(i: u64, version: u64) -> Route {
-    Route {
-        name: format!("route-{i}"),
-        host: format!("host-{}.example", i % 40),
-        path_prefix: format!("/path-{:x}", i * 0x9e37_79b9),
-        kind: RouteKind::Repeatable,
-        split: vec![Split {
-            pool: "p".to_string(),
-            weight: 1.0,
-        }],
-        timeout_ms: 1_000 + if i == 0 { version } else { 0 },
-        objective_ms: 100,
-        pause_ms: None,
-        priority: 1,
-        attempts: 2,
-        open: true,
-    }
-}
-
-fn release(version: u64, routes: u64) -> Release {
-    Release {
-        version,
-        routes: (0..routes).map(|i| route(i, version)).collect(),
-        pools: vec![Pool {
-            name: "p".to_string(),
-            max_connections: 10,
-            engine: None,
-        }],
-        ..Release::default()
-    }
-}
-
-fn instance(number: u64) -> Instance {
-    let layers = 1 + number as u32 % 80;
-    Instance {
-        id: format!("engine-{}", number % 218),
-        pool: "p".to_string(),
-        address: ([127, 0, 1, 1], (number % 218) as u16 + 1).into(),
-        data_centre: "a".into(),
-        slots: 192,
-        state: InstanceState::Ready,
-        accelerator: Some("fast".to_string()),
-        layers: LayerRange {
-            first: 0,
-            last: layers,
-        },
-        in_memory: layers,
-        announced: number + 1,
-    }
-}
-
 fn print(what: &str, routers: usize, carried: Carried) {
     let bytes = carried.bytes as f64 / f64::from(SECONDS);
     println!(
@@ -107,7 +53,8 @@
     println!("{:>34} in force in {:.0} ms", "", took.as_secs_f64() * 1e3);
 
     for i in 0..20 * u64::from(SECONDS) {
-        load.announce(instance(i));
+        let (number, layers) = ((i % 218) as u16, 1 + i as u32 % 80);
+        load.announce(engine(number, layers, i + 1));
         if i % 7 == 0 {
             load.publish(release(51 + i, 1_640));
         }
--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -11,7 +11,10 @@
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
 use deckwind_core::replication::{ReplicaConfig, ReplicaId};
 use deckwind_core::routing::paths::Held;
-use deckwind_core::state::{Holder, Instance, Published, Release, Revision};
+use deckwind_core::state::{
+    Holder, Instance, InstanceState, LayerRange, Pool, Published, Release, Revision, Route,
+    RouteKind, Split,
+};
 use deckwind_core::time::Instant;
 use deckwind_store::{MemoryDisk, Store};
 use deckwind_wire::encode;
@@ -32,6 +35,9 @@
 /// Bytes of a message that go into one packet.
 const PACKET: usize = 1_200;
 
+/// The pool of all routes and engines.
+const POOL: &str = "p";
+
 /// Length of a lease.
 const LEASE: Duration = Duration::from_millis(2_800);
 
@@ -303,3 +309,50 @@
         self.on_the_way.insert((at, self.next_number), arrival);
     }
 }
+
+/// A release with so many routes, of which one differs in every version.
+pub fn release(version: u64, routes: u64) -> Release {
+    let route = |i: u64| Route {
+        name: format!("route-{i}"),
+        host: format!("host-{}.example", i % 40),
+        path_prefix: format!("/path-{:x}", i * 0x9e37_79b9),
+        kind: RouteKind::Repeatable,
+        split: vec![Split {
+            pool: POOL.to_string(),
+            weight: 1.0,
+        }],
+        timeout_ms: 1_000 + if i == 0 { version } else { 0 },
+        objective_ms: 100,
+        pause_ms: None,
+        priority: 1,
+        attempts: 2,
+        open: true,
+    };
+    Release {
+        version,
+        routes: (0..routes).map(route).collect(),
+        pools: vec![Pool {
+            name: POOL.to_string(),
+            max_connections: 10,
+            engine: None,
+        }],
+        ..Release::default()
+    }
+}
+
+/// An engine that announces itself for the `announced`th time, with its first
+/// `layers` layers.
+pub fn engine(number: u16, layers: u32, announced: u64) -> Instance {
+    Instance {
+        id: format!("engine-{number}"),
+        pool: POOL.to_string(),
+        address: ([127, 0, 1, 1], number + 1).into(),
+        data_centre: "a".into(),
+        slots: 192,
+        state: InstanceState::Ready,
+        accelerator: Some("fast".to_string()),
+        layers: LayerRange::new(0, layers),
+        in_memory: layers,
+        announced,
+    }
+}
--- a/crates/deckwind-testkit/tests/testsuite/fan_out.rs
+++ b/crates/deckwind-testkit/tests/testsuite/fan_out.rs
@@ -1,10 +1,7 @@
 //! What hundreds of routers cost the leader's link, in virtual time: no change,
 //! however large or frequent, makes a queue there or costs a router its lease.
 
-use deckwind_core::state::{
-    Instance, InstanceState, LayerRange, Pool, Release, Route, RouteKind, Split,
-};
-use deckwind_testkit::fan_out::FanOut;
+use deckwind_testkit::fan_out::{FanOut, engine, release};
 use std::time::Duration;
 use yare::parameterized;
 
@@ -15,54 +12,6 @@
 /// beside a round trip comes late.
 const MOST_QUEUE: Duration = Duration::from_millis(60);
 
-fn release(version: u64, routes: u64) -> Release {
-    let route = |i: u64| Route {
-        name: format!("route-{i}"),
-        host: format!("host-{}.example", i % 40),
-        path_prefix: format!("/path-{:x}", i * 0x9e37_79b9),
-        kind: RouteKind::Repeatable,
-        split: vec![Split {
-            pool: "p".to_string(),
-            weight: 1.0,
-        }],
-        // One of them changes with every version.
-        timeout_ms: 1_000 + if i == 0 { version } else { 0 },
-        objective_ms: 100,
-        pause_ms: None,
-        priority: 1,
-        attempts: 2,
-        open: true,
-    };
-    Release {
-        version,
-        routes: (0..routes).map(route).collect(),
-        pools: vec![Pool {
-            name: "p".to_string(),
-            max_connections: 10,
-            engine: None,
-        }],
-        ..Release::default()
-    }
-}
-
-fn instance(number: u16, layers: u32, announced: u64) -> Instance {
-    Instance {
-        id: format!("engine-{number}"),
-        pool: "p".to_string(),
-        address: ([127, 0, 1, 1], number + 1).into(),
-        data_centre: "a".into(),
-        slots: 192,
-        state: InstanceState::Ready,
-        accelerator: Some("fast".to_string()),
-        layers: LayerRange {
-            first: 0,
-            last: layers,
-        },
-        in_memory: layers,
-        announced,
-    }
-}
-
 #[parameterized(
     fifty = { 50 },
     two_hundred = { 195 },
@@ -92,7 +41,7 @@
     fan_out.take_carried();
     let mut version = 1;
     for tick in 0..100u64 {
-        fan_out.announce(instance((tick % 218) as u16, 1 + tick as u32, tick + 1));
+        fan_out.announce(engine((tick % 218) as u16, 1 + tick as u32, tick + 1));
         if tick % 7 == 0 {
             version += 1;
             fan_out.publish(release(version, 1_640));
@@ -129,12 +78,12 @@
 fn all_routers_that_start_at_once_soon_have_everything(routers: usize, most_ms: u64) {
     let mut fan_out = FanOut::new(routers, 0, LINK_MBPS).unwrap();
     fan_out.publish(release(1, 1_640));
-    (0..273).for_each(|i| fan_out.announce(instance(i, 4, 1)));
+    (0..273).for_each(|i| fan_out.announce(engine(i, 4, 1)));
     fan_out.run_until_applied(Duration::from_secs(2)).unwrap();
     fan_out.restart_routers();
     let mut took = Duration::ZERO;
     for i in 0..40 {
-        fan_out.announce(instance(i, 5, 2));
+        fan_out.announce(engine(i, 5, 2));
         fan_out.run_for(Duration::from_millis(50)).unwrap();
         took += Duration::from_millis(50);
         if fan_out.releases().count() == routers {
