--- a/crates/deckwind-testkit/examples/fan_out.rs
+++ b/crates/deckwind-testkit/examples/fan_out.rs
@@ -61,6 +61,19 @@
         load.run_for(second / 20)?;
     }
     print("load, storm on 1,640 routes", routers, load.take_carried());
+
+    (0..273).for_each(|i| idle.announce(engine(i, 4, 1)));
+    idle.publish(release(2, 1_640));
+    idle.run_until_applied(second)?;
+    idle.take_carried();
+    idle.restart_routers();
+    let took = idle.run_until_applied(10 * second)?;
+    print("all routers start at once", routers, idle.take_carried());
+    println!(
+        "{:>34} all applied in {:.0} ms",
+        "",
+        took.as_secs_f64() * 1e3
+    );
     Ok(())
 }
 
