--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -6,14 +6,15 @@
 
 use anyhow::{Context, Result, ensure};
 use deckwind_core::control::{
-    ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineUse, OperatorRequest, Renewal,
+    ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineUse, OperatorRequest,
+    PlaceOrder, Renewal,
 };
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
 use deckwind_core::replication::{ReplicaConfig, ReplicaId};
 use deckwind_core::routing::paths::Held;
 use deckwind_core::state::{
-    Holder, Instance, InstanceState, LayerRange, Pool, Published, Release, Revision, Route,
-    RouteKind, Split,
+    AcceleratorKind, EngineModel, Holder, Instance, InstanceState, LayerRange, Pool, Published,
+    Release, Revision, Route, RouteKind, Split,
 };
 use deckwind_core::time::Instant;
 use deckwind_store::{MemoryDisk, Store};
@@ -38,6 +39,9 @@
 /// The pool of all routes and engines.
 const POOL: &str = "p";
 
+/// Time in which an engine loads layers.
+const LOADS_IN: Duration = Duration::from_millis(30);
+
 /// Length of a lease.
 const LEASE: Duration = Duration::from_millis(2_800);
 
@@ -58,6 +62,8 @@
 enum Arrival {
     Asked(usize, Box<Renewal>),
     Answered(usize, Box<ControlReply>),
+    /// An engine has carried out an order.
+    Placed(PlaceOrder),
 }
 
 /// What the leader's link has carried.
@@ -71,6 +77,11 @@
     pub longest_queue: Duration,
     /// Leases that ran out.
     pub leases_lost: u64,
+    /// Time that the leader worked, by this machine's clock.
+    pub worked: Duration,
+    /// The longest of its batches, by this machine's clock: what a heartbeat
+    /// may wait for.
+    pub longest_batch: Duration,
 }
 
 /// The leader and its routers.
@@ -180,6 +191,18 @@
         cfgs.filter_map(|cfg| cfg.release().map(|r| &**r))
     }
 
+    /// Layers that the engine holds as agreed.
+    pub fn held_by(&self, id: &str) -> LayerRange {
+        let instances = self.node.core().machine().configuration().instances();
+        instances.get(id).map(|i| i.layers).unwrap_or_default()
+    }
+
+    /// Engines that hold layers.
+    pub fn holding(&self) -> usize {
+        let instances = self.node.core().machine().configuration().instances();
+        instances.iter().filter(|i| !i.layers.is_empty()).count()
+    }
+
     /// Runs until all routers have applied what is agreed; the time it took.
     pub fn run_until_applied(&mut self, most: Duration) -> Result<Duration> {
         let begun = self.now;
@@ -210,6 +233,10 @@
             match entry.remove() {
                 Arrival::Asked(router, renewal) => batch.push(self.request(router, *renewal)),
                 Arrival::Answered(router, reply) => self.take_answer(router, *reply)?,
+                Arrival::Placed(order) => batch.push(ControlEvent::Placed {
+                    id: order.id,
+                    held: Some(order.layers),
+                }),
             }
         }
         let mut effects = Vec::new();
@@ -217,10 +244,16 @@
             at: self.now,
             wall_ms: self.now.since(self.start).as_millis() as u64,
         };
+        let begun = std::time::Instant::now();
         self.node.take(now, batch, &mut effects)?;
+        let took = begun.elapsed();
+        self.carried.worked += took;
+        self.carried.longest_batch = self.carried.longest_batch.max(took);
         for effect in effects {
-            if let Effect::Reply(token, reply) = effect {
-                self.send_answer(token, reply)?;
+            match effect {
+                Effect::Reply(token, reply) => self.send_answer(token, reply)?,
+                Effect::Place(order) => self.put(self.now + LOADS_IN, Arrival::Placed(order)),
+                _ => {}
             }
         }
         for router in 0..self.routers.len() {
@@ -356,3 +389,57 @@
         announced,
     }
 }
+
+/// Kinds of accelerators: name, memory in MB, how many times slower a step is,
+/// and how many of a hundred engines have one.
+const KINDS: [(&str, f64, f64, usize); 3] = [
+    ("large", 72_000.0, 2.4, 10),
+    ("small", 14_400.0, 5.3, 52),
+    ("slow", 21_600.0, 16.0, 38),
+];
+
+/// Data centres of the fleet.
+const CENTRES: [&str; 3] = ["a", "b", "c"];
+
+/// A release whose pool is one of engines of three kinds that hold 80 layers.
+pub fn engine_release(version: u64, routes: u64) -> Release {
+    let kind = |(name, memory_mb, step_factor, _): &(&str, f64, f64, usize)| AcceleratorKind {
+        name: name.to_string(),
+        memory_mb: *memory_mb,
+        step_factor: *step_factor,
+        read_factor: *step_factor,
+    };
+    let mut release = release(version, routes);
+    release.pools[0].engine = Some(EngineModel {
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 459_000.0,
+        max_tokens: 100_000,
+        slots: 192,
+        step_ms: 1.02,
+        load_ms: 14_000.0,
+        loads_at_once: 6,
+        usual_prompt: 772,
+        usual_answer: 154,
+        kinds: KINDS.iter().map(kind).collect(),
+    });
+    release
+}
+
+/// Empty engines of three kinds, spread over three data centres.
+pub fn engine_fleet(count: usize) -> Vec<Instance> {
+    let of = |i: usize| {
+        let mut one = engine(i as u16, 0, 1);
+        let hundredth = i / CENTRES.len() % 100;
+        let mut upto = 0;
+        let kind = KINDS.iter().find(|k| {
+            upto += k.3;
+            hundredth < upto
+        });
+        one.id = format!("engine-{:08x}", (i as u32).wrapping_mul(0x9e37_79b9));
+        one.accelerator = kind.map(|k| k.0.to_string());
+        one.data_centre = CENTRES[i % CENTRES.len()].into();
+        one
+    };
+    (0..count).map(of).collect()
+}
