What is in force is worked out once for all who wait; an entry looks once at all instances

Cause: of the 792 ms a second that 3,000 first announcements took the leader, a fifth was spent in comparing each waiting acknowledgement with each lease, and more in looking for other lives at an address once for each announcement. Change: the oldest revision of all leases once, and one pass over the instances for all changes of an entry; changes of an entry still count in their order. Tests: announcements::an_old_life_that_is_heard_just_after_the_new_one_does_not_end_it and published::* hold the order.

--- a/crates/deckwind-core/src/control/upkeep.rs
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -17,16 +17,16 @@
         }
     }
 
-    fn is_in_force(&self, now: Instant, revision: Revision) -> bool {
-        let leases = self.leading.as_ref().map(|l| &l.leases);
-        leases.is_some_and(|l| l.is_in_force(now, revision))
-    }
-
     /// Answers operators whose change is in force, or who have waited enough.
     pub(super) fn check_force(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
-        let waits = std::mem::take(&mut self.force_waits);
-        for wait in waits {
-            if now < wait.until && !self.is_in_force(now, wait.revision) {
+        if self.force_waits.is_empty() {
+            return;
+        }
+        let leases = self.leading.as_ref().map(|l| &l.leases);
+        let through = leases.and_then(|l| l.in_force_through(now));
+        for wait in std::mem::take(&mut self.force_waits) {
+            let is_in_force = through.is_some_and(|t| wait.revision <= t);
+            if now < wait.until && !is_in_force {
                 self.force_waits.push(wait);
                 continue;
             }
--- a/crates/deckwind-core/src/membership/lease_table.rs
+++ b/crates/deckwind-core/src/membership/lease_table.rs
@@ -121,11 +121,16 @@
         self.routers.iter()
     }
 
-    /// Whether `revision` is in force on every router. Cheap: it is asked with
-    /// every renewal for every change that someone waits for.
-    pub fn is_in_force(&self, now: Instant, revision: Revision) -> bool {
-        let lags = |l: &RouterLease| l.until > now && l.applied < revision;
-        now >= self.since + self.timing.with_drift() && !self.routers.values().any(lags)
+    /// The revision that is in force on every router: asked once for all who
+    /// wait, since it looks at each lease. Nothing while leases that the leader
+    /// does not know may still be live; with no router at all, every revision.
+    pub fn in_force_through(&self, now: Instant) -> Option<Revision> {
+        if now < self.since + self.timing.with_drift() {
+            return None;
+        }
+        let live = self.routers.values().filter(|l| l.until > now);
+        let oldest = live.map(|l| l.applied).min();
+        Some(oldest.unwrap_or(Revision::MAX))
     }
 
     /// Whether `revision` is in force on every router, and if not, where it is
--- a/crates/deckwind-core/src/state/configuration.rs
+++ b/crates/deckwind-core/src/state/configuration.rs
@@ -247,9 +247,7 @@
     /// Writes changes of instances as one revision.
     pub(super) fn change_instances(&mut self, changes: Vec<InstanceChange>) -> Revision {
         self.revision = self.revision.next();
-        for change in changes {
-            self.instances.apply(change, self.revision);
-        }
+        self.instances.apply(changes, self.revision);
         self.revision
     }
 
--- a/crates/deckwind-core/src/state/instances.rs
+++ b/crates/deckwind-core/src/state/instances.rs
@@ -109,52 +109,95 @@
         self.0.get(id).is_some_and(|v| v.value.is_none())
     }
 
-    /// Applies a change as a revision. Another life at the same address is over.
-    pub(super) fn apply(&mut self, change: InstanceChange, revision: Revision) {
-        match change {
-            InstanceChange::Left(id) => self.write(id, None, revision),
-            InstanceChange::Announced {
-                instance,
-                keep_layers,
-            } => self.announced(instance, keep_layers, revision),
-            InstanceChange::Holds {
-                id,
-                layers,
-                in_memory,
-            } => self.alter(&id, revision, |i| {
-                i.layers = layers;
-                i.in_memory = in_memory;
-            }),
-            InstanceChange::Silent(id) => self.alter(&id, revision, |i| {
-                if i.state == InstanceState::Ready {
-                    i.state = InstanceState::Silent;
+    /// Applies changes, in their order, as one revision. Another life at the
+    /// address of one that announced itself is over.
+    pub(super) fn apply(&mut self, changes: Vec<InstanceChange>, revision: Revision) {
+        let mut lives = self.lives_at_addresses_of(&changes);
+        for change in changes {
+            match change {
+                InstanceChange::Left(id) => self.write(id, None, revision),
+                InstanceChange::Announced {
+                    instance,
+                    keep_layers,
+                } => {
+                    let (id, address) = (instance.id.clone(), instance.address);
+                    if self.announced(instance, keep_layers, revision) {
+                        let lives = lives.entry(address).or_default();
+                        self.end_other_lives(lives, &id, address, revision);
+                        lives.push(id);
+                    }
                 }
-            }),
+                InstanceChange::Holds {
+                    id,
+                    layers,
+                    in_memory,
+                } => self.alter(&id, revision, |i| {
+                    i.layers = layers;
+                    i.in_memory = in_memory;
+                }),
+                InstanceChange::Silent(id) => self.alter(&id, revision, |i| {
+                    if i.state == InstanceState::Ready {
+                        i.state = InstanceState::Silent;
+                    }
+                }),
+            }
         }
         self.forget_oldest();
     }
 
-    fn announced(&mut self, mut instance: Instance, keep_layers: bool, revision: Revision) {
+    /// Who is at the addresses that are announced: one look at all instances for
+    /// all changes of an entry.
+    fn lives_at_addresses_of(
+        &self,
+        changes: &[InstanceChange],
+    ) -> BTreeMap<SocketAddr, Vec<InstanceId>> {
+        let address = |c: &InstanceChange| match c {
+            InstanceChange::Announced { instance, .. } => Some((instance.address, Vec::new())),
+            _ => None,
+        };
+        let mut lives: BTreeMap<_, _> = changes.iter().filter_map(address).collect();
+        if lives.is_empty() {
+            return lives;
+        }
+        for i in self.iter() {
+            if let Some(ids) = lives.get_mut(&i.address) {
+                ids.push(i.id.clone());
+            }
+        }
+        lives
+    }
+
+    fn end_other_lives(
+        &mut self,
+        lives: &mut Vec<InstanceId>,
+        id: &str,
+        address: SocketAddr,
+        revision: Revision,
+    ) {
+        for other in lives.drain(..).filter(|other| other != id) {
+            let is_there = self.get(&other).is_some_and(|o| o.address == address);
+            if is_there {
+                self.write(other, None, revision);
+            }
+        }
+    }
+
+    /// Takes an announcement; false if a newer one is known, or it has left.
+    fn announced(&mut self, mut instance: Instance, keep_layers: bool, revision: Revision) -> bool {
         if self.has_left(&instance.id) {
-            return;
+            return false;
         }
         if let Some(known) = self.get(&instance.id) {
             if known.announced > instance.announced {
-                return;
+                return false;
             }
             if keep_layers {
                 instance.layers = known.layers;
                 instance.in_memory = known.in_memory;
             }
         }
-        let same_address = |o: &&Instance| o.address == instance.address;
-        let others = self.iter().filter(same_address);
-        let others = others.filter(|o| o.id != instance.id);
-        let over: Vec<InstanceId> = others.map(|o| o.id.clone()).collect();
-        for id in over {
-            self.write(id, None, revision);
-        }
         self.write(instance.id.clone(), Some(instance), revision);
+        true
     }
 
     fn alter(&mut self, id: &str, revision: Revision, change: impl FnOnce(&mut Instance)) {
--- a/crates/deckwind-core/src/state/names.rs
+++ b/crates/deckwind-core/src/state/names.rs
@@ -73,6 +73,9 @@
     /// Before the first change.
     pub const ZERO: Revision = Revision(0);
 
+    /// Above every revision.
+    pub const MAX: Revision = Revision(u64::MAX);
+
     /// The revision after this one.
     pub fn next(self) -> Revision {
         Revision(self.0 + 1)
