Routers compare targets by id, not in pairs

Cause: at 3,000 targets each change of one made a router compare all that it knew with all that it was told, 9 million pairs: router processor 15.5% of its share in the middle at 300 own machines and 3,000 targets, 5% at 30 and 100. Change: one look-up a target. Ruled out for the recovery after a full stop: routers' memory (7 MB).

--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -25,11 +25,11 @@
     InstanceIndex, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits, RouterCount, TargetBook,
     TargetFault,
 };
-use deckwind_core::state::{Configuration, Revision, Route, RouteKind};
+use deckwind_core::state::{Configuration, Instance, Revision, Route, RouteKind};
 use deckwind_core::time::Instant;
 use deckwind_net::targets::KeptConnections;
 use stalls::StallWatch;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -269,8 +269,11 @@
 
 /// A line for each target of which this router now believes something else.
 fn note_targets(before: &InstanceIndex, now: &InstanceIndex, revision: Revision) {
+    // By id: compared in pairs, 3,000 targets took a router with 0.12 of a core
+    // most of a second for each change.
+    let known: HashMap<&str, &Instance> = before.iter().map(|i| (i.id.as_str(), i)).collect();
     for i in now.iter() {
-        let known = before.of_pool(&i.pool).iter().find(|o| o.id == i.id);
+        let known = known.get(i.id.as_str());
         if known.is_some_and(|o| o.state == i.state && o.layers == i.layers) {
             continue;
         }
@@ -284,14 +287,12 @@
             i.layers.last
         );
     }
-    for gone in before.iter() {
-        let there = now.of_pool(&gone.pool).iter().any(|i| i.id == gone.id);
-        if !there {
-            log::info!(
-                "event=target_gone target={} instance={} revision={revision}",
-                gone.address,
-                gone.id
-            );
-        }
+    let there: HashSet<&str> = now.iter().map(|i| i.id.as_str()).collect();
+    for gone in before.iter().filter(|i| !there.contains(i.id.as_str())) {
+        log::info!(
+            "event=target_gone target={} instance={} revision={revision}",
+            gone.address,
+            gone.id
+        );
     }
 }
