--- a/crates/deckwind-testkit/examples/placement_room.rs
+++ b/crates/deckwind-testkit/examples/placement_room.rs
@@ -78,5 +78,14 @@
             mean(&all, |r| r.empty as f64) * 1e3,
             orders / 8
         );
+        let mut placing = Placing::new(mix);
+        placing.run_for(STARTS_IN);
+        let rooms =
+            placing.replace_in_turn(placing.ready().len() * 3 / 10, Duration::from_millis(500));
+        println!(
+            "    replaced in turn: {:>5.0} {:>5.0}",
+            mean(&rooms, |r| r.narrowest),
+            mean(&rooms, |r| r.mean)
+        );
     }
 }
--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -4,6 +4,7 @@
 //! flight each. Every answer goes through the leader's link, byte by byte, so
 //! what a change costs there and how long the queue grows can be told.
 
+use crate::placing::model_over;
 use anyhow::{Context, Result, ensure};
 use deckwind_core::control::{
     ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineUse, OperatorRequest,
@@ -13,8 +14,8 @@
 use deckwind_core::replication::{ReplicaConfig, ReplicaId};
 use deckwind_core::routing::paths::Held;
 use deckwind_core::state::{
-    AcceleratorKind, EngineModel, Holder, Instance, InstanceState, LayerRange, Pool, Published,
-    Release, Revision, Route, RouteKind, Split,
+    Holder, Instance, InstanceState, LayerRange, Pool, Published, Release, Revision, Route,
+    RouteKind, Split,
 };
 use deckwind_core::time::Instant;
 use deckwind_store::{MemoryDisk, Store};
@@ -410,26 +411,9 @@
 
 /// A release whose pool is one of engines of three kinds that hold 80 layers.
 pub fn engine_release(version: u64, routes: u64) -> Release {
-    let kind = |(name, memory_mb, step_factor, _): &(&str, f64, f64, usize)| AcceleratorKind {
-        name: name.to_string(),
-        memory_mb: *memory_mb,
-        step_factor: *step_factor,
-        read_factor: *step_factor,
-    };
+    let kinds = KINDS.map(|(name, memory_mb, step_factor, _)| (name, memory_mb, step_factor));
     let mut release = release(version, routes);
-    release.pools[0].engine = Some(EngineModel {
-        layers: 80,
-        layer_mb: 1_750.0,
-        token_bytes: 459_000.0,
-        max_tokens: 100_000,
-        slots: 192,
-        step_ms: 1.02,
-        load_ms: 14_000.0,
-        loads_at_once: 6,
-        usual_prompt: 772,
-        usual_answer: 154,
-        kinds: KINDS.iter().map(kind).collect(),
-    });
+    release.pools[0].engine = Some(model_over(&kinds));
     release
 }
 
--- a/crates/deckwind-testkit/src/lab.rs
+++ b/crates/deckwind-testkit/src/lab.rs
@@ -1,16 +1,8 @@
 //! Control replicas in virtual time: the real core and store, on disks in
 //! memory, over a network that loses, doubles, delays and cuts.
 //!
-//! Every run repeats by its seed. After each step the invariants are checked:
-//!
-//! 1. at most one leader a term;
-//! 2. at most one replica may answer at a time;
-//! 3. committed entries are the same everywhere, and stay;
-//! 4. whoever may answer knows every change that was accepted;
-//! 5. when an operator was told "in force", no router that may serve is older;
-//! 6. a claimed key runs at most once;
-//! 7. no target gets an older leader's order after a newer one's, also where it
-//!    does not check fences.
+//! Every run repeats by its seed. After each step the invariants of `lab_checks`
+//! are checked.
 
 use crate::lab_routers::LabRouter;
 use deckwind_core::control::{
@@ -61,13 +53,13 @@
 }
 
 /// A control VM.
-struct LabNode {
+pub(crate) struct LabNode {
     disk: MemoryDisk,
-    node: Option<ControlNode>,
+    pub(crate) node: Option<ControlNode>,
     frozen: bool,
     inbox: Vec<ControlEvent>,
     /// Entries whose agreement was checked.
-    checked: Index,
+    pub(crate) checked: Index,
     /// Its clock runs this much faster, parts in 1,000.
     fast_per_mille: i64,
 }
@@ -111,10 +103,10 @@
 
 /// The laboratory.
 pub struct Lab {
-    now: Instant,
+    pub(crate) now: Instant,
     rng: StdRng,
     faults: NetFaults,
-    nodes: Vec<LabNode>,
+    pub(crate) nodes: Vec<LabNode>,
     /// Routers; see [`LabRouter`].
     pub routers: Vec<LabRouter>,
     cut: BTreeSet<(u32, u32)>,
@@ -122,9 +114,9 @@
     sequence: u64,
     asked: BTreeMap<u64, Asked>,
     next_token: u64,
-    leaders: BTreeMap<Term, ReplicaId>,
-    committed: BTreeMap<Index, Entry>,
-    accepted: Revision,
+    pub(crate) leaders: BTreeMap<Term, ReplicaId>,
+    pub(crate) committed: BTreeMap<Index, Entry>,
+    pub(crate) accepted: Revision,
     ordered: BTreeMap<TargetName, Term>,
     /// Operators' replies, by request id.
     pub replies: BTreeMap<String, Vec<OperatorReply>>,
@@ -280,7 +272,7 @@
         (0..self.nodes.len()).find(|slot| self.may_answer(*slot))
     }
 
-    fn may_answer(&self, slot: usize) -> bool {
+    pub(crate) fn may_answer(&self, slot: usize) -> bool {
         let node = self.nodes[slot].node.as_ref();
         node.is_some_and(|n| n.core().replica().may_answer(self.local(slot).at))
     }
@@ -495,18 +487,6 @@
         self.replies.entry(id.to_string()).or_default().push(reply);
     }
 
-    fn check_in_force(&self, revision: Revision) {
-        for router in &self.routers {
-            let serves = router.serves(self.now);
-            assert!(
-                !serves || router.applied() >= revision,
-                "revision {revision} was called in force, router {} serves {}",
-                router.name(),
-                router.applied()
-            );
-        }
-    }
-
     fn fly(&mut self, flying: Flying) {
         if self.rng.random_range(0..1_000) < self.faults.lost {
             return;
@@ -542,66 +522,4 @@
             self.fly(Flying::Ask(slot, token, request));
         }
     }
-
-    fn check(&mut self) {
-        let answering: Vec<usize> = (0..self.nodes.len())
-            .filter(|s| self.may_answer(*s))
-            .collect();
-        assert!(
-            answering.len() <= 1,
-            "two replicas may answer: {answering:?}"
-        );
-        for slot in 0..self.nodes.len() {
-            self.check_leader(slot);
-            self.check_committed(slot);
-        }
-        if let Some(slot) = answering.first() {
-            self.check_knows_accepted(*slot);
-        }
-    }
-
-    fn check_leader(&mut self, slot: usize) {
-        let Some(node) = &self.nodes[slot].node else {
-            return;
-        };
-        let replica = node.core().replica();
-        if replica.leading_since().is_some() {
-            let first = *self.leaders.entry(replica.term()).or_insert(replica.id());
-            assert_eq!(
-                first,
-                replica.id(),
-                "two leaders in term {:?}",
-                replica.term()
-            );
-        }
-    }
-
-    fn check_committed(&mut self, slot: usize) {
-        let Some(node) = &self.nodes[slot].node else {
-            return;
-        };
-        let replica = node.core().replica();
-        let from = self.nodes[slot]
-            .checked
-            .next()
-            .max(replica.log().base().index.next());
-        for entry in replica.log().range(from, replica.commit()) {
-            let first = self
-                .committed
-                .entry(entry.at.index)
-                .or_insert_with(|| entry.clone());
-            assert_eq!(first, entry, "slot {slot} committed another entry");
-        }
-        self.nodes[slot].checked = replica.commit();
-    }
-
-    fn check_knows_accepted(&self, slot: usize) {
-        let node = self.nodes[slot].node.as_ref().expect("it answers");
-        let revision = node.core().machine().configuration().revision();
-        assert!(
-            revision >= self.accepted,
-            "slot {slot} answers at revision {revision}, accepted was {}",
-            self.accepted
-        );
-    }
 }
--- a/crates/deckwind-testkit/src/lib.rs
+++ b/crates/deckwind-testkit/src/lib.rs
@@ -8,6 +8,7 @@
 mod cluster;
 pub mod fan_out;
 mod lab;
+mod lab_checks;
 mod lab_routers;
 mod layout;
 mod objects;
--- a/crates/deckwind-testkit/src/placing.rs
+++ b/crates/deckwind-testkit/src/placing.rs
@@ -29,6 +29,30 @@
     ("weak", 14_400.0, 15.0),
 ];
 
+/// A model of 80 layers over accelerators of these kinds: name, memory in MB, how
+/// many times slower a step and reading are than on the reference.
+pub fn model_over(kinds: &[(&str, f64, f64)]) -> EngineModel {
+    let kind = |(name, memory_mb, step_factor): &(&str, f64, f64)| AcceleratorKind {
+        name: name.to_string(),
+        memory_mb: *memory_mb,
+        step_factor: *step_factor,
+        read_factor: *step_factor,
+    };
+    EngineModel {
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 459_000.0,
+        max_tokens: 100_000,
+        slots: 192,
+        step_ms: 0.85,
+        load_ms: 14_000.0,
+        loads_at_once: 6,
+        usual_prompt: 772,
+        usual_answer: 154,
+        kinds: kinds.iter().map(kind).collect(),
+    }
+}
+
 /// Engines of each kind in each data centre, in the order of [`KINDS`].
 pub type Mix = [[usize; 5]];
 
@@ -58,24 +82,9 @@
 
 /// A model of 80 layers over the accelerators.
 pub fn model() -> EngineModel {
-    let kind = |(name, memory_mb, step_factor): &(&str, f64, f64)| AcceleratorKind {
-        name: name.to_string(),
-        memory_mb: *memory_mb,
-        step_factor: *step_factor,
-        read_factor: *step_factor,
-    };
     EngineModel {
-        layers: 80,
-        layer_mb: 1_750.0,
-        token_bytes: 459_000.0,
-        max_tokens: 100_000,
-        slots: 192,
         step_ms: 1.02,
-        load_ms: 14_000.0,
-        loads_at_once: 6,
-        usual_prompt: 772,
-        usual_answer: 154,
-        kinds: KINDS.iter().map(kind).collect(),
+        ..model_over(&KINDS)
     }
 }
 
@@ -165,6 +174,22 @@
         }
     }
 
+    /// So many engines, taken evenly from all, are replaced one after the other;
+    /// the rooms of each look.
+    pub fn replace_in_turn(&mut self, count: usize, gap: Duration) -> Vec<Room> {
+        let all = self.ready();
+        let every = all.len().div_ceil(count.max(1)).max(1);
+        let mut rooms = Vec::new();
+        for id in all.iter().step_by(every) {
+            let one = BTreeSet::from([id.clone()]);
+            self.lose(&one);
+            rooms.extend(self.run_for(gap / 2));
+            self.replace(&one);
+            rooms.extend(self.run_for(gap / 2));
+        }
+        rooms
+    }
+
     /// Lets time pass; the rooms of each look.
     pub fn run_for(&mut self, time: Duration) -> Vec<Room> {
         let until = self.now + time;
--- a/crates/deckwind-testkit/tests/testsuite/support.rs
+++ b/crates/deckwind-testkit/tests/testsuite/support.rs
@@ -1,7 +1,8 @@
 //! Engines of the sizes of today's deployments, for tests of placement and paths.
 
 use deckwind_core::routing::placement::{Card, Mend, plan_chain};
-use deckwind_core::state::{AcceleratorKind, EngineModel, Instance, InstanceState, LayerRange};
+use deckwind_core::state::{EngineModel, Instance, InstanceState, LayerRange};
+use deckwind_testkit::placing::model_over;
 use std::net::SocketAddr;
 
 const KINDS: [(&str, f64, f64); 3] = [
@@ -12,25 +13,7 @@
 
 /// A model of 80 layers over accelerators of three kinds.
 pub fn model() -> EngineModel {
-    let kind = |(name, memory_mb, step_factor): &(&str, f64, f64)| AcceleratorKind {
-        name: name.to_string(),
-        memory_mb: *memory_mb,
-        step_factor: *step_factor,
-        read_factor: *step_factor,
-    };
-    EngineModel {
-        layers: 80,
-        layer_mb: 1_750.0,
-        token_bytes: 459_000.0,
-        max_tokens: 100_000,
-        slots: 192,
-        step_ms: 0.85,
-        load_ms: 14_000.0,
-        loads_at_once: 6,
-        usual_prompt: 772,
-        usual_answer: 154,
-        kinds: KINDS.iter().map(kind).collect(),
-    }
+    model_over(&KINDS)
 }
 
 /// Engines of one data centre that hold nothing: so many of each kind.
