--- a/crates/deckwindd/src/control/calls.rs
+++ b/crates/deckwindd/src/control/calls.rs
@@ -69,6 +69,7 @@
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(e) => {
+                    metrics::counter!("deckwind_control_accepts_failed_total").increment(1);
                     log::warn!("event=accept_failed address={address} error={e:?}");
                     tokio::time::sleep(Duration::from_millis(50)).await;
                     continue;
@@ -147,7 +148,11 @@
                 log::log!(level, "event=call_accepted path={path} revision={revision}");
                 respond(StatusCode::OK, Bytes::from_static(b"{}"))
             }
-            OperatorReply::Heard => respond(StatusCode::OK, self.dialect.heard_at(self.address)),
+            OperatorReply::Heard => {
+                // No line: each target comes once in its period.
+                metrics::counter!("deckwind_control_targets_heard_total").increment(1);
+                respond(StatusCode::OK, self.dialect.heard_at(self.address))
+            }
             OperatorReply::Rejected(rejection) => {
                 refuse(path, StatusCode::BAD_REQUEST, &rejection.to_string())
             }
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -178,6 +178,7 @@
             return;
         }
         self.role = role;
+        metrics::counter!("deckwind_control_role_changes_total").increment(1);
         log::info!(
             "event=role replica={} role={role} term={}",
             replica.id(),
