--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -170,6 +170,7 @@
                 self.propose(now, CommandBody::Publish(published), asker, out);
                 return;
             }
+            // Heard by every replica: above.
             OperatorRequest::Announce(_) => return,
             OperatorRequest::Leave(id) => {
                 self.left(now, token, id, out);
