--- a/crates/deckwind-core/src/routing/mod.rs
+++ b/crates/deckwind-core/src/routing/mod.rs
@@ -26,11 +26,13 @@
 mod policy;
 mod prefix;
 mod service;
+mod target_state;
 
 pub use bound::{BoundTarget, hardware_bound};
 pub use chain_search::{ChainNeed, PlannedStage, plan_names, search_chain};
-pub use fleet::{Fleet, GroupKey, LoadReport, TargetKey, TargetState};
+pub use fleet::{Fleet, GroupKey, TargetKey};
 pub use health::{Health, HealthState};
 pub use policy::{Estimated, FleetGate, LeastLoaded, PREFILL_COST, Policy, RoundRobin};
 pub use prefix::{PrefixHash, PrefixIndex, prefix_hashes};
 pub use service::choose_service;
+pub use target_state::{LoadReport, TargetState};
--- a/crates/deckwind-core/src/session/mod.rs
+++ b/crates/deckwind-core/src/session/mod.rs
@@ -21,12 +21,14 @@
 //! whatever comes late from an older attempt is dropped.
 
 mod chain;
+mod events;
 mod ledger;
 mod machine;
 
 pub use chain::{Chain, ChainError, Stage};
-pub use ledger::{Ledger, Verdict};
-pub use machine::{
-    Activation, EndReason, Session, SessionAction, SessionEvent, SessionLimits, StageFault,
-    StageKey, StepOrder, StepOutput, Token,
+pub use events::{
+    Activation, EndReason, SessionAction, SessionEvent, SessionLimits, StageFault, StageKey,
+    StepOrder, StepOutput, Token,
 };
+pub use ledger::{Ledger, Verdict};
+pub use machine::Session;
