--- a/crates/deckwind-core/src/control/announcements.rs
+++ b/crates/deckwind-core/src/control/announcements.rs
@@ -3,10 +3,13 @@
 use super::control_core::ControlCore;
 use super::event::ControlAction;
 use super::heard::{HeardTargets, News, news_of};
+use super::lives::doubted;
 use super::operator::OperatorReply;
 use super::pending::Asker;
 use crate::membership::InForce;
-use crate::state::{CommandBody, Instance, InstanceChange, InstanceId, InstanceState, LayerRange};
+use crate::state::{
+    CommandBody, Instance, InstanceChange, InstanceState, LayerRange, Life, Standing,
+};
 use crate::time::Instant;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,7 +20,7 @@
 
 /// Without an announcement for this long a target counts as silent: three of
 /// their periods (1.2 s).
-const SILENT_AFTER: Duration = Duration::from_millis(3_600);
+pub(super) const SILENT_AFTER: Duration = Duration::from_millis(3_600);
 
 /// Without an announcement for this long a target has left.
 const GONE_AFTER: Duration = Duration::from_secs(45);
@@ -61,7 +64,10 @@
             });
             return;
         }
-        if instance.state == InstanceState::Ready {
+        if let Some(fault) = self.fault_of(&instance) {
+            let reply = OperatorReply::NotTaken(fault);
+            out.push(ControlAction::OperatorReply { token, reply });
+        } else if instance.state == InstanceState::Ready {
             let news = news_of(&instance, self.machine.configuration().instances());
             self.heard.note(instance, news);
             let reply = OperatorReply::Heard;
@@ -120,8 +126,8 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        for (id, number) in &heard.same {
-            leading.heard.heard(now, id, *number);
+        for (life, number) in &heard.same {
+            leading.heard.heard(now, life, *number);
         }
         for instance in heard.changed {
             self.heard.note(instance, News::Changed);
@@ -133,27 +139,41 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        for (id, number) in &heard.same {
-            leading.heard.heard(now, id, *number);
+        for (life, number) in &heard.same {
+            leading.heard.heard(now, life, *number);
         }
         let agreed = self.machine.configuration().instances();
+        let there = agreed.lives_at_addresses_of(heard.changed.iter());
+        let since = self.replica.leading_since().unwrap_or(now);
         let mut changes = Vec::new();
         for mut instance in heard.changed {
-            let newest = leading.heard.heard(now, &instance.id, instance.announced);
+            let life = instance.life();
+            let newest = leading.heard.heard(now, &life, instance.announced);
             if !newest {
                 continue;
             }
-            let keep_layers = leading.placement.is_under_way(&instance.id);
-            if let Some(known) = agreed.get(&instance.id).filter(|_| keep_layers) {
+            let keep_layers = leading.placement.is_under_way(&life);
+            let known = agreed.get(&instance.id).filter(|i| i.born == instance.born);
+            if let Some(known) = known.filter(|_| keep_layers) {
                 instance.layers = known.layers;
                 instance.in_memory = known.in_memory;
             }
-            if news_of(&instance, agreed) == News::Changed {
-                changes.push(InstanceChange::Announced {
-                    instance,
-                    keep_layers,
-                });
+            if news_of(&instance, agreed) != News::Changed {
+                continue;
             }
+            let over = agreed.doubted_by(&instance, &there[&instance.address]);
+            let speaking = over
+                .iter()
+                .find(|l| !leading.is_silent(now, since, agreed, l));
+            if let Some(speaking) = speaking {
+                out.push(doubted(life, speaking));
+                continue;
+            }
+            changes.push(InstanceChange::Announced {
+                instance,
+                keep_layers,
+                over,
+            });
         }
         if !changes.is_empty() {
             self.propose(now, CommandBody::Instances(changes), Asker::Nobody, out);
@@ -175,31 +195,49 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let newest = leading.heard.heard(now, &instance.id, instance.announced);
-        let news = news_of(&instance, self.machine.configuration().instances());
-        if !newest || news != News::Changed {
+        let life = instance.life();
+        let newest = leading.heard.heard(now, &life, instance.announced);
+        let agreed = self.machine.configuration().instances();
+        if !newest || news_of(&instance, agreed) != News::Changed {
             self.acknowledge(token, out);
             return;
         }
-        let keep_layers = leading.placement.is_under_way(&instance.id);
+        let since = self.replica.leading_since().unwrap_or(now);
+        let there = agreed.lives_at_addresses_of([&instance].into_iter());
+        let over = agreed.doubted_by(&instance, &there[&instance.address]);
+        let speaking = over
+            .iter()
+            .find(|l| !leading.is_silent(now, since, agreed, l));
+        if let Some(speaking) = speaking {
+            out.push(doubted(life, speaking));
+            let reply = OperatorReply::Doubted;
+            out.push(ControlAction::OperatorReply { token, reply });
+            return;
+        }
+        let keep_layers = leading.placement.is_under_way(&life);
         let change = InstanceChange::Announced {
             instance,
             keep_layers,
+            over,
         };
         self.change_instances(now, token, change, out);
     }
 
-    /// A target has left.
+    /// A target has left. One that doesn't tell its start means the life that is
+    /// known. A life that is over changes nothing, and is told so.
     pub(super) fn left(
         &mut self,
         now: Instant,
         token: u64,
-        id: InstanceId,
+        mut life: Life,
         out: &mut Vec<ControlAction>,
     ) {
-        let known = self.machine.configuration().instances().get(&id).is_some();
-        if known {
-            self.change_instances(now, token, InstanceChange::Left(id), out);
+        let agreed = self.machine.configuration().instances();
+        let known = agreed.get(&life.id);
+        life.born = life.born.or(known.and_then(|i| i.born));
+        let ends = matches!(agreed.standing(&life), Standing::Known | Standing::Newer);
+        if known.is_some() && ends {
+            self.change_instances(now, token, InstanceChange::Left(life), out);
         } else {
             self.acknowledge(token, out);
         }
@@ -238,15 +276,14 @@
         leading.next_look = now + LOOK_EVERY;
         let since = self.replica.leading_since().unwrap_or(now);
         leading.heard.forget(now, GONE_AFTER);
-        let heard = &leading.heard;
-        let silence = |i: &Instance| now.since(heard.last(&i.id).unwrap_or(since));
+        let silence = |i: &Instance| leading.silence(now, since, &i.life());
         let instances = self.machine.configuration().instances();
         let mut changes = Vec::new();
         for i in instances.iter() {
             if silence(i) > GONE_AFTER {
-                changes.push(InstanceChange::Left(i.id.clone()));
+                changes.push(InstanceChange::Left(i.life()));
             } else if i.state == InstanceState::Ready && silence(i) > SILENT_AFTER {
-                changes.push(InstanceChange::Silent(i.id.clone()));
+                changes.push(InstanceChange::Silent(i.life()));
             }
         }
         if !changes.is_empty() {
@@ -282,54 +319,54 @@
         let instances = self.machine.configuration().instances();
         let named = instances.iter().filter(|i| failing.contains(&i.address));
         for i in named.filter(|i| i.state == InstanceState::Ready) {
-            let before = leading.checked.get(&i.id);
+            let life = i.life();
+            let before = leading.checked.get(&life);
             if before.is_some_and(|at| now.since(*at) < CHECK_EVERY) {
                 continue;
             }
-            leading.checked.insert(i.id.clone(), now);
-            out.push(ControlAction::Check {
-                id: i.id.clone(),
-                address: i.address,
-            });
+            leading.checked.insert(life.clone(), now);
+            let address = i.address;
+            out.push(ControlAction::Check { life, address });
         }
     }
 
     /// A target was asked whether it is there. One that is not counts as silent
-    /// until it announces itself again.
+    /// until it announces itself again. The answer says nothing of a life that
+    /// began meanwhile.
     pub(super) fn was_checked(
         &mut self,
         now: Instant,
-        id: InstanceId,
+        life: Life,
         there: bool,
         out: &mut Vec<ControlAction>,
     ) {
-        let known = self.machine.configuration().instances().get(&id);
-        let ready = known.is_some_and(|i| i.state == InstanceState::Ready);
+        let known = self.machine.configuration().instances().get(&life.id);
+        let ready = known.is_some_and(|i| i.born == life.born && i.state == InstanceState::Ready);
         if there || !ready || self.leading.is_none() {
             return;
         }
-        let body = CommandBody::Instances(vec![InstanceChange::Silent(id)]);
+        let body = CommandBody::Instances(vec![InstanceChange::Silent(life)]);
         self.propose(now, body, Asker::Nobody, out);
     }
 
     /// An order to place layers has ended; `held` is what the engine then held,
-    /// where that is known.
+    /// where that is known. It says nothing of a life that began meanwhile.
     pub(super) fn placed(
         &mut self,
         now: Instant,
-        id: &str,
+        life: &Life,
         held: Option<LayerRange>,
         out: &mut Vec<ControlAction>,
     ) {
         let Some(leading) = &mut self.leading else {
             return;
         };
-        leading.placement.ended(now, id, held.is_some());
+        leading.placement.ended(now, life, held.is_some());
         let Some(held) = held else {
             return;
         };
         let change = InstanceChange::Holds {
-            id: id.to_string(),
+            life: life.clone(),
             layers: held,
             in_memory: held.len(),
         };
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -19,7 +19,7 @@
     Action, Entry, Event, HardState, Index, Payload, Position, Replica, ReplicaConfig,
     SnapshotMeta, Stored, Term,
 };
-use crate::state::{Command, CommandBody, InstanceId, Reply, Revision, StateMachine, VmName};
+use crate::state::{Command, CommandBody, Life, Reply, Revision, StateMachine, VmName};
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
     /// When each target last failed a router.
     pub(super) failing: BTreeMap<SocketAddr, Instant>,
     /// When each target that routers call failing was last asked.
-    pub(super) checked: BTreeMap<InstanceId, Instant>,
+    pub(super) checked: BTreeMap<Life, Instant>,
     /// When silent targets are next looked for.
     pub(super) next_look: Instant,
     /// Changes that routers must not lack for long.
@@ -154,9 +154,9 @@
             ControlEvent::Replica(event) => self.feed(now, event, out),
             ControlEvent::Request { token, request } => self.request(now, token, request, out),
             ControlEvent::Operator { token, request } => self.operator(now, token, request, out),
-            ControlEvent::Checked { id, there } => self.was_checked(now, id, there, out),
+            ControlEvent::Checked { life, there } => self.was_checked(now, life, there, out),
             ControlEvent::Heard(heard) => self.take_heard(now, heard),
-            ControlEvent::Placed { id, held } => self.placed(now, &id, held, out),
+            ControlEvent::Placed { life, held } => self.placed(now, &life, held, out),
             ControlEvent::OrdersDone { target, taken } => {
                 if let Some(leading) = &mut self.leading {
                     leading.orders.finished(now, &target, taken);
@@ -362,6 +362,9 @@
             return None;
         };
         *urgency = (*urgency).max(Urgency::of(&command.body));
+        if self.note_ended_lives(&command.body, out) {
+            *urgency = Some(Urgency::Urgent);
+        }
         Some(self.machine.apply(command))
     }
 
--- a/crates/deckwind-core/src/control/event.rs
+++ b/crates/deckwind-core/src/control/event.rs
@@ -6,7 +6,7 @@
 use super::orders::OrderBatch;
 use super::placement_desk::PlaceOrder;
 use crate::replication::{Action, Entry, Event, SnapshotMeta};
-use crate::state::{ClaimLimits, InstanceId, LayerRange, TargetName};
+use crate::state::{ClaimLimits, LayerRange, Life, TargetName};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -80,17 +80,17 @@
     },
     /// A target was asked whether it is there.
     Checked {
-        /// The target.
-        id: InstanceId,
-        /// Whether it answered.
+        /// The life that was meant.
+        life: Life,
+        /// Whether it is there, as far as can be told.
         there: bool,
     },
     /// What another replica has heard of targets.
     Heard(HeardTargets),
     /// An order to place layers is over.
     Placed {
-        /// The engine.
-        id: InstanceId,
+        /// The life that the order was for.
+        life: Life,
         /// What it then held, where that is known.
         held: Option<LayerRange>,
     },
@@ -139,8 +139,8 @@
     /// Ask a target whether it is there, then report
     /// [`ControlEvent::Checked`].
     Check {
-        /// The target.
-        id: InstanceId,
+        /// The life that is meant.
+        life: Life,
         /// Where it is.
         address: SocketAddr,
     },
@@ -151,6 +151,8 @@
         /// Them.
         heard: HeardTargets,
     },
+    /// What the leader decided on a life of a target, for logs and counts.
+    NoteLife(LifeNote),
     /// Stop at once: what was agreed can't be read here. Going on would let this
     /// replica's state differ from the others'.
     Stop(Unreadable),
@@ -169,3 +171,22 @@
     #[error("the leader's snapshot is of another version; update this replica")]
     Snapshot,
 }
+
+/// What the leader decided on a life of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LifeNote {
+    /// A newer life of the same target has announced itself.
+    Ended {
+        /// The life that is over.
+        life: Life,
+        /// The newer one.
+        by: Life,
+    },
+    /// It told an earlier start than lives that still speak, and doesn't count.
+    Doubted {
+        /// It.
+        life: Life,
+        /// The first of them.
+        over: Life,
+    },
+}
--- a/crates/deckwind-core/src/control/heard.rs
+++ b/crates/deckwind-core/src/control/heard.rs
@@ -12,7 +12,7 @@
 //! lost message costs one of its periods. Targets that drain or leave are told
 //! only once that is in force, and for those the leader alone answers.
 
-use crate::state::{Instance, InstanceId, Instances};
+use crate::state::{Instance, Instances, Life, Standing};
 use crate::time::Instant;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -34,8 +34,8 @@
 /// Targets that a replica has heard.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeardTargets {
-    /// Those that said what is agreed, each with the number of its announcement.
-    pub same: Vec<(InstanceId, u64)>,
+    /// Lives that said what is agreed, each with the number of its announcement.
+    pub same: Vec<(Life, u64)>,
     /// Announcements that say something else, in the order in which they came.
     pub changed: Vec<Instance>,
 }
@@ -43,18 +43,21 @@
 /// How an announcement compares with what is agreed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum News {
-    /// Older than what is agreed, or of a target that has left.
+    /// Older than what is agreed, or of a life that is over.
     Old,
     /// It says what is agreed.
     Same,
-    /// It says something else.
+    /// It says something else. Of a life that may be over, too: the leader knows
+    /// who is silent.
     Changed,
 }
 
 /// Compares an announcement with what is agreed.
 pub(super) fn news_of(instance: &Instance, agreed: &Instances) -> News {
-    if agreed.has_left(&instance.id) {
-        return News::Old;
+    match agreed.standing(&instance.life()) {
+        Standing::Ended => return News::Old,
+        Standing::Newer | Standing::Doubtful => return News::Changed,
+        Standing::Known => {}
     }
     let Some(known) = agreed.get(&instance.id) else {
         return News::Changed;
@@ -75,7 +78,7 @@
 /// What a replica has heard since it last told the leader.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeardBuffer {
-    same: BTreeMap<InstanceId, u64>,
+    same: BTreeMap<Life, u64>,
     /// In the order in which they came: of two lives at one address the later
     /// counts.
     changed: Vec<Instance>,
@@ -91,7 +94,7 @@
         match news {
             News::Old => {}
             News::Same => {
-                self.same.insert(instance.id, instance.announced);
+                self.same.insert(instance.life(), instance.announced);
             }
             News::Changed => self.changed.push(instance),
         }
@@ -123,30 +126,31 @@
     }
 }
 
-/// When each target was last heard by any replica.
+/// When each life was last heard by any replica. Announcements are numbered
+/// within a life.
 #[derive(Clone, Debug, Default)]
-pub(super) struct HeardTable(BTreeMap<InstanceId, (Instant, u64)>);
+pub(super) struct HeardTable(BTreeMap<Life, (Instant, u64)>);
 
 impl HeardTable {
-    /// A target was heard. False if the announcement was held back on its way, and
+    /// A life was heard. False if the announcement was held back on its way, and
     /// has a lower number than one that came: it keeps nobody alive.
-    pub fn heard(&mut self, now: Instant, id: &str, number: u64) -> bool {
-        match self.0.get_mut(id) {
+    pub fn heard(&mut self, now: Instant, life: &Life, number: u64) -> bool {
+        match self.0.get_mut(life) {
             Some((_, known)) if number < *known => return false,
             Some(last) => *last = (now, number),
             None => {
-                self.0.insert(id.to_string(), (now, number));
+                self.0.insert(life.clone(), (now, number));
             }
         }
         true
     }
 
     /// When it was heard last.
-    pub fn last(&self, id: &str) -> Option<Instant> {
-        self.0.get(id).map(|(at, _)| *at)
+    pub fn last(&self, life: &Life) -> Option<Instant> {
+        self.0.get(life).map(|(at, _)| *at)
     }
 
-    /// Forgets targets not heard for this long.
+    /// Forgets lives not heard for this long.
     pub fn forget(&mut self, now: Instant, after: Duration) {
         self.0.retain(|_, (at, _)| now.since(*at) <= after);
     }
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -11,6 +11,7 @@
 //! Only a leader with a valid lease answers; everybody else names the leader. Targets that
 //! announce themselves are heard by every replica.
 
+mod announcement_fault;
 mod announcements;
 mod control_core;
 mod demand;
@@ -18,6 +19,7 @@
 mod grants;
 mod heard;
 mod in_use;
+mod lives;
 mod messages;
 mod operator;
 mod orders;
@@ -29,8 +31,9 @@
 mod urgent;
 mod wake;
 
+pub use announcement_fault::AnnouncementFault;
 pub use control_core::ControlCore;
-pub use event::{ControlAction, ControlEvent, ControlLimits, Unreadable};
+pub use event::{ControlAction, ControlEvent, ControlLimits, LifeNote, Unreadable};
 pub use heard::HeardTargets;
 pub use messages::{ControlReply, ControlRequest, EngineUse, Grant, PeerMessage, Renewal};
 pub use operator::{
--- a/crates/deckwind-core/src/control/operator.rs
+++ b/crates/deckwind-core/src/control/operator.rs
@@ -1,10 +1,11 @@
 //! What operators ask, and what they hear.
 
+use super::announcement_fault::AnnouncementFault;
 use crate::membership::InForce;
 use crate::replication::{Role, Term};
 use crate::state::{
-    Account, ApplyRequest, Configuration, Instance, InstanceId, Published, Rejection, Revision,
-    Target, Template, VmName,
+    Account, ApplyRequest, Configuration, Instance, Life, Published, Rejection, Revision, Target,
+    Template, VmName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -26,8 +27,9 @@
     Document,
     /// A target says how it is.
     Announce(Box<Instance>),
-    /// A target has left.
-    Leave(InstanceId),
+    /// A target has left: this life of it, or the one that is known where it
+    /// doesn't tell its start.
+    Leave(Life),
     /// Read the configuration.
     Configuration,
     /// Read how the cluster is.
@@ -46,6 +48,10 @@
     },
     /// A target that is ready was heard; it may go on telling this replica.
     Heard,
+    /// A life of the target that may be newer still speaks; ask again.
+    Doubted,
+    /// What a target said of itself isn't taken.
+    NotTaken(AnnouncementFault),
     /// Not accepted.
     Rejected(Rejection),
     /// The document of the release that holds; nothing if there is none.
--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -14,7 +14,7 @@
 };
 use crate::state::{
     DataCentre, EngineModel, Instance, InstanceChange, InstanceId, InstanceState, Instances,
-    LayerRange, Pool, Release,
+    LayerRange, Life, Pool, Release,
 };
 use crate::time::Instant;
 use std::collections::{BTreeMap, BTreeSet};
@@ -68,6 +68,19 @@
     pub give_up: GiveUp,
     /// Given up after this time.
     pub within: Duration,
+    /// The life that it is for, by its start. If the engine is another one by now
+    /// the order is over.
+    pub born: Option<u64>,
+}
+
+impl PlaceOrder {
+    /// The life that it is for.
+    pub fn life(&self) -> Life {
+        Life {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
 }
 
 /// What the desk wants done.
@@ -82,7 +95,7 @@
 /// Engines of one pool, and until when they are waited for.
 #[derive(Clone, Debug)]
 struct Seen {
-    ids: BTreeSet<InstanceId>,
+    lives: BTreeSet<Life>,
     until: Instant,
 }
 
@@ -99,10 +112,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct PlacementDesk {
     seen: BTreeMap<String, Seen>,
-    under_way: BTreeMap<InstanceId, Doing>,
+    /// What is under way, and the start of the life that it is for.
+    under_way: BTreeMap<InstanceId, (Option<u64>, Doing)>,
     /// By pool, number of the chain and data centre.
     whole_since: BTreeMap<(String, usize, DataCentre), Instant>,
-    not_before: BTreeMap<InstanceId, Instant>,
+    not_before: BTreeMap<Life, Instant>,
     grouped: BTreeMap<String, Grouped>,
 }
 
@@ -114,23 +128,36 @@
 }
 
 impl PlacementDesk {
-    /// Whether an order to this engine is under way: what it announces of its
+    /// Whether an order to this life is under way: what it announces of its
     /// layers meanwhile may be old.
-    pub fn is_under_way(&self, id: &str) -> bool {
-        self.under_way.contains_key(id)
+    pub fn is_under_way(&self, life: &Life) -> bool {
+        let under_way = self.under_way.get(&life.id);
+        under_way.is_some_and(|(born, _)| *born == life.born)
     }
 
-    /// An order has ended.
-    pub fn ended(&mut self, now: Instant, id: &str, ok: bool) {
-        self.under_way.remove(id);
+    /// An order to this life has ended.
+    pub fn ended(&mut self, now: Instant, life: &Life, ok: bool) {
+        if self.is_under_way(life) {
+            self.under_way.remove(&life.id);
+        }
         if !ok {
-            self.not_before.insert(id.to_string(), now + AGAIN_AFTER);
+            self.not_before.insert(life.clone(), now + AGAIN_AFTER);
         }
     }
 
+    /// Forgets what was for lives that are over: nothing of it happens any more.
+    fn forget_ended(&mut self, now: Instant, instances: &Instances) {
+        self.under_way.retain(|id, (born, _)| {
+            let known = instances.get(id);
+            known.is_none_or(|i| i.born == *born)
+        });
+        self.not_before.retain(|_, at| *at > now);
+    }
+
     /// What is to be done now.
     pub fn work(&mut self, now: Instant, release: &Release, instances: &Instances) -> PlaceWork {
         let mut work = PlaceWork::default();
+        self.forget_ended(now, instances);
         for pool in &release.pools {
             let Some(model) = pool.engine.as_ref().filter(|m| m.layers > 0) else {
                 continue;
@@ -145,17 +172,17 @@
     }
 
     fn has_settled(&mut self, now: Instant, pool: &Pool, ready: &[&Instance]) -> bool {
-        let ids: BTreeSet<InstanceId> = ready.iter().map(|i| i.id.clone()).collect();
+        let lives: BTreeSet<Life> = ready.iter().map(|i| i.life()).collect();
         match self.seen.get(&pool.name) {
-            Some(seen) if seen.ids == ids => now >= seen.until,
+            Some(seen) if seen.lives == lives => now >= seen.until,
             before => {
                 let lost = match before {
-                    Some(seen) => ids.is_subset(&seen.ids),
+                    Some(seen) => lives.is_subset(&seen.lives),
                     // A new leader: these were placed before its time.
                     None => ready.iter().any(|i| !i.layers.is_empty()),
                 };
                 let until = now + if lost { SETTLE_LOST } else { SETTLE };
-                let seen = Seen { ids, until };
+                let seen = Seen { lives, until };
                 self.seen.insert(pool.name.clone(), seen);
                 false
             }
@@ -186,10 +213,10 @@
             };
             let calm_at = self.whole_since(now, (pool, number), group, whole) + CALM;
             let good = whole && (now < calm_at || !group.iter().any(|c| is_scarce(model, c)));
-            let under_way = |c: &Card| self.under_way.get(&c.id);
+            let under_way = |c: &Card| self.under_way.get(&c.id).map(|(_, doing)| *doing);
             let blocked = match whole {
                 true => group.iter().any(|c| under_way(c).is_some()),
-                false => group.iter().any(|c| under_way(c) == Some(&Doing::Loading)),
+                false => group.iter().any(|c| under_way(c) == Some(Doing::Loading)),
             };
             if good || blocked {
                 continue;
@@ -250,22 +277,25 @@
         work: &mut PlaceWork,
     ) {
         for (card, want) in steps {
-            let failed = self.not_before.get(&card.id).is_some_and(|at| *at > now);
-            let waits = failed || self.is_under_way(&card.id);
-            if card.held == want || want.is_empty() || waits {
+            if card.held == want || want.is_empty() {
                 continue;
             }
             let Some(instance) = ready.iter().find(|i| i.id == card.id) else {
                 continue;
             };
+            let life = instance.life();
+            let failed = self.not_before.get(&life).is_some_and(|at| *at > now);
+            if failed || self.is_under_way(&life) {
+                continue;
+            }
             let kept = common(card.held, want);
             let doing = match kept == want {
                 true => Doing::GivingUp,
                 false => Doing::Loading,
             };
-            self.under_way.insert(card.id.clone(), doing);
+            self.under_way.insert(card.id.clone(), (life.born, doing));
             work.changes.push(InstanceChange::Holds {
-                id: card.id.clone(),
+                life,
                 layers: kept,
                 in_memory: in_memory(card.held, want, give_up),
             });
@@ -276,6 +306,7 @@
                 believed: card.held,
                 give_up,
                 within: WITHIN,
+                born: instance.born,
             });
         }
     }
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -172,8 +172,8 @@
             }
             // Heard by every replica: above.
             OperatorRequest::Announce(_) => return,
-            OperatorRequest::Leave(id) => {
-                self.left(now, token, id, out);
+            OperatorRequest::Leave(leave) => {
+                self.left(now, token, leave, out);
                 return;
             }
             OperatorRequest::Document => {
--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -232,6 +232,18 @@
         }
     }
 
+    /// The life at an address is over: how it failed says nothing of the next one.
+    /// What still passes through it stands still, so it counts as doubtful for
+    /// streams until `until`.
+    pub fn life_over(&mut self, until: Instant, address: SocketAddr) {
+        let account = self.targets.entry(address).or_default();
+        *account = Account {
+            in_flight: account.in_flight,
+            doubted_until: until,
+            ..Account::default()
+        };
+    }
+
     /// Targets that are down now.
     pub fn failing(&self, now: Instant) -> Vec<SocketAddr> {
         let failing = self.targets.iter().filter(|(_, t)| t.down_until > now);
--- a/crates/deckwind-core/src/routes/choice.rs
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -3,7 +3,7 @@
 use super::book::TargetBook;
 use crate::routing::draws::Draws;
 use crate::routing::paths::{EnginePath, Fullest, Need, NoPath, paths};
-use crate::state::{DataCentre, EngineModel, Instance, InstanceState};
+use crate::state::{DataCentre, EngineModel, Instance, InstanceState, Life};
 use crate::time::Instant;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -80,10 +80,22 @@
 pub struct Choice {
     /// Where the request is sent.
     pub address: SocketAddr,
-    /// Only this life of it may run it.
+    /// Only a target with this id may run it.
     pub instance: String,
     /// The path.
     pub path: Option<EnginePath>,
+    /// When the life that is meant started.
+    pub born: Option<u64>,
+}
+
+impl Choice {
+    /// The life that is meant. A target can't tell it from a later one by the id.
+    pub fn life(&self) -> Life {
+        Life {
+            id: self.instance.clone(),
+            born: self.born,
+        }
+    }
 }
 
 /// Why there is none.
@@ -130,9 +142,11 @@
         NoPath::Full(fullest) => NoChoice::Full(fullest),
     })?;
     let path = draw_data_centre(found, own, room.draw).ok_or(NoChoice::NoTarget)?;
+    let first = instances.iter().find(|i| i.id == path.first_id);
     Ok(Choice {
         address: path.stages[0].address,
         instance: path.first_id.clone(),
+        born: first.and_then(|i| i.born),
         path: Some(path),
     })
 }
@@ -176,5 +190,6 @@
         address: best.address,
         instance: best.id.clone(),
         path: None,
+        born: best.born,
     })
 }
--- a/crates/deckwind-core/src/routes/index.rs
+++ b/crates/deckwind-core/src/routes/index.rs
@@ -1,7 +1,8 @@
 //! A release and the announced targets, ready to be looked up.
 
 use crate::state::{
-    AccountName, Configuration, Instance, InstanceState, KeyDigest, Pool, Release, Revision, Route,
+    AccountName, Configuration, Instance, InstanceState, KeyDigest, Life, Pool, Release, Revision,
+    Route,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -109,6 +110,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnknownKey;
 
+/// A life that is over at an address.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LifeOver {
+    /// Where it was.
+    pub address: SocketAddr,
+    /// It.
+    pub life: Life,
+    /// Who is there now. An engine that holds no layers yet isn't known here.
+    pub by: Option<Life>,
+}
+
 /// Announced targets by pool.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceIndex {
@@ -130,11 +142,33 @@
         self.by_pool.get(pool).map_or(&[], Vec::as_slice)
     }
 
-    /// Whether the target at this address no longer runs what it was sent. One
-    /// that drains or has left may do so for seconds yet.
-    pub fn has_ended(&self, address: SocketAddr) -> bool {
-        let ended = |i: &Instance| i.address == address && i.state == InstanceState::Silent;
-        self.iter().any(ended)
+    /// Whether the target at this address no longer runs what it was sent: it is
+    /// silent, or started again since. One that drains or has left may do so for
+    /// seconds yet.
+    pub fn has_ended(&self, address: SocketAddr, life: &Life) -> bool {
+        let is_another = |i: &Instance| i.id != life.id || i.born != life.born;
+        let ended = |i: &Instance| i.state == InstanceState::Silent || is_another(i);
+        let mut there = self.iter().filter(|i| i.address == address);
+        there.any(ended)
+    }
+
+    /// Lives known before that are over: another one is at their address, or they
+    /// had been silent and are gone. What is known of the address is of them.
+    pub fn lives_over(&self, before: &InstanceIndex) -> Vec<LifeOver> {
+        let there: HashMap<SocketAddr, &Instance> = self.iter().map(|i| (i.address, i)).collect();
+        let over = |old: &Instance| {
+            let new = there.get(&old.address);
+            let is_over = match new {
+                Some(new) => new.id != old.id || new.born != old.born,
+                None => old.state == InstanceState::Silent,
+            };
+            is_over.then(|| LifeOver {
+                address: old.address,
+                life: old.life(),
+                by: new.map(|new| new.life()),
+            })
+        };
+        before.iter().filter_map(over).collect()
     }
 
     /// All targets.
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -16,7 +16,7 @@
 pub use choice::{Choice, Claim, NoChoice, Room, choose_path, choose_plain};
 pub use come_back::Refusal;
 pub use events::{EventCutter, Events};
-pub use index::{InstanceIndex, KeyRights, ReleaseIndex, UnknownKey};
+pub use index::{InstanceIndex, KeyRights, LifeOver, ReleaseIndex, UnknownKey};
 pub use patience::Patience;
 pub use repeats::{RepeatBudget, RepeatBudgets, RepeatLimits};
 pub use router_count::RouterCount;
--- a/crates/deckwind-core/src/state/configuration.rs
+++ b/crates/deckwind-core/src/state/configuration.rs
@@ -259,9 +259,8 @@
     /// Writes changes of instances as one revision.
     pub(super) fn change_instances(&mut self, changes: Vec<InstanceChange>) -> Revision {
         self.revision = self.revision.next();
-        let pools = self.release.as_ref().and_then(|r| r.value.clone());
-        let is_layered = |pool: &str| pools.as_ref().is_some_and(|r| r.is_layered(pool));
-        if self.instances.apply(changes, self.revision, is_layered) {
+        let release = self.release.as_ref().and_then(|r| r.value.as_deref());
+        if self.instances.apply(changes, self.revision, release) {
             self.shown = self.revision;
         }
         self.revision
--- a/crates/deckwind-core/src/state/instances.rs
+++ b/crates/deckwind-core/src/state/instances.rs
@@ -1,4 +1,4 @@
-//! Targets that announce themselves: one life of one target's process.
+//! Targets that announce themselves: of each id the life that is known.
 //!
 //! ```text
 //!  announced ready ──► announced draining ──► left
@@ -7,17 +7,22 @@
 //!     silent ──────────────────────────────────┘
 //! ```
 //!
+//! A target that starts again under its id is another life ([`Life`]): it begins
+//! as it announces itself, and what was agreed of the one before is gone.
+//!
 //! Each change goes through the log, so that what was acknowledged to a target
 //! (that nothing new will come) holds on every router within its lease.
 
 use super::configuration::Versioned;
+use super::lives::{EndedLives, Life, Standing, may_be_older};
 use super::names::{DataCentre, Revision};
 use super::objects::LayerRange;
+use super::release::Release;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Names one life of one target's process.
+/// Names a target, through all its lives where it keeps its id.
 pub type InstanceId = String;
 
 /// Whether an instance takes new work.
@@ -56,6 +61,19 @@
     /// Number of the announcement that said so; it rises with each one, so an
     /// older one that arrives late is known.
     pub announced: u64,
+    /// When this life of it started, Unix milliseconds by its own clock; nothing
+    /// where it doesn't say.
+    pub born: Option<u64>,
+}
+
+impl Instance {
+    /// The life that this is about.
+    pub fn life(&self) -> Life {
+        Life {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
 }
 
 /// A change of the instances.
@@ -66,23 +84,27 @@
     Announced {
         /// The instance.
         instance: Instance,
-        /// Whether the layers that are known stay: an order to change them is
-        /// under way, and what it announces may be old.
+        /// Whether the layers that are known of this life stay: an order to
+        /// change them is under way, and what it announces may be old.
         keep_layers: bool,
+        /// Lives that have fallen silent, and that it may follow though it tells
+        /// an earlier start.
+        over: Vec<Life>,
     },
-    /// It holds these layers.
+    /// It holds these layers. Changes nothing if another life is known by now.
     Holds {
-        /// The instance.
-        id: InstanceId,
+        /// The life.
+        life: Life,
         /// What requests may count on.
         layers: LayerRange,
         /// Layers that take its memory.
         in_memory: u32,
     },
-    /// The leader has not heard from it for a while.
-    Silent(InstanceId),
-    /// It has left.
-    Left(InstanceId),
+    /// The leader has not heard from it for a while. Changes nothing if another
+    /// life is known by now.
+    Silent(Life),
+    /// It has left. Changes nothing if a newer life is known by now.
+    Left(Life),
 }
 
 /// Instances that have left and are still remembered, so that a late
@@ -93,6 +115,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Instances {
     all: BTreeMap<InstanceId, Versioned<Instance>>,
+    /// Lives that are over, by id. Routers don't need them.
+    ended: BTreeMap<InstanceId, EndedLives>,
     /// Engines of layered pools that have held no layers so far. Routers can't
     /// choose them, so they don't hear of them: of 3,000 engines 2,600 are spare.
     /// Not in a snapshot: a replica that starts from one tells of all, which
@@ -117,44 +141,107 @@
         self.all.get(id).is_some_and(|v| v.value.is_none())
     }
 
+    /// How a life stands to the one that is known under its id.
+    pub fn standing(&self, life: &Life) -> Standing {
+        let known = self.get(&life.id).map(|i| i.born);
+        match self.ended.get(&life.id) {
+            Some(ended) => ended.standing(known, life.born),
+            None => EndedLives::default().standing(known, life.born),
+        }
+    }
+
+    /// Lives that must be over for this announcement to count though it tells an
+    /// earlier start. `there` are the lives at its address.
+    pub fn doubted_by(&self, instance: &Instance, there: &[Life]) -> Vec<Life> {
+        let known = self.get(&instance.id).map(Instance::life);
+        let doubtful = self.standing(&instance.life()) == Standing::Doubtful;
+        let others = there.iter().filter(|l| l.id != instance.id);
+        let newer = others.filter(|l| may_be_older(instance.born, l.born));
+        let own = known.filter(|_| doubtful);
+        own.into_iter().chain(newer.cloned()).collect()
+    }
+
+    /// Whether an announcement names a pool that no release does, and would
+    /// change or end an instance that holds.
+    pub fn is_misplaced(&self, instance: &Instance, release: Option<&Release>) -> bool {
+        if release.is_none_or(|r| r.pool(&instance.pool).is_some()) {
+            return false;
+        }
+        let changes = |i: &Instance| match i.id == instance.id {
+            true => i.pool != instance.pool,
+            false => i.address == instance.address,
+        };
+        self.iter().any(changes)
+    }
+
+    /// The lives that these changes end because newer ones of the same ids have
+    /// announced themselves; each with the newer one.
+    pub fn ended_by(&self, changes: &[InstanceChange]) -> Vec<(Life, Life)> {
+        let ends = |change: &InstanceChange| {
+            let InstanceChange::Announced { instance, over, .. } = change else {
+                return None;
+            };
+            let known = self.get(&instance.id)?.life();
+            let newer = match self.standing(&instance.life()) {
+                Standing::Newer => true,
+                Standing::Doubtful => over.contains(&known),
+                Standing::Known | Standing::Ended => false,
+            };
+            newer.then(|| (known, instance.life()))
+        };
+        changes.iter().filter_map(ends).collect()
+    }
+
     /// Applies changes, in their order, as one revision. Another life at the
     /// address of one that announced itself is over.
     ///
-    /// `is_layered` tells the pools whose engines hold layers. Answers whether
-    /// routers see any of it.
+    /// `release` is the one in force. Answers whether routers see any of it.
     pub(super) fn apply(
         &mut self,
         changes: Vec<InstanceChange>,
         revision: Revision,
-        is_layered: impl Fn(&str) -> bool,
+        release: Option<&Release>,
     ) -> bool {
-        let mut lives = self.lives_at_addresses_of(&changes);
+        let is_layered = |pool: &str| release.is_some_and(|r| r.is_layered(pool));
+        let announced = changes.iter().filter_map(|c| match c {
+            InstanceChange::Announced { instance, .. } => Some(instance),
+            _ => None,
+        });
+        let mut lives = self.lives_at_addresses_of(announced);
         for change in changes {
             match change {
-                InstanceChange::Left(id) => self.write(id, None, revision),
+                InstanceChange::Left(life) => self.left(&life, revision),
                 InstanceChange::Announced {
                     instance,
                     keep_layers,
+                    over,
                 } => {
-                    let (id, address) = (instance.id.clone(), instance.address);
-                    if is_layered(&instance.pool) && !self.all.contains_key(&id) {
-                        self.unseen.insert(id.clone());
+                    if self.is_misplaced(&instance, release) {
+                        continue;
+                    }
+                    let there = lives.entry(instance.address).or_default();
+                    let mut doubted = self.doubted_by(&instance, there).into_iter();
+                    if doubted.any(|life| !over.contains(&life)) {
+                        continue;
+                    }
+                    let (life, address) = (instance.life(), instance.address);
+                    if is_layered(&instance.pool) && !self.all.contains_key(&life.id) {
+                        self.unseen.insert(life.id.clone());
                     }
                     if self.announced(instance, keep_layers, revision) {
-                        let lives = lives.entry(address).or_default();
-                        self.end_other_lives(lives, &id, address, revision);
-                        lives.push(id);
+                        self.end_other_lives(there, &life.id, address, revision);
+                        there.push(life);
                     }
                 }
                 InstanceChange::Holds {
-                    id,
+                    life,
                     layers,
                     in_memory,
-                } => self.alter(&id, revision, |i| {
+                } => self.alter(&life, revision, |i| {
                     i.layers = layers;
                     i.in_memory = in_memory;
                 }),
-                InstanceChange::Silent(id) => self.alter(&id, revision, |i| {
+                InstanceChange::Silent(life) => self.alter(&life, revision, |i| {
                     if i.state == InstanceState::Ready {
                         i.state = InstanceState::Silent;
                     }
@@ -167,23 +254,19 @@
         written.any(|id| !self.unseen.contains(id))
     }
 
-    /// Who is at the addresses that are announced: one look at all instances for
+    /// Who is at the addresses of these instances: one look at all instances for
     /// all changes of an entry.
-    fn lives_at_addresses_of(
+    pub fn lives_at_addresses_of<'a>(
         &self,
-        changes: &[InstanceChange],
-    ) -> BTreeMap<SocketAddr, Vec<InstanceId>> {
-        let address = |c: &InstanceChange| match c {
-            InstanceChange::Announced { instance, .. } => Some((instance.address, Vec::new())),
-            _ => None,
-        };
-        let mut lives: BTreeMap<_, _> = changes.iter().filter_map(address).collect();
+        announced: impl Iterator<Item = &'a Instance>,
+    ) -> BTreeMap<SocketAddr, Vec<Life>> {
+        let mut lives: BTreeMap<_, _> = announced.map(|i| (i.address, Vec::new())).collect();
         if lives.is_empty() {
             return lives;
         }
         for i in self.iter() {
-            if let Some(ids) = lives.get_mut(&i.address) {
-                ids.push(i.id.clone());
+            if let Some(there) = lives.get_mut(&i.address) {
+                there.push(i.life());
             }
         }
         lives
@@ -191,23 +274,26 @@
 
     fn end_other_lives(
         &mut self,
-        lives: &mut Vec<InstanceId>,
+        lives: &mut Vec<Life>,
         id: &str,
         address: SocketAddr,
         revision: Revision,
     ) {
-        for other in lives.drain(..).filter(|other| other != id) {
-            let is_there = self.get(&other).is_some_and(|o| o.address == address);
+        for other in lives.drain(..).filter(|other| other.id != id) {
+            let is_there = self.get(&other.id).is_some_and(|o| o.address == address);
             if is_there {
-                self.write(other, None, revision);
+                self.end(&other.id, revision);
             }
         }
     }
 
-    /// Takes an announcement; false if a newer one is known, or it has left.
+    /// Takes an announcement; false if a newer one is known, or its life is over.
+    /// One of a doubtful life comes here only once the known life is over.
     fn announced(&mut self, mut instance: Instance, keep_layers: bool, revision: Revision) -> bool {
-        if self.has_left(&instance.id) {
-            return false;
+        match self.standing(&instance.life()) {
+            Standing::Ended => return false,
+            Standing::Newer | Standing::Doubtful => self.end(&instance.id, revision),
+            Standing::Known => {}
         }
         if let Some(known) = self.get(&instance.id) {
             if known.announced > instance.announced {
@@ -218,14 +304,39 @@
                 instance.in_memory = known.in_memory;
             }
         }
+        if let Some(ended) = self.ended.get_mut(&instance.id) {
+            ended.forget(instance.born);
+        }
         self.write(instance.id.clone(), Some(instance), revision);
         true
     }
 
-    fn alter(&mut self, id: &str, revision: Revision, change: impl FnOnce(&mut Instance)) {
-        if let Some(mut instance) = self.get(id).cloned() {
+    /// A life has left: the one that is known, or one after it that was never
+    /// heard otherwise.
+    fn left(&mut self, life: &Life, revision: Revision) {
+        let stands = self.standing(life);
+        let ends = matches!(stands, Standing::Known | Standing::Newer);
+        if ends && self.get(&life.id).is_some() {
+            self.end(&life.id, revision);
+            let ended = self.ended.entry(life.id.clone()).or_default();
+            ended.note(life.born);
+        }
+    }
+
+    /// Ends the life that is known under an id, if there is one.
+    fn end(&mut self, id: &str, revision: Revision) {
+        let Some(born) = self.get(id).map(|i| i.born) else {
+            return;
+        };
+        self.ended.entry(id.to_string()).or_default().note(born);
+        self.write(id.to_string(), None, revision);
+    }
+
+    fn alter(&mut self, life: &Life, revision: Revision, change: impl FnOnce(&mut Instance)) {
+        let known = self.get(&life.id).filter(|i| i.born == life.born);
+        if let Some(mut instance) = known.cloned() {
             change(&mut instance);
-            self.write(id.to_string(), Some(instance), revision);
+            self.write(life.id.clone(), Some(instance), revision);
         }
     }
 
@@ -261,6 +372,7 @@
             .map(|(k, _)| k.clone());
         if let Some(id) = oldest {
             self.all.remove(&id);
+            self.ended.remove(&id);
             self.unseen.remove(&id);
         }
     }
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -14,6 +14,7 @@
 mod command;
 mod configuration;
 mod instances;
+mod lives;
 mod names;
 mod objects;
 mod packed;
@@ -29,6 +30,7 @@
 };
 pub use configuration::{Configuration, Delta, Versioned};
 pub use instances::{Instance, InstanceChange, InstanceId, InstanceState, Instances};
+pub use lives::{Life, Standing};
 pub use names::{AccountName, DataCentre, RequestId, Revision, TargetName, TemplateName, VmName};
 pub use objects::{
     Account, AccountLimits, LayerRange, Objective, Parameters, Priority, Target, TargetKind,
--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -9,9 +9,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// What is wrong with a target.
@@ -69,6 +70,8 @@
 #[derive(Default)]
 struct State {
     id: String,
+    /// Start of its life, Unix milliseconds.
+    born: u64,
     fault: RunnerFault,
     seen: Vec<SeenRequest>,
     stalled: Vec<(String, SocketAddr)>,
@@ -99,6 +102,8 @@
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
     task: Arc<JoinHandle<()>>,
+    /// Counts its starts; what runs ends with its life.
+    lives: Arc<watch::Sender<u32>>,
 }
 
 /// Events of a whole stream.
@@ -114,16 +119,52 @@
         let address = listener.local_addr().context("it is bound")?;
         let state = Arc::new(Mutex::new(State {
             id: id.to_string(),
+            born: unix_ms(),
             ..State::default()
         }));
-        let task = tokio::spawn(accept_all(listener, state.clone()));
+        let (lives, _) = watch::channel(0);
+        let lives = Arc::new(lives);
+        let task = tokio::spawn(accept_all(listener, state.clone(), lives.clone()));
         Ok(Self {
             address,
             state,
             task: Arc::new(task),
+            lives,
         })
     }
 
+    /// Starts again under its id: what it did is broken off, and it holds and
+    /// knows nothing of before, but what it has seen.
+    pub fn start_again(&self) {
+        let mut state = self.lock();
+        let seen = std::mem::take(&mut state.seen);
+        let born = unix_ms().max(state.born + 1);
+        let id = std::mem::take(&mut state.id);
+        *state = State {
+            id,
+            born,
+            seen,
+            ..State::default()
+        };
+        drop(state);
+        self.lives.send_modify(|life| *life += 1);
+    }
+
+    /// When its life started, Unix milliseconds.
+    pub fn born(&self) -> u64 {
+        self.lock().born
+    }
+
+    /// Sets the clock that tells its start; it may be wrong.
+    pub fn set_born(&self, born: u64) {
+        self.lock().born = born;
+    }
+
+    /// Has it hold these layers, as if an order had been carried out.
+    pub fn hold(&self, first: u32, last: u32) {
+        self.lock().layers = (first, last);
+    }
+
     /// Makes something go wrong, or right again.
     pub fn set_fault(&self, fault: RunnerFault) {
         self.lock().fault = fault;
@@ -166,6 +207,8 @@
             "backend": pool, "address": self.address, "zone": zone, "version": "v1",
             "slots": 8, "state": state, "coldLeftMs": 0, "seq": number, "kind": "card",
             "layers": {"from": from, "targetVersion": to, "version": 1},
+            "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
+            "born": self.lock().born,
         })
     }
 
@@ -174,13 +217,29 @@
     }
 }
 
-async fn accept_all(listener: TcpListener, state: Arc<Mutex<State>>) {
+async fn accept_all(
+    listener: TcpListener,
+    state: Arc<Mutex<State>>,
+    lives: Arc<watch::Sender<u32>>,
+) {
     while let Ok((stream, _)) = listener.accept().await {
         state.lock().expect("no holder panics").connections += 1;
-        tokio::spawn(serve(stream, state.clone()));
+        let mut life = lives.subscribe();
+        let serving = serve(stream, state.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = serving => {}
+                _ = life.changed() => {}
+            }
+        });
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |s| s.as_millis() as u64)
+}
+
 /// Serves requests on one connection until it breaks.
 async fn serve(stream: TcpStream, state: Arc<Mutex<State>>) {
     let mut stream = BufReader::new(stream);
@@ -368,7 +427,7 @@
             .collect();
         let (from, to) = state.layers;
         json!({
-            "busy": false, "seq": state.orders, "stalled": stalled,
+            "busy": false, "seq": state.orders, "stalled": stalled, "born": state.born,
             "layers": {"from": from, "targetVersion": to, "version": 1},
         })
     };
--- a/crates/deckwind-net/src/edge.rs
+++ b/crates/deckwind-net/src/edge.rs
@@ -5,9 +5,9 @@
 //! translates, nothing more.
 
 use bytes::Bytes;
-use deckwind_core::control::GiveUp;
+use deckwind_core::control::{AnnouncementFault, GiveUp};
 use deckwind_core::routing::paths::Stage;
-use deckwind_core::state::{Instance, InstanceId, KeyDigest, LayerRange, Published};
+use deckwind_core::state::{Instance, KeyDigest, LayerRange, Life, Published};
 use http::{HeaderMap, Method, StatusCode, request::Parts};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -91,10 +91,20 @@
     pub busy: bool,
     /// Orders taken since its start.
     pub orders: u64,
-    /// Layers that it holds.
-    pub layers: LayerRange,
+    /// Layers that it holds; nothing where the report doesn't tell.
+    pub layers: Option<LayerRange>,
     /// Requests that stand still, and the stage that they wait for.
     pub stalled: Vec<(String, SocketAddr)>,
+    /// When its life started, Unix milliseconds by its own clock; nothing where
+    /// it doesn't say.
+    pub born: Option<u64>,
+}
+
+impl EngineReport {
+    /// Whether it is of another life than the one that started at `born`.
+    pub fn is_of_another_life(&self, born: Option<u64>) -> bool {
+        matches!((self.born, born), (Some(said), Some(known)) if said != known)
+    }
 }
 
 /// A request to a target's own interface.
@@ -131,8 +141,8 @@
     Document,
     /// A target says how it is.
     Announce(Box<Instance>),
-    /// A target has left.
-    Leave(InstanceId),
+    /// A target has left; the life that is known where it doesn't tell its start.
+    Leave(Life),
 }
 
 /// Operators and targets that call control replicas.
@@ -164,4 +174,12 @@
     /// It can't be read.
     #[error("{0}")]
     Unreadable(String),
+    /// What a target says of itself can't be taken.
+    #[error("{fault}: {why}")]
+    Announcement {
+        /// What is wrong.
+        fault: AnnouncementFault,
+        /// More of it.
+        why: String,
+    },
 }
--- a/crates/deckwind-net/src/targets/kept.rs
+++ b/crates/deckwind-net/src/targets/kept.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// Closes the idle connections to an address: another process is there now.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.lock().expect("no holder panics").remove(&address);
+    }
+
     /// Closes the idle connections to addresses that `keep` does not name.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         let mut all = self.idle.lock().expect("no holder panics");
--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -242,7 +242,7 @@
                 Arrival::Asked(router, renewal) => batch.push(self.request(router, *renewal)),
                 Arrival::Answered(router, reply) => self.take_answer(router, *reply)?,
                 Arrival::Placed(order) => batch.push(ControlEvent::Placed {
-                    id: order.id,
+                    life: order.life(),
                     held: Some(order.layers),
                 }),
             }
@@ -395,6 +395,7 @@
         layers: LayerRange::new(0, layers),
         in_memory: layers,
         announced,
+        born: None,
     }
 }
 
--- a/crates/deckwind-testkit/src/placing.rs
+++ b/crates/deckwind-testkit/src/placing.rs
@@ -8,7 +8,7 @@
 use deckwind_core::routing::placement::{common, tokens_beside};
 use deckwind_core::state::{
     AcceleratorKind, Command, CommandBody, EngineModel, Instance, InstanceChange, InstanceState,
-    Instances, LayerRange, Pool, Release, StateMachine,
+    Instances, LayerRange, Life, Pool, Release, StateMachine,
 };
 use deckwind_core::time::Instant;
 use std::collections::{BTreeMap, BTreeSet};
@@ -131,10 +131,12 @@
             layers: LayerRange::default(),
             in_memory: 0,
             announced: 1,
+            born: None,
         };
         self.apply(vec![InstanceChange::Announced {
             instance,
             keep_layers: false,
+            over: Vec::new(),
         }]);
     }
 
@@ -158,10 +160,12 @@
     /// These engines die; the leader knows it at once.
     pub fn lose(&mut self, ids: &BTreeSet<String>) {
         self.loading.retain(|(_, id), _| !ids.contains(id));
-        let gone = ids.iter().cloned().map(InstanceChange::Left);
+        let gone = ids
+            .iter()
+            .map(|id| InstanceChange::Left(Life::from(id.as_str())));
         self.apply(gone.collect());
         for id in ids {
-            self.desk.ended(self.now, id, false);
+            self.desk.ended(self.now, &Life::from(id.as_str()), false);
         }
     }
 
@@ -209,9 +213,9 @@
                 return;
             }
             let order = entry.remove();
-            self.desk.ended(self.now, &order.id, true);
+            self.desk.ended(self.now, &order.life(), true);
             self.apply(vec![InstanceChange::Holds {
-                id: order.id,
+                life: order.life(),
                 layers: order.layers,
                 in_memory: order.layers.len(),
             }]);
--- a/crates/deckwind-testkit/tests/testsuite/placement.rs
+++ b/crates/deckwind-testkit/tests/testsuite/placement.rs
@@ -230,6 +230,7 @@
                 .map(|instance| InstanceChange::Announced {
                     instance,
                     keep_layers: false,
+                    over: Vec::new(),
                 })
                 .collect(),
         );
@@ -261,10 +262,10 @@
         });
         let counts = (work.orders.len(), cut.count());
         for order in work.orders {
-            self.desk.ended(now, &order.id, true);
+            self.desk.ended(now, &order.life(), true);
             let layers = order.layers;
             self.apply(vec![InstanceChange::Holds {
-                id: order.id,
+                life: order.life(),
                 layers,
                 in_memory: layers.len(),
             }]);
@@ -305,7 +306,7 @@
         let mut desk = Desk::new(&cards);
         desk.looks(12);
         let held = desk.instances().get(&lost.id).map(|i| i.layers);
-        desk.apply(vec![InstanceChange::Silent(lost.id.clone())]);
+        desk.apply(vec![InstanceChange::Silent(lost.id.as_str().into())]);
         let (_, cut) = desk.looks(4);
         assert!(desk.is_whole(), "without {} ({held:?})", lost.id);
         assert!(
@@ -338,7 +339,7 @@
         "a path has 32 stages at most"
     );
     for lost in cards.iter().step_by(5) {
-        desk.apply(vec![InstanceChange::Silent(lost.id.clone())]);
+        desk.apply(vec![InstanceChange::Silent(lost.id.as_str().into())]);
         desk.looks(30);
         assert!(desk.is_whole(), "without {}", lost.id);
         assert!(
@@ -355,7 +356,7 @@
     let cards = cards("a", 2, 13, 22);
     let mut desk = Desk::new(&cards);
     desk.looks(12);
-    desk.apply(vec![InstanceChange::Silent(cards[0].id.clone())]);
+    desk.apply(vec![InstanceChange::Silent(cards[0].id.as_str().into())]);
     let mut orders = Vec::new();
     while orders.is_empty() {
         desk.now_ms += 100;
@@ -404,7 +405,7 @@
     let mut desk = Desk::new(&cards);
     desk.looks(12);
     for lost in cards.iter().step_by(5) {
-        desk.apply(vec![InstanceChange::Silent(lost.id.clone())]);
+        desk.apply(vec![InstanceChange::Silent(lost.id.as_str().into())]);
         let (orders, cut) = desk.looks(30);
         assert_eq!(cut, 0, "without {}", lost.id);
         let ready = desk.instances().iter();
--- a/crates/deckwind-testkit/tests/testsuite/published.rs
+++ b/crates/deckwind-testkit/tests/testsuite/published.rs
@@ -179,6 +179,7 @@
         layers: LayerRange::default(),
         in_memory: 0,
         announced,
+        born: None,
     }
 }
 
@@ -186,6 +187,7 @@
     InstanceChange::Announced {
         instance,
         keep_layers: false,
+        over: Vec::new(),
     }
 }
 
@@ -218,7 +220,7 @@
     change(
         &mut machine,
         InstanceChange::Holds {
-            id: "i".into(),
+            life: "i".into(),
             layers: LayerRange::new(0, 4),
             in_memory: 4,
         },
@@ -262,7 +264,7 @@
             &mut machine,
             announced(instance(&id, i, InstanceState::Ready, 1)),
         );
-        change(&mut machine, InstanceChange::Left(id));
+        change(&mut machine, InstanceChange::Left(id.into()));
     }
     let since = machine.configuration().delta_since(Revision::ZERO);
     assert!(since.instances.len() <= 4_096, "{}", since.instances.len());
@@ -434,28 +436,36 @@
 }
 
 /// A request may go to one target more than its route allows where one has ended
-/// meanwhile. A target that has left may still run what it has.
+/// meanwhile. A target that has left may still run what it has; one that started
+/// again since, under its id or another one, does not.
 #[parameterized(
     ready = { InstanceState::Ready, &[], false },
     drains = { InstanceState::Draining, &[], false },
-    silent = { InstanceState::Ready, &[InstanceChange::Silent("a-fast-0".to_string())], true },
-    left = { InstanceState::Ready, &[InstanceChange::Left("a-fast-0".to_string())], false },
+    silent = { InstanceState::Ready, &[InstanceChange::Silent("a-fast-0".into())], true },
+    left = { InstanceState::Ready, &[InstanceChange::Left("a-fast-0".into())], false },
+    started_again = { InstanceState::Ready, &[at_its_address("a-fast-0", Some(5))], true },
+    another_at_its_address = { InstanceState::Ready, &[at_its_address("other", None)], true },
 )]
 fn only_a_silent_target_has_ended(state: InstanceState, changes: &[InstanceChange], ended: bool) {
     let target = Instance {
         state,
         ..instances(&cards("a", 1, 0, 0)).remove(0)
     };
-    let address = target.address;
-    let announced = InstanceChange::Announced {
-        instance: target,
-        keep_layers: false,
-    };
+    let (address, life) = (target.address, target.life());
     let mut machine = StateMachine::default();
     machine.apply(Command {
         at_ms: 1,
-        body: CommandBody::Instances([&[announced], changes].concat()),
+        body: CommandBody::Instances([&[announced(target)], changes].concat()),
     });
     let index = InstanceIndex::of(machine.configuration());
-    assert_eq!(index.has_ended(address), ended);
+    assert_eq!(index.has_ended(address, &life), ended);
+}
+
+fn at_its_address(id: &str, born: Option<u64>) -> InstanceChange {
+    let first = instances(&cards("a", 1, 0, 0)).remove(0);
+    announced(Instance {
+        id: id.to_string(),
+        born,
+        ..first
+    })
 }
--- a/crates/deckwind-testkit/tests/testsuite/release_changes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/release_changes.rs
@@ -215,7 +215,7 @@
     let mut machine = StateMachine::default();
     machine.apply(Command {
         at_ms: 1,
-        body: CommandBody::Instances(vec![InstanceChange::Silent("engine".to_string())]),
+        body: CommandBody::Instances(vec![InstanceChange::Silent("engine".into())]),
     });
     machine.hand_out(true);
     let mut router = Configuration::default();
--- a/crates/deckwind-testkit/tests/testsuite/spare_engines.rs
+++ b/crates/deckwind-testkit/tests/testsuite/spare_engines.rs
@@ -22,13 +22,14 @@
     let change = InstanceChange::Announced {
         instance,
         keep_layers: false,
+        over: Vec::new(),
     };
     apply(machine, CommandBody::Instances(vec![change]));
 }
 
 fn hold(machine: &mut StateMachine, id: &str, layers: u32) {
     let change = InstanceChange::Holds {
-        id: id.to_string(),
+        life: id.into(),
         layers: LayerRange::new(0, layers),
         in_memory: layers,
     };
@@ -79,7 +80,7 @@
     hold(&mut machine, "engine-1", 0);
     let router = follow(&machine, router);
     assert_eq!(layers(&router), Some(0));
-    let left = InstanceChange::Left("engine-1".to_string());
+    let left = InstanceChange::Left("engine-1".into());
     apply(&mut machine, CommandBody::Instances(vec![left]));
     let router = follow(&machine, router);
     assert_eq!(layers(&router), None);
@@ -92,7 +93,7 @@
     let (mut machine, router) = with_spare_engine();
     hold(&mut machine, "engine-1", 8);
     let router = follow(&machine, router);
-    let left = InstanceChange::Left("engine-1".to_string());
+    let left = InstanceChange::Left("engine-1".into());
     apply(&mut machine, CommandBody::Instances(vec![left]));
     announce(&mut machine, engine(1, 0, 2));
     let router = follow(&machine, router);
--- a/crates/deckwind-testkit/tests/testsuite/support.rs
+++ b/crates/deckwind-testkit/tests/testsuite/support.rs
@@ -51,6 +51,7 @@
         layers: card.held,
         in_memory: card.held.len(),
         announced: 1,
+        born: None,
     }
 }
 
--- a/crates/deckwindd/src/control/calls.rs
+++ b/crates/deckwindd/src/control/calls.rs
@@ -7,11 +7,12 @@
 //! unchanged, and a change that is agreed twice changes nothing.
 
 use super::handle::{ControlHandle, Input};
+use super::refusals::Refusals;
 use crate::context::Context;
 use crate::router::listen;
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
-use deckwind_core::control::{OperatorReply, OperatorRequest};
+use deckwind_core::control::{AnnouncementFault, OperatorReply, OperatorRequest};
 use deckwind_net::edge::{BadInput, ControlCall, ControlDialect};
 use deckwind_net::targets::watch_over;
 use http::{Request, Response, StatusCode, header};
@@ -24,7 +25,7 @@
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// Longest body of a call: a release of ten thousand routes is about 3 MB.
@@ -49,6 +50,7 @@
     address: SocketAddr,
     /// Port of every replica's calls, where a slot is an address.
     port: Option<u16>,
+    refusals: Refusals,
 }
 
 /// Serves calls for ever.
@@ -63,6 +65,7 @@
         dialect: cx.dialects.control.clone(),
         address,
         port: cx.settings.seeds.is_some().then_some(address.port()),
+        refusals: Refusals::default(),
     });
     Ok(async move {
         loop {
@@ -114,6 +117,9 @@
         Err(e @ BadInput::NoSuchCall(_)) => {
             return Ok(refuse(path, StatusCode::NOT_FOUND, &e.to_string()));
         }
+        Err(BadInput::Announcement { fault, why }) => {
+            return Ok(calls.refuse_announcement(path, fault, &why));
+        }
         Err(e) => return Ok(refuse(path, StatusCode::BAD_REQUEST, &e.to_string())),
     };
     Ok(calls.ask(path, call).await)
@@ -153,6 +159,8 @@
                 metrics::counter!("deckwind_control_targets_heard_total").increment(1);
                 respond(StatusCode::OK, self.dialect.heard_at(self.address))
             }
+            OperatorReply::NotTaken(fault) => self.refuse_announcement(path, fault, ""),
+            OperatorReply::Doubted => not_now(path, "another life of it still speaks"),
             OperatorReply::Rejected(rejection) => {
                 refuse(path, StatusCode::BAD_REQUEST, &rejection.to_string())
             }
@@ -167,6 +175,25 @@
         }
     }
 
+    /// Refuses what a target said of itself, or somebody in its name.
+    fn refuse_announcement(
+        &self,
+        path: &str,
+        fault: AnnouncementFault,
+        why: &str,
+    ) -> Response<Full<Bytes>> {
+        let reason = fault.label();
+        metrics::counter!("deckwind_control_announcements_refused_total", "reason" => reason)
+            .increment(1);
+        if let Some(left_out) = self.refusals.note(Instant::now(), fault) {
+            log::warn!(
+                "event=announcement_refused path={path} reason={reason} error={why:?} left_out={left_out}"
+            );
+        }
+        let body = serde_json::json!({ "error": reason }).to_string();
+        respond(StatusCode::BAD_REQUEST, body.into())
+    }
+
     /// Sends the caller to the leader, where its slot is its address.
     fn redirect(&self, path: &str, slot: u32) -> Response<Full<Bytes>> {
         let Some(port) = self.port else {
@@ -194,7 +221,7 @@
         }
         ControlCall::Document => OperatorRequest::Document,
         ControlCall::Announce(instance) => OperatorRequest::Announce(instance),
-        ControlCall::Leave(id) => OperatorRequest::Leave(id),
+        ControlCall::Leave(life) => OperatorRequest::Leave(life),
     }
 }
 
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -1,6 +1,7 @@
 //! The thread of a control replica: gathers inputs into batches, and hands the
 //! effects on. While a sync runs the next batch gathers.
 
+use super::checking;
 use super::handle::{ControlHandle, Input, ReplyTo};
 use super::node::{ControlNode, Effect, Now};
 use super::orders;
@@ -11,7 +12,7 @@
 use anyhow::Result;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use deckwind_config::ControlSettings;
-use deckwind_core::control::{ControlEvent, ControlLimits, OperatorReply};
+use deckwind_core::control::{ControlEvent, ControlLimits, LifeNote, OperatorReply};
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{BySeeds, Event, ReplicaConfig, Role, Timing};
 use deckwind_net::edge::EngineDialect;
@@ -134,8 +135,8 @@
             }
             Input::OrdersDone(target, taken) => ControlEvent::OrdersDone { target, taken },
             Input::Heard(heard) => ControlEvent::Heard(heard),
-            Input::Placed(id, held) => ControlEvent::Placed { id, held },
-            Input::Checked(id, there) => ControlEvent::Checked { id, there },
+            Input::Placed(life, held) => ControlEvent::Placed { life, held },
+            Input::Checked(life, there) => ControlEvent::Checked { life, there },
             Input::Seeds(slots) => ControlEvent::Replica(Event::Seeds(slots.into_iter().collect())),
             Input::Stop => ControlEvent::Tick,
         }
@@ -145,11 +146,12 @@
         match effect {
             Effect::Send(message) => self.senders.send(message),
             Effect::TellHeard(slot, heard) => self.senders.tell_heard(slot, heard),
-            Effect::Check(id, address) => {
+            Effect::Check(life, address) => {
                 let dialect = self.dialect.clone();
-                let checking = placing::check(id, address, dialect, self.handle.clone());
+                let checking = checking::check(life, address, dialect, self.handle.clone());
                 self.runtime.spawn(checking);
             }
+            Effect::NoteLife(note) => note_life(&note),
             Effect::Place(order) => {
                 let placing = placing::place(order, self.dialect.clone(), self.handle.clone());
                 self.runtime.spawn(placing);
@@ -207,3 +209,16 @@
     }
     Some(batch)
 }
+
+fn note_life(note: &LifeNote) {
+    match note {
+        LifeNote::Ended { life, by } => {
+            metrics::counter!("deckwind_control_lives_ended_total").increment(1);
+            log::info!("event=life_ended life={life} by={by}");
+        }
+        LifeNote::Doubted { life, over } => {
+            metrics::counter!("deckwind_control_lives_doubted_total").increment(1);
+            log::info!("event=life_doubted life={life} over={over}");
+        }
+    }
+}
--- a/crates/deckwindd/src/control/handle.rs
+++ b/crates/deckwindd/src/control/handle.rs
@@ -2,7 +2,7 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded};
 use deckwind_core::control::{HeardTargets, OperatorReply, OperatorRequest};
-use deckwind_core::state::{InstanceId, LayerRange, TargetName};
+use deckwind_core::state::{LayerRange, Life, TargetName};
 use deckwind_wire::{ControlReply, ControlRequest, Message};
 
 /// Where a reply goes.
@@ -18,10 +18,11 @@
     Operator(OperatorRequest, ReplyTo<OperatorReply>),
     /// A batch of orders is over: the target, and whether it took them all.
     OrdersDone(TargetName, bool),
-    /// An order to place layers is over: what the engine then held, if known.
-    Placed(InstanceId, Option<LayerRange>),
-    /// A target was asked whether it is there.
-    Checked(InstanceId, bool),
+    /// An order to this life to place layers is over: what the engine then held,
+    /// if known.
+    Placed(Life, Option<LayerRange>),
+    /// A target was asked whether this life of it is there.
+    Checked(Life, bool),
     /// Whom another replica has heard.
     Heard(HeardTargets),
     /// Other seeds: these slots.
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -8,6 +8,7 @@
 //! ```
 
 mod calls;
+mod checking;
 mod driver;
 mod handle;
 mod keeper;
@@ -16,6 +17,7 @@
 mod orders;
 mod peers;
 mod placing;
+mod refusals;
 
 pub use handle::{ControlHandle, Input};
 pub use keeper::OpenDisk;
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -10,12 +10,12 @@
 
 use anyhow::{Context as _, Result};
 use deckwind_core::control::{
-    ControlAction, ControlCore, ControlEvent, ControlLimits, HeardTargets, OperatorReply,
+    ControlAction, ControlCore, ControlEvent, ControlLimits, HeardTargets, LifeNote, OperatorReply,
     OrderBatch, PlaceOrder,
 };
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{Action, Body, Event, Position, ReplicaConfig};
-use deckwind_core::state::InstanceId;
+use deckwind_core::state::Life;
 use deckwind_core::time::Instant;
 use deckwind_store::{Opened, Store};
 use deckwind_wire::{ControlReply, Message};
@@ -36,8 +36,10 @@
     Order(OrderBatch),
     /// Have an engine hold other layers.
     Place(PlaceOrder),
-    /// Ask a target whether it is there.
-    Check(InstanceId, SocketAddr),
+    /// Ask a target whether this life of it is there.
+    Check(Life, SocketAddr),
+    /// Log and count what was decided on a life of a target.
+    NoteLife(LifeNote),
 }
 
 /// The time of a batch.
@@ -165,7 +167,8 @@
                 effects.push(Effect::OperatorReply(token, reply));
             }
             ControlAction::Order(batch) => effects.push(Effect::Order(batch)),
-            ControlAction::Check { id, address } => effects.push(Effect::Check(id, address)),
+            ControlAction::Check { life, address } => effects.push(Effect::Check(life, address)),
+            ControlAction::NoteLife(note) => effects.push(Effect::NoteLife(note)),
             ControlAction::TellHeard { slot, heard } => {
                 effects.push(Effect::TellHeard(slot, heard));
             }
--- a/crates/deckwindd/src/control/operators.rs
+++ b/crates/deckwindd/src/control/operators.rs
@@ -139,6 +139,10 @@
         // Announcements come by another way.
         OperatorReply::Heard => text(StatusCode::OK, "heard"),
         OperatorReply::Unknown => unknown(),
+        // Only targets hear these.
+        OperatorReply::Doubted | OperatorReply::NotTaken(_) => {
+            text(StatusCode::NOT_FOUND, "not served here")
+        }
     }
 }
 
--- a/crates/deckwindd/src/control/placing.rs
+++ b/crates/deckwindd/src/control/placing.rs
@@ -2,11 +2,10 @@
 
 use super::handle::{ControlHandle, Input};
 use deckwind_core::control::PlaceOrder;
-use deckwind_core::state::{InstanceId, LayerRange};
+use deckwind_core::state::LayerRange;
 use deckwind_net::edge::{EngineDialect, EngineReport};
 use deckwind_net::targets::{KeptConnections, TargetError, call_target};
 use http::StatusCode;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -38,37 +37,7 @@
         Ok(Err(why)) => task.note_failure(&why),
         Err(_) => task.note_failure("not done in time"),
     };
-    handle.send(Input::Placed(task.order.id, held));
-}
-
-/// Longest wait for a target that routers call failing: some hundred round trips.
-/// Its chain stands still meanwhile.
-const CHECK_WITHIN: Duration = Duration::from_millis(200);
-
-/// Asks a target whether it is there and tells the driver. Any answer will do; it
-/// is asked twice at once, since packets are lost at times.
-pub async fn check(
-    id: InstanceId,
-    address: SocketAddr,
-    dialect: Arc<dyn EngineDialect>,
-    handle: ControlHandle,
-) {
-    let call = dialect.report();
-    let ask = async || {
-        let connections = KeptConnections::default();
-        let asking = call_target(&connections, address, &call, CHECK_WITHIN);
-        match tokio::time::timeout(CHECK_WITHIN, asking).await {
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(e)) => Err(e.to_string()),
-            Err(_) => Err(format!("no answer within {CHECK_WITHIN:?}")),
-        }
-    };
-    let (first, second) = tokio::join!(ask(), ask());
-    let there = first.is_ok() || second.is_ok();
-    if let (Err(e), Err(_)) = (first, second) {
-        log::warn!("event=target_not_there instance={id} address={address} error={e:?}");
-    }
-    handle.send(Input::Checked(id, there));
+    handle.send(Input::Placed(task.order.life(), held));
 }
 
 /// What came of an order.
@@ -117,8 +86,9 @@
         } = self.order;
         loop {
             let report = self.idle_report().await?;
-            if report.layers == layers || report.layers != believed {
-                return Ok(Ordered::Holds(report.layers));
+            let held = held_of(&report)?;
+            if held == layers || held != believed {
+                return Ok(Ordered::Holds(held));
             }
             let call = self.dialect.place(layers, give_up, report.orders);
             match call_target(&self.connections, address, &call, ORDER_ANSWER).await {
@@ -151,12 +121,13 @@
         loop {
             tokio::time::sleep(LOOK_EVERY).await;
             let report = self.report().await?;
-            if report.layers == self.order.layers && !report.busy {
-                return Ok(report.layers);
+            let held = held_of(&report)?;
+            if held == self.order.layers && !report.busy {
+                return Ok(held);
             }
             idle_looks = if report.busy { 0 } else { idle_looks + 1 };
             if idle_looks >= IDLE_LOOKS {
-                let LayerRange { first, last } = report.layers;
+                let LayerRange { first, last } = held;
                 return Err(format!("idle with layers {first}-{last}"));
             }
         }
@@ -169,7 +140,12 @@
         if status != StatusCode::OK {
             return Err(format!("its report came with {status}"));
         }
-        self.dialect.read_report(&body).map_err(|e| e.to_string())
+        let report = self.dialect.read_report(&body);
+        let report = report.map_err(|e| e.to_string())?;
+        if report.is_of_another_life(self.order.born) {
+            return Err("another life".to_string());
+        }
+        Ok(report)
     }
 
     fn note_failure(&self, why: &str) -> Option<LayerRange> {
@@ -183,3 +159,9 @@
         None
     }
 }
+
+/// A report without layers says nothing of them.
+fn held_of(report: &EngineReport) -> Result<LayerRange, String> {
+    let held = report.layers;
+    held.ok_or_else(|| "its report tells no layers".to_string())
+}
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -76,7 +76,7 @@
     if applied > before {
         forget_gone_targets(shared);
         let cfg = shared.core().configuration().clone();
-        shared.routes.configuration_changed(&cfg);
+        shared.routes.configuration_changed(now, &cfg);
         metrics::gauge!("deckwind_router_revision", "vm" => shared.vm.to_string())
             .set(applied.0 as f64);
         log::info!(
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -22,8 +22,8 @@
 use deckwind_config::RouterSettings;
 use deckwind_core::control::Grant;
 use deckwind_core::routes::{
-    InstanceIndex, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits, RouterCount, TargetBook,
-    TargetFault,
+    InstanceIndex, LifeOver, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits, RouterCount,
+    TargetBook, TargetFault,
 };
 use deckwind_core::state::{Configuration, Instance, Revision, Route, RouteKind};
 use deckwind_core::time::Instant;
@@ -144,7 +144,7 @@
     }
 
     /// Takes a changed configuration over.
-    pub fn configuration_changed(&self, cfg: &Configuration) {
+    pub fn configuration_changed(&self, now: Instant, cfg: &Configuration) {
         let before = self.release().map(|r| r.revision());
         if before != Some(cfg.release_revision()) {
             let index = ReleaseIndex::of(cfg);
@@ -167,13 +167,28 @@
             self.release.store(index.map(Arc::new));
         }
         let index = InstanceIndex::of(cfg);
-        note_targets(&self.instances(), &index, cfg.revision());
+        let before = self.instances();
+        note_targets(&before, &index, cfg.revision());
+        self.forget_ended_lives(now, &before, &index);
         let addresses: HashSet<SocketAddr> = index.iter().map(|i| i.address).collect();
         self.connections.retain(|a| addresses.contains(a));
         self.book().retain(|a| addresses.contains(a));
         self.instances.store(Arc::new(index));
     }
 
+    /// Forgets what is known of addresses whose life is over. Streams that pass
+    /// through them look for another way as soon as they are silent.
+    fn forget_ended_lives(&self, now: Instant, before: &InstanceIndex, index: &InstanceIndex) {
+        for over in index.lives_over(before) {
+            let LifeOver { address, life, by } = over;
+            self.connections.forget(address);
+            self.book().life_over(now + DOUBT_FOR, address);
+            metrics::counter!("deckwind_route_lives_ended_total").increment(1);
+            let by = by.map_or("-".to_string(), |life| life.to_string());
+            log::info!("event=life_over target={address} life={life} by={by}");
+        }
+    }
+
     /// Takes what the leader tells of the other routers.
     pub fn others_told(&self, now: Instant, grant: &Grant) {
         let mut routers = self.routers.lock().expect("no holder panics");
@@ -275,13 +290,14 @@
     let known: HashMap<&str, &Instance> = before.iter().map(|i| (i.id.as_str(), i)).collect();
     for i in now.iter() {
         let known = known.get(i.id.as_str());
-        if known.is_some_and(|o| o.state == i.state && o.layers == i.layers) {
+        if known.is_some_and(|o| o.state == i.state && o.layers == i.layers && o.born == i.born) {
             continue;
         }
         log::info!(
-            "event=target_changed target={} instance={} pool={} state={:?} layers={}-{} revision={revision}",
+            "event=target_changed target={} instance={} born={} pool={} state={:?} layers={}-{} revision={revision}",
             i.address,
             i.id,
+            i.born.map_or("-".to_string(), |b| b.to_string()),
             i.pool,
             i.state,
             i.layers.first,
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -10,6 +10,7 @@
 use deckwind_core::routes::{
     Choice, Claim, NoChoice, Room, TargetFault, choose_path, choose_plain,
 };
+use deckwind_core::state::Life;
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -80,6 +81,8 @@
     avoid: HashSet<SocketAddr>,
     /// The next repeat has been paid for.
     paid: bool,
+    /// The life that it was last sent to.
+    sent_to: Option<Life>,
 }
 
 enum Ended {
@@ -98,6 +101,7 @@
         ended: 0,
         avoid: HashSet::new(),
         paid: false,
+        sent_to: None,
     };
     let last_event = opener.job.head.last_event;
     match opener.open(last_event, false).await {
@@ -205,7 +209,9 @@
 
     /// Counts the target that ran the request as ended, if it has.
     pub fn count_ended(&mut self, first: SocketAddr) {
-        if self.job.shared.routes.instances().has_ended(first) {
+        let instances = self.job.shared.routes.instances();
+        let sent_to = self.sent_to.as_ref();
+        if sent_to.is_some_and(|life| instances.has_ended(first, life)) {
             self.ended += 1;
         }
     }
@@ -315,6 +321,7 @@
         let req = self.job.request(choice, last_event);
         let req = req.map_err(|e| Ended::Unreachable(e.to_string()))?;
         self.tries += 1;
+        self.sent_to = Some(choice.life());
         let res = {
             let mut sending = pin!(connection.send(req));
             let sent = Instant::now();
