--- a/crates/deckwind-testkit/src/lab.rs
+++ b/crates/deckwind-testkit/src/lab.rs
@@ -11,7 +11,9 @@
 };
 use deckwind_core::membership::{InForce, LeaseTiming};
 use deckwind_core::replication::{Entry, Event, Index, Message, ReplicaConfig, ReplicaId, Term};
-use deckwind_core::state::{ApplyRequest, Change, ClaimLimits, Instance, Revision, TargetName};
+use deckwind_core::state::{
+    ApplyRequest, Change, ClaimLimits, Instance, Life, Revision, TargetName,
+};
 use deckwind_core::time::Instant;
 use deckwind_store::{MemoryDisk, Store};
 use deckwind_wire::ControlReply;
@@ -327,6 +329,22 @@
             .push(ControlEvent::Operator { token, request });
     }
 
+    /// A life of a target leaves, at a replica; the reply is found under its id.
+    pub fn leave(&mut self, slot: usize, life: Life) {
+        let token = self.next_token;
+        self.next_token += 1;
+        self.asked.insert(token, Asked::Operator(life.id.clone()));
+        let request = OperatorRequest::Leave(life);
+        self.nodes[slot]
+            .inbox
+            .push(ControlEvent::Operator { token, request });
+    }
+
+    /// Something happens at a replica.
+    pub fn happens(&mut self, slot: usize, event: ControlEvent) {
+        self.nodes[slot].inbox.push(event);
+    }
+
     /// The last reply to a target or operator.
     pub fn last_reply(&self, id: &str) -> Option<&OperatorReply> {
         self.replies.get(id)?.last()
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -102,7 +102,7 @@
     async fn fault(&mut self) -> Result<()> {
         self.faults += 1;
         let ms = Duration::from_millis(self.rng.random_range(50..2_500));
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..9) {
             0 => self.restart_control(End::Kill, ms).await,
             1 => self.restart_control(End::Terminate, ms).await,
             2 => self.restart_router(End::Kill, ms).await,
@@ -117,7 +117,11 @@
                 self.world.harm_some(&mut self.rng, ms / 2);
                 Ok(())
             }
-            _ => self.world.replace_some(&mut self.rng).await,
+            7 => self.world.replace_some(&mut self.rng).await,
+            _ => {
+                self.world.start_some_again(&mut self.rng);
+                Ok(())
+            }
         }
     }
 
--- a/crates/deckwind-testkit/src/soak/world.rs
+++ b/crates/deckwind-testkit/src/soak/world.rs
@@ -48,6 +48,8 @@
     runner: FakeRunner,
     proxy: Proxy,
     gone: AtomicBool,
+    /// Announcements of its life.
+    announced: AtomicU64,
 }
 
 /// What all tasks share.
@@ -132,6 +134,7 @@
             runner,
             proxy,
             gone: AtomicBool::new(false),
+            announced: AtomicU64::new(0),
         };
         let mut all = self.shared.targets.lock().expect("no holder panics");
         all.push(Arc::new(target));
@@ -209,6 +212,14 @@
         Ok(())
     }
 
+    /// A target starts again under its id: it holds nothing, and counts anew.
+    pub fn start_some_again(&self, rng: &mut ChaCha8Rng) {
+        let targets = self.shared.targets.lock().expect("no holder panics");
+        let target = &targets[rng.random_range(0..targets.len())];
+        target.runner.start_again();
+        target.announced.store(0, Ordering::Relaxed);
+    }
+
     /// Ends all harms.
     pub fn heal(&self) {
         for target in self.shared.targets.lock().expect("no holder panics").iter() {
@@ -410,13 +421,12 @@
 
 /// Announces all targets, and takes leave of those that are gone.
 async fn announce_all(shared: Arc<Shared>) {
-    let mut number = 0;
     loop {
-        number += 1;
         let targets = shared.targets.lock().expect("no holder panics").clone();
         for t in &targets {
             let gone = t.gone.load(Ordering::Relaxed);
             let state = if gone { "draining" } else { "ready" };
+            let number = t.announced.fetch_add(1, Ordering::Relaxed) + 1;
             let mut body = t.runner.announcement(t.pool, t.data_centre, state, number);
             body["address"] = json!(t.proxy.address);
             let path = format!("/v1/instances/{}/heartbeat", t.id);
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/lives_at_routers.rs
@@ -0,0 +1,175 @@
+//! What a router does about a target that starts again under its id: what it knew
+//! of the address is forgotten, and what was under way there is judged as broken.
+
+use crate::rig::{KEY, Rig};
+use crate::run;
+use crate::support::{cards, instances};
+use deckwind_core::routes::{InstanceIndex, TargetBook, TargetFault};
+use deckwind_core::state::{
+    Command, CommandBody, Instance, InstanceChange, InstanceState, StateMachine,
+};
+use deckwind_core::time::Instant;
+use deckwind_fakes::{FakeRunner, RunnerFault, SeenRequest, request_id};
+use deckwind_testkit::eventually_async;
+use http::StatusCode;
+use std::time::Duration;
+use yare::parameterized;
+
+/// Its id is the same, so the request could reach the new life: whether the old
+/// one ran it nobody knows. One that must run at most once is not sent again.
+#[parameterized(
+    at_most_once = { "/once/x", 502, 1 },
+    repeatable = { "/safe/x", 200, 2 },
+)]
+fn a_request_whose_target_starts_again_is_judged_as_broken(path: &str, status: u16, sends: usize) {
+    let path = path.to_string();
+    run(async move {
+        let mut rig = Rig::start(2, 0).await;
+        rig.until_in_force().await;
+        rig.until_served(&path, false).await;
+        for target in &rig.plain {
+            target.set_fault(RunnerFault::Mute);
+        }
+        let restart = async {
+            let first = eventually_async("the request has arrived", || async {
+                rig.plain.iter().find(|t| t.seen().iter().any(is_first))
+            })
+            .await;
+            for target in &rig.plain {
+                target.set_fault(RunnerFault::None);
+            }
+            first.start_again();
+        };
+        let (heard, ()) = tokio::join!(rig.ask("r1", &path, KEY, false), restart);
+        assert_eq!(heard.status.as_u16(), status);
+        assert_eq!(rig.sends("r1"), sends);
+        for i in 0..2 {
+            rig.announce("plain", "p", i, "ready").await;
+        }
+        rig.until_in_force().await;
+        let next = rig.ask("r2", &path, KEY, false).await;
+        assert_eq!(next.status, StatusCode::OK, "the new life serves");
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+fn is_first(req: &SeenRequest) -> bool {
+    request_id(req) == "r1"
+}
+
+/// It is empty, whatever it held before: it is given its layers again, and counts
+/// its orders anew.
+#[test]
+fn an_engine_that_starts_again_is_given_its_layers_again() {
+    run(async {
+        let mut rig = Rig::start(0, 4).await;
+        let held = |e: &FakeRunner| e.layers().1 - e.layers().0;
+        eventually_async("the layers are placed", || async {
+            rig.engines.iter().all(|e| held(e) > 0).then_some(())
+        })
+        .await;
+        for i in 0..4 {
+            rig.announce("engines", "e", i, "ready").await;
+        }
+        rig.until_served("/stream/x", true).await;
+        rig.engines[0].start_again();
+        assert_eq!(held(&rig.engines[0]), 0);
+        rig.announce("engines", "e", 0, "ready").await;
+        eventually_async("its layers are placed again", || async {
+            (held(&rig.engines[0]) > 0).then_some(())
+        })
+        .await;
+        assert_eq!(rig.engines[0].orders(), 1);
+        rig.until_served("/stream/x", true).await;
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+fn at(address_of: &Instance, id: &str, born: Option<u64>, state: InstanceState) -> Instance {
+    Instance {
+        id: id.to_string(),
+        born,
+        state,
+        ..address_of.clone()
+    }
+}
+
+fn index(all: &[Instance]) -> InstanceIndex {
+    let mut machine = StateMachine::default();
+    for instance in all {
+        let change = InstanceChange::Announced {
+            instance: Instance {
+                state: InstanceState::Ready,
+                ..instance.clone()
+            },
+            keep_layers: false,
+            over: Vec::new(),
+        };
+        let silent = InstanceChange::Silent(instance.life());
+        let mut changes = vec![change];
+        changes.extend((instance.state == InstanceState::Silent).then_some(silent));
+        let body = CommandBody::Instances(changes);
+        machine.apply(Command { at_ms: 1, body });
+    }
+    InstanceIndex::of(machine.configuration())
+}
+
+/// Which lives a router takes for over: before, now, whether it is.
+#[parameterized(
+    the_same = { Some(1), InstanceState::Ready, Some(("e", Some(1))), false },
+    started_again = { Some(1), InstanceState::Ready, Some(("e", Some(2))), true },
+    tells_its_start_at_last = { None, InstanceState::Ready, Some(("e", Some(2))), true },
+    another_id_at_its_address = { None, InstanceState::Ready, Some(("f", None)), true },
+    left_and_may_serve_for_a_while = { Some(1), InstanceState::Ready, None, false },
+    silent_and_gone = { Some(1), InstanceState::Silent, None, true },
+    silent_only = { Some(1), InstanceState::Silent, Some(("e", Some(1))), false },
+)]
+fn a_life_is_over_once_another_is_there(
+    born: Option<u64>,
+    state: InstanceState,
+    now: Option<(&str, Option<u64>)>,
+    over: bool,
+) {
+    let first = instances(&cards("a", 1, 0, 0)).remove(0);
+    let before = index(&[at(&first, "e", born, state)]);
+    let now: Vec<Instance> = now
+        .map(|(id, born)| at(&first, id, born, InstanceState::Ready))
+        .into_iter()
+        .collect();
+    let found = index(&now).lives_over(&before);
+    assert_eq!(found.len(), usize::from(over));
+    let addresses: Vec<_> = found.iter().map(|o| o.address).collect();
+    assert!(addresses.iter().all(|a| *a == first.address));
+}
+
+/// Failures of the life that is over don't keep requests from the new one; streams
+/// that stand still on their way through it look for another way at once.
+#[test]
+fn what_was_known_of_a_life_is_forgotten_with_it() {
+    let address = ([127, 0, 0, 1], 9).into();
+    let now = Instant::from_millis(1_000);
+    let later = now + Duration::from_millis(100);
+    let mut book = TargetBook::default();
+    book.began(&[address]);
+    for i in 0..4 {
+        let at = now + Duration::from_secs(i * 10);
+        book.failed(at, address, TargetFault::Down);
+    }
+    let now = now + Duration::from_secs(30);
+    assert!(book.avoids(now, address) && book.is_down(now, address));
+    assert_eq!(book.failing(now), [address]);
+    book.life_over(later + Duration::from_secs(31), address);
+    assert!(!book.avoids(now, address) && !book.is_down(now, address));
+    assert!(
+        book.failing(now).is_empty(),
+        "the others aren't told any more"
+    );
+    assert!(book.doubts(now, address));
+    assert_eq!(
+        book.in_flight(address),
+        1,
+        "what is under way is still counted"
+    );
+    let first = book.failed(now, address, TargetFault::Down);
+    assert_eq!(first, Duration::from_millis(500), "its failures count anew");
+}
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -22,6 +22,7 @@
 pub use handle::{ControlHandle, Input};
 pub use keeper::OpenDisk;
 pub use node::{ControlNode, Effect, Now};
+pub use refusals::{LOG_EVERY, Refusals};
 
 use crate::context::Context;
 use anyhow::Result;
