--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -13,13 +13,12 @@
 use super::pending::{Asker, ForceWait, Parked, Proposals};
 use super::placement_desk::PlacementDesk;
 use super::urgent::UrgentChanges;
-use super::wake::{Urgency, Wake};
+use super::wake::Wake;
 use crate::membership::{LeaseTable, LeaseTiming, RecentRouters};
 use crate::replication::{
-    Action, Entry, Event, HardState, Index, Payload, Position, Replica, ReplicaConfig,
-    SnapshotMeta, Stored, Term,
+    Action, Event, HardState, Index, Position, Replica, ReplicaConfig, Stored, Term,
 };
-use crate::state::{Command, CommandBody, Life, Reply, Revision, StateMachine, VmName};
+use crate::state::{Command, CommandBody, Life, Revision, StateMachine, UnreadableState, VmName};
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -74,12 +73,12 @@
     pub(super) pace: Pace,
     pub(super) deltas: DeltaCache,
     pub(super) force_waits: Vec<ForceWait>,
-    compacting: bool,
+    pub(super) compacting: bool,
     /// Bytes of entries applied since the last snapshot, and its own size: a
     /// snapshot is written only when the log has grown as large, so that its
     /// cost stays in proportion to what is written.
-    log_bytes: usize,
-    snapshot_bytes: usize,
+    pub(super) log_bytes: usize,
+    pub(super) snapshot_bytes: usize,
     asker_of: BTreeMap<u64, Asker>,
     next_token: u64,
     wall_ms: u64,
@@ -95,7 +94,7 @@
         stored: Stored,
         snapshot: Option<&[u8]>,
         now: Instant,
-    ) -> Result<Self, postcard::Error> {
+    ) -> Result<Self, UnreadableState> {
         let machine = match snapshot {
             Some(bytes) => StateMachine::from_snapshot(bytes)?,
             None => StateMachine::new(limits.claims),
@@ -261,7 +260,7 @@
         }
     }
 
-    fn answer_unknown(&self, asker: Asker, out: &mut Vec<ControlAction>) {
+    pub(super) fn answer_unknown(&self, asker: Asker, out: &mut Vec<ControlAction>) {
         match asker {
             Asker::Router(token) => out.push(ControlAction::Reply {
                 token,
@@ -295,7 +294,7 @@
     ) {
         let at_ms = self.wall_ms.max(self.machine.clock_ms());
         let command = Command { at_ms, body };
-        let command = postcard::to_stdvec(&command).expect("commands always serialize");
+        let command = command.to_bytes();
         let token = self.next_token;
         self.next_token += 1;
         self.asker_of.insert(token, asker);
@@ -323,108 +322,6 @@
         }
     }
 
-    fn apply(&mut self, now: Instant, entries: Vec<Entry>, out: &mut Vec<ControlAction>) {
-        let before = self.machine.configuration().shown();
-        let mut urgency = None;
-        for entry in entries {
-            self.log_bytes += entry.size();
-            let reply = self.apply_entry(&entry, &mut urgency, out);
-            let waiting = self.proposals.applied(entry.at.index, entry.at.term);
-            match (waiting, reply) {
-                (Some((asker, true)), Some(reply)) => self.answer(now, asker, reply, out),
-                (Some((asker, _)), _) => self.answer_unknown(asker, out),
-                (None, _) => {}
-            }
-        }
-        let changed = self.machine.configuration().shown() > before;
-        if let (Some(urgency), Some(leading)) = (urgency.filter(|_| changed), &mut self.leading) {
-            if urgency == Urgency::Urgent {
-                let shown = self.machine.configuration().shown();
-                leading.urgent.note(now, shown);
-            }
-            self.wake_routers(now, urgency, out);
-        }
-        self.compact_if_long(out);
-    }
-
-    fn apply_entry(
-        &mut self,
-        entry: &Entry,
-        urgency: &mut Option<Urgency>,
-        out: &mut Vec<ControlAction>,
-    ) -> Option<Reply> {
-        let Payload::Command(bytes) = &entry.payload else {
-            return None;
-        };
-        let Ok(command) = postcard::from_bytes::<Command>(bytes) else {
-            let index = entry.at.index.0;
-            out.push(ControlAction::Stop(Unreadable::Command { index }));
-            return None;
-        };
-        *urgency = (*urgency).max(Urgency::of(&command.body));
-        if self.note_ended_lives(&command.body, out) {
-            *urgency = Some(Urgency::Urgent);
-        }
-        Some(self.machine.apply(command))
-    }
-
-    fn answer(&mut self, now: Instant, asker: Asker, reply: Reply, out: &mut Vec<ControlAction>) {
-        match (asker, reply) {
-            (Asker::Router(token), Reply::Claim(verdict)) => out.push(ControlAction::Reply {
-                token,
-                reply: ControlReply::Claim(verdict),
-            }),
-            (Asker::Router(token), _) => out.push(ControlAction::Reply {
-                token,
-                reply: ControlReply::Done,
-            }),
-            (Asker::Operator(token, until), Reply::Accepted { revision }) => {
-                self.force_waits.push(ForceWait {
-                    token,
-                    revision,
-                    until,
-                });
-                self.check_force(now, out);
-            }
-            (Asker::Operator(token, _), Reply::Rejected(rejection)) => {
-                out.push(ControlAction::OperatorReply {
-                    token,
-                    reply: OperatorReply::Rejected(rejection),
-                });
-            }
-            _ => {}
-        }
-    }
-
-    fn compact_if_long(&mut self, out: &mut Vec<ControlAction>) {
-        let applied = self.replica.commit();
-        let base = self.replica.log().base().index;
-        let many = applied.0 - base.0 >= self.limits.compact_after as u64;
-        let long = many || self.log_bytes >= self.limits.compact_bytes;
-        let Some(term) = self.replica.log().term_at(applied).filter(|_| long) else {
-            return;
-        };
-        if self.compacting || self.log_bytes < self.snapshot_bytes {
-            return;
-        }
-        self.compacting = true;
-        let data = self.machine.to_snapshot();
-        self.snapshot_bytes = data.len();
-        self.log_bytes = 0;
-        let last = Position {
-            term,
-            index: applied,
-        };
-        let members = self.replica.members_at(applied);
-        let end = self.replica.log().last().index;
-        let rest = self.replica.log().range(applied.next(), end);
-        out.push(ControlAction::Compact {
-            meta: SnapshotMeta { last, members },
-            data,
-            rest: rest.cloned().collect(),
-        });
-    }
-
     /// Index up to which entries are applied.
     pub fn applied(&self) -> Index {
         self.replica.commit()
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -13,6 +13,7 @@
 
 mod announcement_fault;
 mod announcements;
+mod applying;
 mod control_core;
 mod demand;
 mod event;
--- a/crates/deckwind-core/src/state/command.rs
+++ b/crates/deckwind-core/src/state/command.rs
@@ -1,6 +1,7 @@
 //! Commands that go through the log, and their replies.
 
 use super::claims::{ClaimKey, ClaimVerdict, Holder, Outcome};
+use super::encoding::{UnreadableState, from_bytes, to_bytes};
 use super::instances::InstanceChange;
 use super::names::{AccountName, RequestId, Revision, TargetName, TemplateName};
 use super::objects::{Account, Target, Template};
@@ -92,6 +93,18 @@
     pub body: CommandBody,
 }
 
+impl Command {
+    /// As it goes through the log.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        to_bytes(self)
+    }
+
+    /// Out of the log.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, UnreadableState> {
+        from_bytes(bytes)
+    }
+}
+
 /// Why a change was not accepted. It then had no effect.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -13,6 +13,7 @@
 mod claims;
 mod command;
 mod configuration;
+mod encoding;
 mod instances;
 mod lives;
 mod names;
@@ -29,6 +30,7 @@
     ApplyRequest, Change, ClaimRequest, Command, CommandBody, FinishRequest, Rejection, Reply,
 };
 pub use configuration::{Configuration, Delta, Versioned};
+pub use encoding::{STATE_VERSION, UnreadableState};
 pub use instances::{Instance, InstanceChange, InstanceId, InstanceState, Instances};
 pub use lives::{Life, Standing};
 pub use names::{AccountName, DataCentre, RequestId, Revision, TargetName, TemplateName, VmName};
--- a/crates/deckwind-core/src/state/state_machine.rs
+++ b/crates/deckwind-core/src/state/state_machine.rs
@@ -3,6 +3,7 @@
 use super::claims::{Claim, ClaimLimits, ClaimStatus, ClaimTable};
 use super::command::{ApplyRequest, ClaimRequest, Command, CommandBody, Rejection, Reply};
 use super::configuration::Configuration;
+use super::encoding::{UnreadableState, from_bytes, to_bytes};
 use super::names::{RequestId, Revision};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -133,12 +134,12 @@
 
     /// The state as bytes, for a snapshot.
     pub fn to_snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("the state always serializes")
+        to_bytes(self)
     }
 
     /// The state out of a snapshot.
-    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, UnreadableState> {
+        from_bytes(bytes)
     }
 }
 
--- a/crates/deckwind-testkit/tests/testsuite/lives.rs
+++ b/crates/deckwind-testkit/tests/testsuite/lives.rs
@@ -280,6 +280,31 @@
     }
 }
 
+/// What another version wrote is told as such, and not guessed at.
+#[parameterized(
+    this_version = { |bytes: Vec<u8>| bytes, true },
+    a_later_one = { |mut bytes: Vec<u8>| { bytes[0] += 1; bytes }, false },
+    before_it_was_marked = { |bytes: Vec<u8>| bytes[1..].to_vec(), false },
+    nothing = { |_: Vec<u8>| Vec::new(), false },
+)]
+fn state_is_read_in_its_own_version_only(change: fn(Vec<u8>) -> Vec<u8>, read: bool) {
+    let command = Command {
+        at_ms: FIRST,
+        body: CommandBody::Instances(vec![announced(said(Some(FIRST), 4, 50))]),
+    };
+    let mut machine = StateMachine::default();
+    machine.apply(command.clone());
+    assert_eq!(machine.clock_ms(), FIRST);
+    let snapshot = StateMachine::from_snapshot(&change(machine.to_snapshot()));
+    assert_eq!(snapshot.is_ok(), read);
+    let again = Command::from_bytes(&change(command.to_bytes()));
+    assert_eq!(again.is_ok(), read);
+    if read {
+        assert_eq!(snapshot, Ok(machine));
+        assert_eq!(again, Ok(command));
+    }
+}
+
 /// An order to the old life is over with it: the new one gets its own, and what
 /// came of the old one is not taken for it.
 #[test]
