--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -200,6 +200,11 @@
         self.task.abort();
     }
 
+    /// Whether it listens.
+    pub fn listens(&self) -> bool {
+        !self.task.is_finished()
+    }
+
     /// What it announces of itself.
     pub fn announcement(&self, pool: &str, zone: &str, state: &str, number: u64) -> Value {
         let (from, to) = self.layers();
--- a/crates/deckwind-testkit/src/processes.rs
+++ b/crates/deckwind-testkit/src/processes.rs
@@ -92,6 +92,24 @@
         Ok(file)
     }
 
+    /// Errors in the logs of all processes, each with the name of its log.
+    pub fn errors(&self) -> Result<Vec<String>> {
+        let mut found = Vec::new();
+        for entry in std::fs::read_dir(self.layout.folder())? {
+            let path = entry?.path();
+            if path.extension().is_none_or(|e| e != "log") {
+                continue;
+            }
+            let name = path.file_stem().unwrap_or_default().display().to_string();
+            let log = std::fs::read_to_string(&path)?;
+            let errors = log
+                .lines()
+                .filter(|l| l.contains("rror: ") || l.contains("level=error"));
+            found.extend(errors.map(|l| format!("{name}: {l}")));
+        }
+        Ok(found)
+    }
+
     fn start_daemon(&self, name: &str, settings: PathBuf) -> Result<Process> {
         let args = ["--settings".to_string(), settings.display().to_string()];
         let log = self.log(name)?;
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -167,7 +167,11 @@
     fn close(&mut self) -> Result<()> {
         for process in self.routers.iter_mut().chain(&mut self.control) {
             let code = process.take().map(Process::terminate).transpose()?;
-            ensure!(code == Some(Some(0)), "a planned stop ends with {code:?}");
+            let errors = self.processes.errors()?;
+            ensure!(
+                code == Some(Some(0)),
+                "a planned stop ends with {code:?}: {errors:?}"
+            );
         }
         Ok(())
     }
