--- a/crates/deckwind-core/src/control/announcements.rs
+++ b/crates/deckwind-core/src/control/announcements.rs
@@ -224,7 +224,8 @@
     }
 
     /// A target has left. One that doesn't tell its start means the life that is
-    /// known. A life that is over changes nothing, and is told so.
+    /// known. A life that is over changes nothing, and is told so; one that may be
+    /// newer than the life that still speaks is to ask again, as for a drain.
     pub(super) fn left(
         &mut self,
         now: Instant,
@@ -233,14 +234,28 @@
         out: &mut Vec<ControlAction>,
     ) {
         let agreed = self.machine.configuration().instances();
-        let known = agreed.get(&life.id);
-        life.born = life.born.or(known.and_then(|i| i.born));
-        let ends = matches!(agreed.standing(&life), Standing::Known | Standing::Newer);
-        if known.is_some() && ends {
-            self.change_instances(now, token, InstanceChange::Left(life), out);
-        } else {
+        let known = agreed.get(&life.id).map(Instance::life);
+        let (Some(known), Some(leading)) = (known, &self.leading) else {
             self.acknowledge(token, out);
-        }
+            return;
+        };
+        life.born = life.born.or(known.born);
+        let since = self.replica.leading_since().unwrap_or(now);
+        let ends = match agreed.standing(&life) {
+            Standing::Known | Standing::Newer => life,
+            Standing::Doubtful if leading.is_silent(now, since, agreed, &known) => known,
+            Standing::Doubtful => {
+                out.push(doubted(life, &known));
+                let reply = OperatorReply::Doubted;
+                out.push(ControlAction::OperatorReply { token, reply });
+                return;
+            }
+            Standing::Ended => {
+                self.acknowledge(token, out);
+                return;
+            }
+        };
+        self.change_instances(now, token, InstanceChange::Left(ends), out);
     }
 
     fn change_instances(
