A refusal promises that nothing ran, on every path

A target's own 503, 429 or 408 without "not run" was passed on to callers of routes that may not be repeated, though it may have run: read in `routes::plain::check` and `opening::read_head`, shown by five tests that failed first. "Not run" beside a success was believed too. What one try comes to is now decided in one place, `routes::promise` in the core (kind, what came back -> pass on, not run, may have run), with a table as its test.

Templates had the same fault, read when going through all paths: a session that had sent steps and ended before its first token was refused with 503 "not run" and its claim freed, so the next try with the same key ran again (test that failed first); a session that ended after tokens got 503; a service's own 429, 408 or 421 was recorded as the answer of a request that must not be repeated.

--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod index;
 mod patience;
+mod promise;
 mod repeats;
 mod router_count;
 
@@ -18,5 +19,6 @@
 pub use events::{EventCutter, Events};
 pub use index::{InstanceIndex, KeyRights, ReleaseIndex, UnknownKey};
 pub use patience::Patience;
+pub use promise::{Came, Told, is_promise, told};
 pub use repeats::{RepeatBudget, RepeatBudgets, RepeatLimits};
 pub use router_count::RouterCount;
--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -27,6 +27,19 @@
     },
     /// It runs them and answers 500.
     Fails,
+    /// It runs them and answers with this status, signed and without a promise.
+    Answers(u16),
+    /// It answers plain requests with so many bytes.
+    Long(usize),
+    /// It writes so many events of so many bytes as fast as they are read.
+    Floods {
+        /// Events.
+        events: u64,
+        /// Bytes of each, about.
+        bytes: usize,
+        /// Whether it then goes on at the usual pace until the fault is over.
+        goes_on: bool,
+    },
     /// It runs them and closes in the middle of the answer; a stream before its
     /// head.
     Cuts,
@@ -78,6 +91,10 @@
     late: Option<((u32, u32), u64)>,
     connections: u32,
     reports: u32,
+    /// Floods that were written to their end.
+    written: Vec<String>,
+    /// Requests that were told to take another path.
+    path_changes: u32,
 }
 
 impl State {
@@ -144,6 +161,16 @@
         self.lock().reports
     }
 
+    /// Requests whose flood of events was taken to its end.
+    pub fn written(&self) -> Vec<String> {
+        self.lock().written.clone()
+    }
+
+    /// Times that a request was told to take another path.
+    pub fn path_changes(&self) -> u32 {
+        self.lock().path_changes
+    }
+
     /// Orders that it has taken.
     pub fn orders(&self) -> u64 {
         self.lock().orders
@@ -245,6 +272,12 @@
         );
         return whole(s, &head, b"").await;
     }
+    if let RunnerFault::Answers(status) = &fault {
+        let head = format!(
+            "{status} Own\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s"
+        );
+        return whole(s, &head, b"own words").await;
+    }
     match req.headers.contains_key("x-deckwind-token-count") {
         true => stream_events(s, &req, &request, &fault, state).await,
         false => plain(s, &request, &fault).await,
@@ -278,6 +311,7 @@
             let head = format!("200 OK\r\nX-Deckwind-Request-Id: {request}");
             whole(s, &head, body.as_bytes()).await
         }
+        RunnerFault::Long(bytes) => whole(s, &good, "y".repeat(*bytes).as_bytes()).await,
         RunnerFault::Unframed => {
             let head = format!("HTTP/1.1 {good}\r\n\r\n{body}");
             s.write_all(head.as_bytes()).await?;
@@ -306,6 +340,15 @@
     if *fault == RunnerFault::Cuts {
         return Ok(false);
     }
+    if let RunnerFault::Floods {
+        events,
+        bytes,
+        goes_on,
+    } = fault
+    {
+        s.write_all(head.as_bytes()).await?;
+        return flood(s, request, last + 1..=*events, (*bytes, *goes_on), state).await;
+    }
     // As the users' engines do, the head comes with the first event.
     let mut head = Some(head);
     for event in last + 1..=EVENTS {
@@ -337,6 +380,39 @@
     Ok(true)
 }
 
+/// Events as fast as they are read.
+async fn flood(
+    s: &mut Stream,
+    request: &str,
+    events: std::ops::RangeInclusive<u64>,
+    (bytes, goes_on): (usize, bool),
+    state: &Mutex<State>,
+) -> Result<bool> {
+    let mut next = *events.end() + 1;
+    let text = "x".repeat(bytes);
+    for event in events {
+        chunk(s, &format!("id: {event}\ndata: {text}\n\n")).await?;
+    }
+    let written = request.to_string();
+    state
+        .lock()
+        .expect("no holder panics")
+        .written
+        .push(written);
+    while goes_on && is_flooding(state) {
+        tokio::time::sleep(EVENT_GAP).await;
+        chunk(s, &event_text(next)).await?;
+        next += 1;
+    }
+    s.write_all(b"0\r\n\r\n").await?;
+    Ok(true)
+}
+
+fn is_flooding(state: &Mutex<State>) -> bool {
+    let state = state.lock().expect("no holder panics");
+    matches!(state.fault, RunnerFault::Floods { .. })
+}
+
 fn is_stalled(state: &Mutex<State>) -> bool {
     let state = state.lock().expect("no holder panics");
     matches!(state.fault, RunnerFault::StallsAfter { .. })
@@ -377,6 +453,10 @@
 
 async fn order(s: &mut Stream, req: &SeenRequest, state: &Mutex<State>) -> Result<bool> {
     let order: Value = serde_json::from_slice(&req.body)?;
+    if order["op"] == "repath" {
+        state.lock().expect("no holder panics").path_changes += 1;
+        return whole(s, "202 Accepted", b"").await;
+    }
     let number = |name: &str| order[name].as_u64().unwrap_or_default();
     let layers = (number("from") as u32, number("targetVersion") as u32);
     let expects = number("expectedRev");
--- a/crates/deckwind-fakes/src/site.rs
+++ b/crates/deckwind-fakes/src/site.rs
@@ -43,15 +43,17 @@
     }
 }
 
-/// A release with the routes `/safe/`, `/once/` (both at the pool `plain`) and
-/// `/stream/` (at `engines`, which hold four layers, two a card), for one account
-/// with these keys.
+/// A release with the routes `/safe/`, `/once/`, `/tell/` (streams that can't be
+/// taken up; all at the pool `plain`), `/stream/` and `/long/` (with more time; both
+/// at `engines`, which hold four layers, two a card), for one account with these
+/// keys.
 pub fn release_document(version: u64, keys: &[&str]) -> Value {
     let route = |name: &str, kind: &str, pool: &str, attempts: u32| {
         json!({
             "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
-            "timeoutMs": 3000, "sloMs": 100, "priority": 1, "backend": pool,
-            "maxAttempts": attempts, "public": false, "resumable": kind == "streaming",
+            "timeoutMs": if name == "long" { 60_000 } else { 3_000 },
+            "sloMs": 100, "priority": 1, "backend": pool,
+            "maxAttempts": attempts, "public": false, "resumable": pool == "engines",
         })
     };
     json!({
@@ -60,6 +62,8 @@
             route("safe", "safe", "plain", 2),
             route("once", "unsafe", "plain", 1),
             route("stream", "streaming", "engines", 2),
+            route("tell", "streaming", "plain", 2),
+            route("long", "streaming", "engines", 2),
         ],
         "services": [
             {"name": "plain", "healthPath": "/health", "maxConns": 50},
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod paths;
 mod placement;
 mod processes;
+mod promises;
 mod published;
 mod release_changes;
 mod renewals;
--- a/crates/deckwindd/src/router/answering.rs
+++ b/crates/deckwindd/src/router/answering.rs
@@ -34,11 +34,14 @@
     pub _in_progress: InProgress,
 }
 
-fn no_answer(reason: EndReason, delivered: bool) -> CallerError {
+/// 503 promises that nothing ran, so it is only for a session that sent no step.
+fn no_answer(reason: EndReason, ran: bool) -> CallerError {
     let message = format!("the session ended without its whole answer: {reason:?}");
-    let ran = if delivered { Ran::Unknown } else { Ran::NotRun };
-    CallerError::new(StatusCode::SERVICE_UNAVAILABLE, "no-targets", ran, message)
-        .retry_after(Duration::from_secs(1))
+    let (status, ran) = match ran {
+        true => (StatusCode::BAD_GATEWAY, Ran::Unknown),
+        false => (StatusCode::SERVICE_UNAVAILABLE, Ran::NotRun),
+    };
+    CallerError::new(status, "no-targets", ran, message).retry_after(Duration::from_secs(1))
 }
 
 impl Answering {
@@ -52,9 +55,13 @@
             .core()
             .answered(now, &self.entered, ok.then_some(took));
         match first {
-            ChatEvent::End(reason) if reason != EndReason::Complete => {
-                self.record(Outcome::NotRun).await;
-                Err(no_answer(reason, false))
+            ChatEvent::End { reason, ran } if reason != EndReason::Complete => {
+                let outcome = match ran {
+                    true => Outcome::Unknown,
+                    false => Outcome::NotRun,
+                };
+                self.record(outcome).await;
+                Err(no_answer(reason, ran))
             }
             event => {
                 metrics::histogram!("deckwind_router_first_token_seconds")
@@ -70,7 +77,10 @@
             return first;
         }
         let event = self.rx.recv().await;
-        event.unwrap_or(ChatEvent::End(EndReason::TooManyFaults))
+        event.unwrap_or(ChatEvent::End {
+            reason: EndReason::TooManyFaults,
+            ran: true,
+        })
     }
 
     async fn record(&mut self, outcome: Outcome) {
@@ -88,8 +98,8 @@
                     text.push_str(&token.text);
                     tokens += 1;
                 }
-                ChatEvent::End(EndReason::Complete) => break,
-                ChatEvent::End(reason) => {
+                ChatEvent::End { reason, .. } if reason == EndReason::Complete => break,
+                ChatEvent::End { reason, .. } => {
                     self.record(Outcome::Unknown).await;
                     return Err(no_answer(reason, true));
                 }
@@ -145,18 +155,21 @@
                     }
                     self.token_event(tokens - 1, &token.text)
                 }
-                ChatEvent::End(EndReason::Complete) => self.end_event(),
-                ChatEvent::End(reason) => {
+                ChatEvent::End { reason, .. } if *reason == EndReason::Complete => self.end_event(),
+                ChatEvent::End { reason, .. } => {
                     let body = answers::error_body(&no_answer(*reason, true));
                     format!("event: error\ndata: {body}\n\n")
                 }
             };
-            if event == ChatEvent::End(EndReason::Complete) {
+            let ended = matches!(event, ChatEvent::End { .. });
+            let whole =
+                matches!(&event, ChatEvent::End { reason, .. } if *reason == EndReason::Complete);
+            if whole {
                 let body = self.completion(&text, tokens);
                 self.record_answer(&body).await;
             }
             let sent = tx.send(Ok(Frame::data(Bytes::from(data)))).await;
-            if sent.is_err() || matches!(event, ChatEvent::End(_)) {
+            if sent.is_err() || ended {
                 return;
             }
         }
--- a/crates/deckwindd/src/router/chat.rs
+++ b/crates/deckwindd/src/router/chat.rs
@@ -20,7 +20,12 @@
     /// A token.
     Token(Token),
     /// The end.
-    End(EndReason),
+    End {
+        /// Why.
+        reason: EndReason,
+        /// Whether any stage may have run any part of it.
+        ran: bool,
+    },
 }
 
 /// What a session needs.
@@ -62,6 +67,8 @@
     /// Planned and counted, not yet opened.
     planned: Vec<PlannedStage>,
     started: bool,
+    /// A step was sent to a stage.
+    ran: bool,
 }
 
 impl ChatRun {
@@ -80,6 +87,7 @@
             stages: BTreeMap::new(),
             planned: Vec::new(),
             started: false,
+            ran: false,
         }
     }
 
@@ -118,7 +126,8 @@
                 None
             }
             SessionAction::End(reason) => {
-                let _ = self.tx.send(ChatEvent::End(reason)).await;
+                let ran = self.ran;
+                let _ = self.tx.send(ChatEvent::End { reason, ran }).await;
                 log::info!(
                     "event=session_ended request={} revision={} reason={reason:?} tokens={} attempts={}",
                     self.job.id,
@@ -253,6 +262,7 @@
         let positions = order.inputs.len();
         let limit = self.step_limit(target, layers, positions);
         let began = self.shared.clock.now();
+        self.ran = true;
         let stage = self.stages.get_mut(&key).expect("just seen");
         let result = match &mut stage.stream {
             Ok(stream) => tokio::select! {
--- a/crates/deckwindd/src/router/routes/answers.rs
+++ b/crates/deckwindd/src/router/routes/answers.rs
@@ -51,6 +51,14 @@
 }
 
 impl Failure {
+    /// A target's answer that does not say whether the request has run.
+    pub fn unpromised(status: StatusCode) -> Self {
+        Failure::Broken(format!(
+            "the target answered {} without a promise",
+            status.as_u16()
+        ))
+    }
+
     /// Status that the caller gets.
     pub fn status(&self) -> StatusCode {
         match self {
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -8,7 +8,7 @@
 use super::relay;
 use bytes::Bytes;
 use deckwind_core::routes::{
-    Choice, Claim, NoChoice, Room, TargetFault, choose_path, choose_plain,
+    Came, Choice, Claim, NoChoice, Room, TargetFault, Told, choose_path, choose_plain, told,
 };
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
@@ -87,6 +87,8 @@
     NotRun(Option<SocketAddr>),
     Stalled,
     Broken(String),
+    /// It answered with this status, and does not say whether it ran.
+    Unpromised(StatusCode),
 }
 
 /// Runs one request to its end.
@@ -146,7 +148,7 @@
                 Err(ended) => ended,
             };
             again = !matches!(ended, Ended::Unreachable(_)) || again;
-            ran |= matches!(ended, Ended::Stalled | Ended::Broken(_));
+            ran |= !matches!(ended, Ended::Unreachable(_) | Ended::NotRun(_));
             let judged = self.judge(choice.address, ended);
             // Refusals after a try that may have run promise nothing.
             judged.map_err(|failure| match failure {
@@ -185,6 +187,12 @@
                     return Err(Failure::Broken(why));
                 }
             }
+            Ended::Unpromised(status) => {
+                self.avoid(address);
+                if !(resumable && self.tries_left()) {
+                    return Err(Failure::unpromised(status));
+                }
+            }
         }
         match self.refused > MAX_REFUSED {
             true => Err(Failure::Refused),
@@ -366,9 +374,17 @@
         if answer.id.as_ref().is_some_and(|id| *id != self.job.head.id) {
             return Err(Ended::Broken("the answer is another request's".to_string()));
         }
-        if answer.not_run {
-            self.tries -= 1;
-            return Err(Ended::NotRun(answer.at_fault));
+        let came = match answer.not_run {
+            true => Came::NotRun(head.status.as_u16()),
+            false => Came::Own(head.status.as_u16()),
+        };
+        match told(self.job.route.kind, came) {
+            Told::NotRun => {
+                self.tries -= 1;
+                return Err(Ended::NotRun(answer.at_fault));
+            }
+            Told::MayHaveRun => return Err(Ended::Unpromised(head.status)),
+            Told::PassOn => {}
         }
         if head.status.is_success() {
             if !answer.signed || answer.encoded {
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -4,7 +4,7 @@
 use super::callers::Job;
 use super::hold::Hold;
 use bytes::Bytes;
-use deckwind_core::routes::{Choice, TargetFault, choose_plain};
+use deckwind_core::routes::{Came, Choice, TargetFault, Told, choose_plain, told};
 use deckwind_core::state::RouteKind;
 use deckwind_net::targets::TargetError;
 use http::{HeaderMap, Response, StatusCode};
@@ -241,8 +241,14 @@
         if answer.id.as_ref().is_some_and(|id| *id != self.job.head.id) {
             return Err(broken("the answer is another request's".to_string()));
         }
-        if answer.not_run {
-            return Err(Ended::NotRun);
+        let came = match answer.not_run {
+            true => Came::NotRun(status.as_u16()),
+            false => Came::Own(status.as_u16()),
+        };
+        match told(self.job.route.kind, came) {
+            Told::NotRun => return Err(Ended::NotRun),
+            Told::MayHaveRun => return Err(Ended::MayHaveRun(Failure::unpromised(status))),
+            Told::PassOn => {}
         }
         if status.is_success() && (!answer.signed || answer.encoded) {
             return Err(broken("the answer is not the target's own".to_string()));
--- a/crates/deckwindd/src/router/service.rs
+++ b/crates/deckwindd/src/router/service.rs
@@ -4,6 +4,7 @@
 use super::shared::RouterShared;
 use deckwind_core::admission::RetryPolicy;
 use deckwind_core::router::{Entered, ServiceWork};
+use deckwind_core::routes::is_promise;
 use deckwind_net::targets::{ServiceAnswer, ServiceCall, TargetError};
 use http::StatusCode;
 use std::collections::BTreeSet;
@@ -39,6 +40,11 @@
         let ok = result.is_ok().then_some(took);
         shared.core().service_ended(shared.clock.now(), key, ok);
         let error = match result {
+            // Its own word that it did not run it is `Refused`; this one may have.
+            Ok(answer) if is_promise(answer.status) && !entered.repeatable => {
+                let why = format!("{name} answered {} without a promise", answer.status);
+                return Err(unknown(why));
+            }
             Ok(answer) => {
                 shared.core().retries().succeeded();
                 return Ok(answer);
