--- a/crates/deckwind-config/src/check.rs
+++ b/crates/deckwind-config/src/check.rs
@@ -229,6 +229,10 @@
             format!("must be above 0 and at most {LONGEST_LEASE_S}s: a change is in force by then");
         out.add_at_key("router.lease", message);
     }
+    if r.memory == Some(0.0) {
+        let message = "must be above 0; leave it out if it is not known";
+        out.add_at_key("router.memory", message);
+    }
     if s.control_vms.iter().any(|vm| vm.address == r.peers) && s.control.is_none() {
         out.add_at_key(
             "router.peers",
--- a/crates/deckwind-config/src/schema.rs
+++ b/crates/deckwind-config/src/schema.rs
@@ -116,6 +116,7 @@
             may("routes", Kind::Address),
             may("ready", Kind::Address),
             may("killed_after", Kind::Duration),
+            may("memory", Kind::Number),
             may(
                 "repeats",
                 Kind::Object(&[
--- a/crates/deckwind-config/src/settings.rs
+++ b/crates/deckwind-config/src/settings.rs
@@ -113,6 +113,9 @@
     /// before.
     #[serde(default, deserialize_with = "maybe_duration")]
     pub killed_after: Option<Duration>,
+    /// Memory of this VM, MB: a part of it is held for slow callers at most.
+    #[serde(default, deserialize_with = "maybe_number")]
+    pub memory: Option<f64>,
     /// Bound on what is sent again, over all routers.
     #[serde(default)]
     pub repeats: RepeatSettings,
--- a/crates/deckwind-testkit/src/layout.rs
+++ b/crates/deckwind-testkit/src/layout.rs
@@ -41,6 +41,8 @@
     pub platform: Option<SocketAddr>,
     /// Share of the requests that routers may repeat, and repeats beyond it.
     pub repeats: (f64, u32),
+    /// Memory of a router's VM, MB.
+    pub memory_mb: Option<f64>,
 }
 
 /// Ports of the OS's choice that nobody else gets while this lives.
@@ -114,6 +116,7 @@
             // share, so the share alone must allow the repeats of a short test.
             repeats: (2.0, 100),
             platform: None,
+            memory_mb: None,
             _ports: ports,
         })
     }
@@ -183,6 +186,9 @@
             "accelerators": { "fake": "50us" },
             "repeats": { "share": self.repeats.0, "beyond": self.repeats.1, "window": "10s" },
         });
+        if let Some(memory) = self.memory_mb {
+            settings["router"]["memory"] = serde_json::json!(memory);
+        }
         if let Some(list) = self.platform {
             settings["platform"] = serde_json::json!({ "list": list, "every": "100ms" });
         }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod examples;
 mod fan_out;
 mod full_disk;
+mod held_back;
 mod leaving;
 mod orders;
 mod paths;
--- a/crates/deckwind-testkit/tests/testsuite/settings.rs
+++ b/crates/deckwind-testkit/tests/testsuite/settings.rs
@@ -136,6 +136,7 @@
     "peers": "10.1.0.43:7341",
     "admin": "10.1.0.43:9464",
     "killed_after": "8s",
+    "memory": 160,
     "repeats": { "share": 0.2, "beyond": 202, "window": "10s" }
   },
   "control": {
@@ -164,6 +165,11 @@
     endless_number = { "202", "\"inf\"", &["router.repeats.beyond: must be a number, 0 or more"] },
     negative_share = { "0.2", "-0.2", &["router.repeats.share: must be a number, 0 or more"] },
     time_without_unit = { "\"8s\"", "\"8\"", &["router.killed_after: must be a time with its unit"] },
+    memory_fraction = { "160", "0.75", &[] },
+    memory_as_text = { "160", "\"48.5\"", &[] },
+    memory_left_empty = { "160", "\"\"", &[] },
+    no_memory = { "160", "0", &["router.memory: must be above 0"] },
+    word_for_memory = { "160", "\"much\"", &["router.memory: must be a number, 0 or more"] },
     same_address_twice = { "10.1.0.43:8220", "10.1.0.43:8227", &["router.ready", "router.routes"] },
     both_kinds_of_members = { "\"vm\": \"core-1\",", "\"vm\": \"core-1\", \"control_vms\": [{ \"slot\": 0, \"address\": \"10.1.0.43:7340\" }],", &["seeds: stands beside control_vms; write one of the two"] },
 )]
