An engine never waits for a caller

A slow caller held up the reading of its engine: `relay::take` waited for a channel of 16 pieces, so that the engine's answer lay unread (targets cut such answers off, and hold them in their own memory), and the relay looked at neither path nor time.

An answer that is given up does not look whole. A request stays in progress, for a planned stop, until its caller has its answer.

Tests that failed first: the engine's answer is read to its end while the caller reads nothing; the caller then gets each event once; past the bound the right one is cut and goes on with Last-Event-Id; the path is still changed; refused at once.

--- a/crates/deckwind-net/src/targets/kept.rs
+++ b/crates/deckwind-net/src/targets/kept.rs
@@ -185,6 +185,11 @@
 
 /// Has the kernel notice a peer that has gone without a word.
 pub fn watch_over(stream: &TcpStream) {
+    watch_over_for(stream, USER_TIMEOUT);
+}
+
+/// The same with another time without an acknowledgement or with a full window.
+pub fn watch_over_for(stream: &TcpStream, timeout: Duration) {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(Duration::from_secs(2))
@@ -192,7 +197,7 @@
         .with_retries(2);
     let set = stream
         .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(timeout)))
         .and_then(|()| socket.set_tcp_keepalive(&probes));
     if let Err(e) = set {
         log::debug!("event=socket_option_refused error={e:?}");
--- a/crates/deckwind-net/src/targets/mod.rs
+++ b/crates/deckwind-net/src/targets/mod.rs
@@ -20,7 +20,7 @@
 pub use http_platform::HttpPlatformList;
 pub use http_service::HttpService;
 pub use http_weights::HttpWeightStore;
-pub use kept::{KeptConnections, TargetConnection, call_target, watch_over};
+pub use kept::{KeptConnections, TargetConnection, call_target, watch_over, watch_over_for};
 pub use traits::{
     CacheEvent, CacheEventKind, CacheEvents, Engine, EngineLoad, KvExport, OpenStage, PlainService,
     PlatformList, PlatformSnapshot, ServiceAnswer, ServiceCall, StageStream, TargetError,
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod sessions;
 mod settings;
 mod shared_bound;
+mod slow_readers;
 mod soak;
 mod spare_engines;
 mod specification;
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/slow_readers.rs
@@ -0,0 +1,290 @@
+//! Callers that read slowly or not at all: engines never wait for them, and a
+//! router holds no more for them than its bound.
+
+use crate::rig::{KEY, Rig};
+use crate::run;
+use deckwind_fakes::{FakeRunner, HOST, RunnerFault};
+use deckwind_testkit::{Layout, eventually_async};
+use http::StatusCode;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use yare::parameterized;
+
+/// Larger than what sockets on the way take up by themselves.
+const EVENTS: u64 = 5_000;
+const EVENT_BYTES: usize = 4_000;
+
+/// The least bound that a router has is 4 MB.
+const LITTLE_MEMORY_MB: f64 = 1.0;
+
+/// A caller that reads when it is told to.
+struct SlowCaller(TcpStream);
+
+/// What it has read.
+struct Read {
+    head: String,
+    events: Vec<u64>,
+    whole: bool,
+}
+
+impl SlowCaller {
+    async fn ask(router: SocketAddr, id: &str, path: &str, headers: &str, body: &[u8]) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(8_192).expect("a small buffer");
+        let mut stream = socket.connect(router).await.expect("a connection");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\nAuthorization: Bearer {KEY}\r\n\
+             X-Deckwind-Request-Id: {id}\r\nX-Deckwind-Deadline-Ms: 60000\r\n{headers}\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        stream.write_all(body).await.expect("sent");
+        Self(stream)
+    }
+
+    async fn stream(router: SocketAddr, id: &str, last_event: Option<u64>) -> Self {
+        let last = last_event.map_or(String::new(), |l| format!("Last-Event-Id: {l}\r\n"));
+        let headers = format!("X-Deckwind-Token-Count: 50,24\r\nContent-Length: 0\r\n{last}");
+        Self::ask(router, id, "/long/x", &headers, b"").await
+    }
+
+    /// Reads to the end of the connection.
+    async fn read(mut self) -> Read {
+        let mut bytes = Vec::new();
+        let mut buf = vec![0; 64 * 1024];
+        while let Ok(length) = self.0.read(&mut buf).await
+            && length > 0
+        {
+            bytes.extend_from_slice(&buf[..length]);
+        }
+        parse(&bytes)
+    }
+}
+
+fn parse(bytes: &[u8]) -> Read {
+    let end = bytes.windows(4).position(|w| w == b"\r\n\r\n");
+    let end = end.expect("a head");
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let (body, whole) = unchunk(&bytes[end + 4..]);
+    let body = String::from_utf8(body).expect("text");
+    let ids = body.lines().filter_map(|l| l.strip_prefix("id: "));
+    let events = ids.map(|id| id.parse().expect("a number")).collect();
+    Read {
+        head,
+        events,
+        whole,
+    }
+}
+
+fn unchunk(mut rest: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let Some(line) = rest.windows(2).position(|w| w == b"\r\n") else {
+            return (body, false);
+        };
+        let length = std::str::from_utf8(&rest[..line]).expect("a length");
+        let length = usize::from_str_radix(length, 16).expect("a length");
+        rest = &rest[line + 2..];
+        if length == 0 {
+            return (body, true);
+        }
+        if rest.len() < length + 2 {
+            return (body, false);
+        }
+        body.extend_from_slice(&rest[..length]);
+        rest = &rest[length + 2..];
+    }
+}
+
+fn flood() -> RunnerFault {
+    RunnerFault::Floods {
+        events: EVENTS,
+        bytes: EVENT_BYTES,
+        goes_on: false,
+    }
+}
+
+async fn placed(layout: Layout, engines: usize) -> Rig {
+    let mut rig = Rig::start_with(layout, 1, engines).await;
+    eventually_async("the layers are placed", || {
+        let ranges = rig.engines.iter().map(FakeRunner::layers);
+        let held: u32 = ranges.map(|(from, to)| to - from).sum();
+        async move { (held as usize >= 2 * engines).then_some(()) }
+    })
+    .await;
+    for i in 0..engines {
+        rig.announce("engines", "e", i, "ready").await;
+    }
+    rig.until_in_force().await;
+    rig.until_served("/stream/x", true).await;
+    rig.until_served("/once/x", false).await;
+    rig
+}
+
+fn layout(memory_mb: f64) -> Layout {
+    let mut layout = Layout::new(1, 1).expect("a layout");
+    layout.memory_mb = Some(memory_mb);
+    layout
+}
+
+async fn until_written(rig: &Rig, id: &str) {
+    eventually_async("an engine has written its whole answer", || async {
+        let written = rig.engines.iter().flat_map(FakeRunner::written);
+        written.into_iter().any(|w| w == id).then_some(())
+    })
+    .await;
+}
+
+#[test]
+fn an_engine_never_waits_for_a_caller_that_gets_each_event_once() {
+    run(async {
+        let rig = placed(layout(400.0), 2).await;
+        rig.engines.iter().for_each(|e| e.set_fault(flood()));
+        let router = rig.cluster.layout.routers[0].routes;
+        let caller = SlowCaller::stream(router, "r1", None).await;
+        until_written(&rig, "r1").await;
+        let read = caller.read().await;
+        assert!(read.whole);
+        assert_eq!(read.events, (1..=EVENTS).collect::<Vec<_>>());
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+#[test]
+fn past_the_bound_the_caller_that_does_not_read_is_cut_and_may_go_on() {
+    run(async {
+        let rig = placed(layout(LITTLE_MEMORY_MB), 2).await;
+        rig.engines.iter().for_each(|e| e.set_fault(flood()));
+        let router = rig.cluster.layout.routers[0].routes;
+        let stuck = SlowCaller::stream(router, "stuck", None).await;
+        let reads = SlowCaller::stream(router, "reads", None).await.read().await;
+        assert!(reads.whole, "it reads, and is not cut");
+        assert_eq!(reads.events, (1..=EVENTS).collect::<Vec<_>>());
+        eventually_async("the other is cut", || async {
+            let router = rig.cluster.router(0).router().expect("a router");
+            let cut = router.shared().routes.deliveries.cut();
+            (cut == 1).then_some(())
+        })
+        .await;
+        let read = stuck.read().await;
+        assert!(!read.whole, "it does not look whole");
+        let last = *read.events.last().expect("some were in its socket");
+        assert_eq!(read.events, (1..=last).collect::<Vec<_>>());
+        assert!(last < EVENTS);
+        let again = SlowCaller::stream(router, "again", Some(last)).await;
+        let read = again.read().await;
+        assert!(read.whole);
+        assert_eq!(read.events, (last + 1..=EVENTS).collect::<Vec<_>>());
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// The bodies of requests in progress are held too.
+#[test]
+fn past_the_bound_a_new_request_is_refused_at_once_and_not_run() {
+    run(async {
+        let rig = placed(layout(LITTLE_MEMORY_MB), 2).await;
+        let goes_on = RunnerFault::Floods {
+            events: 1,
+            bytes: 1,
+            goes_on: true,
+        };
+        rig.engines
+            .iter()
+            .for_each(|e| e.set_fault(goes_on.clone()));
+        let router = rig.cluster.layout.routers[0].routes;
+        let mut held = Vec::new();
+        for i in 0..4 {
+            let body = vec![b'x'; 999_000];
+            let headers = "X-Deckwind-Token-Count: 50,24\r\nContent-Length: 999000\r\n";
+            let id = format!("large-{i}");
+            held.push(SlowCaller::ask(router, &id, "/long/x", headers, &body).await);
+            until_written(&rig, &id).await;
+        }
+        let headers = "Content-Length: 500000\r\n";
+        let late = SlowCaller::ask(router, "late", "/once/x", headers, b"").await;
+        let refused = late.read().await;
+        assert!(refused.head.starts_with("HTTP/1.1 503"), "{}", refused.head);
+        assert!(refused.head.to_lowercase().contains("retry-after: "));
+        assert_eq!(rig.sends("late"), 0);
+        drop(held);
+        eventually_async("the room is given back", || async {
+            let router = rig.cluster.router(0).router().expect("a router");
+            let held = router.shared().routes.deliveries.held();
+            (held < 1_000_000).then_some(())
+        })
+        .await;
+        let next = rig.ask("next", "/once/x", KEY, false).await;
+        assert_eq!(next.status, StatusCode::OK);
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// One engine on the way is about to leave.
+#[test]
+fn a_stream_with_a_slow_caller_still_changes_its_path() {
+    run(async {
+        let mut rig = placed(layout(400.0), 8).await;
+        let fault = RunnerFault::Floods {
+            events: EVENTS,
+            bytes: EVENT_BYTES,
+            goes_on: true,
+        };
+        rig.engines.iter().for_each(|e| e.set_fault(fault.clone()));
+        let router = rig.cluster.layout.routers[0].routes;
+        let caller = SlowCaller::stream(router, "r1", None).await;
+        until_written(&rig, "r1").await;
+        let seen = rig.engines.iter().flat_map(FakeRunner::seen);
+        let seen = seen
+            .into_iter()
+            .find(|r| r.headers["x-deckwind-request-id"] == "r1");
+        let path = seen.expect("it came").headers["path"].clone();
+        let last = path.split(',').next_back().expect("a stage");
+        let (last, _) = last.split_once('=').expect("an address");
+        let i = rig
+            .engines
+            .iter()
+            .position(|e| e.address.to_string() == last);
+        rig.announce("engines", "e", i.expect("it is known"), "draining")
+            .await;
+        eventually_async("its path is changed", || async {
+            let changes = rig.engines.iter().map(FakeRunner::path_changes);
+            (changes.sum::<u32>() > 0).then_some(())
+        })
+        .await;
+        rig.engines
+            .iter()
+            .for_each(|e| e.set_fault(RunnerFault::None));
+        let read = caller.read().await;
+        assert!(read.whole);
+        let count = read.events.len() as u64;
+        assert!(count >= EVENTS);
+        assert_eq!(read.events, (1..=count).collect::<Vec<_>>());
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// A target's whole answer; a caller that takes it late gets all of it.
+#[parameterized(
+    small = { 100 },
+    longer_than_a_connection_buffers = { 900_000 },
+)]
+fn a_whole_answer_reaches_a_slow_caller_unchanged(bytes: usize) {
+    run(async move {
+        let rig = placed(layout(LITTLE_MEMORY_MB), 2).await;
+        rig.plain[0].set_fault(RunnerFault::Long(bytes));
+        let router = rig.cluster.layout.routers[0].routes;
+        let headers = "Content-Length: 0\r\n";
+        let mut caller = SlowCaller::ask(router, "r1", "/once/x", headers, b"").await;
+        let mut answer = Vec::new();
+        caller.0.read_to_end(&mut answer).await.expect("an answer");
+        let end = answer
+            .windows(4)
+            .position(|w| w == b"\r\n\r\n")
+            .expect("a head");
+        let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+        assert!(head.contains(&format!("content-length: {bytes}")), "{head}");
+        assert_eq!(&answer[end + 4..], "y".repeat(bytes).as_bytes());
+        rig.cluster.close().await.expect("closed");
+    });
+}
--- a/crates/deckwindd/src/router/answering.rs
+++ b/crates/deckwindd/src/router/answering.rs
@@ -98,7 +98,10 @@
                     text.push_str(&token.text);
                     tokens += 1;
                 }
-                ChatEvent::End { reason, .. } if reason == EndReason::Complete => break,
+                ChatEvent::End {
+                    reason: EndReason::Complete,
+                    ..
+                } => break,
                 ChatEvent::End { reason, .. } => {
                     self.record(Outcome::Unknown).await;
                     return Err(no_answer(reason, true));
@@ -155,15 +158,23 @@
                     }
                     self.token_event(tokens - 1, &token.text)
                 }
-                ChatEvent::End { reason, .. } if *reason == EndReason::Complete => self.end_event(),
+                ChatEvent::End {
+                    reason: EndReason::Complete,
+                    ..
+                } => self.end_event(),
                 ChatEvent::End { reason, .. } => {
                     let body = answers::error_body(&no_answer(*reason, true));
                     format!("event: error\ndata: {body}\n\n")
                 }
             };
             let ended = matches!(event, ChatEvent::End { .. });
-            let whole =
-                matches!(&event, ChatEvent::End { reason, .. } if *reason == EndReason::Complete);
+            let whole = matches!(
+                event,
+                ChatEvent::End {
+                    reason: EndReason::Complete,
+                    ..
+                }
+            );
             if whole {
                 let body = self.completion(&text, tokens);
                 self.record_answer(&body).await;
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -82,6 +82,7 @@
             tokio::spawn(callers::expire_waiting(shared.clone())),
             tokio::spawn(reports::poll_targets(shared.clone())),
             tokio::spawn(reports::poll_platform(shared.clone())),
+            tokio::spawn(shared.routes.deliveries.clone().watch()),
         ];
         let mut callers = None;
         if let Some(address) = cfg.callers {
--- a/crates/deckwindd/src/router/routes/answers.rs
+++ b/crates/deckwindd/src/router/routes/answers.rs
@@ -36,6 +36,8 @@
     NoTarget,
     /// Not run: all targets are full.
     Full,
+    /// Not run: this router holds all that it may for others.
+    NoMemory,
     /// Not run: targets refused it.
     Refused,
     /// Not run: nothing may be sent again for now.
@@ -72,6 +74,7 @@
             | Failure::Stopping
             | Failure::NoTarget
             | Failure::Full
+            | Failure::NoMemory
             | Failure::Refused
             | Failure::NoRepeat
             | Failure::NoTime => StatusCode::SERVICE_UNAVAILABLE,
@@ -93,6 +96,7 @@
             Failure::Stopping => "stopping",
             Failure::NoTarget => "no-target",
             Failure::Full => "full",
+            Failure::NoMemory => "no-memory",
             Failure::Refused => "refused-by-targets",
             Failure::NoRepeat => "no-repeat-left",
             Failure::NoTime => "no-time",
@@ -107,7 +111,7 @@
     fn refusal(&self) -> Option<Refusal> {
         match self {
             Failure::NoLease => Some(Refusal::NoLease),
-            Failure::Stopping | Failure::CutOff => Some(Refusal::OtherRouter),
+            Failure::Stopping | Failure::CutOff | Failure::NoMemory => Some(Refusal::OtherRouter),
             Failure::NoRepeat => Some(Refusal::NoRepeat),
             Failure::NoTarget | Failure::Refused => Some(Refusal::NoTarget),
             Failure::Full => Some(Refusal::Full),
--- a/crates/deckwindd/src/router/routes/callers.rs
+++ b/crates/deckwindd/src/router/routes/callers.rs
@@ -1,16 +1,18 @@
 //! Callers of published routes, by HTTP/1.1.
 
 use super::answers::{BodyError, Failure, RouteBody, full, strip_connection_headers};
+use super::delivery::Recipient;
+use super::held::{CollectError, Deliveries, Held, Side, collect};
 use super::{opening, plain};
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
 use deckwind_core::routes::{Choice, ReleaseIndex};
 use deckwind_core::state::{CallerLimits, Pool, Route, RouteKind};
 use deckwind_net::edge::{CallerHead, TargetHead};
-use deckwind_net::targets::watch_over;
+use deckwind_net::targets::{watch_over, watch_over_for};
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -37,6 +39,11 @@
 /// How often a connection looks whether it is to end.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
+/// Longest time that a caller's socket may stand full, or its bytes unacknowledged,
+/// before the kernel closes it: a caller that reads slowly is not dead, and whom to
+/// cut is the router's to say. Callers give a stream up after a pause of 2 s.
+const UNREAD_AT_MOST: Duration = Duration::from_secs(10);
+
 /// Smallest buffer for a head that hyper takes.
 const LEAST_BUFFER: usize = 8 * 1024;
 
@@ -50,6 +57,8 @@
     pub parts: Parts,
     /// Its body.
     pub body: Bytes,
+    /// Counts the body as held.
+    _held: Held,
     /// Its route.
     pub route: Route,
     /// The pool that was drawn for it.
@@ -72,6 +81,15 @@
         self.until.saturating_duration_since(Instant::now())
     }
 
+    /// For whom the answer is.
+    pub fn recipient(&self) -> Recipient<'_> {
+        Recipient {
+            request: &self.head.id,
+            account: self.account.as_deref(),
+            until: self.shared.clock.now() + self.left(),
+        }
+    }
+
     /// Whether the lease still stands. Asked just before each send: a key that
     /// was taken away meanwhile must not run.
     pub fn has_lease(&self) -> bool {
@@ -110,7 +128,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                watch_over(&stream);
+                watch_over_for(&stream, UNREAD_AT_MOST);
                 tokio::spawn(serve(stream, shared.clone()));
             }
             Err(e) => {
@@ -213,7 +231,7 @@
         return Err(Failure::Stopping);
     }
     let limits = release.release().limits;
-    let body = read_body(body, limits).await?;
+    let (body, held) = read_body(body, limits, &shared.routes.deliveries).await?;
     // The body may have taken long: what was allowed may no longer be.
     let release = shared.routes.release();
     let release = release.ok_or_else(|| no_lease(shared))?;
@@ -234,6 +252,7 @@
         head,
         parts,
         body,
+        _held: held,
         route,
         pool,
         arrived,
@@ -288,18 +307,28 @@
     Ok((route.clone(), account, priority))
 }
 
-async fn read_body(body: Incoming, limits: CallerLimits) -> Result<Bytes, Failure> {
+async fn read_body(
+    body: Incoming,
+    limits: CallerLimits,
+    deliveries: &Arc<Deliveries>,
+) -> Result<(Bytes, Held), Failure> {
     let within = Duration::from_millis(limits.idle_ms);
     // A body that is announced as too long is not waited for.
     if body.size_hint().lower() > limits.body_bytes {
         return Err(Failure::TooLarge);
     }
-    let collecting = Limited::new(body, limits.body_bytes as usize).collect();
+    // Nor is one for which there is no room.
+    if deliveries.is_full(body.size_hint().lower()) {
+        return Err(Failure::NoMemory);
+    }
+    let mut held = Held::new(deliveries, Side::Requests);
+    let collecting = collect(body, limits.body_bytes as usize, &mut held);
     match tokio::time::timeout(within, collecting).await {
         Err(_) => Err(Failure::BodyLate),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Failure::TooLarge),
-        Ok(Err(e)) => Err(Failure::BadRequest(e.to_string())),
+        Ok(Ok(body)) => Ok((body, held)),
+        Ok(Err(CollectError::TooLong)) => Err(Failure::TooLarge),
+        Ok(Err(CollectError::NoRoom)) => Err(Failure::NoMemory),
+        Ok(Err(CollectError::Broken(why))) => Err(Failure::BadRequest(why)),
     }
 }
 
--- /dev/null
+++ b/crates/deckwindd/src/router/routes/delivery.rs
@@ -0,0 +1,359 @@
+//! Answers that wait for their callers: an engine never waits for a caller.
+//!
+//! A relay pushes events as its engine makes them, the caller's connection takes
+//! them as the caller reads. What lies between is counted for each answer and for
+//! the router (`held`); past a bound the router cuts callers (`Deliveries`).
+
+use super::answers::{BodyError, RouteBody};
+use super::held::{Deliveries, Side};
+use crate::router::shared::InProgress;
+use bytes::Bytes;
+use deckwind_core::routes::{AnswerKey, Behind};
+use deckwind_core::time::Instant;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll, Waker};
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Counted with each piece: its place in the queue (32 bytes) and the allocation
+/// behind it (a shared header and the allocator's own, some 64 bytes).
+const PIECE_COST: u64 = 96;
+
+/// A whole answer is handed to the connection in pieces of so many bytes, so that
+/// what a slow caller has not taken stays counted here.
+const SLICE: usize = 8 * 1024;
+
+/// A whole answer up to this long is handed over at once: a connection buffers as
+/// much.
+const SMALL: usize = 2 * SLICE;
+
+/// For whom an answer is.
+pub struct Recipient<'a> {
+    /// The request's id, for logs.
+    pub request: &'a str,
+    /// The account that asks.
+    pub account: Option<&'a str>,
+    /// Until when its caller waits at most.
+    pub until: Instant,
+}
+
+/// Why nothing more can be delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gone {
+    /// The caller closed its connection.
+    Left,
+    /// It was cut.
+    Cut,
+}
+
+impl Gone {
+    /// Its name in logs.
+    pub fn code(self) -> &'static str {
+        match self {
+            Gone::Left => "caller-left",
+            Gone::Cut => "caller-cut",
+        }
+    }
+}
+
+/// How an answer ends.
+enum End {
+    Whole,
+    Broken(String),
+}
+
+#[derive(Default)]
+struct Queue {
+    pieces: VecDeque<Bytes>,
+    /// Of the pieces and of the one that was handed over last.
+    bytes: u64,
+    /// Of the piece that was handed over last: the connection asks for the next
+    /// one when it has room.
+    handed: u64,
+    /// When the connection last took a piece, or the first one came.
+    since: Option<Instant>,
+    end: Option<End>,
+    gone: Option<Gone>,
+    waker: Option<Waker>,
+}
+
+/// One answer on its way to its caller.
+pub struct Delivery {
+    request: String,
+    account: u64,
+    until: Instant,
+    queue: Mutex<Queue>,
+    gone: Notify,
+    deliveries: Arc<Deliveries>,
+}
+
+/// The end that is written to. Dropped without an end, the answer breaks off: it
+/// must not look whole.
+pub struct Outbox(Arc<Delivery>);
+
+/// Tells when the caller of an answer is gone.
+#[derive(Clone)]
+pub struct Caller(Arc<Delivery>);
+
+/// The end that the caller's connection reads.
+struct Inbox {
+    delivery: Arc<Delivery>,
+    key: AnswerKey,
+    /// Bytes still to come, where that is known.
+    left: Option<u64>,
+    _in_progress: Option<InProgress>,
+}
+
+/// An answer to be filled, and the body that delivers it. The request is in
+/// progress until its caller has the whole answer.
+pub fn open(
+    deliveries: &Arc<Deliveries>,
+    to: &Recipient,
+    in_progress: Option<InProgress>,
+) -> (Outbox, RouteBody) {
+    open_of_length(deliveries, to, in_progress, None)
+}
+
+/// The body of a whole answer.
+pub fn whole(
+    deliveries: &Arc<Deliveries>,
+    to: &Recipient,
+    in_progress: Option<InProgress>,
+    mut answer: Bytes,
+) -> RouteBody {
+    if answer.len() <= SMALL {
+        return super::answers::full(answer);
+    }
+    let length = Some(answer.len() as u64);
+    let (outbox, body) = open_of_length(deliveries, to, in_progress, length);
+    while !answer.is_empty() {
+        let piece = answer.split_to(SLICE.min(answer.len()));
+        if outbox.push(piece).is_err() {
+            break;
+        }
+    }
+    outbox.end();
+    body
+}
+
+fn open_of_length(
+    deliveries: &Arc<Deliveries>,
+    to: &Recipient,
+    in_progress: Option<InProgress>,
+    left: Option<u64>,
+) -> (Outbox, RouteBody) {
+    let delivery = Arc::new(Delivery {
+        request: to.request.to_string(),
+        account: to.account.map_or(0, |a| xxh3_64(a.as_bytes())),
+        until: to.until,
+        queue: Mutex::default(),
+        gone: Notify::new(),
+        deliveries: deliveries.clone(),
+    });
+    let inbox = Inbox {
+        key: deliveries.enter(delivery.clone()),
+        delivery: delivery.clone(),
+        left,
+        _in_progress: in_progress,
+    };
+    (Outbox(delivery), inbox.boxed_unsync())
+}
+
+impl Outbox {
+    /// Adds some whole events; never waits.
+    pub fn push(&self, piece: Bytes) -> Result<(), Gone> {
+        let cost = piece.len() as u64 + PIECE_COST;
+        let deliveries = &self.0.deliveries;
+        // Counted before it can be taken, so that no count falls below zero.
+        deliveries.add(Side::Answers, cost);
+        let mut queue = self.0.lock();
+        if let Some(gone) = queue.gone {
+            drop(queue);
+            deliveries.sub(Side::Answers, cost);
+            return Err(gone);
+        }
+        if queue.pieces.is_empty() {
+            queue.since = Some(deliveries.now());
+        }
+        queue.pieces.push_back(piece);
+        queue.bytes += cost;
+        let waker = queue.waker.take();
+        drop(queue);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+        deliveries.keep_bound();
+        Ok(())
+    }
+
+    /// The answer is whole.
+    pub fn end(&self) {
+        self.0.end(End::Whole);
+    }
+
+    /// The answer breaks off after what was pushed.
+    pub fn break_off(&self, why: &str) {
+        self.0.end(End::Broken(why.to_string()));
+    }
+
+    /// Tells when the caller is gone.
+    pub fn caller(&self) -> Caller {
+        Caller(self.0.clone())
+    }
+}
+
+impl Drop for Outbox {
+    fn drop(&mut self) {
+        self.0
+            .end(End::Broken("the answer was given up".to_string()));
+    }
+}
+
+impl Caller {
+    /// Waits until the caller is gone, and says why.
+    pub async fn gone(&self) -> Gone {
+        loop {
+            let notified = self.0.gone.notified();
+            if let Some(gone) = self.is_gone() {
+                return gone;
+            }
+            notified.await;
+        }
+    }
+
+    /// Why it is gone, if it is.
+    pub fn is_gone(&self) -> Option<Gone> {
+        self.0.lock().gone
+    }
+}
+
+impl Delivery {
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().expect("no holder panics")
+    }
+
+    /// The first end counts.
+    fn end(&self, end: End) {
+        let mut queue = self.lock();
+        if queue.end.is_some() {
+            return;
+        }
+        queue.end = Some(end);
+        let waker = queue.waker.take();
+        drop(queue);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+
+    /// Nothing more is delivered; answers with the bytes that were given up.
+    fn give_up(&self, gone: Gone) -> u64 {
+        let mut queue = self.lock();
+        queue.gone.get_or_insert(gone);
+        queue.pieces = VecDeque::new();
+        queue.handed = 0;
+        queue.since = None;
+        let bytes = std::mem::take(&mut queue.bytes);
+        let waker = queue.waker.take();
+        drop(queue);
+        self.deliveries.sub(Side::Answers, bytes);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+        self.gone.notify_waiters();
+        bytes
+    }
+
+    /// How far its caller is behind, if it is.
+    pub fn behind(&self, key: AnswerKey) -> Option<Behind> {
+        let queue = self.lock();
+        Some(Behind {
+            key,
+            account: self.account,
+            bytes: queue.bytes,
+            pieces: queue.pieces.len() as u32,
+            since: queue.since?,
+        })
+    }
+
+    /// Until when its caller waits at most.
+    pub fn until(&self) -> Instant {
+        self.until
+    }
+
+    /// Cuts its caller off: what waits is dropped at once, and the connection
+    /// closes as soon as the caller reads or its socket's time is over.
+    pub fn cut(&self, behind: &Behind, why: &str) {
+        let bytes = self.give_up(Gone::Cut);
+        self.deliveries.note_cut();
+        let labels = [("why", why.to_string())];
+        metrics::counter!("deckwind_route_callers_cut_total", &labels).increment(1);
+        log::warn!(
+            "event=caller_cut request={} account={:x} bytes={bytes} pieces={} behind_ms={} held={} why={why}",
+            self.request,
+            self.account,
+            behind.pieces,
+            self.deliveries.now().since(behind.since).as_millis(),
+            self.deliveries.held()
+        );
+    }
+}
+
+impl Body for Inbox {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let mut queue = self.delivery.lock();
+        let taken = std::mem::take(&mut queue.handed);
+        queue.bytes -= taken;
+        let polled = match (queue.pieces.pop_front(), &queue.gone, &queue.end) {
+            (_, Some(gone), _) => Poll::Ready(Some(Err(gone.code().into()))),
+            (Some(piece), ..) => {
+                queue.handed = piece.len() as u64 + PIECE_COST;
+                Poll::Ready(Some(Ok(piece)))
+            }
+            (None, None, Some(End::Whole)) => Poll::Ready(None),
+            (None, None, Some(End::Broken(why))) => Poll::Ready(Some(Err(why.clone().into()))),
+            (None, None, None) => {
+                if !queue
+                    .waker
+                    .as_ref()
+                    .is_some_and(|w| w.will_wake(cx.waker()))
+                {
+                    queue.waker = Some(cx.waker().clone());
+                }
+                Poll::Pending
+            }
+        };
+        if polled.is_ready() {
+            let waits = !queue.pieces.is_empty();
+            queue.since = waits.then(|| self.delivery.deliveries.now());
+        }
+        drop(queue);
+        self.delivery.deliveries.sub(Side::Answers, taken);
+        if let (Poll::Ready(Some(Ok(piece))), Some(left)) = (&polled, &mut self.left) {
+            *left -= piece.len() as u64;
+        }
+        polled.map(|some| some.map(|piece| piece.map(Frame::data)))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+impl Drop for Inbox {
+    fn drop(&mut self) {
+        self.delivery.deliveries.leave(self.key);
+        self.delivery.give_up(Gone::Left);
+    }
+}
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -2,13 +2,16 @@
 //!
 //! ```text
 //!  callers.rs ─► plain.rs ──► one target, retries where that is safe
-//!       │    └─► opening.rs ─► relay.rs    a path, events as they come
-//!       ▼
+//!    │  ▲   └─► opening.rs ─► relay.rs    a path, events as they come
+//!    │  └─ delivery.rs ◄──────┘           what waits for callers, counted by held.rs
+//!    ▼
 //!  Routes: release and targets as agreed, counts, connections
 //! ```
 
 mod answers;
 mod callers;
+mod delivery;
+mod held;
 mod hold;
 mod opening;
 mod plain;
@@ -16,6 +19,7 @@
 mod stalls;
 
 pub use callers::{accept, accept_ready};
+pub use held::Deliveries;
 
 use crate::context::Context;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -48,6 +52,8 @@
     repeats: Mutex<RepeatBudgets>,
     /// Connections to targets.
     pub connections: KeptConnections,
+    /// What is held for callers.
+    pub deliveries: Arc<Deliveries>,
     /// Streams that stand still.
     pub stalls: StallWatch,
     /// Targets that have failed and of which the leader has not been told.
@@ -88,6 +94,7 @@
             book: Mutex::default(),
             repeats: Mutex::new(RepeatBudgets::new(limits)),
             connections: KeptConnections::default(),
+            deliveries: Arc::new(Deliveries::new(cx.clock, cfg)),
             stalls: StallWatch::new(cx.dialects.engines.clone()),
             failing: Mutex::default(),
             to_tell: Notify::new(),
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -2,8 +2,10 @@
 //!
 //! Used for the first try and for each one that goes on after the last event.
 
-use super::answers::{Failure, RouteBody, full, strip_connection_headers};
+use super::answers::{Failure, RouteBody, strip_connection_headers};
 use super::callers::Job;
+use super::delivery;
+use super::held::{Held, Side, collect};
 use super::hold::Hold;
 use super::relay;
 use bytes::Bytes;
@@ -12,7 +14,6 @@
 };
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -106,7 +107,11 @@
         Ok(Opening::Stream(opened)) => relay::start(opener, *opened),
         Ok(Opening::Whole(status, headers, body)) => {
             opener.note(status, "answered", None);
-            let mut res = Response::new(full(body));
+            let job = &opener.job;
+            let in_progress = job.shared.begin();
+            let deliveries = &job.shared.routes.deliveries;
+            let body = delivery::whole(deliveries, &job.recipient(), Some(in_progress), body);
+            let mut res = Response::new(body);
             *res.status_mut() = status;
             *res.headers_mut() = headers;
             res
@@ -399,14 +404,15 @@
                 body,
             })));
         }
-        let collected = Limited::new(body, MAX_ANSWER).collect().await;
+        let mut held = Held::new(&shared.routes.deliveries, Side::Answers);
+        let collected = collect(body, MAX_ANSWER, &mut held).await;
         let body = collected.map_err(|e| Ended::Broken(e.to_string()))?;
         shared
             .routes
             .connections
             .give_back(connection, &head.headers);
         strip_connection_headers(&mut head.headers);
-        Ok(Opening::Whole(head.status, head.headers, body.to_bytes()))
+        Ok(Opening::Whole(head.status, head.headers, body))
     }
 
     /// The line of a request that has ended.
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -1,14 +1,15 @@
 //! Requests with a whole answer: choose, send, repeat where that is safe.
 
-use super::answers::{Failure, RouteBody, full, strip_connection_headers};
+use super::answers::{Failure, RouteBody, strip_connection_headers};
 use super::callers::Job;
+use super::delivery;
+use super::held::{Held, Side, collect};
 use super::hold::Hold;
 use bytes::Bytes;
 use deckwind_core::routes::{Came, Choice, TargetFault, Told, choose_plain, told};
 use deckwind_core::state::RouteKind;
 use deckwind_net::targets::TargetError;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -39,6 +40,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// Counts the body as held until it is on its way.
+    held: Held,
 }
 
 /// How one try ended without an answer to pass on.
@@ -78,7 +81,13 @@
     run.note(&result);
     match result {
         Ok(answered) => {
-            let mut res = Response::new(full(answered.body));
+            let job = &run.job;
+            let in_progress = job.shared.begin();
+            let deliveries = &job.shared.routes.deliveries;
+            let to = job.recipient();
+            let body = delivery::whole(deliveries, &to, Some(in_progress), answered.body);
+            drop(answered.held);
+            let mut res = Response::new(body);
             *res.status_mut() = answered.status;
             *res.headers_mut() = answered.headers;
             res
@@ -213,16 +222,19 @@
             let req = req.map_err(|e| Ended::Unreachable(e.to_string()))?;
             let res = connection.send(req).await.map_err(ended)?;
             let (head, body) = res.into_parts();
-            let collected = Limited::new(body, MAX_ANSWER).collect().await;
+            let deliveries = &job.shared.routes.deliveries;
+            let mut held = Held::new(deliveries, Side::Answers);
+            let most = MAX_ANSWER.min(deliveries.most_of_one());
+            let collected = collect(body, most, &mut held).await;
             let body = collected.map_err(|e| broken(e.to_string()))?;
-            Ok((head, body.to_bytes()))
+            Ok((head, body, held))
         };
-        let (head, body) = match tokio::time::timeout(within, sending).await {
+        let (head, body, held) = match tokio::time::timeout(within, sending).await {
             Ok(sent) => sent?,
             Err(_) => return Err(Ended::MayHaveRun(Failure::Late)),
         };
         let kept = head.headers.clone();
-        let checked = self.check(head.status, head.headers, body);
+        let checked = self.check(head.status, head.headers, body, held);
         if !matches!(checked, Err(Ended::MayHaveRun(_))) {
             connections.give_back(connection, &kept);
         }
@@ -235,6 +247,7 @@
         status: StatusCode,
         mut headers: HeaderMap,
         body: Bytes,
+        held: Held,
     ) -> Result<Answered, Ended> {
         let dialect = &self.job.shared.cx.dialects.callers;
         let answer = dialect.read_answer(status, &headers);
@@ -261,6 +274,7 @@
             status,
             headers,
             body,
+            held,
         })
     }
 
--- a/crates/deckwindd/src/router/routes/relay.rs
+++ b/crates/deckwindd/src/router/routes/relay.rs
@@ -1,23 +1,18 @@
 //! Passes a stream's events on as they come, and goes on at another target
 //! after the last one when its target breaks off or stands still.
 
-use super::answers::{BodyError, Failure, RouteBody, strip_connection_headers};
+use super::answers::{Failure, RouteBody, strip_connection_headers};
+use super::delivery::{self, Gone, Outbox};
 use super::hold::Hold;
 use super::opening::{Opened, Opener, Opening};
 use bytes::Bytes;
 use deckwind_core::routes::EventCutter;
 use deckwind_net::targets::call_target;
 use http::{Response, header};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use http_body_util::BodyExt;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
-use tokio_stream::wrappers::ReceiverStream;
-
-/// Pieces that may wait for a slow caller.
-const MAX_WAITING: usize = 16;
 
 /// Without an event for this long a stream moves if a target on its way is known
 /// to fail: twice the usual pause under load.
@@ -42,8 +37,6 @@
 /// Longest wait for the answer to a changed path.
 const PATH_WITHIN: Duration = Duration::from_millis(300);
 
-type Piece = Result<Frame<Bytes>, BodyError>;
-
 /// How far a stream has come.
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
@@ -75,13 +68,16 @@
     passed_at: Instant,
     /// When its path is looked at again.
     look_at_path: Instant,
-    tx: mpsc::Sender<Piece>,
+    outbox: Outbox,
 }
 
 /// Answers with the stream's head, and passes its events on in a task.
 pub fn start(opener: Opener, opened: Opened) -> Response<RouteBody> {
-    let (tx, rx) = mpsc::channel(MAX_WAITING);
-    let mut res = Response::new(StreamBody::new(ReceiverStream::new(rx)).boxed_unsync());
+    let job = &opener.job;
+    let in_progress = job.shared.begin();
+    let deliveries = &job.shared.routes.deliveries;
+    let (outbox, body) = delivery::open(deliveries, &job.recipient(), Some(in_progress));
+    let mut res = Response::new(body);
     *res.status_mut() = opened.head.status;
     *res.headers_mut() = opened.head.headers.clone();
     strip_connection_headers(res.headers_mut());
@@ -95,13 +91,9 @@
         look_at_path: Instant::now() + PATH_LOOK,
         opener,
         progress,
-        tx,
+        outbox,
     };
-    let in_progress = relay.opener.job.shared.begin();
-    tokio::spawn(async move {
-        relay.run(opened).await;
-        drop(in_progress);
-    });
+    tokio::spawn(relay.run(opened));
     res
 }
 
@@ -112,10 +104,16 @@
             self.progress.data_centre = opened.hold.data_centre();
             let end = self.pass_on(opened).await;
             let why = match end {
-                PartEnd::Whole => break "whole",
-                PartEnd::CallerLeft => break "caller-left",
+                PartEnd::Whole => {
+                    self.outbox.end();
+                    break "whole";
+                }
+                PartEnd::CallerLeft => {
+                    let gone = self.outbox.caller().is_gone();
+                    break gone.map_or("caller-left", Gone::code);
+                }
                 PartEnd::TimeOver => {
-                    self.break_off("time is over").await;
+                    self.outbox.break_off("time is over");
                     break "time-over";
                 }
                 PartEnd::Moved(next) => {
@@ -133,7 +131,7 @@
                         self.progress.last,
                         self.opener.tries
                     );
-                    self.break_off(failure.code()).await;
+                    self.outbox.break_off(failure.code());
                     break "broken-off";
                 }
             }
@@ -150,10 +148,10 @@
         }
         self.opener.count_ended(first);
         self.note_move("stalled");
-        let tx = self.tx.clone();
+        let caller = self.outbox.caller();
         let opening = tokio::select! {
             opening = self.opener.open(self.progress.last, true) => opening,
-            () = tx.closed() => return None,
+            _ = caller.gone() => return None,
         };
         match opening {
             Ok(Opening::Stream(opened)) => Some(opened),
@@ -204,13 +202,13 @@
     /// tries again for as long as callers bear a pause: a chain is mended within
     /// a second.
     async fn open_again(&mut self) -> Result<Opening, Failure> {
-        let tx = self.tx.clone();
+        let caller = self.outbox.caller();
         let until = (self.passed_at + BEARABLE_PAUSE).min(self.opener.job.until);
         loop {
             let opening = self.opener.open(self.progress.last, true);
             let opening = tokio::select! {
                 opening = opening => opening,
-                () = tx.closed() => return Err(Failure::Broken("the caller left".to_string())),
+                _ = caller.gone() => return Err(Failure::Broken("the caller left".to_string())),
             };
             let again = Instant::now() + OPEN_AGAIN_AFTER;
             match opening {
@@ -222,13 +220,6 @@
         }
     }
 
-    async fn break_off(&self, why: &str) {
-        let error: BodyError = why.to_string().into();
-        if self.tx.send(Err(error)).await.is_err() {
-            log::debug!("event=caller_left request={}", self.opener.job.head.id);
-        }
-    }
-
     async fn pass_on(&mut self, opened: Opened) -> PartEnd {
         let Opened {
             mut hold,
@@ -236,7 +227,7 @@
             head,
             mut body,
         } = opened;
-        let tx = self.tx.clone();
+        let caller = self.outbox.caller();
         let shared = self.opener.job.shared.clone();
         let mut cutter = EventCutter::default();
         let mut heard = Instant::now();
@@ -245,7 +236,7 @@
             let look_at_or_end = look_at.min(self.opener.job.until);
             let frame = tokio::select! {
                 frame = body.frame() => frame,
-                () = tx.closed() => return PartEnd::CallerLeft,
+                _ = caller.gone() => return PartEnd::CallerLeft,
                 () = tokio::time::sleep_until(look_at_or_end) => {
                     if self.opener.job.left().is_zero() {
                         return PartEnd::TimeOver;
@@ -276,7 +267,7 @@
                     let Some(data) = frame.data_ref() else {
                         continue;
                     };
-                    if let Some(end) = self.take(&mut cutter, data).await {
+                    if let Some(end) = self.take(&mut cutter, data) {
                         return end;
                     }
                 }
@@ -294,7 +285,7 @@
             .connections
             .give_back(connection, &head.headers);
         let rest = cutter.rest();
-        if !rest.is_empty() && self.send(rest).await.is_err() {
+        if !rest.is_empty() && self.send(rest).is_err() {
             return PartEnd::CallerLeft;
         }
         PartEnd::Whole
@@ -343,7 +334,7 @@
         taken.then(|| hold.on_path(job, &path))
     }
 
-    async fn take(&mut self, cutter: &mut EventCutter, data: &Bytes) -> Option<PartEnd> {
+    fn take(&mut self, cutter: &mut EventCutter, data: &Bytes) -> Option<PartEnd> {
         let events = cutter.take(data, self.progress.last)?;
         let now = Instant::now();
         let progress = &mut self.progress;
@@ -357,15 +348,11 @@
             }
         }
         self.passed_at = now;
-        let sent = tokio::time::timeout(self.opener.job.left(), self.send(events.bytes)).await;
-        match sent {
-            Ok(Ok(())) => None,
-            Ok(Err(_)) => Some(PartEnd::CallerLeft),
-            Err(_) => Some(PartEnd::TimeOver),
-        }
+        let gone = self.send(events.bytes).err();
+        gone.map(|_| PartEnd::CallerLeft)
     }
 
-    async fn send(&self, bytes: Vec<u8>) -> Result<(), mpsc::error::SendError<Piece>> {
-        self.tx.send(Ok(Frame::data(Bytes::from(bytes)))).await
+    fn send(&self, bytes: Vec<u8>) -> Result<(), Gone> {
+        self.outbox.push(Bytes::from(bytes))
     }
 }
