Calls to control replicas are bounded together; the soak reads slowly

Each call may be 16 MB, and any number could come at once or be read slowly: a control VM has 256 MB. Bodies and documents on their way now share 48 MB; past it a call gets 503 and Retry-After. Reading a body within both bounds is one function for routers and replicas (`collect`).

The soak has callers that read 2.4 MB in small pieces and targets behind a proxy that passes little at a time; each answer is checked to its last byte.

--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -256,7 +256,8 @@
     let (id, fault) = {
         let mut state = state.lock().expect("no holder panics");
         state.seen.push(req.clone());
-        (state.id.clone(), state.fault.clone())
+        let fault = flood_asked(&req.line).unwrap_or(state.fault.clone());
+        (state.id.clone(), fault)
     };
     let request = req.headers.get("x-deckwind-request-id").cloned();
     let request = request.unwrap_or_default();
@@ -380,6 +381,17 @@
     Ok(true)
 }
 
+/// A path that ends with `flood-EVENTS-BYTES` asks for that.
+fn flood_asked(line: &str) -> Option<RunnerFault> {
+    let (_, asked) = line.split_once("/flood-")?;
+    let (events, bytes) = asked.split_once('-')?;
+    Some(RunnerFault::Floods {
+        events: events.parse().ok()?,
+        bytes: bytes.parse().ok()?,
+        goes_on: false,
+    })
+}
+
 /// Events as fast as they are read.
 async fn flood(
     s: &mut Stream,
--- a/crates/deckwind-testkit/src/soak/proxy.rs
+++ b/crates/deckwind-testkit/src/soak/proxy.rs
@@ -16,6 +16,9 @@
     None,
     /// They pass later, each piece for itself.
     Delayed(Duration),
+    /// They pass in small pieces with pauses, as at a target that reads and writes
+    /// slowly.
+    Slow,
     /// Those to the target pass; its answers wait.
     OneWay,
     /// None pass, and nobody is told; new connections hang too.
@@ -24,6 +27,9 @@
     Reset,
 }
 
+/// Size of a piece and the pause after it, for [`Harm::Slow`].
+const SLOW: (usize, Duration) = (2_048, Duration::from_millis(2));
+
 /// A proxy in front of one target.
 pub struct Proxy {
     /// Where it listens.
@@ -100,8 +106,15 @@
         if let Harm::Delayed(by) = now {
             tokio::time::sleep(by).await;
         }
-        if to.write_all(&buf[..length]).await.is_err() {
-            return;
+        let (piece, pause) = match now {
+            Harm::Slow => SLOW,
+            _ => (buf.len(), Duration::ZERO),
+        };
+        for part in buf[..length].chunks(piece) {
+            if to.write_all(part).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(pause).await;
         }
     }
 }
--- a/crates/deckwind-testkit/src/soak/world.rs
+++ b/crates/deckwind-testkit/src/soak/world.rs
@@ -7,6 +7,7 @@
 use deckwind_fakes::{EVENTS, FakeCall, FakeRunner, release_document, request_id};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -38,6 +39,16 @@
 /// Caller ids begin with this where a request must not run twice.
 const ONCE: &str = "once";
 
+/// Ids of requests for much, whose callers read slowly.
+const FLOOD: &str = "flood";
+
+/// Events and bytes of such an answer: more than sockets hold at the pace at which
+/// it is read.
+const FLOOD_SIZE: (u64, usize) = (300, 8_000);
+
+/// Between two pieces that a slow caller reads.
+const READ_PAUSE: Duration = Duration::from_millis(2);
+
 type Http = Client<HttpConnector, Full<Bytes>>;
 
 /// A target with the proxy in front of it.
@@ -176,6 +187,7 @@
             Harm::Reset,
             Harm::Silent,
             Harm::OneWay,
+            Harm::Slow,
             Harm::Delayed(Duration::from_millis(80)),
         ];
         let harm = harms[rng.random_range(0..harms.len())];
@@ -287,11 +299,19 @@
     }
 
     async fn send(&self, req: Request<Full<Bytes>>) -> Option<(StatusCode, Option<Bytes>)> {
+        self.send_and_read(req, Duration::ZERO).await
+    }
+
+    /// Pauses after each piece that it reads.
+    async fn send_and_read(
+        &self,
+        req: Request<Full<Bytes>>,
+        pause: Duration,
+    ) -> Option<(StatusCode, Option<Bytes>)> {
         let sending = async {
             let res = self.http.request(req).await.ok()?;
             let status = res.status();
-            let body = res.into_body().collect().await.ok();
-            Some((status, body.map(|b| b.to_bytes())))
+            Some((status, read(res.into_body(), pause).await))
         };
         tokio::time::timeout(ANSWER_WITHIN, sending).await.ok()?
     }
@@ -327,18 +347,24 @@
 
     async fn ask(&self, kind: &str, id: &str, router: usize) -> Outcome {
         let address = self.routers[router % self.routers.len()];
-        let path = format!("/{kind}/x");
+        let (path, pause) = match kind {
+            FLOOD => (
+                format!("/stream/flood-{}-{}", FLOOD_SIZE.0, FLOOD_SIZE.1),
+                READ_PAUSE,
+            ),
+            _ => (format!("/{kind}/x"), Duration::ZERO),
+        };
         let call = FakeCall {
             id,
             path: &path,
             key: KEY,
-            generation: kind == "stream",
+            generation: matches!(kind, "stream" | FLOOD),
             last_event: None,
         };
         let Ok(req) = call.request(address) else {
             return Outcome::Unknown;
         };
-        let Some((status, body)) = self.send(req).await else {
+        let Some((status, body)) = self.send_and_read(req, pause).await else {
             return Outcome::Unknown;
         };
         self.judge(kind, id, status, body)
@@ -349,10 +375,11 @@
             (200, Some(body)) => {
                 let want = match kind {
                     "stream" => whole_stream(),
+                    FLOOD => flood(),
                     _ => format!("answer to {id}"),
                 };
                 if body != want.as_bytes() {
-                    let body = String::from_utf8_lossy(&body);
+                    let body = String::from_utf8_lossy(&body[..body.len().min(1_000)]);
                     self.note_broken(format!("{id} was answered with {body:?}"));
                 }
                 self.served.fetch_add(1, Ordering::Relaxed);
@@ -378,13 +405,32 @@
     (1..=EVENTS).map(event).collect()
 }
 
+fn flood() -> String {
+    let text = "x".repeat(FLOOD_SIZE.1);
+    let event = |i| format!("id: {i}\ndata: {text}\n\n");
+    (1..=FLOOD_SIZE.0).map(event).collect()
+}
+
+async fn read(mut body: Incoming, pause: Duration) -> Option<Bytes> {
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            whole.extend_from_slice(&data);
+        }
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+    }
+    Some(whole.into())
+}
+
 async fn call(shared: Arc<Shared>, number: u64) {
-    let kinds = ["safe", ONCE, "stream"];
+    let kinds = ["safe", ONCE, "stream", FLOOD];
     while !shared.stop.load(Ordering::Relaxed) {
         let next = shared.next_id();
-        let kind = kinds[(next % 3) as usize];
+        let kind = kinds[(next % 4) as usize];
         let id = format!("{kind}-{number}-{next}");
-        let outcome = shared.ask(kind, &id, next as usize / 3).await;
+        let outcome = shared.ask(kind, &id, next as usize / 4).await;
         if outcome != Outcome::Served {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/deckwind-testkit/tests/testsuite/slow_readers.rs
+++ b/crates/deckwind-testkit/tests/testsuite/slow_readers.rs
@@ -5,6 +5,7 @@
 use crate::run;
 use deckwind_fakes::{FakeRunner, HOST, RunnerFault};
 use deckwind_testkit::{Layout, eventually_async};
+use deckwindd::collect::{CollectError, Grow, Room};
 use http::StatusCode;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -288,3 +289,18 @@
         rig.cluster.close().await.expect("closed");
     });
 }
+
+#[test]
+fn what_is_held_together_has_a_bound_and_is_given_back() {
+    let room = Room::new(1_000);
+    let mut first = room.part();
+    let mut second = room.part();
+    assert_eq!(first.grow(600), Ok(()));
+    assert_eq!(second.grow(500), Err(CollectError::NoRoom));
+    assert_eq!(second.grow(400), Ok(()));
+    assert_eq!(room.held(), 1_000);
+    drop(first);
+    assert_eq!(second.grow(500), Ok(()));
+    drop(second);
+    assert_eq!(room.held(), 0);
+}
--- a/crates/deckwindd/src/control/calls.rs
+++ b/crates/deckwindd/src/control/calls.rs
@@ -7,6 +7,7 @@
 //! unchanged, and a change that is agreed twice changes nothing.
 
 use super::handle::{ControlHandle, Input};
+use crate::collect::{CollectError, Grow, Part, Room, collect};
 use crate::context::Context;
 use crate::router::listen;
 use anyhow::{Context as _, Result};
@@ -15,21 +16,28 @@
 use deckwind_net::edge::{BadInput, ControlCall, ControlDialect};
 use deckwind_net::targets::watch_over;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// Longest body of a call: a release of ten thousand routes is about 3 MB.
 const MAX_BODY: usize = 16 << 20;
 
+/// Bodies of calls, and documents on their way, that are held at once, bytes: three
+/// of the longest. Control VMs have 256 MB; the largest replica that was measured
+/// used 103 (docs/CAPACITY.md).
+const MAX_HELD: u64 = 3 * MAX_BODY as u64;
+
 /// Longest wait for a body.
 const BODY_WITHIN: Duration = Duration::from_secs(3);
 
@@ -44,6 +52,8 @@
 
 struct Calls {
     handle: ControlHandle,
+    /// What callers send and read.
+    room: Arc<Room>,
     dialect: Arc<dyn ControlDialect>,
     /// Where this replica takes calls.
     address: SocketAddr,
@@ -60,6 +70,7 @@
     let listener = listen(address).with_context(|| format!("TCP {address} can't be bound"))?;
     let calls = Arc::new(Calls {
         handle,
+        room: Room::new(MAX_HELD),
         dialect: cx.dialects.control.clone(),
         address,
         port: cx.settings.seeds.is_some().then_some(address.port()),
@@ -91,15 +102,14 @@
     })
 }
 
-async fn answer(
-    calls: Arc<Calls>,
-    req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+async fn answer(calls: Arc<Calls>, req: Request<Incoming>) -> Result<Response<Answer>, Infallible> {
     let (head, body) = req.into_parts();
     let path = head.uri.path();
-    let collecting = Limited::new(body, MAX_BODY).collect();
+    let mut held = calls.room.part();
+    let collecting = collect(body, MAX_BODY, &mut held);
     let body = match tokio::time::timeout(BODY_WITHIN, collecting).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
+        Ok(Err(CollectError::NoRoom)) => return Ok(calls.no_room(path)),
         Ok(Err(e)) => return Ok(refuse(path, StatusCode::BAD_REQUEST, &e.to_string())),
         Err(_) => {
             return Ok(refuse(
@@ -119,8 +129,28 @@
     Ok(calls.ask(path, call).await)
 }
 
+/// Body of an answer. What it holds is counted until it has been sent.
+type Answer = BoxBody<Bytes, Infallible>;
+
 impl Calls {
-    async fn ask(&self, path: &str, call: ControlCall) -> Response<Full<Bytes>> {
+    fn no_room(&self, path: &str) -> Response<Answer> {
+        metrics::counter!("deckwind_control_calls_refused_for_memory_total").increment(1);
+        not_now(path, "too much is held for other callers")
+    }
+
+    /// A document for a caller that may read it slowly.
+    fn document(&self, path: &str, document: Bytes) -> Response<Answer> {
+        let mut held = self.room.part();
+        if held.grow(document.len() as u64).is_err() {
+            return self.no_room(path);
+        }
+        metrics::gauge!("deckwind_control_calls_held_bytes").set(self.room.held() as f64);
+        let rest = document;
+        let counted = Counted { rest, _held: held };
+        respond(StatusCode::OK, Bytes::new()).map(|_| counted.boxed())
+    }
+
+    async fn ask(&self, path: &str, call: ControlCall) -> Response<Answer> {
         let is_release = matches!(call, ControlCall::Publish(_));
         let request = request_of(call);
         let (tx, rx) = oneshot::channel();
@@ -132,12 +162,7 @@
         }
     }
 
-    fn to_response(
-        &self,
-        path: &str,
-        is_release: bool,
-        reply: OperatorReply,
-    ) -> Response<Full<Bytes>> {
+    fn to_response(&self, path: &str, is_release: bool, reply: OperatorReply) -> Response<Answer> {
         match reply {
             OperatorReply::Accepted { revision, .. } => {
                 // Announcements come each second from every target.
@@ -156,7 +181,7 @@
             OperatorReply::Rejected(rejection) => {
                 refuse(path, StatusCode::BAD_REQUEST, &rejection.to_string())
             }
-            OperatorReply::Document(Some(document)) => respond(StatusCode::OK, document.into()),
+            OperatorReply::Document(Some(document)) => self.document(path, document.into()),
             OperatorReply::Document(None) => not_now(path, "nothing is published yet"),
             OperatorReply::NotLeader { leader: Some(slot) } => self.redirect(path, slot),
             OperatorReply::NotLeader { leader: None } => not_now(path, "nobody leads"),
@@ -168,7 +193,7 @@
     }
 
     /// Sends the caller to the leader, where its slot is its address.
-    fn redirect(&self, path: &str, slot: u32) -> Response<Full<Bytes>> {
+    fn redirect(&self, path: &str, slot: u32) -> Response<Answer> {
         let Some(port) = self.port else {
             return not_now(path, "another replica leads");
         };
@@ -198,7 +223,7 @@
     }
 }
 
-fn refuse(path: &str, status: StatusCode, why: &str) -> Response<Full<Bytes>> {
+fn refuse(path: &str, status: StatusCode, why: &str) -> Response<Answer> {
     log::info!(
         "event=call_refused path={path} status={} error={why:?}",
         status.as_u16()
@@ -207,17 +232,45 @@
     respond(status, body.into())
 }
 
-fn not_now(path: &str, why: &str) -> Response<Full<Bytes>> {
+fn not_now(path: &str, why: &str) -> Response<Answer> {
     let mut res = refuse(path, StatusCode::SERVICE_UNAVAILABLE, why);
     let value = header::HeaderValue::from_static(ASK_AGAIN_S);
     res.headers_mut().insert(header::RETRY_AFTER, value);
     res
 }
 
-fn respond(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut res = Response::new(Full::new(body));
+fn respond(status: StatusCode, body: Bytes) -> Response<Answer> {
+    let mut res = Response::new(Full::new(body).boxed());
     *res.status_mut() = status;
     let json = header::HeaderValue::from_static("application/json");
     res.headers_mut().insert(header::CONTENT_TYPE, json);
     res
 }
+
+/// Bytes of a document that are handed to a connection at once: what a slow caller
+/// has not taken stays counted.
+const SLICE: usize = 16 * 1024;
+
+/// A document that is counted as held until it has been handed over.
+struct Counted {
+    rest: Bytes,
+    _held: Part,
+}
+
+impl Body for Counted {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let length = SLICE.min(self.rest.len());
+        let piece = self.rest.split_to(length);
+        Poll::Ready((length > 0).then(|| Ok(Frame::data(piece))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
--- a/crates/deckwindd/src/lib.rs
+++ b/crates/deckwindd/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod admin;
 pub mod clock;
+pub mod collect;
 pub mod commands;
 pub mod context;
 pub mod control;
--- a/crates/deckwindd/src/router/routes/callers.rs
+++ b/crates/deckwindd/src/router/routes/callers.rs
@@ -2,8 +2,9 @@
 
 use super::answers::{BodyError, Failure, RouteBody, full, strip_connection_headers};
 use super::delivery::Recipient;
-use super::held::{CollectError, Deliveries, Held, Side, collect};
+use super::held::{Deliveries, Held, Side};
 use super::{opening, plain};
+use crate::collect::{CollectError, collect};
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
 use deckwind_core::routes::{Choice, ReleaseIndex};
@@ -203,6 +204,9 @@
 }
 
 fn note_refused(shared: &RouterShared, id: &str, parts: &Parts, failure: &Failure) {
+    if *failure == Failure::NoMemory {
+        metrics::counter!("deckwind_route_refused_for_memory_total").increment(1);
+    }
     let release = shared.routes.release();
     let version = release.map_or(0, |r| r.release().version);
     log::info!(
--- a/crates/deckwindd/src/router/routes/delivery.rs
+++ b/crates/deckwindd/src/router/routes/delivery.rs
@@ -84,7 +84,7 @@
 /// One answer on its way to its caller.
 pub struct Delivery {
     request: String,
-    account: u64,
+    account: String,
     until: Instant,
     queue: Mutex<Queue>,
     gone: Notify,
@@ -148,7 +148,7 @@
 ) -> (Outbox, RouteBody) {
     let delivery = Arc::new(Delivery {
         request: to.request.to_string(),
-        account: to.account.map_or(0, |a| xxh3_64(a.as_bytes())),
+        account: to.account.unwrap_or("-").to_string(),
         until: to.until,
         queue: Mutex::default(),
         gone: Notify::new(),
@@ -273,7 +273,7 @@
         let queue = self.lock();
         Some(Behind {
             key,
-            account: self.account,
+            account: xxh3_64(self.account.as_bytes()),
             bytes: queue.bytes,
             pieces: queue.pieces.len() as u32,
             since: queue.since?,
@@ -293,7 +293,7 @@
         let labels = [("why", why.to_string())];
         metrics::counter!("deckwind_route_callers_cut_total", &labels).increment(1);
         log::warn!(
-            "event=caller_cut request={} account={:x} bytes={bytes} pieces={} behind_ms={} held={} why={why}",
+            "event=caller_cut request={} account={:?} bytes={bytes} pieces={} behind_ms={} held={} why={why}",
             self.request,
             self.account,
             behind.pieces,
--- a/crates/deckwindd/src/router/routes/held.rs
+++ b/crates/deckwindd/src/router/routes/held.rs
@@ -5,12 +5,10 @@
 
 use super::delivery::Delivery;
 use crate::clock::Clock;
-use bytes::{Bytes, BytesMut};
+use crate::collect::{CollectError, Grow};
 use deckwind_config::RouterSettings;
 use deckwind_core::routes::{AnswerArena, AnswerKey, Behind, HoldLimits, Way};
 use deckwind_core::time::Instant;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -46,27 +44,6 @@
     Requests,
 }
 
-/// Why a body could not be read whole.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CollectError {
-    /// It is longer than it may be.
-    TooLong,
-    /// The router holds all that it may.
-    NoRoom,
-    /// It broke off.
-    Broken(String),
-}
-
-impl std::fmt::Display for CollectError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            CollectError::TooLong => f.write_str("it is too long"),
-            CollectError::NoRoom => f.write_str("no memory for it"),
-            CollectError::Broken(why) => f.write_str(why),
-        }
-    }
-}
-
 /// All that a router holds.
 pub struct Deliveries {
     clock: Clock,
@@ -235,9 +212,10 @@
             bytes: 0,
         }
     }
+}
 
-    /// Some bytes more, if there is room for them.
-    pub fn grow(&mut self, bytes: u64) -> Result<(), CollectError> {
+impl Grow for Held {
+    fn grow(&mut self, bytes: u64) -> Result<(), CollectError> {
         if self.deliveries.is_full(bytes) {
             return Err(CollectError::NoRoom);
         }
@@ -252,34 +230,3 @@
         self.deliveries.sub(self.side, self.bytes);
     }
 }
-
-/// Reads a whole body of `most` bytes at most, and counts it as it comes.
-pub async fn collect(
-    mut body: Incoming,
-    most: usize,
-    held: &mut Held,
-) -> Result<Bytes, CollectError> {
-    let mut whole = Bytes::new();
-    let mut parts = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| CollectError::Broken(e.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if whole.len() + parts.len() + data.len() > most {
-            return Err(CollectError::TooLong);
-        }
-        held.grow(data.len() as u64)?;
-        // Most bodies come in one piece, which is not copied.
-        if whole.is_empty() && parts.is_empty() {
-            whole = data;
-            continue;
-        }
-        parts.extend_from_slice(&std::mem::take(&mut whole));
-        parts.extend_from_slice(&data);
-    }
-    match parts.is_empty() {
-        true => Ok(whole),
-        false => Ok(parts.freeze()),
-    }
-}
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -5,9 +5,10 @@
 use super::answers::{Failure, RouteBody, strip_connection_headers};
 use super::callers::Job;
 use super::delivery;
-use super::held::{Held, Side, collect};
+use super::held::{Held, Side};
 use super::hold::Hold;
 use super::relay;
+use crate::collect::collect;
 use bytes::Bytes;
 use deckwind_core::routes::{
     Came, Choice, Claim, NoChoice, Room, TargetFault, Told, choose_path, choose_plain, told,
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -3,8 +3,9 @@
 use super::answers::{Failure, RouteBody, strip_connection_headers};
 use super::callers::Job;
 use super::delivery;
-use super::held::{Held, Side, collect};
+use super::held::{Held, Side};
 use super::hold::Hold;
+use crate::collect::collect;
 use bytes::Bytes;
 use deckwind_core::routes::{Came, Choice, TargetFault, Told, choose_plain, told};
 use deckwind_core::state::RouteKind;
