--- /dev/null
+++ b/crates/deckwind-testkit/examples/slow_readers.rs
@@ -0,0 +1,101 @@
+//! Resident memory of a router's process beside many callers that read nothing.
+//!
+//! ```text
+//! cargo run --release -p deckwind-testkit --example slow_readers -- BIN_FOLDER [MEMORY_MB]
+//! ```
+
+use anyhow::{Context, Result};
+use deckwind_fakes::{FakeRunner, HOST, release_document};
+use deckwind_testkit::{Layout, Processes, eventually_async};
+use http::Request;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpSocket, TcpStream};
+
+/// Each answer: 8 MB, as fast as it is read; sockets take up some 3 MB of it.
+const EVENTS: u32 = 2_000;
+const EVENT_BYTES: u32 = 4_000;
+
+fn resident_kib(process: u32) -> Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
+    let line = status.lines().find(|l| l.starts_with("VmRSS:"));
+    let word = line.and_then(|l| l.split_whitespace().nth(1));
+    word.context("no VmRSS")?.parse().context("VmRSS")
+}
+
+async fn post(address: SocketAddr, path: &str, body: &Value) -> Option<()> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let body = Full::new(bytes::Bytes::from(body.to_string()));
+    let req = Request::post(format!("http://{address}{path}")).body(body);
+    let res = client.request(req.ok()?).await.ok()?;
+    res.status().is_success().then_some(())
+}
+
+async fn ask(router: SocketAddr, id: &str) -> Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(8_192)?;
+    let mut stream = socket.connect(router).await?;
+    let head = format!(
+        "POST /tell/flood-{EVENTS}-{EVENT_BYTES} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer key\r\n\
+         X-Deckwind-Request-Id: {id}\r\nX-Deckwind-Token-Count: 50,24\r\nContent-Length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    Ok(stream)
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let mut args = std::env::args().skip(1);
+    let bins = args.next().context("name the folder of the programs")?;
+    let mut layout = Layout::new(1, 1)?;
+    layout.memory_mb = Some(args.next().map_or(Ok(160.0), |m| m.parse())?);
+    let path = |name: &str| format!("{bins}/{name}");
+    let daemon = path("testkit-daemon");
+    let cluster = Processes::new(layout, &daemon, &path("testkit-cli"), &path("testkit-fake"));
+    let _control = cluster.control(0)?;
+    let router = cluster.router(0)?;
+    let control = cluster.layout.control_calls[0];
+    let release = release_document(1, &["key"]);
+    eventually_async("the release is taken", || {
+        post(control, "/v1/config/put", &release)
+    })
+    .await;
+    let target = FakeRunner::start("p-0").await?;
+    let says = target.announcement("plain", "recife-a", "ready", 1);
+    let heartbeat = "/v1/instances/p-0/heartbeat";
+    eventually_async("the target is known", || post(control, heartbeat, &says)).await;
+    let routes = cluster.layout.routers[0].routes;
+    eventually_async("it serves", || async {
+        drop(ask(routes, "warm-up").await.ok()?);
+        target
+            .seen()
+            .iter()
+            .any(|r| r.line.contains("flood"))
+            .then_some(())
+    })
+    .await;
+    println!("memory {:?} MB, answers of 8 MB", cluster.layout.memory_mb);
+    println!("none slow: {} KiB", resident_kib(router.id())?);
+    for callers in [5, 10, 20, 40, 80] {
+        let before = target.written().len();
+        let mut open = Vec::new();
+        for i in 0..callers {
+            open.push(ask(routes, &format!("slow-{callers}-{i}")).await?);
+        }
+        // Long enough for their answers over loopback; nobody reads.
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let written = target.written().len() - before;
+        let resident = resident_kib(router.id())?;
+        println!(
+            "{callers:>4} slow callers: {resident:>7} KiB, {written} answers read to their end"
+        );
+        drop(open);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    Ok(())
+}
--- a/crates/deckwind-testkit/tests/testsuite/slow_readers.rs
+++ b/crates/deckwind-testkit/tests/testsuite/slow_readers.rs
@@ -144,9 +144,17 @@
         let router = rig.cluster.layout.routers[0].routes;
         let caller = SlowCaller::stream(router, "r1", None).await;
         until_written(&rig, "r1").await;
+        let shared = rig.cluster.router(0).router().expect("a router").shared();
+        assert!(shared.routes.deliveries.held() > 0);
+        assert!(shared.in_progress() > 0, "a planned stop waits for it");
         let read = caller.read().await;
         assert!(read.whole);
         assert_eq!(read.events, (1..=EVENTS).collect::<Vec<_>>());
+        eventually_async("nothing is held any more", || async {
+            let held = shared.routes.deliveries.held();
+            (held == 0 && shared.in_progress() == 0).then_some(())
+        })
+        .await;
         rig.cluster.close().await.expect("closed");
     });
 }
@@ -180,6 +188,30 @@
     });
 }
 
+/// The route's time is 3 s; whoever has not read by then gives up.
+#[test]
+fn an_answer_that_nobody_reads_is_dropped_once_its_time_is_over() {
+    run(async {
+        let rig = placed(layout(400.0), 2).await;
+        rig.engines.iter().for_each(|e| e.set_fault(flood()));
+        let router = rig.cluster.layout.routers[0].routes;
+        let headers = "X-Deckwind-Token-Count: 50,24\r\nContent-Length: 0\r\n";
+        let caller = SlowCaller::ask(router, "r1", "/stream/x", headers, b"").await;
+        let shared = rig.cluster.router(0).router().expect("a router").shared();
+        let deliveries = &shared.routes.deliveries;
+        eventually_async("it waits", || async {
+            (deliveries.held() > 0).then_some(())
+        })
+        .await;
+        eventually_async("it is dropped", || async {
+            (deliveries.cut() == 1 && deliveries.held() == 0).then_some(())
+        })
+        .await;
+        assert!(!caller.read().await.whole);
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
 /// The bodies of requests in progress are held too.
 #[test]
 fn past_the_bound_a_new_request_is_refused_at_once_and_not_run() {
--- a/crates/deckwindd/src/router/routes/held.rs
+++ b/crates/deckwindd/src/router/routes/held.rs
@@ -23,7 +23,7 @@
 /// Least bound, bytes: the longest body that callers are usually allowed.
 const LEAST_BOUND: u64 = 4 << 20;
 
-/// Between two looks for callers to cut while none can be: each looks at all.
+/// Between two looks for callers to cut while none can be: each look is at all.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
 /// Between two looks whether a caller's time is over.
@@ -163,11 +163,15 @@
         self.looked.store(now, Ordering::Relaxed);
         let all = self.behind();
         let only: Vec<Behind> = all.iter().map(|(_, b)| *b).collect();
-        for key in self.limits.cut(WAY, self.held(), &only) {
-            if let Some((delivery, behind)) = all.iter().find(|(_, b)| b.key == key) {
+        let cut = self.limits.cut(WAY, self.held(), &only);
+        for key in &cut {
+            if let Some((delivery, behind)) = all.iter().find(|(_, b)| b.key == *key) {
                 delivery.cut(behind, "memory");
             }
         }
+        if !cut.is_empty() {
+            self.looked.store(0, Ordering::Relaxed);
+        }
     }
 
     /// Cuts callers that have not read their answer long after their time was
