--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -28,6 +28,19 @@
     },
     /// It runs them and answers 500.
     Fails,
+    /// It runs them and answers with this status, signed and without a promise.
+    Answers(u16),
+    /// It answers plain requests with so many bytes.
+    Long(usize),
+    /// It writes so many events of so many bytes as fast as they are read.
+    Floods {
+        /// Events.
+        events: u64,
+        /// Bytes of each, about.
+        bytes: usize,
+        /// Whether it then goes on at the usual pace until the fault is over.
+        goes_on: bool,
+    },
     /// It runs them and closes in the middle of the answer; a stream before its
     /// head.
     Cuts,
@@ -81,6 +94,10 @@
     late: Option<((u32, u32), u64)>,
     connections: u32,
     reports: u32,
+    /// Floods that were written to their end.
+    written: Vec<String>,
+    /// Requests that were told to take another path.
+    path_changes: u32,
 }
 
 impl State {
@@ -185,6 +202,16 @@
         self.lock().reports
     }
 
+    /// Requests whose flood of events was taken to its end.
+    pub fn written(&self) -> Vec<String> {
+        self.lock().written.clone()
+    }
+
+    /// Times that a request was told to take another path.
+    pub fn path_changes(&self) -> u32 {
+        self.lock().path_changes
+    }
+
     /// Orders that it has taken.
     pub fn orders(&self) -> u64 {
         self.lock().orders
@@ -293,7 +320,8 @@
     let (id, fault) = {
         let mut state = state.lock().expect("no holder panics");
         state.seen.push(req.clone());
-        (state.id.clone(), state.fault.clone())
+        let fault = flood_asked(&req.line).unwrap_or(state.fault.clone());
+        (state.id.clone(), fault)
     };
     let request = req.headers.get("x-deckwind-request-id").cloned();
     let request = request.unwrap_or_default();
@@ -309,6 +337,12 @@
         );
         return whole(s, &head, b"").await;
     }
+    if let RunnerFault::Answers(status) = &fault {
+        let head = format!(
+            "{status} Own\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s"
+        );
+        return whole(s, &head, b"own words").await;
+    }
     match req.headers.contains_key("x-deckwind-token-count") {
         true => stream_events(s, &req, &request, &fault, state).await,
         false => plain(s, &request, &fault).await,
@@ -342,6 +376,7 @@
             let head = format!("200 OK\r\nX-Deckwind-Request-Id: {request}");
             whole(s, &head, body.as_bytes()).await
         }
+        RunnerFault::Long(bytes) => whole(s, &good, "y".repeat(*bytes).as_bytes()).await,
         RunnerFault::Unframed => {
             let head = format!("HTTP/1.1 {good}\r\n\r\n{body}");
             s.write_all(head.as_bytes()).await?;
@@ -370,6 +405,15 @@
     if *fault == RunnerFault::Cuts {
         return Ok(false);
     }
+    if let RunnerFault::Floods {
+        events,
+        bytes,
+        goes_on,
+    } = fault
+    {
+        s.write_all(head.as_bytes()).await?;
+        return flood(s, request, last + 1..=*events, (*bytes, *goes_on), state).await;
+    }
     // As the users' engines do, the head comes with the first event.
     let mut head = Some(head);
     for event in last + 1..=EVENTS {
@@ -401,6 +445,50 @@
     Ok(true)
 }
 
+/// A path that ends with `flood-EVENTS-BYTES` asks for that.
+fn flood_asked(line: &str) -> Option<RunnerFault> {
+    let (_, asked) = line.split_once("/flood-")?;
+    let (events, bytes) = asked.split_once('-')?;
+    Some(RunnerFault::Floods {
+        events: events.parse().ok()?,
+        bytes: bytes.parse().ok()?,
+        goes_on: false,
+    })
+}
+
+/// Events as fast as they are read.
+async fn flood(
+    s: &mut Stream,
+    request: &str,
+    events: std::ops::RangeInclusive<u64>,
+    (bytes, goes_on): (usize, bool),
+    state: &Mutex<State>,
+) -> Result<bool> {
+    let mut next = *events.end() + 1;
+    let text = "x".repeat(bytes);
+    for event in events {
+        chunk(s, &format!("id: {event}\ndata: {text}\n\n")).await?;
+    }
+    let written = request.to_string();
+    state
+        .lock()
+        .expect("no holder panics")
+        .written
+        .push(written);
+    while goes_on && is_flooding(state) {
+        tokio::time::sleep(EVENT_GAP).await;
+        chunk(s, &event_text(next)).await?;
+        next += 1;
+    }
+    s.write_all(b"0\r\n\r\n").await?;
+    Ok(true)
+}
+
+fn is_flooding(state: &Mutex<State>) -> bool {
+    let state = state.lock().expect("no holder panics");
+    matches!(state.fault, RunnerFault::Floods { .. })
+}
+
 fn is_stalled(state: &Mutex<State>) -> bool {
     let state = state.lock().expect("no holder panics");
     matches!(state.fault, RunnerFault::StallsAfter { .. })
@@ -441,6 +529,10 @@
 
 async fn order(s: &mut Stream, req: &SeenRequest, state: &Mutex<State>) -> Result<bool> {
     let order: Value = serde_json::from_slice(&req.body)?;
+    if order["op"] == "repath" {
+        state.lock().expect("no holder panics").path_changes += 1;
+        return whole(s, "202 Accepted", b"").await;
+    }
     let number = |name: &str| order[name].as_u64().unwrap_or_default();
     let layers = (number("from") as u32, number("targetVersion") as u32);
     let expects = number("expectedRev");
--- a/crates/deckwindd/src/router/routes/answers.rs
+++ b/crates/deckwindd/src/router/routes/answers.rs
@@ -36,6 +36,8 @@
     NoTarget,
     /// Not run: all targets are full.
     Full,
+    /// Not run: this router holds all that it may for others.
+    NoMemory,
     /// Not run: targets refused it.
     Refused,
     /// Not run: nothing may be sent again for now.
@@ -51,6 +53,14 @@
 }
 
 impl Failure {
+    /// A target's answer that does not say whether the request has run.
+    pub fn unpromised(status: StatusCode) -> Self {
+        Failure::Broken(format!(
+            "the target answered {} without a promise",
+            status.as_u16()
+        ))
+    }
+
     /// Status that the caller gets.
     pub fn status(&self) -> StatusCode {
         match self {
@@ -64,6 +74,7 @@
             | Failure::Stopping
             | Failure::NoTarget
             | Failure::Full
+            | Failure::NoMemory
             | Failure::Refused
             | Failure::NoRepeat
             | Failure::NoTime => StatusCode::SERVICE_UNAVAILABLE,
@@ -85,6 +96,7 @@
             Failure::Stopping => "stopping",
             Failure::NoTarget => "no-target",
             Failure::Full => "full",
+            Failure::NoMemory => "no-memory",
             Failure::Refused => "refused-by-targets",
             Failure::NoRepeat => "no-repeat-left",
             Failure::NoTime => "no-time",
@@ -99,7 +111,7 @@
     fn refusal(&self) -> Option<Refusal> {
         match self {
             Failure::NoLease => Some(Refusal::NoLease),
-            Failure::Stopping | Failure::CutOff => Some(Refusal::OtherRouter),
+            Failure::Stopping | Failure::CutOff | Failure::NoMemory => Some(Refusal::OtherRouter),
             Failure::NoRepeat => Some(Refusal::NoRepeat),
             Failure::NoTarget | Failure::Refused => Some(Refusal::NoTarget),
             Failure::Full => Some(Refusal::Full),
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -2,18 +2,20 @@
 //!
 //! Used for the first try and for each one that goes on after the last event.
 
-use super::answers::{Failure, RouteBody, full, strip_connection_headers};
+use super::answers::{Failure, RouteBody, strip_connection_headers};
 use super::callers::Job;
+use super::delivery;
+use super::held::{Held, Side};
 use super::hold::Hold;
 use super::relay;
+use crate::collect::collect;
 use bytes::Bytes;
 use deckwind_core::routes::{
-    Choice, Claim, NoChoice, Room, TargetFault, choose_path, choose_plain,
+    Came, Choice, Claim, NoChoice, Room, TargetFault, Told, choose_path, choose_plain, told,
 };
 use deckwind_core::state::Life;
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -90,6 +92,8 @@
     NotRun(Option<SocketAddr>),
     Stalled,
     Broken(String),
+    /// It answered with this status, and does not say whether it ran.
+    Unpromised(StatusCode),
 }
 
 /// Runs one request to its end.
@@ -108,7 +112,11 @@
         Ok(Opening::Stream(opened)) => relay::start(opener, *opened),
         Ok(Opening::Whole(status, headers, body)) => {
             opener.note(status, "answered", None);
-            let mut res = Response::new(full(body));
+            let job = &opener.job;
+            let in_progress = job.shared.begin();
+            let deliveries = &job.shared.routes.deliveries;
+            let body = delivery::whole(deliveries, &job.recipient(), Some(in_progress), body);
+            let mut res = Response::new(body);
             *res.status_mut() = status;
             *res.headers_mut() = headers;
             res
@@ -150,7 +158,7 @@
                 Err(ended) => ended,
             };
             again = !matches!(ended, Ended::Unreachable(_)) || again;
-            ran |= matches!(ended, Ended::Stalled | Ended::Broken(_));
+            ran |= !matches!(ended, Ended::Unreachable(_) | Ended::NotRun(_));
             let judged = self.judge(choice.address, ended);
             // Refusals after a try that may have run promise nothing.
             judged.map_err(|failure| match failure {
@@ -189,6 +197,12 @@
                     return Err(Failure::Broken(why));
                 }
             }
+            Ended::Unpromised(status) => {
+                self.avoid(address);
+                if !(resumable && self.tries_left()) {
+                    return Err(Failure::unpromised(status));
+                }
+            }
         }
         match self.refused > MAX_REFUSED {
             true => Err(Failure::Refused),
@@ -373,9 +387,17 @@
         if answer.id.as_ref().is_some_and(|id| *id != self.job.head.id) {
             return Err(Ended::Broken("the answer is another request's".to_string()));
         }
-        if answer.not_run {
-            self.tries -= 1;
-            return Err(Ended::NotRun(answer.at_fault));
+        let came = match answer.not_run {
+            true => Came::NotRun(head.status.as_u16()),
+            false => Came::Own(head.status.as_u16()),
+        };
+        match told(self.job.route.kind, came) {
+            Told::NotRun => {
+                self.tries -= 1;
+                return Err(Ended::NotRun(answer.at_fault));
+            }
+            Told::MayHaveRun => return Err(Ended::Unpromised(head.status)),
+            Told::PassOn => {}
         }
         if head.status.is_success() {
             if !answer.signed || answer.encoded {
@@ -390,14 +412,15 @@
                 body,
             })));
         }
-        let collected = Limited::new(body, MAX_ANSWER).collect().await;
+        let mut held = Held::new(&shared.routes.deliveries, Side::Answers);
+        let collected = collect(body, MAX_ANSWER, &mut held).await;
         let body = collected.map_err(|e| Ended::Broken(e.to_string()))?;
         shared
             .routes
             .connections
             .give_back(connection, &head.headers);
         strip_connection_headers(&mut head.headers);
-        Ok(Opening::Whole(head.status, head.headers, body.to_bytes()))
+        Ok(Opening::Whole(head.status, head.headers, body))
     }
 
     /// The line of a request that has ended.
