--- a/crates/deckwind-core/src/control/applying.rs
+++ b/crates/deckwind-core/src/control/applying.rs
@@ -20,9 +20,12 @@
     ) {
         let before = self.machine.configuration().shown();
         let mut urgency = None;
+        let mut repeats = false;
         for entry in entries {
             self.log_bytes += entry.size();
+            let known = self.machine.repeats().changes();
             let reply = self.apply_entry(&entry, &mut urgency, out);
+            repeats |= self.machine.repeats().changes() != known;
             let waiting = self.proposals.applied(entry.at.index, entry.at.term);
             match (waiting, reply) {
                 (Some((asker, true)), Some(reply)) => self.answer(now, asker, reply, out),
@@ -30,6 +33,9 @@
                 (None, _) => {}
             }
         }
+        if repeats {
+            self.repeats_agreed(now, out);
+        }
         let changed = self.machine.configuration().shown() > before;
         if let (Some(urgency), Some(leading)) = (urgency.filter(|_| changed), &mut self.leading) {
             if urgency == Urgency::Urgent {
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -12,9 +12,10 @@
 use super::pace::Pace;
 use super::pending::{Asker, ForceWait, Parked, Proposals};
 use super::placement_desk::PlacementDesk;
+use super::repeat_desk::RepeatDesk;
 use super::urgent::UrgentChanges;
 use super::wake::Wake;
-use crate::membership::{LeaseTable, LeaseTiming, RecentRouters};
+use crate::membership::{LeaseTable, LeaseTiming};
 use crate::replication::{
     Action, Event, HardState, Index, Position, Replica, ReplicaConfig, Stored, Term,
 };
@@ -40,8 +41,6 @@
     pub(super) next_look: Instant,
     /// Changes that routers must not lack for long.
     pub(super) urgent: UrgentChanges,
-    /// Routers that had a lease lately.
-    pub(super) recent: RecentRouters,
     /// What each router's streams hold.
     pub(super) in_use: UseTable,
     /// When each router was last told what the others' streams hold.
@@ -49,6 +48,9 @@
     pub(super) admins: BTreeMap<VmName, SocketAddr>,
     /// Whether claims of routers that no longer exist were looked for.
     pub(super) orphans_done: bool,
+    /// Repeats of the routers, from when this leader may answer on: the log is
+    /// applied up to its first entry then.
+    pub(super) repeats: Option<RepeatDesk>,
 }
 
 /// A control replica without I/O.
@@ -237,11 +239,11 @@
                 checked: BTreeMap::new(),
                 next_look: since,
                 urgent: UrgentChanges::new(self.told),
-                recent: RecentRouters::new(since),
                 in_use: UseTable::default(),
                 use_told: BTreeMap::new(),
                 admins: BTreeMap::new(),
                 orphans_done: false,
+                repeats: None,
             });
         }
     }
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -76,7 +76,8 @@
             let over = parked.until <= now;
             // What came after the last round waits for the next one.
             let behind = parked.renewal.applied < self.told;
-            if over || all || behind {
+            let repeats = self.has_repeats_for(&parked.renewal.holder);
+            if over || all || behind || repeats {
                 self.answer_one(now, parked, over, out);
             } else {
                 self.parked.push(parked);
@@ -150,16 +151,18 @@
         let cfg = self.machine.configuration();
         let routers = leading.leases.routers().count() as u32;
         let replicas = self.replica.members().all().map(|id| id.slot);
+        let desk = leading.repeats.as_mut();
+        let repeats = desk.map_or(Vec::new(), |d| d.grants(now, &renewal.holder));
         Some(Grant {
             term: self.replica.term(),
             lasts,
             delta,
             shares: leading.demand.shares(&renewal.demand, routers, cfg),
             routers,
-            routers_lately: leading.recent.lately(now),
             in_use: leading.use_to_tell(now, &renewal.holder.vm),
             replicas: replicas.collect(),
             failing: leading.failing_now(now),
+            repeats,
         })
     }
 }
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -1,7 +1,8 @@
 //! What routers ask of the control replicas, and what they hear.
 
 use super::heard::HeardTargets;
-use crate::membership::{AccountDemand, AccountShare, LeaseGrant, RoutersLately};
+use super::repeat_messages::{RepeatGrant, RepeatReport};
+use crate::membership::{AccountDemand, AccountShare, LeaseGrant};
 use crate::replication::{Message, Term};
 use crate::routing::paths::Held;
 use crate::state::{
@@ -28,6 +29,9 @@
     pub in_use: Vec<EngineUse>,
     /// Targets that have failed it lately.
     pub failing: Vec<SocketAddr>,
+    /// Repeats that it holds and wants; nothing if its settings allow none beyond
+    /// the share of its own requests.
+    pub repeats: Option<RepeatReport>,
 }
 
 /// What streams hold at one engine.
@@ -77,8 +81,6 @@
     pub shares: Vec<(AccountName, AccountShare)>,
     /// Routers with a live lease.
     pub routers: u32,
-    /// Routers that had a lease lately, for bounds that they share.
-    pub routers_lately: RoutersLately,
     /// What all other routers' streams hold; nothing if the router has just been
     /// told.
     pub in_use: Option<Vec<EngineUse>>,
@@ -86,6 +88,8 @@
     pub replicas: Vec<u32>,
     /// Targets that have just failed some router.
     pub failing: Vec<SocketAddr>,
+    /// Repeats that the router may use.
+    pub repeats: Vec<RepeatGrant>,
 }
 
 impl Grant {
@@ -121,6 +125,8 @@
     Claim(ClaimRequest),
     /// A claimed request ended.
     Finish(FinishRequest),
+    /// I run short of repeats. What is given comes with the lease.
+    Repeats(Holder, RepeatReport),
 }
 
 /// Answer of a control replica.
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -27,6 +27,9 @@
 mod pace;
 mod pending;
 mod placement_desk;
+mod repeat_desk;
+mod repeat_messages;
+mod repeats;
 mod requests;
 mod upkeep;
 mod urgent;
@@ -42,3 +45,5 @@
 };
 pub use orders::{ORDER_FLIGHT, OrderBatch, OrderKind, TargetOrder};
 pub use placement_desk::{GiveUp, PlaceOrder, PlaceWork, PlacementDesk};
+pub use repeat_desk::{RepeatCounts, RepeatDesk};
+pub use repeat_messages::{PoolReport, RepeatGrant, RepeatReport};
--- /dev/null
+++ b/crates/deckwind-core/src/control/repeat_desk.rs
@@ -0,0 +1,461 @@
+//! Gives repeats out to routers, ahead of need and where they are wanted.
+//!
+//! ```text
+//!  router: holds, spent, given back, wanted ──► RepeatDesk ──► changes ──► log
+//!                                                   ▲                       │
+//!  router ◄── issued so far (with its lease) ───────┴──── ledger ◄── agreed─┘
+//! ```
+//!
+//! The bound: within a window all routers together use no more than `most`
+//! repeats of a pool beyond the share of their own requests. Every repeat that
+//! is issued counts from the moment it is proposed until
+//!
+//! - its router has given it back, or
+//! - a window after its router told that it was used, or
+//! - a window after its router can't use it any more: a lease's time after it
+//!   was last told of it.
+//!
+//! So whatever was used within the last window is counted now, and what counts
+//! is never more than `most`. A new leader counts all that the ledger holds as
+//! given out at the moment it begins.
+
+use super::repeat_messages::{PoolReport, RepeatGrant, RepeatReport};
+use crate::membership::LeaseTiming;
+use crate::state::{AllowanceId, AllowanceKey, Holder, PoolName, RepeatChange, RepeatLedger};
+use crate::time::Instant;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Shortest time between two entries. One entry serves all routers that want
+/// some; routers hold some ahead, so that the first repeats wait for none.
+const ENTRY_EVERY: Duration = Duration::from_millis(100);
+
+/// Shortest time between two entries that only say what is over.
+const OVER_EVERY: Duration = Duration::from_secs(1);
+
+/// Part of the bound that routers hold ahead of need, in hundredths. What a
+/// router holds while it is killed is lost for a window.
+const STANDING_PERCENT: u64 = 30;
+
+/// Most that a router holds ahead of need: what a lost engine asks of one router
+/// in the time of an entry and its answer.
+const STANDING_MOST: u64 = 4;
+
+/// Part of the bound that is kept for routers that hold none, one in so many.
+const KEPT_BACK: u64 = 8;
+
+/// With less than one in so many left, routers give back what they don't need.
+const SCARCE: u64 = 4;
+
+/// How much longer than the window a use counts, one part in so many of it: it is
+/// sent after it was counted.
+const SENT_LATER: u32 = 20;
+
+/// An allowance as the leader knows it.
+#[derive(Clone, Debug)]
+struct Account {
+    key: AllowanceKey,
+    issued: u64,
+    /// Used so long ago that they no longer count.
+    over: u64,
+    /// What its router told as spent. At first, for a new leader, what is over.
+    spent: u64,
+    /// What its router gave back: it no longer counts.
+    back: u64,
+    /// Used, and when that was known.
+    recent: VecDeque<(Instant, u64)>,
+    /// When its router can't use it any more, unless it is told of it again.
+    until: Instant,
+    /// Whether its router is told of it.
+    open: bool,
+    /// What its router was last told.
+    told: u64,
+}
+
+impl Account {
+    fn counts(&self) -> u64 {
+        self.issued.saturating_sub(self.over + self.back)
+    }
+
+    /// What its router may still use.
+    fn unused(&self) -> u64 {
+        match self.open {
+            true => self.issued.saturating_sub(self.spent + self.back),
+            false => 0,
+        }
+    }
+
+    fn reported(&mut self, now: Instant, spent: u64, back: u64) {
+        if !self.open || spent + back > self.issued {
+            return;
+        }
+        self.used(now, spent.saturating_sub(self.spent));
+        self.spent = self.spent.max(spent);
+        self.back = self.back.max(back);
+    }
+
+    fn used(&mut self, now: Instant, count: u64) {
+        if count > 0 {
+            self.recent.push_back((now, count));
+        }
+    }
+
+    /// Its router can't use it any more; what it has not told may be used.
+    fn close(&mut self, now: Instant) {
+        let unused = self.unused();
+        self.used(now, unused);
+        self.open = false;
+    }
+
+    fn age(&mut self, now: Instant, counted_for: Duration) {
+        if self.open && self.until <= now {
+            self.close(now);
+        }
+        while let Some((at, count)) = self.recent.front().copied() {
+            if now.since(at) < counted_for {
+                break;
+            }
+            self.recent.pop_front();
+            self.over += count;
+        }
+    }
+}
+
+/// What a router last told.
+#[derive(Clone, Debug)]
+struct Told {
+    at: Instant,
+    pools: Vec<PoolReport>,
+}
+
+/// What was given out by this leader, for operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RepeatCounts {
+    /// Most of one pool.
+    pub most: u64,
+    /// Issued and not over, all pools.
+    pub counts: u64,
+    /// Of these, unused in routers' hands.
+    pub unused: u64,
+}
+
+/// The leader's side of repeats.
+#[derive(Clone, Debug)]
+pub struct RepeatDesk {
+    timing: LeaseTiming,
+    /// The least bound and the longest window that any router told.
+    bound: Option<(u64, Duration)>,
+    accounts: BTreeMap<AllowanceId, Account>,
+    told: BTreeMap<Holder, Told>,
+    /// An entry was proposed and not yet applied: one at a time, so that the
+    /// ledger holds all that was issued.
+    proposed: bool,
+    entry_at: Option<Instant>,
+    /// Who is served first where there are too few: another one each time.
+    turn: usize,
+}
+
+impl RepeatDesk {
+    /// Of a leader that begins now, whose log is applied up to its own first
+    /// entry.
+    pub fn new(now: Instant, timing: LeaseTiming, ledger: &RepeatLedger) -> Self {
+        let mut desk = Self {
+            timing,
+            bound: None,
+            accounts: BTreeMap::new(),
+            told: BTreeMap::new(),
+            proposed: false,
+            entry_at: None,
+            turn: 0,
+        };
+        desk.applied(now, ledger);
+        desk.close_older(now);
+        desk
+    }
+
+    /// Of several allowances of a router for one pool, all but the last one were
+    /// closed before: it can't use them.
+    fn close_older(&mut self, now: Instant) {
+        let mut newest = BTreeSet::new();
+        for account in self.accounts.values_mut().rev() {
+            if !newest.insert(account.key.clone()) {
+                account.close(now);
+            }
+        }
+    }
+
+    fn lasts(&self) -> Duration {
+        self.timing.with_drift()
+    }
+
+    fn counted_for(&self) -> Duration {
+        let window = self.bound.map_or(Duration::ZERO, |(_, window)| window);
+        let counted = window + window / SENT_LATER;
+        counted * (1_000 + self.timing.drift_per_mille) / 1_000
+    }
+
+    /// The ledger has changed: an entry was applied.
+    pub fn applied(&mut self, now: Instant, ledger: &RepeatLedger) {
+        self.proposed = false;
+        let until = now + self.lasts();
+        for (id, allowance) in ledger.iter() {
+            let account = self.accounts.entry(id).or_insert_with(|| Account {
+                key: allowance.key.clone(),
+                issued: 0,
+                over: allowance.spent_over,
+                spent: allowance.spent_over,
+                back: allowance.back,
+                recent: VecDeque::new(),
+                until,
+                open: true,
+                told: 0,
+            });
+            account.issued = allowance.issued;
+        }
+        self.accounts.retain(|id, _| ledger.get(*id).is_some());
+    }
+
+    /// A router told what it holds and wants.
+    pub fn reported(&mut self, now: Instant, holder: &Holder, report: &RepeatReport) {
+        let (most, window) = self.bound.unwrap_or((report.most, report.window));
+        self.bound = Some((most.min(report.most), window.max(report.window)));
+        for pool in &report.pools {
+            let account = pool.allowance.and_then(|id| self.accounts.get_mut(&id));
+            if let Some(account) = account.filter(|a| a.key.holder == *holder) {
+                account.reported(now, pool.spent, pool.back);
+                account.open &= pool.serves || account.counts() > 0;
+            }
+        }
+        self.told.retain(|h, _| h.vm != holder.vm || h == holder);
+        let told = Told {
+            at: now,
+            pools: report.pools.clone(),
+        };
+        self.told.insert(holder.clone(), told);
+    }
+
+    /// What a router may use, for the answer that is sent to it now.
+    pub fn grants(&mut self, now: Instant, holder: &Holder) -> Vec<RepeatGrant> {
+        let until = now + self.lasts();
+        self.age(now);
+        let keeps = self.keeps(holder);
+        let accounts = self.accounts.iter_mut();
+        let mine = accounts.filter(|(_, a)| a.open && a.key.holder == *holder);
+        let mut grants = Vec::new();
+        for (id, account) in mine {
+            account.until = until;
+            account.told = account.issued;
+            let pool = account.key.pool.clone();
+            grants.push(RepeatGrant {
+                keep: keeps.get(&pool).copied().unwrap_or_default(),
+                pool,
+                allowance: *id,
+                issued: account.issued,
+            });
+        }
+        grants
+    }
+
+    /// Whether a router was issued more than it was told of.
+    pub fn has_news(&self, holder: &Holder) -> bool {
+        let mut accounts = self.accounts.values();
+        accounts.any(|a| a.open && a.key.holder == *holder && a.told < a.issued)
+    }
+
+    fn age(&mut self, now: Instant) {
+        let counted_for = self.counted_for();
+        for account in self.accounts.values_mut() {
+            account.age(now, counted_for);
+        }
+        let lasts = self.lasts();
+        self.told.retain(|_, told| now.since(told.at) < lasts);
+    }
+
+    /// How many of a pool may still be issued.
+    fn free(&self, pool: &str) -> u64 {
+        let of_pool = self.accounts.values().filter(|a| a.key.pool == pool);
+        let counts: u64 = of_pool.map(Account::counts).sum();
+        self.most().saturating_sub(counts)
+    }
+
+    fn most(&self) -> u64 {
+        self.bound.map_or(0, |(most, _)| most)
+    }
+
+    /// What each router that serves a pool holds ahead of need.
+    fn standing(&self, pool: &str) -> u64 {
+        let serve = |t: &&Told| t.pools.iter().any(|p| p.serves && p.pool == pool);
+        let routers = self.told.values().filter(serve).count() as u64;
+        let part = self.most() * STANDING_PERCENT / 100 / routers.max(1);
+        part.min(STANDING_MOST)
+    }
+
+    fn keeps(&self, holder: &Holder) -> BTreeMap<PoolName, u64> {
+        let pools = self.told.get(holder).map_or(&[][..], |t| &t.pools);
+        let keep = |p: &PoolReport| {
+            let standing = match self.free(&p.pool) < self.most() / SCARCE {
+                true => self.standing(&p.pool).min(1),
+                false => self.standing(&p.pool),
+            };
+            (p.pool.clone(), p.level.max(standing))
+        };
+        let served = pools.iter().filter(|p| p.serves);
+        served.map(keep).collect()
+    }
+
+    /// What is to be agreed now, if anything.
+    pub fn propose(&mut self, now: Instant, ledger: &RepeatLedger) -> Option<Vec<RepeatChange>> {
+        self.age(now);
+        let since = self.entry_at.map(|at| now.since(at));
+        if self.proposed || self.bound.is_none() || since.is_some_and(|s| s < ENTRY_EVERY) {
+            return None;
+        }
+        let mut changes = self.issues();
+        let over = self.overs(ledger);
+        let behind: u64 = over.iter().map(|(_, more)| more).sum();
+        let much = behind > 0 && since.is_none_or(|s| s >= OVER_EVERY);
+        if changes.is_empty() && !much {
+            return None;
+        }
+        changes.extend(over.into_iter().map(|(change, _)| change));
+        self.proposed = true;
+        self.entry_at = Some(now);
+        Some(changes)
+    }
+
+    /// All pools that some router serves.
+    fn pools(&self) -> BTreeSet<PoolName> {
+        let pools = self.told.values().flat_map(|t| &t.pools);
+        pools.map(|p| p.pool.clone()).collect()
+    }
+
+    fn issues(&mut self) -> Vec<RepeatChange> {
+        let mut changes = Vec::new();
+        for pool in self.pools() {
+            changes.extend(self.issue_pool(&pool));
+        }
+        if !changes.is_empty() {
+            self.turn += 1;
+        }
+        changes
+    }
+
+    /// First those who hold none, with what is held ahead of need; then the others
+    /// by what they lack, of what needn't be kept back.
+    fn issue_pool(&self, pool: &str) -> Vec<RepeatChange> {
+        let mut wants = self.wants(pool);
+        let free = self.free(pool);
+        if wants.is_empty() || free == 0 {
+            return Vec::new();
+        }
+        let turn = self.turn % wants.len();
+        wants.rotate_left(turn);
+        let first = self.standing(pool).max(1);
+        let has_none = |w: &Want| if w.unused == 0 { w.lacks.min(first) } else { 0 };
+        let lacks: Vec<u64> = wants.iter().map(has_none).collect();
+        let mut gets = shares(free, &lacks);
+        let left = free - gets.iter().sum::<u64>();
+        let left = left.saturating_sub(self.most() / KEPT_BACK);
+        let more = wants.iter().zip(&gets).map(|(w, got)| w.lacks - got);
+        let more = shares(left, &more.collect::<Vec<_>>());
+        gets.iter_mut().zip(more).for_each(|(g, m)| *g += m);
+        let issued = wants.into_iter().zip(gets).filter(|(_, count)| *count > 0);
+        issued
+            .map(|(want, count)| want.issue(pool, count))
+            .collect()
+    }
+
+    /// Routers that want to hold more than they do.
+    fn wants(&self, pool: &str) -> Vec<Want> {
+        let standing = self.standing(pool);
+        let mut wants = Vec::new();
+        for (holder, told) in &self.told {
+            let Some(report) = told.pools.iter().find(|p| p.serves && p.pool == pool) else {
+                continue;
+            };
+            let mut accounts = self.accounts.iter();
+            let open =
+                accounts.find(|(_, a)| a.open && a.key.holder == *holder && a.key.pool == pool);
+            let unused = open.map_or(0, |(_, a)| a.unused());
+            wants.push(Want {
+                holder: holder.clone(),
+                id: open.map(|(id, _)| *id),
+                unused,
+                lacks: report.level.max(standing).saturating_sub(unused),
+            });
+        }
+        wants.retain(|w| w.lacks > 0);
+        wants
+    }
+
+    /// What the ledger doesn't know yet to be over, and how much it is.
+    fn overs(&mut self, ledger: &RepeatLedger) -> Vec<(RepeatChange, u64)> {
+        let mut overs = Vec::new();
+        for (id, account) in &self.accounts {
+            let agreed = ledger.get(*id).map_or(0, |a| a.spent_over + a.back);
+            let more = (account.over + account.back).saturating_sub(agreed);
+            let change = match !account.open && account.counts() == 0 {
+                true => RepeatChange::Close(*id),
+                false if more > 0 => RepeatChange::Over {
+                    id: *id,
+                    spent: account.over,
+                    back: account.back,
+                },
+                false => continue,
+            };
+            overs.push((change, more.max(1)));
+        }
+        overs
+    }
+
+    /// Counts for operators.
+    pub fn counts(&self) -> RepeatCounts {
+        let accounts = self.accounts.values();
+        RepeatCounts {
+            most: self.most(),
+            counts: accounts.clone().map(Account::counts).sum(),
+            unused: accounts.map(Account::unused).sum(),
+        }
+    }
+}
+
+/// A router that wants to hold more.
+struct Want {
+    holder: Holder,
+    id: Option<AllowanceId>,
+    unused: u64,
+    lacks: u64,
+}
+
+impl Want {
+    fn issue(self, pool: &str, count: u64) -> RepeatChange {
+        match self.id {
+            Some(id) => RepeatChange::Issue { id, count },
+            None => {
+                let key = AllowanceKey {
+                    holder: self.holder,
+                    pool: pool.to_string(),
+                };
+                RepeatChange::Open { key, count }
+            }
+        }
+    }
+}
+
+/// `free` divided by what each lacks; the rest one each, the first ones first.
+fn shares(free: u64, lacks: &[u64]) -> Vec<u64> {
+    let all: u64 = lacks.iter().sum();
+    if all <= free {
+        return lacks.to_vec();
+    }
+    let part = |lack: &u64| (u128::from(*lack) * u128::from(free) / u128::from(all)) as u64;
+    let mut gets: Vec<u64> = lacks.iter().map(part).collect();
+    let mut rest = free - gets.iter().sum::<u64>();
+    for (got, lack) in gets.iter_mut().zip(lacks) {
+        if rest > 0 && *got < *lack {
+            *got += 1;
+            rest -= 1;
+        }
+    }
+    gets
+}
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -45,6 +45,11 @@
             }
             ControlRequest::Claim(req) => self.propose(now, CommandBody::Claim(req), asker, out),
             ControlRequest::Finish(req) => self.propose(now, CommandBody::Finish(req), asker, out),
+            ControlRequest::Repeats(holder, report) => {
+                let reply = ControlReply::Done;
+                out.push(ControlAction::Reply { token, reply });
+                self.repeats_reported(now, &holder, &report, out);
+            }
         }
     }
 
@@ -102,12 +107,14 @@
         leading.demand.put(&holder.vm, &renewal.demand);
         leading.admins.insert(holder.vm.clone(), renewal.admin);
         leading.in_use.put(&holder.vm, &renewal.in_use);
-        leading.recent.renewed(now, holder);
         let failing = renewal.failing.clone();
         if let Some(gone) = replaced {
             self.propose(now, CommandBody::HolderGone(gone), Asker::Nobody, out);
         }
         self.check_targets(now, &failing, out);
+        if let Some(report) = &renewal.repeats {
+            self.repeats_reported(now, &renewal.holder, report, out);
+        }
         let until = now + self.limits.hold;
         self.parked.push(Parked {
             token,
--- a/crates/deckwind-core/src/control/upkeep.rs
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -51,6 +51,7 @@
         self.give_orders(now, out);
         self.look_for_silent(now, out);
         self.check_force(now, out);
+        self.issue_repeats(now, out);
     }
 
     fn give_orders(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
--- a/crates/deckwind-core/src/membership/mod.rs
+++ b/crates/deckwind-core/src/membership/mod.rs
@@ -14,12 +14,10 @@
 
 mod lease_table;
 mod platform;
-mod recent;
 mod router_lease;
 mod shares;
 
 pub use lease_table::{InForce, LeaseTable, LeaseTiming, RouterLease};
 pub use platform::{PlatformStatus, PlatformView};
-pub use recent::{RecentRouters, RoutersLately};
 pub use router_lease::{LeaseGrant, RouterLeaseState, ServeDecision};
 pub use shares::{AccountDemand, AccountShare, share_of};
--- /dev/null
+++ b/crates/deckwind-core/src/routes/leased.rs
@@ -0,0 +1,140 @@
+//! Repeats that the leader has given to this router.
+//!
+//! What it was given it may use until a lease's time after it asked, by its own
+//! steady clock; each answer that names the allowance renews that. It tells what
+//! it has used and what it gives back, counted from the allowance's start on.
+//! What it gives back it never uses. An allowance is remembered for as long as
+//! the process lives, and a router never goes back to an older one: a late answer
+//! must not make it whole again.
+
+use super::choice::Claim;
+use crate::control::{PoolReport, RepeatGrant};
+use crate::state::AllowanceId;
+use crate::time::Instant;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Time over which what was asked for makes up what a router wants to hold: the
+/// time of a report, an entry and an answer, three times over.
+const ASKED_WITHIN: Duration = Duration::from_secs(1);
+
+/// Most that are kept for streams that have begun, and most that are kept from
+/// those that are late already: what is kept and not used is of no use to others.
+const KEPT_FOR_BEGUN: u64 = 2;
+const KEPT_FOR_TIMELY: u64 = 4;
+
+/// Repeats are kept so where so many times as many were asked for lately.
+const ASKED_PER_KEPT: u64 = 5;
+
+/// Asks that are remembered, for each pool: more than one router can be given.
+const MOST_ASKS: usize = 1_000;
+
+/// Whether a repeat of so many that are left goes to a stream: the last ones are
+/// for those that have begun, whose end costs most, and then for those that can
+/// still be in time.
+pub fn may_take(left: u64, level: u64, claim: Claim) -> bool {
+    let kept = level / ASKED_PER_KEPT;
+    match claim {
+        Claim::Begun => left > 0,
+        Claim::New => left > kept.min(KEPT_FOR_BEGUN),
+        Claim::Late => left > (2 * kept).min(KEPT_FOR_TIMELY),
+    }
+}
+
+/// Repeats of one pool.
+#[derive(Clone, Debug, Default)]
+pub struct LeasedRepeats {
+    allowance: Option<AllowanceId>,
+    issued: u64,
+    spent: u64,
+    back: u64,
+    keep: u64,
+    until: Instant,
+    /// Requests that asked for a repeat lately, whether there was any or not, and
+    /// when each last did.
+    asks: VecDeque<(Instant, u64)>,
+}
+
+impl LeasedRepeats {
+    /// How many may be used.
+    pub fn left(&self, now: Instant) -> u64 {
+        match now < self.until {
+            true => self.unused(),
+            false => 0,
+        }
+    }
+
+    /// Whether it was ever given any.
+    pub fn has_allowance(&self) -> bool {
+        self.allowance.is_some()
+    }
+
+    fn unused(&self) -> u64 {
+        self.issued.saturating_sub(self.spent + self.back)
+    }
+
+    /// Uses one for such a stream, if there is one for it. `request` tells requests
+    /// apart: one that asks again wants no more.
+    pub fn spend(&mut self, now: Instant, claim: Claim, request: u64) -> bool {
+        self.asks.retain(|(_, r)| *r != request);
+        self.asks.push_back((now, request));
+        self.forget_asks(now);
+        let takes = may_take(self.left(now), self.level(), claim);
+        if takes {
+            self.spent += 1;
+        }
+        takes
+    }
+
+    fn forget_asks(&mut self, now: Instant) {
+        let old = |(at, _): &(Instant, u64)| now.since(*at) >= ASKED_WITHIN;
+        while self.asks.front().is_some_and(old) || self.asks.len() > MOST_ASKS {
+            self.asks.pop_front();
+        }
+    }
+
+    /// How many it wants to hold.
+    fn level(&self) -> u64 {
+        self.asks.len() as u64
+    }
+
+    /// Whether more are wanted soon.
+    pub fn runs_short(&self, now: Instant) -> bool {
+        self.left(now) * 2 < self.level().max(self.keep)
+    }
+
+    /// What the leader is to hear.
+    pub fn report(&mut self, now: Instant, pool: &str, serves: bool) -> PoolReport {
+        self.forget_asks(now);
+        PoolReport {
+            pool: pool.to_string(),
+            allowance: self.allowance,
+            spent: self.spent,
+            back: self.back,
+            level: self.level(),
+            serves,
+        }
+    }
+
+    /// Takes what the leader answered to a question sent at `asked`. Whether it gave
+    /// more.
+    pub fn told(&mut self, asked: Instant, lasts: Duration, grant: &RepeatGrant) -> bool {
+        if self.allowance.is_some_and(|mine| grant.allowance < mine) {
+            return false;
+        }
+        if self.allowance != Some(grant.allowance) {
+            *self = Self {
+                allowance: Some(grant.allowance),
+                asks: std::mem::take(&mut self.asks),
+                ..Self::default()
+            };
+        }
+        self.until = self.until.max(asked + lasts);
+        let more = grant.issued > self.issued;
+        self.issued = self.issued.max(grant.issued);
+        self.keep = grant.keep;
+        let keep = self.keep.max(self.level());
+        self.back += self.unused().saturating_sub(keep);
+        more
+    }
+}
--- a/crates/deckwind-core/src/routes/repeats.rs
+++ b/crates/deckwind-core/src/routes/repeats.rs
@@ -1,11 +1,13 @@
-//! A bound on what is sent again, kept by all routers together without a word.
+//! A bound on what is sent again, kept by all routers together.
 //!
 //! Within any window all routers may repeat at most a share of the requests and
-//! some more. Each router keeps the share of its own requests, and its part of
-//! the rest: then all together keep it too. A start forgets what the one before
-//! it has sent, so it uses no part of the rest for a window (see
-//! [`RouterCount`](super::RouterCount)).
+//! some more. Each router keeps the share of its own requests by itself. What is
+//! beyond it the leader gives out (see [`LeasedRepeats`]): then all together keep
+//! the bound too.
 
+use super::choice::Claim;
+use super::leased::LeasedRepeats;
+use crate::control::{RepeatGrant, RepeatReport};
 use crate::time::Instant;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -35,11 +37,21 @@
     repeats: u32,
 }
 
+/// What a repeat was paid with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Paid {
+    /// The share of this router's own requests.
+    Share,
+    /// What the leader gave.
+    Leased,
+}
+
 /// One router's part of the bound.
 #[derive(Clone, Debug)]
 pub struct RepeatBudget {
     limits: RepeatLimits,
     spans: VecDeque<Span>,
+    leased: LeasedRepeats,
 }
 
 impl RepeatBudget {
@@ -48,6 +60,7 @@
         Self {
             limits,
             spans: VecDeque::new(),
+            leased: LeasedRepeats::default(),
         }
     }
 
@@ -56,16 +69,21 @@
         self.span(now).requests += 1;
     }
 
-    /// Spends one repeat if there is one. `sharers` are the routers that share
-    /// what is allowed beyond the share of the requests; without them none of it
-    /// is used.
-    pub fn spend(&mut self, now: Instant, sharers: Option<u32>) -> bool {
+    /// Spends one repeat for such a stream, if there is one: of the share first,
+    /// which nobody else could use. `request` tells requests apart.
+    pub fn spend(&mut self, now: Instant, claim: Claim, request: u64) -> Option<Paid> {
+        if self.spend_share(now) {
+            return Some(Paid::Share);
+        }
+        let leased = self.limits.beyond > 0.0 && self.leased.spend(now, claim, request);
+        leased.then_some(Paid::Leased)
+    }
+
+    fn spend_share(&mut self, now: Instant) -> bool {
         self.span(now);
         let requests: u32 = self.spans.iter().map(|s| s.requests).sum();
         let repeats: u32 = self.spans.iter().map(|s| s.repeats).sum();
-        let part = |routers: u32| self.limits.beyond / f64::from(routers.max(1));
-        let beyond = sharers.map_or(0.0, part);
-        let most = USED * (self.limits.share * f64::from(requests) + beyond);
+        let most = USED * self.limits.share * f64::from(requests);
         if f64::from(repeats + 1) > most {
             return false;
         }
@@ -73,6 +91,17 @@
         true
     }
 
+    /// What the leader gave.
+    pub fn leased(&mut self) -> &mut LeasedRepeats {
+        &mut self.leased
+    }
+
+    /// Whether something came for it within the window.
+    fn serves(&mut self, now: Instant) -> bool {
+        self.span(now);
+        self.spans.iter().any(|s| s.requests > 0)
+    }
+
     fn span(&mut self, now: Instant) -> &mut Span {
         let length = (self.limits.window.as_micros() as u64 / u64::from(SPANS)).max(1);
         let number = now.as_micros() / length;
@@ -116,8 +145,50 @@
         self.by_pool.get_mut(pool).expect("just put there")
     }
 
-    /// Forgets pools that `keep` does not name.
+    /// Forgets the requests of pools that `keep` does not name. What the leader gave
+    /// is remembered: an answer that comes late must not give it again.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.by_pool.retain(|pool, _| keep(pool));
+        self.by_pool
+            .retain(|pool, b| keep(pool) || b.leased.has_allowance());
+        for (pool, budget) in &mut self.by_pool {
+            if !keep(pool) {
+                budget.spans.clear();
+            }
+        }
+    }
+
+    /// What the leader is to hear; nothing if nothing is allowed beyond the share.
+    pub fn report(&mut self, now: Instant) -> Option<RepeatReport> {
+        if self.limits.beyond <= 0.0 {
+            return None;
+        }
+        let mut pools = Vec::new();
+        for (pool, budget) in &mut self.by_pool {
+            let serves = budget.serves(now);
+            if serves || budget.leased.has_allowance() {
+                pools.push(budget.leased.report(now, pool, serves));
+            }
+        }
+        Some(RepeatReport {
+            most: (USED * self.limits.beyond) as u64,
+            window: self.limits.window,
+            pools,
+        })
+    }
+
+    /// The leader told what may be used, when asked at `asked`. Whether it gave more.
+    pub fn told(&mut self, asked: Instant, lasts: Duration, grants: &[RepeatGrant]) -> bool {
+        let mut more = false;
+        for grant in grants {
+            let budget = self.of_pool(&grant.pool);
+            more |= budget.leased.told(asked, lasts, grant);
+        }
+        more
+    }
+
+    /// Whether some pool runs short of what the leader gave.
+    pub fn runs_short(&self, now: Instant) -> bool {
+        let mut budgets = self.by_pool.values();
+        self.limits.beyond > 0.0 && budgets.any(|b| b.leased.runs_short(now))
     }
 }
--- a/crates/deckwind-core/src/state/command.rs
+++ b/crates/deckwind-core/src/state/command.rs
@@ -6,6 +6,7 @@
 use super::names::{AccountName, RequestId, Revision, TargetName, TemplateName};
 use super::objects::{Account, Target, Template};
 use super::release::Published;
+use super::repeats::RepeatChange;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -82,6 +83,8 @@
     Publish(Box<Published>),
     /// Targets announced themselves, changed, or left.
     Instances(Vec<InstanceChange>),
+    /// Repeats were given to routers, or no longer count.
+    Repeats(Vec<RepeatChange>),
 }
 
 /// A command with the leader's wall clock, which only ever moves forward.
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -4,6 +4,7 @@
 //!  Command ──(committed, in log order)──► StateMachine::apply ──► Reply
 //!                                           │ configuration   objects, each with its revision
 //!                                           │ claims          one row per not-repeatable request
+//!                                           │ repeats         what routers may send again
 //!                                           └ results         first reply to each operator request id
 //! ```
 //!
@@ -21,6 +22,7 @@
 mod packed;
 mod release;
 mod release_change;
+mod repeats;
 mod state_machine;
 
 pub use claims::{
@@ -44,4 +46,5 @@
     Release, Route, RouteKind, Split,
 };
 pub use release_change::{Changed, ReleaseChange, ReleaseDelta, RoutePlace};
+pub use repeats::{Allowance, AllowanceId, AllowanceKey, RepeatChange, RepeatLedger};
 pub use state_machine::StateMachine;
--- a/crates/deckwind-core/src/state/state_machine.rs
+++ b/crates/deckwind-core/src/state/state_machine.rs
@@ -5,6 +5,7 @@
 use super::configuration::Configuration;
 use super::encoding::{UnreadableState, from_bytes, to_bytes};
 use super::names::{RequestId, Revision};
+use super::repeats::RepeatLedger;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -26,6 +27,7 @@
     claims: ClaimTable,
     results: BTreeMap<RequestId, FirstResult>,
     results_order: VecDeque<RequestId>,
+    repeats: RepeatLedger,
 }
 
 impl StateMachine {
@@ -56,6 +58,11 @@
         &self.claims
     }
 
+    /// The repeats that routers were given.
+    pub fn repeats(&self) -> &RepeatLedger {
+        &self.repeats
+    }
+
     /// The latest time that a command carried, milliseconds since the epoch.
     pub fn clock_ms(&self) -> u64 {
         self.clock_ms
@@ -83,6 +90,10 @@
                 self.claims.holder_gone(&holder);
                 Reply::Done
             }
+            CommandBody::Repeats(changes) => {
+                self.repeats.apply(changes);
+                Reply::Done
+            }
         }
     }
 
--- a/crates/deckwind-spec/examples/explore.rs
+++ b/crates/deckwind-spec/examples/explore.rs
@@ -2,7 +2,8 @@
 //! out, the shortest bad run.
 
 use deckwind_spec::{
-    ClaimRules, ClaimSpec, LogBounds, LogRules, LogSpec, Spec, claim_cases, explore, log_cases,
+    ClaimRules, ClaimSpec, LogBounds, LogRules, LogSpec, RepeatBounds, RepeatRules, RepeatSpec,
+    Spec, claim_cases, explore, log_cases, repeat_cases,
 };
 use std::time::Instant;
 
@@ -36,4 +37,13 @@
     for case in claim_cases() {
         show(&format!("claims without {}", case.without), &case.spec);
     }
+    for bounds in RepeatBounds::LARGE {
+        let rules = RepeatRules::ALL;
+        let name = format!("repeats, all rules, {bounds:?}");
+        show(&name, &RepeatSpec { rules, bounds });
+    }
+    for case in repeat_cases() {
+        let name = format!("repeats without {}, {:?}", case.without, case.spec.bounds);
+        show(&name, &case.spec);
+    }
 }
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -8,9 +8,7 @@
 use anyhow::Result;
 use deckwind_core::admission::AdmissionConfig;
 use deckwind_core::control::{ControlEvent, ControlLimits, ControlRequest, Grant, Renewal};
-use deckwind_core::membership::{
-    AccountDemand, AccountShare, LeaseGrant, LeaseTiming, RoutersLately,
-};
+use deckwind_core::membership::{AccountDemand, AccountShare, LeaseGrant, LeaseTiming};
 use deckwind_core::replication::{
     Entry, Index, Log, Payload, Position, ReplicaConfig, ReplicaId, Term,
 };
@@ -208,6 +206,7 @@
             .collect(),
         in_use: Vec::new(),
         failing: Vec::new(),
+        repeats: None,
     }
 }
 
@@ -224,13 +223,10 @@
             delta: None,
             shares,
             routers: 350,
-            routers_lately: RoutersLately {
-                count: 350,
-                complete: true,
-            },
             in_use: None,
             replicas: Vec::new(),
             failing: Vec::new(),
+            repeats: Vec::new(),
         };
         let answer = encode(&deckwind_wire::ControlReply::Granted(Box::new(grant))).len();
         println!(
--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -298,6 +298,7 @@
             demand: Vec::new(),
             in_use,
             failing: Vec::new(),
+            repeats: None,
         };
         let arrival = Arrival::Asked(router, Box::new(renewal));
         self.put(self.now + ONE_WAY, arrival);
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -113,6 +113,7 @@
             demand: Vec::new(),
             in_use: Vec::new(),
             failing: Vec::new(),
+            repeats: None,
         });
         self.renewal = Some(Open {
             request: request.clone(),
--- a/crates/deckwind-testkit/tests/testsuite/come_back.rs
+++ b/crates/deckwind-testkit/tests/testsuite/come_back.rs
@@ -7,7 +7,9 @@
 //! in 20 routers' logs ended for want of a repeat, and a first event came 120 ms
 //! after a stream had been let in (median).
 
-use deckwind_core::routes::{Refusal, RepeatBudget, RepeatLimits};
+use crate::repeat_rig::Control;
+use deckwind_core::routes::{Claim, Refusal, RepeatBudgets, RepeatLimits};
+use deckwind_core::state::Holder;
 use deckwind_core::time::Instant;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -20,6 +22,8 @@
 const SECONDS: u64 = 30;
 const FIRST_EVENT: Duration = Duration::from_millis(120);
 const AIM: Duration = Duration::from_millis(500);
+/// Between two renewals of a router.
+const RENEW: Duration = Duration::from_millis(400);
 const LIMITS: RepeatLimits = RepeatLimits {
     share: 0.2,
     beyond: 304.0,
@@ -45,8 +49,12 @@
 /// Plays the load; those without a repeat come back as for `refusal`.
 fn play(rejected_percent: u32, refusal: Refusal, seed: u64) -> Outcome {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut budgets: Vec<_> = (0..ROUTERS).map(|_| RepeatBudget::new(LIMITS)).collect();
+    let mut budgets: Vec<_> = (0..ROUTERS).map(|_| RepeatBudgets::new(LIMITS)).collect();
     let start = Instant::from_millis(1_000);
+    let mut control = Control::new(start);
+    let mut renewals: Vec<_> = (0..ROUTERS)
+        .map(|i| start + RENEW * i as u32 / ROUTERS as u32)
+        .collect();
     let total = REQUESTS_PER_S * SECONDS;
     let mut arrivals: BTreeMap<(Instant, u64), Arrival> = BTreeMap::new();
     for i in 0..total {
@@ -67,10 +75,22 @@
     let one = 1.0 / total as f64;
     let mut next = total;
     while let Some(((now, _), arrival)) = arrivals.pop_first() {
-        let budget = &mut budgets[arrival.router];
+        for (i, due) in renewals
+            .iter_mut()
+            .enumerate()
+            .filter(|(_, due)| **due <= now)
+        {
+            *due = now + RENEW;
+            let holder = Holder {
+                vm: format!("r{i}").as_str().into(),
+                boot: 1,
+            };
+            control.ask(now, &holder, &mut budgets[i]);
+        }
+        let budget = budgets[arrival.router].of_pool("pool");
         budget.requested(now);
         let mut let_in = !rng.random_ratio(rejected_percent, 100);
-        while !let_in && budget.spend(now, Some(ROUTERS as u32)) {
+        while !let_in && budget.spend(now, Claim::New, rng.random()).is_some() {
             let_in = !rng.random_ratio(rejected_percent, 100);
         }
         if let_in {
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod published;
 mod release_changes;
 mod renewals;
+mod repeat_rig;
 mod replication;
 mod replication_flow;
 mod rig;
--- a/crates/deckwind-testkit/tests/testsuite/published.rs
+++ b/crates/deckwind-testkit/tests/testsuite/published.rs
@@ -1,10 +1,10 @@
 //! Releases, announced targets, events and repeats, as tables and in virtual
 //! time.
 
+use crate::repeat_rig::Control;
 use crate::support::{cards, instances};
-use deckwind_core::membership::RecentRouters;
 use deckwind_core::routes::{
-    EventCutter, InstanceIndex, ReleaseIndex, RepeatBudget, RepeatBudgets, RepeatLimits,
+    Claim, EventCutter, InstanceIndex, Paid, ReleaseIndex, RepeatBudgets, RepeatLimits,
 };
 use deckwind_core::state::{
     Command, CommandBody, Configuration, Holder, Instance, InstanceChange, InstanceState,
@@ -315,6 +315,13 @@
     }
 }
 
+fn holder(vm: usize, boot: u64) -> Holder {
+    Holder {
+        vm: format!("r{vm}").as_str().into(),
+        boot,
+    }
+}
+
 /// The bound over all routers holds in every window, also where all load and all
 /// failures come to one router.
 #[parameterized(
@@ -329,7 +336,8 @@
         beyond: BEYOND,
         window: Duration::from_secs(10),
     };
-    let mut budgets: Vec<_> = (0..routers).map(|_| RepeatBudget::new(limits)).collect();
+    let mut budgets: Vec<_> = (0..routers).map(|_| RepeatBudgets::new(limits)).collect();
+    let mut control = Control::new(Instant::from_millis(1_000));
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let mut requests = Vec::new();
     let mut repeats = Vec::new();
@@ -341,13 +349,19 @@
         } else {
             rng.random_range(0..routers as usize)
         };
+        if ms % 400 == 0 {
+            for (i, budgets) in budgets.iter_mut().enumerate() {
+                control.ask(now, &holder(i, 0), budgets);
+            }
+        }
         // Bursts: a second of load, a second of little.
         if ms / 1_000 % 2 == 0 || rng.random::<f64>() < 0.1 {
-            budgets[i].requested(now);
+            budgets[i].of_pool("pool").requested(now);
             requests.push(ms);
         }
         for _ in 0..2 {
-            if budgets[i].spend(now, Some(routers)) {
+            let budget = budgets[i].of_pool("pool");
+            if budget.spend(now, Claim::Begun, rng.random()).is_some() {
                 repeats.push(ms);
             }
         }
@@ -380,13 +394,13 @@
     for _ in 0..100 {
         budgets.of_pool("busy").requested(now);
     }
-    assert!(!budgets.of_pool("idle").spend(now, Some(1)));
-    assert!(budgets.of_pool("busy").spend(now, Some(1)));
+    let idle = budgets.of_pool("idle").spend(now, Claim::Begun, 1);
+    assert_eq!(idle, None);
+    let busy = budgets.of_pool("busy").spend(now, Claim::Begun, 1);
+    assert_eq!(busy, Some(Paid::Share));
     budgets.retain(|pool| pool == "idle");
-    assert!(
-        !budgets.of_pool("busy").spend(now, Some(1)),
-        "a pool that is gone is forgotten"
-    );
+    let gone = budgets.of_pool("busy").spend(now, Claim::Begun, 1);
+    assert_eq!(gone, None, "a pool that is gone is forgotten");
 }
 
 /// Routers that stop and start in turn forget what they sent, and fewer of them
@@ -399,28 +413,27 @@
         beyond: BEYOND,
         window: Duration::from_secs(10),
     };
-    let holder = |vm: usize, boot| Holder {
-        vm: format!("r{vm}").as_str().into(),
-        boot,
-    };
-    let mut routers: Vec<_> = (0..9).map(|_| (RepeatBudget::new(limits), 0u64)).collect();
-    let mut recent = RecentRouters::new(Instant::ZERO);
+    let mut routers: Vec<_> = (0..9).map(|_| (RepeatBudgets::new(limits), 0u64)).collect();
+    let mut control = Control::new(Instant::from_millis(20_000));
     let mut repeats = Vec::new();
     for ms in (0..40_000u64).step_by(10) {
-        // The leader has led for long enough to know all routers.
         let now = Instant::from_millis(20_000 + ms);
         // Each is down for 3 s, one after the other, from 5 s on.
         let stopped = |i: usize| {
             let from = 5_000 + 1_300 * i as u64;
             (from..from + 3_000).contains(&ms)
         };
-        for (i, (budget, boot)) in routers.iter_mut().enumerate() {
+        for (i, (budgets, boot)) in routers.iter_mut().enumerate() {
             if stopped(i) {
-                (*budget, *boot) = (RepeatBudget::new(limits), 1);
+                (*budgets, *boot) = (RepeatBudgets::new(limits), 1);
                 continue;
             }
-            recent.renewed(now, &holder(i, *boot));
-            if budget.spend(now, Some(recent.lately(now).count)) {
+            budgets.of_pool("pool").requested(now);
+            if ms % 200 == 0 {
+                control.ask(now, &holder(i, *boot), budgets);
+            }
+            let budget = budgets.of_pool("pool");
+            if budget.spend(now, Claim::Begun, ms).is_some() {
                 repeats.push(ms);
             }
         }
--- a/crates/deckwind-testkit/tests/testsuite/specification.rs
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -2,7 +2,8 @@
 //! are explored by `cargo run --release -p deckwind-spec --example explore`.
 
 use deckwind_spec::{
-    ClaimRules, ClaimSpec, LogBounds, LogRules, LogSpec, claim_cases, explore, log_cases,
+    ClaimRules, ClaimSpec, LogBounds, LogRules, LogSpec, RepeatBounds, RepeatRules, RepeatSpec,
+    claim_cases, explore, log_cases, repeat_cases,
 };
 
 #[test]
@@ -46,3 +47,26 @@
         );
     }
 }
+
+#[test]
+fn with_all_rules_routers_keep_the_bound_on_repeats() {
+    for bounds in RepeatBounds::SMALL {
+        let rules = RepeatRules::ALL;
+        let explored = explore(&RepeatSpec { rules, bounds });
+        assert_eq!(explored.counterexample, None, "{bounds:?}");
+        assert!(explored.states > 10_000, "{bounds:?}: {}", explored.states);
+    }
+}
+
+#[test]
+fn without_any_one_of_their_rules_repeats_pass_the_bound() {
+    for case in repeat_cases() {
+        let run = explore(&case.spec).counterexample;
+        let run = run.unwrap_or_else(|| panic!("without {}: nothing breaks", case.without));
+        assert_eq!(
+            run.last().map(String::as_str),
+            Some(case.breaks),
+            "{run:#?}"
+        );
+    }
+}
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -11,6 +11,13 @@
 /// Longest try to tell the leader of failing targets; the next renewal does.
 const TELL_WITHIN: Duration = Duration::from_millis(400);
 
+/// Time over which streams that want repeats are told of in one message: they
+/// stand still together when an engine is lost.
+const COLLECT: Duration = Duration::from_millis(10);
+
+/// Between two such messages: the leader issues no more often.
+const TELL_EVERY: Duration = Duration::from_millis(80);
+
 /// Longest search for a leader with one question: the settings may name other
 /// replicas by then, and what streams hold has changed.
 const LOOK_ANEW: Duration = Duration::from_secs(2);
@@ -41,12 +48,30 @@
     }
 }
 
+/// Tells the leader that repeats run short, for ever. What it gives comes with
+/// the answer to the renewal that it holds.
+pub async fn tell_repeats_short(shared: Arc<RouterShared>) {
+    loop {
+        shared.routes.repeats_short().await;
+        tokio::time::sleep(COLLECT).await;
+        let Some(report) = shared.routes.repeat_report(shared.clock.now()) else {
+            continue;
+        };
+        let request = ControlRequest::Repeats(shared.holder(), report);
+        if let Err(e) = shared.control.ask(&request, TELL_WITHIN).await {
+            log::debug!("event=repeats_short_not_told error={:?}", e.to_string());
+        }
+        tokio::time::sleep(TELL_EVERY).await;
+    }
+}
+
 async fn renew(shared: &RouterShared) -> bool {
     let asked = shared.clock.now();
     let (in_use, failing) = {
         let book = shared.routes.book();
         (book.own_use(), book.failing(asked))
     };
+    let repeats = shared.routes.repeat_report(asked);
     let request = {
         let mut core = shared.core();
         ControlRequest::Renew(Renewal {
@@ -56,6 +81,7 @@
             demand: core.demand(asked),
             in_use,
             failing,
+            repeats,
         })
     };
     let Some((asked, grant)) = ask(shared, asked, &encode(&request)).await else {
@@ -66,7 +92,8 @@
         return false;
     };
     let now = shared.clock.now();
-    shared.routes.others_told(now, &grant);
+    let lasts = shared.cfg.lease;
+    shared.routes.others_told(asked, now, lasts, &grant);
     let lease = grant.lease(asked);
     let before = shared.core().lease().applied();
     shared
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -24,9 +24,9 @@
 use crate::context::Context;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use deckwind_config::RouterSettings;
-use deckwind_core::control::Grant;
+use deckwind_core::control::{Grant, RepeatReport};
 use deckwind_core::routes::{
-    InstanceIndex, LifeOver, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits, RouterCount,
+    Claim, InstanceIndex, LifeOver, Paid, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits,
     TargetBook, TargetFault,
 };
 use deckwind_core::state::{Configuration, Instance, Revision, Route, RouteKind};
@@ -34,11 +34,13 @@
 use deckwind_net::targets::KeptConnections;
 use stalls::StallWatch;
 use std::collections::{HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 /// How long another router's failure makes a silent stream move: a renewal's
 /// time and some.
@@ -62,8 +64,10 @@
     /// When the leader last told of the other routers.
     told_at: Mutex<Instant>,
     patience: Mutex<Patience>,
-    /// Routers that share the bound on repeats.
-    routers: Mutex<RouterCount>,
+    /// Repeats run short and the leader has not been told.
+    repeats_short: Notify,
+    /// Repeats were given.
+    repeats_came: Notify,
     draining: AtomicBool,
     /// What a planned stop still lets in; see [`LetIn`].
     let_in: AtomicU8,
@@ -100,7 +104,8 @@
             to_tell: Notify::new(),
             told_at: Mutex::new(Instant::ZERO),
             patience: Mutex::default(),
-            routers: Mutex::new(RouterCount::new(cfg.repeats.window)),
+            repeats_short: Notify::new(),
+            repeats_came: Notify::new(),
             draining: AtomicBool::new(false),
             let_in: AtomicU8::new(LetIn::All as u8),
         }
@@ -137,17 +142,49 @@
         known.is_late(&route.name, patience, objective)
     }
 
-    /// Whether something may be sent to a pool again.
-    pub fn may_repeat(&self, now: Instant, pool: &str) -> bool {
-        let routers = self.routers.lock().expect("no holder panics");
-        let sharers = routers.sharers(now);
-        drop(routers);
-        let mut repeats = self.repeats.lock().expect("no holder panics");
-        let spent = repeats.of_pool(pool).spend(now, sharers);
-        if !spent {
+    /// Whether something may be sent to a pool again, for such a request.
+    pub fn may_repeat(&self, now: Instant, pool: &str, claim: Claim, id: &str) -> bool {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        let mut repeats = self.repeats();
+        let budget = repeats.of_pool(pool);
+        let paid = budget.spend(now, claim, hasher.finish());
+        let left = budget.leased().left(now);
+        let short = repeats.runs_short(now);
+        drop(repeats);
+        if short {
+            self.repeats_short.notify_one();
+        }
+        let with = match paid {
+            Some(Paid::Share) => "share",
+            Some(Paid::Leased) => "leased",
+            None => "none",
+        };
+        metrics::counter!("deckwind_route_repeats_total", "paid" => with).increment(1);
+        if paid.is_none() {
             metrics::counter!("deckwind_route_repeats_denied_total").increment(1);
+            log::info!("event=repeat_denied request={id} pool={pool} claim={claim:?} left={left}");
         }
-        spent
+        paid.is_some()
+    }
+
+    /// What the leader is to hear of repeats.
+    pub fn repeat_report(&self, now: Instant) -> Option<RepeatReport> {
+        self.repeats().report(now)
+    }
+
+    /// Waits until repeats run short.
+    pub async fn repeats_short(&self) {
+        self.repeats_short.notified().await;
+    }
+
+    /// Until the leader gives some, from this call on.
+    pub fn repeats_came(&self) -> Notified<'_> {
+        self.repeats_came.notified()
+    }
+
+    fn repeats(&self) -> MutexGuard<'_, RepeatBudgets> {
+        self.repeats.lock().expect("no holder panics")
     }
 
     /// Takes a changed configuration over.
@@ -196,11 +233,12 @@
         }
     }
 
-    /// Takes what the leader tells of the other routers.
-    pub fn others_told(&self, now: Instant, grant: &Grant) {
-        let mut routers = self.routers.lock().expect("no holder panics");
-        routers.told(now, grant.routers_lately);
-        drop(routers);
+    /// Takes what the leader answered when it was asked at `asked`: what it tells of
+    /// the other routers, and repeats, which last as long as a lease.
+    pub fn others_told(&self, asked: Instant, now: Instant, lasts: Duration, grant: &Grant) {
+        if self.repeats().told(asked, lasts, &grant.repeats) {
+            self.repeats_came.notify_waiters();
+        }
         let mut book = self.book();
         if let Some(in_use) = &grant.in_use {
             book.others_hold(in_use);
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -39,6 +39,10 @@
 /// Between two looks whether a target on the way is known to fail.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
+/// Longest wait of a request that begins for a repeat that the leader may give: a
+/// message, an entry and an answer, and then it can still be in time.
+const REPEAT_WAIT: Duration = Duration::from_millis(150);
+
 /// Part of an answer's estimated tokens that a stream keeps on the mean of its
 /// life, in hundredths: it begins with none.
 const ANSWER_KEPT_PERCENT: u64 = 50;
@@ -137,6 +141,7 @@
         mut again: bool,
     ) -> Result<Opening, Failure> {
         let mut ran = again;
+        let begins = !again;
         loop {
             let give_up = |failure: Failure| match ran {
                 true => Failure::NotSentAgain(failure.code().to_string()),
@@ -150,7 +155,7 @@
                 return Err(give_up(Failure::NoLease));
             }
             let paid = std::mem::take(&mut self.paid);
-            if again && !paid && !self.may_repeat() {
+            if again && !paid && !self.repeat_comes(begins).await {
                 return Err(give_up(Failure::NoRepeat));
             }
             let ended = match self.attempt(&choice, last_event).await {
@@ -170,7 +175,25 @@
 
     fn may_repeat(&self) -> bool {
         let now = self.job.shared.clock.now();
-        self.job.shared.routes.may_repeat(now, &self.job.pool.name)
+        let (pool, id) = (&self.job.pool.name, &self.job.head.id);
+        let routes = &self.job.shared.routes;
+        routes.may_repeat(now, pool, self.claim(), id)
+    }
+
+    /// Whether there is a repeat now, or soon for a request that begins: the leader
+    /// is told that they run short. One that has begun is not kept waiting here: its
+    /// first target may still go on.
+    async fn repeat_comes(&self, begins: bool) -> bool {
+        let until = (Instant::now() + REPEAT_WAIT).min(self.job.until);
+        loop {
+            let came = self.job.shared.routes.repeats_came();
+            if self.may_repeat() {
+                return true;
+            }
+            if !begins || tokio::time::timeout_at(until, came).await.is_err() {
+                return false;
+            }
+        }
     }
 
     /// Whether to go on after a try that ended so; an error is the answer.
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -7,7 +7,7 @@
 use super::hold::Hold;
 use crate::collect::collect;
 use bytes::Bytes;
-use deckwind_core::routes::{Came, Choice, TargetFault, Told, choose_plain, told};
+use deckwind_core::routes::{Came, Choice, Claim, TargetFault, Told, choose_plain, told};
 use deckwind_core::state::RouteKind;
 use deckwind_net::targets::TargetError;
 use http::{HeaderMap, Response, StatusCode};
@@ -193,7 +193,9 @@
         let now = self.job.shared.clock.now();
         let time = !self.job.left().is_zero();
         let tries = self.tries < self.job.route.attempts;
-        time && tries && self.job.shared.routes.may_repeat(now, &self.job.pool.name)
+        let routes = &self.job.shared.routes;
+        let (pool, id) = (&self.job.pool.name, &self.job.head.id);
+        time && tries && routes.may_repeat(now, pool, Claim::New, id)
     }
 
     /// How long this try may take.
