Routers tell each other of engines that refuse for want of room

Cause: a router that was refused avoided the engine alone, for 300 ms; the others sent there until each had been refused itself, at the cost of a repeat each.

Change: the refusing router tells the leader within 20 ms what streams held there; the leader tells all with a round of answers, at most each 100 ms; for 250 ms no router counts more room there than was held then.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -3,6 +3,7 @@
 use super::announcements::WaitingAnnouncement;
 use super::demand::DemandTable;
 use super::event::{ControlAction, ControlEvent, ControlLimits, Unreadable};
+use super::full_engines::FullTable;
 use super::grants::DeltaCache;
 use super::heard::{HeardBuffer, HeardTable};
 use super::in_use::UseTable;
@@ -48,6 +49,8 @@
     pub(super) admins: BTreeMap<VmName, SocketAddr>,
     /// Whether claims of routers that no longer exist were looked for.
     pub(super) orphans_done: bool,
+    /// Engines that have just refused requests.
+    pub(super) full: FullTable,
     /// Repeats of the routers, from when this leader may answer on: the log is
     /// applied up to its first entry then.
     pub(super) repeats: Option<RepeatDesk>,
@@ -243,6 +246,7 @@
                 use_told: BTreeMap::new(),
                 admins: BTreeMap::new(),
                 orphans_done: false,
+                full: FullTable::default(),
                 repeats: None,
             });
         }
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -163,6 +163,7 @@
             replicas: replicas.collect(),
             failing: leading.failing_now(now),
             repeats,
+            full: leading.full.to_tell(now, &renewal.holder.vm),
         })
     }
 }
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// An engine has refused a request for want of room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineFull {
+    /// The engine.
+    pub address: SocketAddr,
+    /// What streams held there, as its router counted: tokens times layers.
+    pub layer_tokens: u64,
+}
+
 /// The leader grants a lease.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
@@ -90,6 +99,8 @@
     pub failing: Vec<SocketAddr>,
     /// Repeats that the router may use.
     pub repeats: Vec<RepeatGrant>,
+    /// Engines that have refused a request since this router was last told.
+    pub full: Vec<EngineFull>,
 }
 
 impl Grant {
@@ -127,6 +138,8 @@
     Finish(FinishRequest),
     /// I run short of repeats. What is given comes with the lease.
     Repeats(Holder, RepeatReport),
+    /// These engines have just refused requests for want of room.
+    Full(Holder, Vec<EngineFull>),
 }
 
 /// Answer of a control replica.
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod control_core;
 mod demand;
 mod event;
+mod full_engines;
 mod grants;
 mod heard;
 mod in_use;
@@ -39,7 +40,9 @@
 pub use control_core::ControlCore;
 pub use event::{ControlAction, ControlEvent, ControlLimits, LifeNote, Unreadable};
 pub use heard::HeardTargets;
-pub use messages::{ControlReply, ControlRequest, EngineUse, Grant, PeerMessage, Renewal};
+pub use messages::{
+    ControlReply, ControlRequest, EngineFull, EngineUse, Grant, PeerMessage, Renewal,
+};
 pub use operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -3,14 +3,14 @@
 use super::control_core::ControlCore;
 use super::event::ControlAction;
 use super::grants::FAILING_FOR;
-use super::messages::{ControlReply, ControlRequest, Renewal};
+use super::messages::{ControlReply, ControlRequest, EngineFull, Renewal};
 use super::operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
 use super::pending::{Asker, Parked};
 use super::wake::Urgency;
 use crate::membership::{InForce, RouterLease};
-use crate::state::{CommandBody, VmName};
+use crate::state::{CommandBody, Holder, VmName};
 use crate::time::Instant;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -45,6 +45,7 @@
             }
             ControlRequest::Claim(req) => self.propose(now, CommandBody::Claim(req), asker, out),
             ControlRequest::Finish(req) => self.propose(now, CommandBody::Finish(req), asker, out),
+            ControlRequest::Full(holder, full) => self.full(now, token, &holder, &full, out),
             ControlRequest::Repeats(holder, report) => {
                 let reply = ControlReply::Done;
                 out.push(ControlAction::Reply { token, reply });
@@ -149,6 +150,25 @@
         }
     }
 
+    /// A router says which engines have just refused its requests: all hear of it
+    /// soon.
+    fn full(
+        &mut self,
+        now: Instant,
+        token: u64,
+        holder: &Holder,
+        full: &[EngineFull],
+        out: &mut Vec<ControlAction>,
+    ) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.full.told(now, &holder.vm, full);
+        let reply = ControlReply::Done;
+        out.push(ControlAction::Reply { token, reply });
+        self.wake_routers(now, Urgency::Soon, out);
+    }
+
     pub(super) fn operator(
         &mut self,
         now: Instant,
--- a/crates/deckwind-core/src/control/upkeep.rs
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -76,6 +76,7 @@
             leading.admins.remove(&holder.vm);
             leading.in_use.remove(&holder.vm);
             leading.use_told.remove(&holder.vm);
+            leading.full.remove(&holder.vm);
         }
         for holder in gone {
             self.propose(now, CommandBody::HolderGone(holder), Asker::Nobody, out);
--- a/crates/deckwind-core/src/control/wake.rs
+++ b/crates/deckwind-core/src/control/wake.rs
@@ -13,6 +13,8 @@
 pub(super) enum Urgency {
     /// New targets and layers: requests are served without them, too.
     Routine,
+    /// Engines that refuse: requests sent there cost a repeat.
+    Soon,
     /// Releases, keys, targets that are gone or drain: requests sent by what a
     /// router still believes fail, or must no longer be let in.
     Urgent,
@@ -32,11 +34,13 @@
     ///
     /// 195 routers answer a round with as many renewals. On a quiet day 490 a
     /// second take 0.046 of a core at the leader, so a round each 200 ms takes
-    /// 0.09. An urgent
+    /// 0.09. Engines refuse for a moment only; a round each 100 ms is a bound on what
+    /// that costs. An urgent
     /// round waits for what else comes in a commit or two, 20 ms.
     fn gap(self) -> Duration {
         match self {
             Self::Routine => Duration::from_millis(200),
+            Self::Soon => Duration::from_millis(100),
             Self::Urgent => Duration::from_millis(20),
         }
     }
--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -1,7 +1,7 @@
 //! What a router counts against targets: requests in flight, tokens that
 //! streams keep there, and failures.
 
-use crate::control::EngineUse;
+use crate::control::{EngineFull, EngineUse};
 use crate::routing::paths::{EngineView, Held, Stage};
 use crate::time::Instant;
 use std::collections::{HashMap, HashSet};
@@ -21,9 +21,16 @@
 /// Most faults that are remembered: those of four failures.
 const MOST_FAULTS: u32 = 4 * FAULTS_PER_FAILURE;
 
-/// How long an engine without room is avoided: a few answers end meanwhile.
+/// How long an engine without room is avoided by who was refused: a few answers end
+/// meanwhile.
 const NO_ROOM_FOR: Duration = Duration::from_millis(300);
 
+/// How long what streams held there when it refused one is the most that it is
+/// taken to hold. What a router counted there is out of date by then: with 500 and
+/// 1,000 ms engines refuse less, and more requests find no path at all (crowding,
+/// in virtual time).
+const REFUSED_FOR: Duration = Duration::from_millis(250);
+
 /// How a target failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetFault {
@@ -54,6 +61,16 @@
     own: HashMap<SocketAddr, Held>,
     /// What those of all others hold, as the leader last told.
     others: HashMap<SocketAddr, Held>,
+    /// Engines that have refused a request for want of room.
+    refused: HashMap<SocketAddr, Refused>,
+}
+
+/// An engine had no room.
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    /// What streams held there, tokens times layers.
+    layer_tokens: u64,
+    until: Instant,
 }
 
 /// The book at one moment, for one request.
@@ -78,6 +95,12 @@
     fn held(&self, address: SocketAddr) -> Held {
         self.book.held(address)
     }
+
+    fn refused_at(&self, address: SocketAddr) -> Option<u64> {
+        let refused = self.book.refused.get(&address);
+        let lately = refused.filter(|r| r.until > self.now);
+        lately.map(|r| r.layer_tokens)
+    }
 }
 
 impl TargetBook {
@@ -171,13 +194,37 @@
         wait
     }
 
-    /// A target had no room. It is avoided for a moment by this router alone: it
-    /// is well, and others may know of its room.
-    pub fn had_no_room(&mut self, now: Instant, address: SocketAddr) {
+    /// A target had no room. It is avoided for a moment by this router; what the
+    /// others are to hear.
+    pub fn had_no_room(&mut self, now: Instant, address: SocketAddr) -> EngineFull {
+        self.avoid_full(now, address);
+        let full = EngineFull {
+            address,
+            layer_tokens: self.held(address).layer_tokens,
+        };
+        self.are_full(now, &[full]);
+        full
+    }
+
+    /// Sends nothing through an engine without room for a moment.
+    pub fn avoid_full(&mut self, now: Instant, address: SocketAddr) {
         let account = self.targets.entry(address).or_default();
         account.avoided_until = account.avoided_until.max(now + NO_ROOM_FOR);
     }
 
+    /// Engines have just refused a request of this router or another one. They are
+    /// well: as much as they held then they hold again.
+    pub fn are_full(&mut self, now: Instant, full: &[EngineFull]) {
+        self.refused.retain(|_, r| r.until > now);
+        for one in full {
+            let refused = Refused {
+                layer_tokens: one.layer_tokens,
+                until: now + REFUSED_FOR,
+            };
+            self.refused.insert(one.address, refused);
+        }
+    }
+
     /// A target has answered well.
     pub fn answered(&mut self, address: SocketAddr) {
         if let Some(account) = self.targets.get_mut(&address) {
--- a/crates/deckwind-core/src/routing/paths.rs
+++ b/crates/deckwind-core/src/routing/paths.rs
@@ -64,6 +64,9 @@
     fn avoids(&self, address: SocketAddr) -> bool;
     /// What streams hold there.
     fn held(&self, address: SocketAddr) -> Held;
+    /// What they held, tokens times layers, when it lately refused one; nothing if
+    /// it has not.
+    fn refused_at(&self, address: SocketAddr) -> Option<u64>;
 }
 
 /// What a request needs of each engine on its path.
@@ -121,6 +124,8 @@
     taken: f64,
     /// Part of its places as a first stage that is taken with one more.
     places_used: f64,
+    /// Tokens times layers that it could not take more than, lately.
+    refused_at: Option<f64>,
 }
 
 impl<'a> Holder<'a> {
@@ -141,6 +146,7 @@
             keeps,
             taken: held.layer_tokens as f64,
             places_used: f64::from(held.begun + 1) / places,
+            refused_at: view.refused_at(instance.address).map(|t| t as f64),
         })
     }
 
@@ -154,8 +160,15 @@
         }
     }
 
-    /// Whether it has room for the request. An engine that nobody uses takes any.
+    /// Whether it has room for the request. An engine that nobody uses takes any,
+    /// and one that has lately refused a request takes one as soon as as much has
+    /// ended there.
     fn has_room(&self, need: &Need, layers: LayerRange) -> bool {
+        let more = need.tokens as f64 * f64::from(layers.len());
+        let full = |most: f64| self.taken + more > most;
+        if need.most.is_finite() && self.refused_at.is_some_and(full) {
+            return false;
+        }
         self.taken == 0.0 || self.used(need, layers) <= need.most
     }
 
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -227,6 +227,7 @@
             replicas: Vec::new(),
             failing: Vec::new(),
             repeats: Vec::new(),
+            full: Vec::new(),
         };
         let answer = encode(&deckwind_wire::ControlReply::Granted(Box::new(grant))).len();
         println!(
--- a/crates/deckwind-testkit/tests/testsuite/paths.rs
+++ b/crates/deckwind-testkit/tests/testsuite/paths.rs
@@ -25,6 +25,10 @@
 struct Avoiding(Vec<SocketAddr>);
 
 impl EngineView for Avoiding {
+    fn refused_at(&self, _: SocketAddr) -> Option<u64> {
+        None
+    }
+
     fn avoids(&self, address: SocketAddr) -> bool {
         self.0.contains(&address)
     }
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -15,7 +15,10 @@
 /// stand still together when an engine is lost.
 const COLLECT: Duration = Duration::from_millis(10);
 
-/// Between two such messages: the leader issues no more often.
+/// Time over which engines that refuse are told of in one message.
+const COLLECT_FULL: Duration = Duration::from_millis(20);
+
+/// Between two such messages of repeats: the leader issues no more often.
 const TELL_EVERY: Duration = Duration::from_millis(80);
 
 /// Longest search for a leader with one question: the settings may name other
@@ -48,6 +51,17 @@
     }
 }
 
+/// Tells the leader of engines that refuse for want of room, for ever.
+pub async fn tell_full(shared: Arc<RouterShared>) {
+    loop {
+        let full = shared.routes.full(COLLECT_FULL).await;
+        let request = ControlRequest::Full(shared.holder(), full);
+        if let Err(e) = shared.control.ask(&request, TELL_WITHIN).await {
+            log::debug!("event=full_not_told error={:?}", e.to_string());
+        }
+    }
+}
+
 /// Tells the leader that repeats run short, for ever. What it gives comes with
 /// the answer to the renewal that it holds.
 pub async fn tell_repeats_short(shared: Arc<RouterShared>) {
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -24,7 +24,7 @@
 use crate::context::Context;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use deckwind_config::RouterSettings;
-use deckwind_core::control::{Grant, RepeatReport};
+use deckwind_core::control::{EngineFull, Grant, RepeatReport};
 use deckwind_core::routes::{
     Claim, InstanceIndex, LifeOver, Paid, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits,
     TargetBook, TargetFault,
@@ -64,6 +64,9 @@
     /// When the leader last told of the other routers.
     told_at: Mutex<Instant>,
     patience: Mutex<Patience>,
+    /// Engines that have refused requests and of which the leader has not been told.
+    full: Mutex<Vec<EngineFull>>,
+    full_to_tell: Notify,
     /// Repeats run short and the leader has not been told.
     repeats_short: Notify,
     /// Repeats were given.
@@ -104,6 +107,8 @@
             to_tell: Notify::new(),
             told_at: Mutex::new(Instant::ZERO),
             patience: Mutex::default(),
+            full: Mutex::default(),
+            full_to_tell: Notify::new(),
             repeats_short: Notify::new(),
             repeats_came: Notify::new(),
             draining: AtomicBool::new(false),
@@ -244,6 +249,7 @@
             book.others_hold(in_use);
         }
         book.doubt(now + DOUBT_FOR, &grant.failing);
+        book.are_full(now, &grant.full);
         drop(book);
         if grant.in_use.is_some() {
             *self.told_at.lock().expect("no holder panics") = now;
@@ -286,6 +292,31 @@
         addresses.iter().for_each(|a| book.answered(*a));
     }
 
+    /// An engine has refused a request for want of room: it is avoided for a moment,
+    /// and the other routers hear of it.
+    pub fn had_no_room(&self, now: Instant, address: SocketAddr) {
+        let full = self.book().had_no_room(now, address);
+        metrics::counter!("deckwind_route_target_refusals_total").increment(1);
+        self.full.lock().expect("no holder panics").push(full);
+        self.full_to_tell.notify_one();
+    }
+
+    /// Waits until engines have refused requests of which the leader has not been
+    /// told, and for what else comes in `collect`.
+    pub async fn full(&self, collect: Duration) -> Vec<EngineFull> {
+        loop {
+            self.full_to_tell.notified().await;
+            tokio::time::sleep(collect).await;
+            let full = std::mem::take(&mut *self.full.lock().expect("no holder panics"));
+            // The last refusal of an engine is the one that counts.
+            let last: HashMap<SocketAddr, EngineFull> =
+                full.into_iter().map(|f| (f.address, f)).collect();
+            if !last.is_empty() {
+                return last.into_values().collect();
+            }
+        }
+    }
+
     /// Waits until targets have failed that the leader has not been told of.
     pub async fn failing(&self) -> Vec<SocketAddr> {
         loop {
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -258,10 +258,8 @@
         self.avoid.insert(address);
         let shared = &self.job.shared;
         let now = shared.clock.now();
-        let mut book = shared.routes.book();
-        book.had_no_room(now, address);
-        let held = book.held(address);
-        drop(book);
+        shared.routes.had_no_room(now, address);
+        let held = shared.routes.book().held(address);
         log::info!(
             "event=target_refused target={address} request={} layer_tokens={} begun={}",
             self.job.head.id,
