--- a/crates/deckwind-core/src/control/repeat_desk.rs
+++ b/crates/deckwind-core/src/control/repeat_desk.rs
@@ -128,15 +128,21 @@
     pools: Vec<PoolReport>,
 }
 
-/// What was given out by this leader, for operators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Repeats of one pool as the leader counts them, for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RepeatCounts {
-    /// Most of one pool.
+    /// The pool.
+    pub pool: PoolName,
+    /// Most that may count.
     pub most: u64,
-    /// Issued and not over, all pools.
+    /// Issued, and not over.
     pub counts: u64,
     /// Of these, unused in routers' hands.
     pub unused: u64,
+    /// What routers lack.
+    pub wanted: u64,
+    /// Routers that may use some.
+    pub routers: usize,
 }
 
 /// The leader's side of repeats.
@@ -408,14 +414,21 @@
         overs
     }
 
-    /// Counts for operators.
-    pub fn counts(&self) -> RepeatCounts {
-        let accounts = self.accounts.values();
-        RepeatCounts {
-            most: self.most(),
-            counts: accounts.clone().map(Account::counts).sum(),
-            unused: accounts.map(Account::unused).sum(),
-        }
+    /// Counts for operators, by pool.
+    pub fn counts(&self) -> Vec<RepeatCounts> {
+        let counts = |pool: PoolName| {
+            let of_pool = self.accounts.values().filter(|a| a.key.pool == pool);
+            let of_pool: Vec<&Account> = of_pool.collect();
+            RepeatCounts {
+                most: self.most(),
+                counts: of_pool.iter().map(|a| a.counts()).sum(),
+                unused: of_pool.iter().map(|a| a.unused()).sum(),
+                wanted: self.wants(&pool).iter().map(|w| w.lacks).sum(),
+                routers: of_pool.iter().filter(|a| a.open).count(),
+                pool,
+            }
+        };
+        self.pools().into_iter().map(counts).collect()
     }
 }
 
--- a/crates/deckwind-core/src/control/repeats.rs
+++ b/crates/deckwind-core/src/control/repeats.rs
@@ -3,7 +3,7 @@
 use super::control_core::ControlCore;
 use super::event::ControlAction;
 use super::pending::Asker;
-use super::repeat_desk::RepeatDesk;
+use super::repeat_desk::{RepeatCounts, RepeatDesk};
 use super::repeat_messages::RepeatReport;
 use crate::state::{CommandBody, Holder};
 use crate::time::Instant;
@@ -58,6 +58,12 @@
         }
     }
 
+    /// Repeats by pool, where this replica gives them out.
+    pub fn repeat_counts(&self) -> Vec<RepeatCounts> {
+        let desk = self.leading.as_ref().and_then(|l| l.repeats.as_ref());
+        desk.map_or(Vec::new(), RepeatDesk::counts)
+    }
+
     /// Whether a router was given repeats of which it has not heard.
     pub(super) fn has_repeats_for(&self, holder: &Holder) -> bool {
         let desk = self.leading.as_ref().and_then(|l| l.repeats.as_ref());
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -7,6 +7,7 @@
 use super::orders;
 use super::peers::Senders;
 use super::placing;
+use super::repeat_notes::RepeatNotes;
 use crate::clock::Clock;
 use crate::context::Context;
 use anyhow::Result;
@@ -41,6 +42,7 @@
     operator_replies: HashMap<u64, ReplyTo<OperatorReply>>,
     next_token: u64,
     role: Role,
+    repeats: RepeatNotes,
 }
 
 impl Driver {
@@ -87,6 +89,7 @@
             operator_replies: HashMap::new(),
             next_token: 1,
             role: Role::Unformed,
+            repeats: RepeatNotes::default(),
         })
     }
 
@@ -117,6 +120,7 @@
             self.hand_on(effect);
         }
         self.note_role();
+        self.repeats.look(now.at, self.node.core());
         Ok(())
     }
 
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod placing;
 mod refusals;
+mod repeat_notes;
 
 pub use handle::{ControlHandle, Input};
 pub use keeper::OpenDisk;
