--- a/crates/deckwind-testkit/src/lab_checks.rs
+++ b/crates/deckwind-testkit/src/lab_checks.rs
@@ -7,9 +7,11 @@
 //! 5. when an operator was told "in force", no router that may serve is older;
 //! 6. a claimed key runs at most once;
 //! 7. no target gets an older leader's order after a newer one's, also where it
-//!    does not check fences.
+//!    does not check fences;
+//! 8. all routers together use no more repeats in a window than the bound.
 
 use crate::lab::Lab;
+use crate::lab_routers::REPEATS;
 use deckwind_core::state::Revision;
 
 impl Lab {
@@ -42,6 +44,14 @@
         if let Some(slot) = answering.first() {
             self.check_knows_accepted(*slot);
         }
+        self.check_repeats();
+    }
+
+    fn check_repeats(&self) {
+        let used = self.routers.iter().flat_map(|r| &r.repeated);
+        let used = used.filter(|at| self.now.since(**at) < REPEATS.window);
+        let used = used.count();
+        assert!(used as f64 <= REPEATS.beyond, "{used} repeats in a window");
     }
 
     fn check_leader(&mut self, slot: usize) {
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -1,7 +1,8 @@
-//! Routers of the laboratory: the real lease state, and claims whose runs are
-//! counted.
+//! Routers of the laboratory: the real lease state, claims whose runs are counted,
+//! and repeats.
 
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
+use deckwind_core::routes::{Claim, RepeatBudgets, RepeatLimits};
 use deckwind_core::state::{
     ClaimKey, ClaimRequest, ClaimVerdict, FinishRequest, Holder, Outcome, Revision, VmName,
 };
@@ -31,11 +32,32 @@
     replica: usize,
     /// Keys that it ran, one entry a run.
     pub ran: Vec<String>,
+    timing: LeaseTiming,
+    budgets: Option<RepeatBudgets>,
+    /// When it last told that repeats run short.
+    short_at: Option<Instant>,
+    /// Repeats that its streams want.
+    repeats_wanted: u64,
+    /// When it used repeats, over all its starts.
+    pub repeated: Vec<Instant>,
 }
 
 /// A request that was not answered for this long is sent again.
 const RESEND: Duration = Duration::from_millis(700);
 
+/// Between two messages that repeats run short.
+const SHORT_EVERY: Duration = Duration::from_millis(80);
+
+/// The bound on repeats: nothing for the routers' own requests.
+pub const REPEATS: RepeatLimits = RepeatLimits {
+    share: 0.0,
+    beyond: 100.0,
+    window: Duration::from_secs(10),
+};
+
+/// The pool that repeats are for.
+const POOL: &str = "pool";
+
 /// Keys that all routers draw from.
 const KEYS: u32 = 40;
 
@@ -52,6 +74,11 @@
             nonce: 0,
             replica: 0,
             ran: Vec::new(),
+            timing,
+            budgets: None,
+            short_at: None,
+            repeats_wanted: 0,
+            repeated: Vec::new(),
         }
     }
 
@@ -82,12 +109,51 @@
         self.claims_wanted += claims;
     }
 
+    /// Has it serve a pool whose streams want so many repeats.
+    pub fn want_repeats(&mut self, repeats: u64) {
+        self.repeats_wanted = repeats;
+        self.budgets
+            .get_or_insert_with(|| RepeatBudgets::new(REPEATS));
+    }
+
+    /// How many repeats it may use.
+    pub fn repeats_left(&mut self, now: Instant) -> u64 {
+        let budgets = self.budgets.as_mut();
+        budgets.map_or(0, |b| b.of_pool(POOL).leased().left(now))
+    }
+
+    /// Uses the repeats that it wants and may use.
+    fn repeat(&mut self, now: Instant) {
+        let Some(budgets) = &mut self.budgets else {
+            return;
+        };
+        let budget = budgets.of_pool(POOL);
+        budget.requested(now);
+        while self.repeats_wanted > 0 {
+            let spent = budget.spend(now, Claim::Begun, self.repeats_wanted);
+            if spent.is_none() {
+                break;
+            }
+            self.repeats_wanted -= 1;
+            self.repeated.push(now);
+        }
+    }
+
+    fn next_short(&mut self, now: Instant) -> Option<ControlRequest> {
+        let due = self.short_at.is_none_or(|at| now.since(at) >= SHORT_EVERY);
+        let budgets = self.budgets.as_mut().filter(|b| due && b.runs_short(now))?;
+        let report = budgets.report(now)?;
+        self.short_at = Some(now);
+        Some(ControlRequest::Repeats(self.holder(), report))
+    }
+
     /// Kills it and starts it again, between any two of its steps.
     pub fn restart(&mut self, timing: LeaseTiming) {
         self.boot += 1;
         self.lease = RouterLeaseState::new(timing);
         self.renewal = None;
         self.claim = None;
+        self.budgets = self.budgets.as_ref().map(|_| RepeatBudgets::new(REPEATS));
     }
 
     /// Replica that it asks.
@@ -97,7 +163,10 @@
 
     /// What it sends now, if anything.
     pub fn next_request(&mut self, now: Instant, rng: &mut impl Rng) -> Option<ControlRequest> {
-        self.next_claim(now, rng).or_else(|| self.next_renewal(now))
+        self.repeat(now);
+        let next = self.next_claim(now, rng);
+        let next = next.or_else(|| self.next_renewal(now));
+        next.or_else(|| self.next_short(now))
     }
 
     fn next_renewal(&mut self, now: Instant) -> Option<ControlRequest> {
@@ -106,6 +175,7 @@
             Some(_) => self.replica += 1,
             None => {}
         }
+        let repeats = self.budgets.as_mut().and_then(|b| b.report(now));
         let request = ControlRequest::Renew(Renewal {
             holder: self.holder(),
             applied: self.lease.applied(),
@@ -113,7 +183,7 @@
             demand: Vec::new(),
             in_use: Vec::new(),
             failing: Vec::new(),
-            repeats: None,
+            repeats,
         });
         self.renewal = Some(Open {
             request: request.clone(),
@@ -168,6 +238,8 @@
                         .changes(self.lease.applied())
                         .expect("nothing is damaged here");
                     self.lease.granted(grant.lease(asked), delta);
+                    let budgets = self.budgets.as_mut();
+                    budgets.map(|b| b.told(asked, self.timing.ttl, &grant.repeats));
                 }
             }
             (_, ControlReply::NotLeader { leader }) => {
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod release_changes;
 mod renewals;
 mod repeat_rig;
+mod repeats;
 mod replication;
 mod replication_flow;
 mod rig;
