Routers tell which of the repeats they used are older than the window

A new leader, which counts what was used from the moment when it hears of it, then counts only what still matters. The specification has the rule, and the bad run without it.

--- a/crates/deckwind-core/src/control/repeat_desk.rs
+++ b/crates/deckwind-core/src/control/repeat_desk.rs
@@ -11,7 +11,8 @@
 //! is issued counts from the moment it is proposed until
 //!
 //! - its router has given it back, or
-//! - a window after its router told that it was used, or
+//! - a window after its router told that it was used, or when its router tells
+//!   that this is longer ago than the window, or
 //! - a window after its router can't use it any more: a lease's time after it
 //!   was last told of it.
 //!
@@ -85,13 +86,28 @@
         }
     }
 
-    fn reported(&mut self, now: Instant, spent: u64, back: u64) {
+    fn reported(&mut self, now: Instant, report: &PoolReport) {
+        let (spent, back) = (report.spent, report.back);
         if !self.open || spent + back > self.issued {
             return;
         }
         self.used(now, spent.saturating_sub(self.spent));
         self.spent = self.spent.max(spent);
         self.back = self.back.max(back);
+        self.forget(report.over.saturating_sub(self.over));
+    }
+
+    /// So many of the oldest used ones are over.
+    fn forget(&mut self, mut count: u64) {
+        while let Some((_, used)) = self.recent.front_mut().filter(|_| count > 0) {
+            let over = count.min(*used);
+            *used -= over;
+            self.over += over;
+            count -= over;
+            if *used == 0 {
+                self.recent.pop_front();
+            }
+        }
     }
 
     fn used(&mut self, now: Instant, count: u64) {
@@ -228,7 +244,7 @@
         for pool in &report.pools {
             let account = pool.allowance.and_then(|id| self.accounts.get_mut(&id));
             if let Some(account) = account.filter(|a| a.key.holder == *holder) {
-                account.reported(now, pool.spent, pool.back);
+                account.reported(now, pool);
                 account.open &= pool.serves || account.counts() > 0;
             }
         }
--- a/crates/deckwind-core/src/control/repeat_messages.rs
+++ b/crates/deckwind-core/src/control/repeat_messages.rs
@@ -28,6 +28,8 @@
     pub allowance: Option<AllowanceId>,
     /// Repeats that it has used.
     pub spent: u64,
+    /// Of these, used longer ago than the window, by its own clock.
+    pub over: u64,
     /// Repeats that it has given back: it will never use them.
     pub back: u64,
     /// How many it wants to hold.
--- a/crates/deckwind-core/src/routes/leased.rs
+++ b/crates/deckwind-core/src/routes/leased.rs
@@ -47,6 +47,8 @@
     allowance: Option<AllowanceId>,
     issued: u64,
     spent: u64,
+    /// When the last ones were used.
+    spent_at: VecDeque<Instant>,
     back: u64,
     keep: u64,
     until: Instant,
@@ -82,6 +84,7 @@
         let takes = may_take(self.left(now), self.level(), claim);
         if takes {
             self.spent += 1;
+            self.spent_at.push_back(now);
         }
         takes
     }
@@ -103,13 +106,24 @@
         self.left(now) * 2 < self.level().max(self.keep)
     }
 
-    /// What the leader is to hear.
-    pub fn report(&mut self, now: Instant, pool: &str, serves: bool) -> PoolReport {
+    /// What the leader is to hear. What was used counts for `counts_for`.
+    pub fn report(
+        &mut self,
+        now: Instant,
+        pool: &str,
+        serves: bool,
+        counts_for: Duration,
+    ) -> PoolReport {
         self.forget_asks(now);
+        let old = |at: &Instant| now.since(*at) >= counts_for;
+        while self.spent_at.front().is_some_and(old) {
+            self.spent_at.pop_front();
+        }
         PoolReport {
             pool: pool.to_string(),
             allowance: self.allowance,
             spent: self.spent,
+            over: self.spent - self.spent_at.len() as u64,
             back: self.back,
             level: self.level(),
             serves,
--- a/crates/deckwind-core/src/routes/repeats.rs
+++ b/crates/deckwind-core/src/routes/repeats.rs
@@ -27,6 +27,12 @@
 /// a caller counts as a request may never have come here.
 const USED: f64 = 0.8;
 
+/// How long a repeat counts: the window, a twentieth for the time in which it is
+/// sent, and a twentieth for a clock that runs fast.
+fn counts_for(window: Duration) -> Duration {
+    (window + window / 20) * 21 / 20
+}
+
 /// Spans that a window is counted in.
 const SPANS: u32 = 20;
 
@@ -166,7 +172,8 @@
         for (pool, budget) in &mut self.by_pool {
             let serves = budget.serves(now);
             if serves || budget.leased.has_allowance() {
-                pools.push(budget.leased.report(now, pool, serves));
+                let counts_for = counts_for(self.limits.window);
+                pools.push(budget.leased.report(now, pool, serves, counts_for));
             }
         }
         Some(RepeatReport {
--- a/crates/deckwind-spec/src/repeat_cases.rs
+++ b/crates/deckwind-spec/src/repeat_cases.rs
@@ -162,5 +162,13 @@
                 ..least
             },
         ),
+        case(
+            "used ones being over only after a window",
+            RepeatRules {
+                over_after_window: false,
+                ..all
+            },
+            least,
+        ),
     ]
 }
--- a/crates/deckwind-spec/src/repeat_spec.rs
+++ b/crates/deckwind-spec/src/repeat_spec.rs
@@ -33,6 +33,8 @@
     pub back_is_gone: bool,
     /// A router remembers what it has used after its time is over.
     pub remembered: bool,
+    /// A router tells of what it has used as over only after a window.
+    pub over_after_window: bool,
 }
 
 impl RepeatRules {
@@ -47,6 +49,7 @@
         silent_counts: true,
         back_is_gone: true,
         remembered: true,
+        over_after_window: true,
     };
 }
 
@@ -105,6 +108,8 @@
     allowance: Option<u8>,
     spent: u8,
     back: u8,
+    /// Of those spent, used before the window.
+    over: u8,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -123,6 +128,8 @@
     spent: u8,
     back: u8,
     until: u8,
+    /// Used of this allowance, by steps since.
+    recent: [u8; MOST_WINDOW],
 }
 
 /// A state of the specification.
@@ -166,6 +173,16 @@
         self.recent[0] += count;
     }
 
+    /// So many of the oldest used ones are over.
+    fn forget(&mut self, mut count: u8) {
+        for age in (0..MOST_WINDOW).rev() {
+            let over = count.min(self.recent[age]);
+            self.recent[age] -= over;
+            self.over += over;
+            count -= over;
+        }
+    }
+
     fn unused(&self) -> u8 {
         self.issued.saturating_sub(self.spent + self.back)
     }
@@ -194,9 +211,13 @@
             a.closed |= !a.open && a.counts() == 0;
         }
         for r in &mut n.routers {
+            r.recent.rotate_right(1);
+            r.recent[0] = 0;
+            r.recent[window..].fill(0);
             if !self.rules.remembered && r.until <= n.now && r.allowance.is_some() {
                 r.allowance = None;
                 (r.issued, r.spent, r.back) = (0, 0, 0);
+                r.recent = [0; MOST_WINDOW];
             }
         }
         Some(n)
@@ -211,6 +232,10 @@
             allowance: r.allowance,
             spent: r.spent,
             back: r.back,
+            over: match self.rules.over_after_window {
+                true => r.spent - r.recent.iter().sum::<u8>(),
+                false => r.spent,
+            },
         };
         n.asked += 1;
         n.questions.insert(question).then_some(n)
@@ -256,6 +281,7 @@
         }
         a.spent = a.spent.max(q.spent);
         a.back = a.back.max(q.back);
+        a.forget(q.over.saturating_sub(a.over));
     }
 
     /// The leader proposes one more for a router that has asked.
@@ -320,6 +346,7 @@
         if r.allowance != Some(answer.allowance) {
             r.allowance = Some(answer.allowance);
             (r.issued, r.spent, r.back) = (0, 0, 0);
+            r.recent = [0; MOST_WINDOW];
         }
         r.issued = r.issued.max(answer.issued);
         r.until = r.until.max(match self.rules.lasts_from_question {
@@ -335,6 +362,7 @@
         let may = s.now < r.until && r.spent + back < r.issued;
         let mut n = may.then(|| s.clone())?;
         n.routers[i].spent += 1;
+        n.routers[i].recent[0] += 1;
         n.used[0] += 1;
         Some(n)
     }
@@ -365,6 +393,7 @@
             spent: 0,
             back: 0,
             until: 0,
+            recent: [0; MOST_WINDOW],
         }
     }
 }
