The last repeats are for streams that have begun, wherever they are

The leader tells how much of the bound is left; with less than 40 in a hundred only streams that have begun get any, with less than 60 no request that is late already.

--- a/crates/deckwind-core/src/control/repeat_desk.rs
+++ b/crates/deckwind-core/src/control/repeat_desk.rs
@@ -261,6 +261,9 @@
         let until = now + self.lasts();
         self.age(now);
         let keeps = self.keeps(holder);
+        let pools = self.pools();
+        let free = |pool: &PoolName| (pool.clone(), self.free(pool) * 100 / self.most().max(1));
+        let free: BTreeMap<PoolName, u64> = pools.iter().map(free).collect();
         let accounts = self.accounts.iter_mut();
         let mine = accounts.filter(|(_, a)| a.open && a.key.holder == *holder);
         let mut grants = Vec::new();
@@ -270,6 +273,7 @@
             let pool = account.key.pool.clone();
             grants.push(RepeatGrant {
                 keep: keeps.get(&pool).copied().unwrap_or_default(),
+                free_percent: free.get(&pool).copied().unwrap_or_default(),
                 pool,
                 allowance: *id,
                 issued: account.issued,
--- a/crates/deckwind-core/src/control/repeat_messages.rs
+++ b/crates/deckwind-core/src/control/repeat_messages.rs
@@ -49,4 +49,6 @@
     pub issued: u64,
     /// Unused ones beyond these are better given back.
     pub keep: u64,
+    /// What the leader may still issue to anybody, in hundredths of the bound.
+    pub free_percent: u64,
 }
--- a/crates/deckwind-core/src/routes/leased.rs
+++ b/crates/deckwind-core/src/routes/leased.rs
@@ -18,27 +18,26 @@
 /// time of a report, an entry and an answer, three times over.
 const ASKED_WITHIN: Duration = Duration::from_secs(1);
 
-/// Most that are kept for streams that have begun, and most that are kept from
-/// those that are late already: what is kept and not used is of no use to others.
-const KEPT_FOR_BEGUN: u64 = 2;
-const KEPT_FOR_TIMELY: u64 = 4;
-
-/// Repeats are kept so where so many times as many were asked for lately.
-const ASKED_PER_KEPT: u64 = 5;
+/// Least part of the bound that the leader may still issue, in hundredths, for a
+/// stream that has not begun to get a repeat; and for one that is late already. Their
+/// callers may come back and count as requests then; a stream that has begun loses
+/// all that it has done.
+const FREE_FOR_NEW: u64 = 40;
+const FREE_FOR_LATE: u64 = 60;
 
 /// Asks that are remembered, for each pool: more than one router can be given.
 const MOST_ASKS: usize = 1_000;
 
-/// Whether a repeat of so many that are left goes to a stream: the last ones are
-/// for those that have begun, whose end costs most, and then for those that can
-/// still be in time.
-pub fn may_take(left: u64, level: u64, claim: Claim) -> bool {
-    let kept = level / ASKED_PER_KEPT;
-    match claim {
-        Claim::Begun => left > 0,
-        Claim::New => left > kept.min(KEPT_FOR_BEGUN),
-        Claim::Late => left > (2 * kept).min(KEPT_FOR_TIMELY),
-    }
+/// Whether a repeat of so many that are left goes to a stream, where the leader may
+/// still issue such a part of the bound: the last ones are for streams that have
+/// begun, then for those that can still be in time.
+pub fn may_take(left: u64, free_percent: u64, claim: Claim) -> bool {
+    let least = match claim {
+        Claim::Begun => 0,
+        Claim::New => FREE_FOR_NEW,
+        Claim::Late => FREE_FOR_LATE,
+    };
+    left > 0 && free_percent >= least
 }
 
 /// Repeats of one pool.
@@ -51,6 +50,8 @@
     spent_at: VecDeque<Instant>,
     back: u64,
     keep: u64,
+    /// What the leader may still issue, in hundredths of the bound.
+    free_percent: u64,
     until: Instant,
     /// Requests that asked for a repeat lately, whether there was any or not, and
     /// when each last did.
@@ -76,12 +77,16 @@
     }
 
     /// Uses one for such a stream, if there is one for it. `request` tells requests
-    /// apart: one that asks again wants no more.
+    /// apart: one that asks again wants no more. One that gets none of the last ones
+    /// asks for none.
     pub fn spend(&mut self, now: Instant, claim: Claim, request: u64) -> bool {
+        if !self.may_come(claim) {
+            return false;
+        }
         self.asks.retain(|(_, r)| *r != request);
         self.asks.push_back((now, request));
         self.forget_asks(now);
-        let takes = may_take(self.left(now), self.level(), claim);
+        let takes = may_take(self.left(now), self.free_percent, claim);
         if takes {
             self.spent += 1;
             self.spent_at.push_back(now);
@@ -101,6 +106,11 @@
         self.asks.len() as u64
     }
 
+    /// Whether the leader may give one for such a stream when it is asked.
+    pub fn may_come(&self, claim: Claim) -> bool {
+        may_take(1, self.free_percent, claim)
+    }
+
     /// Whether more are wanted soon.
     pub fn runs_short(&self, now: Instant) -> bool {
         self.left(now) * 2 < self.level().max(self.keep)
@@ -147,6 +157,7 @@
         let more = grant.issued > self.issued;
         self.issued = self.issued.max(grant.issued);
         self.keep = grant.keep;
+        self.free_percent = grant.free_percent;
         let keep = self.keep.max(self.level());
         self.back += self.unused().saturating_sub(keep);
         more
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -183,6 +183,11 @@
         self.repeats_short.notified().await;
     }
 
+    /// Whether the leader may give a repeat for such a request when it is asked.
+    pub fn repeat_may_come(&self, pool: &str, claim: Claim) -> bool {
+        self.repeats().of_pool(pool).leased().may_come(claim)
+    }
+
     /// Until the leader gives some, from this call on.
     pub fn repeats_came(&self) -> Notified<'_> {
         self.repeats_came.notified()
--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -190,7 +190,9 @@
             if self.may_repeat() {
                 return true;
             }
-            if !begins || tokio::time::timeout_at(until, came).await.is_err() {
+            let routes = &self.job.shared.routes;
+            let may_come = routes.repeat_may_come(&self.job.pool.name, self.claim());
+            if !(begins && may_come) || tokio::time::timeout_at(until, came).await.is_err() {
                 return false;
             }
         }
