--- a/crates/deckwind-core/src/control/full_engines.rs
+++ b/crates/deckwind-core/src/control/full_engines.rs
@@ -40,7 +40,7 @@
     }
 
     /// What a router has not heard, of the others.
-    pub fn to_tell(&mut self, now: Instant, vm: &VmName) -> Vec<EngineFull> {
+    pub fn news_for(&mut self, now: Instant, vm: &VmName) -> Vec<EngineFull> {
         let told = self.told.insert(vm.clone(), now);
         let news = |r: &&Refusal| {
             let fresh = now.since(r.at) < TOLD_FOR && r.by != *vm;
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -163,7 +163,7 @@
             replicas: replicas.collect(),
             failing: leading.failing_now(now),
             repeats,
-            full: leading.full.to_tell(now, &renewal.holder.vm),
+            full: leading.full.news_for(now, &renewal.holder.vm),
         })
     }
 }
--- a/crates/deckwind-core/src/control/repeat_desk.rs
+++ b/crates/deckwind-core/src/control/repeat_desk.rs
@@ -20,6 +20,7 @@
 //! is never more than `most`. A new leader counts all that the ledger holds as
 //! given out at the moment it begins.
 
+use super::repeat_account::{Account, shares};
 use super::repeat_messages::{PoolReport, RepeatGrant, RepeatReport};
 use crate::membership::LeaseTiming;
 use crate::state::{AllowanceId, AllowanceKey, Holder, PoolName, RepeatChange, RepeatLedger};
@@ -52,91 +53,6 @@
 /// sent after it was counted.
 const SENT_LATER: u32 = 20;
 
-/// An allowance as the leader knows it.
-#[derive(Clone, Debug)]
-struct Account {
-    key: AllowanceKey,
-    issued: u64,
-    /// Used so long ago that they no longer count.
-    over: u64,
-    /// What its router told as spent. At first, for a new leader, what is over.
-    spent: u64,
-    /// What its router gave back: it no longer counts.
-    back: u64,
-    /// Used, and when that was known.
-    recent: VecDeque<(Instant, u64)>,
-    /// When its router can't use it any more, unless it is told of it again.
-    until: Instant,
-    /// Whether its router is told of it.
-    open: bool,
-    /// What its router was last told.
-    told: u64,
-}
-
-impl Account {
-    fn counts(&self) -> u64 {
-        self.issued.saturating_sub(self.over + self.back)
-    }
-
-    /// What its router may still use.
-    fn unused(&self) -> u64 {
-        match self.open {
-            true => self.issued.saturating_sub(self.spent + self.back),
-            false => 0,
-        }
-    }
-
-    fn reported(&mut self, now: Instant, report: &PoolReport) {
-        let (spent, back) = (report.spent, report.back);
-        if !self.open || spent + back > self.issued {
-            return;
-        }
-        self.used(now, spent.saturating_sub(self.spent));
-        self.spent = self.spent.max(spent);
-        self.back = self.back.max(back);
-        self.forget(report.over.saturating_sub(self.over));
-    }
-
-    /// So many of the oldest used ones are over.
-    fn forget(&mut self, mut count: u64) {
-        while let Some((_, used)) = self.recent.front_mut().filter(|_| count > 0) {
-            let over = count.min(*used);
-            *used -= over;
-            self.over += over;
-            count -= over;
-            if *used == 0 {
-                self.recent.pop_front();
-            }
-        }
-    }
-
-    fn used(&mut self, now: Instant, count: u64) {
-        if count > 0 {
-            self.recent.push_back((now, count));
-        }
-    }
-
-    /// Its router can't use it any more; what it has not told may be used.
-    fn close(&mut self, now: Instant) {
-        let unused = self.unused();
-        self.used(now, unused);
-        self.open = false;
-    }
-
-    fn age(&mut self, now: Instant, counted_for: Duration) {
-        if self.open && self.until <= now {
-            self.close(now);
-        }
-        while let Some((at, count)) = self.recent.front().copied() {
-            if now.since(at) < counted_for {
-                break;
-            }
-            self.recent.pop_front();
-            self.over += count;
-        }
-    }
-}
-
 /// What a router last told.
 #[derive(Clone, Debug)]
 struct Told {
@@ -474,21 +390,3 @@
         }
     }
 }
-
-/// `free` divided by what each lacks; the rest one each, the first ones first.
-fn shares(free: u64, lacks: &[u64]) -> Vec<u64> {
-    let all: u64 = lacks.iter().sum();
-    if all <= free {
-        return lacks.to_vec();
-    }
-    let part = |lack: &u64| (u128::from(*lack) * u128::from(free) / u128::from(all)) as u64;
-    let mut gets: Vec<u64> = lacks.iter().map(part).collect();
-    let mut rest = free - gets.iter().sum::<u64>();
-    for (got, lack) in gets.iter_mut().zip(lacks) {
-        if rest > 0 && *got < *lack {
-            *got += 1;
-            rest -= 1;
-        }
-    }
-    gets
-}
--- a/crates/deckwind-spec/src/lib.rs
+++ b/crates/deckwind-spec/src/lib.rs
@@ -13,13 +13,15 @@
 mod claim_spec;
 mod log_spec;
 mod repeat_cases;
+mod repeat_rules;
 mod repeat_spec;
 
 pub use cases::{Case, claim_cases, log_cases};
 pub use claim_spec::{ClaimRules, ClaimSpec};
 pub use log_spec::{LogBounds, LogRules, LogSpec};
 pub use repeat_cases::repeat_cases;
-pub use repeat_spec::{RepeatBounds, RepeatRules, RepeatSpec};
+pub use repeat_rules::{RepeatBounds, RepeatRules};
+pub use repeat_spec::RepeatSpec;
 
 use pathfinding::directed::bfs::bfs;
 use std::cell::Cell;
--- a/crates/deckwind-testkit/tests/testsuite/shared_bound.rs
+++ b/crates/deckwind-testkit/tests/testsuite/shared_bound.rs
@@ -228,7 +228,7 @@
             router.open_ms = router.open_ms.filter(|at| *at != answer.asked_ms);
         }
         let now = router.now(ms);
-        if ms % 1_000 == 0 {
+        if ms.is_multiple_of(1_000) {
             router.budgets.of_pool(POOL).requested(now);
             self.sent.requests_ms.push(ms);
         }
