--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod processes;
 mod promises;
 mod published;
+mod rejections;
 mod release_changes;
 mod renewals;
 mod repeat_rig;
