--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -28,6 +28,7 @@
 mod pace;
 mod pending;
 mod placement_desk;
+mod placement_steps;
 mod repeat_account;
 mod repeat_desk;
 mod repeat_messages;
