What several chains leave over stands by as spare engines

Cause: 98 engines of four kinds held nine chains with no engine left over; what was left was room for a layer or none on each card, of no use to a lost neighbour's five to nine layers. So a single loss kept the narrowest layers short for 10 s.

Change: a new chain that has others beside it is laid out on as few cards as keep all tokens; where a data centre holds one chain, all is as before.

--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -143,6 +143,8 @@
     group: &'a [Card],
     /// Whole chains of its data centre.
     others: usize,
+    /// Chains that its data centre is to hold, this one included.
+    planned: usize,
 }
 
 /// Cards of a pool and the chains that they make.
@@ -165,6 +167,11 @@
         self.under_way.contains_key(id)
     }
 
+    /// Layers that an engine is ordered to hold, while the order is under way.
+    pub fn ordered(&self, id: &str) -> Option<LayerRange> {
+        self.under_way.get(id).map(|u| u.layers)
+    }
+
     fn is_loading(&self, id: &str) -> bool {
         self.under_way.get(id).is_some_and(|u| u.loads)
     }
@@ -252,7 +259,12 @@
             if others > 0 {
                 broken_in.insert(dc.clone());
             }
-            chains.push(Broken { group, others });
+            let planned = groups.iter().filter(|g| g[0].data_centre == *dc).count();
+            chains.push(Broken {
+                group,
+                others,
+                planned,
+            });
         }
         self.note_broken(now, pool, &broken_in);
         // What serves nobody is loaded first: others load beside it only as far as
@@ -326,7 +338,13 @@
             0 => Mend::Soon,
             _ => Mend::Well,
         };
-        let Some(plan) = plan_chain(model, &coming, mend) else {
+        // A new chain that is to have others beside it will be mended beside them.
+        let is_new = coming.iter().all(|c| c.held.is_empty());
+        let later = match is_new && chain.planned > 1 {
+            true => Mend::Well,
+            false => mend,
+        };
+        let Some(plan) = plan_chain(model, &coming, later) else {
             return;
         };
         let steps: Vec<(Card, LayerRange)> = coming.into_iter().zip(plan).collect();
