deckwind status tells of leases, targets and orders, and where no token is set needs none

Cause: status told routers by revision and replicas alone; on the users' platform, whose settings hold no token for operators, every call was answered with 401.

Change: one view (core::control::status) of routers (revisions behind, lease left), replicas (who leads) and targets (state, when heard, layers, order under way, what streams hold, whether routers say they fail); facts that other parts are to bring are optional fields and left out. Tests: virtual time, and a replica as a process without a token.

--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -40,6 +40,12 @@
         lately.map(|(address, _)| *address).collect()
     }
 
+    /// Whether a target has failed some router lately.
+    pub(super) fn is_failing(&self, now: Instant, address: SocketAddr) -> bool {
+        let at = self.failing.get(&address);
+        at.is_some_and(|at| now.since(*at) < FAILING_FOR)
+    }
+
     /// What the streams of other routers hold, unless this router has just been
     /// told.
     fn use_to_tell(&mut self, now: Instant, vm: &VmName) -> Option<Vec<EngineUse>> {
--- a/crates/deckwind-core/src/control/in_use.rs
+++ b/crates/deckwind-core/src/control/in_use.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// What the streams of all routers hold at one engine, tokens times layers;
+    /// nothing if there is none.
+    pub fn at(&self, address: SocketAddr) -> Option<u64> {
+        self.totals.get(&address).map(|h| h.layer_tokens)
+    }
+
     /// What the streams of all routers but one hold.
     pub fn of_others(&self, vm: &VmName) -> Vec<EngineUse> {
         let mut totals = self.totals.clone();
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -34,6 +34,7 @@
 mod repeat_messages;
 mod repeats;
 mod requests;
+mod status;
 mod upkeep;
 mod urgent;
 mod wake;
@@ -45,10 +46,9 @@
 pub use messages::{
     ControlReply, ControlRequest, EngineFull, EngineUse, Grant, PeerMessage, Renewal,
 };
-pub use operator::{
-    ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
-};
+pub use operator::{ConfigurationView, OperatorReply, OperatorRequest};
 pub use orders::{ORDER_FLIGHT, OrderBatch, OrderKind, TargetOrder};
 pub use placement_desk::{GiveUp, PlaceOrder, PlaceWork, PlacementDesk};
 pub use repeat_desk::{RepeatCounts, RepeatDesk};
 pub use repeat_messages::{PoolReport, RepeatGrant, RepeatReport};
+pub use status::{ClusterStatus, EngineView, ReplicaView, RouterView};
--- a/crates/deckwind-core/src/control/operator.rs
+++ b/crates/deckwind-core/src/control/operator.rs
@@ -1,14 +1,14 @@
 //! What operators ask, and what they hear.
 
 use super::announcement_fault::AnnouncementFault;
+use super::status::ClusterStatus;
 use crate::membership::InForce;
-use crate::replication::{Role, Term};
+use crate::replication::Role;
 use crate::state::{
     Account, ApplyRequest, Configuration, Instance, Life, Published, Rejection, Revision, Target,
-    Template, VmName,
+    Template,
 };
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// An operator's request.
@@ -94,49 +94,6 @@
     }
 }
 
-/// A router with a live lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RouterView {
-    /// Its VM.
-    pub vm: VmName,
-    /// Revision that it has applied.
-    pub applied: Revision,
-    /// Its operators' interface.
-    pub admin: SocketAddr,
-}
-
-/// A member of the control replicas.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReplicaView {
-    /// Its slot and identity.
-    pub id: String,
-    /// Whether it votes.
-    pub votes: bool,
-}
-
-/// How the cluster is, as the leader sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClusterStatus {
-    /// Leader's term.
-    pub term: Term,
-    /// Leader's slot.
-    pub leader: u32,
-    /// Revision accepted last.
-    pub revision: Revision,
-    /// Whether it is in force everywhere.
-    pub in_force: bool,
-    /// Routers that lag.
-    pub lagging: Vec<VmName>,
-    /// Members.
-    pub replicas: Vec<ReplicaView>,
-    /// Routers.
-    pub routers: Vec<RouterView>,
-    /// Claims held.
-    pub claims: usize,
-    /// Entries in the log after the snapshot.
-    pub log_entries: usize,
-}
-
 /// Word for a role in logs.
 impl std::fmt::Display for Role {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -4,13 +4,10 @@
 use super::event::ControlAction;
 use super::grants::FAILING_FOR;
 use super::messages::{ControlReply, ControlRequest, EngineFull, Renewal};
-use super::operator::{
-    ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
-};
+use super::operator::{ConfigurationView, OperatorReply, OperatorRequest};
 use super::pending::{Asker, Parked};
 use super::wake::Urgency;
-use crate::membership::{InForce, RouterLease};
-use crate::state::{CommandBody, Holder, VmName};
+use crate::state::{CommandBody, Holder};
 use crate::time::Instant;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -215,42 +212,4 @@
         };
         out.push(ControlAction::OperatorReply { token, reply });
     }
-
-    fn status(&self, now: Instant) -> ClusterStatus {
-        let revision = self.machine.configuration().revision();
-        let lagging = match self.in_force(now, revision) {
-            InForce::Lagging(vms) => vms,
-            _ => Vec::new(),
-        };
-        let members = self.replica.members();
-        let replicas = members.all().map(|id| ReplicaView {
-            id: id.to_string(),
-            votes: members.voters.contains(&id),
-        });
-        ClusterStatus {
-            term: self.replica.term(),
-            leader: self.replica.id().slot,
-            revision,
-            in_force: self.in_force(now, revision) == InForce::Yes,
-            lagging,
-            replicas: replicas.collect(),
-            routers: self.router_views(),
-            claims: self.machine.claims().len(),
-            log_entries: self.replica.log().len(),
-        }
-    }
-
-    fn router_views(&self) -> Vec<RouterView> {
-        let Some(leading) = &self.leading else {
-            return Vec::new();
-        };
-        let view = |(vm, lease): (&VmName, &RouterLease)| {
-            Some(RouterView {
-                vm: vm.clone(),
-                applied: lease.applied,
-                admin: *leading.admins.get(vm)?,
-            })
-        };
-        leading.leases.routers().filter_map(view).collect()
-    }
 }
--- a/crates/deckwind-testkit/src/cluster.rs
+++ b/crates/deckwind-testkit/src/cluster.rs
@@ -97,7 +97,10 @@
     /// The operators' interface.
     pub fn api(&self) -> Result<ControlApi> {
         let token = std::fs::read_to_string(self.layout.token_file())?;
-        Ok(ControlApi::new(self.layout.control_admin.clone(), token))
+        Ok(ControlApi::new(
+            self.layout.control_admin.clone(),
+            Some(token),
+        ))
     }
 
     /// Makes a change and waits until it is in force.
--- a/crates/deckwind-testkit/src/lab.rs
+++ b/crates/deckwind-testkit/src/lab.rs
@@ -319,11 +319,15 @@
 
     /// A target announces itself at a replica; the reply is found under its id.
     pub fn announce(&mut self, slot: usize, instance: Instance) {
+        let id = instance.id.clone();
+        self.ask(slot, &id, OperatorRequest::Announce(Box::new(instance)));
+    }
+
+    /// Sends an operator's request to a replica; the reply is found under `id`.
+    pub fn ask(&mut self, slot: usize, id: &str, request: OperatorRequest) {
         let token = self.next_token;
         self.next_token += 1;
-        self.asked
-            .insert(token, Asked::Operator(instance.id.clone()));
-        let request = OperatorRequest::Announce(Box::new(instance));
+        self.asked.insert(token, Asked::Operator(id.to_string()));
         self.nodes[slot]
             .inbox
             .push(ControlEvent::Operator { token, request });
--- a/crates/deckwind-testkit/src/layout.rs
+++ b/crates/deckwind-testkit/src/layout.rs
@@ -172,6 +172,28 @@
         self.write(&name, &settings)
     }
 
+    /// Writes the settings of the first control replica, found by its address
+    /// alone and without a token for operators.
+    pub fn open_control_settings(&self) -> Result<PathBuf> {
+        let at = self.control[0];
+        let settings = serde_json::json!({
+            "vm": "open",
+            "data_centre": "recife-a",
+            "seeds": {
+                "ip": at.ip(),
+                "peer_port": at.port(),
+                "control": [at],
+                "first_start": true,
+            },
+            "control": {
+                "data_folder": self.data_folder(0),
+                "admin": self.control_admin[0],
+                "calls": self.control_calls[0],
+            },
+        });
+        self.write("open", &settings)
+    }
+
     /// Writes the settings of a router.
     pub fn router_settings(&self, i: usize) -> Result<PathBuf> {
         let name = format!("router-{i}");
--- a/crates/deckwind-testkit/src/processes.rs
+++ b/crates/deckwind-testkit/src/processes.rs
@@ -123,6 +123,11 @@
         self.start_daemon(&format!("control-{slot}"), settings)
     }
 
+    /// Starts the first control replica without a token for operators.
+    pub fn open_control(&self) -> Result<Process> {
+        self.start_daemon("open", self.layout.open_control_settings()?)
+    }
+
     /// Starts a router.
     pub fn router(&self, i: usize) -> Result<Process> {
         let settings = self.layout.router_settings(i)?;
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod soak;
 mod spare_engines;
 mod specification;
+mod status;
 mod store;
 mod support;
 mod template;
--- a/crates/deckwind/src/context.rs
+++ b/crates/deckwind/src/context.rs
@@ -90,16 +90,25 @@
         if self.control.is_empty() {
             bail!("no control replica is named; give --control IP:PORT, once for each");
         }
-        let file = self
-            .token_file
-            .as_ref()
-            .context("the operators' token is missing; give --token-file FILE")?;
-        let token = std::fs::read_to_string(file)
-            .with_context(|| format!("the token file {} can't be read", file.display()))?;
-        Ok(ControlApi::new(
-            self.control.clone(),
-            token.trim().to_string(),
-        ))
+        if self.token_file.is_none() {
+            bail!("the operators' token is missing; give --token-file FILE");
+        }
+        self.api_for_status()
+    }
+
+    /// The same to read the status, which needs no token where the settings hold
+    /// none.
+    pub fn api_for_status(&self) -> Result<ControlApi> {
+        if self.control.is_empty() {
+            bail!("no control replica is named; give --control IP:PORT, once for each");
+        }
+        let read = |file: &PathBuf| {
+            let token = std::fs::read_to_string(file)
+                .with_context(|| format!("the token file {} can't be read", file.display()))?;
+            Ok::<String, anyhow::Error>(token.trim().to_string())
+        };
+        let token = self.token_file.as_ref().map(read).transpose()?;
+        Ok(ControlApi::new(self.control.clone(), token))
     }
 
     /// Prints a result: as JSON, or as `text` makes it.
--- a/crates/deckwind/src/ops/api.rs
+++ b/crates/deckwind/src/ops/api.rs
@@ -28,12 +28,13 @@
 /// The control replicas.
 pub struct ControlApi {
     replicas: Vec<SocketAddr>,
-    token: String,
+    token: Option<String>,
 }
 
 impl ControlApi {
-    /// At these addresses, with the operators' token.
-    pub fn new(replicas: Vec<SocketAddr>, token: String) -> Self {
+    /// At these addresses, with the operators' token. Without one only the status
+    /// can be read, and only where the settings hold none.
+    pub fn new(replicas: Vec<SocketAddr>, token: Option<String>) -> Self {
         Self { replicas, token }
     }
 
@@ -102,11 +103,13 @@
         body: &[u8],
         wait: Duration,
     ) -> Result<Answer> {
-        let req = Request::builder()
+        let mut req = Request::builder()
             .method(method)
-            .uri(format!("http://{replica}{path}"))
-            .header("authorization", format!("Bearer {}", self.token))
-            .body(Body::from(body.to_vec()))?;
+            .uri(format!("http://{replica}{path}"));
+        if let Some(token) = &self.token {
+            req = req.header("authorization", format!("Bearer {token}"));
+        }
+        let req = req.body(Body::from(body.to_vec()))?;
         send(req, ANSWER + wait).with_context(|| format!("control replica {replica}"))
     }
 }
--- a/crates/deckwindd/src/control/operators.rs
+++ b/crates/deckwindd/src/control/operators.rs
@@ -6,6 +6,10 @@
 //! | `GET /v1/configuration` | | 200 `ConfigurationView` |
 //! | `GET /v1/status` | | 200 `ClusterStatus` |
 //! | `GET /health`, `GET /metrics` | | 200, without a token |
+//!
+//! Where the settings hold no token, `GET /v1/status` is answered without one and
+//! nothing else: it tells names, addresses and counts, as the metrics beside it do,
+//! and changes nothing.
 
 use super::handle::{ControlHandle, Input};
 use crate::admin::{self, json, text};
@@ -48,7 +52,8 @@
         "/metrics" => return text(StatusCode::OK, metrics_page::page().render()),
         _ => {}
     }
-    if !has_token(req, token_sha256) {
+    let open = token_sha256.is_empty() && is_status(req);
+    if !open && !has_token(req, token_sha256) {
         let error = "the operators' token is missing or wrong; give it with --token-file";
         return json(StatusCode::UNAUTHORIZED, &ErrorAnswer::new(error));
     }
@@ -65,6 +70,10 @@
     }
 }
 
+fn is_status(req: &Request<Body>) -> bool {
+    req.method().as_str() == "GET" && req.uri().path() == "/v1/status"
+}
+
 fn has_token(req: &Request<Body>, token_sha256: &str) -> bool {
     let header = req.headers().get("authorization");
     let given = header.and_then(|v| v.to_str().ok()?.strip_prefix("Bearer "));
