Name the engine that streams fell silent with, from their events alone

Cause: a stream whose middle engine dies pauses for 350 to 800 ms, as the first engine's report that names the dead one is 200 ms old.

Change: routes::silence in the core. Streams, paths and times of events in; suspects and streams to move out. What a router alone is not sure of goes to the leader as evidence; both use the same cover. Not yet used by routers.

--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -13,6 +13,7 @@
 mod promise;
 mod repeats;
 mod router_count;
+pub mod silence;
 
 pub use book::{BookAt, TargetBook, TargetFault};
 pub use choice::{Choice, Claim, NoChoice, Room, choose_path, choose_plain};
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod settings;
 mod shared_bound;
 mod slow_readers;
+mod silence;
 mod soak;
 mod spare_engines;
 mod specification;
