Engines that are slow, not gone, tell their pace and get no new requests

Cause: 14 engines that are 12 times as slow for 9 s make 28 of 100 streams late. They are busy with reading prompts, so all that passes them waits.

Change: a first engine that says all stages are there, though a stream is silent, is a hint: the router tells the leader through which engines nothing came. New requests avoid them unless a data centre had no chain without them. A slow engine is asked again each 0.7 s until it no longer is.

Ruled out: slowness reckoned from gaps (least squares): a router has three streams a second over 33 engines of a data centre, too few to tell within 9 s.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -12,6 +12,7 @@
 use super::pace::Pace;
 use super::pending::{Asker, ForceWait, Parked, Proposals};
 use super::placement_desk::PlacementDesk;
+use super::slow::Paces;
 use super::urgent::UrgentChanges;
 use super::wake::Wake;
 use crate::membership::{LeaseTable, LeaseTiming, RecentRouters};
@@ -34,6 +35,8 @@
     pub(super) heard: HeardTable,
     /// When each target last failed a router.
     pub(super) failing: BTreeMap<SocketAddr, Instant>,
+    /// Engines that are slow.
+    pub(super) paces: Paces,
     /// When each target that routers call failing was last asked.
     pub(super) checked: BTreeMap<Life, Instant>,
     /// When silent targets are next looked for.
@@ -156,6 +159,7 @@
             ControlEvent::Checked { life, there } => self.was_checked(now, life, there, out),
             ControlEvent::Heard(heard) => self.take_heard(now, heard),
             ControlEvent::Placed { life, held } => self.placed(now, &life, held, out),
+            ControlEvent::Pace { address, percent } => self.pace_told(now, address, percent, out),
             ControlEvent::OrdersDone { target, taken } => {
                 if let Some(leading) = &mut self.leading {
                     leading.orders.finished(now, &target, taken);
@@ -234,6 +238,7 @@
                 placement: PlacementDesk::default(),
                 heard: HeardTable::default(),
                 failing: BTreeMap::new(),
+                paces: Paces::default(),
                 checked: BTreeMap::new(),
                 next_look: since,
                 urgent: UrgentChanges::new(self.told),
--- a/crates/deckwind-core/src/control/event.rs
+++ b/crates/deckwind-core/src/control/event.rs
@@ -87,6 +87,13 @@
     },
     /// What another replica has heard of targets.
     Heard(HeardTargets),
+    /// An engine told its pace.
+    Pace {
+        /// The engine.
+        address: SocketAddr,
+        /// Time that its work takes, in hundredths of the usual one.
+        percent: u32,
+    },
     /// An order to place layers is over.
     Placed {
         /// The life that the order was for.
@@ -144,6 +151,12 @@
         /// Where it is.
         address: SocketAddr,
     },
+    /// Ask an engine for its pace, then report [`ControlEvent::Pace`] if it
+    /// answers.
+    AskPace {
+        /// The engine.
+        address: SocketAddr,
+    },
     /// Tell the leader whom this replica has heard. It may be lost.
     TellHeard {
         /// The leader's slot.
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -160,6 +160,7 @@
             in_use: leading.use_to_tell(now, &renewal.holder.vm),
             replicas: replicas.collect(),
             failing: leading.failing_now(now),
+            slow: leading.paces.slow(now),
         })
     }
 }
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -86,6 +86,17 @@
     pub replicas: Vec<u32>,
     /// Targets that have just failed some router.
     pub failing: Vec<SocketAddr>,
+    /// Engines that are slow.
+    pub slow: Vec<EnginePace>,
+}
+
+/// How slow an engine is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EnginePace {
+    /// The engine.
+    pub address: SocketAddr,
+    /// Time that its work takes, in hundredths of the usual one.
+    pub percent: u32,
 }
 
 impl Grant {
@@ -121,6 +132,8 @@
     Claim(ClaimRequest),
     /// A claimed request ended.
     Finish(FinishRequest),
+    /// Streams of mine pause though all of these are there: they may be slow.
+    PerhapsSlow(Vec<SocketAddr>),
 }
 
 /// Answer of a control replica.
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -28,6 +28,7 @@
 mod pending;
 mod placement_desk;
 mod requests;
+mod slow;
 mod upkeep;
 mod urgent;
 mod wake;
@@ -36,7 +37,9 @@
 pub use control_core::ControlCore;
 pub use event::{ControlAction, ControlEvent, ControlLimits, LifeNote, Unreadable};
 pub use heard::HeardTargets;
-pub use messages::{ControlReply, ControlRequest, EngineUse, Grant, PeerMessage, Renewal};
+pub use messages::{
+    ControlReply, ControlRequest, EnginePace, EngineUse, Grant, PeerMessage, Renewal,
+};
 pub use operator::{
     ClusterStatus, ConfigurationView, OperatorReply, OperatorRequest, ReplicaView, RouterView,
 };
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -45,6 +45,7 @@
             }
             ControlRequest::Claim(req) => self.propose(now, CommandBody::Claim(req), asker, out),
             ControlRequest::Finish(req) => self.propose(now, CommandBody::Finish(req), asker, out),
+            ControlRequest::PerhapsSlow(engines) => self.perhaps_slow(now, token, &engines, out),
         }
     }
 
--- a/crates/deckwind-core/src/control/upkeep.rs
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -50,6 +50,7 @@
         self.find_orphans(now, out);
         self.give_orders(now, out);
         self.look_for_silent(now, out);
+        self.follow_paces(now, out);
         self.check_force(now, out);
     }
 
--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -56,6 +56,9 @@
     own: HashMap<SocketAddr, Held>,
     /// What those of all others hold, as the leader last told.
     others: HashMap<SocketAddr, Held>,
+    /// Engines that are slow, as the leader last told, and until when that holds.
+    slow: HashSet<SocketAddr>,
+    slow_until: Instant,
 }
 
 /// The book at one moment, for one request.
@@ -82,7 +85,7 @@
     }
 
     fn suspects(&self, address: SocketAddr) -> bool {
-        self.book.suspects(self.now, address)
+        self.book.suspects(self.now, address) || self.book.is_slow(self.now, address)
     }
 }
 
@@ -140,6 +143,18 @@
         self.targets.entry(address).or_default().suspected_until = until;
     }
 
+    /// The leader names the engines that are slow.
+    pub fn slow_are(&mut self, until: Instant, slow: impl Iterator<Item = SocketAddr>) {
+        self.slow = slow.collect();
+        self.slow_until = until;
+    }
+
+    /// Whether an engine is slow: new requests are better off without it, and it
+    /// without them.
+    pub fn is_slow(&self, now: Instant, address: SocketAddr) -> bool {
+        self.slow_until > now && self.slow.contains(&address)
+    }
+
     /// Something came through a suspected or doubted target: it is well.
     pub fn cleared(&mut self, address: SocketAddr) {
         if let Some(account) = self.targets.get_mut(&address) {
--- a/crates/deckwind-core/src/routes/silence/mod.rs
+++ b/crates/deckwind-core/src/routes/silence/mod.rs
@@ -360,6 +360,16 @@
         news.then_some(seen.address)
     }
 
+    /// Engines that may be slow: a stream pauses though all of its stages are there,
+    /// and nothing came through these since its event was due.
+    pub fn perhaps_slow(&self, now: Instant, key: StreamKey) -> Vec<SocketAddr> {
+        let stream = self.streams.get(key.slot as usize);
+        let stream = stream.and_then(|s| s.as_ref().filter(|s| s.life == key.life));
+        let candidates = stream.map(|s| self.candidates(now, s));
+        let address = |e: EngineKey| self.engines[e.0 as usize].address;
+        candidates.into_iter().flatten().map(address).collect()
+    }
+
     /// Silent streams with their candidates, and lively ones, by data centre.
     fn by_centre(&self, now: Instant) -> BTreeMap<DataCentre, View> {
         let mut views: BTreeMap<DataCentre, View> = BTreeMap::new();
--- a/crates/deckwind-net/src/edge.rs
+++ b/crates/deckwind-net/src/edge.rs
@@ -98,6 +98,9 @@
     /// When its life started, Unix milliseconds by its own clock; nothing where
     /// it doesn't say.
     pub born: Option<u64>,
+    /// Time that its work takes, in hundredths of the usual one; nothing where the
+    /// report doesn't tell.
+    pub pace_percent: Option<u32>,
 }
 
 impl EngineReport {
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -231,6 +231,7 @@
             in_use: None,
             replicas: Vec::new(),
             failing: Vec::new(),
+            slow: Vec::new(),
         };
         let answer = encode(&deckwind_wire::ControlReply::Granted(Box::new(grant))).len();
         println!(
--- a/crates/deckwind-testkit/src/lab.rs
+++ b/crates/deckwind-testkit/src/lab.rs
@@ -453,7 +453,7 @@
             }
             Effect::Order(batch) => self.fly_orders(slot, batch),
             // Targets of the laboratory hold no layers and fail nobody.
-            Effect::Place(_) | Effect::Check(..) | Effect::NoteLife(_) => {}
+            Effect::Place(_) | Effect::Check(..) | Effect::NoteLife(_) | Effect::AskPace(_) => {}
             Effect::OperatorReply(token, reply) => {
                 if let Some(Asked::Operator(id)) = self.asked.remove(&token) {
                     self.note_reply(&id, reply);
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod settings;
 mod shared_bound;
 mod silence;
+mod slow;
 mod slow_readers;
 mod soak;
 mod spare_engines;
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/slow.rs
@@ -0,0 +1,194 @@
+//! Engines that are slow, not gone: asked for their pace, and avoided.
+
+use crate::support::{cards, instances, model, place};
+use deckwind_core::control::{
+    ControlEvent, ControlLimits, ControlReply, ControlRequest, EnginePace, OperatorRequest, Renewal,
+};
+use deckwind_core::membership::LeaseTiming;
+use deckwind_core::replication::{ReplicaConfig, ReplicaId};
+use deckwind_core::routes::{Claim, Room, TargetBook, choose_path};
+use deckwind_core::state::{Holder, Instance, Revision};
+use deckwind_core::time::Instant;
+use deckwind_store::{MemoryDisk, Store};
+use deckwindd::control::{ControlNode, Effect, Now};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use yare::parameterized;
+
+const RENEWAL: u64 = 7;
+
+struct Leader {
+    node: ControlNode,
+    at: Instant,
+}
+
+impl Leader {
+    /// A lone replica that has heard of these engines.
+    fn new(engines: &[Instance]) -> Self {
+        let id = ReplicaId {
+            slot: 0,
+            identity: 1,
+        };
+        let (store, opened) = Store::open(Box::new(MemoryDisk::default()), id).expect("opens");
+        let cfg = ReplicaConfig::new(id, [0], 1);
+        let at = Instant::from_millis(1_000);
+        let (lease, limits) = (LeaseTiming::default(), ControlLimits::default());
+        let node = ControlNode::new(cfg, lease, limits, store, opened, at).expect("starts");
+        let mut leader = Self { node, at };
+        leader.run(Duration::from_secs(2));
+        for engine in engines {
+            let request = OperatorRequest::Announce(Box::new(engine.clone()));
+            leader.take(vec![ControlEvent::Operator { token: 1, request }]);
+        }
+        leader.run(Duration::from_secs(1));
+        leader
+    }
+
+    fn take(&mut self, events: Vec<ControlEvent>) -> Vec<Effect> {
+        let now = Now {
+            at: self.at,
+            wall_ms: self.at.as_micros() / 1_000,
+        };
+        let mut effects = Vec::new();
+        self.node.take(now, events, &mut effects).expect("works");
+        effects
+    }
+
+    fn run(&mut self, time: Duration) -> Vec<Effect> {
+        let until = self.at + time;
+        let mut effects = Vec::new();
+        while self.at < until {
+            self.at = self.at + Duration::from_millis(10);
+            effects.extend(self.take(Vec::new()));
+        }
+        effects
+    }
+
+    fn ask(&mut self, token: u64, request: ControlRequest) -> Vec<Effect> {
+        self.take(vec![ControlEvent::Request { token, request }])
+    }
+
+    fn renew(&mut self) -> Vec<Effect> {
+        let renewal = Renewal {
+            holder: Holder {
+                vm: "router".into(),
+                boot: 1,
+            },
+            applied: Revision(u64::MAX),
+            admin: ([127, 0, 0, 1], 1).into(),
+            demand: Vec::new(),
+            in_use: Vec::new(),
+            failing: Vec::new(),
+        };
+        self.ask(RENEWAL, ControlRequest::Renew(renewal))
+    }
+
+    fn pace(&mut self, address: SocketAddr, percent: u32) -> Vec<Effect> {
+        self.take(vec![ControlEvent::Pace { address, percent }])
+    }
+}
+
+fn asked(effects: &[Effect]) -> Vec<SocketAddr> {
+    let asked = effects.iter().filter_map(|e| match e {
+        Effect::AskPace(address) => Some(*address),
+        _ => None,
+    });
+    asked.collect()
+}
+
+fn told_slow(effects: &[Effect]) -> Option<Vec<EnginePace>> {
+    effects.iter().find_map(|e| match e {
+        Effect::Reply(RENEWAL, ControlReply::Granted(grant)) => Some(grant.slow.clone()),
+        _ => None,
+    })
+}
+
+fn engines() -> Vec<Instance> {
+    let mut cards = cards("a", 1, 5, 8);
+    place(&mut cards);
+    instances(&cards)
+}
+
+#[test]
+fn an_engine_that_several_pauses_name_is_asked_and_routers_hear_that_it_is_slow() {
+    let all = engines();
+    let mut leader = Leader::new(&all);
+    let engine = all[2].address;
+    let hint = |of: &[SocketAddr]| ControlRequest::PerhapsSlow(of.to_vec());
+    assert!(asked(&leader.ask(1, hint(&[engine, all[3].address]))).is_empty());
+    assert!(asked(&leader.ask(2, hint(&[engine]))).is_empty());
+    assert_eq!(asked(&leader.ask(3, hint(&[engine]))), [engine]);
+    assert!(
+        asked(&leader.ask(4, hint(&[engine]))).is_empty(),
+        "just asked"
+    );
+
+    assert_eq!(told_slow(&leader.renew()), None, "it waits for news");
+    let told = leader.pace(engine, 1_200);
+    let slow = EnginePace {
+        address: engine,
+        percent: 1_200,
+    };
+    assert_eq!(told_slow(&told), Some(vec![slow]), "at once");
+
+    assert_eq!(
+        asked(&leader.run(Duration::from_millis(800))),
+        [engine],
+        "again"
+    );
+    assert_eq!(told_slow(&leader.renew()), None);
+    let told = [
+        leader.pace(engine, 100),
+        leader.run(Duration::from_millis(30)),
+    ]
+    .concat();
+    assert_eq!(told_slow(&told), Some(Vec::new()), "no longer slow");
+}
+
+#[test]
+fn an_engine_that_does_not_answer_is_not_slow_for_long() {
+    let all = engines();
+    let mut leader = Leader::new(&all);
+    leader.pace(all[2].address, 400);
+    leader.run(Duration::from_millis(1_700));
+    leader.renew();
+    let told = leader.run(Duration::from_millis(500));
+    assert_eq!(told_slow(&told), Some(Vec::new()));
+}
+
+#[parameterized(
+    others_hold_its_layers = { 2, 200, true },
+    no_chain_without_it = { 1, 200, false },
+    told_long_ago = { 2, 2_000, false },
+)]
+fn new_requests_avoid_slow_engines(chains: usize, after_ms: u64, avoided: bool) {
+    let mut cards: Vec<_> = (0..chains).flat_map(|_| chain()).collect();
+    for (i, card) in cards.iter_mut().enumerate() {
+        card.id = format!("{}-{i}", card.id);
+    }
+    let all = instances(&cards);
+    let slow = all[1].address;
+    let mut book = TargetBook::default();
+    let told = Instant::from_millis(1_000);
+    book.slow_are(told + Duration::from_millis(1_600), [slow].into_iter());
+    let now = told + Duration::from_millis(after_ms);
+    let uses = |draw| {
+        let room = Room {
+            tokens: 1_000,
+            claim: Claim::New,
+            draw,
+        };
+        let own = all[0].data_centre.clone();
+        let choice = choose_path(&model(), &all, &book, &own, room, &HashSet::new(), now);
+        let path = choice.expect("there is room").path.expect("a path");
+        path.stages.iter().any(|s| s.address == slow)
+    };
+    assert_eq!(!(0..40).any(uses), avoided);
+}
+
+fn chain() -> Vec<deckwind_core::routing::placement::Card> {
+    let mut cards = cards("a", 0, 4, 8);
+    place(&mut cards);
+    cards
+}
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -4,9 +4,9 @@
 use super::checking;
 use super::handle::{ControlHandle, Input, ReplyTo};
 use super::node::{ControlNode, Effect, Now};
-use super::orders;
 use super::peers::Senders;
 use super::placing;
+use super::{orders, paces};
 use crate::clock::Clock;
 use crate::context::Context;
 use anyhow::Result;
@@ -16,6 +16,7 @@
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{BySeeds, Event, ReplicaConfig, Role, Timing};
 use deckwind_net::edge::EngineDialect;
+use deckwind_net::targets::KeptConnections;
 use deckwind_store::{Opened, Store};
 use deckwind_wire::ControlReply;
 use std::collections::HashMap;
@@ -37,6 +38,8 @@
     handle: ControlHandle,
     runtime: Handle,
     dialect: Arc<dyn EngineDialect>,
+    /// Connections to engines that are asked for their pace.
+    engines: Arc<KeptConnections>,
     router_replies: HashMap<u64, ReplyTo<ControlReply>>,
     operator_replies: HashMap<u64, ReplyTo<OperatorReply>>,
     next_token: u64,
@@ -83,6 +86,7 @@
             handle,
             runtime: cx.runtime.clone(),
             dialect: cx.dialects.engines.clone(),
+            engines: Arc::default(),
             router_replies: HashMap::new(),
             operator_replies: HashMap::new(),
             next_token: 1,
@@ -137,6 +141,7 @@
             Input::Heard(heard) => ControlEvent::Heard(heard),
             Input::Placed(life, held) => ControlEvent::Placed { life, held },
             Input::Checked(life, there) => ControlEvent::Checked { life, there },
+            Input::Pace(address, percent) => ControlEvent::Pace { address, percent },
             Input::Seeds(slots) => ControlEvent::Replica(Event::Seeds(slots.into_iter().collect())),
             Input::Stop => ControlEvent::Tick,
         }
@@ -152,6 +157,12 @@
                 self.runtime.spawn(checking);
             }
             Effect::NoteLife(note) => note_life(&note),
+            Effect::AskPace(address) => {
+                let dialect = self.dialect.clone();
+                let kept = self.engines.clone();
+                let asking = paces::ask(address, dialect, kept, self.handle.clone());
+                self.runtime.spawn(asking);
+            }
             Effect::Place(order) => {
                 let placing = placing::place(order, self.dialect.clone(), self.handle.clone());
                 self.runtime.spawn(placing);
--- a/crates/deckwindd/src/control/handle.rs
+++ b/crates/deckwindd/src/control/handle.rs
@@ -4,6 +4,7 @@
 use deckwind_core::control::{HeardTargets, OperatorReply, OperatorRequest};
 use deckwind_core::state::{LayerRange, Life, TargetName};
 use deckwind_wire::{ControlReply, ControlRequest, Message};
+use std::net::SocketAddr;
 
 /// Where a reply goes.
 pub type ReplyTo<T> = Box<dyn FnOnce(T) + Send>;
@@ -23,6 +24,8 @@
     Placed(Life, Option<LayerRange>),
     /// A target was asked whether this life of it is there.
     Checked(Life, bool),
+    /// An engine told its pace, in hundredths of the usual time.
+    Pace(SocketAddr, u32),
     /// Whom another replica has heard.
     Heard(HeardTargets),
     /// Other seeds: these slots.
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod node;
 mod operators;
 mod orders;
+mod paces;
 mod peers;
 mod placing;
 mod refusals;
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -40,6 +40,8 @@
     Check(Life, SocketAddr),
     /// Log and count what was decided on a life of a target.
     NoteLife(LifeNote),
+    /// Ask an engine for its pace.
+    AskPace(SocketAddr),
 }
 
 /// The time of a batch.
@@ -169,6 +171,7 @@
             ControlAction::Order(batch) => effects.push(Effect::Order(batch)),
             ControlAction::Check { life, address } => effects.push(Effect::Check(life, address)),
             ControlAction::NoteLife(note) => effects.push(Effect::NoteLife(note)),
+            ControlAction::AskPace { address } => effects.push(Effect::AskPace(address)),
             ControlAction::TellHeard { slot, heard } => {
                 effects.push(Effect::TellHeard(slot, heard));
             }
--- /dev/null
+++ b/crates/deckwindd/src/control/paces.rs
@@ -0,0 +1,33 @@
+//! Asks an engine for its pace.
+
+use super::handle::{ControlHandle, Input};
+use deckwind_net::edge::EngineDialect;
+use deckwind_net::targets::{KeptConnections, call_target};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for a report: some hundred round trips.
+const REPORT_WITHIN: Duration = Duration::from_millis(200);
+
+/// Asks it, and tells the driver.
+pub async fn ask(
+    address: SocketAddr,
+    dialect: Arc<dyn EngineDialect>,
+    connections: Arc<KeptConnections>,
+    handle: ControlHandle,
+) {
+    let call = dialect.report();
+    let called = call_target(&connections, address, &call, REPORT_WITHIN).await;
+    let report = called
+        .map_err(|e| e.to_string())
+        .and_then(|(_, body)| dialect.read_report(&body).map_err(|e| e.to_string()))
+        .and_then(|r| r.pace_percent.ok_or("the report has none".to_string()));
+    match report {
+        Ok(percent) => {
+            log::info!("event=pace_told address={address} percent={percent}");
+            handle.send(Input::Pace(address, percent));
+        }
+        Err(e) => log::info!("event=pace_not_told address={address} error={e:?}"),
+    }
+}
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -80,6 +80,7 @@
             tokio::spawn(lease::keep(shared.clone())),
             tokio::spawn(lease::tell_failing(shared.clone())),
             tokio::spawn(routes::watch_streams(shared.clone())),
+            tokio::spawn(routes::tell_slow(shared.clone())),
             tokio::spawn(callers::expire_waiting(shared.clone())),
             tokio::spawn(reports::poll_targets(shared.clone())),
             tokio::spawn(reports::poll_platform(shared.clone())),
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -21,7 +21,7 @@
 
 pub use callers::{accept, accept_ready};
 pub use held::Deliveries;
-pub use silence::watch_streams;
+pub use silence::{tell_slow, watch_streams};
 
 use crate::context::Context;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -47,6 +47,10 @@
 /// time and some.
 const DOUBT_FOR: Duration = Duration::from_millis(1_000);
 
+/// How long what the leader told of slow engines holds without another word from
+/// it: two renewals and some.
+const SLOW_FOR: Duration = Duration::from_millis(1_600);
+
 /// What the tasks of published routes share.
 pub struct Routes {
     release: ArcSwapOption<ReleaseIndex>,
@@ -212,6 +216,7 @@
             book.others_hold(in_use);
         }
         book.doubt(now + DOUBT_FOR, &grant.failing);
+        book.slow_are(now + SLOW_FOR, grant.slow.iter().map(|p| p.address));
         drop(book);
         self.silences.told(now, &grant.failing);
         if grant.in_use.is_some() {
--- a/crates/deckwindd/src/router/routes/silence.rs
+++ b/crates/deckwindd/src/router/routes/silence.rs
@@ -10,6 +10,7 @@
 use deckwind_core::routing::paths::Stage;
 use deckwind_core::time::Instant;
 use deckwind_net::targets::call_target;
+use deckwind_wire::ControlRequest;
 use http::StatusCode;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,6 +22,9 @@
 /// trips. Beyond that what the streams show holds.
 const ANSWER_WITHIN: Duration = Duration::from_millis(40);
 
+/// Longest try to tell the leader of engines that may be slow.
+const TELL_WITHIN: Duration = Duration::from_millis(400);
+
 /// Shortest time between two looks: a thousandth of a core at some 20 us each.
 const LOOK_GAP: Duration = Duration::from_millis(5);
 
@@ -33,6 +37,9 @@
     inner: Mutex<Inner>,
     /// Something to look at sooner than planned.
     sooner: Notify,
+    /// Engines that may be slow, and of which the leader has not been told.
+    slow: Mutex<Vec<SocketAddr>>,
+    to_tell: Notify,
 }
 
 #[derive(Default)]
@@ -96,6 +103,25 @@
         self.sooner.notify_one();
     }
 
+    /// A stream pauses though all of its stages are there.
+    fn pauses(&self, now: Instant, key: StreamKey) {
+        let perhaps = self.inner().watch.perhaps_slow(now, key);
+        let mut slow = self.slow.lock().expect("no holder panics");
+        slow.extend(perhaps);
+        self.to_tell.notify_one();
+    }
+
+    /// Waits until there are engines that may be slow.
+    async fn slow(&self) -> Vec<SocketAddr> {
+        loop {
+            self.to_tell.notified().await;
+            let mut slow = self.slow.lock().expect("no holder panics");
+            if !slow.is_empty() {
+                return std::mem::take(&mut slow);
+            }
+        }
+    }
+
     fn look(&self, now: Instant, due: Instant) -> Found {
         let mut inner = self.inner();
         let found = inner.watch.look(now, due);
@@ -213,10 +239,24 @@
     note(&shared, key, answer, "asked");
 }
 
+/// Tells the leader of engines that may be slow, for ever.
+pub async fn tell_slow(shared: Arc<RouterShared>) {
+    loop {
+        let engines = shared.routes.silences.slow().await;
+        let request = ControlRequest::PerhapsSlow(engines);
+        if let Err(e) = shared.control.ask(&request, TELL_WITHIN).await {
+            log::debug!("event=pauses_not_told error={:?}", e.to_string());
+        }
+    }
+}
+
 /// Takes an answer; has an engine that is suspected by it avoided, and tells of it.
 fn note(shared: &RouterShared, key: StreamKey, answer: Answer, why: &str) {
     let now = shared.clock.now();
     let routes = &shared.routes;
+    if answer == Answer::AllThere {
+        routes.silences.pauses(now, key);
+    }
     let outcome = match answer {
         Answer::Gone(_) => "confirmed",
         Answer::AllThere => "wrong",
