--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -170,6 +170,7 @@
             failing: leading.failing_now(now),
             repeats,
             full: leading.full.news_for(now, &renewal.holder.vm),
+            slow: leading.paces.slow(now),
         })
     }
 }
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -101,6 +101,17 @@
     pub repeats: Vec<RepeatGrant>,
     /// Engines that have refused a request since this router was last told.
     pub full: Vec<EngineFull>,
+    /// Engines that are slow.
+    pub slow: Vec<EnginePace>,
+}
+
+/// How slow an engine is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EnginePace {
+    /// The engine.
+    pub address: SocketAddr,
+    /// Time that its work takes, in hundredths of the usual one.
+    pub percent: u32,
 }
 
 impl Grant {
@@ -140,6 +151,8 @@
     Repeats(Holder, RepeatReport),
     /// These engines have just refused requests for want of room.
     Full(Holder, Vec<EngineFull>),
+    /// Streams of mine pause though all of these are there: they may be slow.
+    PerhapsSlow(Vec<SocketAddr>),
 }
 
 /// Answer of a control replica.
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -34,6 +34,7 @@
 mod repeat_messages;
 mod repeats;
 mod requests;
+mod slow;
 mod status;
 mod upkeep;
 mod urgent;
@@ -44,7 +45,7 @@
 pub use event::{ControlAction, ControlEvent, ControlLimits, LifeNote, Unreadable};
 pub use heard::HeardTargets;
 pub use messages::{
-    ControlReply, ControlRequest, EngineFull, EngineUse, Grant, PeerMessage, Renewal,
+    ControlReply, ControlRequest, EngineFull, EnginePace, EngineUse, Grant, PeerMessage, Renewal,
 };
 pub use operator::{ConfigurationView, OperatorReply, OperatorRequest};
 pub use orders::{ORDER_FLIGHT, OrderBatch, OrderKind, TargetOrder};
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -48,6 +48,7 @@
                 out.push(ControlAction::Reply { token, reply });
                 self.repeats_reported(now, &holder, &report, out);
             }
+            ControlRequest::PerhapsSlow(engines) => self.perhaps_slow(now, token, &engines, out),
         }
     }
 
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -228,6 +228,7 @@
             failing: Vec::new(),
             repeats: Vec::new(),
             full: Vec::new(),
+            slow: Vec::new(),
         };
         let answer = encode(&deckwind_wire::ControlReply::Granted(Box::new(grant))).len();
         println!(
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -37,6 +37,8 @@
 mod sessions;
 mod settings;
 mod shared_bound;
+mod silence;
+mod slow;
 mod slow_readers;
 mod soak;
 mod spare_engines;
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -16,10 +16,12 @@
 mod opening;
 mod plain;
 mod relay;
+mod silence;
 mod stalls;
 
 pub use callers::{accept, accept_ready};
 pub use held::Deliveries;
+pub use silence::{tell_slow, watch_streams};
 
 use crate::context::Context;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -32,6 +34,7 @@
 use deckwind_core::state::{Configuration, Instance, Revision, Route, RouteKind};
 use deckwind_core::time::Instant;
 use deckwind_net::targets::KeptConnections;
+use silence::Silences;
 use stalls::StallWatch;
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -46,6 +49,10 @@
 /// time and some.
 const DOUBT_FOR: Duration = Duration::from_millis(1_000);
 
+/// How long what the leader told of slow engines holds without another word from
+/// it: two renewals and some.
+const SLOW_FOR: Duration = Duration::from_millis(1_600);
+
 /// What the tasks of published routes share.
 pub struct Routes {
     release: ArcSwapOption<ReleaseIndex>,
@@ -58,6 +65,8 @@
     pub deliveries: Arc<Deliveries>,
     /// Streams that stand still.
     pub stalls: StallWatch,
+    /// Streams that fall silent together.
+    pub silences: Silences,
     /// Targets that have failed and of which the leader has not been told.
     failing: Mutex<Vec<SocketAddr>>,
     to_tell: Notify,
@@ -103,6 +112,7 @@
             connections: KeptConnections::default(),
             deliveries: Arc::new(Deliveries::new(cx.clock, cfg)),
             stalls: StallWatch::new(cx.dialects.engines.clone()),
+            silences: Silences::default(),
             failing: Mutex::default(),
             to_tell: Notify::new(),
             told_at: Mutex::new(Instant::ZERO),
@@ -255,7 +265,9 @@
         }
         book.doubt(now + DOUBT_FOR, &grant.failing);
         book.are_full(now, &grant.full);
+        book.slow_are(now + SLOW_FOR, grant.slow.iter().map(|p| p.address));
         drop(book);
+        self.silences.told(now, &grant.failing);
         if grant.in_use.is_some() {
             *self.told_at.lock().expect("no holder panics") = now;
         }
@@ -286,6 +298,11 @@
         if fault == TargetFault::Answer {
             return;
         }
+        self.tell_failing(address);
+    }
+
+    /// Has the leader hear of a target that fails.
+    fn tell_failing(&self, address: SocketAddr) {
         let mut failing = self.failing.lock().expect("no holder panics");
         failing.push(address);
         self.to_tell.notify_one();
