An engine whose report can't be read is neither down nor stalled

Cause: a router that asked a silent engine for its report took one that it couldn't read for no report, and had the engine avoided as down, by itself and all others, and its streams moved. The test fails on the code before with two sends where one is allowed to stand. Only an engine that gives no answer is down now; what can't be read is counted and logged. The fake can report something else in place of the truth. Ruled out: reading what can be read of it (a stage named by another writer would be avoided).

--- a/crates/deckwind-fakes/src/runner.rs
+++ b/crates/deckwind-fakes/src/runner.rs
@@ -94,6 +94,8 @@
     late: Option<((u32, u32), u64)>,
     connections: u32,
     reports: u32,
+    /// What it reports in place of the truth.
+    other_report: Option<String>,
     /// Floods that were written to their end.
     written: Vec<String>,
     /// Requests that were told to take another path.
@@ -177,6 +179,11 @@
         self.lock().born = born;
     }
 
+    /// Has it report this in place of the truth.
+    pub fn report_instead(&self, report: &str) {
+        self.lock().other_report = Some(report.to_string());
+    }
+
     /// Has it hold these layers, as if an order had been carried out.
     pub fn hold(&self, first: u32, last: u32) {
         self.lock().layers = (first, last);
@@ -519,12 +526,14 @@
             .map(|(id, address)| json!({"id": id, "address": address}))
             .collect();
         let (from, to) = state.layers;
-        json!({
+        let truth = json!({
             "busy": false, "seq": state.orders, "stalled": stalled, "born": state.born,
             "layers": {"from": from, "targetVersion": to, "version": 1},
-        })
+        });
+        let other = state.other_report.clone();
+        other.unwrap_or_else(|| truth.to_string())
     };
-    whole(s, "200 OK", body.to_string().as_bytes()).await
+    whole(s, "200 OK", body.as_bytes()).await
 }
 
 async fn order(s: &mut Stream, req: &SeenRequest, state: &Mutex<State>) -> Result<bool> {
--- a/crates/deckwind-testkit/tests/testsuite/other_writers.rs
+++ b/crates/deckwind-testkit/tests/testsuite/other_writers.rs
@@ -3,6 +3,7 @@
 //! in the platform's own tests.
 
 use crate::rig::{KEY, Rig, data_centre, post};
+use crate::routes::placed;
 use crate::run;
 use crate::support::{cards, instances, model};
 use deckwind_core::control::AnnouncementFault;
@@ -10,6 +11,8 @@
 use deckwind_core::state::{
     Command, CommandBody, Instance, InstanceChange, Pool, Published, Release, StateMachine,
 };
+use deckwind_fakes::{FakeRunner, RunnerFault};
+use deckwind_testkit::eventually_async;
 use deckwindd::control::{LOG_EVERY, Refusals};
 use http::StatusCode;
 use serde_json::{Value, json};
@@ -119,6 +122,41 @@
     assert_eq!(index.of_pool("new"), [instance]);
 }
 
+/// It answered, so it is there: what it answered says neither that it is down nor
+/// which stage is. The stream stays where it is and goes on.
+#[parameterized(
+    unreadable = { "no report" },
+    another_type = { r#"{"busy":false,"seq":"2"}"# },
+    a_field_is_missing = { r#"{"seq":2}"# },
+)]
+fn a_report_that_can_t_be_read_says_nothing_of_its_engine(report: &str) {
+    let report = report.to_string();
+    run(async move {
+        let rig = placed().await;
+        for engine in &rig.engines {
+            engine.report_instead(&report);
+            let stage = engine.address;
+            engine.set_fault(RunnerFault::StallsAfter { event: 4, stage });
+        }
+        let reports = || rig.engines.iter().map(FakeRunner::reports).sum::<u32>();
+        let before = reports();
+        let go_on = async {
+            eventually_async("its engine was asked again and again", || async {
+                (reports() >= before + 4).then_some(())
+            })
+            .await;
+            for engine in &rig.engines {
+                engine.set_fault(RunnerFault::None);
+            }
+        };
+        let (heard, ()) = tokio::join!(rig.ask("r1", "/stream/x", KEY, true), go_on);
+        assert_eq!(heard.status, StatusCode::OK);
+        assert!(heard.body.is_ok(), "{:?}", heard.body);
+        assert_eq!(rig.sends("r1"), 1, "it was not sent elsewhere");
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
 /// Each kind has a line at once, then one a second that tells of the rest.
 #[test]
 fn refused_announcements_are_logged_in_few_lines() {
--- a/crates/deckwind-testkit/tests/testsuite/routes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/routes.rs
@@ -182,7 +182,7 @@
 }
 
 /// Two engines in each of two data centres, each with a whole chain.
-async fn placed() -> Rig {
+pub async fn placed() -> Rig {
     placed_with(Layout::new(1, 1).expect("a layout")).await
 }
 
--- a/crates/deckwindd/src/router/routes/stalls.rs
+++ b/crates/deckwindd/src/router/routes/stalls.rs
@@ -45,14 +45,23 @@
         }
         let call = self.dialect.report();
         let called = call_target(&routes.connections, first, &call, REPORT_WITHIN).await;
-        let report = called
-            .map_err(|e| e.to_string())
-            .and_then(|(_, body)| self.dialect.read_report(&body).map_err(|e| e.to_string()));
-        match report {
-            Ok(report) => note_stalled(routes, clock, first, &report),
-            Err(why) => {
-                let why = format!("no report: {why}");
+        let body = match called {
+            Ok((_, body)) => body,
+            Err(e) => {
+                let why = format!("no report: {e}");
                 routes.target_failed(clock.now(), first, TargetFault::Down, &why);
+                return;
+            }
+        };
+        match self.dialect.read_report(&body) {
+            Ok(report) => note_stalled(routes, clock, first, &report),
+            // It answered, so it is there; what it waits for isn't told.
+            Err(e) => {
+                metrics::counter!("deckwind_route_reports_unreadable_total").increment(1);
+                log::info!(
+                    "event=report_unreadable target={first} error={:?}",
+                    e.to_string()
+                );
             }
         }
     }
