Engines that start again under their ids are planned for as lost, at once

Cause: a life that ends and another that begins under its id change the lives of a pool together, which counted as engines coming: 700 ms until layers were placed. The same holds for a release, where one leaves as another comes.

Test fails without it.

--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -218,7 +218,8 @@
             Some(seen) if seen.lives == lives => now >= seen.until,
             before => {
                 let lost = match before {
-                    Some(seen) => lives.is_subset(&seen.lives),
+                    // Also where others came with it, as an engine that starts again.
+                    Some(seen) => !seen.lives.is_subset(&lives),
                     // A new leader: these were placed before its time.
                     None => ready.iter().any(|i| !i.layers.is_empty()),
                 };
--- a/crates/deckwind-testkit/src/placing.rs
+++ b/crates/deckwind-testkit/src/placing.rs
@@ -180,6 +180,26 @@
         }
     }
 
+    /// These engines start again under their ids, empty; the leader knows it at once.
+    pub fn restart(&mut self, ids: &BTreeSet<String>) {
+        self.loading.retain(|(_, id), _| !ids.contains(id));
+        self.lives += 1;
+        let born = Some(self.lives as u64);
+        let known = self.instances().iter().filter(|i| ids.contains(&i.id));
+        let again = known.map(|i| InstanceChange::Announced {
+            instance: Instance {
+                born,
+                layers: LayerRange::default(),
+                in_memory: 0,
+                announced: 1,
+                ..i.clone()
+            },
+            over: Vec::new(),
+            keep_layers: false,
+        });
+        self.apply(again.collect());
+    }
+
     /// Others of the same kinds come in their places, empty.
     pub fn replace(&mut self, ids: &BTreeSet<String>) {
         for id in ids {
--- a/crates/deckwind-testkit/tests/testsuite/loads.rs
+++ b/crates/deckwind-testkit/tests/testsuite/loads.rs
@@ -107,3 +107,15 @@
     let room = placing.room();
     assert!(room.mean <= WHOLE * 1.02, "no layer is held without need");
 }
+
+/// An engine that starts again under its id has lost what it held: that is known at
+/// once, and not waited out as if engines were only coming.
+#[test]
+fn engines_that_start_again_under_their_ids_load_at_once() {
+    let mut placing = fleet();
+    let lost = some_of(&placing, 1, 0, 4);
+    placing.restart(&lost);
+    let before = placing.orders;
+    placing.run_for(Duration::from_millis(400));
+    assert!(placing.orders > before, "nothing ordered within 400 ms");
+}
