Status tells of memory held for slow readers, repeats in hand, and the pace of slow engines

Cause: the fields stood in the view and were left out, as the parts that know them came at the same time. Change: a renewal says what its router holds (eight bytes); the leader's desk of repeats and its paces tell the rest. The status test asserts them where it asserted their absence.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -50,6 +50,8 @@
     /// When each router was last told what the others' streams hold.
     pub(super) use_told: BTreeMap<VmName, Instant>,
     pub(super) admins: BTreeMap<VmName, SocketAddr>,
+    /// What each router holds for those that read slowly, bytes.
+    pub(super) held_bytes: BTreeMap<VmName, u64>,
     /// Whether claims of routers that no longer exist were looked for.
     pub(super) orphans_done: bool,
     /// Engines that have just refused requests.
@@ -250,6 +252,7 @@
                 in_use: UseTable::default(),
                 use_told: BTreeMap::new(),
                 admins: BTreeMap::new(),
+                held_bytes: BTreeMap::new(),
                 orphans_done: false,
                 full: FullTable::default(),
                 repeats: None,
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -32,6 +32,8 @@
     /// Repeats that it holds and wants; nothing if its settings allow none beyond
     /// the share of its own requests.
     pub repeats: Option<RepeatReport>,
+    /// What it holds for callers and targets that read slowly, bytes.
+    pub held_bytes: u64,
 }
 
 /// What streams hold at one engine.
--- a/crates/deckwind-core/src/control/repeat_desk.rs
+++ b/crates/deckwind-core/src/control/repeat_desk.rs
@@ -172,6 +172,13 @@
         self.told.insert(holder.clone(), told);
     }
 
+    /// Repeats that a start of a router holds and has not used.
+    pub fn unused_of(&self, holder: &Holder) -> u64 {
+        let accounts = self.accounts.values();
+        let mine = accounts.filter(|a| a.open && a.key.holder == *holder);
+        mine.map(Account::unused).sum()
+    }
+
     /// What a router may use, for the answer that is sent to it now.
     pub fn grants(&mut self, now: Instant, holder: &Holder) -> Vec<RepeatGrant> {
         let until = now + self.lasts();
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -105,6 +105,9 @@
         }
         leading.demand.put(&holder.vm, &renewal.demand);
         leading.admins.insert(holder.vm.clone(), renewal.admin);
+        leading
+            .held_bytes
+            .insert(holder.vm.clone(), renewal.held_bytes);
         leading.in_use.put(&holder.vm, &renewal.in_use);
         let failing = renewal.failing.clone();
         if let Some(gone) = replaced {
--- a/crates/deckwind-core/src/control/slow.rs
+++ b/crates/deckwind-core/src/control/slow.rs
@@ -82,6 +82,14 @@
         slow != before.is_some()
     }
 
+    /// Time that an engine's work takes, in thousandths of the usual one, if it is
+    /// slow.
+    pub fn per_mille(&self, now: Instant, engine: SocketAddr) -> Option<u32> {
+        let known = self.slow.get(&engine);
+        let fresh = known.filter(|(_, at)| now.since(*at) < PACE_FOR);
+        fresh.map(|(percent, _)| percent * 10)
+    }
+
     /// Engines that are slow.
     pub fn slow(&self, now: Instant) -> Vec<EnginePace> {
         let fresh = self.slow.iter();
--- a/crates/deckwind-core/src/control/status.rs
+++ b/crates/deckwind-core/src/control/status.rs
@@ -6,7 +6,9 @@
 use super::control_core::{ControlCore, Leading};
 use crate::membership::{InForce, RouterLease};
 use crate::replication::Term;
-use crate::state::{DataCentre, Instance, InstanceId, InstanceState, LayerRange, Revision, VmName};
+use crate::state::{
+    DataCentre, Holder, Instance, InstanceId, InstanceState, LayerRange, Revision, VmName,
+};
 use crate::time::Instant;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -31,7 +33,7 @@
     pub held_bytes: Option<u64>,
     /// Repeats that are granted to it and not used.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub repeats: Option<u32>,
+    pub repeats: Option<u64>,
 }
 
 /// A member of the control replicas.
@@ -76,7 +78,8 @@
     /// What streams of all routers hold there, tokens times layers.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub layer_tokens: Option<u64>,
-    /// How many times slower than usual it is, in thousandths.
+    /// Time that its work takes, in thousandths of the usual one; nothing where it
+    /// is not known to be slow.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pace_per_mille: Option<u32>,
     /// Whether routers say that it fails them.
@@ -153,8 +156,8 @@
                 admin: *leading.admins.get(vm)?,
                 behind: revision.0.saturating_sub(lease.applied.0),
                 lease_ms: lease.until.since(now).as_millis() as u64,
-                held_bytes: None,
-                repeats: None,
+                held_bytes: leading.held_bytes.get(vm).copied(),
+                repeats: unused_repeats(leading, vm, lease),
             })
         };
         leading.leases.routers().filter_map(view).collect()
@@ -170,6 +173,16 @@
     }
 }
 
+/// Repeats that a router holds and has not used; nothing where none are given out.
+fn unused_repeats(leading: &Leading, vm: &VmName, lease: &RouterLease) -> Option<u64> {
+    let holder = Holder {
+        vm: vm.clone(),
+        boot: lease.boot,
+    };
+    let desk = leading.repeats.as_ref()?;
+    Some(desk.unused_of(&holder))
+}
+
 fn engine_view(now: Instant, leading: &Leading, i: &Instance) -> EngineView {
     let heard = leading.heard.last(&i.life());
     EngineView {
@@ -184,7 +197,7 @@
         layers: i.layers,
         ordered: leading.placement.ordered(&i.id),
         layer_tokens: leading.in_use.at(i.address),
-        pace_per_mille: None,
+        pace_per_mille: leading.paces.per_mille(now, i.address),
         suspected: leading.is_failing(now, i.address),
     }
 }
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -206,6 +206,7 @@
             .collect(),
         in_use: Vec::new(),
         failing: Vec::new(),
+        held_bytes: 0,
         repeats: None,
     }
 }
--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -298,6 +298,7 @@
             demand: Vec::new(),
             in_use,
             failing: Vec::new(),
+            held_bytes: 0,
             repeats: None,
         };
         let arrival = Arrival::Asked(router, Box::new(renewal));
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -12,6 +12,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// What each router says that it holds for those that read slowly, bytes.
+pub const HELD_BYTES: u64 = 4_096;
+
 /// A request of a router that was not answered yet.
 #[derive(Clone, Debug)]
 struct Open {
@@ -183,6 +186,7 @@
             demand: Vec::new(),
             in_use: Vec::new(),
             failing: Vec::new(),
+            held_bytes: HELD_BYTES,
             repeats,
         });
         self.renewal = Some(Open {
--- a/crates/deckwind-testkit/src/lib.rs
+++ b/crates/deckwind-testkit/src/lib.rs
@@ -20,7 +20,7 @@
 pub use caller::{Answer, Caller, Streaming};
 pub use cluster::Cluster;
 pub use lab::{Lab, NetFaults};
-pub use lab_routers::LabRouter;
+pub use lab_routers::{HELD_BYTES, LabRouter};
 pub use layout::{Layout, Placement};
 pub use objects::{account, chat_template, engine_target, service_target, service_template};
 pub use processes::{Process, Processes};
--- a/crates/deckwind-testkit/tests/testsuite/renewals.rs
+++ b/crates/deckwind-testkit/tests/testsuite/renewals.rs
@@ -21,6 +21,7 @@
         demand: Vec::new(),
         in_use: Vec::new(),
         failing: Vec::new(),
+        held_bytes: 0,
         repeats: None,
     })
 }
--- a/crates/deckwind-testkit/tests/testsuite/slow.rs
+++ b/crates/deckwind-testkit/tests/testsuite/slow.rs
@@ -80,6 +80,7 @@
             demand: Vec::new(),
             in_use: Vec::new(),
             failing: Vec::new(),
+            held_bytes: 0,
             repeats: None,
         };
         self.ask(RENEWAL, ControlRequest::Renew(renewal))
--- a/crates/deckwind-testkit/tests/testsuite/status.rs
+++ b/crates/deckwind-testkit/tests/testsuite/status.rs
@@ -5,7 +5,7 @@
 use deckwind_core::control::{ClusterStatus, EngineView, OperatorReply, OperatorRequest};
 use deckwind_core::state::InstanceState;
 use deckwind_testkit::fan_out::engine;
-use deckwind_testkit::{Lab, NetFaults, eventually};
+use deckwind_testkit::{HELD_BYTES, Lab, NetFaults, eventually};
 use std::time::Duration;
 
 fn status(lab: &mut Lab, leader: usize) -> ClusterStatus {
@@ -35,7 +35,8 @@
     for router in &told.routers {
         assert_eq!(router.behind, told.revision.0 - router.applied.0);
         assert!(router.lease_ms > 0, "{router:?}");
-        assert_eq!((router.held_bytes, router.repeats), (None, None));
+        assert_eq!(router.held_bytes, Some(HELD_BYTES));
+        assert!(router.repeats.is_some(), "{router:?}");
     }
     let leads: Vec<bool> = told.replicas.iter().map(|r| r.leads).collect();
     assert_eq!(leads.iter().filter(|l| **l).count(), 1);
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -95,6 +95,7 @@
             demand: core.demand(asked),
             in_use,
             failing,
+            held_bytes: shared.routes.deliveries.held(),
             repeats,
         })
     };
