--- a/crates/deckwind-testkit/tests/testsuite/status.rs
+++ b/crates/deckwind-testkit/tests/testsuite/status.rs
@@ -36,7 +36,7 @@
         assert_eq!(router.behind, told.revision.0 - router.applied.0);
         assert!(router.lease_ms > 0, "{router:?}");
         assert_eq!(router.held_bytes, Some(HELD_BYTES));
-        assert!(router.repeats.is_some(), "{router:?}");
+        assert_eq!(router.repeats, None, "nobody has wanted one yet");
     }
     let leads: Vec<bool> = told.replicas.iter().map(|r| r.leads).collect();
     assert_eq!(leads.iter().filter(|l| **l).count(), 1);
@@ -45,8 +45,12 @@
     assert!(holds.heard_ms.is_some_and(|ms| ms < 1_200), "{holds:?}");
     assert!(view(&told, "engine-2").layers.is_empty());
 
+    lab.routers.iter_mut().for_each(|r| r.want_repeats(1));
     lab.run_for(Duration::from_secs(10));
     let later = status(&mut lab, leader);
+    for router in &later.routers {
+        assert!(router.repeats.is_some(), "{router:?}");
+    }
     assert_eq!(view(&later, "engine-1").state, InstanceState::Silent);
 }
 
