A stream's way round engines that fail, and what is watched of streams, in modules of their own

Moved; the arms stand once. No behaviour changed. routes::, silence, slow, promises, lives_at: 116 passed.

--- a/crates/deckwind-core/src/routes/silence/mod.rs
+++ b/crates/deckwind-core/src/routes/silence/mod.rs
@@ -28,8 +28,10 @@
 
 mod explain;
 mod gaps;
+mod stream;
 
 pub use explain::{Candidates, explain};
+pub use stream::StreamKey;
 
 use crate::state::DataCentre;
 use crate::time::Instant;
@@ -37,6 +39,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
+use stream::{EngineKey, EngineSeen, Stream, get_mut};
 
 /// How long an engine is suspected, unless an event passes through it before.
 /// The leader has asked it by then, and all routers know.
@@ -77,60 +80,6 @@
 /// one after some 2 s.
 const STALE: Duration = Duration::from_millis(1_000);
 
-/// A stream that is watched.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct StreamKey {
-    slot: u32,
-    life: u32,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-struct EngineKey(u32);
-
-#[derive(Clone, Debug)]
-struct Stream {
-    life: u32,
-    data_centre: DataCentre,
-    path: Vec<EngineKey>,
-    pause: Duration,
-    gaps: Gaps,
-    /// Its last event, or when its path changed.
-    last: Instant,
-    /// Whether anything came over its present path.
-    heard: bool,
-    /// When it was last to move.
-    moved: Option<Instant>,
-    /// When it was last asked about.
-    asked: Option<Instant>,
-}
-
-impl Stream {
-    /// When its next event is due.
-    fn due(&self) -> Instant {
-        self.last + self.gaps.usual()
-    }
-
-    /// When it is silent.
-    fn silent_at(&self) -> Instant {
-        let reread = match self.heard {
-            true => Duration::ZERO,
-            false => self.gaps.usual(),
-        };
-        self.last + self.gaps.silent_after(self.pause) + reread
-    }
-}
-
-#[derive(Clone, Debug)]
-struct EngineSeen {
-    address: SocketAddr,
-    /// Last event through it.
-    alive: Instant,
-    suspected_until: Instant,
-    /// It is gone, as a first engine says: no event is to be waited for.
-    gone: bool,
-    streams: u32,
-}
-
 /// What became of a question about a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -518,8 +467,3 @@
     silent: Vec<(StreamKey, Candidates<EngineKey>)>,
     lively: usize,
 }
-
-fn get_mut(streams: &mut [Option<Stream>], key: StreamKey) -> Option<&mut Stream> {
-    let stream = streams.get_mut(key.slot as usize)?.as_mut()?;
-    (stream.life == key.life).then_some(stream)
-}
--- a/crates/deckwindd/src/router/routes/relay.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -1,17 +1,16 @@
 //! Passes a stream's events on as they come, and goes on at another target
 //! after the last one when its target breaks off or stands still.
 
+mod round;
+
 use super::answers::{Failure, RouteBody, strip_connection_headers};
 use super::delivery::{self, Gone, Outbox};
-use super::hold::Hold;
 use super::opening::{Opened, Opener, Opening};
-use super::silence::{Silences, Watched};
 use bytes::Bytes;
 use deckwind_core::routes::EventCutter;
-use deckwind_net::targets::call_target;
 use http::{Response, header};
 use http_body_util::BodyExt;
-use std::collections::HashSet;
+use round::woken;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -25,10 +24,6 @@
 /// only the second one names a stage that has just died.
 const ASK_AFTER: Duration = Duration::from_millis(140);
 
-/// Between two looks whether a target on the way is about to leave, and between
-/// two tries to go round it: a chain is mended within a second.
-const PATH_LOOK: Duration = Duration::from_millis(250);
-
 /// Longest pause for which callers wait, less the time to read a prompt anew:
 /// they give a stream up after two seconds.
 const BEARABLE_PAUSE: Duration = Duration::from_millis(1_700);
@@ -36,14 +31,6 @@
 /// Between two tries to open the rest of a stream.
 const OPEN_AGAIN_AFTER: Duration = Duration::from_millis(150);
 
-/// Longest wait for the answer to a changed path: a hundred round trips. The
-/// first engine is dead, too, if it takes longer.
-const PATH_WITHIN: Duration = Duration::from_millis(100);
-
-/// Other paths that are tried, where an engine on them refuses, before another
-/// target is.
-const PATHS_TRIED: usize = 5;
-
 /// How far a stream has come.
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
@@ -69,43 +56,14 @@
     TimeOver,
 }
 
-/// How a stream that stands still goes on.
-enum Round {
-    /// Over another path.
-    Path(Hold),
-    /// At another target.
-    Target(Box<Opened>),
-    /// Not yet.
-    None,
-}
-
-/// The stream is on another path from now on.
-fn take_over(other: Hold, watched: Option<&Watched>) -> Hold {
-    if let Some(watched) = watched {
-        watched.path_is(&other);
-    }
-    other
-}
-
-/// Waits until the stream should leave an engine; for ever if it is not watched.
-async fn woken(watched: Option<&Watched>) {
-    match watched {
-        Some(watched) => watched.woken().await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Time since the last event at a step of a pause.
-fn record_step(step: &'static str, since: Duration) {
-    metrics::histogram!("deckwind_route_pause_seconds", "step" => step).record(since.as_secs_f64());
-}
-
 struct Relay {
     opener: Opener,
     progress: Progress,
     passed_at: Instant,
     /// When its path is looked at again.
     look_at_path: Instant,
+    /// Its path was changed, and nothing has come over the new one.
+    path_is_new: bool,
     outbox: Outbox,
 }
 
@@ -126,7 +84,8 @@
     };
     let relay = Relay {
         passed_at: opener.job.arrived,
-        look_at_path: Instant::now() + PATH_LOOK,
+        look_at_path: Instant::now() + round::PATH_LOOK,
+        path_is_new: false,
         opener,
         progress,
         outbox,
@@ -271,7 +230,6 @@
         let watched = self.watch(&hold);
         let mut heard = Instant::now();
         let mut look_at = heard + SILENT;
-        let mut changed = false;
         loop {
             let look_at_or_end = look_at.min(self.opener.job.until);
             let frame = tokio::select! {
@@ -285,42 +243,28 @@
                         let routes = &shared.routes;
                         routes.stalls.look(routes, shared.clock, hold.first()).await;
                     }
-                    if hold.is_doubted() {
-                        match self.go_round(&hold, heard, watched.as_ref()).await {
-                            Round::Path(other) => {
-                            hold = take_over(other, watched.as_ref());
-                            changed = true;
-                        }
-                            Round::Target(next) => return PartEnd::Moved(next),
-                            Round::None => {}
-                        }
+                    if hold.is_doubted()
+                        && let Some(next) = self.leave_failing(&mut hold, heard, watched.as_ref()).await
+                    {
+                        return PartEnd::Moved(next);
                     }
                     look_at = Instant::now() + SILENT;
                     continue;
                 }
                 () = woken(watched.as_ref()) => {
-                    match self.go_round(&hold, heard, watched.as_ref()).await {
-                        Round::Path(other) => {
-                            hold = take_over(other, watched.as_ref());
-                            changed = true;
-                        }
-                        Round::Target(next) => return PartEnd::Moved(next),
-                        Round::None => {}
+                    if let Some(next) = self.leave_failing(&mut hold, heard, watched.as_ref()).await {
+                        return PartEnd::Moved(next);
                     }
                     continue;
                 }
             };
-            if std::mem::take(&mut changed) {
-                self.note_gone_on(heard.elapsed());
-            }
+            self.note_gone_on(heard.elapsed());
             heard = Instant::now();
             look_at = heard + SILENT;
             if let Some(watched) = &watched {
                 watched.event();
             }
-            if let Some(other) = self.path_without_leaving(&hold, watched.as_ref()).await {
-                hold = take_over(other, watched.as_ref());
-            }
+            self.leave_draining(&mut hold, watched.as_ref()).await;
             match frame {
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else {
@@ -350,106 +294,6 @@
         PartEnd::Whole
     }
 
-    /// The stream on another path, if a target on its way is about to leave:
-    /// before it does, so that nothing stands still.
-    async fn path_without_leaving(
-        &mut self,
-        hold: &Hold,
-        watched: Option<&Watched>,
-    ) -> Option<Hold> {
-        if Instant::now() < self.look_at_path {
-            return None;
-        }
-        self.look_at_path = Instant::now() + PATH_LOOK;
-        let instances = self.opener.job.shared.routes.instances();
-        if !hold.is_leaving(&instances) {
-            return None;
-        }
-        let heard = Instant::now();
-        self.change_path(hold, heard, watched).await
-    }
-
-    /// Has a stream that stands still leave the targets that fail: over another path
-    /// under its first target, which costs no repeat, or else at another target.
-    async fn go_round(&mut self, hold: &Hold, heard: Instant, watched: Option<&Watched>) -> Round {
-        let first = hold.first_is_doubted();
-        record_step("decided", heard.elapsed());
-        if !first && let Some(other) = self.change_path(hold, heard, watched).await {
-            record_step("changed", heard.elapsed());
-            return Round::Path(other);
-        }
-        match self.move_on(hold.first()).await {
-            Some(next) => Round::Target(next),
-            None => Round::None,
-        }
-    }
-
-    /// Has the stream go on over another path with the same first target. An engine
-    /// that refuses is left out of the next try.
-    async fn change_path(
-        &self,
-        hold: &Hold,
-        heard: Instant,
-        watched: Option<&Watched>,
-    ) -> Option<Hold> {
-        let job = &self.opener.job;
-        let dialect = &job.shared.cx.dialects.engines;
-        let connections = &job.shared.routes.connections;
-        let mut avoid = HashSet::new();
-        for _ in 0..PATHS_TRIED {
-            let path = hold.other_path(job, &avoid)?;
-            // Counted before it is asked for: others choose by it meanwhile.
-            let other = hold.on_path(job, &path);
-            let call = dialect.change_path(&job.head.id, &path.stages);
-            let called = call_target(connections, hold.first(), &call, PATH_WITHIN).await;
-            let (status, refused_by) = match &called {
-                Ok((status, body)) => (status.as_u16(), dialect.path_refused_by(*status, body)),
-                Err(_) => (0, None),
-            };
-            log::info!(
-                "event=path_changed request={} silent_ms={} first={} stages={} replaced={} status={status} refused_by={refused_by:?}",
-                job.head.id,
-                heard.elapsed().as_millis(),
-                hold.first(),
-                path.stages.len(),
-                hold.replaced_by(&path),
-            );
-            metrics::counter!("deckwind_route_paths_changed_total", "status" => status.to_string())
-                .increment(1);
-            if matches!(&called, Ok((status, _)) if status.is_success()) {
-                return Some(other);
-            }
-            let refused_by = refused_by?;
-            // A stage that it had already needs no more room: it is gone.
-            match watched.filter(|_| hold.addresses().contains(&refused_by)) {
-                Some(watched) => watched.stage_gone(refused_by),
-                None => {
-                    let now = job.shared.clock.now();
-                    job.shared.routes.book().had_no_room(now, refused_by);
-                }
-            }
-            avoid.insert(refused_by);
-        }
-        None
-    }
-
-    /// The first event over a changed path has come.
-    fn note_gone_on(&self, pause: Duration) {
-        record_step("next_event", pause);
-        log::info!(
-            "event=stream_goes_on request={} pause_ms={}",
-            self.opener.job.head.id,
-            pause.as_millis()
-        );
-    }
-
-    /// Watches the stream if its route says how long a pause may be.
-    fn watch(&self, hold: &Hold) -> Option<Watched> {
-        let job = &self.opener.job;
-        let pause = Duration::from_millis(job.route.pause_ms?);
-        Silences::watch(&job.shared, &job.head.id, hold, pause)
-    }
-
     fn take(&mut self, cutter: &mut EventCutter, data: &Bytes) -> Option<PartEnd> {
         let events = cutter.take(data, self.progress.last)?;
         let now = Instant::now();
--- /dev/null
+++ b/crates/deckwindd/src/router/routes/relay/round.rs
@@ -0,0 +1,177 @@
+//! How a stream goes round engines that fail or leave: over another path under its
+//! first target, or at another target.
+
+use super::super::hold::Hold;
+use super::super::opening::Opened;
+use super::super::silence::{Silences, Watched};
+use super::Relay;
+use deckwind_net::targets::call_target;
+use std::collections::HashSet;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Between two looks whether a target on the way is about to leave, and between
+/// two tries to go round it: a chain is mended within a second.
+pub(super) const PATH_LOOK: Duration = Duration::from_millis(250);
+
+/// Longest wait for the answer to a changed path: a hundred round trips. The
+/// first engine is dead, too, if it takes longer.
+const PATH_WITHIN: Duration = Duration::from_millis(100);
+
+/// Other paths that are tried, where an engine on them refuses, before another
+/// target is.
+const PATHS_TRIED: usize = 5;
+
+/// How a stream that stands still goes on.
+enum Round {
+    /// Over another path.
+    Path(Hold),
+    /// At another target.
+    Target(Box<Opened>),
+    /// Not yet.
+    None,
+}
+
+/// The stream is on another path from now on.
+fn take_over(other: Hold, watched: Option<&Watched>) -> Hold {
+    if let Some(watched) = watched {
+        watched.path_is(&other);
+    }
+    other
+}
+
+/// Waits until the stream should leave an engine; for ever if it is not watched.
+pub(super) async fn woken(watched: Option<&Watched>) {
+    match watched {
+        Some(watched) => watched.woken().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Time since the last event at a step of a pause.
+fn record_step(step: &'static str, since: Duration) {
+    metrics::histogram!("deckwind_route_pause_seconds", "step" => step).record(since.as_secs_f64());
+}
+
+impl Relay {
+    /// Has the stream take another path if a target on its way is about to leave:
+    /// before it does, so that nothing stands still.
+    pub(super) async fn leave_draining(&mut self, hold: &mut Hold, watched: Option<&Watched>) {
+        if Instant::now() < self.look_at_path {
+            return;
+        }
+        self.look_at_path = Instant::now() + PATH_LOOK;
+        let instances = self.opener.job.shared.routes.instances();
+        if !hold.is_leaving(&instances) {
+            return;
+        }
+        let heard = Instant::now();
+        if let Some(other) = self.change_path(hold, heard, watched).await {
+            *hold = take_over(other, watched);
+        }
+    }
+
+    /// Has a stream that stands still leave the targets that fail. The stream, where
+    /// it goes on at another target.
+    pub(super) async fn leave_failing(
+        &mut self,
+        hold: &mut Hold,
+        heard: Instant,
+        watched: Option<&Watched>,
+    ) -> Option<Box<Opened>> {
+        match self.go_round(hold, heard, watched).await {
+            Round::Path(other) => {
+                *hold = take_over(other, watched);
+                self.path_is_new = true;
+                None
+            }
+            Round::Target(next) => Some(next),
+            Round::None => None,
+        }
+    }
+
+    /// Has a stream that stands still leave the targets that fail: over another path
+    /// under its first target, which costs no repeat, or else at another target.
+    async fn go_round(&mut self, hold: &Hold, heard: Instant, watched: Option<&Watched>) -> Round {
+        let first = hold.first_is_doubted();
+        record_step("decided", heard.elapsed());
+        if !first && let Some(other) = self.change_path(hold, heard, watched).await {
+            record_step("changed", heard.elapsed());
+            return Round::Path(other);
+        }
+        match self.move_on(hold.first()).await {
+            Some(next) => Round::Target(next),
+            None => Round::None,
+        }
+    }
+
+    /// Has the stream go on over another path with the same first target. An engine
+    /// that refuses is left out of the next try.
+    async fn change_path(
+        &self,
+        hold: &Hold,
+        heard: Instant,
+        watched: Option<&Watched>,
+    ) -> Option<Hold> {
+        let job = &self.opener.job;
+        let dialect = &job.shared.cx.dialects.engines;
+        let connections = &job.shared.routes.connections;
+        let mut avoid = HashSet::new();
+        for _ in 0..PATHS_TRIED {
+            let path = hold.other_path(job, &avoid)?;
+            // Counted before it is asked for: others choose by it meanwhile.
+            let other = hold.on_path(job, &path);
+            let call = dialect.change_path(&job.head.id, &path.stages);
+            let called = call_target(connections, hold.first(), &call, PATH_WITHIN).await;
+            let (status, refused_by) = match &called {
+                Ok((status, body)) => (status.as_u16(), dialect.path_refused_by(*status, body)),
+                Err(_) => (0, None),
+            };
+            log::info!(
+                "event=path_changed request={} silent_ms={} first={} stages={} replaced={} status={status} refused_by={refused_by:?}",
+                job.head.id,
+                heard.elapsed().as_millis(),
+                hold.first(),
+                path.stages.len(),
+                hold.replaced_by(&path),
+            );
+            metrics::counter!("deckwind_route_paths_changed_total", "status" => status.to_string())
+                .increment(1);
+            if matches!(&called, Ok((status, _)) if status.is_success()) {
+                return Some(other);
+            }
+            let refused_by = refused_by?;
+            // A stage that it had already needs no more room: it is gone.
+            match watched.filter(|_| hold.addresses().contains(&refused_by)) {
+                Some(watched) => watched.stage_gone(refused_by),
+                None => {
+                    let now = job.shared.clock.now();
+                    job.shared.routes.book().had_no_room(now, refused_by);
+                }
+            }
+            avoid.insert(refused_by);
+        }
+        None
+    }
+
+    /// An event has come, `pause` after the last one: the first over a new path is
+    /// noted.
+    pub(super) fn note_gone_on(&mut self, pause: Duration) {
+        if !std::mem::take(&mut self.path_is_new) {
+            return;
+        }
+        record_step("next_event", pause);
+        log::info!(
+            "event=stream_goes_on request={} pause_ms={}",
+            self.opener.job.head.id,
+            pause.as_millis()
+        );
+    }
+
+    /// Watches the stream if its route says how long a pause may be.
+    pub(super) fn watch(&self, hold: &Hold) -> Option<Watched> {
+        let job = &self.opener.job;
+        let pause = Duration::from_millis(job.route.pause_ms?);
+        Silences::watch(&job.shared, &job.head.id, hold, pause)
+    }
+}
