The leader looks at repeats by router in one step, not through all allowances for each renewal

RepeatDesk::has_news went through all allowances for each held renewal at each round, grants through the pools of all routers for each answer.

--- a/crates/deckwind-core/src/control/repeat_desk.rs
+++ b/crates/deckwind-core/src/control/repeat_desk.rs
@@ -96,6 +96,11 @@
     looked_at: Option<Instant>,
     /// Who is served first where there are too few: another one each time.
     turn: usize,
+    /// Routers that were issued more than they were told of. Asked for each renewal
+    /// that is held, at each round of answers.
+    news: BTreeSet<Holder>,
+    /// When what is over was last looked for.
+    aged_at: Option<Instant>,
 }
 
 impl RepeatDesk {
@@ -111,6 +116,8 @@
             entry_at: None,
             looked_at: None,
             turn: 0,
+            news: BTreeSet::new(),
+            aged_at: None,
         };
         desk.applied(now, ledger);
         desk.close_older(now);
@@ -157,6 +164,9 @@
             account.issued = allowance.issued;
         }
         self.accounts.retain(|id, _| ledger.get(*id).is_some());
+        let accounts = self.accounts.values();
+        let news = accounts.filter(|a| a.open && a.told < a.issued);
+        self.news = news.map(|a| a.key.holder.clone()).collect();
     }
 
     /// A router told what it holds and wants.
@@ -190,9 +200,15 @@
         let until = now + self.lasts();
         self.age(now);
         let keeps = self.keeps(holder);
-        let pools = self.pools();
-        let free = |pool: &PoolName| (pool.clone(), self.free(pool) * 100 / self.most().max(1));
-        let free: BTreeMap<PoolName, u64> = pools.iter().map(free).collect();
+        self.news.remove(holder);
+        let accounts = self.accounts.values();
+        let mine = accounts.filter(|a| a.open && a.key.holder == *holder);
+        let free = |a: &Account| {
+            let pool = a.key.pool.clone();
+            let free = self.free(&pool) * 100 / self.most().max(1);
+            (pool, free)
+        };
+        let free: BTreeMap<PoolName, u64> = mine.map(free).collect();
         let accounts = self.accounts.iter_mut();
         let mine = accounts.filter(|(_, a)| a.open && a.key.holder == *holder);
         let mut grants = Vec::new();
@@ -213,11 +229,16 @@
 
     /// Whether a router was issued more than it was told of.
     pub fn has_news(&self, holder: &Holder) -> bool {
-        let mut accounts = self.accounts.values();
-        accounts.any(|a| a.open && a.key.holder == *holder && a.told < a.issued)
+        self.news.contains(holder)
     }
 
+    /// Takes what is over out of the counts, each [`LOOK_EVERY`] at most: what is
+    /// looked for later counts for longer.
     fn age(&mut self, now: Instant) {
+        if self.aged_at.is_some_and(|at| now.since(at) < LOOK_EVERY) {
+            return;
+        }
+        self.aged_at = Some(now);
         let counted_for = self.counted_for();
         for account in self.accounts.values_mut() {
             account.age(now, counted_for);
