Tests of streams wait until the router knows the engines of both data centres

Cause: routes::a_stream_goes_on_in_another_data_centre::cut_before_the_last failed once beside load (1 send where 2 are asserted): the set-up was over as soon as one data centre served; a router that had not heard of the home engines' layers sent the stream to the other one at once, and the answer was right. Change: the set-up waits for the layers of both at the router.

--- a/crates/deckwind-testkit/tests/testsuite/routes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/routes.rs
@@ -3,6 +3,7 @@
 use crate::rig::{KEY, Rig, data_centre, post};
 use crate::run;
 use bytes::Bytes;
+use deckwind_core::state::InstanceState;
 use deckwind_fakes::{EVENTS, FakeRunner, RunnerFault, release_document, request_id};
 use deckwind_testkit::{Layout, eventually_async};
 use http::{Request, StatusCode};
@@ -201,6 +202,14 @@
         rig.announce("engines", "e", i, "ready").await;
     }
     rig.until_in_force().await;
+    eventually_async("the router knows the layers of both data centres", || {
+        let router = rig.cluster.router(0).router().expect("a router");
+        let instances = router.shared().routes.instances();
+        let ready = instances.iter().filter(|i| i.state == InstanceState::Ready);
+        let held: u32 = ready.map(|i| i.layers.len()).sum();
+        async move { (held >= 8).then_some(()) }
+    })
+    .await;
     rig.until_served("/stream/x", true).await;
     rig
 }
