The life that a stream was sent to is kept by address

By its trail: run at the first engine, moved, refused by a second; the second's life was then taken for the one sent to at the first one's address, another life, so the first counted as ended and one more target was allowed. Ruled out: silence of the first (it answered later).

--- a/crates/deckwindd/src/router/routes/opening.rs
+++ b/crates/deckwindd/src/router/routes/opening.rs
@@ -17,7 +17,7 @@
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -87,8 +87,9 @@
     avoid: HashSet<SocketAddr>,
     /// The next repeat has been paid for.
     paid: bool,
-    /// The life that it was last sent to.
-    sent_to: Option<Life>,
+    /// The life at each address that it was last sent to. A target that refused
+    /// it since says nothing of the one that runs it.
+    sent_to: HashMap<SocketAddr, Life>,
 }
 
 enum Ended {
@@ -109,7 +110,7 @@
         ended: 0,
         avoid: HashSet::new(),
         paid: false,
-        sent_to: None,
+        sent_to: HashMap::new(),
     };
     let last_event = opener.job.head.last_event;
     match opener.open(last_event, false).await {
@@ -249,7 +250,7 @@
     /// Counts the target that ran the request as ended, if it has.
     pub fn count_ended(&mut self, first: SocketAddr) {
         let instances = self.job.shared.routes.instances();
-        let sent_to = self.sent_to.as_ref();
+        let sent_to = self.sent_to.get(&first);
         if sent_to.is_some_and(|life| instances.has_ended(first, life)) {
             self.ended += 1;
         }
@@ -358,7 +359,7 @@
         let req = self.job.request(choice, last_event);
         let req = req.map_err(|e| Ended::Unreachable(e.to_string()))?;
         self.tries += 1;
-        self.sent_to = Some(choice.life());
+        self.sent_to.insert(choice.address, choice.life());
         let res = {
             let mut sending = pin!(connection.send(req));
             let sent = Instant::now();
