Logs tell what targets ask for in their answers, and how long a request waited to be sent

Cause: no line said what a refusal asked for, so "nobody reads it" could not be told from "it is read and lost", nor either from requests that had been chosen before the refusal. Now event=target_asks_rest, event=target_says_it_leaves, event=rest_unreadable, sent_after_ms in event=target_refused, three counters and a histogram. Read by the adapter (Server-Leaving) and by HTTP (Retry-After of a 503: seconds, fractions, dates by the answer's own Date; at most 300 s). Nothing is decided by it yet. Stand-ins ask for rest and say that they leave.

--- a/crates/deckwind-fakes/src/runner/answers.rs
+++ b/crates/deckwind-fakes/src/runner/answers.rs
@@ -77,20 +77,20 @@
     let expected = req.headers.get("x-deckwind-expect-instance");
     if expected.is_some_and(|e| *e != id) {
         let head = format!("421 Misdirected Request\r\nX-Deckwind-Request-Id: {request}");
-        return whole(s, &head, b"").await;
+        return whole(s, state, &head, b"").await;
     }
     if let RunnerFault::Refuses { at_fault } = &fault {
         let at = at_fault.map_or(String::new(), |a| format!("\r\nAt-Server: {a}"));
         let head = format!(
             "503 Service Unavailable\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Not-Executed: 1{at}"
         );
-        return whole(s, &head, b"").await;
+        return whole(s, state, &head, b"").await;
     }
     if let RunnerFault::Answers(status) = &fault {
         let head = format!(
             "{status} Own\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s"
         );
-        return whole(s, &head, b"own words").await;
+        return whole(s, state, &head, b"own words").await;
     }
     let ran = request.clone();
     state.lock().expect("no holder panics").ran.push(ran);
@@ -100,7 +100,7 @@
     }
     match streams {
         true => stream_events(s, &req, &request, &fault, state).await,
-        false => plain(s, &request, &fault).await,
+        false => plain(s, &request, &fault, state).await,
     }
 }
 
@@ -114,7 +114,7 @@
     lives: &watch::Sender<u32>,
 ) -> Result<bool> {
     if streams {
-        s.write_all(stream_head(request).as_bytes()).await?;
+        s.write_all(stream_head(request, state).as_bytes()).await?;
     }
     tokio::time::sleep(EVENT_GAP).await;
     state.lock().expect("no holder panics").ended_by_requests += 1;
@@ -123,7 +123,12 @@
     Ok(false)
 }
 
-async fn plain(s: &mut Stream, request: &str, fault: &RunnerFault) -> Result<bool> {
+async fn plain(
+    s: &mut Stream,
+    request: &str,
+    fault: &RunnerFault,
+    state: &Mutex<State>,
+) -> Result<bool> {
     let good = format!("200 OK\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s");
     let body = format!("answer to {request}");
     match fault {
@@ -135,32 +140,35 @@
             let head = format!(
                 "500 Internal Server Error\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s"
             );
-            whole(s, &head, b"failed").await
+            whole(s, state, &head, b"failed").await
         }
         RunnerFault::Cuts => {
-            let head = format!("HTTP/1.1 {good}\r\nContent-Length: 500\r\n\r\n{body}");
+            let head = format!(
+                "HTTP/1.1 {good}{}\r\nContent-Length: 500\r\n\r\n{body}",
+                says(state, false)
+            );
             s.write_all(head.as_bytes()).await?;
             Ok(false)
         }
         RunnerFault::OtherId => {
             let head = good.replace(request, "another-request");
-            whole(s, &head, body.as_bytes()).await
+            whole(s, state, &head, body.as_bytes()).await
         }
         RunnerFault::Unsigned => {
             let head = format!("200 OK\r\nX-Deckwind-Request-Id: {request}");
-            whole(s, &head, body.as_bytes()).await
+            whole(s, state, &head, body.as_bytes()).await
         }
-        RunnerFault::Long(bytes) => whole(s, &good, "y".repeat(*bytes).as_bytes()).await,
+        RunnerFault::Long(bytes) => whole(s, state, &good, "y".repeat(*bytes).as_bytes()).await,
         RunnerFault::Unframed => {
-            let head = format!("HTTP/1.1 {good}\r\n\r\n{body}");
+            let head = format!("HTTP/1.1 {good}{}\r\n\r\n{body}", says(state, false));
             s.write_all(head.as_bytes()).await?;
             Ok(false)
         }
         RunnerFault::Extra => {
-            whole(s, &good, body.as_bytes()).await?;
-            whole(s, &good.replace(request, "stale"), b"stale").await
+            whole(s, state, &good, body.as_bytes()).await?;
+            whole(s, state, &good.replace(request, "stale"), b"stale").await
         }
-        _ => whole(s, &good, body.as_bytes()).await,
+        _ => whole(s, state, &good, body.as_bytes()).await,
     }
 }
 
@@ -173,7 +181,7 @@
 ) -> Result<bool> {
     let last = req.headers.get("last-event-id");
     let last = last.and_then(|l| l.parse().ok()).unwrap_or(0);
-    let head = stream_head(request);
+    let head = stream_head(request, state);
     if *fault == RunnerFault::Cuts {
         return Ok(false);
     }
@@ -217,12 +225,26 @@
     Ok(true)
 }
 
-fn stream_head(request: &str) -> String {
+fn stream_head(request: &str, state: &Mutex<State>) -> String {
+    let says = says(state, false);
     format!(
-        "HTTP/1.1 200 OK\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked{says}\r\n\r\n"
     )
 }
 
+/// Headers by which a target says what it wants.
+fn says(state: &Mutex<State>, turns_away: bool) -> String {
+    let state = state.lock().expect("no holder panics");
+    let mut says = String::new();
+    if let Some(rest) = state.rest.as_ref().filter(|_| turns_away) {
+        says += &format!("\r\nRetry-After: {rest}");
+    }
+    if state.leaves {
+        says += "\r\nServer-Leaving: 1";
+    }
+    says
+}
+
 /// A path that ends with `flood-EVENTS-BYTES` asks for that.
 fn flood_asked(line: &str) -> Option<RunnerFault> {
     let (_, asked) = line.split_once("/flood-")?;
@@ -281,8 +303,10 @@
     Ok(s.write_all(chunk.as_bytes()).await?)
 }
 
-async fn whole(s: &mut Stream, head: &str, body: &[u8]) -> Result<bool> {
-    let head = format!("HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n", body.len());
+async fn whole(s: &mut Stream, state: &Mutex<State>, head: &str, body: &[u8]) -> Result<bool> {
+    let says = says(state, head.starts_with("503"));
+    let length = body.len();
+    let head = format!("HTTP/1.1 {head}{says}\r\nContent-Length: {length}\r\n\r\n");
     s.write_all(head.as_bytes()).await?;
     s.write_all(body).await?;
     Ok(true)
@@ -304,14 +328,14 @@
         let other = state.other_report.clone();
         other.unwrap_or_else(|| truth.to_string())
     };
-    whole(s, "200 OK", body.as_bytes()).await
+    whole(s, state, "200 OK", body.as_bytes()).await
 }
 
 async fn order(s: &mut Stream, req: &SeenRequest, state: &Mutex<State>) -> Result<bool> {
     let order: Value = serde_json::from_slice(&req.body)?;
     if order["op"] == "repath" {
         state.lock().expect("no holder panics").path_changes += 1;
-        return whole(s, "202 Accepted", b"").await;
+        return whole(s, state, "202 Accepted", b"").await;
     }
     let number = |name: &str| order[name].as_u64().unwrap_or_default();
     let layers = (number("from") as u32, number("targetVersion") as u32);
@@ -335,7 +359,7 @@
         return Ok(false);
     };
     match taken {
-        true => whole(s, "202 Accepted", b"").await,
-        false => whole(s, "409 Conflict", b"").await,
+        true => whole(s, state, "202 Accepted", b"").await,
+        false => whole(s, state, "409 Conflict", b"").await,
     }
 }
--- a/crates/deckwind-fakes/src/runner/mod.rs
+++ b/crates/deckwind-fakes/src/runner/mod.rs
@@ -107,6 +107,10 @@
     path_changes: u32,
     /// Lives that a request ended.
     ended_by_requests: u32,
+    /// What it asks for with each 503, as it writes it.
+    rest: Option<String>,
+    /// It says in all its answers that it leaves.
+    leaves: bool,
     /// It has ended, and starts again then.
     away_until: Option<Instant>,
 }
@@ -211,6 +215,17 @@
         self.lock().fault = fault;
     }
 
+    /// Has it ask to be left alone with each 503: for seconds, until a date, or what
+    /// can't be read.
+    pub fn ask_rest(&self, rest: Option<&str>) {
+        self.lock().rest = rest.map(str::to_string);
+    }
+
+    /// Has it say in all its answers that it leaves, or no more.
+    pub fn say_it_leaves(&self, leaves: bool) {
+        self.lock().leaves = leaves;
+    }
+
     /// Requests that came, without reports and orders.
     pub fn seen(&self) -> Vec<SeenRequest> {
         self.lock().seen.clone()
--- a/crates/deckwind-net/src/edge.rs
+++ b/crates/deckwind-net/src/edge.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use deckwind_core::control::{AnnouncementFault, GiveUp};
+use deckwind_core::routes::TargetNotice;
 use deckwind_core::routing::paths::Stage;
 use deckwind_core::state::{Instance, KeyDigest, LayerRange, Life, Published};
 use http::{HeaderMap, Method, StatusCode, request::Parts};
@@ -80,6 +81,9 @@
     fn to_target(&self, headers: &mut HeaderMap, head: &TargetHead);
     /// Reads the head of a target's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> TargetAnswer;
+    /// What a target says of itself in the head of any answer: to a request, a report
+    /// that it was asked for, or an order.
+    fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> TargetNotice;
     /// Path at which readiness is asked for.
     fn ready_path(&self) -> &str;
 }
--- a/crates/deckwind-net/src/targets/kept.rs
+++ b/crates/deckwind-net/src/targets/kept.rs
@@ -223,13 +223,24 @@
 /// Longest answer of a target's own interface, bytes.
 const MAX_ANSWER: usize = 1 << 20;
 
+/// A target's answer on its own interface.
+#[derive(Clone, Debug)]
+pub struct TargetReply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
 /// One call to a target's own interface, its answer read whole.
 pub async fn call_target(
     connections: &KeptConnections,
     address: SocketAddr,
     call: &TargetCall,
     within: Duration,
-) -> Result<(StatusCode, Bytes), TargetError> {
+) -> Result<TargetReply, TargetError> {
     let calling = async {
         let mut connection = connections.get(address, REST).await?;
         let req = Request::builder()
@@ -245,7 +256,11 @@
         let collected = limited.collect().await;
         let body = collected.map_err(|e| TargetError::Broken(e.to_string()))?;
         connections.give_back(connection, &head.headers);
-        Ok((head.status, body.to_bytes()))
+        Ok(TargetReply {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
     };
     match tokio::time::timeout(within, calling).await {
         Ok(result) => result,
--- a/crates/deckwind-net/src/targets/mod.rs
+++ b/crates/deckwind-net/src/targets/mod.rs
@@ -12,6 +12,7 @@
 pub mod http_service;
 mod http_weights;
 mod kept;
+mod rest;
 mod traits;
 
 pub use deckwind_core::control::{OrderKind, TargetOrder};
@@ -20,7 +21,10 @@
 pub use http_platform::HttpPlatformList;
 pub use http_service::HttpService;
 pub use http_weights::HttpWeightStore;
-pub use kept::{KeptConnections, TargetConnection, call_target, watch_over, watch_over_for};
+pub use kept::{
+    KeptConnections, TargetConnection, TargetReply, call_target, watch_over, watch_over_for,
+};
+pub use rest::{MOST_REST, UnreadableRest, asked_rest};
 pub use traits::{
     CacheEvent, CacheEventKind, CacheEvents, Engine, EngineLoad, KvExport, OpenStage, PlainService,
     PlatformList, PlatformSnapshot, ServiceAnswer, ServiceCall, StageStream, TargetError,
--- a/crates/deckwindd/src/control/checking.rs
+++ b/crates/deckwindd/src/control/checking.rs
@@ -28,7 +28,7 @@
         let connections = KeptConnections::new(clock);
         let asking = call_target(&connections, address, &call, CHECK_WITHIN);
         match tokio::time::timeout(CHECK_WITHIN, asking).await {
-            Ok(Ok((_, body))) => match dialect.read_report(&body) {
+            Ok(Ok(reply)) => match dialect.read_report(&reply.body) {
                 Ok(report) if report.is_of_another_life(life.born) => {
                     Err("another life".to_string())
                 }
--- a/crates/deckwindd/src/control/paces.rs
+++ b/crates/deckwindd/src/control/paces.rs
@@ -21,7 +21,10 @@
     let called = call_target(&connections, address, &call, REPORT_WITHIN).await;
     let report = called
         .map_err(|e| e.to_string())
-        .and_then(|(_, body)| dialect.read_report(&body).map_err(|e| e.to_string()))
+        .and_then(|reply| {
+            let report = dialect.read_report(&reply.body);
+            report.map_err(|e| e.to_string())
+        })
         .and_then(|r| r.pace_percent.ok_or("the report has none".to_string()));
     match report {
         Ok(percent) => {
--- a/crates/deckwindd/src/control/placing.rs
+++ b/crates/deckwindd/src/control/placing.rs
@@ -25,6 +25,9 @@
 /// order counts as lost: its reports lag by some hundred milliseconds.
 const IDLE_LOOKS: u32 = 8;
 
+/// Statuses of an order that is being carried out, or was.
+const TAKEN: [StatusCode; 2] = [StatusCode::OK, StatusCode::ACCEPTED];
+
 /// Carries out one order and tells the driver what the engine then holds.
 pub async fn place(
     order: PlaceOrder,
@@ -98,8 +101,8 @@
             }
             let call = self.dialect.place(layers, give_up, report.orders);
             match call_target(&self.connections, address, &call, ORDER_ANSWER).await {
-                Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => return Ok(Ordered::Taken),
-                Ok((status, _)) => return Err(format!("refused with {status}")),
+                Ok(reply) if TAKEN.contains(&reply.status) => return Ok(Ordered::Taken),
+                Ok(reply) => return Err(format!("refused with {}", reply.status)),
                 Err(TargetError::Late(_)) => log::info!(
                     "event=order_unanswered instance={} address={address} orders={}",
                     self.order.id,
@@ -142,11 +145,11 @@
     async fn report(&self) -> Result<EngineReport, String> {
         let call = self.dialect.report();
         let called = call_target(&self.connections, self.order.address, &call, ANSWER);
-        let (status, body) = called.await.map_err(|e| e.to_string())?;
-        if status != StatusCode::OK {
-            return Err(format!("its report came with {status}"));
+        let reply = called.await.map_err(|e| e.to_string())?;
+        if reply.status != StatusCode::OK {
+            return Err(format!("its report came with {}", reply.status));
         }
-        let report = self.dialect.read_report(&body);
+        let report = self.dialect.read_report(&reply.body);
         let report = report.map_err(|e| e.to_string())?;
         if report.is_of_another_life(self.order.born) {
             return Err("another life".to_string());
--- a/crates/deckwindd/src/router/routes/callers.rs
+++ b/crates/deckwindd/src/router/routes/callers.rs
@@ -3,6 +3,7 @@
 use super::answers::{BodyError, Failure, RouteBody, full, strip_connection_headers};
 use super::delivery::Recipient;
 use super::held::{Deliveries, Held, Side};
+use super::notices::Answerer;
 use super::{opening, plain};
 use crate::collect::{CollectError, collect};
 use crate::router::shared::RouterShared;
@@ -13,7 +14,7 @@
 use deckwind_net::edge::{CallerHead, TargetHead};
 use deckwind_net::targets::{watch_over, watch_over_for};
 use http::request::Parts;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -106,6 +107,18 @@
         self.shared.routes.suspects.may_send(now, &self.content)
     }
 
+    /// A target has answered: what it says of itself is heard, whatever the answer
+    /// comes to.
+    pub fn answered_by(&self, choice: &Choice, status: StatusCode, headers: &HeaderMap) {
+        let notice = self.shared.cx.dialects.callers.read_notice(status, headers);
+        let by = Answerer {
+            address: choice.address,
+            life: &choice.life(),
+            to: &self.head.id,
+        };
+        self.shared.routes.noticed(&by, &notice);
+    }
+
     /// The request to a target, to go on after `last_event`.
     pub fn request(
         &self,
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -13,6 +13,7 @@
 mod delivery;
 mod held;
 mod hold;
+mod notices;
 mod opening;
 mod plain;
 mod relay;
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -52,6 +52,7 @@
         let mut connection = connection.map_err(|e| Ended::Unreachable(e.to_string()))?;
         let req = self.job.request(choice, last_event);
         let req = req.map_err(|e| Ended::Unreachable(e.to_string()))?;
+        self.sent_after = self.chosen.elapsed();
         self.tries += 1;
         self.sent_to.insert(choice.address, choice.life());
         let run = TargetRun::begin(&self.job, choice);
@@ -82,7 +83,10 @@
             }
         };
         match res {
-            Ok(res) => self.read_head(hold, run, connection, res).await,
+            Ok(res) => {
+                self.job.answered_by(choice, res.status(), res.headers());
+                self.read_head(hold, run, connection, res).await
+            }
             Err(e) => {
                 let ended = ended(e);
                 run.close(run_end(&ended));
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -80,6 +80,10 @@
     /// The life at each address that it was last sent to. A target that refused
     /// it since says nothing of the one that runs it.
     sent_to: HashMap<SocketAddr, Life>,
+    /// When its target was last chosen.
+    chosen: Instant,
+    /// From then until it was sent.
+    sent_after: Duration,
 }
 
 /// Runs one request to its end.
@@ -92,6 +96,8 @@
         avoid: HashSet::new(),
         paid: false,
         sent_to: HashMap::new(),
+        chosen: Instant::now(),
+        sent_after: Duration::ZERO,
     };
     let last_event = opener.job.head.last_event;
     match opener.open(last_event, false).await {
@@ -136,6 +142,7 @@
                 false => failure,
             };
             let choice = self.choose().map_err(give_up)?;
+            self.chosen = Instant::now();
             if self.job.left().is_zero() {
                 return Err(if ran { Failure::Late } else { Failure::NoTime });
             }
@@ -251,8 +258,9 @@
         shared.routes.had_no_room(now, address);
         let held = shared.routes.book().held(address);
         log::info!(
-            "event=target_refused target={address} request={} layer_tokens={} begun={}",
+            "event=target_refused target={address} request={} sent_after_ms={} layer_tokens={} begun={}",
             self.job.head.id,
+            self.sent_after.as_millis(),
             held.layer_tokens,
             held.begun
         );
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -230,6 +230,7 @@
             let req = req.map_err(|e| Ended::Unreachable(e.to_string()))?;
             let res = connection.send(req).await.map_err(ended)?;
             let (head, body) = res.into_parts();
+            job.answered_by(choice, head.status, &head.headers);
             let deliveries = &job.shared.routes.deliveries;
             let mut held = Held::new(deliveries, Side::Answers);
             let most = MAX_ANSWER.min(deliveries.most_of_one());
--- a/crates/deckwindd/src/router/routes/relay/round.rs
+++ b/crates/deckwindd/src/router/routes/relay/round.rs
@@ -124,7 +124,10 @@
             let call = dialect.change_path(&job.head.id, &path.stages);
             let called = call_target(connections, hold.first(), &call, PATH_WITHIN).await;
             let (status, refused_by) = match &called {
-                Ok((status, body)) => (status.as_u16(), dialect.path_refused_by(*status, body)),
+                Ok(reply) => (
+                    reply.status.as_u16(),
+                    dialect.path_refused_by(reply.status, &reply.body),
+                ),
                 Err(_) => (0, None),
             };
             log::info!(
@@ -137,7 +140,7 @@
             );
             metrics::counter!("deckwind_route_paths_changed_total", "status" => status.to_string())
                 .increment(1);
-            if matches!(&called, Ok((status, _)) if status.is_success()) {
+            if called.is_ok_and(|reply| reply.status.is_success()) {
                 return Some(other);
             }
             let refused_by = refused_by?;
--- a/crates/deckwindd/src/router/routes/silence.rs
+++ b/crates/deckwindd/src/router/routes/silence.rs
@@ -225,8 +225,8 @@
     let connections = &shared.routes.connections;
     let called = call_target(connections, first, &call, ANSWER_WITHIN).await;
     let answer = match &called {
-        Ok((StatusCode::CONFLICT, body)) => dialect
-            .path_refused_by(StatusCode::CONFLICT, body)
+        Ok(reply) if reply.status == StatusCode::CONFLICT => dialect
+            .path_refused_by(reply.status, &reply.body)
             .map_or(Answer::Unknown, Answer::Gone),
         Ok(_) => Answer::AllThere,
         Err(_) => Answer::Unknown,
@@ -234,7 +234,7 @@
     log::info!(
         "event=path_asked request={} first={first} status={} answer={answer:?}",
         entry.request,
-        called.map_or(0, |(status, _)| status.as_u16())
+        called.map_or(0, |reply| reply.status.as_u16())
     );
     note(&shared, key, answer, "asked");
 }
--- a/crates/deckwindd/src/router/routes/stalls.rs
+++ b/crates/deckwindd/src/router/routes/stalls.rs
@@ -46,7 +46,7 @@
         let call = self.dialect.report();
         let called = call_target(&routes.connections, first, &call, REPORT_WITHIN).await;
         let body = match called {
-            Ok((_, body)) => body,
+            Ok(reply) => reply.body,
             Err(e) => {
                 let why = format!("no report: {e}");
                 routes.target_failed(clock.now(), first, TargetFault::Down, &why);
