--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod repeats;
 mod replication;
 mod replication_flow;
+mod rests;
 mod rig;
 mod routes;
 mod seeds;
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/rests.rs
@@ -0,0 +1,189 @@
+//! Targets that ask to be left alone, and targets that say that they leave.
+//!
+//! **What was seen.** An engine turned all requests away for 9 s and asked each VM, with
+//! each refusal, for 3 s of rest. Three VMs sent it 36 requests in that time, up to 5 in
+//! one such rest. Later all first engines did so at once, and were sent up to 87 requests
+//! a second.
+//!
+//! **How it came about.** A router that is refused avoids the target for 300 ms of its
+//! own choosing, then sends to it again. As the engine's streams end and none begins, it
+//! looks the emptiest of all, and is drawn the more.
+//!
+//! **Cause.** What a target says of itself was looked at for the request at hand, or not
+//! at all: nobody read for how long it wants to be left alone, nor that it leaves, so
+//! neither could outlast the request that heard it.
+//!
+//! **What proved it.** The lines of the refusals, a rest of 3,000 ms beside an avoidance of
+//! 300 ms (`event=target_asks_rest`, `event=target_refused`), 0.3 to 0.5 s apart; and
+//! the tests below.
+
+use crate::rig::{Heard, KEY, Rig};
+use crate::run;
+use deckwind_fakes::{FakeRunner, RunnerFault};
+use deckwind_testkit::{Layout, eventually_async};
+use http::StatusCode;
+use std::time::Duration;
+use yare::parameterized;
+
+/// Longer than any avoidance of the router's own choosing, shorter than its lease.
+const A_WHILE: Duration = Duration::from_millis(600);
+
+/// Rest that targets ask for, and a while of it that has passed.
+const REST: &str = "30.5";
+const REST_S: f64 = 30.5;
+
+/// Times that a while passes.
+const WHILES: u64 = 10;
+
+async fn rig(plain: usize, engines: usize) -> Rig {
+    let mut layout = Layout::new(1, 1).expect("a layout");
+    layout.repeats = (1.0, 200);
+    let mut rig = Rig::start_with(layout, plain, engines).await;
+    rig.until_in_force().await;
+    rig
+}
+
+fn targets(rig: &Rig) -> impl Iterator<Item = &FakeRunner> {
+    rig.plain.iter().chain(&rig.engines)
+}
+
+/// Time goes by for the router, and its lease is renewed.
+async fn time_goes_by(rig: &Rig, time: Duration) {
+    rig.cluster.router_was_suspended(0, time);
+    rig.cluster.wait_for_lease(0).await;
+}
+
+/// Asks until a request is served; the target that requests are sent to.
+async fn first_choice(rig: &Rig, path: &str, tokens: bool) -> FakeRunner {
+    rig.until_served(path, tokens).await;
+    let before: Vec<usize> = targets(rig).map(|t| t.seen().len()).collect();
+    let heard = rig.ask("first", path, KEY, tokens).await;
+    assert_eq!(heard.status, StatusCode::OK);
+    let mut now = targets(rig).zip(before);
+    let (target, _) = now.find(|(t, n)| t.seen().len() > *n).expect("it was sent");
+    target.clone()
+}
+
+/// Asks again and again while time goes by; all must be served by others.
+async fn ask_while_time_goes_by(rig: &Rig, path: &str, tokens: bool) {
+    for i in 0..WHILES {
+        time_goes_by(rig, A_WHILE).await;
+        eventually_async("another target serves", || async {
+            let heard = rig.ask(&format!("r{i}"), path, KEY, tokens).await;
+            (heard.status == StatusCode::OK && heard.body.is_ok()).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Streams over engines that hand on, and what one target serves alone.
+#[parameterized(
+    streams = { "/stream/x", true, 0, 4 },
+    repeatable = { "/safe/x", false, 2, 0 },
+    at_most_once = { "/once/x", false, 2, 0 },
+    not_resumable = { "/tell/x", true, 2, 0 },
+)]
+fn a_target_that_asks_for_rest_is_left_alone(
+    path: &str,
+    tokens: bool,
+    plain: usize,
+    engines: usize,
+) {
+    let path = path.to_string();
+    run(async move {
+        let rig = rig(plain, engines).await;
+        let target = first_choice(&rig, &path, tokens).await;
+        target.set_fault(RunnerFault::Refuses { at_fault: None });
+        target.ask_rest(Some(REST));
+        let before = target.seen().len();
+        rig.ask("refused", &path, KEY, tokens).await;
+        let seen = target.seen().len();
+        assert_eq!(seen, before + 1, "it has refused one");
+        ask_while_time_goes_by(&rig, &path, tokens).await;
+        assert_eq!(target.seen().len(), seen, "it got nothing while it rested");
+        target.set_fault(RunnerFault::None);
+        time_goes_by(&rig, Duration::from_secs(31)).await;
+        eventually_async("it gets requests after its rest", || async {
+            rig.ask("after", &path, KEY, tokens).await;
+            (target.seen().len() > seen).then_some(())
+        })
+        .await;
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// Says it in a whole answer, in the head of a stream, in a refusal, in a failure.
+#[parameterized(
+    streams = { "/stream/x", true, 0, 4, RunnerFault::None },
+    streams_refused = { "/stream/x", true, 0, 4, RunnerFault::Refuses { at_fault: None } },
+    repeatable = { "/safe/x", false, 2, 0, RunnerFault::None },
+    repeatable_failed = { "/safe/x", false, 2, 0, RunnerFault::Fails },
+    at_most_once = { "/once/x", false, 2, 0, RunnerFault::None },
+    at_most_once_refused = { "/once/x", false, 2, 0, RunnerFault::Refuses { at_fault: None } },
+    not_resumable = { "/tell/x", true, 2, 0, RunnerFault::None },
+)]
+fn a_target_that_says_it_leaves_gets_nothing_new(
+    path: &str,
+    tokens: bool,
+    plain: usize,
+    engines: usize,
+    answers: RunnerFault,
+) {
+    let path = path.to_string();
+    run(async move {
+        let rig = rig(plain, engines).await;
+        let target = first_choice(&rig, &path, tokens).await;
+        target.set_fault(answers);
+        target.say_it_leaves(true);
+        rig.ask("told", &path, KEY, tokens).await;
+        let seen = target.seen().len();
+        target.set_fault(RunnerFault::None);
+        ask_while_time_goes_by(&rig, &path, tokens).await;
+        assert_eq!(target.seen().len(), seen, "it got nothing after its word");
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+fn come_back_after(heard: &Heard) -> f64 {
+    let after = heard.headers.get("retry-after").expect("when to come back");
+    after.to_str().expect("text").parse().expect("seconds")
+}
+
+/// Where all rest, a request is refused at once, and told when the first of them is
+/// there again.
+#[parameterized(
+    streams = { "/stream/x", true, 0, 4 },
+    repeatable = { "/safe/x", false, 2, 0 },
+    at_most_once = { "/once/x", false, 2, 0 },
+)]
+fn where_all_targets_rest_a_request_is_refused_with_the_time_that_is_left(
+    path: &str,
+    tokens: bool,
+    plain: usize,
+    engines: usize,
+) {
+    let path = path.to_string();
+    run(async move {
+        let rig = rig(plain, engines).await;
+        rig.until_served(&path, tokens).await;
+        for target in targets(&rig) {
+            target.set_fault(RunnerFault::Refuses { at_fault: None });
+            target.ask_rest(Some(REST));
+        }
+        let mut heard = rig.ask("r", &path, KEY, tokens).await;
+        for i in 0..4 {
+            heard = rig.ask(&format!("r{i}"), &path, KEY, tokens).await;
+        }
+        let seen: usize = targets(&rig).map(|t| t.seen().len()).sum();
+        assert_eq!(heard.status, StatusCode::SERVICE_UNAVAILABLE);
+        let after = come_back_after(&heard);
+        assert!((REST_S - 5.0..REST_S + 2.0).contains(&after), "{after} s");
+        for i in 0..WHILES {
+            time_goes_by(&rig, A_WHILE).await;
+            rig.ask(&format!("s{i}"), &path, KEY, tokens).await;
+        }
+        let now: usize = targets(&rig).map(|t| t.seen().len()).sum();
+        assert_eq!(now, seen, "nobody was sent anything");
+        rig.cluster.close().await.expect("closed");
+    });
+}
