A target that refuses a plain request comes last for a while

Cause: a refusal of a plain request was forgotten with the request; the target that turned all away had nothing in flight, looked the least busy, and was chosen again, by requests that may be sent once.

--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -171,7 +171,10 @@
                 self.tries -= 1;
                 Tried::NotSent
             }
-            Err(Ended::NotRun) => Tried::NotRun,
+            Err(Ended::NotRun) => {
+                self.was_refused_by(address);
+                Tried::NotRun
+            }
             Err(Ended::MayHaveRun(failure)) => Tried::Ran(Err(failure)),
         }
     }
@@ -184,6 +187,20 @@
             .target_failed(shared.clock.now(), address, TargetFault::Down, &why);
     }
 
+    /// A target refused the request without running it: others come first for a while.
+    fn was_refused_by(&self, address: SocketAddr) {
+        let shared = &self.job.shared;
+        let now = shared.clock.now();
+        let mut book = shared.routes.book();
+        let wait = book.failed(now, address, TargetFault::Answer);
+        drop(book);
+        log::info!(
+            "event=target_refused target={address} request={} avoided_ms={}",
+            self.job.head.id,
+            wait.as_millis()
+        );
+    }
+
     fn choose(&self) -> Result<Choice, Failure> {
         let shared = &self.job.shared;
         let instances = shared.routes.instances();
