--- a/crates/deckwind-fakes/src/runner/answers.rs
+++ b/crates/deckwind-fakes/src/runner/answers.rs
@@ -331,12 +331,22 @@
     whole(s, state, "200 OK", body.as_bytes()).await
 }
 
+fn refuses_order(state: &Mutex<State>) -> bool {
+    let mut state = state.lock().expect("no holder panics");
+    let refuses = state.fault == RunnerFault::RefusesOrders;
+    state.orders_refused += u32::from(refuses);
+    refuses
+}
+
 async fn order(s: &mut Stream, req: &SeenRequest, state: &Mutex<State>) -> Result<bool> {
     let order: Value = serde_json::from_slice(&req.body)?;
     if order["op"] == "repath" {
         state.lock().expect("no holder panics").path_changes += 1;
         return whole(s, state, "202 Accepted", b"").await;
     }
+    if refuses_order(state) {
+        return whole(s, state, "503 Service Unavailable", b"").await;
+    }
     let number = |name: &str| order[name].as_u64().unwrap_or_default();
     let layers = (number("from") as u32, number("targetVersion") as u32);
     let expects = number("expectedRev");
--- a/crates/deckwind-fakes/src/runner/mod.rs
+++ b/crates/deckwind-fakes/src/runner/mod.rs
@@ -60,6 +60,8 @@
     /// It leaves each order unanswered the first time, and carries it out when
     /// the next one has been.
     OrdersLate,
+    /// It refuses orders with 503.
+    RefusesOrders,
     /// It breaks a stream off inside the event after this one.
     CutsAfter(u64),
     /// A stream stands still after this event, until the fault is over; its
@@ -95,6 +97,8 @@
     stalled: Vec<(String, SocketAddr)>,
     layers: (u32, u32),
     orders: u64,
+    /// Orders that it refused.
+    orders_refused: u32,
     /// An order that was not answered: layers, and the orders it expects.
     late: Option<((u32, u32), u64)>,
     connections: u32,
@@ -266,6 +270,11 @@
         self.lock().orders
     }
 
+    /// Orders that it refused with 503.
+    pub fn orders_refused(&self) -> u32 {
+        self.lock().orders_refused
+    }
+
     /// Layers that it holds: first, and one past the last.
     pub fn layers(&self) -> (u32, u32) {
         self.lock().layers
--- a/crates/deckwind-testkit/tests/testsuite/rests.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rests.rs
@@ -39,6 +39,15 @@
     let mut layout = Layout::new(1, 1).expect("a layout");
     layout.repeats = (1.0, 200);
     let mut rig = Rig::start_with(layout, plain, engines).await;
+    // Before both data centres have a chain, requests begin at whichever engine there is.
+    eventually_async("the layers are placed", || async {
+        let holds = |e: &FakeRunner| e.layers().1 > e.layers().0;
+        rig.engines.iter().all(holds).then_some(())
+    })
+    .await;
+    for i in 0..engines {
+        rig.announce("engines", "e", i, "ready").await;
+    }
     rig.until_in_force().await;
     rig
 }
@@ -64,6 +73,20 @@
     target.clone()
 }
 
+/// Asks until the target has been sent a request; how many it has seen then. On a busy
+/// machine another may be the first choice for a moment.
+async fn until_it_answers(rig: &Rig, target: &FakeRunner, path: &str, tokens: bool) -> usize {
+    let before = target.seen().len();
+    eventually_async("it is sent a request", || async {
+        rig.ask("told", path, KEY, tokens).await;
+        (target.seen().len() > before).then_some(())
+    })
+    .await;
+    let seen = target.seen().len();
+    assert_eq!(seen, before + 1, "it was sent one");
+    seen
+}
+
 /// Asks again and again while time goes by; all must be served by others.
 async fn ask_while_time_goes_by(rig: &Rig, path: &str, tokens: bool) {
     for i in 0..WHILES {
@@ -95,10 +118,7 @@
         let target = first_choice(&rig, &path, tokens).await;
         target.set_fault(RunnerFault::Refuses { at_fault: None });
         target.ask_rest(Some(REST));
-        let before = target.seen().len();
-        rig.ask("refused", &path, KEY, tokens).await;
-        let seen = target.seen().len();
-        assert_eq!(seen, before + 1, "it has refused one");
+        let seen = until_it_answers(&rig, &target, &path, tokens).await;
         ask_while_time_goes_by(&rig, &path, tokens).await;
         assert_eq!(target.seen().len(), seen, "it got nothing while it rested");
         target.set_fault(RunnerFault::None);
@@ -135,8 +155,7 @@
         let target = first_choice(&rig, &path, tokens).await;
         target.set_fault(answers);
         target.say_it_leaves(true);
-        rig.ask("told", &path, KEY, tokens).await;
-        let seen = target.seen().len();
+        let seen = until_it_answers(&rig, &target, &path, tokens).await;
         target.set_fault(RunnerFault::None);
         ask_while_time_goes_by(&rig, &path, tokens).await;
         assert_eq!(target.seen().len(), seen, "it got nothing after its word");
@@ -215,3 +234,46 @@
         rig.cluster.close().await.expect("closed");
     });
 }
+
+/// Engines that refuse orders to hold layers, and ask for this rest.
+async fn engines_that_refuse_orders(rest: &str) -> Rig {
+    let mut rig = Rig::start(0, 0).await;
+    for i in 0..4 {
+        let engine = FakeRunner::start(&format!("e-{i}")).await;
+        let engine = engine.expect("an engine");
+        engine.set_fault(RunnerFault::RefusesOrders);
+        engine.ask_rest(Some(rest));
+        rig.engines.push(engine);
+        rig.announce("engines", "e", i, "ready").await;
+    }
+    eventually_async("each has refused an order", || async {
+        let refused = |e: &FakeRunner| e.orders_refused() > 0;
+        rig.engines.iter().all(refused).then_some(())
+    })
+    .await;
+    rig
+}
+
+/// An order that failed is given again after 0.8 s, one whose engine rests is not.
+#[test]
+fn orders_leave_an_engine_alone_that_asks_for_rest() {
+    run(async {
+        let rig = engines_that_refuse_orders("60").await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let refused: Vec<u32> = rig.engines.iter().map(|e| e.orders_refused()).collect();
+        assert_eq!(refused, [1; 4]);
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+#[test]
+fn an_order_is_given_again_after_the_rest() {
+    run(async {
+        let rig = engines_that_refuse_orders("0.2").await;
+        for engine in &rig.engines {
+            engine.set_fault(RunnerFault::None);
+        }
+        rig.until_served("/stream/x", true).await;
+        rig.cluster.close().await.expect("closed");
+    });
+}
--- a/crates/deckwindd/src/control/placing.rs
+++ b/crates/deckwindd/src/control/placing.rs
@@ -5,10 +5,10 @@
 use deckwind_core::state::LayerRange;
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::{EngineDialect, EngineReport};
-use deckwind_net::targets::{KeptConnections, TargetError, call_target};
+use deckwind_net::targets::{KeptConnections, TargetError, TargetReply, asked_rest, call_target};
 use http::StatusCode;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::time::Instant;
 
 /// Longest wait for one answer of an engine: a hundred round trips.
@@ -102,7 +102,7 @@
             let call = self.dialect.place(layers, give_up, report.orders);
             match call_target(&self.connections, address, &call, ORDER_ANSWER).await {
                 Ok(reply) if TAKEN.contains(&reply.status) => return Ok(Ordered::Taken),
-                Ok(reply) => return Err(format!("refused with {}", reply.status)),
+                Ok(reply) => self.rest_or_fail(&reply).await?,
                 Err(TargetError::Late(_)) => log::info!(
                     "event=order_unanswered instance={} address={address} orders={}",
                     self.order.id,
@@ -113,6 +113,22 @@
         }
     }
 
+    /// Leaves an engine alone for as long as it asks with its refusal; then the order is
+    /// given again. It is not given elsewhere: the plan counts on this engine.
+    async fn rest_or_fail(&self, reply: &TargetReply) -> Result<(), String> {
+        let rest = asked_rest(reply.status, &reply.headers, SystemTime::now());
+        let rest = rest.map_err(|e| e.to_string())?;
+        let rest = rest.ok_or_else(|| format!("refused with {}", reply.status))?;
+        log::info!(
+            "event=target_asks_rest target={} life={} to=order rest_ms={}",
+            self.order.address,
+            self.order.life(),
+            rest.as_millis()
+        );
+        tokio::time::sleep(rest).await;
+        Ok(())
+    }
+
     /// Its report once it carries out no order: a leader before this one may
     /// have given one.
     async fn idle_report(&self) -> Result<EngineReport, String> {
