Soak: targets turn all away and ask for rest, those that go say so, and what they are sent later is checked

By router and life: two requests in a rest, none after the word of leaving, later than 0.5 s after it; a router that was killed, stopped or stood still, and connections that were harmed, excuse it. Draws of its own, so that known seeds draw the other faults as before. A request that a target turned away counted as run in the check that "not run" is true, and "once" runs once: replaced by what targets began to run, as strict.

--- a/crates/deckwind-fakes/src/lib.rs
+++ b/crates/deckwind-fakes/src/lib.rs
@@ -18,7 +18,7 @@
 pub use engine::{EngineFault, FakeEngine, FakeEngineConfig, Run};
 pub use model::{FakeModel, expected_answer};
 pub use platform::FakePlatformList;
-pub use runner::{AWAY, ENDS_ITS_TARGET, EVENTS, FakeRunner, RunnerFault, SeenRequest};
+pub use runner::{AWAY, Arrival, ENDS_ITS_TARGET, EVENTS, FakeRunner, RunnerFault, SeenRequest};
 pub use service::{FakeService, ServiceFault};
 pub use site::{FakeCall, HOST, release_document, request_id};
 pub use weights::FakeWeightStore;
--- a/crates/deckwind-fakes/src/runner/answers.rs
+++ b/crates/deckwind-fakes/src/runner/answers.rs
@@ -74,6 +74,7 @@
     };
     let request = req.headers.get("x-deckwind-request-id").cloned();
     let request = request.unwrap_or_default();
+    note_arrival(state, &request, &fault);
     let expected = req.headers.get("x-deckwind-expect-instance");
     if expected.is_some_and(|e| *e != id) {
         let head = format!("421 Misdirected Request\r\nX-Deckwind-Request-Id: {request}");
@@ -104,6 +105,11 @@
     }
 }
 
+fn note_arrival(state: &Mutex<State>, request: &str, fault: &RunnerFault) {
+    let mut state = state.lock().expect("no holder panics");
+    state.note_arrival(request, fault);
+}
+
 /// Begins to run a request that the target doesn't survive: a stream has its head,
 /// as from the users' engines, and no event.
 async fn end_life(
--- a/crates/deckwind-fakes/src/runner/mod.rs
+++ b/crates/deckwind-fakes/src/runner/mod.rs
@@ -85,6 +85,19 @@
     pub body: Vec<u8>,
 }
 
+/// A request that arrived, and what its sender was told.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Its id.
+    pub request: String,
+    /// When it came.
+    pub at: Instant,
+    /// It was refused, with a rest of so long.
+    pub rest: Option<Duration>,
+    /// Its answer said that the target leaves.
+    pub leaves: bool,
+}
+
 #[derive(Default)]
 struct State {
     id: String,
@@ -92,6 +105,8 @@
     born: u64,
     fault: RunnerFault,
     seen: Vec<SeenRequest>,
+    /// Requests of this life.
+    arrivals: Vec<Arrival>,
     /// Ids of requests that it began to run.
     ran: Vec<String>,
     stalled: Vec<(String, SocketAddr)>,
@@ -120,6 +135,18 @@
 }
 
 impl State {
+    /// Notes a request that has come.
+    fn note_arrival(&mut self, request: &str, fault: &RunnerFault) {
+        let refuses = matches!(fault, RunnerFault::Refuses { .. });
+        let seconds = self.rest.as_ref().and_then(|r| r.parse().ok());
+        self.arrivals.push(Arrival {
+            request: request.to_string(),
+            at: Instant::now(),
+            rest: seconds.filter(|_| refuses).map(Duration::from_secs_f64),
+            leaves: self.leaves,
+        });
+    }
+
     /// Whether it has ended and not started again.
     fn is_away(&self) -> bool {
         self.away_until.is_some_and(|until| Instant::now() < until)
@@ -235,6 +262,16 @@
         self.lock().seen.clone()
     }
 
+    /// Requests that its present life was sent, in their order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Requests that it began to run, one entry a run.
+    pub fn ran(&self) -> Vec<String> {
+        self.lock().ran.clone()
+    }
+
     /// Times that it began to run this request.
     pub fn runs(&self, request: &str) -> usize {
         self.lock().ran.iter().filter(|id| *id == request).count()
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! For: finding what seeded schedules in virtual time can't. Not for: figures.
 //! A run repeats its faults by its seed, not its schedule.
 
+mod notices;
 mod proxy;
 mod world;
 
@@ -28,6 +29,9 @@
 /// What a VM is suspended at a time: longer than a lease.
 pub const SUSPENDED_FOR: Duration = Duration::from_secs(4);
 
+/// Beside how many faults a target turns all away.
+const TURNS_AWAY: f64 = 0.4;
+
 /// What one run saw.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -58,6 +62,9 @@
     routers: Vec<Option<Process>>,
     world: World,
     rng: ChaCha8Rng,
+    /// Draws for targets that turn all away, so that seeds draw the other faults as
+    /// they did before there were such.
+    words: ChaCha8Rng,
     faults: u64,
 }
 
@@ -97,6 +104,7 @@
             routers,
             world,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            words: ChaCha8Rng::seed_from_u64(!seed),
             faults: 0,
         })
     }
@@ -105,6 +113,10 @@
     /// the run has a majority; pauses may overlap with them.
     async fn fault(&mut self) -> Result<()> {
         self.faults += 1;
+        if self.words.random_bool(TURNS_AWAY) {
+            let ms = Duration::from_millis(self.words.random_range(200..2_500));
+            self.world.turn_away_some(&mut self.words, ms);
+        }
         let ms = Duration::from_millis(self.rng.random_range(50..2_500));
         match self.rng.random_range(0..10) {
             0 => self.restart_control(End::Kill, ms).await,
@@ -142,6 +154,7 @@
 
     async fn restart_router(&mut self, how: End, down: Duration) -> Result<()> {
         let i = self.rng.random_range(0..ROUTERS);
+        self.world.router_was_disturbed(i);
         if let Some(process) = self.routers[i].take() {
             end(process, how).await?;
         }
@@ -163,6 +176,9 @@
         if suspended {
             process.signal("USR1")?;
         }
+        if let Some(router) = i.checked_sub(CONTROL) {
+            self.world.router_was_disturbed(router);
+        }
         process.signal("CONT")
     }
 
--- a/crates/deckwind-testkit/src/soak/world.rs
+++ b/crates/deckwind-testkit/src/soak/world.rs
@@ -1,10 +1,13 @@
 //! Targets, callers and an operator round the processes, and what they check.
 
+use super::notices::{self, REST, Spans, id_at};
 use super::{Harm, Proxy, Seen};
 use crate::layout::Layout;
-use anyhow::{Result, bail, ensure};
+use anyhow::{Context, Result, bail, ensure};
 use bytes::Bytes;
-use deckwind_fakes::{ENDS_ITS_TARGET, EVENTS, FakeCall, FakeRunner, release_document, request_id};
+use deckwind_fakes::{
+    ENDS_ITS_TARGET, EVENTS, FakeCall, FakeRunner, RunnerFault, release_document, request_id,
+};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -75,6 +78,8 @@
     gone: AtomicBool,
     /// Announcements of its life.
     announced: AtomicU64,
+    /// When its connections were harmed.
+    harmed: Spans,
 }
 
 /// What all tasks share.
@@ -91,6 +96,8 @@
     /// Requests whose answer promised that they have not run.
     not_run: Mutex<BTreeSet<String>>,
     broken: Mutex<Vec<String>>,
+    /// When each router was.
+    disturbed: Vec<Spans>,
     stop: AtomicBool,
 }
 
@@ -128,6 +135,7 @@
             refused: AtomicU64::new(0),
             not_run: Mutex::default(),
             broken: Mutex::default(),
+            disturbed: layout.routers.iter().map(|_| Spans::default()).collect(),
             stop: AtomicBool::new(false),
         });
         let announcing = tokio::spawn(announce_all(shared.clone()));
@@ -160,6 +168,7 @@
             proxy,
             gone: AtomicBool::new(false),
             announced: AtomicU64::new(0),
+            harmed: Spans::default(),
         };
         let mut all = self.shared.targets.lock().expect("no holder panics");
         all.push(Arc::new(target));
@@ -215,6 +224,7 @@
             .expect("no holder panics")
             .clone();
         let target = targets[rng.random_range(0..targets.len())].clone();
+        target.harmed.add(length);
         target.proxy.set(harm);
         tokio::spawn(async move {
             tokio::time::sleep(length).await;
@@ -234,10 +244,32 @@
         let live: Vec<&Arc<Target>> = live.collect();
         let old = live[rng.random_range(0..live.len())];
         self.add(old.pool, old.data_centre).await?;
+        old.runner.say_it_leaves(true);
         old.gone.store(true, Ordering::Relaxed);
         Ok(())
     }
 
+    /// A target turns all away for a while, and asks each time to be left alone for
+    /// longer.
+    pub fn turn_away_some(&self, rng: &mut ChaCha8Rng, length: Duration) {
+        let targets = self.shared.targets.lock().expect("no holder panics");
+        let target = targets[rng.random_range(0..targets.len())].clone();
+        let rest = REST.as_secs_f64().to_string();
+        target.runner.ask_rest(Some(&rest));
+        let refuses = RunnerFault::Refuses { at_fault: None };
+        target.runner.set_fault(refuses);
+        tokio::spawn(async move {
+            tokio::time::sleep(length).await;
+            target.runner.set_fault(RunnerFault::None);
+        });
+    }
+
+    /// A router was killed, stopped, or stood still until now: it need not know what
+    /// it was told.
+    pub fn router_was_disturbed(&self, router: usize) {
+        self.shared.disturbed[router].add_now();
+    }
+
     /// A target starts again under its id: it holds nothing, and counts anew.
     pub fn start_some_again(&self, rng: &mut ChaCha8Rng) {
         let targets = self.shared.targets.lock().expect("no holder panics");
@@ -298,6 +330,7 @@
         );
         self.announcing.abort();
         self.check_runs()?;
+        self.check_notices()?;
         let broken = self.shared.broken();
         ensure!(broken.is_empty(), "{broken:?}");
         let count = |n: &AtomicU64| n.load(Ordering::Relaxed);
@@ -310,19 +343,32 @@
         })
     }
 
+    /// Routers heed what targets say of themselves.
+    fn check_notices(&self) -> Result<()> {
+        for target in self.shared.targets.lock().expect("no holder panics").iter() {
+            let arrivals = target.runner.arrivals();
+            let checked = notices::check(&arrivals, &self.shared.disturbed, &target.harmed);
+            checked.with_context(|| target.id.clone())?;
+        }
+        Ok(())
+    }
+
     /// What targets saw: once means once, and "not run" is true.
     fn check_runs(&self) -> Result<()> {
         let mut ran = BTreeSet::new();
         let not_run = self.shared.not_run.lock().expect("no holder panics");
         for target in self.shared.targets.lock().expect("no holder panics").iter() {
-            for seen in target.runner.seen() {
-                let id = request_id(&seen);
+            // One that a target turned away has not run there.
+            for id in target.runner.ran() {
                 ensure!(
                     !not_run.contains(&id),
                     "{id} ran, but was refused as not run"
                 );
                 let again = !ran.insert(id.clone());
                 ensure!(!(again && id.starts_with(ONCE)), "{id} ran twice");
+            }
+            for seen in target.runner.seen() {
+                let id = request_id(&seen);
                 let key = seen.headers.contains_key("authorization");
                 ensure!(!key, "{id} carried its key to a target");
             }
@@ -399,7 +445,9 @@
     }
 
     async fn ask(&self, kind: &str, id: &str, router: usize) -> Outcome {
-        let address = self.routers[router % self.routers.len()];
+        let router = router % self.routers.len();
+        let address = self.routers[router];
+        let id = &id_at(id, router);
         let (path, pause) = match kind {
             FLOOD => (
                 format!("/stream/flood-{}-{}", FLOOD_SIZE.0, FLOOD_SIZE.1),
