--- a/crates/deckwind-testkit/tests/testsuite/quarantine.rs
+++ b/crates/deckwind-testkit/tests/testsuite/quarantine.rs
@@ -118,6 +118,41 @@
     assert!(others.iter().all(|other| *other != it));
 }
 
+/// What one router sees in turn, an end or how many are agreed, and the step with the
+/// third end: it need not wait until its own is agreed to send nothing more.
+#[parameterized(
+    own_three = { &["end", "end", "end"], 2 },
+    two_agreed_before = { &["end", "end", "agreed 2", "end"], 3 },
+    two_agreed_twice = { &["end", "end", "agreed 2", "agreed 2", "end"], 4 },
+    agreed_again_after_the_third = { &["end", "end", "agreed 2", "end", "agreed 2"], 3 },
+    others_two = { &["agreed 2", "end"], 1 },
+    others_two_again = { &["agreed 2", "end", "agreed 2"], 1 },
+    own_and_others = { &["end", "agreed 2", "end"], 2 },
+    agreed_three = { &["agreed 3"], 0 },
+)]
+fn the_third_end_is_known_where_it_was_seen(seen: &[&str], third: usize) {
+    let mut runs = CutRuns::default();
+    let it = content("it");
+    for (i, what) in seen.iter().enumerate() {
+        let at = Instant::from_millis(1_000 + i as u64);
+        match what.strip_prefix("agreed ") {
+            Some(ends) => {
+                let names = ["a", "b", "c"].into_iter();
+                let names = names.take(ends.parse().expect("a number"));
+                let mut machine = StateMachine::default();
+                apply(&mut machine, 1, names.map(|n| ended(it, life(n))).collect());
+                runs.agreed(machine.configuration().suspects());
+            }
+            None => {
+                let life = life(&format!("own {i}"));
+                runs.cut(at, it, &life, None);
+                runs.lives_over(at, vec![life]);
+            }
+        }
+        assert_eq!(runs.may_send(at, &it), i < third, "after step {i}");
+    }
+}
+
 /// How a run of the content ended, and what becomes of its life.
 struct Cut {
     /// Time from the run's first event until it was cut.
