A router that saw the third end under a content sends it to nobody, before that is agreed

Cause: a router's own ends were forgotten once as many were agreed, and what it knew was the larger of its own and the agreed number. The same on published routes: streams there are tried twice, which hides it but for two tries at once. Now an own end is counted on top of what is agreed when it is seen, as that can't hold it; own ends older than ten minutes are dropped before.

--- a/crates/deckwind-core/src/routes/cut_runs.rs
+++ b/crates/deckwind-core/src/routes/cut_runs.rs
@@ -57,6 +57,8 @@
 #[derive(Clone, Debug)]
 struct OwnEnds {
     lives: Vec<Life>,
+    /// Ends that were known with the last of them, those that others saw included.
+    known: usize,
     last: Instant,
 }
 
@@ -156,8 +158,13 @@
         if self.ends.len() >= MOST && !self.ends.contains_key(&content) {
             return;
         }
+        let outdated = |own: &OwnEnds| now.since(own.last) >= OWN_COUNT_FOR;
+        if self.ends.get(&content).is_some_and(outdated) {
+            self.ends.remove(&content);
+        }
         let own = self.ends.entry(content).or_insert_with(|| OwnEnds {
             lives: Vec::new(),
+            known: 0,
             last: now,
         });
         own.last = now;
@@ -165,18 +172,22 @@
             return;
         }
         own.lives.push(life.clone());
+        // What is agreed can't hold this end yet. Counted by the larger of the two, a
+        // router that saw the third end sent the content on until that was agreed: five
+        // targets of chat completions ended instead of three.
+        own.known = own.known.max(self.agreed.ends(&content)) + 1;
         push(&mut self.news, SuspectChange::Ended { content, life });
     }
 
-    /// What is agreed now. What this router saw itself and is part of it is
-    /// forgotten, and so is what no longer holds: it ends with the agreed state. What
+    /// What is agreed now. What this router saw itself is forgotten once the content is
+    /// quarantined, and where it no longer holds: it ends with the agreed state. What
     /// was agreed before.
     pub fn agreed(&mut self, list: Arc<SuspectList>) -> Arc<SuspectList> {
         let before = std::mem::replace(&mut self.agreed, list.clone());
-        self.ends.retain(|content, own| {
+        self.ends.retain(|content, _| {
             let agreed = list.ends(content);
             let no_longer = agreed < before.ends(content);
-            agreed < own.lives.len() && !no_longer
+            !no_longer && agreed < ENDS_TO_QUARANTINE
         });
         before
     }
@@ -187,7 +198,7 @@
         self.forget(now);
         let own = self.ends.get(content);
         let own = own.filter(|own| now.since(own.last) < OWN_COUNT_FOR);
-        let own = own.map_or(0, |own| own.lives.len());
+        let own = own.map_or(0, |own| own.known);
         let known = own.max(self.agreed.ends(content));
         if known >= ENDS_TO_QUARANTINE {
             return false;
--- a/crates/deckwind-testkit/tests/testsuite/quarantine.rs
+++ b/crates/deckwind-testkit/tests/testsuite/quarantine.rs
@@ -153,6 +153,23 @@
     }
 }
 
+/// Two ends and, longer after them than ends count, a third.
+#[parameterized(
+    within = { 599, false },
+    after = { 601, true },
+)]
+fn own_ends_count_for_ten_minutes(seconds: u64, may_send: bool) {
+    let mut runs = CutRuns::default();
+    let it = content("it");
+    let start = Instant::from_millis(1_000);
+    let later = start + Duration::from_secs(seconds);
+    for (at, name) in [(start, "a"), (start, "b"), (later, "c")] {
+        runs.cut(at, it, &life(name), None);
+        runs.lives_over(at, vec![life(name)]);
+    }
+    assert_eq!(runs.may_send(later, &it), may_send);
+}
+
 /// How a run of the content ended, and what becomes of its life.
 struct Cut {
     /// Time from the run's first event until it was cut.
