Chat completions and services by template: what ends its targets is sent to nobody

A router finds out by itself: a target that broke a run off and then refuses connections has ended (two looks, 30 ms apart). Ends count like those of published routes; refused with code quarantined. Tests: ending_templates::.

--- a/crates/deckwind-core/src/router/denied.rs
+++ b/crates/deckwind-core/src/router/denied.rs
@@ -32,6 +32,9 @@
     /// The router is stopping.
     #[error("this router is stopping")]
     Draining,
+    /// Targets have ended under it, with whichever id it came.
+    #[error("targets have ended under this request")]
+    Quarantined,
     /// No targets can run it at the moment.
     #[error("no targets can run it at the moment")]
     NoTargets,
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod crowding;
 mod decisions;
 mod ending_requests;
+mod ending_templates;
 mod examples;
 mod fan_out;
 mod full_disk;
--- a/crates/deckwindd/src/router/answers.rs
+++ b/crates/deckwindd/src/router/answers.rs
@@ -68,7 +68,8 @@
             | DeniedCode::QueueFull
             | DeniedCode::NoLease
             | DeniedCode::Draining
-            | DeniedCode::NoTargets => StatusCode::SERVICE_UNAVAILABLE,
+            | DeniedCode::NoTargets
+            | DeniedCode::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
         };
         let code = serde_json::to_value(denied.code).unwrap_or_default();
         let code = code.as_str().unwrap_or_default().to_string();
--- a/crates/deckwindd/src/router/callers.rs
+++ b/crates/deckwindd/src/router/callers.rs
@@ -13,9 +13,9 @@
 use bytes::Bytes;
 use deckwind_core::router::{Denied, DeniedCode, Entered, Placed, Work};
 use deckwind_core::routing::prefix_hashes;
-use deckwind_core::state::{AccountName, Outcome, TemplateName};
+use deckwind_core::state::{AccountName, ContentDigest, Outcome, TemplateName};
 use deckwind_net::targets::ServiceCall;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -289,7 +289,10 @@
         .to_string();
     let full = req.uri().path();
     let path = full[format!("/s/{template}").len()..].to_string();
+    let (method, uri) = (req.method().clone(), req.uri().clone());
     let body = read_body(shared, req.into_body()).await?;
+    let content = content_of(&method, &uri, &account, &body);
+    shared.may_be_sent(&content)?;
     let (entered, _ticket) = admit(shared, &account, &template).await?;
     let Work::Service(work) = entered.work.clone() else {
         return Err(Denied::for_good(DeniedCode::WrongTemplate).into());
@@ -309,7 +312,7 @@
         idempotency_key: Some(key.unwrap_or_else(|| id.to_string())),
         timeout: work.timeout,
     };
-    let result = service::run(shared, &entered, &work, call).await;
+    let result = service::run(shared, &entered, &work, content, call).await;
     let now = shared.clock.now();
     let took = result.is_ok().then(|| now.since(entered.arrived));
     shared.core().answered(now, &entered, took);
@@ -362,7 +365,10 @@
     let in_progress = shared.begin();
     let key = idempotency_key(req.headers())?;
     let had = tokens_had(req.headers())?;
+    let (method, uri) = (req.method().clone(), req.uri().clone());
     let body = read_body(shared, req.into_body()).await?;
+    let content = content_of(&method, &uri, &account, &body);
+    shared.may_be_sent(&content)?;
     let chat = parse_chat(&body)?;
     let template = TemplateName::from(chat.model.as_str());
     let (entered, ticket) = admit(shared, &account, &template).await?;
@@ -378,6 +384,7 @@
         id: id.to_string(),
         entered: entered.clone(),
         work,
+        content,
         prompt: chat.prompt(),
         prefixes: prefix_hashes(chat.blocks()),
         max_tokens: chat.max_tokens,
@@ -402,6 +409,12 @@
     answering.whole().await
 }
 
+/// What a request is, whoever sends it again under whatever id.
+fn content_of(method: &Method, uri: &Uri, account: &AccountName, body: &[u8]) -> ContentDigest {
+    let path = uri.path_and_query().map_or("/", |p| p.as_str());
+    ContentDigest::of(method.as_str(), path, Some(account.as_str()), body)
+}
+
 fn parse_chat(body: &[u8]) -> Result<ChatRequest, CallerError> {
     let refuse = |why: String| bad(StatusCode::BAD_REQUEST, "bad-request", &why);
     let chat: ChatRequest = serde_json::from_slice(body).map_err(|e| refuse(e.to_string()))?;
--- a/crates/deckwindd/src/router/chat.rs
+++ b/crates/deckwindd/src/router/chat.rs
@@ -1,13 +1,14 @@
 //! Drives one chat session: carries out what [`Session`] asks for.
 
 use super::shared::RouterShared;
+use super::template_runs::TemplateRun;
 use deckwind_core::router::{ChatWork, Entered};
 use deckwind_core::routing::{ChainNeed, LoadReport, PlannedStage, PrefixHash, TargetKey};
 use deckwind_core::session::{
     Activation, Chain, EndReason, Session, SessionAction, SessionEvent, SessionLimits, Stage,
     StageFault, StageKey, StepOrder, Token,
 };
-use deckwind_core::state::{LayerRange, TargetName};
+use deckwind_core::state::{ContentDigest, LayerRange, TargetName};
 use deckwind_net::targets::{OpenStage, StageStream, TargetError};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -36,6 +37,8 @@
     pub entered: Entered,
     /// Its model.
     pub work: ChatWork,
+    /// What it is, whoever sends it again.
+    pub content: ContentDigest,
     /// One input a position.
     pub prompt: Vec<Activation>,
     /// Prefixes of the prompt.
@@ -55,6 +58,8 @@
     target: TargetKey,
     layers: LayerRange,
     stream: Result<Box<dyn StageStream>, TargetError>,
+    /// Its run there; nothing where it could not be opened.
+    run: Option<TemplateRun>,
 }
 
 /// Runs one session to its end.
@@ -126,6 +131,10 @@
                 None
             }
             SessionAction::End(reason) => {
+                if reason == EndReason::Complete {
+                    let now = self.shared.clock.now();
+                    self.shared.routes.suspects.served(now, self.job.content);
+                }
                 let ran = self.ran;
                 let _ = self.tx.send(ChatEvent::End { reason, ran }).await;
                 log::info!(
@@ -149,6 +158,9 @@
         };
         let deadline = self.shared.clock.now() + within;
         loop {
+            if self.shared.may_be_sent(&self.job.content).is_err() {
+                return SessionEvent::NoChain;
+            }
             if let Some(chain) = self.plan_once(&avoid, missing) {
                 self.started = true;
                 return SessionEvent::Planned(chain);
@@ -217,6 +229,7 @@
             .fleet()
             .get(planned.target)
             .map(|t| t.address);
+        let run = address.map(|a| TemplateRun::begin(&self.shared, self.job.content, a));
         let stream = match address {
             Some(address) => {
                 let engine = self.shared.clients.engine(address);
@@ -231,6 +244,7 @@
             target: planned.target,
             layers: with.layers,
             stream,
+            run,
         };
         self.stages.insert(key, opened);
     }
@@ -283,10 +297,17 @@
                     core.load_reported(now, target, LoadReport { load });
                 }
                 drop(core);
+                if let Some(run) = self.stages.get_mut(&key).and_then(|s| s.run.as_mut()) {
+                    run.progressed();
+                }
                 SessionEvent::Output { key, output }
             }
             Err(e) => {
                 self.note_fault(target, &e);
+                let run = self.stages.get(&key).and_then(|s| s.run.as_ref());
+                if let (TargetError::Broken(_), Some(run)) = (&e, run) {
+                    run.broke().await;
+                }
                 let fault = fault_of(&e);
                 SessionEvent::Fault { key, fault }
             }
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -24,6 +24,7 @@
 mod routes;
 mod service;
 mod shared;
+mod template_runs;
 
 pub use callers::listen;
 pub use shared::{RouterShared, TargetClients};
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -25,7 +25,7 @@
 pub use callers::{accept, accept_ready};
 pub use held::Deliveries;
 pub use silence::{tell_slow, watch_streams};
-pub use suspects::tell_cut_runs;
+pub use suspects::{CutRun, tell_cut_runs};
 
 use crate::context::Context;
 use arc_swap::{ArcSwap, ArcSwapOption};
--- a/crates/deckwindd/src/router/service.rs
+++ b/crates/deckwindd/src/router/service.rs
@@ -2,25 +2,33 @@
 
 use super::answers::{CallerError, Ran};
 use super::shared::RouterShared;
+use super::template_runs::TemplateRun;
 use deckwind_core::admission::RetryPolicy;
 use deckwind_core::router::{Entered, ServiceWork};
 use deckwind_core::routes::is_promise;
+use deckwind_core::state::ContentDigest;
 use deckwind_net::targets::{ServiceAnswer, ServiceCall, TargetError};
 use http::StatusCode;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Calls a service; `call` is the same for every try.
 pub async fn run(
-    shared: &RouterShared,
+    shared: &Arc<RouterShared>,
     entered: &Entered,
     work: &ServiceWork,
+    content: ContentDigest,
     mut call: ServiceCall,
 ) -> Result<ServiceAnswer, CallerError> {
     let mut avoid = BTreeSet::new();
     let mut tries = 0;
     let mut may_have_run = false;
     loop {
+        match shared.may_be_sent(&content) {
+            Err(denied) if may_have_run => return Err(unknown(denied.code.to_string())),
+            may_be_sent => may_be_sent?,
+        }
         let now = shared.clock.now();
         let planned = shared.core().plan_service(now, &entered.template, &avoid);
         let key = match planned {
@@ -35,6 +43,7 @@
         tries += 1;
         let left = entered.start_by.since(now) + work.timeout;
         call.timeout = work.timeout.min(left);
+        let run = TemplateRun::begin(shared, content, address);
         let result = shared.clients.service(address).call(call.clone()).await;
         let took = shared.clock.now().since(now);
         let ok = result.is_ok().then_some(took);
@@ -46,13 +55,16 @@
                 return Err(unknown(why));
             }
             Ok(answer) => {
+                run.served();
                 shared.core().retries().succeeded();
                 return Ok(answer);
             }
             Err(e) => e,
         };
-        if let TargetError::Rests(rest) = error {
-            shared.target_rests(key, rest);
+        match error {
+            TargetError::Rests(rest) => shared.target_rests(key, rest),
+            TargetError::Broken(_) => run.broke().await,
+            _ => {}
         }
         log::info!(
             "event=service_try_failed template={} target={name} try={tries} error={:?}",
--- a/crates/deckwindd/src/router/shared.rs
+++ b/crates/deckwindd/src/router/shared.rs
@@ -2,13 +2,15 @@
 
 use super::control_client::ControlClient;
 use super::routes::Routes;
+use super::template_runs::TemplateLives;
 use crate::context::Context;
 use deckwind_config::RouterSettings;
 use deckwind_core::admission::{AdmissionConfig, TicketId};
 use deckwind_core::membership::LeaseTiming;
-use deckwind_core::router::{Admitted, Denied, RouterConfig, RouterCore};
+use deckwind_core::router::{Admitted, Denied, DeniedCode, RouterConfig, RouterCore};
+use deckwind_core::routes::Refusal;
 use deckwind_core::routing::TargetKey;
-use deckwind_core::state::{DataCentre, Holder, Revision, VmName};
+use deckwind_core::state::{ContentDigest, DataCentre, Holder, Revision, VmName};
 use deckwind_net::clock::Clock;
 use deckwind_net::quic::QuicPeer;
 use deckwind_net::targets::{Engine, HttpEngine, HttpService, PlainService};
@@ -75,6 +77,8 @@
     pub control: ControlClient,
     /// Published routes.
     pub routes: Routes,
+    /// Ends of configured targets.
+    pub template_lives: TemplateLives,
     core: Mutex<RouterCore>,
     waiters: Mutex<HashMap<TicketId, Waiter>>,
     in_progress: AtomicUsize,
@@ -82,21 +86,6 @@
 }
 
 impl RouterShared {
-    /// A target of a template wants to be left alone for so long.
-    pub fn target_rests(&self, key: TargetKey, rest: Duration) {
-        let now = self.clock.now();
-        let mut core = self.core();
-        core.target_rests(now, key, rest);
-        let name = core.fleet().get(key).map(|t| t.name.to_string());
-        drop(core);
-        metrics::counter!("deckwind_router_rests_asked_total").increment(1);
-        log::info!(
-            "event=target_asks_rest target={} rest_ms={}",
-            name.unwrap_or_default(),
-            rest.as_millis()
-        );
-    }
-
     /// For a router that starts now.
     pub fn new(cx: &Context, cfg: &RouterSettings, peer: QuicPeer) -> Self {
         let micros = |d: &Duration| d.as_micros() as f64;
@@ -129,6 +118,7 @@
             clients: TargetClients::default(),
             control: ControlClient::new(cx.clone(), peer),
             routes: Routes::new(cx, cfg),
+            template_lives: TemplateLives::default(),
             core: Mutex::new(RouterCore::new(core, cx.clock.now())),
             waiters: Mutex::default(),
             in_progress: AtomicUsize::new(0),
@@ -144,6 +134,33 @@
         }
     }
 
+    /// A target of a template wants to be left alone for so long.
+    pub fn target_rests(&self, key: TargetKey, rest: Duration) {
+        let now = self.clock.now();
+        let mut core = self.core();
+        core.target_rests(now, key, rest);
+        let name = core.fleet().get(key).map(|t| t.name.to_string());
+        drop(core);
+        metrics::counter!("deckwind_router_rests_asked_total").increment(1);
+        log::info!(
+            "event=target_asks_rest target={} rest_ms={}",
+            name.unwrap_or_default(),
+            rest.as_millis()
+        );
+    }
+
+    /// Whether a request of this content may be sent to a target; a refusal if targets
+    /// have ended under it.
+    pub fn may_be_sent(&self, content: &ContentDigest) -> Result<(), Denied> {
+        let suspects = &self.routes.suspects;
+        if suspects.may_send(self.clock.now(), content) {
+            return Ok(());
+        }
+        metrics::counter!("deckwind_route_quarantined_total").increment(1);
+        let after = Refusal::Quarantined.come_back_after(rand::random_range(0.0..1.0));
+        Err(Denied::for_now(DeniedCode::Quarantined, after))
+    }
+
     /// The decisions. Hold it only for one call.
     pub fn core(&self) -> MutexGuard<'_, RouterCore> {
         self.core.lock().expect("no holder panics")
