What one router served lately is not condemned by others

Ruled out: leases, leaders, targets (all there; code=quarantined in every line). Now a router that has served a content within 10 s tells so when it hears of ends under it, and the row goes; two and more own ends that are in no list after 5 s have been cleared.

--- a/crates/deckwind-core/src/routes/cut_runs.rs
+++ b/crates/deckwind-core/src/routes/cut_runs.rs
@@ -38,6 +38,10 @@
 /// How long an end counts that is not agreed: as in the agreed state.
 const OWN_COUNT_FOR: Duration = Duration::from_secs(10 * 60);
 
+/// How long two and more ends count that are not in the list of what is agreed: a router
+/// that could not tell the leader for so long has no lease. Others have seen it served.
+const AGREED_WITHIN: Duration = Duration::from_secs(5);
+
 /// Cut runs that wait, lives that are over, contents with ends, and news for the
 /// leader: more than a router has streams. The oldest goes.
 const MOST: usize = 1_024;
@@ -160,8 +164,7 @@
         if self.ends.len() >= MOST && !self.ends.contains_key(&content) {
             return;
         }
-        let outdated = |own: &OwnEnds| now.since(own.last) >= OWN_COUNT_FOR;
-        if self.ends.get(&content).is_some_and(outdated) {
+        if self.own_known(now, &content) == 0 {
             self.ends.remove(&content);
         }
         let own = self.ends.entry(content).or_insert_with(|| OwnEnds {
@@ -184,24 +187,49 @@
     /// What is agreed now. What this router saw itself is forgotten once the content is
     /// quarantined, and where it no longer holds: it ends with the agreed state. What
     /// was agreed before.
-    pub fn agreed(&mut self, list: Arc<SuspectList>) -> Arc<SuspectList> {
+    pub fn agreed(&mut self, now: Instant, list: Arc<SuspectList>) -> Arc<SuspectList> {
         let before = std::mem::replace(&mut self.agreed, list.clone());
         self.ends.retain(|content, _| {
             let agreed = list.ends(content);
             let no_longer = agreed < before.ends(content);
             !no_longer && agreed < ENDS_TO_QUARANTINE
         });
+        self.defend(now, &before);
         before
     }
 
+    /// What this router has served lately is above suspicion at the others too: one that
+    /// has just started has served nothing, and would condemn what many ask for after
+    /// three ends that it has nothing to do with. Without it a played soak had its only
+    /// stream refused for an hour (one seed, in one of three plays).
+    fn defend(&mut self, now: Instant, before: &SuspectList) {
+        let more = |c: &&ContentDigest| self.agreed.ends(c) > before.ends(c);
+        let more = self.agreed.contents().filter(more);
+        let served = more.filter(|c| self.is_above_suspicion(now, c));
+        let served: Vec<ContentDigest> = served.copied().collect();
+        for content in served {
+            push(&mut self.news, SuspectChange::Served(content));
+        }
+    }
+
+    /// Ends that this router counts by what it saw itself.
+    fn own_known(&self, now: Instant, content: &ContentDigest) -> usize {
+        let Some(own) = self.ends.get(content) else {
+            return 0;
+        };
+        let age = now.since(own.last);
+        let cleared = own.known > 1 && self.agreed.ends(content) == 0 && age >= AGREED_WITHIN;
+        match age >= OWN_COUNT_FOR || cleared {
+            true => 0,
+            false => own.known,
+        }
+    }
+
     /// Whether a request of this content may be sent to a target. Runs of it that
     /// were cut and whose targets may have ended count, until that is known.
     pub fn may_send(&mut self, now: Instant, content: &ContentDigest) -> bool {
         self.forget(now);
-        let own = self.ends.get(content);
-        let own = own.filter(|own| now.since(own.last) < OWN_COUNT_FOR);
-        let own = own.map_or(0, |own| own.known);
-        let known = own.max(self.agreed.ends(content));
+        let known = self.own_known(now, content).max(self.agreed.ends(content));
         if known >= ENDS_TO_QUARANTINE {
             return false;
         }
--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -164,6 +164,11 @@
         self.0.get(content).map_or(0, |ends| usize::from(*ends))
     }
 
+    /// Contents in it.
+    pub fn contents(&self) -> impl Iterator<Item = &ContentDigest> {
+        self.0.keys()
+    }
+
     /// Contents that are sent to nobody.
     pub fn quarantined(&self) -> impl Iterator<Item = &ContentDigest> {
         let full = |ends: &u8| usize::from(*ends) >= ENDS_TO_QUARANTINE;
@@ -173,7 +178,7 @@
             .map(|(c, _)| c)
     }
 
-    /// Contents in it.
+    /// How many contents are in it.
     pub fn len(&self) -> usize {
         self.0.len()
     }
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -106,7 +106,7 @@
     /// Whether it knows of no reason not to send a request of this content.
     pub fn may_send(&self, content: &ContentDigest) -> bool {
         let mut runs = CutRuns::default();
-        runs.agreed(self.lease.configuration().suspects());
+        runs.agreed(Instant::ZERO, self.lease.configuration().suspects());
         runs.may_send(Instant::ZERO, content)
     }
 
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -249,7 +249,7 @@
         let before = self.instances();
         note_targets(&before, &index, cfg.revision());
         self.suspects.lives_over(now, index.lives_cut(&before));
-        self.suspects.agreed(cfg.suspects());
+        self.suspects.agreed(now, cfg.suspects());
         self.forget_ended_lives(now, &before, &index);
         let addresses: HashSet<SocketAddr> = index.iter().map(|i| i.address).collect();
         self.connections.retain(|a| addresses.contains(a));
--- a/crates/deckwindd/src/router/routes/suspects.rs
+++ b/crates/deckwindd/src/router/routes/suspects.rs
@@ -95,8 +95,14 @@
     }
 
     /// What is agreed now.
-    pub fn agreed(&self, list: Arc<SuspectList>) {
-        let before = self.runs().agreed(list.clone());
+    pub fn agreed(&self, now: Instant, list: Arc<SuspectList>) {
+        let mut runs = self.runs();
+        let before = runs.agreed(now, list.clone());
+        let news = runs.has_news();
+        drop(runs);
+        if news {
+            self.to_tell.notify_one();
+        }
         if before != list {
             note_quarantined(&before, &list);
         }
