--- a/crates/deckwind-net/src/targets/rest.rs
+++ b/crates/deckwind-net/src/targets/rest.rs
@@ -10,6 +10,9 @@
 /// writes nonsense is lost for no longer.
 pub const MOST_REST: Duration = Duration::from_secs(300);
 
+/// Characters of an unreadable rest that are kept for logs.
+const MOST_TEXT: usize = 120;
+
 /// A rest that can't be read: the texts that should have told it.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("no time to come back at: {0:?}")]
@@ -36,7 +39,10 @@
     let said_at = headers.get(header::DATE).and_then(date).unwrap_or(wall);
     let values: Vec<&HeaderValue> = headers.get_all(header::RETRY_AFTER).iter().collect();
     let longest = values.iter().filter_map(|v| rest(v, said_at)).max();
-    let unreadable = || UnreadableRest(format!("{values:?}"));
+    let unreadable = || {
+        let text = format!("{values:?}");
+        UnreadableRest(text.chars().take(MOST_TEXT).collect())
+    };
     longest.map(Some).ok_or_else(unreadable)
 }
 
--- a/crates/deckwindd/src/control/placing.rs
+++ b/crates/deckwindd/src/control/placing.rs
@@ -125,7 +125,8 @@
             self.order.life(),
             rest.as_millis()
         );
-        tokio::time::sleep(rest).await;
+        // An engine that asks for no time at all is not asked again at once.
+        tokio::time::sleep(rest.max(LOOK_EVERY)).await;
         Ok(())
     }
 
