--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! For: finding what seeded schedules in virtual time can't. Not for: figures.
 //! A run repeats its faults by its seed, not its schedule.
 
+mod calls;
 mod notices;
 mod proxy;
 mod world;
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod command_line;
 mod contracts;
 mod crowding;
+mod cut_runs;
 mod decisions;
 mod ending_requests;
 mod ending_templates;
