Sight: routers note the limits that targets name, and where a stream was sent

Cause: the logs of the incident can't tell whether a limit was read: no line says what an answer told of its target's limit, and the line of an ended stream doesn't name the target. Ruled out: nothing; no decision changes.

--- a/crates/deckwind-core/src/lib.rs
+++ b/crates/deckwind-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod burn;
 pub mod control;
 pub mod membership;
+pub mod rate;
 pub mod replication;
 pub mod router;
 pub mod routes;
--- a/crates/deckwind-core/src/routes/notices.rs
+++ b/crates/deckwind-core/src/routes/notices.rs
@@ -7,6 +7,7 @@
 //! for 30 s was sent 10 requests in the next 6 s, and one that leaves as many; none
 //! now (real routers, a request each 0.6 s of the VM's time).
 
+use crate::rate::Rate;
 use crate::state::{Instance, Life};
 use crate::time::Instant;
 use std::collections::HashMap;
@@ -34,6 +35,10 @@
     pub unreadable_rest: Option<String>,
     /// It is about to end, and takes nothing new.
     pub leaves: bool,
+    /// It takes so many requests from all VMs together.
+    pub limit: Option<Rate>,
+    /// What should have told the limit, and can't be read.
+    pub unreadable_limit: Option<String>,
 }
 
 /// What changed by a notice.
--- a/crates/deckwindd/src/router/routes/notices.rs
+++ b/crates/deckwindd/src/router/routes/notices.rs
@@ -63,6 +63,16 @@
             metrics::counter!("deckwind_route_rests_unreadable_total").increment(1);
             log::warn!("event=rest_unreadable target={address} life={life} to={to} text={text:?}");
         }
+        if let Some(text) = &notice.unreadable_limit {
+            metrics::counter!("deckwind_route_limits_unreadable_total").increment(1);
+            log::warn!("event=limit_unreadable target={address} life={life} to={to} text={text:?}");
+        }
+        if let Some(rate) = notice.limit {
+            metrics::counter!("deckwind_route_limits_named_total").increment(1);
+            log::info!(
+                "event=target_names_limit target={address} life={life} to={to} per_s={rate}"
+            );
+        }
         if let Some(rest) = notice.rest {
             metrics::counter!("deckwind_route_rests_asked_total").increment(1);
             metrics::histogram!("deckwind_route_rest_seconds").record(rest.as_secs_f64());
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -59,6 +59,7 @@
         }
         self.sent_after = self.chosen.elapsed();
         self.tries += 1;
+        self.target = Some(choice.address);
         self.sent_to.insert(choice.address, choice.life());
         let run = TargetRun::begin(&self.job, choice);
         let res = {
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -80,6 +80,8 @@
     /// The life at each address that it was last sent to. A target that refused
     /// it since says nothing of the one that runs it.
     sent_to: HashMap<SocketAddr, Life>,
+    /// The target that it was last sent to.
+    target: Option<SocketAddr>,
     /// When its target was last chosen.
     chosen: Instant,
     /// From then until it was sent.
@@ -96,6 +98,7 @@
         avoid: HashSet::new(),
         paid: false,
         sent_to: HashMap::new(),
+        target: None,
         chosen: Instant::now(),
         sent_after: Duration::ZERO,
     };
@@ -361,9 +364,10 @@
         if let Some(first) = first {
             metrics::histogram!("deckwind_route_first_event_seconds").record(first.as_secs_f64());
         }
+        let target = self.target.map_or("-".to_string(), |a| a.to_string());
         let ms = |d: Option<Duration>| d.map_or(-1, |d| d.as_millis() as i64);
         log::info!(
-            "event=stream_ended request={} content={} route={} pool={} at={} tries={} refused={} tokens={} events={} longest_pause_ms={} first_ms={} revision={} status={} code={code} took_ms={}",
+            "event=stream_ended request={} content={} route={} pool={} target={target} at={} tries={} refused={} tokens={} events={} longest_pause_ms={} first_ms={} revision={} status={} code={code} took_ms={}",
             job.head.id,
             job.content,
             job.route.name,
