--- a/crates/deckwind-fakes/src/runner/answers.rs
+++ b/crates/deckwind-fakes/src/runner/answers.rs
@@ -248,6 +248,9 @@
     if state.leaves {
         says += "\r\nServer-Leaving: 1";
     }
+    if let Some(limit) = &state.limit {
+        says += &format!("\r\nServer-Limit: {limit}");
+    }
     says
 }
 
--- a/crates/deckwind-fakes/src/runner/mod.rs
+++ b/crates/deckwind-fakes/src/runner/mod.rs
@@ -96,6 +96,8 @@
     pub rest: Option<Duration>,
     /// Its answer said that the target leaves.
     pub leaves: bool,
+    /// Its answer named this limit, requests a second.
+    pub limit: Option<f64>,
 }
 
 #[derive(Default)]
@@ -130,6 +132,8 @@
     rest: Option<String>,
     /// It says in all its answers that it leaves.
     leaves: bool,
+    /// The limit that it names in all its answers, as it writes it.
+    limit: Option<String>,
     /// It has ended, and starts again then.
     away_until: Option<Instant>,
 }
@@ -144,6 +148,7 @@
             at: Instant::now(),
             rest: seconds.filter(|_| refuses).map(Duration::from_secs_f64),
             leaves: self.leaves,
+            limit: self.limit.as_ref().and_then(|l| l.parse().ok()),
         });
     }
 
@@ -257,6 +262,12 @@
         self.lock().leaves = leaves;
     }
 
+    /// Has it name a limit in all its answers, requests a second from all VMs together,
+    /// or no more.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        self.lock().limit = limit.map(str::to_string);
+    }
+
     /// Requests that came, without reports and orders.
     pub fn seen(&self) -> Vec<SeenRequest> {
         self.lock().seen.clone()
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -6,10 +6,13 @@
 //! A run repeats its faults by its seed, not its schedule.
 
 mod calls;
+mod limits;
 mod notices;
 mod proxy;
 mod world;
 
+pub use limits::check_limits;
+pub use notices::{Spans, id_at};
 pub use proxy::{Harm, Proxy};
 
 use crate::processes::{Process, Processes};
--- a/crates/deckwind-testkit/src/soak/notices.rs
+++ b/crates/deckwind-testkit/src/soak/notices.rs
@@ -37,7 +37,7 @@
         self.0.lock().expect("no holder panics").push((now, now));
     }
 
-    fn meet(&self, from: Instant, to: Instant) -> bool {
+    pub(super) fn meet(&self, from: Instant, to: Instant) -> bool {
         let all = self.0.lock().expect("no holder panics");
         all.iter().any(|(start, end)| *start <= to && *end >= from)
     }
@@ -48,7 +48,7 @@
     format!("{id}@{router}")
 }
 
-fn router_of(request: &str) -> Option<usize> {
+pub(super) fn router_of(request: &str) -> Option<usize> {
     let (_, router) = request.rsplit_once('@')?;
     router.parse().ok()
 }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod full_disk;
 mod held_back;
 mod leaving;
+mod limits;
 mod lives;
 mod lives_at_routers;
 mod notices;
--- a/crates/deckwind-testkit/tests/testsuite/rests.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rests.rs
@@ -38,18 +38,7 @@
 async fn rig(plain: usize, engines: usize) -> Rig {
     let mut layout = Layout::new(1, 1).expect("a layout");
     layout.repeats = (1.0, 200);
-    let mut rig = Rig::start_with(layout, plain, engines).await;
-    // Before both data centres have a chain, requests begin at whichever engine there is.
-    eventually_async("the layers are placed", || async {
-        let holds = |e: &FakeRunner| e.layers().1 > e.layers().0;
-        rig.engines.iter().all(holds).then_some(())
-    })
-    .await;
-    for i in 0..engines {
-        rig.announce("engines", "e", i, "ready").await;
-    }
-    rig.until_in_force().await;
-    rig
+    Rig::start_placed(layout, plain, engines).await
 }
 
 fn targets(rig: &Rig) -> impl Iterator<Item = &FakeRunner> {
--- a/crates/deckwind-testkit/tests/testsuite/rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rig.rs
@@ -160,6 +160,22 @@
         rig
     }
 
+    /// The same once the engines have been told which layers to hold: before both data
+    /// centres have a chain, requests begin at whichever engine there is.
+    pub async fn start_placed(layout: Layout, plain: usize, engines: usize) -> Self {
+        let mut rig = Self::start_with(layout, plain, engines).await;
+        eventually_async("the layers are placed", || async {
+            let holds = |e: &FakeRunner| e.layers().1 > e.layers().0;
+            rig.engines.iter().all(holds).then_some(())
+        })
+        .await;
+        for i in 0..engines {
+            rig.announce("engines", "e", i, "ready").await;
+        }
+        rig.until_in_force().await;
+        rig
+    }
+
     pub fn control(&self) -> SocketAddr {
         self.cluster.layout.control_calls[0]
     }
