Limits: what was heard since a question stands, and another leader judges no end

Cause: found while specifying. A router that had been answered without a limit told its leader only that: to another leader, which can't compare the permit's time, the target looked unlimited, and the leader said so. And an answer that there is no limit took away what the router had heard while it was under way. Change: a router tells the limit that was last named beside the answer that named none; an answer ends only what was heard before its question.

--- a/crates/deckwind-core/src/control/limit_desk.rs
+++ b/crates/deckwind-core/src/control/limit_desk.rs
@@ -151,20 +151,20 @@
 
     /// A router told what it has heard of a target.
     pub fn heard(&mut self, now: Instant, heard: &LimitHeard) -> Option<LimitChange> {
-        let change = match heard.rate {
-            Some(rate) => self.named(now, heard, rate),
-            None => self.named_none(heard),
-        };
-        if matches!(change, Some(LimitChange::Begins(_) | LimitChange::Ends)) {
-            self.changes += 1;
+        let named = self.named(now, heard);
+        let ended = self.named_none(heard);
+        for change in [named, ended].into_iter().flatten() {
+            let listed = matches!(change, LimitChange::Begins(_) | LimitChange::Ends);
+            self.changes += u64::from(listed);
         }
-        change
+        ended.or(named)
     }
 
-    fn named(&mut self, now: Instant, heard: &LimitHeard, rate: Rate) -> Option<LimitChange> {
+    fn named(&mut self, now: Instant, heard: &LimitHeard) -> Option<LimitChange> {
+        let rate = heard.rate;
         // As it took a while to come here, no earlier than it was.
         let at = now - heard.ago;
-        let permitted = self.permitted_at(heard);
+        let permitted = self.own_time(heard.permitted);
         if !self.limits.contains_key(&heard.target) {
             self.make_room();
             let limit = Limit::new(now, rate);
@@ -212,7 +212,7 @@
     }
 
     fn named_none(&mut self, heard: &LimitHeard) -> Option<LimitChange> {
-        let permitted = self.permitted_at(heard)?;
+        let permitted = self.own_time(heard.none_named)?;
         let limit = self.limits.get_mut(&heard.target)?;
         if limit.rate.is_none() || permitted <= limit.named {
             return None;
@@ -222,10 +222,11 @@
         Some(LimitChange::Ends)
     }
 
-    /// When this leader issued the permit of the request that was so answered.
-    fn permitted_at(&self, heard: &LimitHeard) -> Option<Instant> {
-        let mine = heard.permitted.filter(|p| p.term == self.term);
-        mine.map(|p| p.at)
+    /// When this leader issued a permit; nothing if another one did, whose clock can't be
+    /// compared.
+    fn own_time(&self, issued: Option<LeaderTime>) -> Option<Instant> {
+        let own = issued.filter(|p| p.term == self.term);
+        own.map(|p| p.at)
     }
 
     /// Issues what a router wants, as far as it is due.
--- a/crates/deckwind-core/src/control/limit_messages.rs
+++ b/crates/deckwind-core/src/control/limit_messages.rs
@@ -43,18 +43,20 @@
     pub at: Instant,
 }
 
-/// The last answer of a target that told a router something of its limit.
+/// What a router has heard of a target's limit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitHeard {
     /// The target.
     pub target: LimitKey,
-    /// The limit that it named; nothing if it named none.
-    pub rate: Option<Rate>,
+    /// The limit that it last named.
+    pub rate: Rate,
     /// How long ago that was heard.
     pub ago: Duration,
     /// When the leader issued the permit of the request that was so answered: the
     /// answer was written later. Nothing where there was no permit.
     pub permitted: Option<LeaderTime>,
+    /// The same of an answer since that named none.
+    pub none_named: Option<LeaderTime>,
 }
 
 /// What a renewal tells of limits.
--- a/crates/deckwind-core/src/routes/limits.rs
+++ b/crates/deckwind-core/src/routes/limits.rs
@@ -48,13 +48,15 @@
 #[derive(Clone, Debug)]
 struct Known {
     rate: Rate,
-    /// When that was heard.
-    heard: Instant,
+    /// When that was last named.
+    named: Instant,
     /// Of the request whose answer named it.
     permitted: Option<LeaderTime>,
-    /// An answer to a request of this permit has named no limit: the leader judges
-    /// whether the limit is over.
+    /// An answer since, to a request of this permit, has named no limit: the leader
+    /// judges whether the limit is over.
     none_named: Option<LeaderTime>,
+    /// When the last of this was heard.
+    heard: Instant,
     /// No permit is to be had before.
     denied_until: Instant,
 }
@@ -83,9 +85,10 @@
         match (rate, known) {
             (Some(rate), Some(known)) => {
                 known.rate = rate;
-                known.heard = now;
+                known.named = now;
                 known.permitted = permitted;
                 known.none_named = None;
+                known.heard = now;
                 false
             }
             (Some(rate), None) => {
@@ -105,9 +108,10 @@
     fn put(&mut self, target: &LimitKey, rate: Rate, at: Instant, permitted: Option<LeaderTime>) {
         let known = Known {
             rate,
-            heard: at,
+            named: at,
             permitted,
             none_named: None,
+            heard: at,
             denied_until: Instant::ZERO,
         };
         self.known.insert(target.clone(), known);
@@ -139,9 +143,14 @@
         }
     }
 
-    /// The leader says that a target has no limit any more.
-    pub fn is_over(&mut self, target: &LimitKey) -> bool {
-        self.known.remove(target).is_some()
+    /// The leader answered a question of `asked` that a target has no limit any more.
+    /// What was heard since stands. Whether the limit is over.
+    pub fn is_over(&mut self, asked: Instant, target: &LimitKey) -> bool {
+        let over = self.known.get(target).is_some_and(|k| k.heard <= asked);
+        if over {
+            self.known.remove(target);
+        }
+        over
     }
 
     /// What the leader is to know of a limited target.
@@ -151,13 +160,12 @@
     }
 
     fn heard(&self, now: Instant, target: &LimitKey, known: &Known) -> LimitHeard {
-        let leader = self.list.map(|l| l.term);
-        let over = known.none_named.filter(|p| Some(p.term) == leader);
         LimitHeard {
             target: target.clone(),
-            rate: over.is_none().then_some(known.rate),
-            ago: now.since(known.heard),
-            permitted: over.or(known.permitted),
+            rate: known.rate,
+            ago: now.since(known.named),
+            permitted: known.permitted,
+            none_named: known.none_named,
         }
     }
 
--- a/crates/deckwind-testkit/tests/testsuite/shared_limit.rs
+++ b/crates/deckwind-testkit/tests/testsuite/shared_limit.rs
@@ -315,7 +315,7 @@
         self.asked_ms = None;
         match &answer.verdicts[0] {
             PermitVerdict::Unlimited => {
-                self.limits.is_over(&target());
+                self.limits.is_over(asked, &target());
             }
             PermitVerdict::Permitted(waits) => {
                 let permits = waits.iter();
@@ -507,9 +507,10 @@
     let mut desk = LimitDesk::new(Term(1));
     let heard = LimitHeard {
         target: target(),
-        rate: Some(Rate::from_millis(1_000)),
+        rate: Rate::from_millis(1_000),
         ago: Duration::ZERO,
         permitted: None,
+        none_named: None,
     };
     desk.heard(now, &heard);
     let ask = PermitAsk { heard, wants: 100 };
--- a/crates/deckwindd/src/router/routes/permits.rs
+++ b/crates/deckwindd/src/router/routes/permits.rs
@@ -99,7 +99,7 @@
         let mut waiters = waiters.into_iter();
         match verdict {
             PermitVerdict::Unlimited => {
-                if self.book().limits.is_over(target) {
+                if self.book().limits.is_over(asked, target) {
                     log::info!("event=limit_over {target}");
                 }
                 waiters.for_each(|w| tell(w, Verdict::NotNeeded));
