Limits: what is heard at the moment of a question counts as news

Cause: found by exploring the specification: something heard at the same microsecond as a renewal was made could count as told without being in it. Change: comparisons are strict on the safe side.

--- a/crates/deckwind-core/src/routes/limits.rs
+++ b/crates/deckwind-core/src/routes/limits.rs
@@ -67,7 +67,7 @@
     known: HashMap<LimitKey, Known>,
     /// The leader's list that these were last compared with.
     list: Option<LimitRevision>,
-    /// What was heard until then the leader of that list knows.
+    /// What was heard before then the leader of that list knows.
     told_until: Instant,
 }
 
@@ -146,7 +146,7 @@
     /// The leader answered a question of `asked` that a target has no limit any more.
     /// What was heard since stands. Whether the limit is over.
     pub fn is_over(&mut self, asked: Instant, target: &LimitKey) -> bool {
-        let over = self.known.get(target).is_some_and(|k| k.heard <= asked);
+        let over = self.known.get(target).is_some_and(|k| k.heard < asked);
         if over {
             self.known.remove(target);
         }
@@ -171,7 +171,10 @@
 
     /// What the leader is to hear with a renewal.
     pub fn report(&self, now: Instant) -> LimitReport {
-        let news = self.known.iter().filter(|(_, k)| k.heard > self.told_until);
+        let news = self
+            .known
+            .iter()
+            .filter(|(_, k)| k.heard >= self.told_until);
         LimitReport {
             known: self.list,
             heard: news.map(|(t, k)| self.heard(now, t, k)).collect(),
@@ -203,7 +206,8 @@
         }
         let told_until = self.told_until;
         self.known.retain(|target, known| {
-            let holds = known.heard > told_until || list.limits.iter().any(|l| l.target == *target);
+            let holds =
+                known.heard >= told_until || list.limits.iter().any(|l| l.target == *target);
             if !holds {
                 told.over.push(target.clone());
             }
