Idle connections: all routers together leave half of a target's bound free

Cause: the class of the limits, sought elsewhere: a release says how many connections a target takes from all callers together, and nobody read it. Each router kept up to 48 idle; 12 routers could hold all of a target that takes 540. Change: each router keeps its part of half of the bound, one at least.

--- a/crates/deckwind-core/src/state/release.rs
+++ b/crates/deckwind-core/src/state/release.rs
@@ -143,6 +143,15 @@
     pub engine: Option<EngineModel>,
 }
 
+impl Pool {
+    /// Idle connections that each of so many routers may keep to one target, at least
+    /// one: all of them together leave half of what the target takes to those in use.
+    pub fn most_idle(&self, routers: u32) -> usize {
+        let share = self.max_connections / 2 / routers.max(1);
+        share.max(1) as usize
+    }
+}
+
 /// SHA-256 of a key. The key itself goes to no router.
 pub type KeyDigest = [u8; 32];
 
--- a/crates/deckwind-net/src/targets/kept.rs
+++ b/crates/deckwind-net/src/targets/kept.rs
@@ -36,7 +36,7 @@
 /// How much earlier than the target says we stop using an idle connection.
 const REST_MARGIN: Duration = Duration::from_millis(700);
 
-/// Idle connections kept to one target.
+/// Most idle connections kept to one target.
 const MAX_IDLE: usize = 48;
 
 /// Longest wait for a connection that was just given back to be ready.
@@ -116,14 +116,15 @@
     }
 
     /// Gives a connection back after its answer was read to the end. `headers`
-    /// are the answer's.
-    pub fn give_back(&self, connection: TargetConnection, headers: &HeaderMap) {
+    /// are the answer's. It is closed if `most` are idle already: a target resets what
+    /// all its callers together hold beyond its bound.
+    pub fn give_back(&self, connection: TargetConnection, headers: &HeaderMap, most: usize) {
         let Some(rest) = rest_of(headers) else {
             return;
         };
         let mut all = self.idle.lock().expect("no holder panics");
         let list = all.entry(connection.address).or_default();
-        if list.len() < MAX_IDLE && !connection.tx.is_closed() {
+        if list.len() < most.min(MAX_IDLE) && !connection.tx.is_closed() {
             list.push(Idle {
                 tx: connection.tx,
                 since: self.clock.now(),
@@ -255,7 +256,7 @@
         let limited = Limited::new(body, MAX_ANSWER);
         let collected = limited.collect().await;
         let body = collected.map_err(|e| TargetError::Broken(e.to_string()))?;
-        connections.give_back(connection, &head.headers);
+        connections.give_back(connection, &head.headers, MAX_IDLE);
         Ok(TargetReply {
             status: head.status,
             headers: head.headers,
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod come_back;
 mod command_line;
+mod connections;
 mod contracts;
 mod crowding;
 mod cut_runs;
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -37,7 +37,7 @@
     Claim, InstanceIndex, LifeOver, Paid, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits,
     TargetBook, TargetFault,
 };
-use deckwind_core::state::{Configuration, Instance, Revision, Route, RouteKind};
+use deckwind_core::state::{Configuration, Instance, Pool, Revision, Route, RouteKind};
 use deckwind_core::time::Instant;
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::CallerDialect;
@@ -48,7 +48,7 @@
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use suspects::Suspects;
@@ -74,6 +74,8 @@
     dialect: Arc<dyn CallerDialect>,
     /// Connections to targets.
     pub connections: KeptConnections,
+    /// Routers with a lease, as the leader last told.
+    routers: AtomicU32,
     /// What is held for callers.
     pub deliveries: Arc<Deliveries>,
     /// Streams that stand still.
@@ -129,6 +131,7 @@
             clock: cx.clock,
             dialect: cx.dialects.callers.clone(),
             connections: KeptConnections::new(cx.clock),
+            routers: AtomicU32::new(1),
             deliveries: Arc::new(Deliveries::new(cx.clock, cfg)),
             stalls: StallWatch::new(cx.dialects.engines.clone()),
             silences: Silences::default(),
@@ -147,6 +150,11 @@
         }
     }
 
+    /// Idle connections that this router may keep to a target of a pool.
+    pub fn most_idle(&self, pool: &Pool) -> usize {
+        pool.most_idle(self.routers.load(Ordering::Relaxed))
+    }
+
     /// The release in force here.
     pub fn release(&self) -> Option<Arc<ReleaseIndex>> {
         self.release.load_full()
@@ -282,6 +290,7 @@
         if self.repeats().told(asked, lasts, &grant.repeats) {
             self.repeats_came.notify_waiters();
         }
+        self.routers.store(grant.routers, Ordering::Relaxed);
         self.limits_told(asked, now, grant);
         let mut book = self.book();
         if let Some(in_use) = &grant.in_use {
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -177,10 +177,11 @@
             Err(_) => RunEnd::Broke,
         });
         let body = collected.map_err(|e| Ended::Broken(e.to_string()))?;
-        shared
-            .routes
-            .connections
-            .give_back(connection, &head.headers);
+        shared.routes.connections.give_back(
+            connection,
+            &head.headers,
+            shared.routes.most_idle(&self.job.pool),
+        );
         strip_connection_headers(&mut head.headers);
         Ok(Opening::Whole(head.status, head.headers, body))
     }
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -292,7 +292,8 @@
         let kept = head.headers.clone();
         let checked = self.check(head.status, head.headers, body, held);
         if !matches!(checked, Err(Ended::MayHaveRun(_))) {
-            connections.give_back(connection, &kept);
+            let most = job.shared.routes.most_idle(&job.pool);
+            connections.give_back(connection, &kept, most);
         }
         checked
     }
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -289,10 +289,11 @@
         }
         run.close(RunEnd::Served);
         hold.answered();
-        shared
-            .routes
-            .connections
-            .give_back(connection, &head.headers);
+        shared.routes.connections.give_back(
+            connection,
+            &head.headers,
+            shared.routes.most_idle(&self.opener.job.pool),
+        );
         let rest = cutter.rest();
         if !rest.is_empty() && self.send(rest).is_err() {
             return PartEnd::CallerLeft;
