--- a/crates/deckwind-spec/examples/explore.rs
+++ b/crates/deckwind-spec/examples/explore.rs
@@ -2,8 +2,9 @@
 //! out, the shortest bad run.
 
 use deckwind_spec::{
-    ClaimRules, ClaimSpec, LogBounds, LogRules, LogSpec, RepeatBounds, RepeatRules, RepeatSpec,
-    Spec, claim_cases, explore, log_cases, repeat_cases,
+    ClaimRules, ClaimSpec, LimitBounds, LimitRules, LimitSpec, LogBounds, LogRules, LogSpec,
+    RepeatBounds, RepeatRules, RepeatSpec, Spec, claim_cases, explore, limit_cases, log_cases,
+    repeat_cases,
 };
 use std::time::Instant;
 
@@ -46,4 +47,13 @@
         let name = format!("repeats without {}, {:?}", case.without, case.spec.bounds);
         show(&name, &case.spec);
     }
+    for bounds in LimitBounds::LARGE {
+        let rules = LimitRules::ALL;
+        let name = format!("limits, all rules, {bounds:?}");
+        show(&name, &LimitSpec { rules, bounds });
+    }
+    for case in limit_cases() {
+        let name = format!("limits without {}, {:?}", case.without, case.spec.bounds);
+        show(&name, &case.spec);
+    }
 }
--- a/crates/deckwind-spec/src/lib.rs
+++ b/crates/deckwind-spec/src/lib.rs
@@ -11,6 +11,9 @@
 
 mod cases;
 mod claim_spec;
+mod limit_cases;
+mod limit_rules;
+mod limit_spec;
 mod log_spec;
 mod repeat_cases;
 mod repeat_rules;
@@ -18,6 +21,9 @@
 
 pub use cases::{Case, claim_cases, log_cases};
 pub use claim_spec::{ClaimRules, ClaimSpec};
+pub use limit_cases::limit_cases;
+pub use limit_rules::{LimitBounds, LimitRules};
+pub use limit_spec::LimitSpec;
 pub use log_spec::{LogBounds, LogRules, LogSpec};
 pub use repeat_cases::repeat_cases;
 pub use repeat_rules::{RepeatBounds, RepeatRules};
--- a/crates/deckwind-testkit/tests/testsuite/specification.rs
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -2,10 +2,24 @@
 //! are explored by `cargo run --release -p deckwind-spec --example explore`.
 
 use deckwind_spec::{
-    ClaimRules, ClaimSpec, LogBounds, LogRules, LogSpec, RepeatBounds, RepeatRules, RepeatSpec,
-    claim_cases, explore, log_cases, repeat_cases,
+    Case, ClaimRules, ClaimSpec, LimitBounds, LimitRules, LimitSpec, LogBounds, LogRules, LogSpec,
+    RepeatBounds, RepeatRules, RepeatSpec, Spec, claim_cases, explore, limit_cases, log_cases,
+    repeat_cases,
 };
 
+/// Each rule that is taken out gives a run that breaks what it protects.
+fn each_breaks<S: Spec>(cases: Vec<Case<S>>) {
+    for case in cases {
+        let run = explore(&case.spec).counterexample;
+        let run = run.unwrap_or_else(|| panic!("without {}: nothing breaks", case.without));
+        assert_eq!(
+            run.last().map(String::as_str),
+            Some(case.breaks),
+            "{run:#?}"
+        );
+    }
+}
+
 #[test]
 fn with_all_rules_the_log_keeps_its_invariants() {
     for bounds in LogBounds::SMALL {
@@ -17,15 +31,7 @@
 
 #[test]
 fn without_any_one_of_its_rules_the_log_breaks() {
-    for case in log_cases() {
-        let run = explore(&case.spec).counterexample;
-        let run = run.unwrap_or_else(|| panic!("without {}: nothing breaks", case.without));
-        assert_eq!(
-            run.last().map(String::as_str),
-            Some(case.breaks),
-            "{run:#?}"
-        );
-    }
+    each_breaks(log_cases());
 }
 
 #[test]
@@ -37,15 +43,7 @@
 
 #[test]
 fn without_any_one_of_their_rules_claims_break() {
-    for case in claim_cases() {
-        let run = explore(&case.spec).counterexample;
-        let run = run.unwrap_or_else(|| panic!("without {}: nothing breaks", case.without));
-        assert_eq!(
-            run.last().map(String::as_str),
-            Some(case.breaks),
-            "{run:#?}"
-        );
-    }
+    each_breaks(claim_cases());
 }
 
 #[test]
@@ -60,13 +58,20 @@
 
 #[test]
 fn without_any_one_of_their_rules_repeats_pass_the_bound() {
-    for case in repeat_cases() {
-        let run = explore(&case.spec).counterexample;
-        let run = run.unwrap_or_else(|| panic!("without {}: nothing breaks", case.without));
-        assert_eq!(
-            run.last().map(String::as_str),
-            Some(case.breaks),
-            "{run:#?}"
-        );
+    each_breaks(repeat_cases());
+}
+
+#[test]
+fn with_all_rules_routers_keep_a_limit() {
+    for bounds in LimitBounds::SMALL {
+        let rules = LimitRules::ALL;
+        let explored = explore(&LimitSpec { rules, bounds });
+        assert_eq!(explored.counterexample, None, "{bounds:?}");
+        assert!(explored.states > 1_000, "{bounds:?}: {}", explored.states);
     }
 }
+
+#[test]
+fn without_any_one_of_their_rules_limits_are_passed() {
+    each_breaks(limit_cases());
+}
