Bystanders: a content whose ends others explain is not condemned

What callers saw: where a request that ends its targets was asked for five times at once, nine others were refused for an hour: streams that had moved together from one engine that ended to the next, and had just begun at three. Cause: each content was judged by its own ends alone. Ruled out: several contents at fault (the routers' lines: one was at all seven ends). Change: ends tell whether an event had come; 16 are kept of a content instead of 3; what those explain against which more speaks is not listed. State has version 4 (replace all replicas together, empty data folders). Why it holds: only what is quarantined explains, so each end that is forgiven is one of a content that is sent no more; a second content at fault is condemned with its first end apart from the first. The row soon_after_it asked for an end without the new mark: it asks for the one with it now.

--- a/crates/deckwind-core/src/routes/cut_runs.rs
+++ b/crates/deckwind-core/src/routes/cut_runs.rs
@@ -12,7 +12,9 @@
 //!  answered whole ────┴─► served: what was held against it is forgotten ───────► leader
 //! ```
 
-use crate::state::{ContentDigest, ENDS_TO_QUARANTINE, Life, SuspectChange, SuspectList};
+use crate::state::{
+    ContentDigest, ENDS_TO_QUARANTINE, Life, MOST_ENDS, SuspectChange, SuspectList,
+};
 use crate::time::Instant;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -54,6 +56,8 @@
 struct Waiting {
     content: ContentDigest,
     life: Life,
+    /// Whether an event of it had come.
+    begun: bool,
     until: Instant,
 }
 
@@ -106,7 +110,7 @@
         }
         if self.over.iter().any(|(over, _)| over == life) {
             // Another router may have seen the same end, and it may be agreed by now.
-            self.ended(now, content, life.clone(), 0);
+            self.ended(now, content, (life.clone(), ran.is_some()), 0);
         } else {
             let until = now + WAITS_FOR;
             let life = life.clone();
@@ -115,6 +119,7 @@
                 Waiting {
                     content,
                     life,
+                    begun: ran.is_some(),
                     until,
                 },
             );
@@ -147,16 +152,22 @@
         for life in lives {
             push(&mut self.over, (life, now));
         }
-        let ended = there.into_iter().map(|w| (w.content, w.life));
-        let ended: Vec<_> = ended.collect();
-        for (content, life) in &ended {
-            self.ended(now, *content, life.clone(), self.agreed.ends(content));
+        for w in &there {
+            let before = self.agreed.ends(&w.content);
+            self.ended(now, w.content, (w.life.clone(), w.begun), before);
         }
-        ended
+        there.into_iter().map(|w| (w.content, w.life)).collect()
     }
 
-    /// A life ended under a content; `before` are agreed ends that are surely others.
-    fn ended(&mut self, now: Instant, content: ContentDigest, life: Life, before: usize) {
+    /// A life ended under a content, an event of which had come from there or not;
+    /// `before` are agreed ends that are surely others.
+    fn ended(
+        &mut self,
+        now: Instant,
+        content: ContentDigest,
+        (life, begun): (Life, bool),
+        before: usize,
+    ) {
         if self.ends.len() >= MOST {
             self.ends
                 .retain(|_, own| now.since(own.last) < OWN_COUNT_FOR);
@@ -173,7 +184,7 @@
             last: now,
         });
         own.last = now;
-        if own.lives.contains(&life) || own.lives.len() >= ENDS_TO_QUARANTINE {
+        if own.lives.contains(&life) || own.lives.len() >= MOST_ENDS {
             return;
         }
         own.lives.push(life.clone());
@@ -181,7 +192,12 @@
         // third end sent the content on until that was agreed: five targets of chat
         // completions ended instead of three.
         own.known = own.known.max(before) + 1;
-        push(&mut self.news, SuspectChange::Ended { content, life });
+        let end = SuspectChange::Ended {
+            content,
+            life,
+            begun,
+        };
+        push(&mut self.news, end);
     }
 
     /// What is agreed now. What this router saw itself is forgotten once the content is
--- a/crates/deckwind-core/src/state/encoding.rs
+++ b/crates/deckwind-core/src/state/encoding.rs
@@ -7,7 +7,7 @@
 /// Version of what is in the log and in snapshots; goes up with every change of
 /// its form. Before the second there was no such byte, and what was written began
 /// with a time, whose first byte is above 127.
-pub const STATE_VERSION: u8 = 3;
+pub const STATE_VERSION: u8 = 4;
 
 /// Why state can't be read.
 #[derive(Debug, PartialEq, Error)]
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -46,7 +46,7 @@
 };
 pub use packed::{PackedDelta, Unpackable};
 pub use quarantine::{
-    ENDS_TO_QUARANTINE, QUARANTINED_FOR_MS, Quarantine, SuspectChange, SuspectList,
+    ENDS_TO_QUARANTINE, MOST_ENDS, QUARANTINED_FOR_MS, Quarantine, SuspectChange, SuspectList,
 };
 pub use release::{
     AcceleratorKind, CallerLimits, EngineModel, KeyDigest, KeyHolder, Pool, PoolName, Published,
--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -10,11 +10,16 @@
 //! One end says little: whatever else ran there ended with the target, and targets
 //! end by themselves. A content that was there each time, and was never served well,
 //! is sent to nobody until an hour has passed since the last end.
+//!
+//! Where several were there, one may explain the ends of the others: streams move
+//! together from a target that ended to the next. A content all of whose ends are those
+//! of contents against which more speaks is not condemned.
 
 use super::content::ContentDigest;
 use super::lives::Life;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Lives that end under a content before it is quarantined: what operators allow a
 /// request to end. Streams that move together from a target that ended may meet the
@@ -23,6 +28,10 @@
 /// second, neither two nor three condemn a stream.
 pub const ENDS_TO_QUARANTINE: usize = 3;
 
+/// Ends that are kept of one content: those of the tries that were under way when it was
+/// quarantined tell it from what was there beside it.
+pub const MOST_ENDS: usize = 16;
+
 /// How long an end counts that is followed by no other: callers who ask again do so
 /// within minutes. Milliseconds.
 const ENDS_COUNT_FOR_MS: u64 = 10 * 60 * 1_000;
@@ -48,6 +57,8 @@
         content: ContentDigest,
         /// The life.
         life: Life,
+        /// Whether an event of it had come from there.
+        begun: bool,
     },
     /// A target has run it and is there.
     Served(ContentDigest),
@@ -59,13 +70,27 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Suspect {
     ended: Vec<Life>,
+    /// At how many of them an event of it had come.
+    begun: u32,
     /// When the last one did, by the leader's clock.
     last_ms: u64,
 }
 
 impl Suspect {
+    /// How much speaks against it beside others that were there. A content ends its
+    /// targets as they begin to run it: one of which no event ever came is at fault before
+    /// all others, then the one with more ends, then the one with fewer runs begun.
+    fn weight(&self) -> (bool, usize, Reverse<u32>) {
+        (self.begun == 0, self.ended.len(), Reverse(self.begun))
+    }
+
+    /// Whether it has enough ends to be quarantined.
+    fn is_full(&self) -> bool {
+        self.ended.len() >= ENDS_TO_QUARANTINE
+    }
+
     fn is_over(&self, now_ms: u64) -> bool {
-        let lasts = match self.ended.len() >= ENDS_TO_QUARANTINE {
+        let lasts = match self.is_full() {
             true => QUARANTINED_FOR_MS,
             false => ENDS_COUNT_FOR_MS,
         };
@@ -84,7 +109,11 @@
         self.0.retain(|_, suspect| !suspect.is_over(now_ms));
         for change in changes {
             match change {
-                SuspectChange::Ended { content, life } => self.ended(content, life, now_ms),
+                SuspectChange::Ended {
+                    content,
+                    life,
+                    begun,
+                } => self.ended(content, life, begun, now_ms),
                 SuspectChange::Served(content) | SuspectChange::Lift(content) => {
                     self.0.remove(&content);
                 }
@@ -92,18 +121,20 @@
         }
     }
 
-    fn ended(&mut self, content: ContentDigest, life: Life, now_ms: u64) {
+    fn ended(&mut self, content: ContentDigest, life: Life, begun: bool, now_ms: u64) {
         if !self.0.contains_key(&content) {
             self.make_room();
         }
         let suspect = self.0.entry(content).or_insert_with(|| Suspect {
             ended: Vec::new(),
+            begun: 0,
             last_ms: now_ms,
         });
-        if suspect.ended.contains(&life) || suspect.ended.len() >= ENDS_TO_QUARANTINE {
+        if suspect.ended.contains(&life) || suspect.ended.len() >= MOST_ENDS {
             return;
         }
         suspect.ended.push(life);
+        suspect.begun += u32::from(begun);
         suspect.last_ms = now_ms;
     }
 
@@ -129,22 +160,49 @@
     /// What is quarantined: the lives that ended under each content, and how long it
     /// stays so, milliseconds.
     pub fn quarantined(&self, now_ms: u64) -> impl Iterator<Item = (ContentDigest, &[Life], u64)> {
-        let full = move |s: &Suspect| s.ended.len() >= ENDS_TO_QUARANTINE && !s.is_over(now_ms);
-        let full = self.0.iter().filter(move |(_, s)| full(s));
-        full.map(move |(content, s)| {
+        let condemned = self.condemned();
+        let stands =
+            move |c: &ContentDigest, s: &Suspect| condemned.contains(c) && !s.is_over(now_ms);
+        let stand = self.0.iter().filter(move |(c, s)| stands(c, s));
+        stand.map(move |(content, s)| {
             let until = s.last_ms + QUARANTINED_FOR_MS;
             (*content, s.ended.as_slice(), until.saturating_sub(now_ms))
         })
     }
 
+    /// Contents with enough ends, but for those whose ends others explain.
+    fn condemned(&self) -> BTreeSet<ContentDigest> {
+        let full = self.0.iter().filter(|(_, s)| s.is_full());
+        let mut full: Vec<(&ContentDigest, &Suspect)> = full.collect();
+        full.sort_by_key(|(_, s)| Reverse(s.weight()));
+        let mut condemned: Vec<(&ContentDigest, &Suspect)> = Vec::new();
+        for (content, suspect) in full {
+            let explains = |life: &Life| {
+                let mut others = condemned
+                    .iter()
+                    .filter(|(_, s)| s.weight() > suspect.weight());
+                others.any(|(_, other)| other.ended.contains(life))
+            };
+            if !suspect.ended.iter().all(explains) {
+                condemned.push((content, suspect));
+            }
+        }
+        condemned.into_iter().map(|(content, _)| *content).collect()
+    }
+
     /// What routers are to know: whoever may be quarantined by its next end. Where
     /// there are too many, those with the most and latest ends.
     pub(super) fn list(&self) -> SuspectList {
         let near = ENDS_TO_QUARANTINE - 1;
-        let near = self.0.iter().filter(|(_, s)| s.ended.len() >= near);
+        let condemned = self.condemned();
+        let counts = |c: &ContentDigest, s: &Suspect| !s.is_full() || condemned.contains(c);
+        let near = self
+            .0
+            .iter()
+            .filter(|(c, s)| s.ended.len() >= near && counts(c, s));
         let mut near: Vec<_> = near.collect();
         if near.len() > MAX_LISTED {
-            near.sort_by_key(|(_, s)| std::cmp::Reverse((s.ended.len(), s.last_ms)));
+            near.sort_by_key(|(_, s)| Reverse((s.ended.len(), s.last_ms)));
             near.truncate(MAX_LISTED);
         }
         let listed = near
--- a/crates/deckwind-testkit/src/soak/limits.rs
+++ b/crates/deckwind-testkit/src/soak/limits.rs
@@ -5,6 +5,9 @@
 use deckwind_fakes::Arrival;
 use std::time::Duration;
 
+/// Limits that targets name, requests a second.
+pub(super) const LIMITS: [&str; 5] = ["0", "0.5", "2", "5.9", "20"];
+
 /// Spans of this length are looked at.
 const SPAN: Duration = Duration::from_secs(4);
 
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -36,6 +36,9 @@
 /// Beside how many faults a target turns all away.
 const TURNS_AWAY: f64 = 0.4;
 
+/// Part of the faults beside which a target names a limit for a while.
+const NAMES_LIMIT: f64 = 0.5;
+
 /// What one run saw.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -69,6 +72,8 @@
     /// Draws for targets that turn all away, so that seeds draw the other faults as
     /// they did before there were such.
     words: ChaCha8Rng,
+    /// The same for targets that name limits.
+    limits: ChaCha8Rng,
     faults: u64,
 }
 
@@ -109,6 +114,7 @@
             world,
             rng: ChaCha8Rng::seed_from_u64(seed),
             words: ChaCha8Rng::seed_from_u64(!seed),
+            limits: ChaCha8Rng::seed_from_u64(seed.rotate_left(32)),
             faults: 0,
         })
     }
@@ -121,6 +127,10 @@
             let ms = Duration::from_millis(self.words.random_range(200..2_500));
             self.world.turn_away_some(&mut self.words, ms);
         }
+        if self.limits.random_bool(NAMES_LIMIT) {
+            let ms = Duration::from_millis(self.limits.random_range(1_000..6_000));
+            self.world.limit_some(&mut self.limits, ms);
+        }
         let ms = Duration::from_millis(self.rng.random_range(50..2_500));
         match self.rng.random_range(0..10) {
             0 => self.restart_control(End::Kill, ms).await,
--- a/crates/deckwind-testkit/src/soak/world.rs
+++ b/crates/deckwind-testkit/src/soak/world.rs
@@ -1,6 +1,7 @@
 //! Targets, callers and an operator round the processes, and what they check.
 
 use super::calls::{ENDS, FLOOD, ONCE, Outcome, Shared};
+use super::limits::{LIMITS, check_limits};
 use super::notices::{self, REST, Spans};
 use super::{Harm, Proxy, Seen};
 use crate::layout::Layout;
@@ -214,6 +215,21 @@
         });
     }
 
+    /// A target names a limit for a while, and another one after half of it.
+    pub fn limit_some(&self, rng: &mut ChaCha8Rng, length: Duration) {
+        let targets = self.shared.targets.lock().expect("no holder panics");
+        let target = targets[rng.random_range(0..targets.len())].clone();
+        let mut limit = || LIMITS[rng.random_range(0..LIMITS.len())];
+        let (first, then) = (limit(), limit());
+        tokio::spawn(async move {
+            target.runner.name_limit(Some(first));
+            tokio::time::sleep(length / 2).await;
+            target.runner.name_limit(Some(then));
+            tokio::time::sleep(length / 2).await;
+            target.runner.name_limit(None);
+        });
+    }
+
     /// A router was killed, stopped, or stood still until now: it need not know what
     /// it was told.
     pub fn router_was_disturbed(&self, router: usize) {
@@ -299,6 +315,8 @@
             let arrivals = target.runner.arrivals();
             let checked = notices::check(&arrivals, &self.shared.disturbed, &target.harmed);
             checked.with_context(|| target.id.clone())?;
+            let checked = check_limits(&arrivals, &self.shared.disturbed, &target.harmed);
+            checked.with_context(|| target.id.clone())?;
         }
         Ok(())
     }
--- a/crates/deckwind-testkit/tests/testsuite/cut_runs.rs
+++ b/crates/deckwind-testkit/tests/testsuite/cut_runs.rs
@@ -164,7 +164,12 @@
         runs.lives_over(over, vec![life("a")]);
     }
     let news = runs.take_news();
-    let told = news.contains(&ended(it, life("a")));
+    let end = SuspectChange::Ended {
+        content: it,
+        life: life("a"),
+        begun: cut.ran_ms.is_some(),
+    };
+    let told = news.contains(&end);
     assert_eq!(told, counts, "{news:?}");
 }
 
--- a/crates/deckwind-testkit/tests/testsuite/quarantine.rs
+++ b/crates/deckwind-testkit/tests/testsuite/quarantine.rs
@@ -32,7 +32,11 @@
 }
 
 pub fn ended(content: ContentDigest, life: Life) -> SuspectChange {
-    SuspectChange::Ended { content, life }
+    SuspectChange::Ended {
+        content,
+        life,
+        begun: false,
+    }
 }
 
 pub fn quarantined(machine: &StateMachine) -> usize {
