--- a/crates/deckwind-core/src/control/slow.rs
+++ b/crates/deckwind-core/src/control/slow.rs
@@ -2,10 +2,8 @@
 //!
 //! Streams through them pause, though every stage is there: routers say so, the
 //! leader asks the engines that several of them name for their pace, and tells
-//! all routers. An engine that was slow is asked again until it no longer is.
-//!
-//! Calm but for 14 of 99 engines that are 12 times as slow for 9 s, 60 routers:
-//! worth of the day 0.934 instead of 0.837 (another seed 0.900 instead of 0.806).
+//! all routers, so that what begins goes round them. An engine that was slow is asked
+//! again until it no longer is.
 
 use super::control_core::ControlCore;
 use super::event::ControlAction;
--- a/crates/deckwind-core/src/control/urgent.rs
+++ b/crates/deckwind-core/src/control/urgent.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 /// How long a router may act without an urgent change: a key that is taken away
-/// stops within 5 s everywhere, a release within 2 s where the pace allows. Without
-/// this bound a router on a link of 10 Mbit/s acted on an old release for as long
-/// as 195 copies of the new one took, 10.8 s in virtual time.
+/// stops within 5 s everywhere, a release within 2 s where the pace allows. Else a
+/// router on a slow link would act on an old release for as long as the copies of all
+/// others take.
 const MOST_BEHIND: Duration = Duration::from_secs(2);
 
 /// Urgent changes of the last seconds.
--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -29,9 +29,8 @@
 const NO_ROOM_FOR: Duration = Duration::from_millis(300);
 
 /// How long what streams held there when it refused one is the most that it is
-/// taken to hold. What a router counted there is out of date by then: with 500 and
-/// 1,000 ms engines refuse less, and more requests find no path at all (crowding,
-/// in virtual time).
+/// taken to hold. What a router counted there is out of date by then: for longer, more
+/// requests would find no path at all.
 const REFUSED_FOR: Duration = Duration::from_millis(250);
 
 /// How a target failed.
--- a/crates/deckwind-core/src/routes/choice.rs
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -14,9 +14,7 @@
 const MOST: f64 = 1.0;
 
 /// How full with requests that are late already, as their callers were refused
-/// before: the last room is for those that can still be in time. Worth of days
-/// with losses 0.500 instead of 0.475 (mean of 10 runs each, 0.02 is chance);
-/// nothing at a steady load past the edge, where refusals by engines decide.
+/// before: the last room is for those that can still be in time.
 const LATE_MOST: f64 = 0.99;
 
 /// How full with requests that have begun elsewhere: breaking one off costs more
--- a/crates/deckwind-core/src/routes/come_back.rs
+++ b/crates/deckwind-core/src/routes/come_back.rs
@@ -41,15 +41,9 @@
             Refusal::NoLease => (300.0, 900.0),
             Refusal::OtherRouter => (10.0, 60.0),
             // What the other router sends first costs no repeat, and a stream that
-            // begins at once can still be in time. Against 200 to 700 ms, worth of
-            // days of 1.3 times the load that fits 0.606 instead of 0.564 (four
-            // runs each, 60 routers, 93 engines); of days with losses 0.416 and
-            // 0.425 (six each), which is chance.
+            // begins at once can still be in time.
             Refusal::NoRepeat => (20.0, 120.0),
-            // A try at another target can still be in time. Against 200 to 700 ms, 1,049
-            // instead of 1,004 of 1,076 requests that may be sent once were in aim where
-            // two of five targets turn all away, 20 instead of 11 refused twice (six
-            // seeds of a played day).
+            // A try at another target can still be in time.
             Refusal::NotTaken => (10.0, 60.0),
             Refusal::NoTarget => (200.0, 700.0),
             Refusal::Full => (400.0, 2_000.0),
--- a/crates/deckwind-core/src/routes/cut_runs.rs
+++ b/crates/deckwind-core/src/routes/cut_runs.rs
@@ -21,9 +21,8 @@
 use std::time::Duration;
 
 /// A run that goes on for longer after its first event is not what ends its target:
-/// four times the longest time seen. With all streams of 4 s counted, 55 to 80
-/// contents an hour were quarantined by chance, with this none (virtual time, one end
-/// of 30 targets a second, 60 streams a second).
+/// four times as long as such requests take to end one. Were all streams that an end
+/// breaks off counted, those that move together would be condemned by chance.
 pub const JUST_BEGUN: Duration = Duration::from_millis(500);
 
 /// How long a cut run waits for the end of its life to be known: a target that says
@@ -32,9 +31,7 @@
 
 /// How long a content that was served well is above suspicion at this router:
 /// targets that end together, as with their data centre, must not condemn what many
-/// callers ask for at once. Without it a content asked for three times a second was
-/// quarantined when three data centres of ten targets ended within three seconds
-/// (virtual time, one seed of three).
+/// callers ask for at once.
 const SERVED_FOR: Duration = Duration::from_secs(10);
 
 /// How long an end counts that is not agreed: as in the agreed state.
@@ -188,9 +185,8 @@
             return;
         }
         own.lives.push(life.clone());
-        // Counted by the larger of its own and the agreed ends, a router that saw the
-        // third end sent the content on until that was agreed: five targets of chat
-        // completions ended instead of three.
+        // On top of what is agreed, which can't hold this end yet: the router that saw the
+        // third one sends the content to nobody from now on.
         own.known = own.known.max(before) + 1;
         let end = SuspectChange::Ended {
             content,
@@ -216,8 +212,7 @@
 
     /// What this router has served lately is above suspicion at the others too: one that
     /// has just started has served nothing, and would condemn what many ask for after
-    /// three ends that it has nothing to do with. Without it a played soak had its only
-    /// stream refused for an hour (one seed, in one of three plays).
+    /// three ends that it has nothing to do with.
     fn defend(&mut self, now: Instant, before: &SuspectList) {
         let more = |c: &&ContentDigest| self.agreed.ends(c) > before.ends(c);
         let more = self.agreed.contents().filter(more);
--- a/crates/deckwind-core/src/routes/leased.rs
+++ b/crates/deckwind-core/src/routes/leased.rs
@@ -21,9 +21,7 @@
 /// Least part of the bound that the leader may still issue, in hundredths, for a
 /// stream that has not begun to get a repeat; and for one that is late already. Their
 /// callers may come back and count as requests then; a stream that has begun loses
-/// all that it has done. Leased repeats and shared refusals with it: part of the
-/// requests refused 0.066 to 0.048 on days with trouble, 0.029 to 0.019 on days of high
-/// load; worth 0.585 to 0.603 and 0.744 to 0.751 (means of six runs each).
+/// all that it has done.
 const FREE_FOR_NEW: u64 = 40;
 const FREE_FOR_LATE: u64 = 60;
 
--- a/crates/deckwind-core/src/routes/notices.rs
+++ b/crates/deckwind-core/src/routes/notices.rs
@@ -3,9 +3,7 @@
 //! A target that turns a request away may ask this VM to leave it alone for a while;
 //! one that is about to end says so in all its answers. Both are its own word, so both
 //! outlast the request that heard them, are kept by life, and need no contact to
-//! control replicas. Kept for 300 ms or for one request only, a target that had asked
-//! for 30 s was sent 10 requests in the next 6 s, and one that leaves as many; none
-//! now (real routers, a request each 0.6 s of the VM's time).
+//! control replicas.
 
 use crate::rate::Rate;
 use crate::state::{Instance, Life};
--- a/crates/deckwind-core/src/routes/silence/mod.rs
+++ b/crates/deckwind-core/src/routes/silence/mod.rs
@@ -18,10 +18,6 @@
 //! ask, and about which of them: one question for all that fell silent together.
 //! If no answer comes, what they show holds.
 //!
-//! Calm but for 12 of 98 engines that die within 0.6 s, 32 routers: pauses above
-//! 250 ms in 234 of 2,764 streams instead of 465 of 2,876, worth of the day 0.873
-//! instead of 0.815 (one play each; another seed 0.830 instead of 0.790).
-//!
 //! For streams on routes that say how long a pause may be; that sets the time
 //! scale. A router that was itself kept from running draws no conclusions for a
 //! moment: all its streams look silent then.
--- a/crates/deckwind-core/src/routing/layout.rs
+++ b/crates/deckwind-core/src/routing/layout.rs
@@ -5,9 +5,6 @@
 //! the time of one token through all stages. A layout keeps as many tokens as the
 //! cards allow, and is the shortest of those; the slowest cards stay empty, as
 //! spares for what is lost.
-//!
-//! Against layers shared out for equal stage times, the worth of days with losses
-//! on 38 cards of three kinds rose from 0.33 to 0.41 (mean of 15 runs each).
 
 use super::placement::Card;
 use crate::state::EngineModel;
--- a/crates/deckwind-core/src/routing/paths.rs
+++ b/crates/deckwind-core/src/routing/paths.rs
@@ -96,9 +96,7 @@
 
 /// Paths that are drawn in a data centre, of which the least full and shortest one
 /// is taken. More of them find shorter paths, and make routers that have heard the
-/// same more alike. Worth of days of 1.3 times the load that fits with 3, 6, 12 and
-/// 24 of them: 0.606, 0.643, 0.656, 0.625 (four runs each, 60 routers, 93 engines);
-/// of days with losses with 3 and 12: 0.416 and 0.424 (six runs each).
+/// same more alike.
 const DRAWN: u64 = 12;
 
 /// Stages that count as much as a path that is fuller by all of its memory: half
--- a/crates/deckwind-core/src/routing/target_state.rs
+++ b/crates/deckwind-core/src/routing/target_state.rs
@@ -44,9 +44,7 @@
     pub leaving: bool,
     /// Whether the platform says that its VM is leaving.
     pub vm_leaving: bool,
-    /// It wants to be left alone until then. By its health alone a service that had asked
-    /// for 120 s was called five times in the next 15 s (real router, a call each 3 s of
-    /// the VM's time).
+    /// It wants to be left alone until then, however well it answers otherwise.
     pub rests_until: Instant,
     /// Time for one layer of one token, microseconds: as the kind should, then
     /// as measured.
--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -23,9 +23,7 @@
 
 /// Lives that end under a content before it is quarantined: what operators allow a
 /// request to end. Streams that move together from a target that ended may meet the
-/// next end together, so two are chance where such requests come in storms. In
-/// virtual time, with one end of 30 targets a second for an hour and 60 streams a
-/// second, neither two nor three condemn a stream.
+/// next end together, so two are chance where such requests come in storms.
 pub const ENDS_TO_QUARANTINE: usize = 3;
 
 /// Ends that are kept of one content: those of the tries that were under way when it was
--- a/crates/deckwindd/src/control/calls.rs
+++ b/crates/deckwindd/src/control/calls.rs
@@ -35,8 +35,8 @@
 const MAX_BODY: usize = 16 << 20;
 
 /// Bodies of calls, and documents on their way, that are held at once, bytes: three
-/// of the longest. Control VMs have 256 MB; the largest replica that was measured
-/// used 103 (docs/CAPACITY.md).
+/// of the longest. Control VMs have 256 MB, and the rest of a replica needs less
+/// than half of them (docs/CAPACITY.md).
 const MAX_HELD: u64 = 3 * MAX_BODY as u64;
 
 /// Longest wait for a body.
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -437,9 +437,7 @@
 
 /// A line for each target of which this router now believes something else.
 fn note_targets(before: &InstanceIndex, now: &InstanceIndex, revision: Revision) {
-    // By id, not in pairs: a router that was told of 3,000 targets used 15.5% of
-    // its 0.12 of a core for them, 3.3% since (measured together with engines that
-    // are told only once they hold layers).
+    // By id, not in pairs: there are thousands of targets.
     let known: HashMap<&str, &Instance> = before.iter().map(|i| (i.id.as_str(), i)).collect();
     for i in now.iter() {
         let known = known.get(i.id.as_str());
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -36,11 +36,8 @@
 const ANSWER_KEPT_PERCENT: u64 = 50;
 
 /// Part of its prompt and kept answer that a stream counts with, in hundredths:
-/// counted in full, requests were refused while engines still had room. Found by
-/// trial; what makes the full count too high was not traced. The engine itself
-/// knows, and refuses what it has no room for. Against 100, at 1.25 times the load
-/// that fits 0.97 of the worth instead of 0.88, and 0.012 refused instead of 0.053;
-/// worth of days with losses 0.500 instead of 0.441 (mean of 10 runs each).
+/// counted in full, requests would be refused while engines still have room. The
+/// engine itself knows, and refuses what it has no room for.
 const COUNTED_PERCENT: u64 = 83;
 
 /// A stream that a target has begun.
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -199,9 +199,7 @@
     }
 
     /// A target refused the request without running it: others come first for a while.
-    /// Forgotten with the request, it looks the least busy and is chosen again. Where
-    /// two of five targets turned all away, 148 of 1,076 requests that may be sent once
-    /// were refused, with 300 ms 71, with 0.5 to 4 s 11 (six seeds of a played day).
+    /// Forgotten with the request, it would look the least busy and be chosen again.
     fn was_refused_by(&self, address: SocketAddr) {
         let shared = &self.job.shared;
         let now = shared.clock.now();
