--- a/crates/deckwind-core/benches/decisions.rs
+++ b/crates/deckwind-core/benches/decisions.rs
@@ -2,10 +2,13 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use deckwind_core::admission::{Admission, AdmissionConfig, Offer, Ticket, TicketId};
+use deckwind_core::control::{LimitDesk, LimitHeard, LimitKey, PermitAsk};
+use deckwind_core::rate::Rate;
+use deckwind_core::replication::Term;
 use deckwind_core::routing::{ChainNeed, Estimated, Fleet, GroupKey, Policy, prefix_hashes};
 use deckwind_core::state::{
-    ApplyRequest, Change, Command, CommandBody, LayerRange, Parameters, Priority, StateMachine,
-    Target, TargetKind, TargetStatus, Template, Workload,
+    ApplyRequest, Change, Command, CommandBody, LayerRange, Life, Parameters, Priority,
+    StateMachine, Target, TargetKind, TargetStatus, Template, Workload,
 };
 use deckwind_core::time::Instant;
 use std::collections::{BTreeMap, BTreeSet};
@@ -152,5 +155,46 @@
     group.finish();
 }
 
-criterion_group!(benches, choices, admissions, changes);
+/// A leader that is asked for permits by many routers, by limited targets.
+fn permits(c: &mut Criterion) {
+    let mut group = c.benchmark_group("permits, by limited targets");
+    for targets in [1u32, 100, 1_000] {
+        let now = Instant::from_millis(1_000);
+        let mut desk = LimitDesk::new(Term(1));
+        let asks: Vec<PermitAsk> = (0..targets).map(permit_ask).collect();
+        for ask in &asks {
+            desk.heard(now, &ask.heard);
+        }
+        let mut turn = 0usize;
+        group.bench_with_input(BenchmarkId::new("leader", targets), &targets, |b, _| {
+            b.iter(|| {
+                turn += 1;
+                let now = now + Duration::from_millis(turn as u64);
+                let ask = &asks[turn % asks.len()];
+                desk.heard(now, &ask.heard);
+                desk.permit(now, ask)
+            });
+        });
+    }
+    group.finish();
+}
+
+fn permit_ask(i: u32) -> PermitAsk {
+    let address = SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 80));
+    PermitAsk {
+        heard: LimitHeard {
+            target: LimitKey {
+                address,
+                life: Life::from(format!("i-{i:010x}").as_str()),
+            },
+            rate: Rate::from_millis(5_900),
+            ago: Duration::from_millis(100),
+            permitted: None,
+            none_named: None,
+        },
+        wants: 1,
+    }
+}
+
+criterion_group!(benches, choices, admissions, changes, permits);
 criterion_main!(benches);
--- a/crates/deckwind-fakes/src/site.rs
+++ b/crates/deckwind-fakes/src/site.rs
@@ -24,6 +24,15 @@
     pub last_event: Option<u64>,
 }
 
+/// The head of a generation without a body, as a caller writes it to a socket: one that
+/// waits as long as its route allows.
+pub fn generation_head(path: &str, key: &str, id: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {key}\r\n\
+         X-Deckwind-Request-Id: {id}\r\nX-Deckwind-Token-Count: 50,24\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
 impl FakeCall<'_> {
     /// The request to a router. It waits 3 s, and claims to be another account's.
     pub fn request(&self, router: SocketAddr) -> http::Result<Request<Full<Bytes>>> {
--- a/crates/deckwind-testkit/examples/slow_readers.rs
+++ b/crates/deckwind-testkit/examples/slow_readers.rs
@@ -5,7 +5,7 @@
 //! ```
 
 use anyhow::{Context, Result};
-use deckwind_fakes::{FakeRunner, HOST, release_document};
+use deckwind_fakes::{FakeRunner, generation_head, release_document};
 use deckwind_testkit::{Layout, Processes, eventually_async};
 use http::Request;
 use http_body_util::Full;
@@ -40,10 +40,8 @@
     let socket = TcpSocket::new_v4()?;
     socket.set_recv_buffer_size(8_192)?;
     let mut stream = socket.connect(router).await?;
-    let head = format!(
-        "POST /tell/flood-{EVENTS}-{EVENT_BYTES} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer key\r\n\
-         X-Deckwind-Request-Id: {id}\r\nX-Deckwind-Token-Count: 50,24\r\nContent-Length: 0\r\n\r\n"
-    );
+    let path = format!("/tell/flood-{EVENTS}-{EVENT_BYTES}");
+    let head = generation_head(&path, "key", id);
     stream.write_all(head.as_bytes()).await?;
     Ok(stream)
 }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod full_disk;
 mod held_back;
 mod leaving;
+mod limit_rig;
 mod limits;
 mod lives;
 mod lives_at_routers;
