Room after a loss, against the most that the cards left could keep: a table before any change

Cause: losses cost most worth; what the cards could bear was not known. Change: an example in virtual time over the real desk, each single loss, any three, a kind in a data centre; a bound for whole chains of what is left. No product code. Not in it: paths across data centres, releases, scale-ins.

--- a/crates/deckwind-testkit/examples/placement_room.rs
+++ b/crates/deckwind-testkit/examples/placement_room.rs
@@ -4,7 +4,7 @@
 //!
 //! `cargo run --release -p deckwind-testkit --example placement_room`
 
-use deckwind_testkit::placing::{Mix, Placing, Room};
+use deckwind_testkit::placing::{MIXES, Placing, Room};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -14,26 +14,6 @@
 /// Until all layers of a start are loaded, 15 loads waiting for each other.
 const STARTS_IN: Duration = Duration::from_secs(60);
 
-/// Engines by kind in three data centres.
-const MIXES: [(&str, &Mix); 4] = [
-    (
-        "93 engines, large small slow",
-        &[[4, 0, 10, 11, 0], [3, 0, 14, 16, 0], [2, 0, 24, 9, 0]],
-    ),
-    (
-        "38 engines, large small slow",
-        &[[2, 0, 4, 4, 0], [1, 0, 6, 6, 0], [1, 0, 10, 4, 0]],
-    ),
-    (
-        "38 engines, half slow weak",
-        &[[0, 3, 0, 3, 5], [0, 1, 0, 5, 8], [0, 1, 0, 7, 5]],
-    ),
-    (
-        "99 engines, half slow weak",
-        &[[0, 4, 0, 9, 14], [0, 2, 0, 13, 22], [0, 1, 0, 22, 12]],
-    ),
-];
-
 fn mean(rooms: &[Room], of: impl Fn(&Room) -> f64) -> f64 {
     rooms.iter().map(of).sum::<f64>() / rooms.len() as f64 / 1e3
 }
--- a/crates/deckwind-testkit/src/placing.rs
+++ b/crates/deckwind-testkit/src/placing.rs
@@ -56,6 +56,26 @@
 /// Engines of each kind in each data centre, in the order of [`KINDS`].
 pub type Mix = [[usize; 5]];
 
+/// Engines by kind in three data centres.
+pub const MIXES: [(&str, &Mix); 4] = [
+    (
+        "93 engines, large small slow",
+        &[[4, 0, 10, 11, 0], [3, 0, 14, 16, 0], [2, 0, 24, 9, 0]],
+    ),
+    (
+        "38 engines, large small slow",
+        &[[2, 0, 4, 4, 0], [1, 0, 6, 6, 0], [1, 0, 10, 4, 0]],
+    ),
+    (
+        "38 engines, half slow weak",
+        &[[0, 3, 0, 3, 5], [0, 1, 0, 5, 8], [0, 1, 0, 7, 5]],
+    ),
+    (
+        "99 engines, half slow weak",
+        &[[0, 4, 0, 9, 14], [0, 2, 0, 13, 22], [0, 1, 0, 22, 12]],
+    ),
+];
+
 /// Tokens that the engines of a layer keep.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Room {
@@ -68,6 +88,7 @@
 }
 
 /// Engines and the desk that places layers on them.
+#[derive(Clone)]
 pub struct Placing {
     desk: PlacementDesk,
     machine: StateMachine,
@@ -238,6 +259,22 @@
         }
     }
 
+    /// Most tokens that the engines that are there could keep at every layer, in whole
+    /// chains of each data centre's own that keep as many each: however many layers an
+    /// engine holds, it keeps so many tokens of each. Paths across data centres and
+    /// chains that keep different numbers are not counted.
+    pub fn most_room(&self) -> f64 {
+        let mut by_centre: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+        let ready = self.instances().iter();
+        for i in ready.filter(|i| i.state == InstanceState::Ready) {
+            let kind = KINDS.iter().find(|k| Some(k.0) == i.accelerator.as_deref());
+            let memory_mb = kind.expect("a known kind").1;
+            let centre = i.data_centre.as_str();
+            by_centre.entry(centre).or_default().push(memory_mb);
+        }
+        by_centre.values().map(|cards| most_of_cards(cards)).sum()
+    }
+
     /// What the engines keep now.
     pub fn room(&self) -> Room {
         let mut by_centre: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
@@ -265,3 +302,23 @@
         room
     }
 }
+
+/// Layers that a card can hold while it keeps so many tokens of each.
+fn most_layers(memory_mb: f64, tokens: f64) -> u32 {
+    let model = model();
+    let holds = |layers: &u32| tokens_beside(&model, memory_mb, *layers) >= tokens;
+    (1..=model.layers).take_while(holds).last().unwrap_or(0)
+}
+
+/// Most tokens of all chains that these cards make, over all numbers of tokens that a
+/// chain may keep.
+fn most_of_cards(cards: &[f64]) -> f64 {
+    const STEP: u64 = 500;
+    let model = model();
+    let of = |tokens: f64| {
+        let layers: u32 = cards.iter().map(|mb| most_layers(*mb, tokens)).sum();
+        f64::from(layers / model.layers) * tokens
+    };
+    let steps = (1..=model.max_tokens / STEP).map(|i| (i * STEP) as f64);
+    steps.map(of).fold(0.0, f64::max)
+}
