--- a/crates/deckwindd/src/router/routes/permits.rs
+++ b/crates/deckwindd/src/router/routes/permits.rs
@@ -17,12 +17,16 @@
 const COLLECT: Duration = Duration::from_millis(2);
 
 /// Longest question; without an answer requests go to other targets.
-const ASK_WITHIN: Duration = Duration::from_millis(200);
+const ASK_WITHIN: Duration = Duration::from_millis(150);
 
-/// How long a target is left alone for which the leader gave no answer, or fewer
-/// permits than were wanted.
+/// How long a target is left alone for which the leader gave no permit, or fewer than
+/// were wanted.
 const LEFT_ALONE: Duration = Duration::from_millis(100);
 
+/// How long where nobody answered: while a leader is elected, few requests are to wait
+/// in vain.
+const NOBODY_ANSWERED: Duration = Duration::from_millis(500);
+
 /// What became of one request's wish.
 #[derive(Clone, Copy, Debug)]
 enum Verdict {
@@ -179,7 +183,7 @@
             let error = other.err().map(|e| e.to_string());
             log::warn!("event=permits_not_answered error={error:?}");
             for (target, waiters) in askers {
-                routes.deny(now, &target, waiters.into_iter(), LEFT_ALONE);
+                routes.deny(now, &target, waiters.into_iter(), NOBODY_ANSWERED);
             }
         }
     }
