--- a/crates/deckwind-core/src/routes/cut_runs.rs
+++ b/crates/deckwind-core/src/routes/cut_runs.rs
@@ -107,7 +107,7 @@
         }
         if self.over.iter().any(|(over, _)| over == life) {
             // Another router may have seen the same end, and it may be agreed by now.
-            self.ended(now, content, (life.clone(), ran.is_some()), 0);
+            self.ended(now, content, life.clone(), ran.is_some(), 0);
         } else {
             let until = now + WAITS_FOR;
             let life = life.clone();
@@ -151,7 +151,7 @@
         }
         for w in &there {
             let before = self.agreed.ends(&w.content);
-            self.ended(now, w.content, (w.life.clone(), w.begun), before);
+            self.ended(now, w.content, w.life.clone(), w.begun, before);
         }
         there.into_iter().map(|w| (w.content, w.life)).collect()
     }
@@ -162,7 +162,8 @@
         &mut self,
         now: Instant,
         content: ContentDigest,
-        (life, begun): (Life, bool),
+        life: Life,
+        begun: bool,
         before: usize,
     ) {
         if self.ends.len() >= MOST {
--- a/crates/deckwind-testkit/tests/testsuite/limits.rs
+++ b/crates/deckwind-testkit/tests/testsuite/limits.rs
@@ -17,7 +17,6 @@
 
 use crate::rig::{KEY, Rig};
 use crate::run;
-use deckwind_fakes::FakeRunner;
 use deckwind_testkit::soak::{Spans, check_limits, id_at};
 use deckwind_testkit::{Layout, eventually_async};
 use http::StatusCode;
@@ -48,10 +47,6 @@
     rig
 }
 
-fn targets(rig: &Rig) -> impl Iterator<Item = &FakeRunner> {
-    rig.plain.iter().chain(&rig.engines)
-}
-
 /// Asks all routers so often, one request at each at a time.
 async fn ask_all(rig: &Rig, name: &str, count: usize, path: &str, tokens: bool) {
     for i in 0..count {
@@ -75,12 +70,12 @@
     run(async move {
         let rig = rig(plain, engines).await;
         rig.until_served(&path, tokens).await;
-        targets(&rig).for_each(|t| t.name_limit(Some(LIMIT)));
+        rig.targets().for_each(|t| t.name_limit(Some(LIMIT)));
         ask_all(&rig, "told", TOLD_BY, &path, tokens).await;
         tokio::time::sleep(UNDER_WAY).await;
         ask_all(&rig, "r", ASKED, &path, tokens).await;
         let undisturbed: Vec<Spans> = (0..ROUTERS).map(|_| Spans::default()).collect();
-        for target in targets(&rig) {
+        for target in rig.targets() {
             let checked = check_limits(&target.arrivals(), &undisturbed, &Spans::default());
             assert!(checked.is_ok(), "{:#}", checked.unwrap_err());
         }
@@ -104,7 +99,7 @@
     run(async move {
         let rig = rig(plain, engines).await;
         rig.until_served(&path, tokens).await;
-        let limited = targets(&rig).find(|t| !t.seen().is_empty());
+        let limited = rig.targets().find(|t| !t.seen().is_empty());
         let limited = limited.expect("one has served").clone();
         limited.name_limit(Some("0.2"));
         ask_all(&rig, "told", TOLD_BY, &path, tokens).await;
@@ -137,7 +132,7 @@
     run(async move {
         let rig = rig(plain, engines).await;
         rig.until_served(&path, tokens).await;
-        targets(&rig).for_each(|t| t.name_limit(Some("0.1")));
+        rig.targets().for_each(|t| t.name_limit(Some("0.1")));
         ask_all(&rig, "told", TOLD_BY, &path, tokens).await;
         let refused = eventually_async("one is refused", || async {
             let heard = rig.ask("r", &path, KEY, tokens).await;
@@ -146,8 +141,7 @@
         let refused = refused.await;
         assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
         assert_eq!(refused.body.as_deref(), Ok("resting\n"));
-        let after = refused.headers["retry-after"].to_str().expect("text");
-        let after: f64 = after.parse().expect("seconds");
+        let after = refused.come_back_after();
         assert!((0.0..1.6).contains(&after), "{after} s");
         rig.cluster.close().await.expect("closed");
     });
@@ -171,9 +165,9 @@
     run(async move {
         let rig = rig(plain, engines).await;
         rig.until_served(&path, tokens).await;
-        targets(&rig).for_each(|t| t.name_limit(Some(&limit)));
+        rig.targets().for_each(|t| t.name_limit(Some(&limit)));
         ask_all(&rig, "told", TOLD_BY, &path, tokens).await;
-        targets(&rig).for_each(|t| t.name_limit(None));
+        rig.targets().for_each(|t| t.name_limit(None));
         for router in 0..ROUTERS {
             eventually_async("ten in a row are served", || async {
                 for i in 0..10 {
--- a/crates/deckwind-testkit/tests/testsuite/rests.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rests.rs
@@ -17,7 +17,7 @@
 //! 300 ms (`event=target_asks_rest`, `event=target_refused`), 0.3 to 0.5 s apart; and
 //! the tests below.
 
-use crate::rig::{Heard, KEY, Rig};
+use crate::rig::{KEY, Rig};
 use crate::run;
 use deckwind_fakes::{FakeRunner, RunnerFault};
 use deckwind_testkit::{Layout, eventually_async};
@@ -41,10 +41,6 @@
     Rig::start_placed(layout, plain, engines).await
 }
 
-fn targets(rig: &Rig) -> impl Iterator<Item = &FakeRunner> {
-    rig.plain.iter().chain(&rig.engines)
-}
-
 /// Time goes by for the router, and its lease is renewed.
 async fn time_goes_by(rig: &Rig, time: Duration) {
     rig.cluster.router_was_suspended(0, time);
@@ -54,10 +50,10 @@
 /// Asks until a request is served; the target that requests are sent to.
 async fn first_choice(rig: &Rig, path: &str, tokens: bool) -> FakeRunner {
     rig.until_served(path, tokens).await;
-    let before: Vec<usize> = targets(rig).map(|t| t.seen().len()).collect();
+    let before: Vec<usize> = rig.targets().map(|t| t.seen().len()).collect();
     let heard = rig.ask("first", path, KEY, tokens).await;
     assert_eq!(heard.status, StatusCode::OK);
-    let mut now = targets(rig).zip(before);
+    let mut now = rig.targets().zip(before);
     let (target, _) = now.find(|(t, n)| t.seen().len() > *n).expect("it was sent");
     target.clone()
 }
@@ -152,11 +148,6 @@
     });
 }
 
-fn come_back_after(heard: &Heard) -> f64 {
-    let after = heard.headers.get("retry-after").expect("when to come back");
-    after.to_str().expect("text").parse().expect("seconds")
-}
-
 /// It asks for no rest, and looks the least busy: others come first for a while. A caller
 /// whose request may not be sent to them is asked back at once, as they stand ready.
 #[parameterized(
@@ -172,7 +163,7 @@
         let heard = rig.ask("refused", &path, KEY, false).await;
         assert_eq!(heard.status.as_u16(), status);
         if status == 503 {
-            let after = come_back_after(&heard);
+            let after = heard.come_back_after();
             assert!((0.01..0.061).contains(&after), "{after} s");
         }
         let seen = target.seen().len();
@@ -202,7 +193,7 @@
     run(async move {
         let rig = rig(plain, engines).await;
         rig.until_served(&path, tokens).await;
-        for target in targets(&rig) {
+        for target in rig.targets() {
             target.set_fault(RunnerFault::Refuses { at_fault: None });
             target.ask_rest(Some(REST));
         }
@@ -210,15 +201,15 @@
         for i in 0..4 {
             heard = rig.ask(&format!("r{i}"), &path, KEY, tokens).await;
         }
-        let seen: usize = targets(&rig).map(|t| t.seen().len()).sum();
+        let seen: usize = rig.targets().map(|t| t.seen().len()).sum();
         assert_eq!(heard.status, StatusCode::SERVICE_UNAVAILABLE);
-        let after = come_back_after(&heard);
+        let after = heard.come_back_after();
         assert!((REST_S - 5.0..REST_S + 2.0).contains(&after), "{after} s");
         for i in 0..WHILES {
             time_goes_by(&rig, A_WHILE).await;
             rig.ask(&format!("s{i}"), &path, KEY, tokens).await;
         }
-        let now: usize = targets(&rig).map(|t| t.seen().len()).sum();
+        let now: usize = rig.targets().map(|t| t.seen().len()).sum();
         assert_eq!(now, seen, "nobody was sent anything");
         rig.cluster.close().await.expect("closed");
     });
--- a/crates/deckwind-testkit/tests/testsuite/rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rig.rs
@@ -114,6 +114,14 @@
     pub body: Result<String, String>,
 }
 
+impl Heard {
+    /// Seconds after which the caller is to come back.
+    pub fn come_back_after(&self) -> f64 {
+        let after = self.headers.get("retry-after").expect("when to come back");
+        after.to_str().expect("text").parse().expect("seconds")
+    }
+}
+
 /// Sends a call to a control replica.
 pub async fn post(address: SocketAddr, path: &str, body: &Value) -> StatusCode {
     let client = Client::builder(TokioExecutor::new()).build_http();
@@ -278,10 +286,14 @@
         }
     }
 
+    /// All targets.
+    pub fn targets(&self) -> impl Iterator<Item = &FakeRunner> {
+        self.plain.iter().chain(&self.engines)
+    }
+
     /// Times that a request was sent to any target.
     pub fn sends(&self, id: &str) -> usize {
-        let all = self.plain.iter().chain(&self.engines);
-        let seen = all.flat_map(FakeRunner::seen);
+        let seen = self.targets().flat_map(FakeRunner::seen);
         seen.filter(|r| r.headers["x-deckwind-request-id"] == id)
             .count()
     }
--- a/crates/deckwindd/src/router/routes/permits.rs
+++ b/crates/deckwindd/src/router/routes/permits.rs
@@ -3,7 +3,7 @@
 
 use super::Routes;
 use crate::router::shared::RouterShared;
-use deckwind_core::control::{LimitKey, PermitAnswer, PermitAsk, PermitVerdict};
+use deckwind_core::control::{LeaderTime, LimitKey, PermitAsk, PermitVerdict};
 use deckwind_core::routes::Permit;
 use deckwind_core::time::Instant;
 use deckwind_wire::{ControlReply, ControlRequest};
@@ -42,6 +42,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoPermit;
 
+/// When the leader was asked, when its answer came, and when it answered by its clock.
+struct Answered {
+    asked: Instant,
+    now: Instant,
+    at: LeaderTime,
+}
+
 /// Requests that wait for permits.
 #[derive(Default)]
 pub struct PermitQueue {
@@ -94,12 +101,12 @@
     /// Gives those who wait for one target what the leader says.
     fn give(
         &self,
-        (asked, now): (Instant, Instant),
+        answered: &Answered,
         target: &LimitKey,
         waiters: Vec<Waiter>,
-        answer: (&PermitAnswer, &PermitVerdict),
+        verdict: &PermitVerdict,
     ) {
-        let (answer, verdict) = answer;
+        let Answered { asked, now, at } = *answered;
         let mut waiters = waiters.into_iter();
         match verdict {
             PermitVerdict::Unlimited => {
@@ -110,7 +117,7 @@
             }
             PermitVerdict::Permitted(waits) => {
                 for (wait, waiter) in waits.iter().zip(&mut waiters) {
-                    let permit = Permit::new(asked, now, *wait, answer.at);
+                    let permit = Permit::new(asked, now, *wait, at);
                     tell(waiter, Verdict::Permitted(permit));
                 }
                 self.deny(now, target, waiters, LEFT_ALONE);
@@ -175,8 +182,10 @@
     let now = shared.clock.now();
     match reply {
         Ok(ControlReply::Permits(answer)) if answer.verdicts.len() == askers.len() => {
+            let at = answer.at;
+            let answered = Answered { asked, now, at };
             for ((target, waiters), verdict) in askers.into_iter().zip(&answer.verdicts) {
-                routes.give((asked, now), &target, waiters, (&answer, verdict));
+                routes.give(&answered, &target, waiters, verdict);
             }
         }
         other => {
