The real programs at the size of a deployment, and what their targets are sent again

The soak has two routers and a bound that it never reaches.

The instrument starts any number of routers and replicas as processes, layered engines that depend on each other as tasks (a stream stands still while an engine on its path is down, takes another path when told, and is cut after 2.5 s), callers at a set rate, and troubles drawn by seed or given in turn. It counts at the targets: repeats in each window against the bound, requests that ran at more targets than one try allows, and arrivals for which no router wrote that it had paid.

--- a/crates/deckwind-fakes/src/lib.rs
+++ b/crates/deckwind-fakes/src/lib.rs
@@ -18,7 +18,10 @@
 pub use engine::{EngineFault, FakeEngine, FakeEngineConfig, Run};
 pub use model::{FakeModel, expected_answer};
 pub use platform::FakePlatformList;
-pub use runner::{AWAY, Arrival, ENDS_ITS_TARGET, EVENTS, FakeRunner, RunnerFault, SeenRequest};
+pub use runner::{
+    AWAY, Arrival, ENDS_ITS_TARGET, EVENTS, FakeRunner, Fleet, FleetArrival, FleetPace, Outage,
+    RunnerFault, SeenRequest,
+};
 pub use service::{FakeService, ServiceFault};
 pub use site::{FakeCall, HOST, generation_head, release_document, request_id};
 pub use weights::FakeWeightStore;
--- a/crates/deckwind-fakes/src/runner/answers.rs
+++ b/crates/deckwind-fakes/src/runner/answers.rs
@@ -1,10 +1,12 @@
 //! What a target reads, and what it writes.
 
+use super::fleet::{Fleet, NoPath, read_path};
 use super::{
     AWAY, ENDS_ITS_TARGET, EVENT_GAP, EVENTS, RunnerFault, SeenRequest, State, begin_life,
 };
 use anyhow::Result;
 use serde_json::{Value, json};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -27,6 +29,13 @@
     }
 }
 
+/// Waits while the target is silent.
+async fn speaks_again(state: &Mutex<State>) {
+    while state.lock().expect("no holder panics").is_silent() {
+        tokio::time::sleep(EVENT_GAP).await;
+    }
+}
+
 async fn read_request(stream: &mut BufReader<TcpStream>) -> Result<Option<SeenRequest>> {
     let mut line = String::new();
     if stream.read_line(&mut line).await? == 0 {
@@ -62,8 +71,14 @@
     lives: &watch::Sender<u32>,
 ) -> Result<bool> {
     match req.line.as_str() {
-        "GET /v1/report" => return report(s, state).await,
-        "POST /v1/order" => return order(s, &req, state).await,
+        "GET /v1/report" => {
+            speaks_again(state).await;
+            return report(s, state).await;
+        }
+        "POST /v1/order" => {
+            speaks_again(state).await;
+            return order(s, &req, state).await;
+        }
         _ => {}
     }
     let (id, fault) = {
@@ -75,6 +90,8 @@
     let request = req.headers.get("x-deckwind-request-id").cloned();
     let request = request.unwrap_or_default();
     note_arrival(state, &request, &fault);
+    let in_fleet = fleet_of(state, s.get_ref().local_addr()?, &request);
+    speaks_again(state).await;
     let expected = req.headers.get("x-deckwind-expect-instance");
     if expected.is_some_and(|e| *e != id) {
         let head = format!("421 Misdirected Request\r\nX-Deckwind-Request-Id: {request}");
@@ -93,9 +110,15 @@
         );
         return whole(s, state, &head, b"own words").await;
     }
+    let streams = req.headers.contains_key("x-deckwind-token-count");
+    if let Some(run) = in_fleet {
+        if streams {
+            return run.stream(s, &req, &fault, state).await;
+        }
+        run.fleet.began(run.arrival);
+    }
     let ran = request.clone();
     state.lock().expect("no holder panics").ran.push(ran);
-    let streams = req.headers.contains_key("x-deckwind-token-count");
     if req.line.ends_with(ENDS_ITS_TARGET) {
         return end_life(s, &request, streams, state, lives).await;
     }
@@ -105,6 +128,103 @@
     }
 }
 
+/// A request at a target of a fleet.
+struct FleetRun {
+    fleet: Fleet,
+    address: SocketAddr,
+    request: String,
+    arrival: usize,
+}
+
+fn fleet_of(state: &Mutex<State>, address: SocketAddr, request: &str) -> Option<FleetRun> {
+    let fleet = state.lock().expect("no holder panics").fleet.clone();
+    let (fleet, pool) = fleet?;
+    let arrival = fleet.arrived(request, &pool, address);
+    Some(FleetRun {
+        fleet,
+        address,
+        request: request.to_string(),
+        arrival,
+    })
+}
+
+impl FleetRun {
+    /// A stream over engines that may go down: it then stands still until it is told of
+    /// another path, and is cut after a while.
+    async fn stream(
+        &self,
+        s: &mut Stream,
+        req: &SeenRequest,
+        fault: &RunnerFault,
+        state: &Mutex<State>,
+    ) -> Result<bool> {
+        let path = req.headers.get("path").and_then(|p| read_path(p));
+        let path = path.unwrap_or_default();
+        let stream = match self.fleet.enter(self.address, &self.request, path) {
+            Ok(stream) => stream,
+            Err(refused) => return self.refuse(s, refused, state).await,
+        };
+        let last = req.headers.get("last-event-id");
+        let last: u64 = last.and_then(|l| l.parse().ok()).unwrap_or(0);
+        let pace = self.fleet.pace();
+        let mut next = last + 1;
+        let mut stands = None;
+        while next <= self.fleet.events(&self.request) {
+            tokio::time::sleep(pace.gap).await;
+            speaks_again(state).await;
+            if let Some(down) = stream.waits_for() {
+                let since = *stands.get_or_insert_with(Instant::now);
+                self.note_stall(state, Some(down));
+                match (since.elapsed() >= pace.stall, next == last + 1) {
+                    (false, _) => continue,
+                    (true, true) => return self.refuse(s, NoPath::Down(down), state).await,
+                    (true, false) => return Ok(false),
+                }
+            }
+            if stands.take().is_some() {
+                self.note_stall(state, None);
+            }
+            if next == last + 1 {
+                self.begin(s, state).await?;
+            }
+            if matches!(fault, RunnerFault::CutsAfter(at) if next > *at) {
+                chunk(s, &format!("id: {next}\nda")).await?;
+                return Ok(false);
+            }
+            chunk(s, &event_text(next)).await?;
+            next += 1;
+        }
+        s.write_all(b"0\r\n\r\n").await?;
+        Ok(true)
+    }
+
+    async fn begin(&self, s: &mut Stream, state: &Mutex<State>) -> Result<()> {
+        self.fleet.began(self.arrival);
+        let head = stream_head(&self.request, state);
+        Ok(s.write_all(head.as_bytes()).await?)
+    }
+
+    fn note_stall(&self, state: &Mutex<State>, behind: Option<SocketAddr>) {
+        let mut state = state.lock().expect("no holder panics");
+        state.stalled.retain(|(id, _)| *id != self.request);
+        let stall = behind.map(|down| (self.request.clone(), down));
+        state.stalled.extend(stall);
+    }
+
+    async fn refuse(&self, s: &mut Stream, why: NoPath, state: &Mutex<State>) -> Result<bool> {
+        let status = match why {
+            NoPath::NotHeld(_) => "421 Misdirected Request",
+            NoPath::Down(_) | NoPath::Full(_) => "503 Service Unavailable",
+        };
+        let head = format!(
+            "{status}\r\nX-Deckwind-Request-Id: {}\r\nX-Deckwind-Not-Executed: 1\r\nAt-Server: {}",
+            self.request,
+            why.address()
+        );
+        whole(s, state, &head, b"").await
+    }
+}
+
 fn note_arrival(state: &Mutex<State>, request: &str, fault: &RunnerFault) {
     let mut state = state.lock().expect("no holder panics");
     state.note_arrival(request, fault);
@@ -340,6 +460,24 @@
     whole(s, state, "200 OK", body.as_bytes()).await
 }
 
+async fn change_path(s: &mut Stream, order: &Value, state: &Mutex<State>) -> Result<bool> {
+    let fleet = state.lock().expect("no holder panics").fleet.clone();
+    let Some((fleet, _)) = fleet else {
+        return whole(s, state, "202 Accepted", b"").await;
+    };
+    let address = s.get_ref().local_addr()?;
+    let path = order["path"].as_str().and_then(read_path);
+    let request = order["id"].as_str().unwrap_or_default();
+    match fleet.change_path(address, request, path.unwrap_or_default()) {
+        Some(Ok(())) => whole(s, state, "202 Accepted", b"").await,
+        Some(Err(refused)) => {
+            let why = json!({"address": refused.address()}).to_string();
+            whole(s, state, "409 Conflict", why.as_bytes()).await
+        }
+        None => whole(s, state, "404 Not Found", b"").await,
+    }
+}
+
 fn refuses_order(state: &Mutex<State>) -> bool {
     let mut state = state.lock().expect("no holder panics");
     let refuses = state.fault == RunnerFault::RefusesOrders;
@@ -351,7 +489,7 @@
     let order: Value = serde_json::from_slice(&req.body)?;
     if order["op"] == "repath" {
         state.lock().expect("no holder panics").path_changes += 1;
-        return whole(s, state, "202 Accepted", b"").await;
+        return change_path(s, &order, state).await;
     }
     if refuses_order(state) {
         return whole(s, state, "503 Service Unavailable", b"").await;
--- a/crates/deckwind-fakes/src/runner/mod.rs
+++ b/crates/deckwind-fakes/src/runner/mod.rs
@@ -5,9 +5,11 @@
 //! that a library would not write.
 
 mod answers;
+mod fleet;
 
 use answers::serve;
 use anyhow::{Context, Result};
+pub use fleet::{Fleet, FleetArrival, FleetPace, Outage};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -136,6 +138,12 @@
     limit: Option<String>,
     /// It has ended, and starts again then.
     away_until: Option<Instant>,
+    /// It is silent until then: it takes connections, and neither reads nor writes.
+    silent_until: Option<Instant>,
+    /// What its card is.
+    kind: Option<String>,
+    /// The fleet that it belongs to, and its pool there.
+    fleet: Option<(Fleet, String)>,
 }
 
 impl State {
@@ -157,6 +165,16 @@
         self.away_until.is_some_and(|until| Instant::now() < until)
     }
 
+    fn is_silent(&self) -> bool {
+        self.silent_until
+            .is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Whether it does nothing for the streams that pass through it.
+    fn is_down(&self) -> bool {
+        self.is_away() || self.is_silent()
+    }
+
     /// Takes an order, if it expects as many as have been taken.
     fn take_order(&mut self, layers: (u32, u32), expects: u64) -> bool {
         let fits = expects == self.orders;
@@ -215,6 +233,40 @@
         })
     }
 
+    /// Has it be an engine with such a card, or a plain target, of a fleet.
+    pub fn join(&self, fleet: &Fleet, pool: &str, kind: Option<&str>) {
+        fleet.join(self.address, self.state.clone());
+        let mut state = self.lock();
+        state.fleet = Some((fleet.clone(), pool.to_string()));
+        state.kind = kind.map(str::to_string);
+    }
+
+    /// It stands still for so long: it takes connections, and neither reads nor writes.
+    /// Then it goes on with what it runs.
+    pub fn pause(&self, length: Duration) {
+        self.lock().silent_until = Some(Instant::now() + length);
+    }
+
+    /// It ends, refuses connections for so long, and starts again under its id.
+    pub fn crash(&self, length: Duration) {
+        begin_life(&self.state, &self.lives);
+        let mut state = self.lock();
+        state.away_until = Some(Instant::now() + length);
+        note_outage(&state, self.address);
+    }
+
+    /// It stands still for so long, and then starts again under its id.
+    pub fn fall_silent(&self, length: Duration) {
+        let until = Instant::now() + length;
+        self.pause(length);
+        note_outage(&self.lock(), self.address);
+        let (state, lives) = (self.state.clone(), self.lives.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep_until(until).await;
+            begin_life(&state, &lives);
+        });
+    }
+
     /// Starts again under its id: what it did is broken off, and it holds and
     /// knows nothing of before, but what it has seen.
     pub fn start_again(&self) {
@@ -335,7 +387,7 @@
 
     /// Whether it listens.
     pub fn listens(&self) -> bool {
-        !self.task.is_finished() && !self.lock().is_away()
+        !self.task.is_finished() && !self.lock().is_down()
     }
 
     /// What it announces of itself.
@@ -343,13 +395,17 @@
         let (from, to) = self.layers();
         json!({
             "backend": pool, "address": self.address, "zone": zone, "version": "v1",
-            "slots": 8, "state": state, "coldLeftMs": 0, "seq": number, "kind": "card",
+            "slots": 8, "state": state, "coldLeftMs": 0, "seq": number, "kind": self.kind(),
             "layers": {"from": from, "targetVersion": to, "version": 1},
             "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
             "born": self.lock().born,
         })
     }
 
+    fn kind(&self) -> String {
+        self.lock().kind.clone().unwrap_or("card".to_string())
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder panics")
     }
@@ -365,25 +421,75 @@
         seen: before.seen,
         ran: before.ran,
         ended_by_requests: before.ended_by_requests,
+        kind: before.kind,
+        fleet: before.fleet,
         ..State::default()
     };
     drop(state);
     lives.send_modify(|life| *life += 1);
 }
 
+fn note_outage(state: &State, address: SocketAddr) {
+    if let Some((fleet, _)) = &state.fleet {
+        fleet.is_down(address);
+    }
+}
+
+/// Between two tries to listen again.
+const LISTEN_AGAIN: Duration = Duration::from_millis(20);
+
+/// Serves for ever. One that is away does not listen, so that connections are refused.
 async fn accept_all(
     listener: TcpListener,
     state: Arc<Mutex<State>>,
     lives: Arc<watch::Sender<u32>>,
 ) {
-    while let Ok((stream, _)) = listener.accept().await {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Some(listener);
+    loop {
+        let away_until = state.lock().expect("no holder panics").away_until;
+        if let Some(until) = away_until.filter(|until| Instant::now() < *until) {
+            listener = None;
+            tokio::time::sleep_until(until).await;
+        }
+        match listener.take() {
+            Some(open) => {
+                accept_while_there(&open, &state, &lives).await;
+                listener = Some(open);
+            }
+            None => match TcpListener::bind(address).await {
+                Ok(open) => listener = Some(open),
+                Err(_) => tokio::time::sleep(LISTEN_AGAIN).await,
+            },
+        }
+    }
+}
+
+/// Accepts connections until the target's life ends.
+async fn accept_while_there(
+    listener: &TcpListener,
+    state: &Arc<Mutex<State>>,
+    lives: &Arc<watch::Sender<u32>>,
+) {
+    let mut ends = lives.subscribe();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = ends.changed() => return,
+        };
+        let Ok((stream, _)) = stream else {
+            return;
+        };
         {
             let mut state = state.lock().expect("no holder panics");
             if state.is_away() {
-                continue;
+                return;
             }
             state.connections += 1;
         }
+        let (state, lives) = (state.clone(), lives.clone());
         let mut life = lives.subscribe();
         let serving = serve(stream, state.clone(), lives.clone());
         tokio::spawn(async move {
--- a/crates/deckwind-testkit/src/layout.rs
+++ b/crates/deckwind-testkit/src/layout.rs
@@ -43,6 +43,10 @@
     pub repeats: (f64, u32),
     /// Memory of a router's VM, MB.
     pub memory_mb: Option<f64>,
+    /// Data centres, over which the VMs are spread in turn.
+    pub data_centres: Vec<&'static str>,
+    /// Length of a lease, where it is not the usual one.
+    pub lease: Option<&'static str>,
 }
 
 /// Ports of the OS's choice that nobody else gets while this lives.
@@ -117,6 +121,8 @@
             repeats: (2.0, 100),
             platform: None,
             memory_mb: None,
+            data_centres: vec!["recife-a"],
+            lease: None,
             _ports: ports,
         })
     }
@@ -141,7 +147,7 @@
         self.folder().join(format!("data-{slot}"))
     }
 
-    fn common(&self, vm: &str) -> serde_json::Value {
+    fn common(&self, vm: &str, number: usize) -> serde_json::Value {
         let control_vms: Vec<serde_json::Value> = self
             .control
             .iter()
@@ -150,13 +156,19 @@
             .collect();
         serde_json::json!({
             "vm": vm,
-            "data_centre": "recife-a",
+            "data_centre": self.data_centres[number % self.data_centres.len()],
             "keys": { "ca": "keys/ca.pem", "certificate": "keys/vm.pem", "key": "keys/vm.key" },
             "control_vms": control_vms,
             "log": { "level": "info" },
         })
     }
 
+    fn set_lease(&self, role: &mut serde_json::Value) {
+        if let Some(lease) = self.lease {
+            role["lease"] = serde_json::json!(lease);
+        }
+    }
+
     fn write(&self, name: &str, settings: &serde_json::Value) -> Result<PathBuf> {
         let file = self.folder().join(format!("{name}.jsonc"));
         std::fs::write(&file, serde_json::to_string_pretty(settings)?)?;
@@ -166,7 +178,7 @@
     /// Writes the settings of a control replica.
     pub fn control_settings(&self, slot: usize) -> Result<PathBuf> {
         let name = format!("control-{slot}");
-        let mut settings = self.common(&name);
+        let mut settings = self.common(&name, slot);
         settings["control"] = serde_json::json!({
             "slot": slot,
             "data_folder": self.data_folder(slot),
@@ -174,6 +186,7 @@
             "calls": self.control_calls[slot],
             "operator_token_sha256": self.token_sha256,
         });
+        self.set_lease(&mut settings["control"]);
         self.write(&name, &settings)
     }
 
@@ -202,7 +215,7 @@
     /// Writes the settings of a router.
     pub fn router_settings(&self, i: usize) -> Result<PathBuf> {
         let name = format!("router-{i}");
-        let mut settings = self.common(&name);
+        let mut settings = self.common(&name, i);
         let at = self.routers[i];
         settings["router"] = serde_json::json!({
             "callers": at.callers,
@@ -213,6 +226,7 @@
             "accelerators": { "fake": "50us" },
             "repeats": { "share": self.repeats.0, "beyond": self.repeats.1, "window": "10s" },
         });
+        self.set_lease(&mut settings["router"]);
         if let Some(memory) = self.memory_mb {
             settings["router"]["memory"] = serde_json::json!(memory);
         }
--- a/crates/deckwind-testkit/src/lib.rs
+++ b/crates/deckwind-testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! one process ([`Cluster`]) or as processes ([`Processes`]). Not for:
 //! production.
 
+pub mod at_size;
 mod caller;
 mod cluster;
 pub mod fan_out;
--- a/crates/deckwind-testkit/src/processes.rs
+++ b/crates/deckwind-testkit/src/processes.rs
@@ -7,9 +7,31 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::{Arc, Mutex};
 
 /// A child process; killed when it is dropped.
-pub struct Process(Child);
+pub struct Process {
+    child: Child,
+    /// Whether it has not been waited for: until then its id is nobody else's.
+    is_there: Arc<Mutex<bool>>,
+}
+
+/// Wakes a process that stands still, if it is still there.
+pub struct Wake {
+    id: u32,
+    is_there: Arc<Mutex<bool>>,
+}
+
+impl Wake {
+    /// Sends the signal.
+    pub fn send(&self) -> Result<()> {
+        let is_there = self.is_there.lock().expect("no holder panics");
+        match *is_there {
+            true => signal(self.id, "CONT"),
+            false => Ok(()),
+        }
+    }
+}
 
 impl Process {
     fn spawn(program: &Path, args: &[String], out: Stdio, log: File) -> Result<Self> {
@@ -20,38 +42,52 @@
             .stderr(log)
             .spawn()
             .with_context(|| format!("{} can't be started", program.display()))?;
-        Ok(Self(child))
+        Ok(Self {
+            child,
+            is_there: Arc::new(Mutex::new(true)),
+        })
     }
 
     /// Its process id.
     pub fn id(&self) -> u32 {
-        self.0.id()
+        self.child.id()
     }
 
     /// Kills it at once.
     pub fn kill(mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        self.end();
+    }
+
+    fn end(&mut self) {
+        let mut is_there = self.is_there.lock().expect("no holder panics");
+        *is_there = false;
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 
     /// Asks it to stop (SIGTERM) and waits; answers with its exit code.
     pub fn terminate(mut self) -> Result<Option<i32>> {
         self.signal("TERM")?;
-        Ok(self.0.wait()?.code())
+        let status = self.child.wait()?;
+        *self.is_there.lock().expect("no holder panics") = false;
+        Ok(status.code())
+    }
+
+    /// What wakes it later.
+    pub fn wakes(&self) -> Wake {
+        Wake {
+            id: self.id(),
+            is_there: self.is_there.clone(),
+        }
     }
 
     /// Sends it a signal, by its name without `SIG`.
     pub fn signal(&self, name: &str) -> Result<()> {
-        let id = self.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &id]).status()?;
-        if !status.success() {
-            bail!("process {id} can't be signalled");
-        }
-        Ok(())
+        signal(self.id(), name)
     }
 
     fn first_line(&mut self) -> Result<String> {
-        let out = self.0.stdout.take().context("its output is taken")?;
+        let out = self.child.stdout.take().context("its output is taken")?;
         let mut line = String::new();
         BufReader::new(out).read_line(&mut line)?;
         Ok(line)
@@ -60,9 +96,18 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        self.end();
+    }
+}
+
+/// Sends a process that this one started a signal, by its name without `SIG`.
+fn signal(id: u32, name: &str) -> Result<()> {
+    let id = id.to_string();
+    let status = Command::new("kill").args(["-s", name, &id]).status()?;
+    if !status.success() {
+        bail!("process {id} can't be signalled");
     }
+    Ok(())
 }
 
 /// Paths of the programs, and the cluster's folder.
@@ -94,6 +139,15 @@
 
     /// Errors in the logs of all processes, each with the name of its log.
     pub fn errors(&self) -> Result<Vec<String>> {
+        self.lines_if(|l| l.contains("rror: ") || l.contains("level=error"))
+    }
+
+    /// Lines of all processes with this text, each with the name of its log.
+    pub fn lines(&self, text: &str) -> Result<Vec<String>> {
+        self.lines_if(|l| l.contains(text))
+    }
+
+    fn lines_if(&self, wanted: impl Fn(&str) -> bool) -> Result<Vec<String>> {
         let mut found = Vec::new();
         for entry in std::fs::read_dir(self.layout.folder())? {
             let path = entry?.path();
@@ -102,10 +156,8 @@
             }
             let name = path.file_stem().unwrap_or_default().display().to_string();
             let log = std::fs::read_to_string(&path)?;
-            let errors = log
-                .lines()
-                .filter(|l| l.contains("rror: ") || l.contains("level=error"));
-            found.extend(errors.map(|l| format!("{name}: {l}")));
+            let lines = log.lines().filter(|l| wanted(l));
+            found.extend(lines.map(|l| format!("{name}: {l}")));
         }
         Ok(found)
     }
