Sight: routers note each repeat that is paid, and each target that a request doesn't count

Now event=target_not_counted and event=repeat_paid, with what decided them, and a counter of the first. No logic has changed.

--- a/crates/deckwind-core/src/routes/index.rs
+++ b/crates/deckwind-core/src/routes/index.rs
@@ -110,6 +110,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnknownKey;
 
+/// Why a target is taken to have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The leader has not heard from it.
+    Silent,
+    /// Another life is at its address.
+    OtherLife,
+}
+
 /// A life that is over at an address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LifeOver {
@@ -142,14 +151,16 @@
         self.by_pool.get(pool).map_or(&[], Vec::as_slice)
     }
 
-    /// Whether the target at this address no longer runs what it was sent: it is
+    /// Why the target at this address is taken to run no longer what it was sent: it is
     /// silent, or started again since. One that drains or has left may do so for
     /// seconds yet.
-    pub fn has_ended(&self, address: SocketAddr, life: &Life) -> bool {
-        let is_another = |i: &Instance| i.id != life.id || i.born != life.born;
-        let ended = |i: &Instance| i.state == InstanceState::Silent || is_another(i);
+    pub fn ended(&self, address: SocketAddr, life: &Life) -> Option<Ended> {
+        let ended = |i: &Instance| match i.id != life.id || i.born != life.born {
+            true => Some(Ended::OtherLife),
+            false => (i.state == InstanceState::Silent).then_some(Ended::Silent),
+        };
         let mut there = self.iter().filter(|i| i.address == address);
-        there.any(ended)
+        there.find_map(ended)
     }
 
     /// Lives known before that are over: another one is at their address, or they
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -24,7 +24,7 @@
 pub use cut_runs::{CutRuns, JUST_BEGUN};
 pub use events::{EventCutter, Events};
 pub use held_back::{AnswerArena, AnswerKey, Behind, FEW, HoldLimits, Way};
-pub use index::{InstanceIndex, KeyRights, LifeOver, ReleaseIndex, UnknownKey};
+pub use index::{Ended, InstanceIndex, KeyRights, LifeOver, ReleaseIndex, UnknownKey};
 pub use leased::{LeasedRepeats, may_take};
 pub use limits::{LimitsTold, Permit, TargetLimits};
 pub use notices::{Heard, TargetNotice, TargetNotices};
--- a/crates/deckwind-core/src/routes/repeats.rs
+++ b/crates/deckwind-core/src/routes/repeats.rs
@@ -87,8 +87,7 @@
 
     fn spend_share(&mut self, now: Instant) -> bool {
         self.span(now);
-        let requests: u32 = self.spans.iter().map(|s| s.requests).sum();
-        let repeats: u32 = self.spans.iter().map(|s| s.repeats).sum();
+        let (requests, repeats) = self.counts();
         let most = USED * self.limits.share * f64::from(requests);
         if f64::from(repeats + 1) > most {
             return false;
@@ -97,6 +96,13 @@
         true
     }
 
+    /// Requests and repeats of the share that count now, for logs.
+    pub fn counts(&self) -> (u32, u32) {
+        let requests = self.spans.iter().map(|s| s.requests);
+        let repeats = self.spans.iter().map(|s| s.repeats);
+        (requests.sum(), repeats.sum())
+    }
+
     /// What the leader gave.
     pub fn leased(&mut self) -> &mut LeasedRepeats {
         &mut self.leased
--- a/crates/deckwind-testkit/tests/testsuite/published.rs
+++ b/crates/deckwind-testkit/tests/testsuite/published.rs
@@ -471,7 +471,7 @@
         body: CommandBody::Instances([&[announced(target)], changes].concat()),
     });
     let index = InstanceIndex::of(machine.configuration());
-    assert_eq!(index.has_ended(address, &life), ended);
+    assert_eq!(index.ended(address, &life).is_some(), ended);
 }
 
 fn at_its_address(id: &str, born: Option<u64>) -> InstanceChange {
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -194,6 +194,7 @@
         let budget = repeats.of_pool(pool);
         let paid = budget.spend(now, claim, hasher.finish());
         let left = budget.leased().left(now);
+        let (requests, spent) = budget.counts();
         let short = repeats.runs_short(now);
         drop(repeats);
         if short {
@@ -205,9 +206,15 @@
             None => "none",
         };
         metrics::counter!("deckwind_route_repeats_total", "paid" => with).increment(1);
+        let event = match paid {
+            Some(_) => "repeat_paid",
+            None => "repeat_denied",
+        };
+        log::info!(
+            "event={event} request={id} pool={pool} claim={claim:?} with={with} requests={requests} repeats={spent} left={left}"
+        );
         if paid.is_none() {
             metrics::counter!("deckwind_route_repeats_denied_total").increment(1);
-            log::info!("event=repeat_denied request={id} pool={pool} claim={claim:?} left={left}");
         }
         paid.is_some()
     }
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -251,9 +251,22 @@
     pub fn count_ended(&mut self, first: SocketAddr) {
         let instances = self.job.shared.routes.instances();
         let sent_to = self.sent_to.get(&first);
-        if sent_to.is_some_and(|life| instances.has_ended(first, life)) {
-            self.ended += 1;
-        }
+        let Some(life) = sent_to else {
+            return;
+        };
+        let Some(why) = instances.ended(first, life) else {
+            return;
+        };
+        self.ended += 1;
+        metrics::counter!("deckwind_route_ended_not_counted_total").increment(1);
+        log::info!(
+            "event=target_not_counted request={} target={first} life={life} why={why:?} tries={} attempts={} not_counted={} revision={}",
+            self.job.head.id,
+            self.tries,
+            self.job.route.attempts,
+            self.ended,
+            self.job.shared.revision()
+        );
     }
 
     /// A target refused the request without running it.
