A target counts among a request's tries until it has certainly ended, and its end counts once

Cause, two faults of one class: a belief from silence was spent like a fact, and summed up. A target that did not answer the leader within 200 ms was agreed to be silent; a router took it to have ended and gave its requests another try, though it was slow and went on with them. And the counter grew with each look: a stream that stands still looks for a way each 95 ms, so one silent target gave up to six further tries.

Change: core::routes::Tries keeps which lives ran a request, and asks at each question which of them have ended: nothing is added up. A life has ended where another one is at its address; silence says nothing. The row of a silent target in the table of ends is now the stricter one: before, it asserted the fault.

Why it holds: an end can't be counted twice since nothing is counted, and what is not certain gives nothing.

--- a/crates/deckwind-core/src/routes/index.rs
+++ b/crates/deckwind-core/src/routes/index.rs
@@ -110,15 +110,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnknownKey;
 
-/// Why a target is taken to have ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    /// The leader has not heard from it.
-    Silent,
-    /// Another life is at its address.
-    OtherLife,
-}
-
 /// A life that is over at an address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LifeOver {
@@ -151,16 +142,13 @@
         self.by_pool.get(pool).map_or(&[], Vec::as_slice)
     }
 
-    /// Why the target at this address is taken to run no longer what it was sent: it is
-    /// silent, or started again since. One that drains or has left may do so for
-    /// seconds yet.
-    pub fn ended(&self, address: SocketAddr, life: &Life) -> Option<Ended> {
-        let ended = |i: &Instance| match i.id != life.id || i.born != life.born {
-            true => Some(Ended::OtherLife),
-            false => (i.state == InstanceState::Silent).then_some(Ended::Silent),
-        };
+    /// Whether the target at this address has certainly ended: it started again since,
+    /// or another one is there. One that drains, has left or is silent may still run
+    /// what it was sent.
+    pub fn has_ended(&self, address: SocketAddr, life: &Life) -> bool {
+        let is_another = |i: &Instance| i.id != life.id || i.born != life.born;
         let mut there = self.iter().filter(|i| i.address == address);
-        there.find_map(ended)
+        there.any(is_another)
     }
 
     /// Lives known before that are over: another one is at their address, or they
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -59,6 +59,7 @@
 mod support;
 mod suspended;
 mod template;
+mod tries;
 
 use std::net::SocketAddr;
 
--- a/crates/deckwind-testkit/tests/testsuite/support.rs
+++ b/crates/deckwind-testkit/tests/testsuite/support.rs
@@ -1,7 +1,7 @@
 //! Engines of the sizes of today's deployments, for tests of placement and paths.
 
 use deckwind_core::routing::placement::{Card, Mend, plan_chain};
-use deckwind_core::state::{EngineModel, Instance, InstanceState, LayerRange};
+use deckwind_core::state::{EngineModel, Instance, InstanceChange, InstanceState, LayerRange};
 use deckwind_testkit::placing::model_over;
 use std::net::SocketAddr;
 
@@ -60,3 +60,12 @@
     let numbered = cards.iter().zip(1..);
     numbered.map(|(c, port)| instance(c, port)).collect()
 }
+
+/// A target announces itself, and its layers are those that it tells.
+pub fn announced(instance: Instance) -> InstanceChange {
+    InstanceChange::Announced {
+        instance,
+        keep_layers: false,
+        over: Vec::new(),
+    }
+}
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -62,9 +62,9 @@
             return Err(Ended::TurnedAway);
         }
         self.sent_after = self.chosen.elapsed();
-        self.tries += 1;
+        self.tries.sent(choice.address, choice.life());
         self.target = Some(choice.address);
-        self.sent_to.insert(choice.address, choice.life());
+        self.note_ended();
         let run = TargetRun::begin(&self.job, choice);
         let res = {
             let mut sending = pin!(connection.send(req));
@@ -148,7 +148,7 @@
         };
         match told(self.job.route.kind, came) {
             Told::NotRun => {
-                self.tries -= 1;
+                self.tries.not_run();
                 return Err(Ended::NotRun(answer.at_fault));
             }
             Told::MayHaveRun => return Err(Ended::Unpromised(head.status)),
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -13,13 +13,12 @@
 use attempt::Ended;
 use bytes::Bytes;
 use deckwind_core::routes::{
-    Choice, Claim, NoChoice, Room, TargetFault, choose_path, choose_plain,
+    Choice, Claim, NoChoice, Room, TargetFault, Tries, choose_path, choose_plain,
 };
-use deckwind_core::state::Life;
 use deckwind_net::targets::TargetConnection;
 use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -66,17 +65,12 @@
 pub struct Opener {
     /// The request.
     pub job: Job,
-    /// Sent so often to a target that may have run it.
-    pub tries: u32,
+    /// Targets that may have run it.
+    pub tries: Tries,
     refused: u32,
-    /// Tries whose target has ended since.
-    ended: u32,
     avoid: HashSet<SocketAddr>,
     /// The next repeat has been paid for.
     paid: bool,
-    /// The life at each address that it was last sent to. A target that refused
-    /// it since says nothing of the one that runs it.
-    sent_to: HashMap<SocketAddr, Life>,
     /// The target that it was last sent to.
     target: Option<SocketAddr>,
     /// When its target was last chosen.
@@ -88,13 +82,11 @@
 /// Runs one request to its end.
 pub async fn run(job: Job) -> Response<RouteBody> {
     let mut opener = Opener {
+        tries: Tries::new(job.route.attempts),
         job,
-        tries: 0,
         refused: 0,
-        ended: 0,
         avoid: HashSet::new(),
         paid: false,
-        sent_to: HashMap::new(),
         target: None,
         chosen: Instant::now(),
         sent_after: Duration::ZERO,
@@ -212,7 +204,6 @@
                 self.refused += 1;
             }
             Ended::Stalled => {
-                self.count_ended(address);
                 if !(resumable && self.tries_left()) {
                     return Err(Failure::Late);
                 }
@@ -241,30 +232,25 @@
         self.avoid.insert(address);
     }
 
-    /// Whether another target may be sent the request. One that has ended since
-    /// does not count.
+    /// Whether another target may be sent the request.
     pub fn tries_left(&self) -> bool {
-        self.tries < self.job.route.attempts + self.ended
+        self.tries.left(&self.job.shared.routes.instances())
     }
 
-    /// Counts the target that ran the request as ended, if it has.
-    pub fn count_ended(&mut self, first: SocketAddr) {
-        let instances = self.job.shared.routes.instances();
-        let sent_to = self.sent_to.get(&first);
-        let Some(life) = sent_to else {
+    /// A line where the request goes to more targets than its route allows, since
+    /// others have ended.
+    fn note_ended(&self) {
+        let attempts = self.job.route.attempts;
+        if self.tries.count() <= attempts {
             return;
-        };
-        let Some(why) = instances.ended(first, life) else {
-            return;
-        };
-        self.ended += 1;
-        metrics::counter!("deckwind_route_ended_not_counted_total").increment(1);
+        }
+        metrics::counter!("deckwind_route_tries_beyond_total").increment(1);
         log::info!(
-            "event=target_not_counted request={} target={first} life={life} why={why:?} tries={} attempts={} not_counted={} revision={}",
+            "event=try_beyond request={} target={:?} tries={} attempts={attempts} ended={} revision={}",
             self.job.head.id,
-            self.tries,
-            self.job.route.attempts,
-            self.ended,
+            self.target,
+            self.tries.count(),
+            self.tries.ended(&self.job.shared.routes.instances()),
             self.job.shared.revision()
         );
     }
@@ -304,7 +290,7 @@
     }
 
     fn claim(&self) -> Claim {
-        match (self.tries, self.job.late) {
+        match (self.tries.count(), self.job.late) {
             (0, true) => Claim::Late,
             (0, false) => Claim::New,
             _ => Claim::Begun,
@@ -383,7 +369,7 @@
             job.route.name,
             job.pool.name,
             stream.map_or("-", |s| s.data_centre.as_str()),
-            self.tries,
+            self.tries.count(),
             self.refused,
             self.tokens(),
             stream.map_or(0, |s| s.events),
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -12,7 +12,6 @@
 use http::{Response, header};
 use http_body_util::BodyExt;
 use round::woken;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -127,7 +126,7 @@
                         "event=stream_broken_off request={} last_event={:?} tries={} first={why:?} then={failure:?}",
                         self.opener.job.head.id,
                         self.progress.last,
-                        self.opener.tries
+                        self.opener.tries.count()
                     );
                     self.outbox.break_off(failure.code());
                     break "broken-off";
@@ -140,11 +139,10 @@
     /// Opens the rest of a stream that stands still elsewhere. Its first target is
     /// let go only once another one has begun: if none can, that one may still go
     /// on, and is the one to break off.
-    async fn move_on(&mut self, first: SocketAddr) -> Option<Box<Opened>> {
+    async fn move_on(&mut self) -> Option<Box<Opened>> {
         if !self.opener.can_move() {
             return None;
         }
-        self.opener.count_ended(first);
         self.note_move("stalled");
         let caller = self.outbox.caller();
         let opening = tokio::select! {
@@ -177,7 +175,7 @@
             self.opener.job.content,
             self.progress.data_centre,
             self.progress.last,
-            self.opener.tries
+            self.opener.tries.count()
         );
         metrics::counter!("deckwind_route_streams_moved_total").increment(1);
     }
@@ -281,7 +279,6 @@
                 Some(Err(e)) => {
                     run.close(RunEnd::Broke);
                     self.opener.avoid(hold.first());
-                    self.opener.count_ended(hold.first());
                     return PartEnd::Broken(e.to_string());
                 }
                 None => break,
--- a/crates/deckwindd/src/router/routes/relay/round.rs
+++ b/crates/deckwindd/src/router/routes/relay/round.rs
@@ -98,7 +98,7 @@
             record_step("changed", heard.elapsed());
             return Round::Path(other);
         }
-        match self.move_on(hold.first()).await {
+        match self.move_on().await {
             Some(next) => Round::Target(next),
             None => Round::None,
         }
