The share of repeats that requests earn is small while they are new to a router

What callers would have seen: more repeats than the bound allows after routers start again, or callers move, between two moments of great need.

Cause: a count that a process keeps for its own life and its own callers stood for a promise over all. A repeat is earned by the requests of the last window, so the requests of two windows have a say in each window of the bound. In calm the same requests are not counted twice, since the router remembers what it spent. A process that has started again doesn't, and a router to which callers have moved never knew. The tests over restarts had a share of nothing.

Ruled out: that the leader gives the share out too (each repeat would wait for an entry, none without a leader); half the share for everybody; the small share after a start alone (callers that move still pass the bound).

Change: requests earn a quarter of the share until as many have come in the window before. A process that starts with the whole system knows that nothing was sent before, so that its first window earns all.

--- a/crates/deckwind-core/src/routes/repeats.rs
+++ b/crates/deckwind-core/src/routes/repeats.rs
@@ -4,6 +4,10 @@
 //! some more. Each router keeps the share of its own requests by itself. What is
 //! beyond it the leader gives out (see [`LeasedRepeats`]): then all together keep
 //! the bound too.
+//!
+//! Requests that are new to a router, since their callers went to another one before or
+//! it has just started, earn little until they have come for a window: elsewhere, or in
+//! the process before, what they earned may just have been used.
 
 use super::choice::Claim;
 use super::leased::LeasedRepeats;
@@ -36,6 +40,19 @@
 /// Spans that a window is counted in.
 const SPANS: u32 = 20;
 
+/// Part of the share that requests earn which are new to this router: what is used of the
+/// bound leaves so much.
+const NEW_EARN: f64 = 0.25;
+
+/// What was sent again before a router's process started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Before {
+    /// Nothing: the whole system started for the first time then.
+    Nothing(Instant),
+    /// It can't know: routers ran before, and perhaps this one.
+    Unknown,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Span {
     number: u64,
@@ -56,15 +73,17 @@
 #[derive(Clone, Debug)]
 pub struct RepeatBudget {
     limits: RepeatLimits,
+    before: Before,
     spans: VecDeque<Span>,
     leased: LeasedRepeats,
 }
 
 impl RepeatBudget {
     /// Nothing has been sent.
-    pub fn new(limits: RepeatLimits) -> Self {
+    pub fn new(limits: RepeatLimits, before: Before) -> Self {
         Self {
             limits,
+            before,
             spans: VecDeque::new(),
             leased: LeasedRepeats::default(),
         }
@@ -87,8 +106,8 @@
 
     fn spend_share(&mut self, now: Instant) -> bool {
         self.span(now);
-        let (requests, repeats) = self.counts();
-        let most = USED * self.limits.share * f64::from(requests);
+        let (_, repeats) = self.counts(now);
+        let most = USED * self.limits.share * self.earning(now);
         if f64::from(repeats + 1) > most {
             return false;
         }
@@ -96,29 +115,63 @@
         true
     }
 
-    /// Requests and repeats of the share that count now, for logs.
-    pub fn counts(&self) -> (u32, u32) {
-        let requests = self.spans.iter().map(|s| s.requests);
-        let repeats = self.spans.iter().map(|s| s.repeats);
+    /// Requests and repeats of the share within the window.
+    pub fn counts(&self, now: Instant) -> (u32, u32) {
+        let oldest = self.oldest_of_window(now);
+        let within = || self.spans.iter().filter(|s| s.number >= oldest);
+        let requests = within().map(|s| s.requests);
+        let repeats = within().map(|s| s.repeats);
         (requests.sum(), repeats.sum())
     }
 
+    /// Requests that earn the share, where those that are new count for less.
+    fn earning(&self, now: Instant) -> f64 {
+        let requests = f64::from(self.counts(now).0);
+        let steady = requests.min(self.before_window(now));
+        steady + (requests - steady) * NEW_EARN
+    }
+
+    /// Requests of the window before, as if it had been as long where nothing came before
+    /// the process started.
+    fn before_window(&self, now: Instant) -> f64 {
+        let oldest = self.oldest_of_window(now);
+        let older = self.spans.iter().filter(|s| s.number < oldest);
+        let requests: u32 = older.map(|s| s.requests).sum();
+        let Before::Nothing(started) = self.before else {
+            return f64::from(requests);
+        };
+        let window = self.limits.window;
+        let known = now.since(started).saturating_sub(window).min(window);
+        match known.is_zero() {
+            true => f64::INFINITY,
+            false => f64::from(requests) * window.as_secs_f64() / known.as_secs_f64(),
+        }
+    }
+
+    fn oldest_of_window(&self, now: Instant) -> u64 {
+        // One span more than the window has: the oldest is only part of it.
+        self.number(now).saturating_sub(u64::from(SPANS))
+    }
+
+    fn number(&self, now: Instant) -> u64 {
+        let length = (self.limits.window.as_micros() as u64 / u64::from(SPANS)).max(1);
+        now.as_micros() / length
+    }
+
     /// What the leader gave.
     pub fn leased(&mut self) -> &mut LeasedRepeats {
         &mut self.leased
     }
 
     /// Whether something came for it within the window.
-    fn serves(&mut self, now: Instant) -> bool {
-        self.span(now);
-        self.spans.iter().any(|s| s.requests > 0)
+    fn serves(&self, now: Instant) -> bool {
+        self.counts(now).0 > 0
     }
 
     fn span(&mut self, now: Instant) -> &mut Span {
-        let length = (self.limits.window.as_micros() as u64 / u64::from(SPANS)).max(1);
-        let number = now.as_micros() / length;
-        // One span more than the window has: the oldest is only part of it.
-        let oldest = number.saturating_sub(u64::from(SPANS));
+        let number = self.number(now);
+        // The window and the one before.
+        let oldest = number.saturating_sub(2 * u64::from(SPANS));
         self.spans.retain(|s| s.number >= oldest);
         if self.spans.back().is_none_or(|s| s.number != number) {
             let span = Span {
@@ -136,14 +189,16 @@
 #[derive(Clone, Debug)]
 pub struct RepeatBudgets {
     limits: RepeatLimits,
+    before: Before,
     by_pool: HashMap<String, RepeatBudget>,
 }
 
 impl RepeatBudgets {
     /// Nothing has been sent.
-    pub fn new(limits: RepeatLimits) -> Self {
+    pub fn new(limits: RepeatLimits, before: Before) -> Self {
         Self {
             limits,
+            before,
             by_pool: HashMap::new(),
         }
     }
@@ -151,7 +206,7 @@
     /// The budget of a pool.
     pub fn of_pool(&mut self, pool: &str) -> &mut RepeatBudget {
         if !self.by_pool.contains_key(pool) {
-            let fresh = RepeatBudget::new(self.limits);
+            let fresh = RepeatBudget::new(self.limits, self.before);
             self.by_pool.insert(pool.to_string(), fresh);
         }
         self.by_pool.get_mut(pool).expect("just put there")
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -3,7 +3,7 @@
 
 use deckwind_core::control::LimitReport;
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
-use deckwind_core::routes::{Claim, CutRuns, RepeatBudgets, RepeatLimits};
+use deckwind_core::routes::{Before, Claim, CutRuns, RepeatBudgets, RepeatLimits};
 use deckwind_core::state::{
     ClaimKey, ClaimRequest, ClaimVerdict, ContentDigest, FinishRequest, Holder, Outcome, Revision,
     VmName,
@@ -125,7 +125,7 @@
     pub fn want_repeats(&mut self, repeats: u64) {
         self.repeats_wanted = repeats;
         self.budgets
-            .get_or_insert_with(|| RepeatBudgets::new(REPEATS));
+            .get_or_insert_with(|| RepeatBudgets::new(REPEATS, Before::Unknown));
     }
 
     /// How many repeats it may use.
@@ -165,7 +165,10 @@
         self.lease = RouterLeaseState::new(timing);
         self.renewal = None;
         self.claim = None;
-        self.budgets = self.budgets.as_ref().map(|_| RepeatBudgets::new(REPEATS));
+        self.budgets = self
+            .budgets
+            .as_ref()
+            .map(|_| RepeatBudgets::new(REPEATS, Before::Unknown));
     }
 
     /// Replica that it asks.
--- a/crates/deckwind-testkit/tests/testsuite/come_back.rs
+++ b/crates/deckwind-testkit/tests/testsuite/come_back.rs
@@ -8,7 +8,7 @@
 //! after a stream had been let in (median).
 
 use crate::repeat_rig::Control;
-use deckwind_core::routes::{Claim, Refusal, RepeatBudgets, RepeatLimits};
+use deckwind_core::routes::{Before, Claim, Refusal, RepeatBudgets, RepeatLimits};
 use deckwind_core::state::Holder;
 use deckwind_core::time::Instant;
 use rand::rngs::StdRng;
@@ -49,8 +49,9 @@
 /// Plays the load; those without a repeat come back as for `refusal`.
 fn play(rejected_percent: u32, refusal: Refusal, seed: u64) -> Outcome {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut budgets: Vec<_> = (0..ROUTERS).map(|_| RepeatBudgets::new(LIMITS)).collect();
     let start = Instant::from_millis(1_000);
+    let budgets = || RepeatBudgets::new(LIMITS, Before::Nothing(start));
+    let mut budgets: Vec<_> = (0..ROUTERS).map(|_| budgets()).collect();
     let mut control = Control::new(start);
     let mut renewals: Vec<_> = (0..ROUTERS)
         .map(|i| start + RENEW * i as u32 / ROUTERS as u32)
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod release_changes;
 mod renewals;
 mod repeat_rig;
+mod repeat_share;
 mod repeats;
 mod replication;
 mod replication_flow;
--- a/crates/deckwind-testkit/tests/testsuite/shared_bound.rs
+++ b/crates/deckwind-testkit/tests/testsuite/shared_bound.rs
@@ -3,7 +3,7 @@
 
 use crate::repeat_rig::{Control, LIMITS, USED};
 use deckwind_core::control::RepeatGrant;
-use deckwind_core::routes::{Claim, RepeatBudgets};
+use deckwind_core::routes::{Before, Claim, RepeatBudgets};
 use deckwind_core::state::Holder;
 use deckwind_core::time::Instant;
 use proptest::prelude::*;
@@ -93,7 +93,7 @@
                 vm: format!("r{number}").as_str().into(),
                 boot,
             },
-            budgets: RepeatBudgets::new(LIMITS),
+            budgets: RepeatBudgets::new(LIMITS, Before::Unknown),
             open_ms: None,
             fast,
         }
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -34,8 +34,8 @@
 use deckwind_config::RouterSettings;
 use deckwind_core::control::{EngineFull, Grant, LimitReport, RepeatReport};
 use deckwind_core::routes::{
-    Claim, InstanceIndex, LifeOver, Paid, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits,
-    TargetBook, TargetFault,
+    Before, Claim, InstanceIndex, LifeOver, Paid, Patience, ReleaseIndex, RepeatBudgets,
+    RepeatLimits, TargetBook, TargetFault,
 };
 use deckwind_core::state::{Configuration, Instance, Pool, Revision, Route, RouteKind};
 use deckwind_core::time::Instant;
@@ -123,11 +123,16 @@
             beyond: cfg.repeats.beyond,
             window: cfg.repeats.window,
         };
+        let seeds = cx.settings.seeds.as_ref();
+        let before = match seeds.is_some_and(|s| s.first_start) {
+            true => Before::Nothing(cx.clock.now()),
+            false => Before::Unknown,
+        };
         Self {
             release: ArcSwapOption::empty(),
             instances: ArcSwap::default(),
             book: Mutex::default(),
-            repeats: Mutex::new(RepeatBudgets::new(limits)),
+            repeats: Mutex::new(RepeatBudgets::new(limits, before)),
             clock: cx.clock,
             dialect: cx.dialects.callers.clone(),
             connections: KeptConnections::new(cx.clock),
@@ -194,7 +199,7 @@
         let budget = repeats.of_pool(pool);
         let paid = budget.spend(now, claim, hasher.finish());
         let left = budget.leased().left(now);
-        let (requests, spent) = budget.counts();
+        let (requests, spent) = budget.counts(now);
         let short = repeats.runs_short(now);
         drop(repeats);
         if short {
