--- a/crates/deckwind-testkit/tests/testsuite/limits.rs
+++ b/crates/deckwind-testkit/tests/testsuite/limits.rs
@@ -15,7 +15,7 @@
 //! before and after; once routers noted the limits, their lines
 //! (`event=target_names_limit`) beside sends that went on; and the tests below.
 
-use crate::rig::{KEY, Rig};
+use crate::rig::{KEY, Kind, NOT_RESUMABLE, ONCE, REPEATABLE, Rig, STREAMS};
 use crate::run;
 use deckwind_testkit::soak::{Spans, check_limits, id_at};
 use deckwind_testkit::{Layout, eventually_async};
@@ -37,10 +37,10 @@
 /// What was under way when a target spoke has arrived.
 const UNDER_WAY: Duration = Duration::from_millis(500);
 
-async fn rig(plain: usize, engines: usize) -> Rig {
+async fn rig(kind: Kind) -> Rig {
     let mut layout = Layout::new(1, ROUTERS).expect("a layout");
     layout.repeats = (1.0, 200);
-    let rig = Rig::start_placed(layout, plain, engines).await;
+    let rig = Rig::start_placed(layout, kind.plain, kind.engines).await;
     for router in 0..ROUTERS {
         rig.cluster.wait_for_lease(router).await;
     }
@@ -48,11 +48,14 @@
 }
 
 /// Asks all routers so often, one request at each at a time.
-async fn ask_all(rig: &Rig, name: &str, count: usize, path: &str, tokens: bool) {
+async fn ask_all(rig: &Rig, name: &str, count: usize, kind: Kind) {
     for i in 0..count {
         let ask = |router: usize| {
             let id = id_at(&format!("{name}-{i}"), router);
-            async move { rig.ask_at(router, &id, path, KEY, tokens, None).await }
+            async move {
+                rig.ask_at(router, &id, kind.path, KEY, kind.tokens, None)
+                    .await
+            }
         };
         tokio::join!(ask(0), ask(1), ask(2));
     }
@@ -60,20 +63,19 @@
 
 /// Streams over engines that hand on, and what one target serves alone.
 #[parameterized(
-    streams = { "/stream/x", true, 0, 4 },
-    repeatable = { "/safe/x", false, 2, 0 },
-    at_most_once = { "/once/x", false, 2, 0 },
-    not_resumable = { "/tell/x", true, 2, 0 },
+    streams = { STREAMS },
+    repeatable = { REPEATABLE },
+    at_most_once = { ONCE },
+    not_resumable = { NOT_RESUMABLE },
 )]
-fn all_routers_together_keep_to_a_limit(path: &str, tokens: bool, plain: usize, engines: usize) {
-    let path = path.to_string();
+fn all_routers_together_keep_to_a_limit(kind: Kind) {
     run(async move {
-        let rig = rig(plain, engines).await;
-        rig.until_served(&path, tokens).await;
+        let rig = rig(kind).await;
+        rig.until_served(kind.path, kind.tokens).await;
         rig.targets().for_each(|t| t.name_limit(Some(LIMIT)));
-        ask_all(&rig, "told", TOLD_BY, &path, tokens).await;
+        ask_all(&rig, "told", TOLD_BY, kind).await;
         tokio::time::sleep(UNDER_WAY).await;
-        ask_all(&rig, "r", ASKED, &path, tokens).await;
+        ask_all(&rig, "r", ASKED, kind).await;
         let undisturbed: Vec<Spans> = (0..ROUTERS).map(|_| Spans::default()).collect();
         for target in rig.targets() {
             let checked = check_limits(&target.arrivals(), &undisturbed, &Spans::default());
@@ -85,27 +87,23 @@
 
 /// The one that is limited answers as well as the other; nobody is refused for it.
 #[parameterized(
-    streams = { "/stream/x", true, 0, 4 },
-    repeatable = { "/safe/x", false, 2, 0 },
-    at_most_once = { "/once/x", false, 2, 0 },
+    streams = { STREAMS },
+    repeatable = { REPEATABLE },
+    at_most_once = { ONCE },
 )]
-fn others_serve_what_a_limited_target_does_not(
-    path: &str,
-    tokens: bool,
-    plain: usize,
-    engines: usize,
-) {
-    let path = path.to_string();
+fn others_serve_what_a_limited_target_does_not(kind: Kind) {
     run(async move {
-        let rig = rig(plain, engines).await;
-        rig.until_served(&path, tokens).await;
+        let rig = rig(kind).await;
+        rig.until_served(kind.path, kind.tokens).await;
         let limited = rig.targets().find(|t| !t.seen().is_empty());
         let limited = limited.expect("one has served").clone();
         limited.name_limit(Some("0.2"));
-        ask_all(&rig, "told", TOLD_BY, &path, tokens).await;
+        ask_all(&rig, "told", TOLD_BY, kind).await;
         for i in 0..ASKED {
             let id = id_at(&format!("r-{i}"), i % ROUTERS);
-            let heard = rig.ask_at(i % ROUTERS, &id, &path, KEY, tokens, None).await;
+            let heard = rig
+                .ask_at(i % ROUTERS, &id, kind.path, KEY, kind.tokens, None)
+                .await;
             assert_eq!(heard.status, StatusCode::OK, "{:?}", heard.body);
         }
         let undisturbed: Vec<Spans> = (0..ROUTERS).map(|_| Spans::default()).collect();
@@ -118,24 +116,18 @@
 /// Where all targets get what they take, a request is refused at once, and told when
 /// there is room again.
 #[parameterized(
-    streams = { "/stream/x", true, 0, 4 },
-    repeatable = { "/safe/x", false, 2, 0 },
-    at_most_once = { "/once/x", false, 2, 0 },
+    streams = { STREAMS },
+    repeatable = { REPEATABLE },
+    at_most_once = { ONCE },
 )]
-fn where_all_targets_are_limited_the_rest_is_refused(
-    path: &str,
-    tokens: bool,
-    plain: usize,
-    engines: usize,
-) {
-    let path = path.to_string();
+fn where_all_targets_are_limited_the_rest_is_refused(kind: Kind) {
     run(async move {
-        let rig = rig(plain, engines).await;
-        rig.until_served(&path, tokens).await;
+        let rig = rig(kind).await;
+        rig.until_served(kind.path, kind.tokens).await;
         rig.targets().for_each(|t| t.name_limit(Some("0.1")));
-        ask_all(&rig, "told", TOLD_BY, &path, tokens).await;
+        ask_all(&rig, "told", TOLD_BY, kind).await;
         let refused = eventually_async("one is refused", || async {
-            let heard = rig.ask("r", &path, KEY, tokens).await;
+            let heard = rig.ask("r", kind.path, KEY, kind.tokens).await;
             (heard.status != StatusCode::OK).then_some(heard)
         });
         let refused = refused.await;
@@ -149,30 +141,26 @@
 
 /// An answer without a limit ends it, for all routers.
 #[parameterized(
-    streams = { "/stream/x", true, 0, 4, "0.5" },
-    repeatable = { "/safe/x", false, 2, 0, "0.5" },
-    at_most_once = { "/once/x", false, 2, 0, "0.5" },
-    of_nothing_at_all = { "/safe/x", false, 2, 0, "0" },
+    streams = { STREAMS, "0.5" },
+    repeatable = { REPEATABLE, "0.5" },
+    at_most_once = { ONCE, "0.5" },
+    of_nothing_at_all = { REPEATABLE, "0" },
 )]
-fn a_limit_that_is_no_longer_named_is_over(
-    path: &str,
-    tokens: bool,
-    plain: usize,
-    engines: usize,
-    limit: &str,
-) {
-    let (path, limit) = (path.to_string(), limit.to_string());
+fn a_limit_that_is_no_longer_named_is_over(kind: Kind, limit: &str) {
+    let limit = limit.to_string();
     run(async move {
-        let rig = rig(plain, engines).await;
-        rig.until_served(&path, tokens).await;
+        let rig = rig(kind).await;
+        rig.until_served(kind.path, kind.tokens).await;
         rig.targets().for_each(|t| t.name_limit(Some(&limit)));
-        ask_all(&rig, "told", TOLD_BY, &path, tokens).await;
+        ask_all(&rig, "told", TOLD_BY, kind).await;
         rig.targets().for_each(|t| t.name_limit(None));
         for router in 0..ROUTERS {
             eventually_async("ten in a row are served", || async {
                 for i in 0..10 {
                     let id = format!("after-{i}");
-                    let heard = rig.ask_at(router, &id, &path, KEY, tokens, None).await;
+                    let heard = rig
+                        .ask_at(router, &id, kind.path, KEY, kind.tokens, None)
+                        .await;
                     if heard.status != StatusCode::OK {
                         return None;
                     }
@@ -189,7 +177,11 @@
 #[test]
 fn an_unreadable_limit_changes_nothing() {
     run(async {
-        let rig = rig(1, 0).await;
+        let rig = rig(Kind {
+            plain: 1,
+            ..REPEATABLE
+        })
+        .await;
         rig.until_served("/safe/x", false).await;
         rig.plain[0].name_limit(Some("a few"));
         for i in 0..ASKED {
--- a/crates/deckwind-testkit/tests/testsuite/rests.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rests.rs
@@ -17,7 +17,7 @@
 //! 300 ms (`event=target_asks_rest`, `event=target_refused`), 0.3 to 0.5 s apart; and
 //! the tests below.
 
-use crate::rig::{KEY, Rig};
+use crate::rig::{KEY, Kind, NOT_RESUMABLE, ONCE, REPEATABLE, Rig, STREAMS};
 use crate::run;
 use deckwind_fakes::{FakeRunner, RunnerFault};
 use deckwind_testkit::{Layout, eventually_async};
@@ -35,10 +35,10 @@
 /// Times that a while passes.
 const WHILES: u64 = 10;
 
-async fn rig(plain: usize, engines: usize) -> Rig {
+async fn rig(kind: Kind) -> Rig {
     let mut layout = Layout::new(1, 1).expect("a layout");
     layout.repeats = (1.0, 200);
-    Rig::start_placed(layout, plain, engines).await
+    Rig::start_placed(layout, kind.plain, kind.engines).await
 }
 
 /// Time goes by for the router, and its lease is renewed.
@@ -48,10 +48,10 @@
 }
 
 /// Asks until a request is served; the target that requests are sent to.
-async fn first_choice(rig: &Rig, path: &str, tokens: bool) -> FakeRunner {
-    rig.until_served(path, tokens).await;
+async fn first_choice(rig: &Rig, kind: Kind) -> FakeRunner {
+    rig.until_served(kind.path, kind.tokens).await;
     let before: Vec<usize> = rig.targets().map(|t| t.seen().len()).collect();
-    let heard = rig.ask("first", path, KEY, tokens).await;
+    let heard = rig.ask("first", kind.path, KEY, kind.tokens).await;
     assert_eq!(heard.status, StatusCode::OK);
     let mut now = rig.targets().zip(before);
     let (target, _) = now.find(|(t, n)| t.seen().len() > *n).expect("it was sent");
@@ -60,10 +60,10 @@
 
 /// Asks until the target has been sent a request; how many it has seen then. On a busy
 /// machine another may be the first choice for a moment.
-async fn until_it_answers(rig: &Rig, target: &FakeRunner, path: &str, tokens: bool) -> usize {
+async fn until_it_answers(rig: &Rig, target: &FakeRunner, kind: Kind) -> usize {
     let before = target.seen().len();
     eventually_async("it is sent a request", || async {
-        rig.ask("told", path, KEY, tokens).await;
+        rig.ask("told", kind.path, KEY, kind.tokens).await;
         (target.seen().len() > before).then_some(())
     })
     .await;
@@ -73,11 +73,11 @@
 }
 
 /// Asks again and again while time goes by; all must be served by others.
-async fn ask_while_time_goes_by(rig: &Rig, path: &str, tokens: bool) {
+async fn ask_while_time_goes_by(rig: &Rig, kind: Kind) {
     for i in 0..WHILES {
         time_goes_by(rig, A_WHILE).await;
         eventually_async("another target serves", || async {
-            let heard = rig.ask(&format!("r{i}"), path, KEY, tokens).await;
+            let heard = rig.ask(&format!("r{i}"), kind.path, KEY, kind.tokens).await;
             (heard.status == StatusCode::OK && heard.body.is_ok()).then_some(())
         })
         .await;
@@ -86,30 +86,24 @@
 
 /// Streams over engines that hand on, and what one target serves alone.
 #[parameterized(
-    streams = { "/stream/x", true, 0, 4 },
-    repeatable = { "/safe/x", false, 2, 0 },
-    at_most_once = { "/once/x", false, 2, 0 },
-    not_resumable = { "/tell/x", true, 2, 0 },
+    streams = { STREAMS },
+    repeatable = { REPEATABLE },
+    at_most_once = { ONCE },
+    not_resumable = { NOT_RESUMABLE },
 )]
-fn a_target_that_asks_for_rest_is_left_alone(
-    path: &str,
-    tokens: bool,
-    plain: usize,
-    engines: usize,
-) {
-    let path = path.to_string();
+fn a_target_that_asks_for_rest_is_left_alone(kind: Kind) {
     run(async move {
-        let rig = rig(plain, engines).await;
-        let target = first_choice(&rig, &path, tokens).await;
+        let rig = rig(kind).await;
+        let target = first_choice(&rig, kind).await;
         target.set_fault(RunnerFault::Refuses { at_fault: None });
         target.ask_rest(Some(REST));
-        let seen = until_it_answers(&rig, &target, &path, tokens).await;
-        ask_while_time_goes_by(&rig, &path, tokens).await;
+        let seen = until_it_answers(&rig, &target, kind).await;
+        ask_while_time_goes_by(&rig, kind).await;
         assert_eq!(target.seen().len(), seen, "it got nothing while it rested");
         target.set_fault(RunnerFault::None);
         time_goes_by(&rig, Duration::from_secs(31)).await;
         eventually_async("it gets requests after its rest", || async {
-            rig.ask("after", &path, KEY, tokens).await;
+            rig.ask("after", kind.path, KEY, kind.tokens).await;
             (target.seen().len() > seen).then_some(())
         })
         .await;
@@ -119,30 +113,23 @@
 
 /// Says it in a whole answer, in the head of a stream, in a refusal, in a failure.
 #[parameterized(
-    streams = { "/stream/x", true, 0, 4, RunnerFault::None },
-    streams_refused = { "/stream/x", true, 0, 4, RunnerFault::Refuses { at_fault: None } },
-    repeatable = { "/safe/x", false, 2, 0, RunnerFault::None },
-    repeatable_failed = { "/safe/x", false, 2, 0, RunnerFault::Fails },
-    at_most_once = { "/once/x", false, 2, 0, RunnerFault::None },
-    at_most_once_refused = { "/once/x", false, 2, 0, RunnerFault::Refuses { at_fault: None } },
-    not_resumable = { "/tell/x", true, 2, 0, RunnerFault::None },
+    streams = { STREAMS, RunnerFault::None },
+    streams_refused = { STREAMS, RunnerFault::Refuses { at_fault: None } },
+    repeatable = { REPEATABLE, RunnerFault::None },
+    repeatable_failed = { REPEATABLE, RunnerFault::Fails },
+    at_most_once = { ONCE, RunnerFault::None },
+    at_most_once_refused = { ONCE, RunnerFault::Refuses { at_fault: None } },
+    not_resumable = { NOT_RESUMABLE, RunnerFault::None },
 )]
-fn a_target_that_says_it_leaves_gets_nothing_new(
-    path: &str,
-    tokens: bool,
-    plain: usize,
-    engines: usize,
-    answers: RunnerFault,
-) {
-    let path = path.to_string();
+fn a_target_that_says_it_leaves_gets_nothing_new(kind: Kind, answers: RunnerFault) {
     run(async move {
-        let rig = rig(plain, engines).await;
-        let target = first_choice(&rig, &path, tokens).await;
+        let rig = rig(kind).await;
+        let target = first_choice(&rig, kind).await;
         target.set_fault(answers);
         target.say_it_leaves(true);
-        let seen = until_it_answers(&rig, &target, &path, tokens).await;
+        let seen = until_it_answers(&rig, &target, kind).await;
         target.set_fault(RunnerFault::None);
-        ask_while_time_goes_by(&rig, &path, tokens).await;
+        ask_while_time_goes_by(&rig, kind).await;
         assert_eq!(target.seen().len(), seen, "it got nothing after its word");
         rig.cluster.close().await.expect("closed");
     });
@@ -151,16 +138,15 @@
 /// It asks for no rest, and looks the least busy: others come first for a while. A caller
 /// whose request may not be sent to them is asked back at once, as they stand ready.
 #[parameterized(
-    repeatable = { "/safe/x", 200 },
-    at_most_once = { "/once/x", 503 },
+    repeatable = { REPEATABLE, 200 },
+    at_most_once = { ONCE, 503 },
 )]
-fn a_target_that_refuses_a_plain_request_comes_last(path: &str, status: u16) {
-    let path = path.to_string();
+fn a_target_that_refuses_a_plain_request_comes_last(kind: Kind, status: u16) {
     run(async move {
-        let rig = rig(2, 0).await;
-        let target = first_choice(&rig, &path, false).await;
+        let rig = rig(kind).await;
+        let target = first_choice(&rig, kind).await;
         target.set_fault(RunnerFault::Refuses { at_fault: None });
-        let heard = rig.ask("refused", &path, KEY, false).await;
+        let heard = rig.ask("refused", kind.path, KEY, kind.tokens).await;
         assert_eq!(heard.status.as_u16(), status);
         if status == 503 {
             let after = heard.come_back_after();
@@ -168,7 +154,7 @@
         }
         let seen = target.seen().len();
         for i in 0..4 {
-            let heard = rig.ask(&format!("r{i}"), &path, KEY, false).await;
+            let heard = rig.ask(&format!("r{i}"), kind.path, KEY, kind.tokens).await;
             assert_eq!(heard.status, StatusCode::OK);
         }
         assert_eq!(target.seen().len(), seen);
@@ -179,27 +165,21 @@
 /// Where all rest, a request is refused at once, and told when the first of them is
 /// there again.
 #[parameterized(
-    streams = { "/stream/x", true, 0, 4 },
-    repeatable = { "/safe/x", false, 2, 0 },
-    at_most_once = { "/once/x", false, 2, 0 },
+    streams = { STREAMS },
+    repeatable = { REPEATABLE },
+    at_most_once = { ONCE },
 )]
-fn where_all_targets_rest_a_request_is_refused_with_the_time_that_is_left(
-    path: &str,
-    tokens: bool,
-    plain: usize,
-    engines: usize,
-) {
-    let path = path.to_string();
+fn where_all_targets_rest_a_request_is_refused_with_the_time_that_is_left(kind: Kind) {
     run(async move {
-        let rig = rig(plain, engines).await;
-        rig.until_served(&path, tokens).await;
+        let rig = rig(kind).await;
+        rig.until_served(kind.path, kind.tokens).await;
         for target in rig.targets() {
             target.set_fault(RunnerFault::Refuses { at_fault: None });
             target.ask_rest(Some(REST));
         }
-        let mut heard = rig.ask("r", &path, KEY, tokens).await;
+        let mut heard = rig.ask("r", kind.path, KEY, kind.tokens).await;
         for i in 0..4 {
-            heard = rig.ask(&format!("r{i}"), &path, KEY, tokens).await;
+            heard = rig.ask(&format!("r{i}"), kind.path, KEY, kind.tokens).await;
         }
         let seen: usize = rig.targets().map(|t| t.seen().len()).sum();
         assert_eq!(heard.status, StatusCode::SERVICE_UNAVAILABLE);
@@ -207,7 +187,7 @@
         assert!((REST_S - 5.0..REST_S + 2.0).contains(&after), "{after} s");
         for i in 0..WHILES {
             time_goes_by(&rig, A_WHILE).await;
-            rig.ask(&format!("s{i}"), &path, KEY, tokens).await;
+            rig.ask(&format!("s{i}"), kind.path, KEY, kind.tokens).await;
         }
         let now: usize = rig.targets().map(|t| t.seen().len()).sum();
         assert_eq!(now, seen, "nobody was sent anything");
--- a/crates/deckwind-testkit/tests/testsuite/rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rig.rs
@@ -25,6 +25,34 @@
     }
 }
 
+/// A kind of request, and the targets that serve it in a test.
+#[derive(Clone, Copy)]
+pub struct Kind {
+    pub path: &'static str,
+    /// Whether it is a generation.
+    pub tokens: bool,
+    pub plain: usize,
+    pub engines: usize,
+}
+
+const fn kind(path: &'static str, tokens: bool, plain: usize, engines: usize) -> Kind {
+    Kind {
+        path,
+        tokens,
+        plain,
+        engines,
+    }
+}
+
+/// Streams over engines that hand on.
+pub const STREAMS: Kind = kind("/stream/x", true, 0, 4);
+/// Plain requests that may be repeated.
+pub const REPEATABLE: Kind = kind("/safe/x", false, 2, 0);
+/// Plain requests that run once.
+pub const ONCE: Kind = kind("/once/x", false, 2, 0);
+/// Streams that one target serves alone, and that can't be taken up.
+pub const NOT_RESUMABLE: Kind = kind("/tell/x", true, 2, 0);
+
 /// Control replica, router, and stand-ins of targets.
 pub struct Rig {
     pub cluster: Cluster,
