Requests by which a router gets more than before earn half of the share, a quarter only after its start

Change: half where a router gets more than in the window before: the sum then holds where the callers of half of the routers move or half of them stay away, which the rows of repeat_share ask for. A quarter in the first two windows of a process that has started again: all may have.

--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -31,5 +31,5 @@
 pub use notices::{Heard, TargetNotice, TargetNotices};
 pub use patience::Patience;
 pub use promise::{Came, Told, is_promise, told};
-pub use repeats::{Before, Paid, RepeatBudget, RepeatBudgets, RepeatLimits};
+pub use repeats::{Paid, RepeatBudget, RepeatBudgets, RepeatLimits, Started};
 pub use tries::Tries;
--- a/crates/deckwind-core/src/routes/repeats.rs
+++ b/crates/deckwind-core/src/routes/repeats.rs
@@ -40,17 +40,20 @@
 /// Spans that a window is counted in.
 const SPANS: u32 = 20;
 
-/// Part of the share that requests earn which are new to this router: what is used of the
-/// bound leaves so much.
-const NEW_EARN: f64 = 0.25;
+/// Part of the share that requests earn by which a router gets more than in the window
+/// before: half of all callers may have come from other routers.
+const MORE_EARN: f64 = 0.5;
 
-/// What was sent again before a router's process started.
+/// The same where it had none before since its process has started: all routers may have.
+const FIRST_EARN: f64 = 0.25;
+
+/// When a router's process started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Before {
-    /// Nothing: the whole system started for the first time then.
-    Nothing(Instant),
-    /// It can't know: routers ran before, and perhaps this one.
-    Unknown,
+pub struct Started {
+    /// The moment.
+    pub at: Instant,
+    /// Whether the whole system started then for the first time: nothing was sent before.
+    pub first: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -73,17 +76,17 @@
 #[derive(Clone, Debug)]
 pub struct RepeatBudget {
     limits: RepeatLimits,
-    before: Before,
+    started: Started,
     spans: VecDeque<Span>,
     leased: LeasedRepeats,
 }
 
 impl RepeatBudget {
     /// Nothing has been sent.
-    pub fn new(limits: RepeatLimits, before: Before) -> Self {
+    pub fn new(limits: RepeatLimits, started: Started) -> Self {
         Self {
             limits,
-            before,
+            started,
             spans: VecDeque::new(),
             leased: LeasedRepeats::default(),
         }
@@ -128,20 +131,26 @@
     fn earning(&self, now: Instant) -> f64 {
         let requests = f64::from(self.counts(now).0);
         let steady = requests.min(self.before_window(now));
-        steady + (requests - steady) * NEW_EARN
+        let age = now.since(self.started.at);
+        let part = match self.started.first || age >= 2 * self.limits.window {
+            true => MORE_EARN,
+            false => FIRST_EARN,
+        };
+        steady + (requests - steady) * part
     }
 
-    /// Requests of the window before, as if it had been as long where nothing came before
-    /// the process started.
+    /// Requests of the window before; as if it had been as long, where the whole system
+    /// started within it.
     fn before_window(&self, now: Instant) -> f64 {
         let oldest = self.oldest_of_window(now);
         let older = self.spans.iter().filter(|s| s.number < oldest);
         let requests: u32 = older.map(|s| s.requests).sum();
-        let Before::Nothing(started) = self.before else {
+        if !self.started.first {
             return f64::from(requests);
-        };
+        }
         let window = self.limits.window;
-        let known = now.since(started).saturating_sub(window).min(window);
+        let age = now.since(self.started.at);
+        let known = age.saturating_sub(window).min(window);
         match known.is_zero() {
             true => f64::INFINITY,
             false => f64::from(requests) * window.as_secs_f64() / known.as_secs_f64(),
@@ -189,16 +198,16 @@
 #[derive(Clone, Debug)]
 pub struct RepeatBudgets {
     limits: RepeatLimits,
-    before: Before,
+    started: Started,
     by_pool: HashMap<String, RepeatBudget>,
 }
 
 impl RepeatBudgets {
     /// Nothing has been sent.
-    pub fn new(limits: RepeatLimits, before: Before) -> Self {
+    pub fn new(limits: RepeatLimits, started: Started) -> Self {
         Self {
             limits,
-            before,
+            started,
             by_pool: HashMap::new(),
         }
     }
@@ -206,7 +215,7 @@
     /// The budget of a pool.
     pub fn of_pool(&mut self, pool: &str) -> &mut RepeatBudget {
         if !self.by_pool.contains_key(pool) {
-            let fresh = RepeatBudget::new(self.limits, self.before);
+            let fresh = RepeatBudget::new(self.limits, self.started);
             self.by_pool.insert(pool.to_string(), fresh);
         }
         self.by_pool.get_mut(pool).expect("just put there")
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -3,7 +3,7 @@
 
 use deckwind_core::control::LimitReport;
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
-use deckwind_core::routes::{Before, Claim, CutRuns, RepeatBudgets, RepeatLimits};
+use deckwind_core::routes::{Claim, CutRuns, RepeatBudgets, RepeatLimits, Started};
 use deckwind_core::state::{
     ClaimKey, ClaimRequest, ClaimVerdict, ContentDigest, FinishRequest, Holder, Outcome, Revision,
     VmName,
@@ -53,6 +53,12 @@
 /// Between two messages that repeats run short.
 const SHORT_EVERY: Duration = Duration::from_millis(80);
 
+/// When routers start, as far as repeats care: not with the whole system.
+const STARTED: Started = Started {
+    at: Instant::ZERO,
+    first: false,
+};
+
 /// The bound on repeats: nothing for the routers' own requests.
 pub const REPEATS: RepeatLimits = RepeatLimits {
     share: 0.0,
@@ -125,7 +131,7 @@
     pub fn want_repeats(&mut self, repeats: u64) {
         self.repeats_wanted = repeats;
         self.budgets
-            .get_or_insert_with(|| RepeatBudgets::new(REPEATS, Before::Unknown));
+            .get_or_insert_with(|| RepeatBudgets::new(REPEATS, STARTED));
     }
 
     /// How many repeats it may use.
@@ -168,7 +174,7 @@
         self.budgets = self
             .budgets
             .as_ref()
-            .map(|_| RepeatBudgets::new(REPEATS, Before::Unknown));
+            .map(|_| RepeatBudgets::new(REPEATS, STARTED));
     }
 
     /// Replica that it asks.
--- a/crates/deckwind-testkit/tests/testsuite/come_back.rs
+++ b/crates/deckwind-testkit/tests/testsuite/come_back.rs
@@ -8,7 +8,7 @@
 //! after a stream had been let in (median).
 
 use crate::repeat_rig::Control;
-use deckwind_core::routes::{Before, Claim, Refusal, RepeatBudgets, RepeatLimits};
+use deckwind_core::routes::{Claim, Refusal, RepeatBudgets, RepeatLimits, Started};
 use deckwind_core::state::Holder;
 use deckwind_core::time::Instant;
 use rand::rngs::StdRng;
@@ -50,7 +50,11 @@
 fn play(rejected_percent: u32, refusal: Refusal, seed: u64) -> Outcome {
     let mut rng = StdRng::seed_from_u64(seed);
     let start = Instant::from_millis(1_000);
-    let budgets = || RepeatBudgets::new(LIMITS, Before::Nothing(start));
+    let first = Started {
+        at: start,
+        first: true,
+    };
+    let budgets = || RepeatBudgets::new(LIMITS, first);
     let mut budgets: Vec<_> = (0..ROUTERS).map(|_| budgets()).collect();
     let mut control = Control::new(start);
     let mut renewals: Vec<_> = (0..ROUTERS)
--- a/crates/deckwind-testkit/tests/testsuite/published.rs
+++ b/crates/deckwind-testkit/tests/testsuite/published.rs
@@ -1,11 +1,9 @@
 //! Releases, announced targets, events and repeats, as tables and in virtual
 //! time.
 
-use crate::repeat_rig::Control;
+use crate::repeat_rig::{Control, STARTED};
 use crate::support::announced;
-use deckwind_core::routes::{
-    Before, Claim, EventCutter, Paid, ReleaseIndex, RepeatBudgets, RepeatLimits,
-};
+use deckwind_core::routes::{Claim, EventCutter, Paid, ReleaseIndex, RepeatBudgets, RepeatLimits};
 use deckwind_core::state::{
     Command, CommandBody, Configuration, Holder, Instance, InstanceChange, InstanceState,
     KeyHolder, LayerRange, Pool, Published, Rejection, Release, Reply, Revision, Route, RouteKind,
@@ -329,7 +327,7 @@
         window: Duration::from_secs(10),
     };
     let mut budgets: Vec<_> = (0..routers)
-        .map(|_| RepeatBudgets::new(limits, Before::Unknown))
+        .map(|_| RepeatBudgets::new(limits, STARTED))
         .collect();
     let mut control = Control::new(Instant::from_millis(1_000));
     let mut rng = ChaCha8Rng::seed_from_u64(7);
@@ -383,7 +381,7 @@
         beyond: 0.0,
         window: Duration::from_secs(10),
     };
-    let mut budgets = RepeatBudgets::new(limits, Before::Unknown);
+    let mut budgets = RepeatBudgets::new(limits, STARTED);
     let now = Instant::from_millis(1_000);
     for _ in 0..100 {
         budgets.of_pool("busy").requested(now);
@@ -408,7 +406,7 @@
         window: Duration::from_secs(10),
     };
     let mut routers: Vec<_> = (0..9)
-        .map(|_| (RepeatBudgets::new(limits, Before::Unknown), 0u64))
+        .map(|_| (RepeatBudgets::new(limits, STARTED), 0u64))
         .collect();
     let mut control = Control::new(Instant::from_millis(20_000));
     let mut repeats = Vec::new();
@@ -421,7 +419,7 @@
         };
         for (i, (budgets, boot)) in routers.iter_mut().enumerate() {
             if stopped(i) {
-                (*budgets, *boot) = (RepeatBudgets::new(limits, Before::Unknown), 1);
+                (*budgets, *boot) = (RepeatBudgets::new(limits, STARTED), 1);
                 continue;
             }
             budgets.of_pool("pool").requested(now);
--- a/crates/deckwind-testkit/tests/testsuite/repeat_rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/repeat_rig.rs
@@ -3,7 +3,7 @@
 
 use deckwind_core::control::{RepeatDesk, RepeatGrant, RepeatReport};
 use deckwind_core::membership::LeaseTiming;
-use deckwind_core::routes::{RepeatBudgets, RepeatLimits};
+use deckwind_core::routes::{RepeatBudgets, RepeatLimits, Started};
 use deckwind_core::state::{Holder, RepeatChange, RepeatLedger};
 use deckwind_core::time::Instant;
 use std::time::Duration;
@@ -15,6 +15,12 @@
     window: Duration::from_secs(10),
 };
 
+/// A start of a router in a system that has run before.
+pub const STARTED: Started = Started {
+    at: Instant::ZERO,
+    first: false,
+};
+
 /// Part of it that is used.
 pub const USED: f64 = 0.8;
 
--- a/crates/deckwind-testkit/tests/testsuite/repeat_share.rs
+++ b/crates/deckwind-testkit/tests/testsuite/repeat_share.rs
@@ -2,7 +2,7 @@
 //! it together, where processes start again and callers move. Virtual time.
 
 use crate::repeat_rig::{Control, LIMITS};
-use deckwind_core::routes::{Before, Claim, RepeatBudgets};
+use deckwind_core::routes::{Claim, RepeatBudgets, Started};
 use deckwind_core::state::Holder;
 use deckwind_core::time::Instant;
 use yare::parameterized;
@@ -77,7 +77,10 @@
 fn play(happens: Happens) -> Played {
     let at = |ms: u64| Instant::from_millis(1_000 + ms);
     let mut control = Control::new(at(0));
-    let first = Before::Nothing(at(0));
+    let first = Started {
+        at: at(0),
+        first: true,
+    };
     let mut routers: Vec<_> = (0..ROUTERS)
         .map(|_| (RepeatBudgets::new(LIMITS, first), 0))
         .collect();
@@ -87,7 +90,11 @@
         if ms == HAPPENS_MS
             && let Happens::StartAgain(count) = happens
         {
-            let again = || (RepeatBudgets::new(LIMITS, Before::Unknown), 1);
+            let started = Started {
+                at: at(ms),
+                first: false,
+            };
+            let again = || (RepeatBudgets::new(LIMITS, started), 1);
             routers[..count].fill_with(again);
         }
         let away = match happens {
--- a/crates/deckwind-testkit/tests/testsuite/shared_bound.rs
+++ b/crates/deckwind-testkit/tests/testsuite/shared_bound.rs
@@ -1,9 +1,9 @@
 //! The bound on repeats over routers that start, stop, and lose their leader, with
 //! messages that are late, lost and doubled, and clocks that run apart.
 
-use crate::repeat_rig::{Control, LIMITS, USED};
+use crate::repeat_rig::{Control, LIMITS, STARTED, USED};
 use deckwind_core::control::RepeatGrant;
-use deckwind_core::routes::{Before, Claim, RepeatBudgets};
+use deckwind_core::routes::{Claim, RepeatBudgets};
 use deckwind_core::state::Holder;
 use deckwind_core::time::Instant;
 use proptest::prelude::*;
@@ -93,7 +93,7 @@
                 vm: format!("r{number}").as_str().into(),
                 boot,
             },
-            budgets: RepeatBudgets::new(LIMITS, Before::Unknown),
+            budgets: RepeatBudgets::new(LIMITS, STARTED),
             open_ms: None,
             fast,
         }
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -34,8 +34,8 @@
 use deckwind_config::RouterSettings;
 use deckwind_core::control::{EngineFull, Grant, LimitReport, RepeatReport};
 use deckwind_core::routes::{
-    Before, Claim, InstanceIndex, LifeOver, Paid, Patience, ReleaseIndex, RepeatBudgets,
-    RepeatLimits, TargetBook, TargetFault,
+    Claim, InstanceIndex, LifeOver, Paid, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits,
+    Started, TargetBook, TargetFault,
 };
 use deckwind_core::state::{Configuration, Instance, Pool, Revision, Route, RouteKind};
 use deckwind_core::time::Instant;
@@ -124,15 +124,15 @@
             window: cfg.repeats.window,
         };
         let seeds = cx.settings.seeds.as_ref();
-        let before = match seeds.is_some_and(|s| s.first_start) {
-            true => Before::Nothing(cx.clock.now()),
-            false => Before::Unknown,
+        let started = Started {
+            at: cx.clock.now(),
+            first: seeds.is_some_and(|s| s.first_start),
         };
         Self {
             release: ArcSwapOption::empty(),
             instances: ArcSwap::default(),
             book: Mutex::default(),
-            repeats: Mutex::new(RepeatBudgets::new(limits, before)),
+            repeats: Mutex::new(RepeatBudgets::new(limits, started)),
             clock: cx.clock,
             dialect: cx.dialects.callers.clone(),
             connections: KeptConnections::new(cx.clock),
