--- a/crates/deckwind-fakes/src/runner/fleet.rs
+++ b/crates/deckwind-fakes/src/runner/fleet.rs
@@ -140,15 +140,18 @@
         lock(&self.0.outages).clone()
     }
 
+    /// How its engines run streams.
     pub(super) fn pace(&self) -> FleetPace {
         self.0.pace
     }
 
+    /// A target is of this fleet from now on.
     pub(super) fn join(&self, address: SocketAddr, state: Arc<Mutex<State>>) {
         lock(&self.0.targets).insert(address, state);
     }
 
-    pub(super) fn is_down(&self, address: SocketAddr) {
+    /// An engine goes down now.
+    pub(super) fn note_outage(&self, address: SocketAddr) {
         let at = Instant::now();
         lock(&self.0.outages).push(Outage { address, at });
     }
@@ -179,6 +182,7 @@
         lock(&self.0.arrivals)[arrival].ran = true;
     }
 
+    /// Whether a stream can take a path; it passes through `held` already.
     fn check(&self, path: &[PathPart], held: &[PathPart]) -> Result<(), NoPath> {
         let targets = lock(&self.0.targets);
         for part in path {
--- a/crates/deckwind-fakes/src/runner/mod.rs
+++ b/crates/deckwind-fakes/src/runner/mod.rs
@@ -431,7 +431,7 @@
 
 fn note_outage(state: &State, address: SocketAddr) {
     if let Some((fleet, _)) = &state.fleet {
-        fleet.is_down(address);
+        fleet.note_outage(address);
     }
 }
 
--- a/crates/deckwind-testkit/examples/at_size.rs
+++ b/crates/deckwind-testkit/examples/at_size.rs
@@ -3,7 +3,8 @@
 //! `cargo run --release -p deckwind-testkit --example at_size -- DAEMON SIZE FIRST COUNT SECONDS [TROUBLE...]`
 //! where DAEMON is the program `deckwindd`, SIZE `hundreds` or `tens`, and each TROUBLE the
 //! name of a kind, to be drawn, or `KIND:PERCENT:LENGTH_MS:PAUSE_MS`: these come in turn.
-//! Logs of a seed that breaks the bound stay in the folder printed.
+//! Logs of a seed that breaks the bound stay in the folder printed; with `KEEP` in the
+//! environment those of each.
 
 use anyhow::{Context, Result, bail};
 use deckwind_testkit::Processes;
@@ -88,7 +89,11 @@
             )
         })
     };
-    let (served, refused, failed) = report.outcomes;
+    let at_size::Outcomes {
+        served,
+        refused,
+        failed,
+    } = report.outcomes;
     println!(
         "seed {seed}: engines {} plain {} repeats {} unpaid {} beyond_attempts {} {:?} served {served} refused {refused} failed {failed}",
         used(&report.engines),
--- a/crates/deckwind-testkit/src/at_size/callers.rs
+++ b/crates/deckwind-testkit/src/at_size/callers.rs
@@ -60,14 +60,22 @@
 }
 
 /// What came of all requests.
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Outcomes {
     /// Whole answers.
-    pub served: AtomicU64,
+    pub served: u64,
     /// Refusals that say "not run".
-    pub refused: AtomicU64,
+    pub refused: u64,
     /// Everything else.
-    pub failed: AtomicU64,
+    pub failed: u64,
+}
+
+/// What came of one.
+#[derive(Clone, Copy)]
+enum Outcome {
+    Served,
+    Refused,
+    Failed,
 }
 
 /// When requests were sent, by pool.
@@ -87,8 +95,7 @@
     pub ready: Vec<AtomicBool>,
     /// Requests a second, in hundredths of the usual rate.
     pub rate_percent: AtomicU64,
-    /// What came of requests.
-    pub outcomes: Outcomes,
+    outcomes: Mutex<Outcomes>,
     /// Requests that were sent.
     pub asked: Asked,
     next: AtomicU64,
@@ -106,7 +113,7 @@
             ready: routers.iter().map(|_| AtomicBool::new(true)).collect(),
             routers,
             rate_percent: AtomicU64::new(100),
-            outcomes: Outcomes::default(),
+            outcomes: Mutex::default(),
             asked: Asked::default(),
             next: AtomicU64::new(0),
             stop: AtomicBool::new(false),
@@ -148,6 +155,11 @@
         self.stop.store(true, Ordering::Relaxed);
     }
 
+    /// What came of requests so far.
+    pub fn outcomes(&self) -> Outcomes {
+        *self.outcomes.lock().expect("no holder panics")
+    }
+
     /// Whether one stream is served.
     pub async fn is_served(&self) -> bool {
         let id = self.next_id(Ask::Stream);
@@ -184,7 +196,7 @@
 
     async fn request(self: Arc<Self>, ask: Ask, caller: usize) {
         let until = Instant::now() + ask.patience();
-        let mut outcome = &self.outcomes.failed;
+        let mut outcome = Outcome::Failed;
         for again in 0..TRIES {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -201,25 +213,34 @@
             match status {
                 StatusCode::OK => {
                     if read(res).await {
-                        outcome = &self.outcomes.served;
+                        outcome = Outcome::Served;
                         break;
                     }
-                    outcome = &self.outcomes.failed;
+                    outcome = Outcome::Failed;
                 }
                 StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-                    outcome = &self.outcomes.refused;
+                    outcome = Outcome::Refused;
                     let after = retry_after(&res).min(left / WAITS_PART);
                     tokio::time::sleep(after).await;
                 }
                 _ => {
-                    outcome = &self.outcomes.failed;
+                    outcome = Outcome::Failed;
                     if ask == Ask::Once {
                         break;
                     }
                 }
             }
         }
-        outcome.fetch_add(1, Ordering::Relaxed);
+        self.note(outcome);
+    }
+
+    fn note(&self, outcome: Outcome) {
+        let mut all = self.outcomes.lock().expect("no holder panics");
+        match outcome {
+            Outcome::Served => all.served += 1,
+            Outcome::Refused => all.refused += 1,
+            Outcome::Failed => all.failed += 1,
+        }
     }
 
     async fn send(
--- a/crates/deckwind-testkit/src/at_size/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/mod.rs
@@ -28,11 +28,12 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use size::{DATA_CENTRES, ENGINES, PLAIN};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
 /// Between two announcements of a target.
@@ -66,8 +67,8 @@
     pub repeats: usize,
     /// Of these, those for which no router wrote that it had paid.
     pub unpaid: usize,
-    /// Answered whole, refused as not run, and the rest.
-    pub outcomes: (u64, u64, u64),
+    /// What came of callers' requests.
+    pub outcomes: Outcomes,
     /// What was done, and when.
     pub troubles: Vec<(Duration, Trouble)>,
 }
@@ -168,19 +169,8 @@
     fn announce(&self) -> JoinHandle<()> {
         let (targets, operator) = (self.targets.clone(), self.operator.clone());
         tokio::spawn(async move {
-            let mut all = tokio::task::JoinSet::new();
-            for i in 0..targets.len() {
-                let (targets, operator) = (targets.clone(), operator.clone());
-                all.spawn(async move {
-                    // Spread over the time between two.
-                    let count = targets.len() as u32;
-                    tokio::time::sleep(ANNOUNCE_EVERY * i as u32 / count).await;
-                    loop {
-                        targets[i].announce(&operator).await;
-                        tokio::time::sleep(ANNOUNCE_EVERY).await;
-                    }
-                });
-            }
+            let announce = |i: usize| announce_again(targets.clone(), i, operator.clone());
+            let mut all: JoinSet<()> = (0..targets.len()).map(announce).collect();
             while all.join_next().await.is_some() {}
         })
     }
@@ -224,10 +214,7 @@
         let outages = self.fleet.outages();
         let outages: Vec<_> = outages.iter().map(|o| (o.address, o.at)).collect();
         let beyond = beyond_attempts(self.size.attempts as usize, &engines, &outages);
-        let outcomes = &self.callers.outcomes;
-        let count = |n: &AtomicU64| n.load(Ordering::Relaxed);
-        let requests: std::collections::HashSet<&str> =
-            engines.iter().map(|s| s.request.as_str()).collect();
+        let requests: HashSet<&str> = engines.iter().map(|s| s.request.as_str()).collect();
         Ok(Report {
             engines: fullest_window(&bound, &streams, &engines),
             plain: fullest_window(&bound, &calls, &plain),
@@ -235,11 +222,7 @@
             worst: beyond.into_iter().max_by_key(|(_, targets)| *targets),
             repeats: engines.len() - requests.len(),
             unpaid: unpaid(&engines, &self.processes.lines("event=repeat_paid")?),
-            outcomes: (
-                count(&outcomes.served),
-                count(&outcomes.refused),
-                count(&outcomes.failed),
-            ),
+            outcomes: self.callers.outcomes(),
             troubles,
         })
     }
@@ -304,6 +287,15 @@
     }
 }
 
+/// Announces one target for ever; all of them spread over the time between two.
+async fn announce_again(targets: Arc<Vec<Target>>, i: usize, operator: Operator) {
+    tokio::time::sleep(ANNOUNCE_EVERY * i as u32 / targets.len() as u32).await;
+    loop {
+        targets[i].announce(&operator).await;
+        tokio::time::sleep(ANNOUNCE_EVERY).await;
+    }
+}
+
 /// Calls control replicas.
 #[derive(Clone)]
 struct Operator {
