A stand-in that is away keeps its port

Found by reading, while a test that failed beside load was looked at: a target that refuses connections while it is away gave its port back to the system for that time, so that another socket could get it, and the target not return. It is bound and not listening now, as the layout's ports are.

--- a/crates/deckwind-fakes/src/runner/mod.rs
+++ b/crates/deckwind-fakes/src/runner/mod.rs
@@ -12,10 +12,10 @@
 pub use fleet::{Fleet, FleetArrival, FleetPace, Outage};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -215,8 +215,12 @@
 impl FakeRunner {
     /// Serves a new life of a target with this id.
     pub async fn start(id: &str) -> Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr().context("it is bound")?;
+        // Bound and not listening: nobody else gets the port while the target is away.
+        let held = TcpSocket::new_v4()?;
+        held.set_reuseaddr(true)?;
+        held.bind((Ipv4Addr::LOCALHOST, 0).into())?;
+        let address = held.local_addr().context("it is bound")?;
+        let listener = TcpListener::bind(address).await?;
         let state = Arc::new(Mutex::new(State {
             id: id.to_string(),
             born: unix_ms(),
@@ -224,7 +228,7 @@
         }));
         let (lives, _) = watch::channel(0);
         let lives = Arc::new(lives);
-        let task = tokio::spawn(accept_all(listener, state.clone(), lives.clone()));
+        let task = tokio::spawn(accept_all(held, listener, state.clone(), lives.clone()));
         Ok(Self {
             address,
             state,
@@ -440,11 +444,12 @@
 
 /// Serves for ever. One that is away does not listen, so that connections are refused.
 async fn accept_all(
+    held: TcpSocket,
     listener: TcpListener,
     state: Arc<Mutex<State>>,
     lives: Arc<watch::Sender<u32>>,
 ) {
-    let Ok(address) = listener.local_addr() else {
+    let Ok(address) = held.local_addr() else {
         return;
     };
     let mut listener = Some(listener);
