--- a/crates/deckwind-fakes/src/runner/mod.rs
+++ b/crates/deckwind-fakes/src/runner/mod.rs
@@ -138,6 +138,8 @@
     limit: Option<String>,
     /// It has ended, and starts again then.
     away_until: Option<Instant>,
+    /// It has crashed, and refuses connections until then.
+    refuses_until: Option<Instant>,
     /// It is silent until then: it takes connections, and neither reads nor writes.
     silent_until: Option<Instant>,
     /// What its card is.
@@ -254,8 +256,10 @@
     /// It ends, refuses connections for so long, and starts again under its id.
     pub fn crash(&self, length: Duration) {
         begin_life(&self.state, &self.lives);
+        let until = Instant::now() + length;
         let mut state = self.lock();
-        state.away_until = Some(Instant::now() + length);
+        state.away_until = Some(until);
+        state.refuses_until = Some(until);
         note_outage(&state, self.address);
     }
 
@@ -442,7 +446,8 @@
 /// Between two tries to listen again.
 const LISTEN_AGAIN: Duration = Duration::from_millis(20);
 
-/// Serves for ever. One that is away does not listen, so that connections are refused.
+/// Serves for ever. One that has crashed does not listen, so that connections are refused;
+/// one that a request ended closes those that it takes.
 async fn accept_all(
     held: TcpSocket,
     listener: TcpListener,
@@ -454,8 +459,8 @@
     };
     let mut listener = Some(listener);
     loop {
-        let away_until = state.lock().expect("no holder panics").away_until;
-        if let Some(until) = away_until.filter(|until| Instant::now() < *until) {
+        let refuses_until = state.lock().expect("no holder panics").refuses_until;
+        if let Some(until) = refuses_until.filter(|until| Instant::now() < *until) {
             listener = None;
             tokio::time::sleep_until(until).await;
         }
@@ -489,9 +494,15 @@
         };
         {
             let mut state = state.lock().expect("no holder panics");
-            if state.is_away() {
+            if state
+                .refuses_until
+                .is_some_and(|until| Instant::now() < until)
+            {
                 return;
             }
+            if state.is_away() {
+                continue;
+            }
             state.connections += 1;
         }
         let (state, lives) = (state.clone(), lives.clone());
