Instances are found by address and by revision

Cause: each entry that names instances went through all of them three times (who is at an address, what was written, how many have left), and so did each delta: 3,000 rows an entry, on every replica.

--- a/crates/deckwind-core/src/state/instances.rs
+++ b/crates/deckwind-core/src/state/instances.rs
@@ -14,6 +14,7 @@
 //! (that nothing new will come) holds on every router within its lease.
 
 use super::configuration::Versioned;
+use super::instance_index::InstanceIndex;
 use super::lives::{EndedLives, Life, Standing, may_be_older};
 use super::names::{DataCentre, Revision};
 use super::objects::LayerRange;
@@ -21,6 +22,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Names a target, through all its lives where it keeps its id.
 pub type InstanceId = String;
@@ -113,8 +115,13 @@
 
 /// All instances, each with the revision that wrote it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Written")]
 pub struct Instances {
-    all: BTreeMap<InstanceId, Versioned<Instance>>,
+    /// Shared by copies of it until one of them changes.
+    all: Arc<BTreeMap<InstanceId, Versioned<Instance>>>,
+    /// Finds them by what changes and questions name.
+    #[serde(skip)]
+    index: Arc<InstanceIndex>,
     /// Lives that are over, by id. Routers don't need them.
     ended: BTreeMap<InstanceId, EndedLives>,
     /// Engines of layered pools that have held no layers so far. Routers can't
@@ -125,6 +132,25 @@
     unseen: BTreeSet<InstanceId>,
 }
 
+/// What of the instances is in a snapshot.
+#[derive(Deserialize)]
+struct Written {
+    all: BTreeMap<InstanceId, Versioned<Instance>>,
+    ended: BTreeMap<InstanceId, EndedLives>,
+}
+
+impl From<Written> for Instances {
+    fn from(written: Written) -> Self {
+        let index = InstanceIndex::of(&written.all);
+        Self {
+            all: Arc::new(written.all),
+            index: Arc::new(index),
+            ended: written.ended,
+            unseen: BTreeSet::new(),
+        }
+    }
+}
+
 impl Instances {
     /// Those that have not left.
     pub fn iter(&self) -> impl Iterator<Item = &Instance> {
@@ -136,6 +162,22 @@
         self.all.get(id)?.value.as_ref()
     }
 
+    /// Those at an address that have not left.
+    pub fn at(&self, address: SocketAddr) -> impl Iterator<Item = &Instance> {
+        let ids = self.index.at(address);
+        ids.filter_map(|id| self.get(id))
+    }
+
+    /// Ids of all that was written after `since`, also of those that have left.
+    pub fn written_since(&self, since: Revision) -> impl Iterator<Item = &InstanceId> {
+        self.index.since(since)
+    }
+
+    /// The revision that was written last.
+    pub fn written_upto(&self) -> Revision {
+        self.index.last()
+    }
+
     /// Whether it has been here and left.
     pub fn has_left(&self, id: &str) -> bool {
         self.all.get(id).is_some_and(|v| v.value.is_none())
@@ -167,11 +209,9 @@
         if release.is_none_or(|r| r.pool(&instance.pool).is_some()) {
             return false;
         }
-        let changes = |i: &Instance| match i.id == instance.id {
-            true => i.pool != instance.pool,
-            false => i.address == instance.address,
-        };
-        self.iter().any(changes)
+        let known = self.get(&instance.id);
+        let mut there = self.at(instance.address);
+        known.is_some_and(|i| i.pool != instance.pool) || there.any(|i| i.id != instance.id)
     }
 
     /// The lives that these changes end because newer ones of the same ids have
@@ -249,27 +289,17 @@
             }
         }
         self.forget_oldest();
-        let written = self.all.iter().filter(|(_, v)| v.revision == revision);
-        let mut written = written.map(|(id, _)| id);
+        let mut written = self.index.at_revision(revision);
         written.any(|id| !self.unseen.contains(id))
     }
 
-    /// Who is at the addresses of these instances: one look at all instances for
-    /// all changes of an entry.
+    /// Who is at the addresses of these instances.
     pub fn lives_at_addresses_of<'a>(
         &self,
         announced: impl Iterator<Item = &'a Instance>,
     ) -> BTreeMap<SocketAddr, Vec<Life>> {
-        let mut lives: BTreeMap<_, _> = announced.map(|i| (i.address, Vec::new())).collect();
-        if lives.is_empty() {
-            return lives;
-        }
-        for i in self.iter() {
-            if let Some(there) = lives.get_mut(&i.address) {
-                there.push(i.life());
-            }
-        }
-        lives
+        let there = |i: &Instance| (i.address, self.at(i.address).map(Instance::life).collect());
+        announced.map(there).collect()
     }
 
     fn end_other_lives(
@@ -343,11 +373,12 @@
     /// Routers see from now on what these pools' engines are, also without layers.
     pub(super) fn show(&mut self, revision: Revision, is_layered: impl Fn(&str) -> bool) {
         for id in std::mem::take(&mut self.unseen) {
-            let Some(v) = self.all.get_mut(&id) else {
+            let Some(v) = self.all.get(&id) else {
                 continue;
             };
             if v.value.as_ref().is_some_and(|i| !is_layered(&i.pool)) {
-                v.revision = revision;
+                let value = v.value.clone();
+                self.put(id, Versioned { revision, value });
             } else {
                 self.unseen.insert(id);
             }
@@ -358,20 +389,26 @@
         if value.as_ref().is_some_and(|i| !i.layers.is_empty()) {
             self.unseen.remove(&id);
         }
-        self.all.insert(id, Versioned { revision, value });
+        self.put(id, Versioned { revision, value });
+    }
+
+    fn put(&mut self, id: InstanceId, v: Versioned<Instance>) {
+        let index = Arc::make_mut(&mut self.index);
+        if let Some(old) = self.all.get(&id) {
+            index.remove(&id, old);
+        }
+        index.insert(&id, &v);
+        Arc::make_mut(&mut self.all).insert(id, v);
     }
 
     fn forget_oldest(&mut self) {
-        let left = |v: &Versioned<Instance>| v.value.is_none();
-        if self.all.values().filter(|v| left(v)).count() <= MAX_LEFT {
+        if self.index.left() <= MAX_LEFT {
             return;
         }
-        let oldest = self.all.iter().filter(|(_, v)| left(v));
-        let oldest = oldest
-            .min_by_key(|(_, v)| v.revision)
-            .map(|(k, _)| k.clone());
-        if let Some(id) = oldest {
-            self.all.remove(&id);
+        if let Some(id) = self.index.oldest_left().cloned() {
+            if let Some(old) = Arc::make_mut(&mut self.all).remove(&id) {
+                Arc::make_mut(&mut self.index).remove(&id, &old);
+            }
             self.ended.remove(&id);
             self.unseen.remove(&id);
         }
@@ -379,9 +416,10 @@
 
     /// What changed after `since` and routers see.
     pub fn since(&self, since: Revision) -> Vec<(InstanceId, Versioned<Instance>)> {
-        let changed = self.all.iter().filter(|(_, v)| v.revision > since);
-        let changed = changed.filter(|(id, _)| !self.unseen.contains(*id));
-        changed.map(|(k, v)| (k.clone(), v.clone())).collect()
+        let changed = self.written_since(since);
+        let changed = changed.filter(|id| !self.unseen.contains(*id));
+        let with = |id: &InstanceId| Some((id.clone(), self.all.get(id)?.clone()));
+        changed.filter_map(with).collect()
     }
 
     /// Takes over changes; never goes back.
@@ -392,7 +430,7 @@
                 .get(&id)
                 .is_none_or(|old| old.revision < v.revision);
             if newer {
-                self.all.insert(id, v);
+                self.put(id, v);
             }
         }
     }
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -17,6 +17,7 @@
 mod configuration;
 mod content;
 mod encoding;
+mod instance_index;
 mod instances;
 mod lives;
 mod names;
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod full_disk;
 mod held_back;
 mod leaving;
+mod instance_index;
 mod limit_rig;
 mod limits;
 mod lives;
