Layers are placed by data centre, where something has changed

Cause: each look, ten a second, went through all engines, copied all their lives and cards, and after a change of one card worked out the chains of all data centres; an order looked its engine up in a list. Engines that come more often than each 700 ms kept the whole pool waiting. Tests: looks after one loss at 300 and 3,000 engines, engines that come all the time, odd engines (alone in a data centre, of an unknown kind, of none), engines that start again and again.

--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -30,6 +30,7 @@
 mod orders;
 mod pace;
 mod pending;
+mod placement_cards;
 mod placement_desk;
 mod quarantine;
 mod repeat_account;
--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -8,27 +8,16 @@
 //! chain has been whole for a while. What an engine is to give up is taken from
 //! the agreed state before the order leaves, so that no router counts on it.
 
-use crate::routing::chains::chain_groups;
+use super::placement_cards::{CentreCards, PoolCards};
 use crate::routing::placement::{
     Card, Mend, common, is_whole, plan_chain, together, tokens_beside,
 };
-use crate::state::{
-    DataCentre, EngineModel, Instance, InstanceChange, InstanceId, InstanceState, Instances,
-    LayerRange, Life, Pool, Release,
-};
+use crate::state::{EngineModel, InstanceChange, InstanceId, Instances, LayerRange, Life, Release};
 use crate::time::Instant;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long the engines of a pool must have been the same before layers are
-/// placed: announcements of engines that start together come within a second.
-const SETTLE: Duration = Duration::from_millis(700);
-
-/// The same after one was lost: nothing more is waited for than the loss of
-/// others at the same moment.
-const SETTLE_LOST: Duration = Duration::from_millis(100);
-
 /// After a failed order, until the same engine gets another.
 const AGAIN_AFTER: Duration = Duration::from_millis(800);
 
@@ -40,6 +29,10 @@
 /// is held twice.
 const SCARCE: f64 = 0.75;
 
+/// Between two looks at a data centre where something is amiss and nothing could be
+/// ordered: what it waits for is looked at when it comes.
+const OPEN_EVERY: Duration = Duration::from_secs(1);
+
 /// Longest time that one order may take; loads are much shorter.
 const WITHIN: Duration = Duration::from_secs(15);
 
@@ -92,13 +85,6 @@
     pub orders: Vec<PlaceOrder>,
 }
 
-/// Engines of one pool, and until when they are waited for.
-#[derive(Clone, Debug)]
-struct Seen {
-    lives: BTreeSet<Life>,
-    until: Instant,
-}
-
 /// What an order under way does to its engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Doing {
@@ -118,121 +104,166 @@
     layers: LayerRange,
 }
 
-/// What the leader knows of its orders to place layers.
+/// Orders given, and what came of them.
 #[derive(Clone, Debug, Default)]
-pub struct PlacementDesk {
-    seen: BTreeMap<String, Seen>,
-    /// What is under way, and the start of the life that it is for.
+struct Orders {
     under_way: BTreeMap<InstanceId, UnderWay>,
-    /// By pool, number of the chain and data centre.
-    whole_since: BTreeMap<(String, usize, DataCentre), Instant>,
     not_before: BTreeMap<Life, Instant>,
-    grouped: BTreeMap<String, Grouped>,
 }
 
-/// Cards of a pool and the chains that they make.
-#[derive(Clone, Debug)]
-struct Grouped {
-    cards: Vec<Card>,
-    groups: Vec<Vec<Card>>,
+impl Orders {
+    fn is_under_way(&self, life: &Life) -> bool {
+        let under_way = self.under_way.get(&life.id);
+        under_way.is_some_and(|u| u.born == life.born)
+    }
+
+    fn doing(&self, card: &Card) -> Option<Doing> {
+        self.under_way.get(&card.id).map(|u| u.doing)
+    }
+
+    /// Forgets what was for lives that are over: nothing of it happens any more.
+    fn forget_ended(&mut self, now: Instant, instances: &Instances) {
+        self.under_way.retain(|id, under_way| {
+            let known = instances.get(id);
+            known.is_none_or(|i| i.born == under_way.born)
+        });
+        self.not_before.retain(|_, at| *at > now);
+    }
+
+    /// Gives orders for these steps. Whether there were any.
+    fn give(
+        &mut self,
+        now: Instant,
+        cards: &CentreCards,
+        steps: impl IntoIterator<Item = (Card, LayerRange)>,
+        give_up: GiveUp,
+        work: &mut PlaceWork,
+    ) -> bool {
+        let before = work.orders.len();
+        for (card, want) in steps {
+            if card.held == want || want.is_empty() {
+                continue;
+            }
+            let Some(engine) = cards.engine(&card.id) else {
+                continue;
+            };
+            let life = engine.life();
+            let failed = self.not_before.get(&life).is_some_and(|at| *at > now);
+            if failed || self.is_under_way(&life) {
+                continue;
+            }
+            let kept = common(card.held, want);
+            let doing = match kept == want {
+                true => Doing::GivingUp,
+                false => Doing::Loading,
+            };
+            let under_way = UnderWay {
+                born: life.born,
+                doing,
+                layers: want,
+            };
+            self.under_way.insert(card.id.clone(), under_way);
+            work.orders.push(PlaceOrder {
+                id: card.id.clone(),
+                address: engine.address,
+                layers: want,
+                believed: card.held,
+                give_up,
+                within: WITHIN,
+                born: life.born,
+            });
+            work.changes.push(InstanceChange::Holds {
+                life,
+                layers: kept,
+                in_memory: in_memory(card.held, want, give_up),
+            });
+        }
+        work.orders.len() > before
+    }
+}
+
+/// What the leader knows of its orders to place layers.
+#[derive(Clone, Debug, Default)]
+pub struct PlacementDesk {
+    orders: Orders,
+    cards: PoolCards,
 }
 
 impl PlacementDesk {
     /// Whether an order to this life is under way: what it announces of its
     /// layers meanwhile may be old.
     pub fn is_under_way(&self, life: &Life) -> bool {
-        let under_way = self.under_way.get(&life.id);
-        under_way.is_some_and(|u| u.born == life.born)
+        self.orders.is_under_way(life)
     }
 
     /// Layers that an engine is ordered to hold, while the order is under way.
     pub fn ordered(&self, id: &str) -> Option<LayerRange> {
-        self.under_way.get(id).map(|u| u.layers)
+        self.orders.under_way.get(id).map(|u| u.layers)
     }
 
     /// An order to this life has ended.
     pub fn ended(&mut self, now: Instant, life: &Life, ok: bool) {
         if self.is_under_way(life) {
-            self.under_way.remove(&life.id);
+            self.orders.under_way.remove(&life.id);
         }
         if !ok {
-            self.not_before.insert(life.clone(), now + AGAIN_AFTER);
+            let again = now + AGAIN_AFTER;
+            self.orders.not_before.insert(life.clone(), again);
+            self.cards.look_by(&life.id, again);
         }
     }
 
-    /// Forgets what was for lives that are over: nothing of it happens any more.
-    fn forget_ended(&mut self, now: Instant, instances: &Instances) {
-        self.under_way.retain(|id, under_way| {
-            let known = instances.get(id);
-            known.is_none_or(|i| i.born == under_way.born)
-        });
-        self.not_before.retain(|_, at| *at > now);
+    /// Engines that its looks have gone through so far.
+    pub fn looks(&self) -> u64 {
+        self.cards.looks()
     }
 
-    /// What is to be done now.
+    /// What is to be done now. Goes through data centres only in which something has
+    /// changed, or was to be waited for.
     pub fn work(&mut self, now: Instant, release: &Release, instances: &Instances) -> PlaceWork {
         let mut work = PlaceWork::default();
-        self.forget_ended(now, instances);
-        for pool in &release.pools {
-            let Some(model) = pool.engine.as_ref().filter(|m| m.layers > 0) else {
+        self.orders.forget_ended(now, instances);
+        self.cards.follow(now, release, instances);
+        for due in self.cards.take_due(now) {
+            let Some((model, mut cards)) = self.cards.take(&due) else {
                 continue;
             };
-            let ready = instances.iter().filter(|i| is_usable(i, pool));
-            let ready: Vec<&Instance> = ready.collect();
-            if self.has_settled(now, pool, &ready) {
-                self.work_of_pool(now, &pool.name, model, &ready, &mut work);
-            }
+            self.work_of(now, &model, &mut cards, &mut work);
+            self.cards.put_back(due, cards);
         }
         work
     }
 
-    fn has_settled(&mut self, now: Instant, pool: &Pool, ready: &[&Instance]) -> bool {
-        let lives: BTreeSet<Life> = ready.iter().map(|i| i.life()).collect();
-        match self.seen.get(&pool.name) {
-            Some(seen) if seen.lives == lives => now >= seen.until,
-            before => {
-                let lost = match before {
-                    Some(seen) => lives.is_subset(&seen.lives),
-                    // A new leader: these were placed before its time.
-                    None => ready.iter().any(|i| !i.layers.is_empty()),
-                };
-                let until = now + if lost { SETTLE_LOST } else { SETTLE };
-                let seen = Seen { lives, until };
-                self.seen.insert(pool.name.clone(), seen);
-                false
-            }
-        }
-    }
-
-    fn work_of_pool(
+    fn work_of(
         &mut self,
         now: Instant,
-        pool: &str,
         model: &EngineModel,
-        ready: &[&Instance],
+        cards: &mut CentreCards,
         work: &mut PlaceWork,
     ) {
-        let cards: Vec<Card> = ready.iter().filter_map(|i| card_of(model, i)).collect();
-        let is_whole = |group: &[Card]| is_whole(model.layers, group.iter().map(|c| c.held));
-        let groups = self.groups(pool, model, cards);
-        let whole_in = |dc: &DataCentre| {
-            let there = groups.iter().filter(|g| g[0].data_centre == *dc);
-            there.filter(|g| is_whole(g)).count()
-        };
+        let groups = cards.groups(model);
+        let whole = |group: &[Card]| is_whole(model.layers, group.iter().map(|c| c.held));
+        let all_whole = groups.iter().filter(|g| whole(g)).count();
+        let (mut open, mut ordered) = (false, false);
         for (number, group) in groups.iter().enumerate() {
-            let whole = is_whole(group);
-            let others = whole_in(&group[0].data_centre) - usize::from(whole);
+            let whole = whole(group);
+            let others = all_whole - usize::from(whole);
             let mend = match others {
                 0 => Mend::Soon,
                 _ => Mend::Well,
             };
-            let calm_at = self.whole_since(now, (pool, number), group, whole) + CALM;
-            let good = whole && (now < calm_at || !group.iter().any(|c| is_scarce(model, c)));
-            let under_way = |c: &Card| self.under_way.get(&c.id).map(|u| u.doing);
+            let calm_at = cards.whole_since(now, number, whole) + CALM;
+            let scarce = group.iter().any(|c| is_scarce(model, c));
+            if whole && scarce && now < calm_at {
+                cards.look_by(calm_at);
+            }
+            let good = whole && (now < calm_at || !scarce);
+            let doing = |c: &Card| self.orders.doing(c);
             let blocked = match whole {
-                true => group.iter().any(|c| under_way(c).is_some()),
-                false => group.iter().any(|c| under_way(c) == Some(Doing::Loading)),
+                true => group.iter().any(|c| doing(c).is_some()),
+                false => group.iter().any(|c| doing(c) == Some(Doing::Loading)),
             };
+            open |= !good;
             if good || blocked {
                 continue;
             }
@@ -247,87 +278,12 @@
                 (false, Mend::Well) => (additions(model, steps), GiveUp::WhenUnused),
                 (false, Mend::Soon) => (with_what_is_held(model, steps), GiveUp::AtOnce),
             };
-            self.order(now, ready, steps, give_up, work);
+            ordered |= self.orders.give(now, cards, steps, give_up, work);
         }
-    }
-
-    /// The chains of a pool, worked out anew when its cards have changed.
-    fn groups(&mut self, pool: &str, model: &EngineModel, cards: Vec<Card>) -> Vec<Vec<Card>> {
-        if let Some(grouped) = self.grouped.get(pool)
-            && grouped.cards == cards
-        {
-            return grouped.groups.clone();
-        }
-        let groups = chain_groups(model, &cards);
-        let grouped = Grouped {
-            cards,
-            groups: groups.clone(),
-        };
-        self.grouped.insert(pool.to_string(), grouped);
-        groups
-    }
-
-    /// Since when a chain is whole; `now` if it is not.
-    fn whole_since(
-        &mut self,
-        now: Instant,
-        (pool, number): (&str, usize),
-        group: &[Card],
-        whole: bool,
-    ) -> Instant {
-        let key = (pool.to_string(), number, group[0].data_centre.clone());
-        if !whole {
-            self.whole_since.remove(&key);
-            return now;
-        }
-        *self.whole_since.entry(key).or_insert(now)
-    }
-
-    fn order(
-        &mut self,
-        now: Instant,
-        ready: &[&Instance],
-        steps: impl IntoIterator<Item = (Card, LayerRange)>,
-        give_up: GiveUp,
-        work: &mut PlaceWork,
-    ) {
-        for (card, want) in steps {
-            if card.held == want || want.is_empty() {
-                continue;
-            }
-            let Some(instance) = ready.iter().find(|i| i.id == card.id) else {
-                continue;
-            };
-            let life = instance.life();
-            let failed = self.not_before.get(&life).is_some_and(|at| *at > now);
-            if failed || self.is_under_way(&life) {
-                continue;
-            }
-            let kept = common(card.held, want);
-            let doing = match kept == want {
-                true => Doing::GivingUp,
-                false => Doing::Loading,
-            };
-            let under_way = UnderWay {
-                born: life.born,
-                doing,
-                layers: want,
-            };
-            self.under_way.insert(card.id.clone(), under_way);
-            work.changes.push(InstanceChange::Holds {
-                life,
-                layers: kept,
-                in_memory: in_memory(card.held, want, give_up),
-            });
-            work.orders.push(PlaceOrder {
-                id: card.id.clone(),
-                address: instance.address,
-                layers: want,
-                believed: card.held,
-                give_up,
-                within: WITHIN,
-                born: instance.born,
-            });
+        match (open, ordered) {
+            (_, true) => cards.look_by(now),
+            (true, false) => cards.look_by(now + OPEN_EVERY),
+            (false, false) => {}
         }
     }
 }
@@ -396,18 +352,3 @@
         false => added,
     }
 }
-
-fn is_usable(instance: &Instance, pool: &Pool) -> bool {
-    instance.pool == pool.name && instance.state == InstanceState::Ready
-}
-
-fn card_of(model: &EngineModel, instance: &Instance) -> Option<Card> {
-    let kind = model.kind(instance.accelerator.as_deref()?)?;
-    Some(Card {
-        id: instance.id.clone(),
-        data_centre: instance.data_centre.clone(),
-        memory_mb: kind.memory_mb,
-        step_factor: kind.step_factor,
-        held: common(instance.layers, LayerRange::new(0, model.layers)),
-    })
-}
--- a/crates/deckwind-core/src/routing/chains.rs
+++ b/crates/deckwind-core/src/routing/chains.rs
@@ -6,9 +6,11 @@
 //! overlap before others, and what is left is a chain that is broken, one that is
 //! not placed yet, or spare.
 
-use super::layout::{TOKEN_SHARES, lay_out, most_layers};
+use super::layout::{TOKEN_SHARES, most_layers};
 use super::placement::Card;
 use crate::state::{DataCentre, EngineModel};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 
 /// Most stages of a path, less some for stages that are mended with more.
 const MOST_CARDS: usize = 28;
@@ -24,7 +26,7 @@
     centres.dedup();
     let groups = centres.into_iter().flat_map(|dc| {
         let there = cards.iter().filter(|c| c.data_centre == *dc);
-        groups_of_centre(model, there.cloned().collect())
+        chains_within(model, there.cloned().collect())
     });
     let groups: Vec<Vec<Card>> = groups.collect();
     if groups.is_empty() && !cards.is_empty() {
@@ -33,8 +35,15 @@
     groups
 }
 
-fn groups_of_centre(model: &EngineModel, cards: Vec<Card>) -> Vec<Vec<Card>> {
-    if lay_out(model, &cards).is_none() {
+/// Whether these cards can hold a chain at all.
+pub fn holds_chain(model: &EngineModel, cards: &[&Card]) -> bool {
+    share_kept(model, cards).is_some()
+}
+
+/// The cards of one data centre that should hold a chain together; none if they can't
+/// hold one.
+pub fn chains_within(model: &EngineModel, cards: Vec<Card>) -> Vec<Vec<Card>> {
+    if !holds_chain(model, &cards.iter().collect::<Vec<_>>()) {
         return Vec::new();
     }
     let count = chain_count(model, &cards);
@@ -66,7 +75,7 @@
     let least = cards.len().div_ceil(MOST_CARDS).max(1);
     let mut best = (least, 0.0);
     for count in least..=MOST_CHAINS {
-        let groups = spread(model, cards.to_vec(), count);
+        let groups = spread(model, cards, count);
         let shares = groups.iter().map(|g| share_kept(model, g));
         let shares: Option<Vec<f64>> = shares.collect();
         let Some(shares) = shares else {
@@ -82,7 +91,7 @@
 
 /// Largest part of what an engine keeps at most that all cards of a chain can
 /// keep.
-fn share_kept(model: &EngineModel, cards: &[Card]) -> Option<f64> {
+fn share_kept(model: &EngineModel, cards: &[&Card]) -> Option<f64> {
     let holds = |share: &f64| {
         let tokens = model.max_tokens as f64 * share;
         let layers: u32 = cards.iter().map(|c| most_layers(model, c, tokens)).sum();
@@ -97,19 +106,21 @@
 
 /// Cards as groups that have about as much room for layers each: the largest
 /// card goes to the group that has least so far.
-fn spread(model: &EngineModel, mut cards: Vec<Card>, count: usize) -> Vec<Vec<Card>> {
+fn spread<'a>(model: &EngineModel, cards: &'a [Card], count: usize) -> Vec<Vec<&'a Card>> {
     let tokens = model.max_tokens as f64 * EVEN_AT;
-    let layers = |c: &Card| most_layers(model, c, tokens);
-    cards.sort_by(|a, b| layers(b).cmp(&layers(a)).then(a.id.cmp(&b.id)));
-    let mut groups: Vec<(u32, Vec<Card>)> = vec![(0, Vec::new()); count];
-    for card in cards {
-        let smallest = groups.iter_mut().min_by_key(|g| g.0);
-        if let Some(group) = smallest {
-            group.0 += layers(&card);
-            group.1.push(card);
+    let sized = cards.iter().map(|c| (most_layers(model, c, tokens), c));
+    let mut sized: Vec<(u32, &Card)> = sized.collect();
+    sized.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.id.cmp(&b.1.id)));
+    let mut groups: Vec<Vec<&Card>> = vec![Vec::new(); count];
+    let mut smallest: BinaryHeap<Reverse<(u32, usize)>> =
+        (0..count).map(|i| Reverse((0, i))).collect();
+    for (layers, card) in sized {
+        if let Some(Reverse((held, i))) = smallest.pop() {
+            groups[i].push(card);
+            smallest.push(Reverse((held + layers, i)));
         }
     }
-    groups.into_iter().map(|g| g.1).collect()
+    groups
 }
 
 /// Takes a whole chain out of the cards: one whose engines join without overlap
@@ -171,7 +182,8 @@
 fn new_groups(model: &EngineModel, cards: Vec<Card>, count: usize) -> Vec<Vec<Card>> {
     let held: u32 = cards.iter().map(|c| c.held.len()).sum();
     let count = if held < model.layers / 2 { count } else { 1 };
-    let mut groups = spread(model, cards, count);
-    groups.retain(|g| lay_out(model, g).is_some());
-    groups
+    let mut groups = spread(model, &cards, count);
+    groups.retain(|g| holds_chain(model, g));
+    let owned = |g: Vec<&Card>| g.into_iter().cloned().collect();
+    groups.into_iter().map(owned).collect()
 }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod other_writers;
 mod paths;
 mod placement;
+mod placement_at_size;
 mod processes;
 mod promises;
 mod published;
