Leases and repeats of one router are found without going through all

Cause: leases were looked through for ends at each turn, and for what is in force everywhere at each renewal that somebody waited for; a report and a grant of repeats went through the allowances of all routers some six times each. Change: leases are counted by revision, and looked through only when one may have run out; allowances are found by router, what counts of a pool is kept as a total; looks at what all lack are rarer the more routers there are (50 us each), so that they take the same part of the processor with any number.

--- a/crates/deckwind-core/src/control/repeat_desk.rs
+++ b/crates/deckwind-core/src/control/repeat_desk.rs
@@ -23,7 +23,9 @@
 use super::repeat_account::{Account, shares};
 use super::repeat_messages::{PoolReport, RepeatGrant, RepeatReport};
 use crate::membership::LeaseTiming;
-use crate::state::{AllowanceId, AllowanceKey, Holder, PoolName, RepeatChange, RepeatLedger};
+use crate::state::{
+    AllowanceId, AllowanceKey, Holder, PoolName, RepeatChange, RepeatLedger, VmName,
+};
 use crate::time::Instant;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -32,10 +34,13 @@
 /// some; routers hold some ahead, so that the first repeats wait for none.
 const ENTRY_EVERY: Duration = Duration::from_millis(100);
 
-/// Shortest time between two looks at what routers lack, each of which goes through
-/// all of them.
+/// Shortest time between two looks at what routers lack.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
+/// How much longer that time is for each router, since a look goes through all of them:
+/// looks take the same part of the processor with any number.
+const LOOK_A_ROUTER: Duration = Duration::from_micros(50);
+
 /// Shortest time between two entries that only say what is over.
 const OVER_EVERY: Duration = Duration::from_secs(1);
 
@@ -88,7 +93,15 @@
     /// The least bound and the longest window that any router told.
     bound: Option<(u64, Duration)>,
     accounts: BTreeMap<AllowanceId, Account>,
+    /// Which of them are whose.
+    by_holder: BTreeMap<Holder, Vec<AllowanceId>>,
+    /// What counts of each pool.
+    counted: BTreeMap<PoolName, u64>,
     told: BTreeMap<Holder, Told>,
+    /// The start of each VM that told last.
+    starts: BTreeMap<VmName, Holder>,
+    /// Routers that serve each pool.
+    serving: BTreeMap<PoolName, u64>,
     /// An entry was proposed and not yet applied: one at a time, so that the
     /// ledger holds all that was issued.
     proposed: bool,
@@ -101,6 +114,7 @@
     news: BTreeSet<Holder>,
     /// When what is over was last looked for.
     aged_at: Option<Instant>,
+    looks: u64,
 }
 
 impl RepeatDesk {
@@ -111,13 +125,18 @@
             timing,
             bound: None,
             accounts: BTreeMap::new(),
+            by_holder: BTreeMap::new(),
+            counted: BTreeMap::new(),
             told: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            serving: BTreeMap::new(),
             proposed: false,
             entry_at: None,
             looked_at: None,
             turn: 0,
             news: BTreeSet::new(),
             aged_at: None,
+            looks: 0,
         };
         desk.applied(now, ledger);
         desk.close_older(now);
@@ -133,6 +152,16 @@
                 account.close(now);
             }
         }
+        self.count_anew();
+    }
+
+    /// Adds up what counts of each pool.
+    fn count_anew(&mut self) {
+        self.counted.clear();
+        for account in self.accounts.values() {
+            let pool = account.key.pool.clone();
+            *self.counted.entry(pool).or_default() += account.counts();
+        }
     }
 
     fn lasts(&self) -> Duration {
@@ -145,8 +174,9 @@
         counted * (1_000 + self.timing.drift_per_mille) / 1_000
     }
 
-    /// The ledger has changed: an entry was applied.
-    pub fn applied(&mut self, now: Instant, ledger: &RepeatLedger) {
+    /// The ledger has changed: an entry was applied. Routers that were issued more
+    /// than they were told of.
+    pub fn applied(&mut self, now: Instant, ledger: &RepeatLedger) -> Vec<Holder> {
         self.proposed = false;
         let until = now + self.lasts();
         for (id, allowance) in ledger.iter() {
@@ -167,6 +197,13 @@
         let accounts = self.accounts.values();
         let news = accounts.filter(|a| a.open && a.told < a.issued);
         self.news = news.map(|a| a.key.holder.clone()).collect();
+        self.by_holder.clear();
+        for (id, account) in &self.accounts {
+            let holder = account.key.holder.clone();
+            self.by_holder.entry(holder).or_default().push(*id);
+        }
+        self.count_anew();
+        self.news.iter().cloned().collect()
     }
 
     /// A router told what it holds and wants.
@@ -176,23 +213,44 @@
         for pool in &report.pools {
             let account = pool.allowance.and_then(|id| self.accounts.get_mut(&id));
             if let Some(account) = account.filter(|a| a.key.holder == *holder) {
+                let before = account.counts();
                 account.reported(now, pool);
                 account.open &= pool.serves || account.counts() > 0;
+                let counted = self.counted.entry(account.key.pool.clone()).or_default();
+                *counted = (*counted + account.counts()).saturating_sub(before);
             }
         }
-        self.told.retain(|h, _| h.vm != holder.vm || h == holder);
+        let older = self.starts.insert(holder.vm.clone(), holder.clone());
+        if let Some(older) = older.filter(|older| older != holder) {
+            self.forget(&older);
+        }
         let told = Told {
             at: now,
             pools: report.pools.clone(),
         };
-        self.told.insert(holder.clone(), told);
+        count_served(&mut self.serving, &told, true);
+        if let Some(before) = self.told.insert(holder.clone(), told) {
+            count_served(&mut self.serving, &before, false);
+        }
+    }
+
+    /// Forgets what a start of a router told.
+    fn forget(&mut self, holder: &Holder) {
+        if let Some(told) = self.told.remove(holder) {
+            count_served(&mut self.serving, &told, false);
+        }
+    }
+
+    /// What a start of a router may use, with its allowances' ids.
+    fn open_of(&self, holder: &Holder) -> impl Iterator<Item = (AllowanceId, &Account)> {
+        let ids = self.by_holder.get(holder).into_iter().flatten();
+        let accounts = ids.filter_map(|id| Some((*id, self.accounts.get(id)?)));
+        accounts.filter(|(_, a)| a.open)
     }
 
     /// Repeats that a start of a router holds and has not used.
     pub fn unused_of(&self, holder: &Holder) -> u64 {
-        let accounts = self.accounts.values();
-        let mine = accounts.filter(|a| a.open && a.key.holder == *holder);
-        mine.map(Account::unused).sum()
+        self.open_of(holder).map(|(_, a)| a.unused()).sum()
     }
 
     /// What a router may use, for the answer that is sent to it now.
@@ -201,28 +259,23 @@
         self.age(now);
         let keeps = self.keeps(holder);
         self.news.remove(holder);
-        let accounts = self.accounts.values();
-        let mine = accounts.filter(|a| a.open && a.key.holder == *holder);
-        let free = |a: &Account| {
-            let pool = a.key.pool.clone();
-            let free = self.free(&pool) * 100 / self.most().max(1);
-            (pool, free)
-        };
-        let free: BTreeMap<PoolName, u64> = mine.map(free).collect();
-        let accounts = self.accounts.iter_mut();
-        let mine = accounts.filter(|(_, a)| a.open && a.key.holder == *holder);
-        let mut grants = Vec::new();
-        for (id, account) in mine {
-            account.until = until;
-            account.told = account.issued;
+        let mine = self.open_of(holder);
+        let grant = |(id, account): (AllowanceId, &Account)| {
             let pool = account.key.pool.clone();
-            grants.push(RepeatGrant {
+            RepeatGrant {
                 keep: keeps.get(&pool).copied().unwrap_or_default(),
-                free_percent: free.get(&pool).copied().unwrap_or_default(),
+                free_percent: self.free(&pool) * 100 / self.most().max(1),
                 pool,
-                allowance: *id,
+                allowance: id,
                 issued: account.issued,
-            });
+            }
+        };
+        let grants: Vec<RepeatGrant> = mine.map(grant).collect();
+        for grant in &grants {
+            if let Some(account) = self.accounts.get_mut(&grant.allowance) {
+                account.until = until;
+                account.told = account.issued;
+            }
         }
         grants
     }
@@ -232,26 +285,45 @@
         self.news.contains(holder)
     }
 
-    /// Takes what is over out of the counts, each [`LOOK_EVERY`] at most: what is
-    /// looked for later counts for longer.
+    /// Between two looks that go through all routers.
+    fn look_every(&self) -> Duration {
+        LOOK_EVERY.max(LOOK_A_ROUTER * self.told.len() as u32)
+    }
+
+    /// Rows that looks have gone through so far.
+    pub fn looks(&self) -> u64 {
+        self.looks
+    }
+
+    /// Takes what is over out of the counts, each [`Self::look_every`] at most: what
+    /// is looked for later counts for longer.
     fn age(&mut self, now: Instant) {
-        if self.aged_at.is_some_and(|at| now.since(at) < LOOK_EVERY) {
+        let every = self.look_every();
+        if self.aged_at.is_some_and(|at| now.since(at) < every) {
             return;
         }
         self.aged_at = Some(now);
+        self.looks += (self.accounts.len() + self.told.len()) as u64;
         let counted_for = self.counted_for();
         for account in self.accounts.values_mut() {
             account.age(now, counted_for);
         }
+        self.count_anew();
         let lasts = self.lasts();
-        self.told.retain(|_, told| now.since(told.at) < lasts);
+        let over = self.told.iter().filter(|(_, t)| now.since(t.at) >= lasts);
+        let over: Vec<Holder> = over.map(|(holder, _)| holder.clone()).collect();
+        for holder in over {
+            self.forget(&holder);
+            if self.starts.get(&holder.vm) == Some(&holder) {
+                self.starts.remove(&holder.vm);
+            }
+        }
     }
 
     /// How many of a pool may still be issued.
     fn free(&self, pool: &str) -> u64 {
-        let of_pool = self.accounts.values().filter(|a| a.key.pool == pool);
-        let counts: u64 = of_pool.map(Account::counts).sum();
-        self.most().saturating_sub(counts)
+        let counted = self.counted.get(pool).copied().unwrap_or_default();
+        self.most().saturating_sub(counted)
     }
 
     fn most(&self) -> u64 {
@@ -260,8 +332,7 @@
 
     /// What each router that serves a pool holds ahead of need.
     fn standing(&self, pool: &str) -> u64 {
-        let serve = |t: &&Told| t.pools.iter().any(|p| p.serves && p.pool == pool);
-        let routers = self.told.values().filter(serve).count() as u64;
+        let routers = self.serving.get(pool).copied().unwrap_or_default();
         let part = self.most() * STANDING_PERCENT / 100 / routers.max(1);
         part.min(STANDING_MOST)
     }
@@ -283,12 +354,13 @@
     pub fn propose(&mut self, now: Instant, ledger: &RepeatLedger) -> Option<Vec<RepeatChange>> {
         let since = self.entry_at.map(|at| now.since(at));
         let looked = self.looked_at.map(|at| now.since(at));
-        let waits =
-            since.is_some_and(|s| s < ENTRY_EVERY) || looked.is_some_and(|s| s < LOOK_EVERY);
+        let every = self.look_every();
+        let waits = since.is_some_and(|s| s < ENTRY_EVERY) || looked.is_some_and(|s| s < every);
         if self.proposed || self.bound.is_none() || waits {
             return None;
         }
         self.looked_at = Some(now);
+        self.looks += self.told.len() as u64;
         self.age(now);
         let mut changes = self.issues();
         let over = self.overs(ledger);
@@ -305,8 +377,7 @@
 
     /// All pools that some router serves.
     fn pools(&self) -> BTreeSet<PoolName> {
-        let pools = self.told.values().flat_map(|t| &t.pools);
-        pools.map(|p| p.pool.clone()).collect()
+        self.serving.keys().cloned().collect()
     }
 
     fn issues(&mut self) -> Vec<RepeatChange> {
@@ -404,7 +475,23 @@
                 pool,
             }
         };
-        self.pools().into_iter().map(counts).collect()
+        let mut pools = self.pools();
+        pools.extend(self.counted.keys().cloned());
+        pools.into_iter().map(counts).collect()
+    }
+}
+
+/// Counts what a router told among those that serve its pools, or no longer does.
+fn count_served(serving: &mut BTreeMap<PoolName, u64>, told: &Told, counts: bool) {
+    for pool in told.pools.iter().filter(|p| p.serves) {
+        let routers = serving.entry(pool.pool.clone()).or_default();
+        *routers = match counts {
+            true => *routers + 1,
+            false => routers.saturating_sub(1),
+        };
+        if *routers == 0 {
+            serving.remove(&pool.pool);
+        }
     }
 }
 
--- a/crates/deckwind-core/src/membership/lease_table.rs
+++ b/crates/deckwind-core/src/membership/lease_table.rs
@@ -58,6 +58,12 @@
     timing: LeaseTiming,
     since: Instant,
     routers: BTreeMap<VmName, RouterLease>,
+    /// How many routers have applied each revision.
+    applied: BTreeMap<Revision, usize>,
+    /// No lease runs out before.
+    none_over_before: Instant,
+    /// Leases that were looked at in vain or not, for metrics.
+    looks: u64,
 }
 
 impl LeaseTable {
@@ -67,6 +73,9 @@
             timing,
             since,
             routers: BTreeMap::new(),
+            applied: BTreeMap::new(),
+            none_over_before: since,
+            looks: 0,
         }
     }
 
@@ -80,7 +89,13 @@
             applied,
             until: now + self.timing.with_drift(),
         };
+        self.none_over_before = match self.routers.is_empty() {
+            true => lease.until,
+            false => self.none_over_before.min(lease.until),
+        };
+        *self.applied.entry(applied).or_default() += 1;
         let before = self.routers.insert(holder.vm.clone(), lease)?;
+        self.no_longer_at(before.applied);
         let replaced = before.boot != holder.boot;
         replaced.then(|| Holder {
             vm: holder.vm.clone(),
@@ -95,12 +110,33 @@
             .get(&holder.vm)
             .is_some_and(|l| l.boot == holder.boot)
         {
-            self.routers.remove(&holder.vm);
+            self.remove(&holder.vm);
+        }
+    }
+
+    fn remove(&mut self, vm: &VmName) {
+        if let Some(lease) = self.routers.remove(vm) {
+            self.no_longer_at(lease.applied);
         }
     }
 
-    /// Drops leases that have run out, and answers with their holders.
+    /// One router less has applied this last.
+    fn no_longer_at(&mut self, applied: Revision) {
+        if let Some(count) = self.applied.get_mut(&applied) {
+            *count -= 1;
+            if *count == 0 {
+                self.applied.remove(&applied);
+            }
+        }
+    }
+
+    /// Drops leases that have run out, and answers with their holders. Looks at all
+    /// of them only when one may have.
     pub fn expire(&mut self, now: Instant) -> Vec<Holder> {
+        if now < self.none_over_before || self.routers.is_empty() {
+            return Vec::new();
+        }
+        self.looks += self.routers.len() as u64;
         let gone: Vec<Holder> = self
             .routers
             .iter()
@@ -111,23 +147,58 @@
             })
             .collect();
         for holder in &gone {
-            self.routers.remove(&holder.vm);
+            self.remove(&holder.vm);
         }
+        let first = self.routers.values().map(|l| l.until).min();
+        self.none_over_before = first.unwrap_or(now);
         gone
     }
 
+    /// Whether a router on this VM has a lease.
+    pub fn knows(&self, vm: &VmName) -> bool {
+        self.routers.contains_key(vm)
+    }
+
+    /// How many routers have a lease.
+    pub fn len(&self) -> usize {
+        self.routers.len()
+    }
+
+    /// Whether no router has one.
+    pub fn is_empty(&self) -> bool {
+        self.routers.is_empty()
+    }
+
+    /// Whether the leases of the leader before have run out.
+    pub fn are_known(&self, now: Instant) -> bool {
+        now >= self.since + self.timing.with_drift()
+    }
+
+    /// The oldest revision that a router has applied last; nothing without routers.
+    pub fn oldest_applied(&self) -> Option<Revision> {
+        self.applied.first_key_value().map(|(r, _)| *r)
+    }
+
+    /// Leases that were looked at one by one so far.
+    pub fn looks(&self) -> u64 {
+        self.looks
+    }
+
     /// Live leases.
     pub fn routers(&self) -> impl Iterator<Item = (&VmName, &RouterLease)> {
         self.routers.iter()
     }
 
-    /// The revision that is in force on every router: asked once for all who
-    /// wait, since it looks at each lease. Nothing while leases that the leader
-    /// does not know may still be live; with no router at all, every revision.
+    /// The revision that is in force on every router. Nothing while leases that the
+    /// leader does not know may still be live; with no router at all, every revision.
     pub fn in_force_through(&self, now: Instant) -> Option<Revision> {
-        if now < self.since + self.timing.with_drift() {
+        if !self.are_known(now) {
             return None;
         }
+        if now < self.none_over_before {
+            let oldest = self.applied.first_key_value();
+            return Some(oldest.map_or(Revision::MAX, |(revision, _)| *revision));
+        }
         let live = self.routers.values().filter(|l| l.until > now);
         let oldest = live.map(|l| l.applied).min();
         Some(oldest.unwrap_or(Revision::MAX))
