--- a/crates/deckwind-config/src/schema.rs
+++ b/crates/deckwind-config/src/schema.rs
@@ -128,6 +128,7 @@
             must("peers", Kind::Address),
             must("admin", Kind::Address),
             may("lease", Kind::Duration),
+            may("announce_every", Kind::Duration),
             may("drain", Kind::Duration),
             may(
                 "max_body_bytes",
@@ -156,6 +157,7 @@
             must("admin", Kind::Address),
             may("operator_token_sha256", Kind::Sha256),
             may("lease", Kind::Duration),
+            may("announce_every", Kind::Duration),
             may("link_mbps", Kind::Number),
             may("heartbeat", Kind::Duration),
             may("election_min", Kind::Duration),
--- a/crates/deckwind-config/src/settings.rs
+++ b/crates/deckwind-config/src/settings.rs
@@ -119,6 +119,9 @@
     /// Bound on what is sent again, over all routers.
     #[serde(default)]
     pub repeats: RepeatSettings,
+    /// How often targets announce themselves; what can't be meant counts as not said.
+    #[serde(default, deserialize_with = "maybe_duration")]
+    pub announce_every: Option<Duration>,
     /// UDP address towards the control replicas.
     pub peers: SocketAddr,
     /// TCP address for health, metrics and reports.
@@ -188,6 +191,9 @@
     /// Length of a router's lease; the same on every VM.
     #[serde(default = "two_seconds", deserialize_with = "duration")]
     pub lease: Duration,
+    /// How often targets announce themselves; what can't be meant counts as not said.
+    #[serde(default, deserialize_with = "maybe_duration")]
+    pub announce_every: Option<Duration>,
     /// This VM's link, Mbit/s: bounds how fast a leader hands out state.
     #[serde(default, deserialize_with = "maybe_number")]
     pub link_mbps: Option<f64>,
--- a/crates/deckwind-core/src/control/announcements.rs
+++ b/crates/deckwind-core/src/control/announcements.rs
@@ -18,11 +18,12 @@
 /// another replica after a second.
 const WAIT_IN_FORCE: Duration = Duration::from_millis(400);
 
-/// Without an announcement for this long a target counts as silent: three of
-/// their periods (1.2 s).
-pub(super) const SILENT_AFTER: Duration = Duration::from_millis(3_600);
+/// Periods without an announcement after which a target counts as silent.
+pub const SILENT_PERIODS: u32 = 3;
 
-/// Without an announcement for this long a target has left.
+/// Periods without an announcement after which a target has left, and the shortest
+/// such time.
+const GONE_PERIODS: u32 = 15;
 const GONE_AFTER: Duration = Duration::from_secs(45);
 
 /// Between two looks at who is silent.
@@ -111,7 +112,8 @@
         if !leads && leader.is_none() {
             return;
         }
-        let Some(heard) = self.heard.take_if_due(now) else {
+        let period = self.limits.announce_every;
+        let Some(heard) = self.heard.take_if_due(now, period) else {
             return;
         };
         match leader {
@@ -145,6 +147,7 @@
         let agreed = self.machine.configuration().instances();
         let there = agreed.lives_at_addresses_of(heard.changed.iter());
         let since = self.replica.leading_since().unwrap_or(now);
+        let period = self.limits.announce_every;
         let mut changes = Vec::new();
         for mut instance in heard.changed {
             let life = instance.life();
@@ -164,7 +167,7 @@
             let over = agreed.doubted_by(&instance, &there[&instance.address]);
             let speaking = over
                 .iter()
-                .find(|l| !leading.is_silent(now, since, agreed, l));
+                .find(|l| !leading.is_silent(now, since, agreed, l, period));
             if let Some(speaking) = speaking {
                 out.push(doubted(life, speaking));
                 continue;
@@ -203,11 +206,12 @@
             return;
         }
         let since = self.replica.leading_since().unwrap_or(now);
+        let period = self.limits.announce_every;
         let there = agreed.lives_at_addresses_of([&instance].into_iter());
         let over = agreed.doubted_by(&instance, &there[&instance.address]);
         let speaking = over
             .iter()
-            .find(|l| !leading.is_silent(now, since, agreed, l));
+            .find(|l| !leading.is_silent(now, since, agreed, l, period));
         if let Some(speaking) = speaking {
             out.push(doubted(life, speaking));
             let reply = OperatorReply::Doubted;
@@ -241,9 +245,10 @@
         };
         life.born = life.born.or(known.born);
         let since = self.replica.leading_since().unwrap_or(now);
+        let period = self.limits.announce_every;
         let ends = match agreed.standing(&life) {
             Standing::Known | Standing::Newer => life,
-            Standing::Doubtful if leading.is_silent(now, since, agreed, &known) => known,
+            Standing::Doubtful if leading.is_silent(now, since, agreed, &known, period) => known,
             Standing::Doubtful => {
                 out.push(doubted(life, &known));
                 let reply = OperatorReply::Doubted;
@@ -290,16 +295,27 @@
         }
         leading.next_look = now + LOOK_EVERY;
         let since = self.replica.leading_since().unwrap_or(now);
-        leading.heard.forget(now, GONE_AFTER);
-        let silence = |i: &Instance| leading.silence(now, since, &i.life());
+        let period = self.limits.announce_every;
         let instances = self.machine.configuration().instances();
+        let written = instances.written_since(leading.watched_upto);
+        for i in written.filter_map(|id| instances.get(id)) {
+            let life = i.life();
+            let heard = leading.heard.last(&life).unwrap_or(since);
+            leading.heard.watch(life, heard + period * SILENT_PERIODS);
+        }
+        leading.watched_upto = instances.written_upto();
         let mut changes = Vec::new();
-        for i in instances.iter() {
-            if silence(i) > GONE_AFTER {
-                changes.push(InstanceChange::Left(i.life()));
-            } else if i.state == InstanceState::Ready && silence(i) > SILENT_AFTER {
-                changes.push(InstanceChange::Silent(i.life()));
-            }
+        while let Some(life) = leading.heard.take_due(now) {
+            self.looks.targets += 1;
+            let known = instances.get(&life.id).filter(|i| i.born == life.born);
+            let Some(known) = known else {
+                leading.heard.forget(&life);
+                continue;
+            };
+            let silence = leading.silence(now, since, &life);
+            let (change, again) = after_silence(known, silence, period);
+            changes.extend(change);
+            leading.heard.watch(life, now + again.max(LOOK_EVERY));
         }
         if !changes.is_empty() {
             self.propose(now, CommandBody::Instances(changes), Asker::Nobody, out);
@@ -332,8 +348,9 @@
             return;
         };
         let instances = self.machine.configuration().instances();
-        let named = instances.iter().filter(|i| failing.contains(&i.address));
+        let named = failing.iter().flat_map(|address| instances.at(*address));
         for i in named.filter(|i| i.state == InstanceState::Ready) {
+            self.looks.targets += 1;
             let life = i.life();
             let before = leading.checked.get(&life);
             if before.is_some_and(|at| now.since(*at) < CHECK_EVERY) {
@@ -389,3 +406,25 @@
         self.propose(now, body, Asker::Nobody, out);
     }
 }
+
+/// What becomes of a target that was silent for so long, and when that is to be
+/// looked at again.
+fn after_silence(
+    instance: &Instance,
+    silence: Duration,
+    period: Duration,
+) -> (Option<InstanceChange>, Duration) {
+    let gone_after = GONE_AFTER.max(period * GONE_PERIODS);
+    let silent_after = period * SILENT_PERIODS;
+    let ready = instance.state == InstanceState::Ready;
+    match silence {
+        s if s > gone_after => (Some(InstanceChange::Left(instance.life())), LOOK_EVERY),
+        s if s <= silent_after && ready => (None, silent_after - s),
+        s if ready => (
+            Some(InstanceChange::Silent(instance.life())),
+            LOOK_EVERY.min(gone_after - s),
+        ),
+        // Its next life, or its next word, is watched anew.
+        s => (None, (gone_after - s).min(silent_after)),
+    }
+}
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -8,12 +8,16 @@
 use super::heard::{HeardBuffer, HeardTable};
 use super::in_use::UseTable;
 use super::limit_desk::LimitDesk;
+use super::limit_messages::LimitRevision;
+use super::looks::Looks;
 use super::messages::ControlReply;
 use super::operator::OperatorReply;
 use super::orders::OrderDesk;
 use super::pace::Pace;
-use super::pending::{Asker, ForceWait, Parked, Proposals};
+use super::parking::{Parked, Parking};
+use super::pending::{Asker, ForceWait, Proposals};
 use super::placement_desk::PlacementDesk;
+use super::relay::RelayDesk;
 use super::repeat_desk::RepeatDesk;
 use super::slow::Paces;
 use super::urgent::UrgentChanges;
@@ -24,7 +28,7 @@
 };
 use crate::state::{Command, CommandBody, Life, Revision, StateMachine, UnreadableState, VmName};
 use crate::time::Instant;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 /// What only a leader keeps.
@@ -42,6 +46,8 @@
     pub(super) paces: Paces,
     /// When each target that routers call failing was last asked.
     pub(super) checked: BTreeMap<Life, Instant>,
+    /// Revision up to which the targets' silence is watched.
+    pub(super) watched_upto: Revision,
     /// When silent targets are next looked for.
     pub(super) next_look: Instant,
     /// When outdated suspects are next looked for.
@@ -50,8 +56,6 @@
     pub(super) urgent: UrgentChanges,
     /// What each router's streams hold.
     pub(super) in_use: UseTable,
-    /// When each router was last told what the others' streams hold.
-    pub(super) use_told: BTreeMap<VmName, Instant>,
     pub(super) admins: BTreeMap<VmName, SocketAddr>,
     /// What each router holds for those that read slowly, bytes.
     pub(super) held_bytes: BTreeMap<VmName, u64>,
@@ -75,9 +79,17 @@
     hard_state: HardState,
     pub(super) leading: Option<Leading>,
     pub(super) proposals: Proposals,
-    pub(super) parked: Vec<Parked>,
-    /// Renewals that came while nobody was known to lead.
-    pub(super) leaderless: Vec<Parked>,
+    pub(super) parked: Parking,
+    /// Renewals that came while nobody was known to lead, the first ones first.
+    pub(super) leaderless: VecDeque<Parked>,
+    /// Requests that this replica passes on to the leader.
+    pub(super) relay: RelayDesk,
+    /// Which state was handed to which replica with the batch at hand: routers that
+    /// ask there share it.
+    pub(super) handed: BTreeSet<(u32, Revision)>,
+    /// Limits as of the last look at renewals that wait.
+    pub(super) limits_seen: Option<LimitRevision>,
+    pub(super) looks: Looks,
     /// Announcements that came while nobody was known to lead.
     pub(super) waiting_announcements: Vec<WaitingAnnouncement>,
     /// Targets heard here, for the leader.
@@ -122,8 +134,12 @@
             lease_timing,
             leading: None,
             proposals: Proposals::default(),
-            parked: Vec::new(),
-            leaderless: Vec::new(),
+            parked: Parking::default(),
+            leaderless: VecDeque::new(),
+            relay: RelayDesk::new(Pace::new(limits.state_bytes_per_s, now)),
+            handed: BTreeSet::new(),
+            limits_seen: None,
+            looks: Looks::default(),
             waiting_announcements: Vec::new(),
             heard: HeardBuffer::default(),
             wake: Wake::default(),
@@ -150,6 +166,33 @@
         &self.machine
     }
 
+    /// What it has looked at so far.
+    pub fn looks(&self) -> Looks {
+        let leading = self.leading.as_ref();
+        let leases = leading.map_or(0, |l| l.leases.looks());
+        let repeats = leading.and_then(|l| l.repeats.as_ref());
+        Looks {
+            leases,
+            repeats: repeats.map_or(0, RepeatDesk::looks),
+            cards: leading.map_or(0, |l| l.placement.looks()),
+            ..self.looks
+        }
+    }
+
+    /// Requests that wait here for the leader's answer.
+    pub fn passed_on(&self) -> usize {
+        self.relay.waiting()
+    }
+
+    /// Routers with a lease of this leader, and how many revisions the last of them is
+    /// behind; nothing where it doesn't lead.
+    pub fn routers_behind(&self) -> Option<(usize, u64)> {
+        let leases = &self.leading.as_ref()?.leases;
+        let shown = self.machine.configuration().shown();
+        let oldest = leases.oldest_applied().unwrap_or(shown);
+        Some((leases.len(), shown.0.saturating_sub(oldest.0)))
+    }
+
     /// Takes one event. `wall_ms` is the wall clock, milliseconds since the
     /// Unix epoch; it only ages claims.
     pub fn step(
@@ -167,6 +210,14 @@
             }
             ControlEvent::Replica(event) => self.feed(now, event, out),
             ControlEvent::Request { token, request } => self.request(now, token, request, out),
+            ControlEvent::Relayed {
+                token,
+                from,
+                request,
+            } => {
+                self.relayed(now, token, from, request, out);
+            }
+            ControlEvent::Answered(answers) => self.relay_answered(now, answers, out),
             ControlEvent::Operator { token, request } => self.operator(now, token, request, out),
             ControlEvent::Checked { life, there } => self.was_checked(now, life, there, out),
             ControlEvent::Heard(heard) => self.take_heard(now, heard),
@@ -182,6 +233,7 @@
 
     /// Sends what the batch of events before it has made.
     pub fn flush(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        self.handed.clear();
         let mut actions = Vec::new();
         self.replica.flush(now, &mut actions);
         self.take_actions(now, actions, out);
@@ -252,11 +304,11 @@
                 failing: BTreeMap::new(),
                 paces: Paces::default(),
                 checked: BTreeMap::new(),
+                watched_upto: Revision::ZERO,
                 next_look: since,
                 next_suspects: since,
                 urgent: UrgentChanges::new(self.told),
                 in_use: UseTable::default(),
-                use_told: BTreeMap::new(),
                 admins: BTreeMap::new(),
                 held_bytes: BTreeMap::new(),
                 orphans_done: false,
@@ -271,7 +323,7 @@
         for asker in self.proposals.take_all() {
             self.answer_unknown(asker, out);
         }
-        for parked in std::mem::take(&mut self.parked) {
+        for parked in self.parked.take_all() {
             self.not_leader(parked.token, out);
         }
         for wait in std::mem::take(&mut self.force_waits) {
--- a/crates/deckwind-core/src/control/event.rs
+++ b/crates/deckwind-core/src/control/event.rs
@@ -7,9 +7,11 @@
 use super::operator::{OperatorReply, OperatorRequest};
 use super::orders::OrderBatch;
 use super::placement_desk::PlaceOrder;
+use super::relay_messages::RelayedRequest;
 use crate::replication::{Action, Entry, Event, SnapshotMeta};
 use crate::state::{ClaimLimits, LayerRange, Life, TargetName, VmName};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -26,10 +28,18 @@
     pub hold: Duration,
     /// Bytes of state a second that a leader hands out, beside leases.
     pub state_bytes_per_s: f64,
+    /// How often targets announce themselves.
+    pub announce_every: Duration,
     /// Claims.
     pub claims: ClaimLimits,
 }
 
+/// How often targets announce themselves where the settings don't say.
+pub const DEFAULT_PERIOD: Duration = Duration::from_millis(1_200);
+
+/// Shortest and longest such time that can be meant.
+pub const PERIODS: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_secs(60);
+
 /// Link of a control VM where the settings name none, Mbit/s: what small VMs
 /// have at least.
 const DEFAULT_LINK_MBPS: f64 = 100.0;
@@ -54,6 +64,7 @@
             compact_bytes: 1 << 20,
             hold: Duration::from_millis(400),
             state_bytes_per_s: Self::state_pace(DEFAULT_LINK_MBPS),
+            announce_every: DEFAULT_PERIOD,
             claims: ClaimLimits::default(),
         }
     }
@@ -73,6 +84,18 @@
         /// It.
         request: ControlRequest,
     },
+    /// A router's request that another replica passed on.
+    Relayed {
+        /// Comes back with the reply.
+        token: u64,
+        /// Slot of that replica.
+        from: u32,
+        /// It.
+        request: RelayedRequest,
+    },
+    /// The leader has answered requests that this replica passed on: their tokens
+    /// here, and the answers.
+    Answered(Vec<(u64, ControlReply)>),
     /// A batch of orders is over.
     OrdersDone {
         /// The target.
@@ -159,6 +182,13 @@
         /// The engine.
         address: SocketAddr,
     },
+    /// Pass requests of routers on to the leader. They may be lost.
+    PassOn {
+        /// The leader's slot.
+        slot: u32,
+        /// They.
+        requests: Vec<RelayedRequest>,
+    },
     /// Tell the leader whom this replica has heard. It may be lost.
     TellHeard {
         /// The leader's slot.
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -2,10 +2,11 @@
 
 use super::control_core::{ControlCore, Leading};
 use super::event::ControlAction;
-use super::messages::{ControlReply, EngineUse, Grant, Renewal};
-use super::pending::Parked;
+use super::limit_desk::LimitDesk;
+use super::messages::{ControlReply, Grant, Renewal};
+use super::parking::Parked;
 use super::wake::Urgency;
-use crate::state::{PackedDelta, Revision, VmName};
+use crate::state::{PackedDelta, Revision};
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,11 +16,6 @@
 /// dead one takes to be found out.
 pub(super) const FAILING_FOR: Duration = Duration::from_millis(1_000);
 
-/// Shortest time between two tellings of what streams hold, to one router: 12
-/// bytes an engine in use, 2.6 KB for 218. An undisturbed renewal is held for
-/// 400 ms and always brings it; answers that come early for a change need not.
-const USE_EVERY: Duration = Duration::from_millis(350);
-
 /// Deltas up to this size are not paced, bytes: no longer than the rest of an
 /// answer.
 const SMALL: usize = 2 * 1024;
@@ -45,17 +41,6 @@
         let at = self.failing.get(&address);
         at.is_some_and(|at| now.since(*at) < FAILING_FOR)
     }
-
-    /// What the streams of other routers hold, unless this router has just been
-    /// told.
-    fn use_to_tell(&mut self, now: Instant, vm: &VmName) -> Option<Vec<EngineUse>> {
-        let told = self.use_told.get(vm);
-        if told.is_some_and(|at| now.since(*at) < USE_EVERY) {
-            return None;
-        }
-        self.use_told.insert(vm.clone(), now);
-        Some(self.in_use.of_others(vm))
-    }
 }
 
 impl ControlCore {
@@ -74,45 +59,78 @@
     /// change now.
     pub(super) fn answer_parked(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
         let shown = self.machine.configuration().shown();
-        let all = self.wake.begin_if_due(now);
-        if all || !self.wake.is_to_come() {
+        let before = self.told;
+        let round = self.wake.begin_if_due(now);
+        if round || !self.wake.is_to_come() {
             self.told = self.told.max(shown);
         }
-        for parked in std::mem::take(&mut self.parked) {
-            let over = parked.until <= now;
-            // What came after the last round waits for the next one.
-            let behind = parked.renewal.applied < self.told;
-            let repeats = self.has_repeats_for(&parked.renewal.holder);
-            let limits = self.has_limits_for(&parked.renewal);
-            if over || all || behind || repeats || limits {
-                self.answer_one(now, parked, over, out);
-            } else {
-                self.parked.push(parked);
+        let limits = self.limit_desk().map(LimitDesk::revision);
+        let news = self.told > before || limits != self.limits_seen;
+        self.limits_seen = limits;
+        if round {
+            for parked in self.parked.take_all() {
+                self.looks.renewals += 1;
+                self.answer_one(now, parked, out);
+            }
+        } else if news {
+            for token in self.parked.tokens() {
+                self.look_at(now, token, out);
+            }
+        }
+        while let Some(parked) = self.parked.take_over(now) {
+            self.looks.renewals += 1;
+            self.answer_one(now, parked, out);
+        }
+        while let Some(parked) = self.parked.take_held_back() {
+            self.looks.renewals += 1;
+            if !self.answer_one(now, parked, out) {
+                break;
             }
         }
     }
 
-    /// Answers one renewal. While state is handed out as fast as it may be, the
-    /// renewal waits for its turn; when its time is over it gets the lease alone,
-    /// for as long as it may act without that state.
-    fn answer_one(
+    /// Answers a renewal that waits, if there is something to tell.
+    pub(super) fn look_at(&mut self, now: Instant, token: u64, out: &mut Vec<ControlAction>) {
+        if let Some(parked) = self.parked.take(token) {
+            self.answer_or_park(now, parked, out);
+        }
+    }
+
+    /// Answers a renewal if there is something to tell, or if it has waited
+    /// enough; else it waits.
+    pub(super) fn answer_or_park(
         &mut self,
         now: Instant,
         parked: Parked,
-        over: bool,
         out: &mut Vec<ControlAction>,
     ) {
+        self.looks.renewals += 1;
+        let over = parked.until <= now;
+        // What came after the last round waits for the next one.
+        let behind = parked.renewal.applied < self.told;
+        let repeats = self.has_repeats_for(&parked.renewal.holder);
+        let limits = self.has_limits_for(&parked.renewal);
+        match over || behind || repeats || limits {
+            true => drop(self.answer_one(now, parked, out)),
+            false => self.parked.park(parked),
+        }
+    }
+
+    /// Answers one renewal. While state is handed out as fast as it may be, the
+    /// renewal waits for its turn; when its time is over it gets the lease alone,
+    /// for as long as it may act without that state. Whether it was answered.
+    fn answer_one(&mut self, now: Instant, parked: Parked, out: &mut Vec<ControlAction>) -> bool {
         let token = parked.token;
         if !self.replica.may_answer(now) {
             self.not_leader(token, out);
-            return;
+            return true;
         }
         let mut delta = self.packed_since(parked.renewal.applied);
         let size = delta.as_ref().map_or(0, PackedDelta::size);
-        if size > SMALL && !self.pace.take(now, size) {
-            if !over {
-                self.parked.push(parked);
-                return;
+        if size > SMALL && !self.may_hand_out(now, &parked, size) {
+            if parked.until > now {
+                self.parked.hold_back(parked);
+                return false;
             }
             delta = None;
         }
@@ -127,6 +145,21 @@
             }),
             None => self.not_leader(token, out),
         }
+        true
+    }
+
+    /// Whether so much state may leave now. What leaves for one replica leaves once
+    /// for all routers that ask there and lack the same.
+    fn may_hand_out(&mut self, now: Instant, parked: &Parked, size: usize) -> bool {
+        let copy = parked.relay.map(|slot| (slot, parked.renewal.applied));
+        if copy.is_some_and(|copy| self.handed.contains(&copy)) {
+            return true;
+        }
+        let may = self.pace.take(now, size);
+        if may {
+            self.handed.extend(copy);
+        }
+        may
     }
 
     /// What a router lacks that has applied `applied`; nothing if that is all.
@@ -154,19 +187,22 @@
         lasts: Option<Duration>,
         delta: Option<PackedDelta>,
     ) -> Option<Grant> {
+        let term = self.replica.term();
         let leading = self.leading.as_mut()?;
         let cfg = self.machine.configuration();
-        let routers = leading.leases.routers().count() as u32;
+        let routers = leading.leases.len() as u32;
         let replicas = self.replica.members().all().map(|id| id.slot);
         let desk = leading.repeats.as_mut();
         let repeats = desk.map_or(Vec::new(), |d| d.grants(now, &renewal.holder));
         Some(Grant {
-            term: self.replica.term(),
+            term,
             lasts,
             delta,
             shares: leading.demand.shares(&renewal.demand, routers, cfg),
             routers,
-            in_use: leading.use_to_tell(now, &renewal.holder.vm),
+            in_use: leading
+                .in_use
+                .news(term, &renewal.data_centre, renewal.use_known),
             replicas: replicas.collect(),
             failing: leading.failing_now(now),
             repeats,
--- a/crates/deckwind-core/src/control/heard.rs
+++ b/crates/deckwind-core/src/control/heard.rs
@@ -1,7 +1,7 @@
 //! What targets say at any replica, gathered for the leader.
 //!
-//! Every target announces itself each 1.2 s, and almost always says what is
-//! agreed already. So every replica takes announcements, compares them with the
+//! Every target announces itself once in its period, and almost always says what
+//! is agreed already. So every replica takes announcements, compares them with the
 //! state applied here, and tells the leader now and then whom it has heard:
 //!
 //! ```text
@@ -15,7 +15,7 @@
 use crate::state::{Instance, Instances, Life, Standing};
 use crate::time::Instant;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Between two tellings when something is to be changed: what comes within four
@@ -23,9 +23,9 @@
 /// took the leader 1,309 ms of a core a second with an entry each.
 const TELL_CHANGES_EVERY: Duration = Duration::from_millis(20);
 
-/// Between two tellings of targets that have said nothing new: a sixth of their
-/// period, so that silence is known hardly later.
-const TELL_SAME_EVERY: Duration = Duration::from_millis(200);
+/// Tellings of targets that have said nothing new, in one period of theirs: so that
+/// silence is known hardly later.
+const TELL_SAME_IN_PERIOD: u32 = 6;
 
 /// Targets remembered between two tellings; more than announce themselves in
 /// that time at any size foreseen (13,000 in 1.2 s).
@@ -100,10 +100,10 @@
         }
     }
 
-    /// What is to be told now, if it is time.
-    pub fn take_if_due(&mut self, now: Instant) -> Option<HeardTargets> {
+    /// What is to be told now, if it is time; `period` is that of the targets.
+    pub fn take_if_due(&mut self, now: Instant, period: Duration) -> Option<HeardTargets> {
         let every = match self.changed.is_empty() {
-            true => TELL_SAME_EVERY,
+            true => period / TELL_SAME_IN_PERIOD,
             false => TELL_CHANGES_EVERY,
         };
         if self.told.is_some_and(|at| now.since(at) < every) {
@@ -126,20 +126,24 @@
     }
 }
 
-/// When each life was last heard by any replica. Announcements are numbered
-/// within a life.
+/// When each life was last heard by any replica, and when its silence is to be
+/// looked at next. Announcements are numbered within a life.
 #[derive(Clone, Debug, Default)]
-pub(super) struct HeardTable(BTreeMap<Life, (Instant, u64)>);
+pub(super) struct HeardTable {
+    last: BTreeMap<Life, (Instant, u64)>,
+    watched: BTreeMap<Life, Instant>,
+    checks: BTreeSet<(Instant, Life)>,
+}
 
 impl HeardTable {
     /// A life was heard. False if the announcement was held back on its way, and
     /// has a lower number than one that came: it keeps nobody alive.
     pub fn heard(&mut self, now: Instant, life: &Life, number: u64) -> bool {
-        match self.0.get_mut(life) {
+        match self.last.get_mut(life) {
             Some((_, known)) if number < *known => return false,
             Some(last) => *last = (now, number),
             None => {
-                self.0.insert(life.clone(), (now, number));
+                self.last.insert(life.clone(), (now, number));
             }
         }
         true
@@ -147,11 +151,27 @@
 
     /// When it was heard last.
     pub fn last(&self, life: &Life) -> Option<Instant> {
-        self.0.get(life).map(|(at, _)| *at)
+        self.last.get(life).map(|(at, _)| *at)
+    }
+
+    /// Has a life's silence looked at then, unless it is to be looked at anyway.
+    pub fn watch(&mut self, life: Life, at: Instant) {
+        if !self.watched.contains_key(&life) {
+            self.watched.insert(life.clone(), at);
+            self.checks.insert((at, life));
+        }
+    }
+
+    /// A life whose silence is to be looked at now; it is no longer watched.
+    pub fn take_due(&mut self, now: Instant) -> Option<Life> {
+        let due = self.checks.first().is_some_and(|(at, _)| *at <= now);
+        let (_, life) = due.then(|| self.checks.pop_first()).flatten()?;
+        self.watched.remove(&life);
+        Some(life)
     }
 
-    /// Forgets lives not heard for this long.
-    pub fn forget(&mut self, now: Instant, after: Duration) {
-        self.0.retain(|_, (at, _)| now.since(*at) <= after);
+    /// Forgets a life that is over.
+    pub fn forget(&mut self, life: &Life) {
+        self.last.remove(life);
     }
 }
--- a/crates/deckwind-core/src/control/lives.rs
+++ b/crates/deckwind-core/src/control/lives.rs
@@ -2,7 +2,7 @@
 //! announcement can't be of a target that may be used.
 
 use super::announcement_fault::AnnouncementFault;
-use super::announcements::SILENT_AFTER;
+use super::announcements::SILENT_PERIODS;
 use super::control_core::{ControlCore, Leading};
 use super::event::{ControlAction, LifeNote};
 use crate::state::{CommandBody, Instance, InstanceState, Instances, Life};
@@ -16,17 +16,19 @@
         now.since(self.heard.last(life).unwrap_or(since))
     }
 
-    /// Whether a life no longer speaks, so that another one may follow it.
+    /// Whether a life no longer speaks, so that another one may follow it; `period` is
+    /// that of its announcements.
     pub(super) fn is_silent(
         &self,
         now: Instant,
         since: Instant,
         agreed: &Instances,
         life: &Life,
+        period: Duration,
     ) -> bool {
         let known = agreed.get(&life.id);
         let silent = known.is_some_and(|i| i.state == InstanceState::Silent);
-        silent || self.silence(now, since, life) > SILENT_AFTER
+        silent || self.silence(now, since, life) > period * SILENT_PERIODS
     }
 }
 
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -2,13 +2,14 @@
 
 use super::heard::HeardTargets;
 use super::limit_messages::{LimitList, LimitReport, PermitAnswer, PermitAsk};
+use super::relay_messages::{RelayedReplies, RelayedRequests};
 use super::repeat_messages::{RepeatGrant, RepeatReport};
 use crate::membership::{AccountDemand, AccountShare, LeaseGrant};
 use crate::replication::{Message, Term};
 use crate::routing::paths::Held;
 use crate::state::{
-    AccountName, ClaimRequest, ClaimVerdict, Delta, FinishRequest, Holder, PackedDelta, Revision,
-    SuspectChange, Unpackable,
+    AccountName, ClaimRequest, ClaimVerdict, DataCentre, Delta, FinishRequest, Holder, PackedDelta,
+    Revision, SuspectChange, Unpackable,
 };
 use crate::time::Instant;
 use serde::{Deserialize, Serialize};
@@ -26,8 +27,12 @@
     pub admin: SocketAddr,
     /// What accounts asked of it.
     pub demand: Vec<(AccountName, AccountDemand)>,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentre,
     /// What its streams hold.
     pub in_use: Vec<EngineUse>,
+    /// What it knows of that of all routers.
+    pub use_known: Option<UseNumber>,
     /// Targets that have failed it lately.
     pub failing: Vec<SocketAddr>,
     /// Repeats that it holds and wants; nothing if its settings allow none beyond
@@ -70,6 +75,28 @@
     }
 }
 
+/// Up to where a router has heard what the streams of all routers hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UseNumber {
+    /// Term of the leader that told it.
+    pub term: Term,
+    /// Rises with all that this leader tells.
+    pub number: u64,
+}
+
+/// What a router had not heard of what the streams of all routers hold, its own
+/// among them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UseNews {
+    /// Up to where it has heard with this.
+    pub upto: UseNumber,
+    /// Whether engines that are not named hold nothing; else what was told of them
+    /// holds on.
+    pub all: bool,
+    /// Engines.
+    pub engines: Vec<EngineUse>,
+}
+
 /// An engine has refused a request for want of room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineFull {
@@ -95,9 +122,8 @@
     pub shares: Vec<(AccountName, AccountShare)>,
     /// Routers with a live lease.
     pub routers: u32,
-    /// What all other routers' streams hold; nothing if the router has just been
-    /// told.
-    pub in_use: Option<Vec<EngineUse>>,
+    /// What the streams of all routers hold; nothing if the router knows.
+    pub in_use: Option<UseNews>,
     /// Slots of the control replicas.
     pub replicas: Vec<u32>,
     /// Targets that have just failed some router.
@@ -185,6 +211,9 @@
         /// Slot of the leader, where known.
         leader: Option<u32>,
     },
+    /// The leader has changed: ask this replica again, now. It may or may not have been
+    /// done.
+    AskAgain,
     /// Verdict on a claim.
     Claim(ClaimVerdict),
     /// What may be sent to limited targets.
@@ -202,4 +231,8 @@
     Replication(Message),
     /// For the leader: targets that have announced themselves.
     Heard(HeardTargets),
+    /// For the leader: requests of routers.
+    PassedOn(RelayedRequests),
+    /// Its answers.
+    Answers(RelayedReplies),
 }
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -25,14 +25,18 @@
 mod limit_messages;
 mod limits;
 mod lives;
+mod looks;
 mod messages;
 mod operator;
 mod orders;
 mod pace;
+mod parking;
 mod pending;
 mod placement_cards;
 mod placement_desk;
 mod quarantine;
+mod relay;
+mod relay_messages;
 mod repeat_account;
 mod repeat_desk;
 mod repeat_messages;
@@ -45,21 +49,27 @@
 mod wake;
 
 pub use announcement_fault::AnnouncementFault;
+pub use announcements::SILENT_PERIODS;
 pub use control_core::ControlCore;
-pub use event::{ControlAction, ControlEvent, ControlLimits, LifeNote, LimitNote, Unreadable};
+pub use event::{
+    ControlAction, ControlEvent, ControlLimits, DEFAULT_PERIOD, LifeNote, LimitNote, PERIODS,
+    Unreadable,
+};
 pub use heard::HeardTargets;
 pub use limit_desk::{BURST, LimitChange, LimitDesk, PERMIT_FOR};
 pub use limit_messages::{
     LeaderTime, LimitHeard, LimitKey, LimitList, LimitReport, LimitRevision, NamedLimit,
     PermitAnswer, PermitAsk, PermitVerdict,
 };
+pub use looks::Looks;
 pub use messages::{
     ControlReply, ControlRequest, CutReport, EngineFull, EnginePace, EngineUse, Grant, PeerMessage,
-    Renewal,
+    Renewal, UseNews, UseNumber,
 };
 pub use operator::{ConfigurationView, OperatorReply, OperatorRequest};
 pub use orders::{ORDER_FLIGHT, OrderBatch, OrderKind, TargetOrder};
 pub use placement_desk::{GiveUp, PlaceOrder, PlaceWork, PlacementDesk};
+pub use relay_messages::{RelayedReplies, RelayedRequest, RelayedRequests};
 pub use repeat_desk::{RepeatCounts, RepeatDesk};
 pub use repeat_messages::{PoolReport, RepeatGrant, RepeatReport};
 pub use status::{ClusterStatus, EngineView, QuarantinedView, ReplicaView, RouterView};
--- a/crates/deckwind-core/src/control/pending.rs
+++ b/crates/deckwind-core/src/control/pending.rs
@@ -1,7 +1,5 @@
-//! Requests that wait: for the log, for a change, or for a revision to be in
-//! force.
+//! Requests that wait: for the log, or for a revision to be in force.
 
-use super::messages::Renewal;
 use crate::replication::{Index, Term};
 use crate::state::Revision;
 use crate::time::Instant;
@@ -43,14 +41,6 @@
     }
 }
 
-/// A renewal whose answer waits for a change.
-#[derive(Clone, Debug)]
-pub(super) struct Parked {
-    pub token: u64,
-    pub renewal: Renewal,
-    pub until: Instant,
-}
-
 /// An operator who waits for a revision to be in force.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ForceWait {
--- a/crates/deckwind-core/src/control/repeats.rs
+++ b/crates/deckwind-core/src/control/repeats.rs
@@ -53,8 +53,12 @@
         let ledger = self.machine.repeats();
         let desk = self.leading.as_mut().and_then(|l| l.repeats.as_mut());
         if let Some(desk) = desk {
-            desk.applied(now, ledger);
-            self.answer_parked(now, out);
+            let news = desk.applied(now, ledger);
+            for holder in news {
+                for token in self.parked.of(&holder.vm) {
+                    self.look_at(now, token, out);
+                }
+            }
         }
     }
 
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -3,11 +3,15 @@
 use super::control_core::ControlCore;
 use super::event::ControlAction;
 use super::grants::FAILING_FOR;
+use super::in_use::EngineRoom;
 use super::messages::{ControlReply, ControlRequest, EngineFull, Renewal};
 use super::operator::{ConfigurationView, OperatorReply, OperatorRequest};
-use super::pending::{Asker, Parked};
+use super::parking::Parked;
+use super::pending::Asker;
+use super::relay_messages::RelayedRequest;
 use super::wake::Urgency;
-use crate::state::{CommandBody, Holder, SuspectChange};
+use crate::routing::paths::keeps;
+use crate::state::{CommandBody, Configuration, Holder, SuspectChange};
 use crate::time::Instant;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +20,9 @@
 /// shorter than routers wait for an answer (600 ms).
 const LEADERLESS_HOLD: Duration = Duration::from_millis(500);
 
+/// Between two moments at which undisturbed answers leave for another replica.
+const ANSWER_EVERY: Duration = Duration::from_millis(20);
+
 /// Longest wait until all routers know that a content is served again.
 const LIFTED_WITHIN: Duration = Duration::from_secs(3);
 
@@ -27,13 +34,62 @@
         request: ControlRequest,
         out: &mut Vec<ControlAction>,
     ) {
-        if !self.replica.may_answer(now) {
-            self.await_leader(now, token, request, out);
-            return;
+        match self.replica.may_answer(now) {
+            true => self.answer_request(now, token, request, out),
+            false => self.await_leader(now, token, request, out),
         }
+    }
+
+    /// A request that another replica passed on. It is never passed on again: who
+    /// leads may be known to neither.
+    pub(super) fn relayed(
+        &mut self,
+        now: Instant,
+        token: u64,
+        from: u32,
+        passed_on: RelayedRequest,
+        out: &mut Vec<ControlAction>,
+    ) {
+        let came = now - passed_on.waited;
+        let leads = self.replica.may_answer(now);
+        match passed_on.request {
+            ControlRequest::Renew(renewal) if leads || self.leader_slot().is_none() => {
+                let parked = Parked {
+                    token,
+                    renewal,
+                    came,
+                    until: came + LEADERLESS_HOLD,
+                    relay: Some(from),
+                };
+                match leads {
+                    true => self.renew(now, parked, out),
+                    false => self.leaderless.push_back(parked),
+                }
+            }
+            request if leads => self.answer_request(now, token, request, out),
+            _ => self.not_leader(token, out),
+        }
+    }
+
+    fn answer_request(
+        &mut self,
+        now: Instant,
+        token: u64,
+        request: ControlRequest,
+        out: &mut Vec<ControlAction>,
+    ) {
         let asker = Asker::Router(token);
         match request {
-            ControlRequest::Renew(renewal) => self.renew(now, token, renewal, out),
+            ControlRequest::Renew(renewal) => {
+                let parked = Parked {
+                    token,
+                    renewal,
+                    came: now,
+                    until: now,
+                    relay: None,
+                };
+                self.renew(now, parked, out);
+            }
             ControlRequest::Failing(targets) => self.failing(now, token, &targets, out),
             ControlRequest::Release(holder) => {
                 if let Some(leading) = &mut self.leading {
@@ -59,8 +115,8 @@
         }
     }
 
-    /// A renewal waits where nobody is known to lead: the router hears of the
-    /// leader as soon as there is one, and asks nobody else in vain meanwhile.
+    /// What a replica that doesn't lead is asked goes to the leader. A renewal waits
+    /// where nobody is known to lead: its router asks nobody else in vain meanwhile.
     fn await_leader(
         &mut self,
         now: Instant,
@@ -69,43 +125,81 @@
         out: &mut Vec<ControlAction>,
     ) {
         match request {
-            ControlRequest::Renew(renewal) if self.leader_slot().is_none() => {
-                let until = now + LEADERLESS_HOLD;
-                self.leaderless.push(Parked {
-                    token,
-                    renewal,
-                    until,
-                });
+            request if self.leader_slot().is_some() => {
+                self.relay.pass_on(now, now, token, request);
+                self.pass_on_requests(now, out);
             }
+            ControlRequest::Renew(renewal) => self.leaderless.push_back(Parked {
+                token,
+                renewal,
+                came: now,
+                until: now + LEADERLESS_HOLD,
+                relay: None,
+            }),
             _ => self.not_leader(token, out),
         }
     }
 
+    /// The leader has answered.
+    pub(super) fn relay_answered(
+        &mut self,
+        now: Instant,
+        answers: Vec<(u64, ControlReply)>,
+        out: &mut Vec<ControlAction>,
+    ) {
+        out.extend(replies(self.relay.answered(now, answers)));
+    }
+
+    /// Passes on what is due, and hands on what may go. Whose leader is gone is
+    /// asked to ask again.
+    pub(super) fn pass_on_requests(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        let leader = self.leader_slot();
+        let lost = self.relay.leader_is(leader);
+        let again = |token| (token, ControlReply::AskAgain);
+        out.extend(replies(lost.into_iter().map(again)));
+        if let Some(slot) = leader {
+            let requests = self.relay.take_due(now);
+            if !requests.is_empty() {
+                out.push(ControlAction::PassOn { slot, requests });
+            }
+        }
+        out.extend(replies(self.relay.give_up(now)));
+        out.extend(replies(self.relay.take_late(now)));
+    }
+
     /// Takes the renewals that have waited for a leader if this replica leads
-    /// now; tells their routers who does otherwise.
+    /// now; passes them on if another one does.
     pub(super) fn take_leaderless(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
         if self.leaderless.is_empty() {
             return;
         }
         let leads = self.replica.may_answer(now);
         let known = self.leader_slot().is_some();
-        for parked in std::mem::take(&mut self.leaderless) {
+        let waits = |parked: &Parked| !leads && !known && parked.until > now;
+        while let Some(parked) = self.leaderless.pop_front() {
+            if waits(&parked) {
+                self.leaderless.push_front(parked);
+                break;
+            }
             if leads {
-                self.renew(now, parked.token, parked.renewal, out);
-            } else if known || parked.until <= now {
-                self.not_leader(parked.token, out);
+                self.renew(now, parked, out);
+            } else if known && parked.relay.is_none() {
+                let request = ControlRequest::Renew(parked.renewal);
+                self.relay.pass_on(now, parked.came, parked.token, request);
             } else {
-                self.leaderless.push(parked);
+                self.not_leader(parked.token, out);
             }
         }
     }
 
-    fn renew(&mut self, now: Instant, token: u64, renewal: Renewal, out: &mut Vec<ControlAction>) {
+    fn renew(&mut self, now: Instant, parked: Parked, out: &mut Vec<ControlAction>) {
         let Some(leading) = &mut self.leading else {
-            self.not_leader(token, out);
+            self.not_leader(parked.token, out);
             return;
         };
-        let Renewal { holder, .. } = &renewal;
+        let renewal = &parked.renewal;
+        let Renewal { holder, .. } = renewal;
+        let is_new = !leading.leases.knows(&holder.vm);
         let replaced = leading.leases.renew(now, holder, renewal.applied);
         if replaced.is_some() {
             leading.demand.remove(&holder.vm);
@@ -115,23 +209,25 @@
         leading
             .held_bytes
             .insert(holder.vm.clone(), renewal.held_bytes);
-        leading.in_use.put(&holder.vm, &renewal.in_use);
+        let cfg = self.machine.configuration();
+        let room = |address| engine_room(cfg, address);
+        leading.in_use.put(&holder.vm, &renewal.in_use, room);
         let failing = renewal.failing.clone();
         if let Some(gone) = replaced {
             self.propose(now, CommandBody::HolderGone(gone), Asker::Nobody, out);
         }
         self.check_targets(now, &failing, out);
-        if let Some(report) = &renewal.repeats {
-            self.repeats_reported(now, &renewal.holder, report, out);
+        if let Some(report) = &parked.renewal.repeats {
+            self.repeats_reported(now, &parked.renewal.holder, report, out);
         }
-        self.limits_reported(now, &renewal.holder, &renewal.limits, out);
-        let until = now + self.limits.hold;
-        self.parked.push(Parked {
-            token,
-            renewal,
-            until,
-        });
-        self.answer_parked(now, out);
+        self.limits_reported(now, &parked.renewal.holder, &parked.renewal.limits, out);
+        // Who has no lease of this leader's may have little left of the one before it.
+        let until = match parked.relay {
+            _ if is_new => now,
+            None => parked.came + self.limits.hold,
+            Some(_) => next_round(parked.came + self.limits.hold),
+        };
+        self.answer_or_park(now, Parked { until, ..parked }, out);
         self.check_force(now, out);
     }
 
@@ -231,3 +327,28 @@
         out.push(ControlAction::OperatorReply { token, reply });
     }
 }
+
+/// What an engine has for streams, as agreed.
+fn engine_room(cfg: &Configuration, address: SocketAddr) -> Option<EngineRoom> {
+    let instance = cfg.instances().at(address).next()?;
+    let pool = cfg.release()?.pool(&instance.pool)?;
+    Some(EngineRoom {
+        data_centre: instance.data_centre.clone(),
+        keeps: keeps(pool.engine.as_ref()?, instance) as u64,
+        slots: instance.slots,
+    })
+}
+
+/// The next moment at which answers to replicas leave: those that are due close
+/// together go as one message.
+fn next_round(at: Instant) -> Instant {
+    let every = ANSWER_EVERY.as_micros() as u64;
+    Instant::from_micros(at.as_micros().div_ceil(every) * every)
+}
+
+fn replies(
+    answers: impl IntoIterator<Item = (u64, ControlReply)>,
+) -> impl Iterator<Item = ControlAction> {
+    let reply = |(token, reply)| ControlAction::Reply { token, reply };
+    answers.into_iter().map(reply)
+}
--- a/crates/deckwind-core/src/control/slow.rs
+++ b/crates/deckwind-core/src/control/slow.rs
@@ -132,7 +132,7 @@
 
     fn ask_pace(&self, engines: &[SocketAddr], out: &mut Vec<ControlAction>) {
         let instances = self.machine.configuration().instances();
-        let named = instances.iter().filter(|i| engines.contains(&i.address));
+        let named = engines.iter().flat_map(|address| instances.at(*address));
         let ready = named.filter(|i| i.state == InstanceState::Ready);
         out.extend(ready.map(|i| ControlAction::AskPace { address: i.address }));
     }
--- a/crates/deckwind-core/src/control/upkeep.rs
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -43,6 +43,7 @@
 
     pub(super) fn tick(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
         self.take_leaderless(now, out);
+        self.pass_on_requests(now, out);
         self.take_waiting_announcements(now, out);
         self.tell_heard(now, out);
         self.answer_parked(now, out);
@@ -79,7 +80,6 @@
             leading.admins.remove(&holder.vm);
             leading.held_bytes.remove(&holder.vm);
             leading.in_use.remove(&holder.vm);
-            leading.use_told.remove(&holder.vm);
             leading.full.remove(&holder.vm);
         }
         for holder in gone {
@@ -90,16 +90,16 @@
     /// Once the leases of the leader before have run out: claims whose holder
     /// has no lease are of routers that are gone.
     fn find_orphans(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
-        if !self.replica.may_answer(now) {
+        let known = match &self.leading {
+            Some(leading) if !leading.orphans_done => leading.leases.are_known(now),
+            _ => false,
+        };
+        if !known || !self.replica.may_answer(now) {
             return;
         }
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let known = leading.leases.in_force(now, Revision::ZERO) == InForce::Yes;
-        if leading.orphans_done || !known {
-            return;
-        }
         leading.orphans_done = true;
         let leases = &leading.leases;
         let holders = self.machine.claims().holders_in_progress();
--- a/crates/deckwind-core/src/membership/mod.rs
+++ b/crates/deckwind-core/src/membership/mod.rs
@@ -14,10 +14,12 @@
 
 mod lease_table;
 mod platform;
+mod replica_choice;
 mod router_lease;
 mod shares;
 
 pub use lease_table::{InForce, LeaseTable, LeaseTiming, RouterLease};
 pub use platform::{PlatformStatus, PlatformView};
+pub use replica_choice::ReplicaChoice;
 pub use router_lease::{LeaseGrant, RouterLeaseState, ServeDecision};
 pub use shares::{AccountDemand, AccountShare, share_of};
--- a/crates/deckwind-core/src/routes/book.rs
+++ b/crates/deckwind-core/src/routes/book.rs
@@ -3,7 +3,7 @@
 
 use super::limits::TargetLimits;
 use super::notices::TargetNotices;
-use crate::control::{EngineFull, EngineUse};
+use crate::control::{EngineFull, EngineUse, UseNews, UseNumber};
 use crate::routing::paths::{EngineView, Held, Stage};
 use crate::state::Instance;
 use crate::time::Instant;
@@ -63,8 +63,12 @@
     targets: HashMap<SocketAddr, Account>,
     /// What this router's streams hold at engines.
     own: HashMap<SocketAddr, Held>,
-    /// What those of all others hold, as the leader last told.
-    others: HashMap<SocketAddr, Held>,
+    /// What those of all routers hold, as the leader last told.
+    told: HashMap<SocketAddr, Held>,
+    /// Up to where it has told that.
+    use_known: Option<UseNumber>,
+    /// What this router's streams held when it last reported: part of what was told.
+    reported: HashMap<SocketAddr, Held>,
     /// Engines that have refused a request for want of room.
     refused: HashMap<SocketAddr, Refused>,
     /// Engines that are slow, as the leader last told, and until when that holds.
@@ -333,23 +337,51 @@
 
     /// What all other routers' streams hold.
     pub fn others_hold(&mut self, uses: &[EngineUse]) {
-        self.others = uses.iter().map(|u| (u.address, u.held())).collect();
+        self.told = uses.iter().map(|u| (u.address, u.held())).collect();
+        self.reported.clear();
     }
 
-    /// What this router's streams hold, for the others.
+    /// The leader has answered a renewal that reported `own`; what it told of the
+    /// streams of all routers, if there was any news.
+    pub fn use_told(&mut self, own: &[EngineUse], news: Option<&UseNews>) {
+        self.reported = own.iter().map(|u| (u.address, u.held())).collect();
+        let Some(news) = news else {
+            return;
+        };
+        if news.all {
+            self.told.clear();
+        }
+        for one in &news.engines {
+            match one.held() == Held::default() {
+                true => self.told.remove(&one.address),
+                false => self.told.insert(one.address, one.held()),
+            };
+        }
+        self.use_known = Some(news.upto);
+    }
+
+    /// Up to where the leader has told what the streams of all routers hold.
+    pub fn use_known(&self) -> Option<UseNumber> {
+        self.use_known
+    }
+
+    /// What this router's streams hold, for the others; by address.
     pub fn own_use(&self) -> Vec<EngineUse> {
         let own = self.own.iter();
-        own.map(|(address, held)| EngineUse::new(*address, *held))
-            .collect()
+        let own = own.map(|(address, held)| EngineUse::new(*address, *held));
+        let mut own: Vec<EngineUse> = own.collect();
+        own.sort_unstable_by_key(|u| u.address);
+        own
     }
 
     /// What the streams of all routers hold at an engine.
     pub fn held(&self, address: SocketAddr) -> Held {
         let of = |map: &HashMap<SocketAddr, Held>| map.get(&address).copied().unwrap_or_default();
-        let (own, others) = (of(&self.own), of(&self.others));
+        let (own, told, reported) = (of(&self.own), of(&self.told), of(&self.reported));
+        let others = told.layer_tokens.saturating_sub(reported.layer_tokens);
         Held {
-            layer_tokens: own.layer_tokens + others.layer_tokens,
-            begun: own.begun + others.begun,
+            layer_tokens: own.layer_tokens + others,
+            begun: own.begun + told.begun.saturating_sub(reported.begun),
         }
     }
 
--- a/crates/deckwind-core/src/routes/cut_runs.rs
+++ b/crates/deckwind-core/src/routes/cut_runs.rs
@@ -12,6 +12,7 @@
 //!  answered whole ────┴─► served: what was held against it is forgotten ───────► leader
 //! ```
 
+use crate::control::{DEFAULT_PERIOD, SILENT_PERIODS};
 use crate::state::{
     ContentDigest, ENDS_TO_QUARANTINE, Life, MOST_ENDS, SuspectChange, SuspectList,
 };
@@ -26,8 +27,10 @@
 pub const JUST_BEGUN: Duration = Duration::from_millis(500);
 
 /// How long a cut run waits for the end of its life to be known: a target that says
-/// nothing counts as silent after 3.6 s, and then that is agreed and handed out.
-const WAITS_FOR: Duration = Duration::from_secs(6);
+/// nothing counts as silent after some of its periods, and then that is agreed and
+/// handed out.
+const WAITS_PERIODS: u32 = SILENT_PERIODS;
+const WAITS_BESIDE: Duration = Duration::from_millis(2_400);
 
 /// How long a content that was served well is above suspicion at this router:
 /// targets that end together, as with their data centre, must not condemn what many
@@ -68,8 +71,9 @@
 }
 
 /// What a router knows of contents and the ends of targets.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CutRuns {
+    waits_for: Duration,
     waiting: VecDeque<Waiting>,
     /// Lives that ended lately: a cut may be noticed after it.
     over: VecDeque<(Life, Instant)>,
@@ -88,7 +92,27 @@
     queue.push_back(value);
 }
 
+impl Default for CutRuns {
+    /// Where targets announce themselves as often as usual.
+    fn default() -> Self {
+        Self::with_period(DEFAULT_PERIOD)
+    }
+}
+
 impl CutRuns {
+    /// Nothing known yet; targets announce themselves this often.
+    pub fn with_period(period: Duration) -> Self {
+        Self {
+            waits_for: period * WAITS_PERIODS + WAITS_BESIDE,
+            waiting: VecDeque::new(),
+            over: VecDeque::new(),
+            ends: HashMap::new(),
+            served: HashMap::new(),
+            agreed: Arc::default(),
+            news: VecDeque::new(),
+        }
+    }
+
     /// A run was cut; `ran` is the time since its first event, if there was one.
     /// Whether it may have ended its target.
     pub fn cut(
@@ -109,7 +133,7 @@
             // Another router may have seen the same end, and it may be agreed by now.
             self.ended(now, content, life.clone(), ran.is_some(), 0);
         } else {
-            let until = now + WAITS_FOR;
+            let until = now + self.waits_for;
             let life = life.clone();
             push(
                 &mut self.waiting,
@@ -280,7 +304,8 @@
         while self.waiting.front().is_some_and(|w| w.until <= now) {
             self.waiting.pop_front();
         }
-        let old = |at: &Instant| now.since(*at) >= WAITS_FOR;
+        let waits_for = self.waits_for;
+        let old = |at: &Instant| now.since(*at) >= waits_for;
         while self.over.front().is_some_and(|(_, at)| old(at)) {
             self.over.pop_front();
         }
--- a/crates/deckwind-core/src/routing/paths.rs
+++ b/crates/deckwind-core/src/routing/paths.rs
@@ -142,9 +142,8 @@
         if !usable || view.avoids(instance) {
             return None;
         }
-        let loaded = instance.in_memory.max(instance.layers.len());
         let held = view.held(instance.address);
-        let keeps = tokens_beside(model, kind.memory_mb, loaded) * f64::from(loaded);
+        let keeps = keeps(model, instance);
         let places = f64::from(instance.slots.max(1)) * PLACES_GIVEN;
         Some(Self {
             instance,
@@ -199,6 +198,15 @@
     }
 }
 
+/// Tokens times layers that an engine keeps for streams; none if it holds no layers or
+/// is of a kind that the model doesn't name.
+pub fn keeps(model: &EngineModel, instance: &Instance) -> f64 {
+    let kind = instance.accelerator.as_deref().and_then(|k| model.kind(k));
+    let loaded = instance.in_memory.max(instance.layers.len());
+    let tokens = kind.map_or(0.0, |k| tokens_beside(model, k.memory_mb, loaded));
+    tokens * f64::from(loaded)
+}
+
 type Holders<'a> = BTreeMap<&'a DataCentre, Vec<Holder<'a>>>;
 
 fn holders_by_centre<'a>(
--- a/crates/deckwind-core/src/state/packed.rs
+++ b/crates/deckwind-core/src/state/packed.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Whether both lead from and to the same state.
+    pub fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.bytes, &other.bytes) || self == other
+    }
+
     /// Its size, bytes.
     pub fn size(&self) -> usize {
         self.bytes.len()
--- a/crates/deckwind-net/src/quic.rs
+++ b/crates/deckwind-net/src/quic.rs
@@ -211,6 +211,14 @@
         Ok(connection)
     }
 
+    /// Closes the connections that this endpoint has made to anybody else: each of
+    /// them costs both sides a packet every [`KEEP_ALIVE`].
+    pub fn keep_only(&self, to: SocketAddr) {
+        let mut connections = self.connections.lock().expect("no holder panics");
+        let others = connections.extract_if(|address, _| *address != to);
+        others.for_each(|(_, connection)| connection.close(0u32.into(), b"not used"));
+    }
+
     /// Takes connections until the endpoint is closed; `handle` gets whatever
     /// comes in.
     pub async fn serve(self, handle: impl Fn(IpAddr, Incoming) + Clone + Send + Sync + 'static) {
@@ -271,10 +279,11 @@
     }
 }
 
-fn transport() -> Result<Arc<TransportConfig>> {
+/// What keeps a connection alive is sent by the side that made it.
+fn transport(keep_alive: Option<Duration>) -> Result<Arc<TransportConfig>> {
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(IdleTimeout::try_from(IDLE)?));
-    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport.keep_alive_interval(keep_alive);
     transport.initial_rtt(INITIAL_RTT);
     transport.max_concurrent_bidi_streams(MAX_STREAMS.into());
     transport.max_concurrent_uni_streams(MAX_STREAMS.into());
@@ -301,12 +310,12 @@
 }
 
 fn with_transport(mut cfg: ServerConfig) -> Result<ServerConfig> {
-    cfg.transport_config(transport()?);
+    cfg.transport_config(transport(None)?);
     Ok(cfg)
 }
 
 fn client_transport(mut cfg: ClientConfig) -> Result<ClientConfig> {
-    cfg.transport_config(transport()?);
+    cfg.transport_config(transport(Some(KEEP_ALIVE))?);
     Ok(cfg)
 }
 
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -206,7 +206,9 @@
         demand: (0..accounts)
             .map(|a| (format!("account-{a}").into(), AccountDemand { per_s: 1.5 }))
             .collect(),
+        data_centre: "a".into(),
         in_use: Vec::new(),
+        use_known: None,
         failing: Vec::new(),
         held_bytes: 0,
         repeats: None,
--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -7,8 +7,9 @@
 use crate::placing::model_over;
 use anyhow::{Context, Result, ensure};
 use deckwind_core::control::{
-    ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineUse, LimitReport,
-    OperatorRequest, PlaceOrder, PoolReport, Renewal, RepeatReport,
+    ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineUse, LimitReport, Looks,
+    OperatorRequest, PlaceOrder, PoolReport, RelayedReplies, RelayedRequest, Renewal, RepeatReport,
+    UseNumber,
 };
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
 use deckwind_core::replication::{ReplicaConfig, ReplicaId};
@@ -31,6 +32,10 @@
 /// One way between a router and the leader.
 const ONE_WAY: Duration = Duration::from_millis(1);
 
+/// How long a replica gathers what it passes on.
+const GATHER_MICROS: u64 = 20_000;
+const GATHER: Duration = Duration::from_micros(GATHER_MICROS);
+
 /// Headers of IP, UDP and QUIC for one message, bytes.
 const HEADERS: usize = 60;
 
@@ -58,6 +63,8 @@
     /// When the renewal on its way was sent.
     asked: Option<Instant>,
     was_live: bool,
+    /// Up to where it has heard what streams hold.
+    use_known: Option<UseNumber>,
 }
 
 enum Arrival {
@@ -70,8 +77,10 @@
 /// What the leader's link has carried.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Carried {
-    /// Answers.
-    pub answers: u64,
+    /// Renewals that came.
+    pub renewals: u64,
+    /// Messages with answers.
+    pub messages: u64,
     /// Their bytes, headers included.
     pub bytes: u64,
     /// Longest time for which bytes stood in the link's queue.
@@ -92,6 +101,8 @@
     start: Instant,
     routers: Vec<Router>,
     engines_in_use: usize,
+    /// Replicas that pass the routers' requests on; none if routers ask the leader.
+    relays: u32,
     /// Most repeats that all routers may be given; nothing if they want none.
     repeats: Option<u64>,
     bytes_per_s: f64,
@@ -123,6 +134,7 @@
             lease: RouterLeaseState::new(lease),
             asked: None,
             was_live: false,
+            use_known: None,
         };
         let mut fan_out = Self {
             node: ControlNode::new(cfg, lease, limits, store, opened, start)?,
@@ -130,6 +142,7 @@
             start,
             routers: (0..routers).map(router).collect(),
             engines_in_use,
+            relays: 0,
             repeats: None,
             bytes_per_s: link_mbps * 125_000.0,
             link_free_at: start,
@@ -145,6 +158,21 @@
         Ok(fan_out)
     }
 
+    /// From now on so many replicas pass the routers' requests on.
+    pub fn pass_on(&mut self, relays: u32) {
+        self.relays = relays;
+    }
+
+    /// From now on each router's streams hold something at a quarter of so many engines.
+    pub fn hold_at(&mut self, engines: usize) {
+        self.engines_in_use = engines;
+    }
+
+    /// What the leader has looked at so far.
+    pub fn looks(&self) -> Looks {
+        self.node.core().looks()
+    }
+
     /// From now on all routers serve the pool, and hold repeats ahead of need.
     pub fn serve(&mut self, repeats: u64) {
         self.repeats = Some(repeats);
@@ -163,6 +191,7 @@
             r.lease = RouterLeaseState::new(lease_timing());
             r.asked = None;
             r.was_live = false;
+            r.use_known = None;
         }
     }
 
@@ -265,25 +294,54 @@
         let took = begun.elapsed();
         self.carried.worked += took;
         self.carried.longest_batch = self.carried.longest_batch.max(took);
+        let mut passed_back: BTreeMap<u32, Vec<(u64, ControlReply)>> = BTreeMap::new();
         for effect in effects {
             match effect {
-                Effect::Reply(token, reply) => self.send_answer(token, reply)?,
+                Effect::Reply(token, reply) => match self.relay_of(token) {
+                    Some(relay) => passed_back.entry(relay).or_default().push((token, reply)),
+                    None => self.send_answers(vec![(token, reply)])?,
+                },
                 Effect::Place(order) => self.put(self.now + LOADS_IN, Arrival::Placed(order)),
                 _ => {}
             }
         }
+        for (_, answers) in passed_back {
+            self.send_answers(answers)?;
+        }
         for router in 0..self.routers.len() {
             self.renew(router);
         }
         Ok(())
     }
 
+    /// The replica that passed this request on.
+    fn relay_of(&self, token: u64) -> Option<u32> {
+        let router = self.asked_by.get(&token)?;
+        (self.relays > 0).then(|| *router as u32 % self.relays)
+    }
+
     fn request(&mut self, router: usize, renewal: Renewal) -> ControlEvent {
         self.next_number += 1;
         let token = self.next_number;
         self.asked_by.insert(token, router);
+        self.carried.renewals += 1;
         let request = ControlRequest::Renew(renewal);
-        ControlEvent::Request { token, request }
+        let Some(relay) = self.relay_of(token) else {
+            return ControlEvent::Request { token, request };
+        };
+        let waited = Duration::ZERO;
+        let request = RelayedRequest {
+            token,
+            waited,
+            request,
+        };
+        // Slot 0 is the leader's.
+        let from = relay + 1;
+        ControlEvent::Relayed {
+            token,
+            from,
+            request,
+        }
     }
 
     fn renew(&mut self, router: usize) {
@@ -304,14 +362,20 @@
             applied: r.lease.applied(),
             admin: SocketAddr::from(([127, 0, 0, 1], 1)),
             demand: Vec::new(),
+            data_centre: CENTRES[router % CENTRES.len()].into(),
             in_use,
+            use_known: r.use_known,
             failing: Vec::new(),
             held_bytes: 0,
             repeats: self.repeats.map(repeat_report),
             limits: LimitReport::default(),
         };
         let arrival = Arrival::Asked(router, Box::new(renewal));
-        self.put(self.now + ONE_WAY, arrival);
+        let gathered = match self.relays {
+            0 => self.now,
+            _ => self.now + GATHER - Duration::from_micros(self.now.as_micros() % GATHER_MICROS),
+        };
+        self.put(gathered + ONE_WAY, arrival);
     }
 
     fn in_use_of(&self, router: usize) -> Vec<EngineUse> {
@@ -327,22 +391,34 @@
         own.map(engine).collect()
     }
 
-    fn send_answer(&mut self, token: u64, reply: ControlReply) -> Result<()> {
-        // What was asked before a restart is answered to nobody.
-        let Some(router) = self.asked_by.remove(&token) else {
-            return Ok(());
+    /// Sends answers that go together: to one router, or for those that asked one
+    /// replica.
+    fn send_answers(&mut self, answers: Vec<(u64, ControlReply)>) -> Result<()> {
+        let bytes = match &answers[..] {
+            [(_, reply)] if self.relays == 0 => encode(reply).len(),
+            answers => {
+                let mut passed_back = RelayedReplies::new(0);
+                for (token, reply) in answers {
+                    passed_back.push(*token, reply.clone());
+                }
+                encode(&passed_back).len()
+            }
         };
-        let bytes = encode(&reply).len();
         let on_link = bytes + HEADERS * (1 + bytes / PACKET);
         let begins = self.link_free_at.max(self.now);
         let takes = Duration::from_secs_f64(on_link as f64 / self.bytes_per_s);
         self.link_free_at = begins + takes;
         let queued = self.link_free_at.since(self.now);
         self.carried.longest_queue = self.carried.longest_queue.max(queued);
-        self.carried.answers += 1;
+        self.carried.messages += 1;
         self.carried.bytes += on_link as u64;
-        let arrival = Arrival::Answered(router, Box::new(reply));
-        self.put(self.link_free_at + ONE_WAY, arrival);
+        for (token, reply) in answers {
+            // What was asked before a restart is answered to nobody.
+            if let Some(router) = self.asked_by.remove(&token) {
+                let arrival = Arrival::Answered(router, Box::new(reply));
+                self.put(self.link_free_at + ONE_WAY, arrival);
+            }
+        }
         Ok(())
     }
 
@@ -352,6 +428,7 @@
         if let ControlReply::Granted(grant) = reply {
             let delta = grant.changes(r.lease.applied())?;
             r.lease.granted(grant.lease(asked), delta);
+            r.use_known = grant.in_use.map(|news| news.upto).or(r.use_known);
         }
         Ok(())
     }
--- a/crates/deckwind-testkit/src/lab.rs
+++ b/crates/deckwind-testkit/src/lab.rs
@@ -7,7 +7,7 @@
 use crate::lab_routers::LabRouter;
 use deckwind_core::control::{
     ControlEvent, ControlLimits, ControlRequest, HeardTargets, OperatorReply, OperatorRequest,
-    OrderBatch,
+    OrderBatch, RelayedReplies, RelayedRequest,
 };
 use deckwind_core::membership::{InForce, LeaseTiming};
 use deckwind_core::replication::{Entry, Event, Index, Message, ReplicaConfig, ReplicaId, Term};
@@ -91,6 +91,8 @@
     /// A router's request, and when it was asked.
     Router(usize, Box<ControlRequest>, Instant),
     Operator(String),
+    /// The replica of this slot passed it on, under its own token.
+    Replica(u32, u64),
 }
 
 /// Something under way.
@@ -98,6 +100,10 @@
     Message(Message),
     /// To the replica of this slot.
     Heard(u32, HeardTargets),
+    /// From the replica of the first slot to that of the second.
+    PassedOn(u32, u32, Vec<RelayedRequest>),
+    /// To the replica of this slot.
+    Answers(u32, RelayedReplies),
     Orders(usize, OrderBatch),
     Ask(u32, u64, ControlRequest),
     Answer(usize, ControlRequest, Instant, ControlReply),
@@ -132,6 +138,18 @@
 impl Lab {
     /// So many replicas and routers.
     pub fn new(replicas: usize, routers: usize, seed: u64, faults: NetFaults) -> Self {
+        let period = ControlLimits::default().announce_every;
+        Self::with_period(replicas, routers, seed, faults, period)
+    }
+
+    /// The same with targets that announce themselves this often.
+    pub fn with_period(
+        replicas: usize,
+        routers: usize,
+        seed: u64,
+        faults: NetFaults,
+        announce_every: Duration,
+    ) -> Self {
         let mut lab = Self {
             now: Instant::from_millis(1_000),
             rng: StdRng::seed_from_u64(seed),
@@ -151,6 +169,7 @@
             limits: ControlLimits {
                 compact_after: 24,
                 claims: ClaimLimits::default(),
+                announce_every,
                 ..ControlLimits::default()
             },
             lease: LeaseTiming::default(),
@@ -170,7 +189,7 @@
             lab.start(slot);
         }
         for i in 0..routers {
-            lab.routers.push(LabRouter::new(i, lab.lease));
+            lab.routers.push(LabRouter::new(i, replicas, lab.lease));
         }
         lab
     }
@@ -406,6 +425,11 @@
                 Flying::Heard(slot, heard) => self.nodes[slot as usize]
                     .inbox
                     .push(ControlEvent::Heard(heard)),
+                Flying::PassedOn(from, to, requests) => self.take_passed_on(from, to, requests),
+                Flying::Answers(slot, answers) => {
+                    let event = ControlEvent::Answered(answers.into_answers());
+                    self.nodes[slot as usize].inbox.push(event);
+                }
                 Flying::Orders(slot, batch) => self.take_orders(slot, batch),
                 Flying::Ask(slot, token, request) => self.nodes[slot as usize]
                     .inbox
@@ -450,11 +474,24 @@
                     self.fly(Flying::Heard(to, heard));
                 }
             }
-            Effect::Reply(token, reply) => {
-                if let Some(Asked::Router(i, request, asked)) = self.asked.remove(&token) {
-                    self.fly(Flying::Answer(i, *request, asked, reply));
+            Effect::PassOn(to, requests) => {
+                if !self.cut.contains(&(slot as u32, to)) {
+                    self.fly(Flying::PassedOn(slot as u32, to, requests));
                 }
             }
+            Effect::Reply(token, reply) => match self.asked.remove(&token) {
+                Some(Asked::Router(i, request, asked)) => {
+                    self.fly(Flying::Answer(i, *request, asked, reply));
+                }
+                Some(Asked::Replica(to, token)) => {
+                    let mut answers = RelayedReplies::new(0);
+                    answers.push(token, reply);
+                    if !self.cut.contains(&(slot as u32, to)) {
+                        self.fly(Flying::Answers(to, answers));
+                    }
+                }
+                Some(Asked::Operator(_)) | None => {}
+            },
             Effect::Order(batch) => self.fly_orders(slot, batch),
             // Targets of the laboratory hold no layers and fail nobody.
             Effect::Place(_)
@@ -470,6 +507,20 @@
         }
     }
 
+    fn take_passed_on(&mut self, from: u32, to: u32, requests: Vec<RelayedRequest>) {
+        for request in requests {
+            let token = self.next_token;
+            self.next_token += 1;
+            let asked = Asked::Replica(from, request.token);
+            self.asked.insert(token, asked);
+            self.nodes[to as usize].inbox.push(ControlEvent::Relayed {
+                token,
+                from,
+                request,
+            });
+        }
+    }
+
     /// Orders arrive within their time; the leader hears that they were taken,
     /// if it is still there.
     fn fly_orders(&mut self, slot: usize, batch: OrderBatch) {
@@ -534,13 +585,12 @@
     }
 
     fn step_routers(&mut self) {
-        let replicas = self.nodes.len();
         for i in 0..self.routers.len() {
             let request = self.routers[i].next_request(self.now, &mut self.rng);
             let Some(request) = request else {
                 continue;
             };
-            let slot = self.routers[i].replica(replicas) as u32;
+            let slot = self.routers[i].choose(self.now);
             let token = self.next_token;
             self.next_token += 1;
             let asked = Asked::Router(i, Box::new(request.clone()), self.now);
--- a/crates/deckwind-testkit/src/lab_routers.rs
+++ b/crates/deckwind-testkit/src/lab_routers.rs
@@ -2,7 +2,7 @@
 //! and repeats.
 
 use deckwind_core::control::LimitReport;
-use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
+use deckwind_core::membership::{LeaseTiming, ReplicaChoice, RouterLeaseState};
 use deckwind_core::routes::{Claim, CutRuns, RepeatBudgets, RepeatLimits, Started};
 use deckwind_core::state::{
     ClaimKey, ClaimRequest, ClaimVerdict, ContentDigest, FinishRequest, Holder, Outcome, Revision,
@@ -34,7 +34,9 @@
     claim: Option<Open>,
     claims_wanted: u32,
     nonce: u64,
-    replica: usize,
+    choice: ReplicaChoice,
+    /// Slot of the replica that was asked last.
+    asked: u32,
     /// Keys that it ran, one entry a run.
     pub ran: Vec<String>,
     timing: LeaseTiming,
@@ -73,17 +75,20 @@
 const KEYS: u32 = 40;
 
 impl LabRouter {
-    /// The router of this number.
-    pub fn new(i: usize, timing: LeaseTiming) -> Self {
+    /// The router of this number, before so many replicas.
+    pub fn new(i: usize, replicas: usize, timing: LeaseTiming) -> Self {
+        let name = VmName::from(format!("router-{i}"));
+        let slots = (0..replicas as u32).collect();
         Self {
-            name: VmName::from(format!("router-{i}")),
+            choice: ReplicaChoice::new(name.clone(), slots),
+            asked: 0,
+            name,
             boot: 1,
             lease: RouterLeaseState::new(timing),
             renewal: None,
             claim: None,
             claims_wanted: 0,
             nonce: 0,
-            replica: 0,
             ran: Vec::new(),
             timing,
             budgets: None,
@@ -177,9 +182,15 @@
             .map(|_| RepeatBudgets::new(REPEATS, STARTED));
     }
 
-    /// Replica that it asks.
-    pub fn replica(&self, replicas: usize) -> usize {
-        self.replica % replicas
+    /// Slot of the replica that it asks now.
+    pub fn choose(&mut self, now: Instant) -> u32 {
+        self.asked = self.choice.next(now).unwrap_or_default();
+        self.asked
+    }
+
+    /// Slot of the replica that it asked last.
+    pub fn asked(&self) -> usize {
+        self.asked as usize
     }
 
     /// What it sends now, if anything.
@@ -193,7 +204,7 @@
     fn next_renewal(&mut self, now: Instant) -> Option<ControlRequest> {
         match &self.renewal {
             Some(open) if now.since(open.asked) < RESEND => return None,
-            Some(_) => self.replica += 1,
+            Some(_) => self.choice.failed(now, self.asked),
             None => {}
         }
         let repeats = self.budgets.as_mut().and_then(|b| b.report(now));
@@ -202,7 +213,9 @@
             applied: self.lease.applied(),
             admin: SocketAddr::from(([127, 0, 0, 1], 1)),
             demand: Vec::new(),
+            data_centre: "a".into(),
             in_use: Vec::new(),
+            use_known: None,
             failing: Vec::new(),
             held_bytes: HELD_BYTES,
             repeats,
@@ -256,6 +269,7 @@
         match (request, reply) {
             (ControlRequest::Renew(renewal), ControlReply::Granted(grant)) => {
                 self.renewal = None;
+                self.choice.answered(self.asked);
                 if renewal.holder.boot == self.boot {
                     let delta = grant
                         .changes(self.lease.applied())
@@ -265,8 +279,9 @@
                     budgets.map(|b| b.told(asked, self.timing.ttl, &grant.repeats));
                 }
             }
+            (ControlRequest::Renew(_), ControlReply::AskAgain) => self.renewal = None,
             (_, ControlReply::NotLeader { leader }) => {
-                self.replica = leader.map_or(self.replica + 1, |slot| slot as usize);
+                self.choice.not_passed_on(now, self.asked, leader);
                 if matches!(request, ControlRequest::Renew(_)) {
                     self.renewal = None;
                 }
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/inbox.rs
@@ -0,0 +1,57 @@
+//! What a replica takes first: the replicated log before all else, and a bounded part of
+//! that at a time.
+
+use deckwind_core::replication::{Body, Message, ReplicaId, Term};
+use deckwindd::control::{ControlHandle, Input};
+use std::time::Duration;
+
+fn of_log() -> Input {
+    Input::Replication(Message {
+        cluster: None,
+        from: ReplicaId {
+            slot: 1,
+            identity: 1,
+        },
+        to_slot: 2,
+        to_identity: None,
+        term: Term(1),
+        body: Body::Join { unformed: true },
+    })
+}
+
+/// A leader's heartbeat behind the renewals of a whole fleet: it is in the first batch, and
+/// the batch is short.
+#[test]
+fn a_message_of_the_log_waits_for_a_short_batch_at_most() {
+    let (handle, inbox) = ControlHandle::new();
+    for _ in 0..5_000 {
+        handle.send(Input::Seeds(Vec::new()));
+    }
+    handle.send(of_log());
+    let batch = inbox.gather(Duration::ZERO).expect("it goes on");
+    let of_log = batch.iter().filter(|i| matches!(i, Input::Replication(_)));
+    assert_eq!(of_log.count(), 1);
+    assert!(batch.len() < 200, "{} inputs", batch.len());
+}
+
+#[test]
+fn nothing_is_lost_over_several_batches() {
+    let (handle, inbox) = ControlHandle::new();
+    (0..1_000).for_each(|i| handle.send(Input::Seeds(vec![i])));
+    let mut seen = Vec::new();
+    while let Some(batch) = inbox.gather(Duration::ZERO).filter(|b| !b.is_empty()) {
+        seen.extend(batch.into_iter().filter_map(|i| match i {
+            Input::Seeds(slots) => Some(slots[0]),
+            _ => None,
+        }));
+    }
+    assert_eq!(seen, (0..1_000).collect::<Vec<u32>>());
+}
+
+#[test]
+fn a_stop_overtakes_what_waits() {
+    let (handle, inbox) = ControlHandle::new();
+    (0..1_000).for_each(|i| handle.send(Input::Seeds(vec![i])));
+    handle.send(Input::Stop);
+    assert!(inbox.gather(Duration::ZERO).is_none());
+}
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/passed_on.rs
@@ -0,0 +1,210 @@
+//! Replicas that pass routers' requests on to the leader, in virtual time: over changes of
+//! leader, cuts and losses no router needs to know who leads.
+
+use deckwind_core::control::{
+    ControlReply, Grant, RelayedReplies, RelayedRequest, RelayedRequests,
+};
+use deckwind_core::membership::ReplicaChoice;
+use deckwind_core::replication::Term;
+use deckwind_core::state::{Delta, PackedDelta, Revision};
+use deckwind_core::time::Instant;
+use deckwind_testkit::{Lab, NetFaults};
+use deckwind_wire::{PeerMessage, decode, encode};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use yare::parameterized;
+
+/// Routers that ask the replica that their name gives, whoever leads.
+fn lab(seed: u64) -> (Lab, usize) {
+    let mut lab = Lab::new(5, 20, seed, NetFaults::NONE);
+    let leader = lab.run_until_led();
+    lab.run_for(Duration::from_secs(3));
+    (lab, leader)
+}
+
+fn all_serve(lab: &Lab) -> bool {
+    lab.routers.iter().all(|r| r.serves(lab.now()))
+}
+
+#[parameterized(a = { 1 }, b = { 2 }, c = { 3 }, d = { 4 })]
+fn a_router_that_asks_a_follower_holds_its_lease_and_stays_there(seed: u64) {
+    let (mut lab, leader) = lab(seed);
+    let asked: Vec<usize> = lab.routers.iter().map(|r| r.asked()).collect();
+    assert!(asked.iter().any(|slot| *slot != leader));
+    for _ in 0..20 {
+        lab.run_for(Duration::from_millis(200));
+        assert!(all_serve(&lab), "leader {leader}");
+        let now: Vec<usize> = lab.routers.iter().map(|r| r.asked()).collect();
+        assert_eq!(now, asked, "nobody was sent to the leader, {leader}");
+    }
+}
+
+/// The leader dies: routers that asked a follower serve on as soon as the next one may
+/// answer.
+#[parameterized(a = { 11 }, b = { 12 }, c = { 13 }, d = { 14 }, e = { 15 })]
+fn routers_serve_on_soon_with_the_next_leader(seed: u64) {
+    let (mut lab, leader) = lab(seed);
+    lab.crash(leader, 0);
+    lab.run_until_led();
+    lab.run_for(Duration::from_millis(200));
+    for router in lab.routers.iter().filter(|r| r.asked() != leader) {
+        assert!(router.serves(lab.now()), "{} has no lease", router.name());
+    }
+}
+
+/// Claims, leases and what is agreed hold beside losses, doubled messages and replicas that
+/// crash while they pass on (the laboratory checks its rules at each step).
+#[parameterized(a = { 21 }, b = { 22 }, c = { 23 }, d = { 24 }, e = { 25 }, f = { 26 })]
+fn what_is_passed_on_keeps_all_rules_beside_faults(seed: u64) {
+    let mut lab = Lab::new(3, 4, seed, NetFaults::BAD);
+    lab.run_until_led();
+    for round in 0..6 {
+        lab.routers.iter_mut().for_each(|r| r.want_claims(3));
+        let slot = (seed as usize + round) % 3;
+        match round % 3 {
+            0 => lab.crash(slot, 7),
+            1 => lab.cut_off(slot, true),
+            _ => lab.freeze(slot, true),
+        }
+        lab.run_for(Duration::from_millis(1_500));
+        lab.heal();
+        lab.run_for(Duration::from_millis(1_500));
+    }
+    let mut ran: BTreeMap<String, usize> = BTreeMap::new();
+    for key in lab.routers.iter().flat_map(|r| &r.ran) {
+        *ran.entry(key.clone()).or_default() += 1;
+    }
+    assert!(ran.values().all(|runs| *runs == 1), "{ran:?}");
+}
+
+fn grant(delta: Option<PackedDelta>) -> ControlReply {
+    ControlReply::Granted(Box::new(Grant {
+        term: Term(1),
+        lasts: None,
+        delta,
+        shares: Vec::new(),
+        routers: 1,
+        in_use: None,
+        replicas: vec![1, 2, 3],
+        failing: Vec::new(),
+        repeats: Vec::new(),
+        full: Vec::new(),
+        slow: Vec::new(),
+        limits: None,
+    }))
+}
+
+fn delta(to: u64) -> PackedDelta {
+    PackedDelta::of(&Delta {
+        to: Revision(to),
+        ..Delta::default()
+    })
+}
+
+/// Answers come back as they were, each with its own state, through the wire.
+#[test]
+fn answers_that_share_state_come_back_whole() {
+    let answers = [
+        (7, grant(Some(delta(3)))),
+        (8, grant(None)),
+        (9, grant(Some(delta(3)))),
+        (10, grant(Some(delta(4)))),
+        (11, ControlReply::Done),
+        (12, ControlReply::NotLeader { leader: Some(2) }),
+    ];
+    let mut passed_back = RelayedReplies::new(5);
+    for (token, reply) in answers.clone() {
+        passed_back.push(token, reply);
+    }
+    let wire = encode(&PeerMessage::Answers(passed_back));
+    let PeerMessage::Answers(read) = decode(&wire).unwrap() else {
+        panic!("another message");
+    };
+    assert_eq!(read.life, 5);
+    assert_eq!(read.into_answers(), answers);
+}
+
+#[test]
+fn requests_come_back_from_the_wire_as_they_were() {
+    let requests = RelayedRequests {
+        slot: 3,
+        life: 4,
+        requests: vec![RelayedRequest {
+            token: 1,
+            waited: Duration::from_millis(15),
+            request: deckwind_wire::ControlRequest::Failing(Vec::new()),
+        }],
+    };
+    let message = PeerMessage::PassedOn(requests);
+    assert_eq!(decode(&encode(&message)), Ok(message));
+}
+
+const MEMBERS: [u32; 10] = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+
+fn choices(routers: u32) -> Vec<ReplicaChoice> {
+    let of = |i: u32| {
+        let mut choice = ReplicaChoice::new(format!("router-{i}").into(), vec![1, 2, 3]);
+        choice.members_are(&MEMBERS);
+        choice
+    };
+    (0..routers).map(of).collect()
+}
+
+const NOW: Instant = Instant::from_millis(1_000);
+
+/// Requests spread over the replicas, without anybody who counts them.
+#[test]
+fn routers_spread_evenly_over_the_replicas() {
+    let mut asked: BTreeMap<u32, u32> = BTreeMap::new();
+    for mut choice in choices(1_000) {
+        *asked.entry(choice.next(NOW).unwrap()).or_default() += 1;
+    }
+    assert_eq!(asked.len(), MEMBERS.len());
+    assert!(asked.values().all(|n| (70..140).contains(n)), "{asked:?}");
+}
+
+/// A replica that is gone moves only the routers that asked there, to all the others;
+/// they come back to it.
+#[test]
+fn a_replica_that_is_gone_moves_its_own_routers_only() {
+    let gone = 4;
+    let mut moved_to: BTreeMap<u32, u32> = BTreeMap::new();
+    for mut choice in choices(1_000) {
+        let first = choice.next(NOW).unwrap();
+        choice.failed(NOW, gone);
+        let then = choice.next(NOW).unwrap();
+        match first == gone {
+            true => *moved_to.entry(then).or_default() += 1,
+            false => assert_eq!(then, first),
+        }
+        let later = NOW + Duration::from_secs(10);
+        assert_eq!(choice.next(later), Some(first));
+    }
+    assert_eq!(moved_to.len(), MEMBERS.len() - 1, "{moved_to:?}");
+}
+
+/// Who is named as the leader is asked once; a replica that knows none is asked again
+/// soon; where all have failed the one that did so first is asked.
+#[test]
+fn a_router_asks_where_it_may_be_helped() {
+    let mut choice = choices(1).remove(0);
+    let home = choice.next(NOW).unwrap();
+    let leader = MEMBERS.into_iter().find(|slot| *slot != home).unwrap();
+    choice.not_passed_on(NOW, home, None);
+    assert_ne!(choice.next(NOW), Some(home));
+    choice.answered(home);
+    assert_eq!(choice.next(NOW), Some(home));
+    choice.not_passed_on(NOW, home, Some(leader));
+    assert_eq!(choice.next(NOW), Some(leader));
+    assert_ne!(
+        choice.next(NOW),
+        Some(home),
+        "it is left alone for a moment"
+    );
+    assert_eq!(choice.next(NOW + Duration::from_millis(400)), Some(home));
+    for (ms, slot) in MEMBERS.into_iter().enumerate() {
+        choice.failed(NOW + Duration::from_millis(ms as u64), slot);
+    }
+    let later = NOW + Duration::from_millis(500);
+    assert_eq!(choice.next(later), Some(MEMBERS[0]));
+}
--- a/crates/deckwind-testkit/tests/testsuite/replication.rs
+++ b/crates/deckwind-testkit/tests/testsuite/replication.rs
@@ -299,13 +299,16 @@
     }
 }
 
-/// Whether every replica is up and a voter in the leader's members.
+/// Whether every replica is up and a voter in the members that are agreed: a vote that
+/// is not agreed may be gone with the leader that gave it, and the disk lost then be one
+/// of two.
 fn all_up(lab: &Lab) -> bool {
     let Some(leader) = lab.leader() else {
         return false;
     };
-    let members = lab.node(leader).unwrap().core().replica().members();
-    let commit = lab.node(leader).unwrap().core().replica().commit();
+    let leader = lab.node(leader).unwrap().core().replica();
+    let commit = leader.commit();
+    let members = leader.members_at(commit);
     (0..3).all(|slot| {
         lab.node(slot).is_some_and(|n| {
             let replica = n.core().replica();
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/target_periods.rs
@@ -0,0 +1,51 @@
+//! How often targets announce themselves is the platform's word: what counts as silent
+//! follows from it.
+
+use deckwind_core::state::InstanceState;
+use deckwind_testkit::fan_out::engine;
+use deckwind_testkit::{Lab, NetFaults};
+use deckwindd::context::period_of_targets;
+use std::time::Duration;
+use yare::parameterized;
+
+/// A target that speaks once in its period and then no more: ready for two and a half
+/// periods, silent after three and some.
+#[parameterized(
+    usual = { 1_200 },
+    slow = { 3_000 },
+    slower = { 12_000 },
+    fast = { 800 },
+)]
+fn a_target_is_silent_after_three_of_its_periods(period_ms: u64) {
+    let period = Duration::from_millis(period_ms);
+    let mut lab = Lab::with_period(3, 1, 7, NetFaults::NONE, period);
+    let leader = lab.run_until_led();
+    lab.run_for(Duration::from_secs(1));
+    lab.announce(leader, engine(1, 4, 1));
+    let state = |lab: &Lab| {
+        let node = lab.node(leader).expect("it is up");
+        let instances = node.core().machine().configuration().instances();
+        instances.get("engine-1").map(|i| i.state)
+    };
+    lab.run_for(period * 5 / 2);
+    assert_eq!(state(&lab), Some(InstanceState::Ready));
+    lab.run_for(period * 3 / 4);
+    assert_eq!(state(&lab), Some(InstanceState::Silent));
+}
+
+/// What can't be meant is not taken: the usual period holds.
+#[parameterized(
+    none = { 0, None },
+    too_short = { 99, None },
+    shortest = { 100, Some(100) },
+    usual = { 1_200, Some(1_200) },
+    slow = { 3_000, Some(3_000) },
+    longest = { 60_000, Some(60_000) },
+    an_hour = { 3_600_000, None },
+)]
+fn a_period_that_can_not_be_meant_is_not_taken(given_ms: u64, taken_ms: Option<u64>) {
+    let taken = period_of_targets(Some(Duration::from_millis(given_ms)));
+    let usual = Duration::from_millis(1_200);
+    assert_eq!(taken, taken_ms.map_or(usual, Duration::from_millis));
+    assert_eq!(period_of_targets(None), usual);
+}
--- a/crates/deckwind-wire/src/codec.rs
+++ b/crates/deckwind-wire/src/codec.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 /// Version of the messages; goes up with every change of their form.
-pub const VERSION: u8 = 6;
+pub const VERSION: u8 = 7;
 
 /// Longest message, bytes: a snapshot is the longest.
 pub const MAX_MESSAGE: usize = 64 * 1024 * 1024;
--- a/crates/deckwindd/src/context.rs
+++ b/crates/deckwindd/src/context.rs
@@ -2,11 +2,13 @@
 
 use anyhow::Result;
 use deckwind_config::{SeedSettings, Settings};
+use deckwind_core::control::{DEFAULT_PERIOD, PERIODS};
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::Dialects;
 use deckwind_net::keys::KeyFiles;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::runtime::Handle;
 
 /// Context of one daemon; cheap to clone.
@@ -71,3 +73,20 @@
     let slot = |a: &SocketAddrV4| u32::from(*a.ip());
     seeds.control.iter().map(slot).collect()
 }
+
+/// How often targets announce themselves; the usual period where the settings don't say,
+/// or say what can't be meant.
+pub fn period_of_targets(given: Option<Duration>) -> Duration {
+    match given {
+        None => DEFAULT_PERIOD,
+        Some(period) if PERIODS.contains(&period) => period,
+        Some(period) => {
+            log::warn!(
+                "event=period_of_targets_not_usable given_ms={} used_ms={}",
+                period.as_millis(),
+                DEFAULT_PERIOD.as_millis()
+            );
+            DEFAULT_PERIOD
+        }
+    }
+}
--- a/crates/deckwindd/src/control/keeper.rs
+++ b/crates/deckwindd/src/control/keeper.rs
@@ -4,12 +4,11 @@
 //! again from what its data folder holds, as after a restart of the process, as
 //! soon as the folder can be used.
 
-use super::driver::{Driver, gather};
-use super::handle::{ControlHandle, Input};
+use super::driver::{Driver, TICK};
+use super::handle::{ControlHandle, Inbox};
 use super::peers::Senders;
 use crate::context::Context;
 use anyhow::{Context as _, Result};
-use crossbeam::channel::Receiver;
 use deckwind_config::ControlSettings;
 use deckwind_core::replication::ReplicaId;
 use deckwind_net::quic::QuicPeer;
@@ -67,13 +66,13 @@
 
     /// Runs until it is told to stop, or until something other than the disk
     /// fails.
-    pub fn run(self, mut driver: Driver, rx: &Receiver<Input>) -> Result<()> {
+    pub fn run(self, mut driver: Driver, inbox: &Inbox) -> Result<()> {
         loop {
-            match driver.run(rx) {
+            match driver.run(inbox) {
                 Err(e) if is_of_disk(&e) => {}
                 ended => return ended,
             }
-            match self.open_again(rx)? {
+            match self.open_again(inbox)? {
                 Some(again) => driver = again,
                 None => return Ok(()),
             }
@@ -81,12 +80,12 @@
     }
 
     /// The replica as its folder holds it; nothing when it is time to stop.
-    fn open_again(&self, rx: &Receiver<Input>) -> Result<Option<Driver>> {
+    fn open_again(&self, inbox: &Inbox) -> Result<Option<Driver>> {
         loop {
             let until = Instant::now() + OPEN_AGAIN;
             while Instant::now() < until {
                 // What comes meanwhile goes unanswered, as to a stopped process.
-                if gather(rx).is_none() {
+                if inbox.gather(TICK).is_none() {
                     return Ok(None);
                 }
             }
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -21,8 +21,9 @@
 mod placing;
 mod refusals;
 mod repeat_notes;
+mod work_times;
 
-pub use handle::{ControlHandle, Input};
+pub use handle::{ControlHandle, Inbox, Input};
 pub use keeper::OpenDisk;
 pub use node::{ControlNode, Effect, Now};
 pub use refusals::{LOG_EVERY, Refusals};
@@ -54,7 +55,7 @@
         let _guard = cx.runtime.enter();
         let address = cx.control_address(cfg.slot)?;
         let peer = QuicPeer::bind(address, cx.key_files().as_ref(), MAX_MESSAGE)?;
-        let (handle, rx) = ControlHandle::new();
+        let (handle, inbox) = ControlHandle::new();
         cx.runtime.spawn(peers::serve(peer.clone(), handle.clone()));
         operators::serve(cfg, handle.clone())?;
         if let Some(address) = cfg.calls {
@@ -71,7 +72,7 @@
         let driver = keeper.driver(store, opened)?;
         let thread = std::thread::Builder::new()
             .name("control".to_string())
-            .spawn(move || keeper.run(driver, &rx))?;
+            .spawn(move || keeper.run(driver, &inbox))?;
         Ok(Self {
             handle,
             thread,
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -8,10 +8,11 @@
 //!                                               └── repeats until nothing is left ──┘
 //! ```
 
+use super::work_times::{WorkTimes, kind_of};
 use anyhow::{Context as _, Result};
 use deckwind_core::control::{
     ControlAction, ControlCore, ControlEvent, ControlLimits, HeardTargets, LifeNote, LimitNote,
-    OperatorReply, OrderBatch, PlaceOrder,
+    OperatorReply, OrderBatch, PlaceOrder, RelayedRequest,
 };
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{Action, Body, Event, Position, ReplicaConfig};
@@ -26,6 +27,8 @@
 pub enum Effect {
     /// Send a message.
     Send(Message),
+    /// Pass requests of routers on to the replica of this slot, the leader.
+    PassOn(u32, Vec<RelayedRequest>),
     /// Tell the replica of this slot, the leader, whom this one has heard.
     TellHeard(u32, HeardTargets),
     /// Answer a router.
@@ -59,6 +62,7 @@
 pub struct ControlNode {
     core: ControlCore,
     store: Store,
+    times: WorkTimes,
 }
 
 impl ControlNode {
@@ -74,7 +78,8 @@
         let snapshot = opened.snapshot.as_deref();
         let core = ControlCore::new(cfg, lease, limits, opened.stored, snapshot, now)
             .context("the snapshot in the data folder is of another version")?;
-        Ok(Self { core, store })
+        let times = WorkTimes::default();
+        Ok(Self { core, store, times })
     }
 
     /// The core.
@@ -96,6 +101,7 @@
         effects: &mut Vec<Effect>,
     ) -> Result<()> {
         let mut out = Vec::new();
+        let events = batch.len();
         for event in batch {
             self.step(now, event, &mut out);
         }
@@ -106,11 +112,16 @@
             self.perform(now, actions, &mut out, effects)?;
             self.core.flush(now.at, &mut out);
         }
+        self.times.end_batch(events);
+        self.times.note_load(&self.core);
         Ok(())
     }
 
     fn step(&mut self, now: Now, event: ControlEvent, out: &mut Vec<ControlAction>) {
+        let kind = kind_of(&event);
+        let begun = std::time::Instant::now();
         self.core.step(now.at, now.wall_ms, event, out);
+        self.times.add(kind, begun.elapsed());
     }
 
     fn perform(
@@ -175,6 +186,9 @@
             ControlAction::NoteLife(note) => effects.push(Effect::NoteLife(note)),
             ControlAction::NoteLimit(note) => effects.push(Effect::NoteLimit(note)),
             ControlAction::AskPace { address } => effects.push(Effect::AskPace(address)),
+            ControlAction::PassOn { slot, requests } => {
+                effects.push(Effect::PassOn(slot, requests));
+            }
             ControlAction::TellHeard { slot, heard } => {
                 effects.push(Effect::TellHeard(slot, heard));
             }
--- a/crates/deckwindd/src/control/peers.rs
+++ b/crates/deckwindd/src/control/peers.rs
@@ -2,7 +2,7 @@
 
 use super::handle::{ControlHandle, Input};
 use crate::context::Context;
-use deckwind_core::control::HeardTargets;
+use deckwind_core::control::{HeardTargets, RelayedReplies, RelayedRequests};
 use deckwind_core::replication::Body;
 use deckwind_net::quic::{Incoming, QuicPeer, Responder};
 use deckwind_wire::{ControlReply, Message, PeerMessage, decode, encode};
@@ -13,12 +13,21 @@
 /// Messages that may wait for one peer; more are dropped, as a network would.
 const MAX_WAITING: usize = 256;
 
-/// One queue a slot, made at the first message: keeps the order of messages to
-/// a peer.
+/// What a queue of messages is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Lane {
+    /// Of the replicated log: nothing else stands before it.
+    Log,
+    /// Of routers and targets.
+    Others,
+}
+
+/// Two queues a slot, made at the first message of each: they keep the order of
+/// messages to a peer.
 pub struct Senders {
     cx: Context,
     peer: QuicPeer,
-    queues: BTreeMap<u32, mpsc::Sender<PeerMessage>>,
+    queues: BTreeMap<(u32, Lane), mpsc::Sender<PeerMessage>>,
 }
 
 impl Senders {
@@ -34,21 +43,32 @@
     /// Queues a message. A full queue drops it; the protocol sends again.
     pub fn send(&mut self, message: Message) {
         let slot = message.to_slot;
-        self.queue(slot, PeerMessage::Replication(message));
+        self.queue(slot, Lane::Log, PeerMessage::Replication(message));
     }
 
     /// Tells the replica of this slot whom this one has heard.
     pub fn tell_heard(&mut self, slot: u32, heard: HeardTargets) {
-        self.queue(slot, PeerMessage::Heard(heard));
+        self.queue(slot, Lane::Others, PeerMessage::Heard(heard));
+    }
+
+    /// Passes requests of routers on to the replica of this slot.
+    pub fn pass_on(&mut self, slot: u32, requests: RelayedRequests) {
+        self.queue(slot, Lane::Others, PeerMessage::PassedOn(requests));
+    }
+
+    /// Answers requests that the replica of this slot has passed on.
+    pub fn answer(&mut self, slot: u32, answers: RelayedReplies) {
+        self.queue(slot, Lane::Others, PeerMessage::Answers(answers));
     }
 
-    fn queue(&mut self, slot: u32, message: PeerMessage) {
-        if !self.queues.contains_key(&slot)
+    fn queue(&mut self, slot: u32, lane: Lane, message: PeerMessage) {
+        let to = (slot, lane);
+        if !self.queues.contains_key(&to)
             && let Some(tx) = self.start(slot)
         {
-            self.queues.insert(slot, tx);
+            self.queues.insert(to, tx);
         }
-        if let Some(tx) = self.queues.get(&slot)
+        if let Some(tx) = self.queues.get(&to)
             && tx.try_send(message).is_err()
         {
             metrics::counter!("deckwind_control_messages_dropped_total").increment(1);
@@ -97,6 +117,8 @@
         Incoming::OneWay(bytes) => match decode(&bytes) {
             Ok(PeerMessage::Replication(message)) => handle.send(Input::Replication(message)),
             Ok(PeerMessage::Heard(heard)) => handle.send(Input::Heard(heard)),
+            Ok(PeerMessage::PassedOn(requests)) => handle.send(Input::PassedOn(requests)),
+            Ok(PeerMessage::Answers(answers)) => handle.send(Input::Answers(answers)),
             Err(e) => log::warn!("event=bad_message from={from} error={:?}", e.to_string()),
         },
         Incoming::Request(bytes, responder) => match decode(&bytes) {
@@ -128,8 +150,11 @@
 }
 
 fn kind_of_message(message: &PeerMessage) -> &'static str {
-    let PeerMessage::Replication(message) = message else {
-        return "heard";
+    let message = match message {
+        PeerMessage::Replication(message) => message,
+        PeerMessage::Heard(_) => return "heard",
+        PeerMessage::PassedOn(_) => return "passed_on",
+        PeerMessage::Answers(_) => return "answers",
     };
     match &message.body {
         Body::PreVote { .. }
@@ -148,7 +173,7 @@
     match reply {
         ControlReply::Granted(grant) if grant.delta.is_some() => "lease_with_state",
         ControlReply::Granted(_) => "lease",
-        ControlReply::NotLeader { .. } => "not_leader",
+        ControlReply::NotLeader { .. } | ControlReply::AskAgain => "not_leader",
         ControlReply::Permits(_) => "permits",
         ControlReply::Claim(_) | ControlReply::Done | ControlReply::Unknown => "claim",
     }
--- a/crates/deckwindd/src/router/control_client.rs
+++ b/crates/deckwindd/src/router/control_client.rs
@@ -1,10 +1,10 @@
-//! Requests to whichever control replica leads.
+//! Requests to the control replicas, one of which passes them on to the leader.
 
 use crate::context::Context;
 use anyhow::{Result, bail};
+use deckwind_core::membership::ReplicaChoice;
 use deckwind_net::quic::QuicPeer;
 use deckwind_wire::{ControlReply, ControlRequest, decode, encode};
-use rand::seq::SliceRandom;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -69,6 +69,7 @@
                     was_named = true;
                     continue;
                 }
+                Some(ControlReply::AskAgain) => {}
                 // It is up, and has held the question for as long as it may. Not
                 // again and again: it may be cut off.
                 Some(ControlReply::NotLeader { leader: None }) if !held => held = true,
@@ -94,62 +95,35 @@
     }
 }
 
-/// Knows the control replicas and who led last.
+/// Knows the control replicas, and which of them is asked.
 pub struct ControlClient {
     cx: Context,
     peer: QuicPeer,
-    known: Mutex<Known>,
+    choice: Mutex<ReplicaChoice>,
     /// When a replica last answered anything; the start before the first.
     heard: Arc<Mutex<Asked>>,
 }
 
-/// Slots that may be asked, and whose turn it is.
-struct Known {
-    /// From the settings.
-    seeds: Vec<u32>,
-    /// As the leader told; empty before it did.
-    members: Vec<u32>,
-    /// Who is asked next.
-    current: u32,
-}
-
-impl Known {
-    /// Everybody: replicas that have gone come back at other addresses, and the
-    /// settings may name the newer ones.
-    fn all(&self) -> Vec<u32> {
-        let mut all = self.members.clone();
-        all.extend(&self.seeds);
-        all.sort_unstable();
-        all.dedup();
-        all
-    }
-}
-
 impl ControlClient {
     /// Of the replicas that the settings name.
     pub fn new(cx: Context, peer: QuicPeer) -> Self {
-        let seeds = cx.known_slots();
-        let known = Known {
-            current: seeds.first().copied().unwrap_or_default(),
-            seeds,
-            members: Vec::new(),
-        };
+        let choice = ReplicaChoice::new(cx.settings.vm.clone(), cx.known_slots());
         Self {
             heard: Arc::new(Mutex::new(cx.clock.now())),
             cx,
             peer,
-            known: Mutex::new(known),
+            choice: Mutex::new(choice),
         }
     }
 
     /// The leader named the replicas.
     pub fn replicas_are(&self, slots: &[u32]) {
-        self.known().members = slots.to_vec();
+        self.choice().members_are(slots);
     }
 
     /// Other seeds: the settings have changed.
     pub fn take_seeds(&self, slots: Vec<u32>) {
-        self.known().seeds = slots;
+        self.choice().seeds_are(slots);
     }
 
     /// Whether no replica has answered for a while: this router is cut off, and
@@ -160,32 +134,40 @@
         self.cx.clock.now().since(heard) > CUT_OFF_AFTER
     }
 
-    fn known(&self) -> MutexGuard<'_, Known> {
-        self.known.lock().expect("no holder panics")
+    fn choice(&self) -> MutexGuard<'_, ReplicaChoice> {
+        self.choice.lock().expect("no holder panics")
     }
 
-    /// One try at the replica that led last; moves on when it does not lead.
+    /// One try at the replica whose turn it is; another one's is next when it can't
+    /// help.
     pub async fn ask_once(&self, request: &[u8], within: Duration) -> Result<ControlReply> {
-        let i = self.known().current;
-        let address = self.cx.control_address(i)?;
+        let now = self.cx.clock.now();
+        let Some(slot) = self.choice().next(now) else {
+            bail!("no control replica is known");
+        };
+        let address = self.cx.control_address(slot)?;
         let asked = tokio::time::timeout(within, self.peer.request(address, request)).await;
+        let now = self.cx.clock.now();
         let answer = match asked {
             Ok(Ok(bytes)) => {
-                *self.heard.lock().expect("no holder panics") = self.cx.clock.now();
+                *self.heard.lock().expect("no holder panics") = now;
                 decode::<ControlReply>(&bytes)?
             }
             Ok(Err(e)) => {
-                self.move_on(i, None);
+                self.choice().failed(now, slot);
                 return Err(e);
             }
             Err(_) => {
-                self.move_on(i, None);
+                self.choice().failed(now, slot);
                 bail!("{address} gave no answer in {within:?}");
             }
         };
         if let ControlReply::NotLeader { leader } = answer {
-            self.move_on(i, leader);
+            self.choice().not_passed_on(now, slot, leader);
+            return Ok(answer);
         }
+        self.choice().answered(slot);
+        self.peer.keep_only(address);
         Ok(answer)
     }
 
@@ -198,8 +180,7 @@
         request: &[u8],
         within: Duration,
     ) -> Result<(Asked, ControlReply)> {
-        let mut slots = self.known().all();
-        slots.shuffle(&mut rand::rng());
+        let mut slots = self.choice().order();
         let mut searches = JoinSet::new();
         for _ in 0..SEARCHES {
             let search = Search {
@@ -216,18 +197,10 @@
         let Ok(Some(Ok((slot, asked, reply)))) = found else {
             bail!("no control replica led within {within:?}");
         };
-        self.known().current = slot;
+        self.choice().answered(slot);
         Ok((asked, reply))
     }
 
-    fn move_on(&self, from: u32, leader: Option<u32>) {
-        let mut known = self.known();
-        let all = known.all();
-        let after = all.iter().find(|slot| **slot > from);
-        let next = leader.or(after.copied()).or(all.first().copied());
-        known.current = next.unwrap_or(from);
-    }
-
     /// Asks until a leader answers or the time is over. The request must be one
     /// that may be sent again.
     pub async fn ask(&self, request: &ControlRequest, within: Duration) -> Result<ControlReply> {
@@ -235,7 +208,12 @@
         let tries = async {
             loop {
                 match self.ask_once(&request, SHORT_TRY).await {
-                    Ok(ControlReply::NotLeader { .. } | ControlReply::Unknown) | Err(_) => {
+                    Ok(
+                        ControlReply::NotLeader { .. }
+                        | ControlReply::AskAgain
+                        | ControlReply::Unknown,
+                    )
+                    | Err(_) => {
                         tokio::time::sleep(PAUSE).await;
                     }
                     Ok(reply) => return reply,
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -81,9 +81,9 @@
 
 async fn renew(shared: &RouterShared) -> bool {
     let asked = shared.clock.now();
-    let (in_use, failing) = {
+    let (in_use, use_known, failing) = {
         let book = shared.routes.book();
-        (book.own_use(), book.failing(asked))
+        (book.own_use(), book.use_known(), book.failing(asked))
     };
     let repeats = shared.routes.repeat_report(asked);
     let request = {
@@ -93,7 +93,9 @@
             applied: core.lease().applied(),
             admin: shared.cfg.admin,
             demand: core.demand(asked),
-            in_use,
+            data_centre: shared.cx.settings.data_centre.clone(),
+            in_use: in_use.clone(),
+            use_known,
             failing,
             held_bytes: shared.routes.deliveries.held(),
             repeats,
@@ -109,7 +111,9 @@
     };
     let now = shared.clock.now();
     let lasts = shared.cfg.lease;
-    shared.routes.others_told(asked, now, lasts, &grant);
+    shared
+        .routes
+        .others_told(asked, now, lasts, &in_use, &grant);
     let lease = grant.lease(asked);
     let before = shared.core().lease().applied();
     shared
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -29,10 +29,10 @@
 pub use silence::{tell_slow, watch_streams};
 pub use suspects::{CutRun, tell_cut_runs};
 
-use crate::context::Context;
+use crate::context::{Context, period_of_targets};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use deckwind_config::RouterSettings;
-use deckwind_core::control::{EngineFull, Grant, LimitReport, RepeatReport};
+use deckwind_core::control::{EngineFull, EngineUse, Grant, LimitReport, RepeatReport};
 use deckwind_core::routes::{
     Claim, InstanceIndex, LifeOver, Paid, Patience, ReleaseIndex, RepeatBudgets, RepeatLimits,
     Started, TargetBook, TargetFault,
@@ -140,7 +140,7 @@
             deliveries: Arc::new(Deliveries::new(cx.clock, cfg)),
             stalls: StallWatch::new(cx.dialects.engines.clone()),
             silences: Silences::default(),
-            suspects: Suspects::default(),
+            suspects: Suspects::new(period_of_targets(cfg.announce_every)),
             failing: Mutex::default(),
             to_tell: Notify::new(),
             told_at: Mutex::new(Instant::ZERO),
@@ -298,25 +298,28 @@
 
     /// Takes what the leader answered when it was asked at `asked`: what it tells of
     /// the other routers, and repeats, which last as long as a lease.
-    pub fn others_told(&self, asked: Instant, now: Instant, lasts: Duration, grant: &Grant) {
+    pub fn others_told(
+        &self,
+        asked: Instant,
+        now: Instant,
+        lasts: Duration,
+        reported: &[EngineUse],
+        grant: &Grant,
+    ) {
         if self.repeats().told(asked, lasts, &grant.repeats) {
             self.repeats_came.notify_waiters();
         }
         self.routers.store(grant.routers, Ordering::Relaxed);
         self.limits_told(asked, now, grant);
         let mut book = self.book();
-        if let Some(in_use) = &grant.in_use {
-            book.others_hold(in_use);
-        }
+        book.use_told(reported, grant.in_use.as_ref());
         book.doubt(now + DOUBT_FOR, &grant.failing);
         book.are_full(now, &grant.full);
         book.slow_are(now + SLOW_FOR, grant.slow.iter().map(|p| p.address));
         metrics::gauge!("deckwind_route_targets_resting").set(book.notices.resting(now) as f64);
         drop(book);
         self.silences.told(now, &grant.failing);
-        if grant.in_use.is_some() {
-            *self.told_at.lock().expect("no holder panics") = now;
-        }
+        *self.told_at.lock().expect("no holder panics") = now;
     }
 
     /// What the leader is to hear of limits.
@@ -447,15 +450,20 @@
     }
 }
 
+/// Lines of one change of the configuration: a data centre that comes is one line for
+/// the rest of its targets.
+const MOST_TARGET_LINES: usize = 64;
+
 /// A line for each target of which this router now believes something else.
 fn note_targets(before: &InstanceIndex, now: &InstanceIndex, revision: Revision) {
     // By id, not in pairs: there are thousands of targets.
     let known: HashMap<&str, &Instance> = before.iter().map(|i| (i.id.as_str(), i)).collect();
-    for i in now.iter() {
+    let is_new = |i: &&Instance| {
         let known = known.get(i.id.as_str());
-        if known.is_some_and(|o| o.state == i.state && o.layers == i.layers && o.born == i.born) {
-            continue;
-        }
+        known.is_none_or(|o| o.state != i.state || o.layers != i.layers || o.born != i.born)
+    };
+    let changed: Vec<&Instance> = now.iter().filter(is_new).collect();
+    for i in changed.iter().take(MOST_TARGET_LINES) {
         log::info!(
             "event=target_changed target={} instance={} born={} pool={} state={:?} layers={}-{} revision={revision}",
             i.address,
@@ -467,6 +475,10 @@
             i.layers.last
         );
     }
+    let more = changed.len().saturating_sub(MOST_TARGET_LINES);
+    if more > 0 {
+        log::info!("event=targets_changed more={more} revision={revision}");
+    }
     let there: HashSet<&str> = now.iter().map(|i| i.id.as_str()).collect();
     for gone in before.iter().filter(|i| !there.contains(i.id.as_str())) {
         log::info!(
--- a/crates/deckwindd/src/router/routes/suspects.rs
+++ b/crates/deckwindd/src/router/routes/suspects.rs
@@ -47,6 +47,14 @@
 }
 
 impl Suspects {
+    /// Nothing known yet; targets announce themselves this often.
+    pub fn new(period: Duration) -> Self {
+        Self {
+            runs: Mutex::new(CutRuns::with_period(period)),
+            ..Self::default()
+        }
+    }
+
     fn runs(&self) -> MutexGuard<'_, CutRuns> {
         self.runs.lock().expect("no holder panics")
     }
