--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod held_back;
 mod inbox;
 mod instance_index;
+mod leader_changes;
 mod leaving;
 mod limit_rig;
 mod limits;
