Modules that a newcomer can tell apart; the laboratory's network and made-up fleets in files of their own

Change, form only: router/template_callers, template_answers; routes/route_callers, route_answers, heard_answers; control/cut_reports; testkit lab_net, made_up_fleet; what moves in a data centre is one flag.

--- a/crates/deckwind-core/src/control/placement_cards.rs
+++ b/crates/deckwind-core/src/control/placement_cards.rs
@@ -119,12 +119,8 @@
 /// unless they are those of all.
 pub(super) type CardsKey = (String, Option<DataCentre>);
 
-/// What engines of a data centre have come to.
-#[derive(Clone, Copy, Debug, Default)]
-struct Moves {
-    came: bool,
-    went: bool,
-}
+/// Data centres whose engines have come or gone, and whether some have come.
+type Moves = BTreeMap<CardsKey, bool>;
 
 /// All engines of pools whose engines hold layers.
 #[derive(Clone, Debug, Default)]
@@ -149,7 +145,7 @@
         });
         let models: BTreeMap<String, EngineModel> = layered.collect();
         let since = self.seen.filter(|_| models == self.models);
-        let mut moves = BTreeMap::new();
+        let mut moves = Moves::new();
         if since.is_none() {
             self.models = models;
             self.place_of.clear();
@@ -161,18 +157,17 @@
             self.take_one(now, id, instances.get(id), &mut moves);
         }
         self.seen = Some(instances.written_upto());
-        for (key, moves) in moves {
+        for (key, came) in moves {
             let Some(cards) = self.centres.get_mut(&key) else {
                 continue;
             };
             // A new leader: these were placed before its time.
             let placed = || cards.engines.values().any(|e| !e.card.held.is_empty());
             let lost = match since {
-                Some(_) => !moves.came,
+                Some(_) => !came,
                 None => placed(),
             };
             let wait = if lost { SETTLE_LOST } else { SETTLE };
-            debug_assert!(moves.came || moves.went);
             cards.unsettle(now, wait);
         }
     }
@@ -182,7 +177,7 @@
         now: Instant,
         id: &InstanceId,
         instance: Option<&Instance>,
-        moves: &mut BTreeMap<CardsKey, Moves>,
+        moves: &mut Moves,
     ) {
         let new = instance.and_then(|i| Some((i, self.engine_of(i)?)));
         let place = new
@@ -195,7 +190,7 @@
                 cards.engines.remove(id);
             }
             self.place_of.remove(id);
-            moves.entry(key).or_default().went = true;
+            moves.entry(key).or_default();
         }
         let (Some((pool, dc)), Some((_, engine))) = (place, new) else {
             return;
@@ -207,7 +202,7 @@
         match known {
             Some(known) if known == engine => {}
             Some(known) if known.born == engine.born => cards.changed(now),
-            _ => moves.entry(key).or_default().came = true,
+            _ => *moves.entry(key).or_default() = true,
         }
     }
 
--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -4,7 +4,8 @@
 //! flight each. Every answer goes through the leader's link, byte by byte, so
 //! what a change costs there and how long the queue grows can be told.
 
-use crate::placing::model_over;
+use crate::made_up_fleet::{CENTRES, POOL};
+pub use crate::made_up_fleet::{engine, engine_fleet, engine_release, release};
 use anyhow::{Context, Result, ensure};
 use deckwind_core::control::{
     ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineUse, LimitReport, Looks,
@@ -14,10 +15,7 @@
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
 use deckwind_core::replication::{ReplicaConfig, ReplicaId};
 use deckwind_core::routing::paths::Held;
-use deckwind_core::state::{
-    Holder, Instance, InstanceState, LayerRange, Pool, Published, Release, Revision, Route,
-    RouteKind, Split,
-};
+use deckwind_core::state::{Holder, Instance, LayerRange, Published, Release, Revision};
 use deckwind_core::time::Instant;
 use deckwind_store::{MemoryDisk, Store};
 use deckwind_wire::encode;
@@ -42,9 +40,6 @@
 /// Bytes of a message that go into one packet.
 const PACKET: usize = 1_200;
 
-/// The pool of all routes and engines.
-const POOL: &str = "p";
-
 /// Time in which an engine loads layers.
 const LOADS_IN: Duration = Duration::from_millis(30);
 
@@ -455,88 +450,3 @@
         }],
     }
 }
-
-/// A release with so many routes, of which one differs in every version.
-pub fn release(version: u64, routes: u64) -> Release {
-    let route = |i: u64| Route {
-        name: format!("route-{i}"),
-        host: format!("host-{}.example", i % 40),
-        path_prefix: format!("/path-{:x}", i * 0x9e37_79b9),
-        kind: RouteKind::Repeatable,
-        split: vec![Split {
-            pool: POOL.to_string(),
-            weight: 1.0,
-        }],
-        timeout_ms: 1_000 + if i == 0 { version } else { 0 },
-        objective_ms: 100,
-        pause_ms: None,
-        priority: 1,
-        attempts: 2,
-        open: true,
-    };
-    Release {
-        version,
-        routes: (0..routes).map(route).collect(),
-        pools: vec![Pool {
-            name: POOL.to_string(),
-            max_connections: 10,
-            engine: None,
-        }],
-        ..Release::default()
-    }
-}
-
-/// An engine that announces itself for the `announced`th time, with its first
-/// `layers` layers.
-pub fn engine(number: u16, layers: u32, announced: u64) -> Instance {
-    Instance {
-        id: format!("engine-{number}"),
-        pool: POOL.to_string(),
-        address: ([127, 0, 1, 1], number + 1).into(),
-        data_centre: "a".into(),
-        slots: 192,
-        state: InstanceState::Ready,
-        accelerator: Some("fast".to_string()),
-        layers: LayerRange::new(0, layers),
-        in_memory: layers,
-        announced,
-        born: None,
-    }
-}
-
-/// Kinds of accelerators: name, memory in MB, how many times slower a step is,
-/// and how many of a hundred engines have one.
-const KINDS: [(&str, f64, f64, usize); 3] = [
-    ("large", 72_000.0, 2.4, 10),
-    ("small", 14_400.0, 5.3, 52),
-    ("slow", 21_600.0, 16.0, 38),
-];
-
-/// Data centres of the fleet.
-const CENTRES: [&str; 3] = ["a", "b", "c"];
-
-/// A release whose pool is one of engines of three kinds that hold 80 layers.
-pub fn engine_release(version: u64, routes: u64) -> Release {
-    let kinds = KINDS.map(|(name, memory_mb, step_factor, _)| (name, memory_mb, step_factor));
-    let mut release = release(version, routes);
-    release.pools[0].engine = Some(model_over(&kinds));
-    release
-}
-
-/// Empty engines of three kinds, spread over three data centres.
-pub fn engine_fleet(count: usize) -> Vec<Instance> {
-    let of = |i: usize| {
-        let mut one = engine(i as u16, 0, 1);
-        let hundredth = i / CENTRES.len() % 100;
-        let mut upto = 0;
-        let kind = KINDS.iter().find(|k| {
-            upto += k.3;
-            hundredth < upto
-        });
-        one.id = format!("engine-{:08x}", (i as u32).wrapping_mul(0x9e37_79b9));
-        one.accelerator = kind.map(|k| k.0.to_string());
-        one.data_centre = CENTRES[i % CENTRES.len()].into();
-        one
-    };
-    (0..count).map(of).collect()
-}
--- a/crates/deckwindd/src/router/answering.rs
+++ b/crates/deckwindd/src/router/answering.rs
@@ -1,11 +1,11 @@
 //! A chat's answer: whole, or as server-sent events (WHATWG HTML, section 9.2).
 
-use super::answers::{self, Body, CallerError, Ran, answer};
-use super::callers::TOKENS_WAITING;
 use super::chat::ChatEvent;
 use super::chat_body::{ChatRequest, chunk, completion};
 use super::claims::HeldClaim;
 use super::shared::{HeldTicket, InProgress, RouterShared};
+use super::template_answers::{self as answers, Body, CallerError, Ran, answer};
+use super::template_callers::TOKENS_WAITING;
 use bytes::Bytes;
 use deckwind_core::router::Entered;
 use deckwind_core::session::EndReason;
--- a/crates/deckwindd/src/router/claims.rs
+++ b/crates/deckwindd/src/router/claims.rs
@@ -1,8 +1,8 @@
 //! A not-repeatable request's claim: committed before the first byte is sent,
 //! its outcome after.
 
-use super::answers::{Body, CallerError, Ran, answer};
 use super::shared::RouterShared;
+use super::template_answers::{Body, CallerError, Ran, answer};
 use deckwind_core::state::{
     AccountName, ClaimKey, ClaimRequest, ClaimVerdict, FinishRequest, Outcome,
 };
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -13,8 +13,6 @@
 
 mod admin_page;
 mod answering;
-mod answers;
-mod callers;
 mod chat;
 mod chat_body;
 mod claims;
@@ -24,10 +22,12 @@
 mod routes;
 mod service;
 mod shared;
+mod template_answers;
+mod template_callers;
 mod template_runs;
 
-pub use callers::listen;
 pub use shared::{RouterShared, TargetClients};
+pub use template_callers::listen;
 
 use crate::context::Context;
 use anyhow::{Context as _, Result};
@@ -68,7 +68,7 @@
 const RELEASE_WITHIN: Duration = Duration::from_millis(200);
 
 fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
-    callers::listen(address).with_context(|| format!("TCP {address} can't be bound"))
+    template_callers::listen(address).with_context(|| format!("TCP {address} can't be bound"))
 }
 
 impl Router {
@@ -86,7 +86,7 @@
             tokio::spawn(routes::tell_slow(shared.clone())),
             tokio::spawn(routes::tell_cut_runs(shared.clone())),
             tokio::spawn(routes::ask_for_permits(shared.clone())),
-            tokio::spawn(callers::expire_waiting(shared.clone())),
+            tokio::spawn(template_callers::expire_waiting(shared.clone())),
             tokio::spawn(reports::poll_targets(shared.clone())),
             tokio::spawn(reports::poll_platform(shared.clone())),
             tokio::spawn(shared.routes.deliveries.clone().watch()),
@@ -95,7 +95,10 @@
         if let Some(address) = cfg.callers {
             let listener = bind(address)?;
             callers = Some(listener.local_addr()?);
-            tasks.push(tokio::spawn(callers::accept(listener, shared.clone())));
+            tasks.push(tokio::spawn(template_callers::accept(
+                listener,
+                shared.clone(),
+            )));
         }
         if let Some(address) = cfg.ready {
             let serving = routes::accept_ready(bind(address)?, shared.clone());
--- a/crates/deckwindd/src/router/routes/delivery.rs
+++ b/crates/deckwindd/src/router/routes/delivery.rs
@@ -4,8 +4,8 @@
 //! them as the caller reads. What lies between is counted for each answer and for
 //! the router (`held`); past a bound the router cuts callers (`Deliveries`).
 
-use super::answers::{BodyError, RouteBody};
 use super::held::{Deliveries, Side};
+use super::route_answers::{BodyError, RouteBody};
 use crate::router::shared::InProgress;
 use bytes::Bytes;
 use deckwind_core::routes::{AnswerKey, Behind};
@@ -126,7 +126,7 @@
     mut answer: Bytes,
 ) -> RouteBody {
     if answer.len() <= SMALL {
-        return super::answers::full(answer);
+        return super::route_answers::full(answer);
     }
     let length = Some(answer.len() as u64);
     let (outbox, body) = open_of_length(deliveries, to, in_progress, length);
--- a/crates/deckwindd/src/router/routes/hold.rs
+++ b/crates/deckwindd/src/router/routes/hold.rs
@@ -1,6 +1,6 @@
 //! What a stream holds at its targets: counts, memory, and the path.
 
-use super::callers::Job;
+use super::route_callers::Job;
 use crate::router::shared::RouterShared;
 use deckwind_core::routes::{Choice, Claim, InstanceIndex, Room};
 use deckwind_core::routing::paths::{EnginePath, Stage, path_from, path_round};
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -8,24 +8,24 @@
 //!  Routes: release and targets as agreed, counts, connections
 //! ```
 
-mod answers;
-mod callers;
 mod delivery;
+mod heard_answers;
 mod held;
 mod hold;
-mod notices;
 mod opening;
 mod permits;
 mod plain;
 mod relay;
+mod route_answers;
+mod route_callers;
 mod run;
 mod silence;
 mod stalls;
 mod suspects;
 
-pub use callers::{accept, accept_ready};
 pub use held::Deliveries;
 pub use permits::ask_for_permits;
+pub use route_callers::{accept, accept_ready};
 pub use silence::{tell_slow, watch_streams};
 pub use suspects::{CutRun, tell_cut_runs};
 
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -1,9 +1,9 @@
 //! One attempt: sends a request to one target, and reads the head of its answer.
 
-use super::super::answers::strip_connection_headers;
 use super::super::held::{Held, Side};
 use super::super::hold::Hold;
 use super::super::permits::NoPermit;
+use super::super::route_answers::strip_connection_headers;
 use super::super::run::{RunEnd, TargetRun};
 use super::{Opened, Opener, Opening};
 use crate::collect::collect;
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -4,11 +4,11 @@
 
 mod attempt;
 
-use super::answers::{Failure, RouteBody};
-use super::callers::Job;
 use super::delivery;
 use super::hold::Hold;
 use super::relay;
+use super::route_answers::{Failure, RouteBody};
+use super::route_callers::Job;
 use super::run::TargetRun;
 use attempt::Ended;
 use bytes::Bytes;
--- a/crates/deckwindd/src/router/routes/plain.rs
+++ b/crates/deckwindd/src/router/routes/plain.rs
@@ -1,11 +1,11 @@
 //! Requests with a whole answer: choose, send, repeat where that is safe.
 
-use super::answers::{Failure, RouteBody, strip_connection_headers};
-use super::callers::Job;
 use super::delivery;
 use super::held::{Held, Side};
 use super::hold::Hold;
 use super::permits::NoPermit;
+use super::route_answers::{Failure, RouteBody, strip_connection_headers};
+use super::route_callers::Job;
 use super::run::{RunEnd, TargetRun};
 use crate::collect::collect;
 use bytes::Bytes;
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -3,9 +3,9 @@
 
 mod round;
 
-use super::answers::{Failure, RouteBody, strip_connection_headers};
 use super::delivery::{self, Gone, Outbox};
 use super::opening::{Opened, Opener, Opening};
+use super::route_answers::{Failure, RouteBody, strip_connection_headers};
 use super::run::{RunEnd, TargetRun};
 use bytes::Bytes;
 use deckwind_core::routes::EventCutter;
--- a/crates/deckwindd/src/router/routes/callers.rs
+++ b/crates/deckwindd/src/router/routes/route_callers.rs
@@ -1,10 +1,10 @@
 //! Callers of published routes, by HTTP/1.1.
 
-use super::answers::{BodyError, Failure, RouteBody, full, strip_connection_headers};
 use super::delivery::Recipient;
+use super::heard_answers::Answerer;
 use super::held::{Deliveries, Held, Side};
-use super::notices::Answerer;
 use super::permits::NoPermit;
+use super::route_answers::{BodyError, Failure, RouteBody, full, strip_connection_headers};
 use super::{opening, plain};
 use crate::collect::{CollectError, collect};
 use crate::router::shared::RouterShared;
--- a/crates/deckwindd/src/router/routes/run.rs
+++ b/crates/deckwindd/src/router/routes/run.rs
@@ -1,6 +1,6 @@
 //! One run of a request at one target, and how it ended.
 
-use super::callers::Job;
+use super::route_callers::Job;
 use super::suspects::CutRun;
 use crate::router::shared::RouterShared;
 use deckwind_core::routes::Choice;
--- a/crates/deckwindd/src/router/service.rs
+++ b/crates/deckwindd/src/router/service.rs
@@ -1,7 +1,7 @@
 //! One call to a plain service: choose, call, retry where that is safe.
 
-use super::answers::{CallerError, Ran};
 use super::shared::RouterShared;
+use super::template_answers::{CallerError, Ran};
 use super::template_runs::TemplateRun;
 use deckwind_core::admission::RetryPolicy;
 use deckwind_core::router::{Entered, ServiceWork};
--- a/crates/deckwindd/src/router/callers.rs
+++ b/crates/deckwindd/src/router/template_callers.rs
@@ -4,12 +4,12 @@
 //! streams go by its nearest kin here; operators are served by oxhttp.
 
 use super::answering::Answering;
-use super::answers::{self, Body, CallerError, REQUEST_ID, Ran, answer};
 use super::chat::{ChatJob, ChatRun};
 use super::chat_body::ChatRequest;
 use super::claims::{Claimed, HeldClaim, claim};
 use super::service;
 use super::shared::{HeldTicket, RouterShared};
+use super::template_answers::{self as answers, Body, CallerError, REQUEST_ID, Ran, answer};
 use bytes::Bytes;
 use deckwind_core::router::{Denied, DeniedCode, Entered, Placed, Work};
 use deckwind_core::routing::prefix_hashes;
