Specification of requests that are passed on

Cause: what is new between routers and the leader was argued, not explored: a replica that restarts gives its tokens to others. Change: two routers, a replica, the leader, late and doubled messages, a restart; two rules, each taken out in turn. Figures: no bad run with both rules; without the start's number in answers a router takes another's answer, without the lease that counts from asking it acts on a lease that the leader counts as over.

--- a/crates/deckwind-testkit/tests/testsuite/specification.rs
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -3,8 +3,8 @@
 
 use deckwind_spec::{
     Case, ClaimRules, ClaimSpec, LimitBounds, LimitRules, LimitSpec, LogBounds, LogRules, LogSpec,
-    RepeatBounds, RepeatRules, RepeatSpec, Spec, claim_cases, explore, limit_cases, log_cases,
-    repeat_cases,
+    PassOnSpec, RepeatBounds, RepeatRules, RepeatSpec, Spec, claim_cases, explore, limit_cases,
+    log_cases, pass_on_cases, repeat_cases,
 };
 
 /// Each rule that is taken out gives a run that breaks what it protects.
@@ -75,3 +75,13 @@
 fn without_any_one_of_their_rules_limits_are_passed() {
     each_breaks(limit_cases());
 }
+
+#[test]
+fn with_all_rules_what_is_passed_on_keeps_leases_apart() {
+    assert_eq!(explore(&PassOnSpec::SMALL).counterexample, None);
+}
+
+#[test]
+fn without_any_one_rule_of_passing_on_its_invariant_breaks() {
+    each_breaks(pass_on_cases());
+}
