--- a/crates/deckwind-net/src/quic.rs
+++ b/crates/deckwind-net/src/quic.rs
@@ -212,7 +212,7 @@
     }
 
     /// Closes the connections that this endpoint has made to anybody else: each of
-    /// them costs both sides a packet every [`KEEP_ALIVE`].
+    /// them costs both sides a packet every 400 ms.
     pub fn keep_only(&self, to: SocketAddr) {
         let mut connections = self.connections.lock().expect("no holder panics");
         let others = connections.extract_if(|address, _| *address != to);
