Engines of a pool that start together are waited for together

And what was amiss was looked at once a second, not ten times. Change: while engines come to a pool, its data centres that hold nothing yet wait, 10 s at most; what is amiss is looked at each ms for each engine there, so as often as before with 100 of them.

--- a/crates/deckwind-core/src/control/placement_cards.rs
+++ b/crates/deckwind-core/src/control/placement_cards.rs
@@ -20,8 +20,10 @@
 /// others at the same moment.
 const SETTLE_LOST: Duration = Duration::from_millis(100);
 
-/// Longest wait where engines come all the time.
-const SETTLE_MOST: Duration = Duration::from_millis(2_000);
+/// Longest wait where engines come all the time, and where none holds layers yet: a chain
+/// that is laid out without the fastest engine is slow for good.
+const SETTLE_MOST: Duration = Duration::from_secs(2);
+const SETTLE_FIRST_MOST: Duration = Duration::from_secs(10);
 
 /// Engines that one look goes through, beyond the first data centre: heartbeats wait for
 /// a look.
@@ -62,6 +64,11 @@
 }
 
 impl CentreCards {
+    /// How many engines there are.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
     /// The engine with this id.
     pub fn engine(&self, id: &str) -> Option<&Engine> {
         self.engines.get(id)
@@ -104,11 +111,19 @@
     /// Engines have come or gone.
     fn unsettle(&mut self, now: Instant, wait: Duration) {
         let since = self.unsettled.map_or(now, |(since, _)| since);
-        let until = (now + wait).min(since + SETTLE_MOST);
+        let most = match self.holds_nothing() {
+            true => SETTLE_FIRST_MOST,
+            false => SETTLE_MOST,
+        };
+        let until = (now + wait).min(since + most);
         self.unsettled = Some((since, until));
         self.changed(until);
     }
 
+    fn holds_nothing(&self) -> bool {
+        self.engines.values().all(|e| e.card.held.is_empty())
+    }
+
     fn is_due(&self, now: Instant) -> bool {
         let settled = self.unsettled.is_none_or(|(_, until)| until <= now);
         settled && self.look_at.is_some_and(|at| at <= now)
@@ -157,15 +172,21 @@
             self.take_one(now, id, instances.get(id), &mut moves);
         }
         self.seen = Some(instances.written_upto());
-        for (key, came) in moves {
-            let Some(cards) = self.centres.get_mut(&key) else {
-                continue;
-            };
-            // A new leader: these were placed before its time.
-            let placed = || cards.engines.values().any(|e| !e.card.held.is_empty());
-            let lost = match since {
-                Some(_) => !came,
-                None => placed(),
+        self.settle(now, since.is_none(), &moves);
+    }
+
+    /// Has data centres wait whose engines have come or gone; and, as engines of a pool
+    /// start together, those that hold nothing yet while engines come to another one.
+    fn settle(&mut self, now: Instant, first: bool, moves: &Moves) {
+        let came = |pool: &str| moves.iter().any(|(key, came)| *came && key.0 == pool);
+        let growing: Vec<String> = self.models.keys().filter(|p| came(p)).cloned().collect();
+        for (key, cards) in self.centres.iter_mut().filter(|(key, _)| key.1.is_some()) {
+            let lost = match (moves.get(key), first) {
+                // A new leader: these were placed before its time.
+                (Some(_), true) => !cards.holds_nothing(),
+                (Some(came), false) => !came,
+                (None, _) if growing.contains(&key.0) && cards.holds_nothing() => false,
+                (None, _) => continue,
             };
             let wait = if lost { SETTLE_LOST } else { SETTLE };
             cards.unsettle(now, wait);
--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -29,9 +29,9 @@
 /// is held twice.
 const SCARCE: f64 = 0.75;
 
-/// Between two looks at a data centre where something is amiss and nothing could be
-/// ordered: what it waits for is looked at when it comes.
-const OPEN_EVERY: Duration = Duration::from_secs(1);
+/// Between two looks at a data centre where something is amiss, for each engine there: such
+/// looks go through all of them, and take the same part of the processor with any number.
+const OPEN_AN_ENGINE: Duration = Duration::from_millis(1);
 
 /// Longest time that one order may take; loads are much shorter.
 const WITHIN: Duration = Duration::from_secs(15);
@@ -211,6 +211,7 @@
             self.orders.not_before.insert(life.clone(), again);
             self.cards.look_by(&life.id, again);
         }
+        self.cards.look_by(&life.id, now);
     }
 
     /// Engines that its looks have gone through so far.
@@ -282,7 +283,7 @@
         }
         match (open, ordered) {
             (_, true) => cards.look_by(now),
-            (true, false) => cards.look_by(now + OPEN_EVERY),
+            (true, false) => cards.look_by(now + OPEN_AN_ENGINE * cards.len() as u32),
             (false, false) => {}
         }
     }
