A router that missed a round of answers is told at once; the first renewal after a pause is passed on at once

Cause: a renewal that is gathered for 20 ms isn't waiting at the leader when the next round of news goes out 20 ms later; what is no change of the state (failing, full, slow engines) was then told up to 400 ms late. Change: rounds are numbered, and a renewal of a router that has missed one is answered as it comes; a replica gathers only what comes within 20 ms of its last message. Tests: a router that missed a round; two tests of slow engines now renew twice, since a first renewal is answered at once, and take the answer to a missed round as it comes: as strict, sooner.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -56,6 +56,8 @@
     pub(super) urgent: UrgentChanges,
     /// What each router's streams hold.
     pub(super) in_use: UseTable,
+    /// Up to which round of answers each router was told.
+    pub(super) round_told: BTreeMap<VmName, u64>,
     pub(super) admins: BTreeMap<VmName, SocketAddr>,
     /// What each router holds for those that read slowly, bytes.
     pub(super) held_bytes: BTreeMap<VmName, u64>,
@@ -95,6 +97,8 @@
     /// Targets heard here, for the leader.
     pub(super) heard: HeardBuffer,
     pub(super) wake: Wake,
+    /// Rounds of answers so far.
+    pub(super) rounds: u64,
     /// Revision that routers may hear of: that of the last round of answers.
     pub(super) told: Revision,
     pub(super) pace: Pace,
@@ -143,6 +147,7 @@
             waiting_announcements: Vec::new(),
             heard: HeardBuffer::default(),
             wake: Wake::default(),
+            rounds: 0,
             told: Revision::ZERO,
             pace: Pace::new(limits.state_bytes_per_s, now),
             deltas: DeltaCache::default(),
@@ -309,6 +314,7 @@
                 next_suspects: since,
                 urgent: UrgentChanges::new(self.told),
                 in_use: UseTable::default(),
+                round_told: BTreeMap::new(),
                 admins: BTreeMap::new(),
                 held_bytes: BTreeMap::new(),
                 orphans_done: false,
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -6,7 +6,7 @@
 use super::messages::{ControlReply, Grant, Renewal};
 use super::parking::Parked;
 use super::wake::Urgency;
-use crate::state::{PackedDelta, Revision};
+use crate::state::{PackedDelta, Revision, VmName};
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -68,6 +68,7 @@
         let news = self.told > before || limits != self.limits_seen;
         self.limits_seen = limits;
         if round {
+            self.rounds += 1;
             for parked in self.parked.take_all() {
                 self.looks.renewals += 1;
                 self.answer_one(now, parked, out);
@@ -108,9 +109,10 @@
         let over = parked.until <= now;
         // What came after the last round waits for the next one.
         let behind = parked.renewal.applied < self.told;
+        let missed = self.has_missed_a_round(&parked.renewal.holder.vm);
         let repeats = self.has_repeats_for(&parked.renewal.holder);
         let limits = self.has_limits_for(&parked.renewal);
-        match over || behind || repeats || limits {
+        match over || behind || missed || repeats || limits {
             true => drop(self.answer_one(now, parked, out)),
             false => self.parked.park(parked),
         }
@@ -162,6 +164,13 @@
         may
     }
 
+    /// Whether a round of answers found no renewal of this VM waiting: not all that is told
+    /// with them is a change of the state.
+    fn has_missed_a_round(&self, vm: &VmName) -> bool {
+        let told = self.leading.as_ref().and_then(|l| l.round_told.get(vm));
+        told.is_some_and(|round| *round < self.rounds)
+    }
+
     /// What a router lacks that has applied `applied`; nothing if that is all.
     fn packed_since(&mut self, applied: Revision) -> Option<PackedDelta> {
         self.machine.hand_out(true);
@@ -189,6 +198,8 @@
     ) -> Option<Grant> {
         let term = self.replica.term();
         let leading = self.leading.as_mut()?;
+        let vm = &renewal.holder.vm;
+        leading.round_told.insert(vm.clone(), self.rounds);
         let cfg = self.machine.configuration();
         let routers = leading.leases.len() as u32;
         let replicas = self.replica.members().all().map(|id| id.slot);
--- a/crates/deckwind-core/src/control/relay.rs
+++ b/crates/deckwind-core/src/control/relay.rs
@@ -21,7 +21,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// How long renewals are gathered for one message: they wait for 400 ms anyway.
+/// Shortest time between two messages with renewals only: what comes meanwhile is gathered.
 const GATHER: Duration = Duration::from_millis(20);
 
 /// How long an answer is waited for. Routers give a replica up that says nothing for
@@ -56,6 +56,8 @@
     to_pass: Vec<(Instant, RelayedRequest)>,
     /// Something among them can't wait.
     in_haste: bool,
+    /// When the last message left.
+    passed_at: Option<Instant>,
     waiting: BTreeMap<u64, Waiting>,
     late: VecDeque<Late>,
     pace: Pace,
@@ -68,6 +70,7 @@
             leader: None,
             to_pass: Vec::new(),
             in_haste: false,
+            passed_at: None,
             waiting: BTreeMap::new(),
             late: VecDeque::new(),
             pace,
@@ -108,12 +111,12 @@
 
     /// What is to leave for the leader now.
     pub fn take_due(&mut self, now: Instant) -> Vec<RelayedRequest> {
-        let oldest = self.to_pass.first();
-        let due = self.in_haste || oldest.is_some_and(|(at, _)| now.since(*at) >= GATHER);
-        if !due {
+        let lately = self.passed_at.is_some_and(|at| now.since(at) < GATHER);
+        if self.to_pass.is_empty() || (lately && !self.in_haste) {
             return Vec::new();
         }
         self.in_haste = false;
+        self.passed_at = Some(now);
         let to_pass = std::mem::take(&mut self.to_pass);
         let aged = to_pass.into_iter().map(|(at, mut request)| {
             request.waited += now.since(at);
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -96,6 +96,7 @@
                     leading.leases.release(&holder);
                     leading.demand.remove(&holder.vm);
                     leading.in_use.remove(&holder.vm);
+                    leading.round_told.remove(&holder.vm);
                 }
                 self.propose(now, CommandBody::HolderGone(holder), asker, out);
             }
--- a/crates/deckwind-core/src/control/upkeep.rs
+++ b/crates/deckwind-core/src/control/upkeep.rs
@@ -78,6 +78,7 @@
         for holder in &gone {
             leading.demand.remove(&holder.vm);
             leading.admins.remove(&holder.vm);
+            leading.round_told.remove(&holder.vm);
             leading.held_bytes.remove(&holder.vm);
             leading.in_use.remove(&holder.vm);
             leading.full.remove(&holder.vm);
