--- a/crates/deckwind-core/src/membership/replica_choice.rs
+++ b/crates/deckwind-core/src/membership/replica_choice.rs
@@ -11,12 +11,12 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-/// How long a replica that gave no answer is not asked, unless all are like that: a
-/// lease's time.
-const GONE_FOR: Duration = Duration::from_secs(3);
+/// How long a replica is not asked that gave no answer, or knew no leader, unless all are
+/// like that: it may be cut off for a while, and each question there is a lost half second.
+const AVOIDED_FOR: Duration = Duration::from_secs(10);
 
-/// How long one that knows no leader is not asked.
-const LEADERLESS_FOR: Duration = Duration::from_millis(300);
+/// The same where it was only slow to answer what is not held.
+const SLOW_FOR: Duration = Duration::from_secs(1);
 
 /// A router's choice among the control replicas.
 #[derive(Clone, Debug)]
@@ -91,12 +91,17 @@
 
     /// It gave no answer.
     pub fn failed(&mut self, now: Instant, slot: u32) {
-        self.avoided.insert(slot, now + GONE_FOR);
+        self.avoided.insert(slot, now + AVOIDED_FOR);
+    }
+
+    /// It gave no answer in a time that is short for a busy one.
+    pub fn was_slow(&mut self, now: Instant, slot: u32) {
+        self.avoided.insert(slot, now + SLOW_FOR);
     }
 
     /// It could not pass the request on; it may have named who leads.
     pub fn not_passed_on(&mut self, now: Instant, slot: u32, leader: Option<u32>) {
-        self.avoided.insert(slot, now + LEADERLESS_FOR);
+        self.avoided.insert(slot, now + AVOIDED_FOR);
         self.named = leader.filter(|leader| *leader != slot);
     }
 }
--- a/crates/deckwindd/src/router/control_client.rs
+++ b/crates/deckwindd/src/router/control_client.rs
@@ -158,7 +158,10 @@
                 return Err(e);
             }
             Err(_) => {
-                self.choice().failed(now, slot);
+                match within < RENEWAL_TRY {
+                    true => self.choice().was_slow(now, slot),
+                    false => self.choice().failed(now, slot),
+                }
                 bail!("{address} gave no answer in {within:?}");
             }
         };
