Orders to place layers leave in turns

Change: with 256 orders under way no further chain is begun; the others have their turn with the next look. Test: 3,000 engines that start at once: at most 256 and a chain a look, all placed in the end.

--- a/crates/deckwind-core/src/control/placement_desk.rs
+++ b/crates/deckwind-core/src/control/placement_desk.rs
@@ -33,6 +33,10 @@
 /// looks go through all of them, and take the same part of the processor with any number.
 const OPEN_AN_ENGINE: Duration = Duration::from_millis(1);
 
+/// Orders under way above which no further chain is begun: each is a connection from the
+/// leader, and its heartbeats wait for them. Some 0.1 s of a core.
+const MOST_UNDER_WAY: usize = 256;
+
 /// Longest time that one order may take; loads are much shorter.
 const WITHIN: Duration = Duration::from_secs(15);
 
@@ -268,6 +272,10 @@
             if good || blocked {
                 continue;
             }
+            if self.orders.under_way.len() >= MOST_UNDER_WAY {
+                cards.look_by(now);
+                continue;
+            }
             let Some(plan) = plan_chain(model, group, mend) else {
                 continue;
             };
--- a/crates/deckwind-testkit/tests/testsuite/placement_at_size.rs
+++ b/crates/deckwind-testkit/tests/testsuite/placement_at_size.rs
@@ -171,3 +171,17 @@
         assert!(desk.desk.ordered(&id).is_none(), "{id} is under way");
     }
 }
+
+/// A whole fleet starts at once: its orders leave in turns, and all chains are whole in
+/// the end.
+#[test]
+fn a_fleet_that_starts_at_once_is_placed_in_turns() {
+    const MOST: usize = 256;
+    const LONGEST_CHAIN: usize = 64;
+    let mut desk = Desk::new(engine_fleet(3_000));
+    let orders: Vec<usize> = (0..60).map(|_| desk.look().orders.len()).collect();
+    let most = orders.iter().max().copied().unwrap_or_default();
+    assert!(most < MOST + LONGEST_CHAIN, "{orders:?}");
+    assert!(orders.iter().sum::<usize>() > MOST, "{orders:?}");
+    assert_eq!(desk.gone_through(), 0, "all is placed: {orders:?}");
+}
