--- a/crates/deckwind-core/src/replication/follower.rs
+++ b/crates/deckwind-core/src/replication/follower.rs
@@ -80,7 +80,10 @@
         out: &mut Vec<Action>,
     ) {
         let last = meta.last;
-        if last.index > self.commit {
+        if last.index > self.commit && self.log.term_at(last.index) == Some(last.term) {
+            // One that comes late: what follows it here was acknowledged, and stays.
+            self.set_commit(last.index, out);
+        } else if last.index > self.commit {
             self.log.reset(last);
             self.commit = last.index;
             self.applied = last.index;
