Record which targets a router cannot connect to, by its own attempts

Callers saw 503 with no-target at routers that had lost the path to all targets, while other routers served. The logs showed only "target_avoided": the same line for a dead target, and for a router that is itself cut off.

Hypotheses to tell apart: (1) the router takes the loss of its own path for the death of what lies behind it; (2) repeats run out; (3) its reports spoil the view of others; (4) hanging connects eat the deadline.

Change: the connections of a router are opened through a trait (Connector), and each attempt is recorded by target: target_not_reached with the way it failed, target_reached_again with the time, isolated and not_isolated when several targets are lost and none was reached since, and the gauge deckwind_targets_not_reached. No decision reads the record yet. The testkit gets links of one router that can be cut in three ways (silent, reset, new ones refused), to all targets or some, and counts attempts. TCP options moved into a module of their own, unchanged.

--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -7,6 +7,7 @@
 mod attempt_result;
 mod attempts;
 mod choice;
+mod connectivity;
 mod events;
 mod granted_retries;
 mod index;
@@ -25,6 +26,7 @@
 pub use choice::{
     CapacityDemand, ChoiceError, RequestClass, TargetChoice, choose_path, choose_target,
 };
+pub use connectivity::{ConnectFailure, Connectivity};
 pub use events::{EventSplitter, Events};
 pub use granted_retries::{GrantedRetries, may_use_retry};
 pub use index::{EndedIncarnation, InstanceIndex, KeyRights, ReleaseIndex, UnknownKey};
--- a/crates/deckwind-net/src/targets/connection_pool.rs
+++ b/crates/deckwind-net/src/targets/connection_pool.rs
@@ -6,6 +6,8 @@
 //! rarely coincides with the target's close. Data that was not requested closes the
 //! connection.
 
+use super::connector::{BoxedStream, Connector, TcpConnector};
+use super::reach::Reach;
 use super::traits::TargetError;
 use crate::clock::Clock;
 use crate::edge::TargetCall;
@@ -16,20 +18,10 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpStream;
-
-/// Maximum time to establish a connection inside a region: a hundred round trips, and
-/// less than the second after which a lost SYN is retransmitted.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Time without an acknowledgement after which the kernel closes a connection
-/// (`TCP_USER_TIMEOUT`).
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Idle time after which a connection is not reused if the target does not state one:
 /// less than the 5 s that servers commonly allow.
@@ -68,14 +60,21 @@
 /// request that must not be retried would be lost on it.
 pub struct ConnectionPool {
     clock: Clock,
+    reach: Reach,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool.
+    /// Creates an empty pool of TCP connections.
     pub fn new(clock: Clock) -> Self {
+        Self::with_connector(clock, Arc::new(TcpConnector))
+    }
+
+    /// Creates an empty pool of connections that are opened by `connector`.
+    pub fn with_connector(clock: Clock, connector: Arc<dyn Connector>) -> Self {
         Self {
             clock,
+            reach: Reach::new(clock, connector),
             idle: Mutex::default(),
         }
     }
@@ -101,7 +100,9 @@
                 });
             }
         }
-        let tx = connect(address).await?;
+        let connecting = self.reach.connect(address);
+        let stream = connecting.await.map_err(TargetError::NotSent)?;
+        let tx = handshake(address, stream).await?;
         Ok(TargetConnection {
             address,
             tx,
@@ -153,6 +154,7 @@
 
     /// Closes the idle connections to addresses for which `keep` returns `false`.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        self.reach.retain(&keep);
         let mut all = self.idle.lock().expect("no holder panics");
         all.retain(|a, _| keep(a));
     }
@@ -197,23 +199,13 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<RequestSender, TargetError> {
-    let not_sent = |e: &dyn std::fmt::Display| TargetError::NotSent(format!("{address}: {e}"));
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = match connecting.await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(not_sent(&e)),
-        Err(_) => {
-            return Err(not_sent(&format!(
-                "no connection within {CONNECT_TIMEOUT:?}"
-            )));
-        }
-    };
-    set_tcp_options(&stream);
+async fn handshake(address: SocketAddr, stream: BoxedStream) -> Result<RequestSender, TargetError> {
     let handshake = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream));
-    let (tx, connection) = handshake.await.map_err(|e| not_sent(&e))?;
+    let handshake = handshake.await;
+    let (tx, connection) =
+        handshake.map_err(|e| TargetError::NotSent(format!("{address}: {e}")))?;
     tokio::spawn(async move {
         if let Err(e) = connection.await {
             log::debug!("event=target_connection_ended target={address} error={e:?}");
@@ -222,30 +214,6 @@
     Ok(tx)
 }
 
-/// Sets socket options by which the kernel detects a peer that disappeared without
-/// closing the connection: `TCP_NODELAY`, `TCP_USER_TIMEOUT` and keep-alive probes. An
-/// option that the kernel refuses is only logged.
-pub fn set_tcp_options(stream: &TcpStream) {
-    set_tcp_options_with_timeout(stream, TCP_USER_TIMEOUT);
-}
-
-/// Like [`set_tcp_options`], with another time after which a connection without an
-/// acknowledgement, or with a full window, is closed.
-pub fn set_tcp_options_with_timeout(stream: &TcpStream, timeout: Duration) {
-    let socket = SockRef::from(stream);
-    let probes = TcpKeepalive::new()
-        .with_time(Duration::from_secs(2))
-        .with_interval(Duration::from_secs(1))
-        .with_retries(2);
-    let set = stream
-        .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(timeout)))
-        .and_then(|()| socket.set_tcp_keepalive(&probes));
-    if let Err(e) = set {
-        log::debug!("event=socket_option_refused error={e:?}");
-    }
-}
-
 /// Maximum size of an answer from a target's own API, bytes.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
--- a/crates/deckwind-testkit/src/cluster.rs
+++ b/crates/deckwind-testkit/src/cluster.rs
@@ -1,5 +1,6 @@
 //! A cluster of real daemons in the test's process.
 
+use crate::cut_links::{CutConnector, CutLinks};
 use crate::layout::Layout;
 use crate::vm_time::VmTime;
 use crate::wait::eventually_async;
@@ -11,6 +12,7 @@
 use deckwindd::ops::Daemon;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time for which a change with an unknown outcome is retried: as long as tests wait for
@@ -25,10 +27,12 @@
     routers: Vec<Option<Daemon>>,
     control_times: Vec<&'static VmTime>,
     router_times: Vec<&'static VmTime>,
+    router_links: Vec<Arc<CutLinks>>,
 }
 
-async fn start(file: &Path, time: &'static VmTime) -> Result<Daemon> {
-    Daemon::start_with_clock(deckwind_config::load(file)?, time.clock()).await
+async fn start(file: &Path, time: &'static VmTime, links: &Arc<CutLinks>) -> Result<Daemon> {
+    let connector = Arc::new(CutConnector(links.clone()));
+    Daemon::start_with(deckwind_config::load(file)?, time.clock(), connector).await
 }
 
 impl Cluster {
@@ -46,6 +50,7 @@
             routers: (0..routers).map(|_| None).collect(),
             control_times: (0..control).map(|_| VmTime::new()).collect(),
             router_times: (0..routers).map(|_| VmTime::new()).collect(),
+            router_links: (0..routers).map(|_| CutLinks::new()).collect(),
         };
         for slot in 0..control {
             cluster.start_control(slot).await?;
@@ -64,6 +69,7 @@
         let daemon = start(
             &self.layout.control_settings(slot)?,
             self.control_times[slot],
+            &CutLinks::new(),
         )
         .await?;
         self.controls[slot] = Some(daemon);
@@ -72,7 +78,8 @@
 
     /// Starts a router.
     pub async fn start_router(&mut self, i: usize) -> Result<()> {
-        let daemon = start(&self.layout.router_settings(i)?, self.router_times[i]).await?;
+        let settings = self.layout.router_settings(i)?;
+        let daemon = start(&settings, self.router_times[i], &self.router_links[i]).await?;
         self.routers[i] = Some(daemon);
         Ok(())
     }
@@ -98,6 +105,11 @@
         self.control_times[slot].add_suspension(time);
     }
 
+    /// Returns the links from a router to targets of published routes.
+    pub fn router_links(&self, i: usize) -> &Arc<CutLinks> {
+        &self.router_links[i]
+    }
+
     /// Returns a router's daemon.
     pub fn router(&self, i: usize) -> &Daemon {
         self.routers[i].as_ref().expect("the daemon runs")
--- a/crates/deckwind-testkit/tests/testsuite/full_disk.rs
+++ b/crates/deckwind-testkit/tests/testsuite/full_disk.rs
@@ -6,10 +6,12 @@
 use deckwind_core::control::{OperatorReply, OperatorRequest};
 use deckwind_core::state::{ApplyRequest, Change};
 use deckwind_net::clock::Clock;
+use deckwind_net::targets::TcpConnector;
 use deckwind_store::MemoryDisk;
 use deckwind_testkit::{Layout, chat_template, eventually_async};
 use deckwindd::context::Context;
 use deckwindd::control::{Control, Input};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
@@ -32,7 +34,12 @@
             .control
             .clone()
             .expect("the settings have a control section");
-        let cx = Context::new(settings, Handle::current(), Clock::start());
+        let cx = Context::new(
+            settings,
+            Handle::current(),
+            Clock::start(),
+            Arc::new(TcpConnector),
+        );
         let disk = MemoryDisk::default();
         let shared_disk = disk.clone();
         let open = Box::new(move |_: &std::path::Path| Ok(Box::new(shared_disk.clone()) as _));
--- a/crates/deckwindd/src/commands/run.rs
+++ b/crates/deckwindd/src/commands/run.rs
@@ -6,7 +6,9 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use deckwind_config::{Settings, load};
 use deckwind_net::clock::Clock;
+use deckwind_net::targets::TcpConnector;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -75,7 +77,7 @@
     let mut settings_file = SettingsFile::new(file);
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
-    let daemon = Daemon::start_with_clock(settings, clock).await?;
+    let daemon = Daemon::start_with(settings, clock, Arc::new(TcpConnector)).await?;
     loop {
         tokio::select! {
             _ = term.recv() => break,
--- a/crates/deckwindd/src/context.rs
+++ b/crates/deckwindd/src/context.rs
@@ -6,6 +6,7 @@
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::Dialects;
 use deckwind_net::keys::KeyFiles;
+use deckwind_net::targets::Connector;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,17 +25,26 @@
     pub boot: u64,
     /// Protocols of callers, targets and operators of published routes.
     pub dialects: Dialects,
+    /// Opens connections to targets of published routes.
+    pub connector: Arc<dyn Connector>,
 }
 
 impl Context {
-    /// Creates the context of a daemon that starts now and uses `clock`.
-    pub fn new(settings: Settings, runtime: Handle, clock: Clock) -> Self {
+    /// Creates the context of a daemon that starts now, uses `clock` and connects to targets
+    /// through `connector`.
+    pub fn new(
+        settings: Settings,
+        runtime: Handle,
+        clock: Clock,
+        connector: Arc<dyn Connector>,
+    ) -> Self {
         Self {
             settings: Arc::new(settings),
             clock,
             runtime,
             boot: rand::random(),
             dialects: deckwind_platform::dialects(),
+            connector,
         }
     }
 
--- a/crates/deckwindd/src/ops/daemon.rs
+++ b/crates/deckwindd/src/ops/daemon.rs
@@ -8,6 +8,8 @@
 use anyhow::Result;
 use deckwind_config::Settings;
 use deckwind_net::clock::Clock;
+use deckwind_net::targets::{Connector, TcpConnector};
+use std::sync::Arc;
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
@@ -25,17 +27,22 @@
     ///
     /// Fails if a role cannot start, for example if an address cannot be bound.
     pub async fn start(settings: Settings) -> Result<Self> {
-        Self::start_with_clock(settings, Clock::start()).await
+        Self::start_with(settings, Clock::start(), Arc::new(TcpConnector)).await
     }
 
-    /// Starts like [`Daemon::start`], with the given clock.
+    /// Starts like [`Daemon::start`], with the given clock, and with a connector for
+    /// connections from routers to targets of published routes.
     ///
     /// # Errors
     ///
     /// Fails like [`Daemon::start`].
-    pub async fn start_with_clock(settings: Settings, clock: Clock) -> Result<Self> {
+    pub async fn start_with(
+        settings: Settings,
+        clock: Clock,
+        connector: Arc<dyn Connector>,
+    ) -> Result<Self> {
         metrics_page::page();
-        let cx = Context::new(settings, Handle::current(), clock);
+        let cx = Context::new(settings, Handle::current(), clock, connector);
         let control = match &cx.settings.control {
             Some(cfg) => Some(Control::start(&cx, cfg)?),
             None => None,
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -135,7 +135,7 @@
             retry_budgets: Mutex::new(RetryBudgets::new(limits, started)),
             clock: cx.clock,
             dialect: cx.dialects.callers.clone(),
-            connections: ConnectionPool::new(cx.clock),
+            connections: ConnectionPool::with_connector(cx.clock, cx.connector.clone()),
             routers: AtomicU32::new(1),
             deliveries: Arc::new(Deliveries::new(cx.clock, cfg)),
             stall_reports: StallReports::new(cx.dialects.engines.clone()),
