Test that routers without a path to targets serve their callers; it fails

What callers saw: at routers cut off from all targets nearly all first tries end 503, while other routers serve the same requests.

The test runs one replica, four real routers in two data centres, two plain targets and four engines. The links of some routers to targets are cut, in three ways; callers send streams, repeatable and unsafe requests to all routers. Three seconds later the cut-off routers must serve two thirds as often as the others, and fail at most 10 + 1 in 50 first tries; no unsafe request arrives twice.

On this code all five cases fail: 0 of 60 (one router silent), 0 of 120 (a data centre), 0 of 180 (most silent, most reset), 127 of 180 (new ones refused, kept ones live on); the others 60 to 180 of as many.

--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod command_line;
 mod connections;
 mod contracts;
+mod cut_off_routers;
 mod decisions;
 mod engine_load;
 mod examples;
