Connect to targets through other routers where the direct path is lost

What callers saw: at routers that had lost the path to all targets 1 of 149 first tries was served, at the others 202 of 206; the rest got 503 no-target, within 4 ms once all targets had been tried.

Cause: a router took the loss of its own path for the death of what lies behind it, and nobody else was asked. Every target that it failed to connect to counted as down; when all were, it refused, though six, or three, other routers reached them. Class: what one VM can't reach is taken for dead.

The router that took the request keeps every decision and promise; what could not be opened has carried nothing, so requests that must not run twice may go the other way too. Direct first; a tunnel after 100 ms without an answer, or a refusal; at once where the path is known as lost; direct again by attempts in the background. The leader names eight other routers in a grant, by difference. A late answer leads to a check of the path, and streams on silent connections move. Targets that are reached through others are not reported. Specified with three rules, each of them needed.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -12,6 +12,7 @@
 use super::operator::OperatorReply;
 use super::orders::OrderDispatcher;
 use super::parked_renewals::{ParkedRenewal, ParkedRenewals};
+use super::peer_routers::PeerRouters;
 use super::pending::{InForceWait, PendingProposals, Requester};
 use super::placement_manager::PlacementManager;
 use super::relay::RequestRelay;
@@ -61,6 +62,8 @@
     /// Last reply round in which each router was answered.
     pub(super) last_reply_round: BTreeMap<VmName, u64>,
     pub(super) admin_addresses: BTreeMap<VmName, SocketAddr>,
+    /// Routers through which others can reach targets.
+    pub(super) peer_routers: PeerRouters,
     /// Memory held by each router for slow readers, bytes.
     pub(super) held_bytes: BTreeMap<VmName, u64>,
     /// Whether claims of routers without a lease have been released.
@@ -333,6 +336,7 @@
                 engine_load: EngineLoadTable::default(),
                 last_reply_round: BTreeMap::new(),
                 admin_addresses: BTreeMap::new(),
+                peer_routers: PeerRouters::default(),
                 held_bytes: BTreeMap::new(),
                 orphans_checked: false,
                 full: RefusalTable::default(),
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -243,6 +243,11 @@
             limits: leader_state
                 .limits
                 .list_if_changed(now, renewal.limits.known),
+            peers: leader_state.peer_routers.list_if_changed(
+                vm,
+                &renewal.data_centre,
+                renewal.peers_known,
+            ),
         })
     }
 }
--- a/crates/deckwind-core/src/control/maintenance.rs
+++ b/crates/deckwind-core/src/control/maintenance.rs
@@ -79,6 +79,7 @@
         for holder in &expired {
             leader_state.demand.remove(&holder.vm);
             leader_state.admin_addresses.remove(&holder.vm);
+            leader_state.peer_routers.remove(&holder.vm);
             leader_state.last_reply_round.remove(&holder.vm);
             leader_state.held_bytes.remove(&holder.vm);
             leader_state.engine_load.remove(&holder.vm);
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -2,6 +2,7 @@
 
 use super::announcement_reports::AnnouncementReport;
 use super::limit_messages::{LimitList, LimitReport, PermitAnswer, PermitRequest};
+use super::peer_routers::{PeerList, PeerListVersion};
 use super::relay_messages::{RelayedReplies, RelayedRequests};
 use super::retry_messages::{RetryGrant, RetryReport};
 use crate::membership::{AccountDemand, AccountShare, LeaseGrant};
@@ -27,6 +28,11 @@
     pub admin: SocketAddr,
     /// Demand of each account at this router.
     pub demand: Vec<(AccountName, AccountDemand)>,
+    /// Address at which the router accepts tunnels of other routers, if it has one that they
+    /// can reach.
+    pub tunnels: Option<SocketAddr>,
+    /// Version of the list of other routers that this router has.
+    pub peers_known: PeerListVersion,
     /// Data centre of the router.
     pub data_centre: DataCentre,
     /// Load of this router's streams by engine.
@@ -136,6 +142,9 @@
     pub slow: Vec<EnginePace>,
     /// Targets with a limit; `None` if the router has this list already.
     pub limits: Option<LimitList>,
+    /// Other routers through which targets can be reached; `None` if the router has this
+    /// list already.
+    pub peers: Option<PeerList>,
 }
 
 /// Slowdown of an engine.
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -32,6 +32,7 @@
 mod operator;
 mod orders;
 mod parked_renewals;
+mod peer_routers;
 mod pending;
 mod placement_groups;
 mod placement_manager;
@@ -48,6 +49,7 @@
 mod status;
 mod target_limiter;
 mod tracked_allowance;
+mod tunnel_messages;
 mod urgent_changes;
 
 pub use announcement_fault::AnnouncementFault;
@@ -68,6 +70,7 @@
 };
 pub use operator::{ConfigurationView, OperatorReply, OperatorRequest};
 pub use orders::{MAX_ORDER_FLIGHT_TIME, OrderBatch, OrderKind, TargetOrder};
+pub use peer_routers::{PeerList, PeerListVersion, PeerRouter, PeerRouters};
 pub use placement_manager::{PlacementManager, PlacementOrder, PlacementStep, UnloadMode};
 pub use relay_messages::{RelayedReplies, RelayedRequest, RelayedRequests};
 pub use retry_budget_allocator::{RetryBudgetAllocator, RetryCounts};
@@ -75,3 +78,4 @@
 pub use scan_counts::ScanCounts;
 pub use status::{ClusterStatus, EngineView, QuarantinedView, ReplicaView, RouterView};
 pub use target_limiter::{LimitChange, PERMIT_BURST, PERMIT_TTL, TargetLimiter};
+pub use tunnel_messages::{TunnelRefusal, TunnelReply, TunnelRequest};
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -98,6 +98,7 @@
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.leases.release(&holder);
                     leader_state.demand.remove(&holder.vm);
+                    leader_state.peer_routers.remove(&holder.vm);
                     leader_state.engine_load.remove(&holder.vm);
                     leader_state.last_reply_round.remove(&holder.vm);
                 }
@@ -229,6 +230,15 @@
         leader_state
             .admin_addresses
             .insert(holder.vm.clone(), renewal.admin);
+        match renewal.tunnels {
+            Some(address) => {
+                let data_centre = &renewal.data_centre;
+                leader_state
+                    .peer_routers
+                    .put(&holder.vm, address, data_centre);
+            }
+            None => leader_state.peer_routers.remove(&holder.vm),
+        }
         leader_state
             .held_bytes
             .insert(holder.vm.clone(), renewal.held_bytes);
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -14,6 +14,7 @@
 mod interrupted_runs;
 mod limits;
 mod notices;
+mod relay_choice;
 mod retry_after;
 mod retry_budget;
 mod returning_callers;
@@ -33,6 +34,7 @@
 pub use interrupted_runs::{InterruptedRuns, MAX_POISON_RUN_TIME};
 pub use limits::{LimitListChanges, Permit, TargetLimits};
 pub use notices::{NoticeChange, TargetNotice, TargetNotices};
+pub use relay_choice::{MAX_RELAYS_TRIED, RelayChoice};
 pub use retry_after::RefusalReason;
 pub use retry_budget::{PoolRetryBudget, ProcessStart, RetryBudgets, RetryLimits, RetrySource};
 pub use returning_callers::ReturningCallers;
--- a/crates/deckwind-core/src/routing/seeded_rng.rs
+++ b/crates/deckwind-core/src/routing/seeded_rng.rs
@@ -17,11 +17,15 @@
         }
     }
 
+    /// Returns the next number, as an integer.
+    pub fn next_u64(&mut self) -> u64 {
+        self.counter += 1;
+        xxhash_rust::xxh3::xxh3_64_with_seed(&self.counter.to_le_bytes(), self.seed)
+    }
+
     /// Returns the next number.
     fn next_f64(&mut self) -> f64 {
-        self.counter += 1;
-        let bits = xxhash_rust::xxh3::xxh3_64_with_seed(&self.counter.to_le_bytes(), self.seed);
-        bits as f64 / u64::MAX as f64
+        self.next_u64() as f64 / u64::MAX as f64
     }
 
     /// Returns the index of one of the weights, chosen with a probability proportional
--- a/crates/deckwind-net/src/lib.rs
+++ b/crates/deckwind-net/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod keys;
 pub mod quic;
 pub mod targets;
+pub mod tunnel;
 mod unauthenticated;
 
 use std::future::Future;
--- a/crates/deckwind-net/src/quic.rs
+++ b/crates/deckwind-net/src/quic.rs
@@ -10,6 +10,7 @@
 //! module never retries a message.
 
 use crate::keys::{KeyFiles, LoadedKeys, load};
+use crate::tunnel::{self, IncomingTunnel, TunnelDialer};
 use crate::unauthenticated;
 use anyhow::{Context, Result, anyhow};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
@@ -51,6 +52,17 @@
 /// link carries in a second, and small compared to the memory of a small VM.
 const SEND_WINDOW: u64 = 2 << 20;
 
+/// Maximum number of tunnels that one peer may have open at the same time.
+const MAX_CONCURRENT_TUNNELS: u32 = 256;
+
+/// Number of bytes that a peer may send on one tunnel before they are read: what a link of
+/// 100 Mbit/s carries in 5 ms.
+const TUNNEL_WINDOW: u32 = 64 * 1024;
+
+/// Number of bytes that a peer may send on all tunnels together before they are read, and
+/// of unacknowledged bytes sent to it.
+const TUNNELS_WINDOW: u32 = 2 << 20;
+
 /// Size of the socket's receive buffer, bytes: enough for the first packets of 800
 /// peers, 1,200 bytes each. The system default of 208 KiB holds those of 177 peers, and
 /// lost packets are only retransmitted after 90, 270 and 630 ms.
@@ -84,6 +96,8 @@
 #[derive(Clone)]
 pub struct QuicPeer {
     endpoint: Endpoint,
+    server: ServerConfig,
+    tunnel_client: ClientConfig,
     max_message: usize,
     connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
     pending: Arc<Mutex<HashMap<SocketAddr, watch::Receiver<Option<ConnectResult>>>>>,
@@ -108,6 +122,8 @@
             }
             None => unauthenticated::endpoint_configs(address.ip(), ALPN)?,
         };
+        let mut tunnel_client = client.clone();
+        tunnel_client.transport_config(tunnel_transport(Some(KEEP_ALIVE_INTERVAL))?);
         let (server, client) = (
             server_with_transport(server)?,
             client_with_transport(client)?,
@@ -116,10 +132,17 @@
             .with_context(|| format!("cannot bind UDP address {address}"))?;
         widen_receive_buffer(&socket);
         let runtime = quinn::default_runtime().context("not running inside a tokio runtime")?;
-        let mut endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)?;
+        let mut endpoint = Endpoint::new(
+            EndpointConfig::default(),
+            Some(server.clone()),
+            socket,
+            runtime,
+        )?;
         endpoint.set_default_client_config(client);
         Ok(Self {
             endpoint,
+            server,
+            tunnel_client,
             max_message,
             connections: Arc::default(),
             pending: Arc::default(),
@@ -243,6 +266,24 @@
         }
     }
 
+    /// Returns a dialer that opens tunnels from this endpoint.
+    pub fn tunnel_dialer(&self) -> TunnelDialer {
+        TunnelDialer::new(self.endpoint.clone(), self.tunnel_client.clone())
+    }
+
+    /// Accepts tunnels, and nothing else, until the endpoint is closed, and passes each
+    /// request for one to `handle`.
+    pub async fn serve_tunnels(
+        self,
+        handle: impl Fn(IncomingTunnel) + Clone + Send + Sync + 'static,
+    ) -> Result<()> {
+        let mut cfg = self.server.clone();
+        cfg.transport_config(tunnel_transport(None)?);
+        self.endpoint.set_server_config(Some(cfg));
+        tunnel::serve(self.endpoint, handle).await;
+        Ok(())
+    }
+
     /// Closes the endpoint and all connections.
     pub async fn close(self) {
         self.endpoint.close(0u32.into(), b"closed");
@@ -302,6 +343,21 @@
     Ok(Arc::new(transport))
 }
 
+/// Returns the transport parameters of connections for tunnels, which bound the memory
+/// that slow readers take.
+fn tunnel_transport(keep_alive: Option<Duration>) -> Result<Arc<TransportConfig>> {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(IdleTimeout::try_from(IDLE_TIMEOUT)?));
+    transport.keep_alive_interval(keep_alive);
+    transport.initial_rtt(INITIAL_RTT);
+    transport.max_concurrent_bidi_streams(MAX_CONCURRENT_TUNNELS.into());
+    transport.max_concurrent_uni_streams(0u32.into());
+    transport.stream_receive_window(TUNNEL_WINDOW.into());
+    transport.receive_window(TUNNELS_WINDOW.into());
+    transport.send_window(TUNNELS_WINDOW.into());
+    Ok(Arc::new(transport))
+}
+
 fn provider() -> Arc<rustls::crypto::CryptoProvider> {
     Arc::new(rustls::crypto::ring::default_provider())
 }
--- a/crates/deckwind-net/src/targets/connection_pool.rs
+++ b/crates/deckwind-net/src/targets/connection_pool.rs
@@ -7,7 +7,7 @@
 //! connection.
 
 use super::connector::{BoxedStream, Connector, TcpConnector};
-use super::reach::Reach;
+use super::reach::{HEDGE_DELAY, Reach, TunnelOpener, Way};
 use super::traits::TargetError;
 use crate::clock::Clock;
 use crate::edge::TargetCall;
@@ -20,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// Idle time after which a connection is not reused if the target does not state one:
@@ -39,18 +39,42 @@
 /// Maximum size of the head of a target's answer, bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Time after its opening for which a connection through another router is used for
+/// further requests. A router that stops carries its tunnels for longer than that.
+const MAX_TUNNEL_REUSE: Duration = Duration::from_secs(2);
+
 type RequestSender = SendRequest<Full<Bytes>>;
 
-struct IdleConnection {
+/// A connection to a target, without its address.
+struct Established {
     tx: RequestSender,
+    way: Way,
+    opened_at: Instant,
+}
+
+struct IdleConnection {
+    established: Established,
     idle_since: Instant,
     idle_timeout: Duration,
 }
 
+impl IdleConnection {
+    /// Whether the connection may be used for another request.
+    fn is_usable(&self, now: Instant) -> bool {
+        let is_fresh = match self.established.way {
+            Way::Direct => true,
+            Way::Tunnel => now.since(self.established.opened_at) < MAX_TUNNEL_REUSE,
+        };
+        is_fresh
+            && !self.established.tx.is_closed()
+            && now.since(self.idle_since) < self.idle_timeout
+    }
+}
+
 /// A connection taken from the pool for one request.
 pub struct TargetConnection {
     address: SocketAddr,
-    tx: RequestSender,
+    established: Established,
     /// Whether the connection has served requests before.
     pub reused: bool,
 }
@@ -58,7 +82,12 @@
 /// Pool of idle connections by target address. Idle time includes time for which this VM
 /// was suspended, because the target may have closed the connection meanwhile, and a
 /// request that must not be retried would be lost on it.
+#[derive(Clone)]
 pub struct ConnectionPool {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
     clock: Clock,
     reach: Reach,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
@@ -72,13 +101,21 @@
 
     /// Creates an empty pool of connections that are opened by `connector`.
     pub fn with_connector(clock: Clock, connector: Arc<dyn Connector>) -> Self {
-        Self {
+        let inner = Inner {
             clock,
             reach: Reach::new(clock, connector),
             idle: Mutex::default(),
+        };
+        Self {
+            inner: Arc::new(inner),
         }
     }
 
+    /// Sets how targets are reached through other routers, where the direct path is lost.
+    pub fn set_tunnels(&self, tunnels: Arc<dyn TunnelOpener>) {
+        self.inner.reach.set_tunnels(tunnels);
+    }
+
     /// Returns a connection to `address`: the most recently used one if it has been
     /// idle for less than `max_idle_time`, otherwise a new one.
     ///
@@ -90,36 +127,117 @@
         max_idle_time: Duration,
     ) -> Result<TargetConnection, TargetError> {
         while let Some(idle) = self.take_idle(address, max_idle_time) {
-            let mut tx = idle.tx;
-            let ready = tokio::time::timeout(READY_TIMEOUT, tx.ready()).await;
+            let mut established = idle;
+            let ready = tokio::time::timeout(READY_TIMEOUT, established.tx.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 return Ok(TargetConnection {
                     address,
-                    tx,
+                    established,
                     reused: true,
                 });
             }
         }
-        let connecting = self.reach.connect(address);
-        let stream = connecting.await.map_err(TargetError::NotSent)?;
-        let tx = handshake(address, stream).await?;
+        if self.inner.reach.start_probe(address) {
+            tokio::spawn(self.clone().connect_in_advance(address));
+        }
+        let connecting = self.inner.reach.connect(address);
+        let (stream, way) = connecting.await.map_err(TargetError::NotSent)?;
+        if way == Way::Tunnel {
+            self.close_silent(address);
+        }
         Ok(TargetConnection {
             address,
-            tx,
+            established: self.establish(address, stream, way).await?,
             reused: false,
         })
     }
 
-    fn take_idle(&self, address: SocketAddr, max_idle_time: Duration) -> Option<IdleConnection> {
-        let mut all = self.idle.lock().expect("no holder panics");
+    async fn establish(
+        &self,
+        address: SocketAddr,
+        stream: BoxedStream,
+        way: Way,
+    ) -> Result<Established, TargetError> {
+        Ok(Established {
+            tx: handshake(address, stream).await?,
+            way,
+            opened_at: self.inner.clock.now(),
+        })
+    }
+
+    /// Connects directly to a target whose path was lost or may be. A new connection is
+    /// kept for the next request, and replaces those through other routers.
+    async fn connect_in_advance(self, address: SocketAddr) {
+        let connecting = self.inner.reach.connect_directly(address, HEDGE_DELAY);
+        let Ok(stream) = connecting.await else {
+            self.close_silent(address);
+            return;
+        };
+        let Ok(established) = self.establish(address, stream, Way::Direct).await else {
+            return;
+        };
+        let now = self.inner.clock.now();
+        let mut all = self.idle();
+        let list = all.entry(address).or_default();
+        list.retain(|i| i.established.way == Way::Direct);
+        list.push(IdleConnection {
+            established,
+            idle_since: now,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+        });
+    }
+
+    /// Closes the idle direct connections to a target that does not answer new ones.
+    fn close_silent(&self, address: SocketAddr) {
+        if !self.inner.reach.is_silent(address) {
+            return;
+        }
+        if let Some(list) = self.idle().get_mut(&address) {
+            list.retain(|i| i.established.way == Way::Tunnel);
+        }
+    }
+
+    /// Checks the direct path to a target that answers late, unless it was checked lately.
+    /// Returns whether the path is lost.
+    pub async fn check_path(&self, address: SocketAddr) -> bool {
+        if self.inner.reach.start_check(address) {
+            self.clone().connect_in_advance(address).await;
+        }
+        self.inner.reach.is_lost(address)
+    }
+
+    /// Opens a byte stream to a target for another router.
+    ///
+    /// # Errors
+    /// If this router doesn't reach the target directly.
+    pub async fn connect_for_peer(&self, address: SocketAddr) -> Result<BoxedStream, String> {
+        if self.inner.reach.is_lost(address) {
+            return Err(format!("the path to {address} is lost"));
+        }
+        let connecting = self.inner.reach.connect_directly(address, HEDGE_DELAY);
+        connecting.await
+    }
+
+    /// Whether a request that went this way is likely cut off from its target: the target
+    /// does not answer new direct connections.
+    pub fn is_cut_off(&self, address: SocketAddr, way: Way) -> bool {
+        way == Way::Direct && self.inner.reach.is_silent(address)
+    }
+
+    fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
+        self.inner.idle.lock().expect("no holder panics")
+    }
+
+    fn take_idle(&self, address: SocketAddr, max_idle_time: Duration) -> Option<Established> {
+        let mut all = self.idle();
         let list = all.get_mut(&address)?;
-        let now = self.clock.now();
-        list.retain(|i| !i.tx.is_closed() && now.since(i.idle_since) < i.idle_timeout);
+        let now = self.inner.clock.now();
+        list.retain(|i| i.is_usable(now));
         let last = list.last()?;
         if now.since(last.idle_since) >= max_idle_time {
             return None;
         }
-        list.pop()
+        list.pop().map(|idle| idle.established)
     }
 
     /// Returns a connection to the pool after its answer was read completely. `headers`
@@ -135,32 +253,37 @@
         let Some(idle_timeout) = idle_timeout(headers) else {
             return;
         };
-        let mut all = self.idle.lock().expect("no holder panics");
+        let idle = IdleConnection {
+            established: connection.established,
+            idle_since: self.inner.clock.now(),
+            idle_timeout,
+        };
+        let mut all = self.idle();
         let list = all.entry(connection.address).or_default();
-        if list.len() < max_idle.min(MAX_IDLE_CONNECTIONS) && !connection.tx.is_closed() {
-            list.push(IdleConnection {
-                tx: connection.tx,
-                idle_since: self.clock.now(),
-                idle_timeout,
-            });
+        if list.len() < max_idle.min(MAX_IDLE_CONNECTIONS) && idle.is_usable(idle.idle_since) {
+            list.push(idle);
         }
     }
 
     /// Closes the idle connections to an address, for use when another process has taken
     /// over the address.
     pub fn close_idle(&self, address: SocketAddr) {
-        self.idle.lock().expect("no holder panics").remove(&address);
+        self.idle().remove(&address);
     }
 
     /// Closes the idle connections to addresses for which `keep` returns `false`.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
-        self.reach.retain(&keep);
-        let mut all = self.idle.lock().expect("no holder panics");
-        all.retain(|a, _| keep(a));
+        self.inner.reach.retain(&keep);
+        self.idle().retain(|a, _| keep(a));
     }
 }
 
 impl TargetConnection {
+    /// Returns the way that the connection takes.
+    pub fn way(&self) -> Way {
+        self.established.way
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
@@ -170,14 +293,18 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TargetError> {
-        self.tx.try_send_request(req).await.map_err(|mut e| {
-            let is_unsent = e.take_message().is_some();
-            let reason = e.into_error().to_string();
-            match is_unsent {
-                true => TargetError::NotSent(reason),
-                false => TargetError::Broken(reason),
-            }
-        })
+        self.established
+            .tx
+            .try_send_request(req)
+            .await
+            .map_err(|mut e| {
+                let is_unsent = e.take_message().is_some();
+                let reason = e.into_error().to_string();
+                match is_unsent {
+                    true => TargetError::NotSent(reason),
+                    false => TargetError::Broken(reason),
+                }
+            })
     }
 }
 
--- a/crates/deckwind-net/src/targets/mod.rs
+++ b/crates/deckwind-net/src/targets/mod.rs
@@ -25,6 +25,7 @@
 pub use http_platform::HttpPlatformList;
 pub use http_service::HttpService;
 pub use http_weights::HttpWeightStore;
+pub use reach::{TunnelOpener, Way};
 pub use retry_after::{MAX_REST_PERIOD, UnreadableRest, requested_rest_period};
 pub use tcp_options::{set_tcp_options, set_tcp_options_with_timeout};
 pub use traits::{
--- a/crates/deckwind-spec/src/lib.rs
+++ b/crates/deckwind-spec/src/lib.rs
@@ -21,6 +21,7 @@
 mod retry_cases;
 mod retry_rules;
 mod retry_spec;
+mod tunnel_spec;
 
 pub use cases::{Case, claim_cases, log_cases};
 pub use claim_spec::{ClaimRules, ClaimSpec};
@@ -32,6 +33,7 @@
 pub use retry_cases::retry_cases;
 pub use retry_rules::{RetryBounds, RetryRules};
 pub use retry_spec::RetrySpec;
+pub use tunnel_spec::{TunnelRules, TunnelSpec, tunnel_cases};
 
 use pathfinding::directed::bfs::bfs;
 use std::cell::Cell;
--- a/crates/deckwind-testkit/examples/capacity.rs
+++ b/crates/deckwind-testkit/examples/capacity.rs
@@ -8,7 +8,7 @@
 use anyhow::Result;
 use deckwind_core::admission::AdmissionConfig;
 use deckwind_core::control::{
-    ControlEvent, ControlLimits, ControlRequest, Grant, LimitReport, Renewal,
+    ControlEvent, ControlLimits, ControlRequest, Grant, LimitReport, PeerListVersion, Renewal,
 };
 use deckwind_core::membership::{AccountDemand, AccountShare, LeaseGrant, LeaseTiming};
 use deckwind_core::replication::{
@@ -207,6 +207,8 @@
         demand: (0..accounts)
             .map(|a| (format!("account-{a}").into(), AccountDemand { per_s: 1.5 }))
             .collect(),
+        tunnels: None,
+        peers_known: PeerListVersion::default(),
         data_centre: "a".into(),
         in_use: Vec::new(),
         use_known: None,
@@ -237,6 +239,7 @@
             full: Vec::new(),
             slow: Vec::new(),
             limits: None,
+            peers: None,
         };
         let answer = encode(&deckwind_wire::ControlReply::Granted(Box::new(grant))).len();
         println!(
--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -10,8 +10,8 @@
 use anyhow::{Context, Result, ensure};
 use deckwind_core::control::{
     ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineLoadVersion, EngineStreamLoad,
-    LimitReport, OperatorRequest, PlacementOrder, PoolRetryReport, RelayedReplies, RelayedRequest,
-    Renewal, RetryReport, ScanCounts,
+    LimitReport, OperatorRequest, PeerListVersion, PlacementOrder, PoolRetryReport, RelayedReplies,
+    RelayedRequest, Renewal, RetryReport, ScanCounts,
 };
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
 use deckwind_core::replication::{ReplicaConfig, ReplicaId};
@@ -379,6 +379,8 @@
             applied: r.lease.applied(),
             admin: SocketAddr::from(([127, 0, 0, 1], 1)),
             demand: Vec::new(),
+            tunnels: None,
+            peers_known: PeerListVersion::default(),
             data_centre: DATA_CENTRES[router % DATA_CENTRES.len()].into(),
             in_use,
             use_known: r.use_known,
--- a/crates/deckwind-testkit/src/simulated_routers.rs
+++ b/crates/deckwind-testkit/src/simulated_routers.rs
@@ -1,7 +1,7 @@
 //! Routers of the simulation: the real lease state, claims whose runs are counted, and
 //! retries.
 
-use deckwind_core::control::LimitReport;
+use deckwind_core::control::{LimitReport, PeerListVersion};
 use deckwind_core::membership::{LeaseTiming, ReplicaChoice, RouterLeaseState};
 use deckwind_core::routes::{
     InterruptedRuns, ProcessStart, RequestClass, RetryBudgets, RetryLimits,
@@ -219,6 +219,8 @@
             applied: self.lease.applied(),
             admin: SocketAddr::from(([127, 0, 0, 1], 1)),
             demand: Vec::new(),
+            tunnels: None,
+            peers_known: PeerListVersion::default(),
             data_centre: "a".into(),
             in_use: Vec::new(),
             use_known: None,
--- a/crates/deckwind-testkit/tests/testsuite/cut_off_routers.rs
+++ b/crates/deckwind-testkit/tests/testsuite/cut_off_routers.rs
@@ -3,8 +3,9 @@
 
 use crate::rig::{API_KEY, CallerAnswer, ONCE, REPEATABLE, RequestKind, Rig, STREAMS};
 use crate::run_async;
-use deckwind_testkit::{Layout, LinkFault};
+use deckwind_testkit::{Layout, LinkFault, eventually_async};
 use http::StatusCode;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -117,3 +118,116 @@
         }
     });
 }
+
+/// Returns the targets that a router takes for dead.
+fn down_targets(rig: &Rig, router: usize) -> Vec<SocketAddr> {
+    let router = rig.cluster.router(router).router().expect("a router");
+    let shared = router.shared();
+    let records = shared.routes.target_records();
+    records.down_targets(shared.clock.now())
+}
+
+/// Guards against targets that all routers avoid because some router has lost its own path
+/// to them.
+#[parameterized(silent = { LinkFault::Silent }, refuses_new = { LinkFault::RefusesNew })]
+fn a_router_without_a_path_does_not_report_targets_as_dead(fault: LinkFault) {
+    run_async(async move {
+        let rig = Arc::new(start().await);
+        let cut = [0, 1];
+        for router in cut {
+            rig.cluster.router_links(router).cut(fault);
+        }
+        try_all(&rig, "early", &cut).await;
+        let (at_cut, at_others) = try_all(&rig, "later", &cut).await;
+        assert_eq!(at_others.served, at_others.all, "{at_cut:?}");
+        for router in 0..ROUTERS {
+            assert_eq!(down_targets(&rig, router), [], "router {router}");
+        }
+    });
+}
+
+/// Guards against a mend that needs a router to lose all targets: here it loses one pool.
+#[test]
+fn a_router_without_a_path_to_one_pool_serves_all_requests() {
+    run_async(async {
+        let rig = Arc::new(start().await);
+        let plain = rig.plain.iter().map(|t| t.address);
+        rig.cluster.router_links(0).cut_to(LinkFault::Silent, plain);
+        let (at_cut, at_others) = try_all(&rig, "early", &[0]).await;
+        assert!(at_cut.all - at_cut.served <= 2, "{at_cut:?} {at_others:?}");
+        let (at_cut, _) = try_all(&rig, "later", &[0]).await;
+        assert_eq!(at_cut.served, at_cut.all);
+    });
+}
+
+/// Guards against a router that goes on through others after its own paths have healed:
+/// here the others lose theirs.
+#[test]
+fn a_router_whose_paths_heal_connects_directly_again() {
+    run_async(async {
+        let rig = Arc::new(start().await);
+        rig.cluster.router_links(0).cut(LinkFault::Silent);
+        try_all(&rig, "cut", &[0]).await;
+        rig.cluster.router_links(0).heal();
+        tokio::time::sleep(RECOVERY_TIME).await;
+        try_all(&rig, "healed", &[0]).await;
+        for router in 1..ROUTERS {
+            rig.cluster.router_links(router).cut(LinkFault::Silent);
+        }
+        tokio::time::sleep(RECOVERY_TIME).await;
+        let (at_healed, at_cut) = try_all(&rig, "swapped", &[0]).await;
+        assert_eq!(at_healed.served, at_healed.all);
+        assert!(
+            at_cut.all - at_cut.served <= 10 + at_cut.all / 50,
+            "{at_cut:?}"
+        );
+    });
+}
+
+/// Guards against rules that a router keeps only while it reaches its targets: revoked keys
+/// and draining targets.
+#[test]
+fn a_router_without_a_path_keeps_to_the_configuration() {
+    run_async(async {
+        let mut rig = start().await;
+        rig.cluster.router_links(0).cut(LinkFault::Silent);
+        rig.wait_until_served(ONCE.path, ONCE.tokens).await;
+        rig.announce("plain", "p", 0, "draining").await;
+        let before = rig.plain[0].arrivals().len();
+        for n in 0..REQUESTS {
+            let id = format!("drained-{n}");
+            let answer = rig.ask(&id, ONCE.path, API_KEY, ONCE.tokens).await;
+            assert_eq!(answer.status, StatusCode::OK, "{id}");
+        }
+        assert_eq!(rig.plain[0].arrivals().len(), before);
+        assert_eq!(rig.publish(2, &["another-key"]).await, StatusCode::OK);
+        eventually_async("the key is refused", || async {
+            let answer = rig.ask("revoked", ONCE.path, API_KEY, ONCE.tokens).await;
+            (answer.status == StatusCode::UNAUTHORIZED).then_some(())
+        })
+        .await;
+        let answer = rig.ask("kept", ONCE.path, "another-key", ONCE.tokens).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    });
+}
+
+/// Guards against a sound target that falls silent for a second and is given up: requests
+/// that wait there are neither broken off nor sent again, and it is not taken for dead.
+#[test]
+fn a_target_that_falls_silent_for_a_second_serves_on() {
+    run_async(async {
+        let rig = Arc::new(start().await);
+        rig.plain[0].pause(Duration::from_millis(1_200));
+        let (served, _) = try_all(&rig, "silent", &[0, 1, 2, 3]).await;
+        assert_eq!(served.served, served.all);
+        for n in 0..REQUESTS {
+            for router in 0..ROUTERS {
+                let id = request_id("silent", router, n, ONCE);
+                assert_eq!(rig.send_count(&id), 1, "{id}");
+            }
+        }
+        for router in 0..ROUTERS {
+            assert_eq!(down_targets(&rig, router), [], "router {router}");
+        }
+    });
+}
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod command_line;
 mod connections;
+mod connectivity;
 mod contracts;
 mod cut_off_routers;
 mod decisions;
--- a/crates/deckwind-testkit/tests/testsuite/rejections.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rejections.rs
@@ -3,7 +3,7 @@
 
 use deckwind_core::control::{
     ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineFull, Grant, LimitReport,
-    Renewal,
+    PeerListVersion, Renewal,
 };
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{ReplicaConfig, ReplicaId};
@@ -79,6 +79,8 @@
             applied: Revision::ZERO,
             admin: ([127, 0, 0, 1], 1).into(),
             demand: Vec::new(),
+            tunnels: None,
+            peers_known: PeerListVersion::default(),
             data_centre: "a".into(),
             in_use: Vec::new(),
             use_known: None,
--- a/crates/deckwind-testkit/tests/testsuite/relayed_requests.rs
+++ b/crates/deckwind-testkit/tests/testsuite/relayed_requests.rs
@@ -95,6 +95,7 @@
         full: Vec::new(),
         slow: Vec::new(),
         limits: None,
+        peers: None,
     }))
 }
 
--- a/crates/deckwind-testkit/tests/testsuite/renewals.rs
+++ b/crates/deckwind-testkit/tests/testsuite/renewals.rs
@@ -1,7 +1,8 @@
 //! Lease renewals around elections, and the time until a leader is elected.
 
 use deckwind_core::control::{
-    ControlEvent, ControlLimits, ControlReply, ControlRequest, LimitReport, Renewal,
+    ControlEvent, ControlLimits, ControlReply, ControlRequest, LimitReport, PeerListVersion,
+    Renewal,
 };
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{ReplicaConfig, ReplicaId};
@@ -21,6 +22,8 @@
         applied: Revision::ZERO,
         admin: ([127, 0, 0, 1], 1).into(),
         demand: Vec::new(),
+        tunnels: None,
+        peers_known: PeerListVersion::default(),
         data_centre: "a".into(),
         in_use: Vec::new(),
         use_known: None,
--- a/crates/deckwind-testkit/tests/testsuite/slow_engines.rs
+++ b/crates/deckwind-testkit/tests/testsuite/slow_engines.rs
@@ -4,7 +4,7 @@
 use crate::support::{announced_instances, engine_cards, model, place_chain};
 use deckwind_core::control::{
     ControlEvent, ControlLimits, ControlReply, ControlRequest, EnginePace, LimitReport,
-    OperatorRequest, Renewal,
+    OperatorRequest, PeerListVersion, Renewal,
 };
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{ReplicaConfig, ReplicaId};
@@ -85,6 +85,8 @@
             applied: Revision(u64::MAX),
             admin: ([127, 0, 0, 1], 1).into(),
             demand: Vec::new(),
+            tunnels: None,
+            peers_known: PeerListVersion::default(),
             data_centre: "a".into(),
             in_use: Vec::new(),
             use_known: None,
--- a/crates/deckwind-testkit/tests/testsuite/specification.rs
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -3,8 +3,8 @@
 
 use deckwind_spec::{
     Case, ClaimRules, ClaimSpec, ForwardingSpec, LimitBounds, LimitRules, LimitSpec, LogBounds,
-    LogRules, LogSpec, RetryBounds, RetryRules, RetrySpec, Spec, claim_cases, explore,
-    forwarding_cases, limit_cases, log_cases, retry_cases,
+    LogRules, LogSpec, RetryBounds, RetryRules, RetrySpec, Spec, TunnelSpec, claim_cases, explore,
+    forwarding_cases, limit_cases, log_cases, retry_cases, tunnel_cases,
 };
 
 /// Asserts that without any one rule, exploration finds a run that violates the
@@ -91,3 +91,15 @@
 fn without_any_one_of_its_rules_forwarding_breaks() {
     assert_each_rule_is_needed(forwarding_cases());
 }
+
+#[test]
+fn with_all_rules_a_request_runs_once_whatever_way_it_takes() {
+    let explored = explore(&TunnelSpec::SMALL);
+    assert_eq!(explored.counterexample, None);
+    assert!(explored.states > 300, "{}", explored.states);
+}
+
+#[test]
+fn without_any_one_of_their_rules_tunnels_break() {
+    assert_each_rule_is_needed(tunnel_cases());
+}
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -100,6 +100,8 @@
             applied: core.lease().applied(),
             admin: shared.cfg.admin,
             demand: core.demand(sent_at),
+            tunnels: shared.tunnels.address(),
+            peers_known: shared.tunnels.peers_version(),
             data_centre: shared.cx.settings.data_centre.clone(),
             in_use: in_use.clone(),
             use_known,
@@ -116,6 +118,9 @@
     let Some(delta) = unpack_delta(shared, &grant) else {
         return false;
     };
+    if let Some(peers) = &grant.peers {
+        shared.tunnels.set_peers(peers.clone());
+    }
     let now = shared.clock.now();
     let lease_duration = shared.cfg.lease;
     shared
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -29,6 +29,7 @@
 mod template_answers;
 mod template_callers;
 mod template_runs;
+mod tunnels;
 
 pub use shared::{RouterShared, TargetClients};
 pub use template_callers::listen;
@@ -87,8 +88,11 @@
     pub async fn start(cx: &Context, cfg: &RouterSettings) -> Result<Self> {
         let peer = QuicPeer::bind(cfg.peers, cx.key_files().as_ref(), MAX_MESSAGE_BYTES)?;
         let shared = Arc::new(RouterShared::new(cx, cfg, peer.clone()));
+        let connections = &shared.routes.connections;
+        connections.set_tunnels(shared.tunnels.clone());
         admin_page::serve(cfg.admin, shared.clone())?;
         let mut tasks = vec![
+            tokio::spawn(tunnels::serve(shared.clone(), peer.clone())),
             tokio::spawn(lease::run_renewals(shared.clone())),
             tokio::spawn(lease::report_failing(shared.clone())),
             tokio::spawn(lease::report_retries_short(shared.clone())),
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -292,7 +292,10 @@
         };
         let (head, body, held) = match job.shared.clock.timeout(within, sending).await {
             Some(sent) => sent?,
-            None => return Err(AttemptError::MayHaveRun(Failure::Late)),
+            None => {
+                job.shared.routes.check_path_in_background(choice.address);
+                return Err(AttemptError::MayHaveRun(Failure::Late));
+            }
         };
         let connection_headers = head.headers.clone();
         let checked = self.check(head.status, head.headers, body, held);
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -68,6 +68,7 @@
         self.target = Some(choice.address);
         self.log_extra_attempt();
         let run = TargetRun::begin(&self.job, choice);
+        let way = connection.way();
         let res = {
             let mut sending = pin!(connection.send(req));
             let sent = Instant::now();
@@ -91,7 +92,9 @@
                 }
                 // Without a retry the request stays where it is: it may still be run
                 // there, or be refused as not run.
-                if reservation.is_unreliable() && self.can_move() && self.spend_retry() {
+                let may_be_lost =
+                    reservation.is_unreliable() || connections.is_cut_off(choice.address, way);
+                if may_be_lost && self.can_move() && self.spend_retry() {
                     self.retry_spent = true;
                     return Err(AttemptError::Stalled);
                 }
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -249,7 +249,15 @@
                             .request_report(routes, shared.clock, reservation.first())
                             .await;
                     }
-                    if reservation.is_unreliable()
+                    let connections = &shared.routes.connections;
+                    let is_cut_off = connections.is_cut_off(reservation.first(), connection.way());
+                    if is_cut_off
+                        && let Some(next) = self.resume_stalled().await
+                    {
+                        return SegmentEnd::Moved(next);
+                    }
+                    if !is_cut_off
+                        && reservation.is_unreliable()
                         && let Some(next) = self
                             .reroute_failing(&mut reservation, last_event_at, watch.as_ref())
                             .await
--- a/crates/deckwindd/src/router/routes/stall_reports.rs
+++ b/crates/deckwindd/src/router/routes/stall_reports.rs
@@ -7,6 +7,7 @@
 use deckwind_core::routes::TargetFault;
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::{EngineDialect, EngineReport};
+use deckwind_net::targets::TargetError;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -45,6 +46,10 @@
         let called = routes.call_target(first, &call, REPORT_TIMEOUT).await;
         let body = match called {
             Ok(reply) => reply.body,
+            Err(TargetError::Late(_)) if routes.connections.check_path(first).await => {
+                log::info!("event=report_cut_off target={first}");
+                return;
+            }
             Err(e) => {
                 let why = format!("report request failed: {e}");
                 routes.target_failed(clock.now(), first, TargetFault::Down, &why);
--- a/crates/deckwindd/src/router/routes/target_notices.rs
+++ b/crates/deckwindd/src/router/routes/target_notices.rs
@@ -39,7 +39,11 @@
         within: Duration,
     ) -> Result<TargetResponse, TargetError> {
         let incarnation = self.incarnation_at(address);
-        let reply = call_target(&self.connections, address, call, within).await?;
+        let called = call_target(&self.connections, address, call, within).await;
+        if let Err(TargetError::Late(_)) = called {
+            self.check_path_in_background(address);
+        }
+        let reply = called?;
         if let Some(incarnation) = &incarnation {
             let in_reply_to = &call.path;
             let source = AnswerSource {
@@ -53,6 +57,13 @@
         Ok(reply)
     }
 
+    /// Checks the path to a target that answers late. Kept connections may have fallen
+    /// silent, which only a new one shows.
+    pub fn check_path_in_background(&self, address: SocketAddr) {
+        let connections = self.connections.clone();
+        tokio::spawn(async move { connections.check_path(address).await });
+    }
+
     fn incarnation_at(&self, address: SocketAddr) -> Option<Incarnation> {
         let instances = self.instances();
         let instance = instances.iter().find(|i| i.address == address);
--- a/crates/deckwindd/src/router/shared.rs
+++ b/crates/deckwindd/src/router/shared.rs
@@ -3,6 +3,7 @@
 use super::control_client::ControlClient;
 use super::routes::Routes;
 use super::template_runs::TargetCrashCounts;
+use super::tunnels::Tunnels;
 use crate::context::Context;
 use deckwind_config::RouterSettings;
 use deckwind_core::admission::{AdmissionConfig, TicketId};
@@ -77,6 +78,8 @@
     pub control: ControlClient,
     /// State of the published routes.
     pub routes: Routes,
+    /// Tunnels to targets through other routers.
+    pub tunnels: Arc<Tunnels>,
     /// Number of crashes of each configured target.
     pub crash_counts: TargetCrashCounts,
     core: Mutex<RouterCore>,
@@ -109,6 +112,8 @@
             },
             seed: rand::random(),
         };
+        let data_centre = cx.settings.data_centre.clone();
+        let tunnels = Tunnels::new(cx.clock, data_centre, &peer);
         Self {
             cx: cx.clone(),
             vm: cx.settings.vm.clone(),
@@ -118,6 +123,7 @@
             clients: TargetClients::default(),
             control: ControlClient::new(cx.clone(), peer),
             routes: Routes::new(cx, cfg),
+            tunnels: Arc::new(tunnels),
             crash_counts: TargetCrashCounts::default(),
             core: Mutex::new(RouterCore::new(core, cx.clock.now())),
             waiters: Mutex::default(),
