--- a/crates/deckwind-testkit/tests/testsuite/connections.rs
+++ b/crates/deckwind-testkit/tests/testsuite/connections.rs
@@ -1,12 +1,15 @@
 //! Idle connections to a target: its connection limit applies to all routers together,
 //! so each router keeps a share of it.
 
+use crate::run_async;
 use deckwind_core::state::Pool;
 use deckwind_fakes::FakeTargetServer;
 use deckwind_net::clock::Clock;
-use deckwind_net::targets::ConnectionPool;
+use deckwind_net::targets::{ConnectionPool, set_tcp_options, set_tcp_options_with_timeout};
 use http::HeaderMap;
+use socket2::SockRef;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use yare::parameterized;
 
 /// Cases: connection limit of a target, number of routers, and idle connections that
@@ -61,3 +64,37 @@
     let reused: Vec<bool> = reused.iter().map(|c| c.reused).collect();
     assert_eq!(reused, [true, true, false]);
 }
+
+/// Guards against two options that disagree on when a silent peer is given up. On Linux
+/// `TCP_USER_TIMEOUT` decides for keep-alive probes as well, whatever their number: the
+/// last probe must be due when it has passed, and no later.
+#[parameterized(targets = { None }, callers = { Some(Duration::from_secs(10)) })]
+fn keep_alive_probes_and_the_user_timeout_agree(timeout: Option<Duration>) {
+    run_async(async move {
+        let target = FakeTargetServer::start("t").await.expect("a target");
+        let stream = TcpStream::connect(target.address).await;
+        let stream = stream.expect("the target listens");
+        match timeout {
+            Some(timeout) => set_tcp_options_with_timeout(&stream, timeout),
+            None => set_tcp_options(&stream),
+        }
+        let socket = SockRef::from(&stream);
+        let set = socket.tcp_user_timeout().expect("an option");
+        let set = set.expect("a timeout");
+        assert_eq!(set, timeout.unwrap_or(set));
+        // A sound target may be silent for a second or so.
+        assert!(set >= Duration::from_secs(2));
+        let first_probe = socket.tcp_keepalive_time().expect("an option");
+        let interval = socket.tcp_keepalive_interval().expect("an option");
+        let probes = socket.tcp_keepalive_retries().expect("an option");
+        let given_up = first_probe + interval * probes;
+        assert!(
+            (set..set + interval).contains(&given_up),
+            "{given_up:?} {set:?}"
+        );
+        assert!(
+            probes > 1,
+            "a single lost probe must not close a connection"
+        );
+    });
+}
