Let an isolated router try targets directly that it has not lost

Seen on reading: a router that has lost three targets, and connected to none since, opens tunnels to all targets. Where it reaches the others on kept connections, it tried none of them directly, so it went on through other routers until a lost one came back. It now tries such a target in the background once in two seconds; the first success ends the isolation. Pools without tunnels (control) never probe. The bound on memory of carried tunnels is stated with the windows of QUIC: 36 MB.

connectivity::an_isolated_router_tries_targets_that_are_not_lost fails without the change. 63 tests of connections, tunnels and silence pass.

--- a/crates/deckwind-core/src/routes/connectivity.rs
+++ b/crates/deckwind-core/src/routes/connectivity.rs
@@ -112,11 +112,12 @@
         self.lost.values().filter(since).count() >= ISOLATED_FROM
     }
 
-    /// Whether a lost target is due for an attempt to connect directly. The next one is
-    /// then due after the probe interval.
+    /// Whether a target that is lost, or that an isolated router reaches through others, is
+    /// due for an attempt to connect directly. The next one is then due after the probe
+    /// interval, or like a check.
     pub fn start_probe(&mut self, now: Instant, address: SocketAddr) -> bool {
         let Some(lost) = self.lost.get_mut(&address) else {
-            return false;
+            return self.is_isolated() && self.start_check(now, address);
         };
         if now < lost.next_probe {
             return false;
--- a/crates/deckwind-net/src/targets/reach.rs
+++ b/crates/deckwind-net/src/targets/reach.rs
@@ -167,11 +167,11 @@
         opened
     }
 
-    /// Whether a direct connection to a target should be attempted now, because its path
-    /// was lost some time ago.
+    /// Whether a direct connection to a target should be attempted in the background now,
+    /// because requests go through tunnels.
     pub fn start_probe(&self, address: SocketAddr) -> bool {
         let now = self.clock.now();
-        self.connectivity().start_probe(now, address)
+        self.tunnels.get().is_some() && self.connectivity().start_probe(now, address)
     }
 
     /// Whether the path to a target that answers late should be checked now.
--- a/crates/deckwind-testkit/tests/testsuite/connectivity.rs
+++ b/crates/deckwind-testkit/tests/testsuite/connectivity.rs
@@ -91,6 +91,21 @@
     assert_eq!(probes[0], 250);
 }
 
+/// Guards against a router that lost some targets, uses kept connections to the others, and
+/// goes on through other routers to all.
+#[test]
+fn an_isolated_router_tries_targets_that_are_not_lost() {
+    let mut known = Connectivity::default();
+    assert!(!known.start_probe(at(0), address(9)));
+    for i in 0..3 {
+        known.record_failed(at(0), address(i), ConnectFailure::Unanswered);
+    }
+    assert!(known.start_probe(at(100), address(9)));
+    assert!(!known.start_probe(at(200), address(9)), "one is under way");
+    known.record_connected(at(200), address(9));
+    assert!(!known.is_isolated());
+}
+
 #[test]
 fn the_path_to_a_late_target_is_checked_once_in_two_seconds() {
     let mut known = Connectivity::default();
--- a/crates/deckwindd/src/router/tunnels.rs
+++ b/crates/deckwindd/src/router/tunnels.rs
@@ -29,8 +29,8 @@
 /// Maximum time to open a tunnel, through whichever router.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum number of tunnels that a router carries for others. With their buffers they
-/// take at most some 6 MB.
+/// Maximum number of tunnels that a router carries for others. With their buffers and the
+/// windows of QUIC in both directions they take at most 36 MB.
 const MAX_CARRIED: usize = 256;
 
 /// Opens tunnels through other routers.
