Do not act on the silence of half of a pool at once

The leader took the loss of its own path to 38 targets for their deaths, marked them as silent within a second, and gave layers up on the strength of it; routers send nothing to silent engines, whatever they receive from them.

Change: where half of a pool's targets, three or more, are late at once, the leader marks none of them until two periods after that, for 13 periods at most; a target that a router reports as failing is still checked and marked. Routers use a silent engine while events arrive through it, and ignore silence where half of a pool is silent (docs/design/silence-of-many.md).

Tests: silent_targets (19), in virtual time and with a real router.

--- a/crates/deckwind-core/src/control/announcements.rs
+++ b/crates/deckwind-core/src/control/announcements.rs
@@ -8,6 +8,7 @@
 use super::control_core::ControlCore;
 use super::event::ControlAction;
 use super::incarnations::unconfirmed_incarnation;
+use super::mass_silence::{HeldSilence, MassSilence};
 use super::operator::OperatorReply;
 use super::pending::Requester;
 use crate::membership::InForce;
@@ -352,6 +353,7 @@
         }
         leader_state.watched_upto = instances.last_written();
         let mut changes = Vec::new();
+        let mut mass_silence = None;
         while let Some(incarnation) = leader_state.last_announcements.take_due(now) {
             self.scan_counts.targets += 1;
             let known = instances
@@ -362,7 +364,23 @@
                 continue;
             };
             let silence = leader_state.silence(now, since, &incarnation);
-            let (change, next_check) = silence_action(known, silence, period);
+            let (mut change, mut next_check) = silence_action(known, silence, period);
+            if let Some(InstanceChange::Silent(_)) = change {
+                let mass_silence = mass_silence.get_or_insert_with(|| {
+                    MassSilence::count(leader_state, now, since, instances, period)
+                });
+                let holds = &mut leader_state.silence_holds;
+                if mass_silence.holds(holds, now, known, silence) {
+                    let incarnation = incarnation.clone();
+                    let held = HeldSilence {
+                        incarnation,
+                        silence,
+                    };
+                    let is_first = silence < period * (MAX_MISSED_ANNOUNCEMENTS + 1);
+                    out.extend(is_first.then_some(ControlAction::LogHeldSilence(held)));
+                    (change, next_check) = (None, period);
+                }
+            }
             changes.extend(change);
             leader_state
                 .last_announcements
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -8,6 +8,7 @@
 use super::full_engines::RefusalTable;
 use super::grants::DeltaCache;
 use super::limit_messages::LimitRevision;
+use super::mass_silence::SilenceHolds;
 use super::messages::ControlReply;
 use super::operator::OperatorReply;
 use super::orders::OrderDispatcher;
@@ -51,6 +52,8 @@
     pub(super) checked_at: BTreeMap<Incarnation, Instant>,
     /// Revision up to which targets have a scheduled silence check.
     pub(super) watched_upto: Revision,
+    /// Pools whose targets are not marked as silent, since many are silent at once.
+    pub(super) silence_holds: SilenceHolds,
     /// Time of the next check for silent targets.
     pub(super) next_silence_check: Instant,
     /// Time of the next check for outdated suspects.
@@ -337,6 +340,7 @@
                 last_reply_round: BTreeMap::new(),
                 admin_addresses: BTreeMap::new(),
                 peer_routers: PeerRouters::default(),
+                silence_holds: SilenceHolds::default(),
                 held_bytes: BTreeMap::new(),
                 orphans_checked: false,
                 full: RefusalTable::default(),
--- a/crates/deckwind-core/src/control/event.rs
+++ b/crates/deckwind-core/src/control/event.rs
@@ -2,6 +2,7 @@
 
 use super::announcement_reports::AnnouncementReport;
 use super::limit_messages::LimitKey;
+use super::mass_silence::HeldSilence;
 use super::messages::{ControlReply, ControlRequest};
 use super::operator::{OperatorReply, OperatorRequest};
 use super::orders::OrderBatch;
@@ -200,6 +201,9 @@
     },
     /// Log and count a decision of the leader on an incarnation of a target.
     LogIncarnationDecision(IncarnationDecision),
+    /// Log a target that is not heard and not marked as silent, as many others aren't heard
+    /// either.
+    LogHeldSilence(HeldSilence),
     /// Log and count a decision of the leader on a limit named by a target.
     LogLimitDecision(LimitDecision),
     /// Stop at once, as committed data cannot be decoded. Continuing would let the state
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -28,6 +28,7 @@
 mod limit_handlers;
 mod limit_messages;
 mod maintenance;
+mod mass_silence;
 mod messages;
 mod operator;
 mod orders;
@@ -64,6 +65,7 @@
     LeaderTime, LimitKey, LimitList, LimitReport, LimitRevision, NamedLimit, PermitAnswer,
     PermitRequest, PermitVerdict, ReceivedLimit,
 };
+pub use mass_silence::HeldSilence;
 pub use messages::{
     ControlReply, ControlRequest, CutReport, EngineFull, EngineLoadUpdate, EngineLoadVersion,
     EnginePace, EngineStreamLoad, Grant, PeerMessage, Renewal,
--- a/crates/deckwind-core/src/routes/choice.rs
+++ b/crates/deckwind-core/src/routes/choice.rs
@@ -1,6 +1,6 @@
 //! Choice of the target, or of the path through engines, that a request takes.
 
-use super::target_records::TargetRecords;
+use super::target_records::{TargetRecords, TargetRecordsAt};
 use crate::control::LimitKey;
 use crate::routing::paths::{
     Bottleneck, EnginePath, PathError, PathRequirements, find_paths, has_chain,
@@ -35,6 +35,11 @@
 /// may overload it.
 const MIN_FREE_CAPACITY: f64 = 0.02;
 
+/// Share of a pool's targets that are silent at the same time from which silence is ignored,
+/// in percent. So many seldom die together; rather, the control replicas have lost their
+/// network path to them, and routers find out by themselves which of them are dead.
+const MANY_SILENT_PERCENT: usize = 50;
+
 /// Priority of a request for the capacity that is left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestClass {
@@ -145,14 +150,16 @@
     now: Instant,
 ) -> Result<TargetChoice, ChoiceError> {
     let need = demand.need();
-    let find = |avoid: &HashSet<SocketAddr>| {
-        let view = records.at(now, avoid);
-        find_paths(model, instances.iter(), &view, &need)
-    };
-    let find_any = |avoid: &HashSet<SocketAddr>| {
-        let view = records.with_faulty_at(now, avoid);
+    let allow_silent = are_many_silent(instances);
+    let find_in = |view: TargetRecordsAt<'_>| {
+        let view = match allow_silent {
+            true => view.with_silent(),
+            false => view,
+        };
         find_paths(model, instances.iter(), &view, &need)
     };
+    let find = |avoid: &HashSet<SocketAddr>| find_in(records.at(now, avoid));
+    let find_any = |avoid: &HashSet<SocketAddr>| find_in(records.with_faulty_at(now, avoid));
     let mut found = find(avoid);
     if found.is_err() {
         found = find_any(avoid);
@@ -177,6 +184,15 @@
     })
 }
 
+/// Whether so many targets are silent that a lost network path is more likely than their
+/// death.
+fn are_many_silent(instances: &[Instance]) -> bool {
+    let silent = instances
+        .iter()
+        .filter(|i| i.state == InstanceState::Silent);
+    silent.count() * 100 >= instances.len() * MANY_SILENT_PERCENT
+}
+
 /// Returns the time until enough resting engines are available again for a complete chain,
 /// or `None` if even all of them are not enough.
 fn time_until_chain(
@@ -253,8 +269,7 @@
     let start = (draw * usable.len() as f64) as usize;
     let rotated = usable.iter().cycle().skip(start).take(usable.len());
     let cost = |i: &Instance| {
-        let is_unconfirmed =
-            i.state == InstanceState::Silent || records.is_in_backoff(now, i.address);
+        let is_unconfirmed = !records.is_available(now, i) || records.is_in_backoff(now, i.address);
         let load = records.in_flight(i.address) * 1_000 / i.slots.max(1);
         (is_unconfirmed, load, i.data_centre != *own)
     };
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -18,6 +18,7 @@
 mod retry_after;
 mod retry_budget;
 mod returning_callers;
+mod silence_evidence;
 mod slow_readers;
 pub mod stall_detection;
 mod target_records;
@@ -38,6 +39,7 @@
 pub use retry_after::RefusalReason;
 pub use retry_budget::{PoolRetryBudget, ProcessStart, RetryBudgets, RetryLimits, RetrySource};
 pub use returning_callers::ReturningCallers;
+pub use silence_evidence::SilenceEvidence;
 pub use slow_readers::{
     AnswerArena, AnswerKey, BufferLimits, DisconnectOrder, LaggingCaller, MAX_SPARED_CHUNKS,
 };
--- a/crates/deckwind-core/src/routes/target_records.rs
+++ b/crates/deckwind-core/src/routes/target_records.rs
@@ -3,9 +3,10 @@
 
 use super::limits::TargetLimits;
 use super::notices::TargetNotices;
+use super::silence_evidence::SilenceEvidence;
 use crate::control::{EngineFull, EngineLoadUpdate, EngineLoadVersion, EngineStreamLoad};
 use crate::routing::paths::{EngineLookup, Stage, StreamLoad};
-use crate::state::Instance;
+use crate::state::{Instance, InstanceState};
 use crate::time::Instant;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -82,6 +83,8 @@
     pub notices: TargetNotices,
     /// Request limits that targets have set.
     pub limits: TargetLimits,
+    /// Evidence about targets that the control replicas don't hear.
+    pub evidence: SilenceEvidence,
 }
 
 /// A refusal by an engine for lack of capacity.
@@ -102,9 +105,16 @@
     allow_faulty: bool,
     /// Targets whose rest period ends by this time may be used.
     rested_by: Instant,
+    /// Whether silent targets may be used, also without evidence that they run.
+    allow_silent: bool,
 }
 
 impl EngineLookup for TargetRecordsAt<'_> {
+    fn is_available(&self, instance: &Instance) -> bool {
+        let is_silent = instance.state == InstanceState::Silent;
+        is_silent && self.allow_silent || self.records.is_available(self.now, instance)
+    }
+
     fn is_avoided(&self, instance: &Instance) -> bool {
         let address = instance.address;
         let avoided = match self.allow_faulty {
@@ -135,6 +145,16 @@
     }
 }
 
+impl TargetRecordsAt<'_> {
+    /// Also allows silent targets, without evidence that they run.
+    pub fn with_silent(self) -> Self {
+        Self {
+            allow_silent: true,
+            ..self
+        }
+    }
+}
+
 impl TargetRecords {
     /// Returns a view as of `now`, for a request that must not be sent through the targets
     /// in `avoid`.
@@ -145,6 +165,17 @@
             avoid,
             allow_faulty: false,
             rested_by: now,
+            allow_silent: false,
+        }
+    }
+
+    /// Whether a target takes new requests as far as its state is known: it is ready, or
+    /// silent with recent evidence that it runs.
+    pub fn is_available(&self, now: Instant, instance: &Instance) -> bool {
+        match instance.state {
+            InstanceState::Ready => true,
+            InstanceState::Silent => self.evidence.is_alive(now, instance.address),
+            InstanceState::Draining => false,
         }
     }
 
--- a/crates/deckwind-core/src/routing/paths.rs
+++ b/crates/deckwind-core/src/routing/paths.rs
@@ -60,6 +60,10 @@
 
 /// A router's local knowledge of engines, in addition to the replicated state.
 pub trait EngineLookup {
+    /// Returns whether the instance takes new requests as far as its state is known.
+    fn is_available(&self, instance: &Instance) -> bool {
+        instance.state == InstanceState::Ready
+    }
     /// Returns whether no request may be sent through the instance for now.
     fn is_avoided(&self, instance: &Instance) -> bool;
     /// Returns the load of streams at the engine.
@@ -139,7 +143,7 @@
 impl<'a> Candidate<'a> {
     fn new(model: &EngineModel, instance: &'a Instance, view: &dyn EngineLookup) -> Option<Self> {
         let layers = overlap(instance.layers, LayerRange::new(0, model.layers));
-        let usable = instance.state == InstanceState::Ready && !layers.is_empty();
+        let usable = view.is_available(instance) && !layers.is_empty();
         let kind = model.kind(instance.accelerator.as_deref()?)?;
         if !usable || view.is_avoided(instance) {
             return None;
--- a/crates/deckwind-testkit/src/simulated_network.rs
+++ b/crates/deckwind-testkit/src/simulated_network.rs
@@ -102,6 +102,7 @@
             // The simulated targets hold no layers and never fail.
             Effect::Place(_)
             | Effect::Check(..)
+            | Effect::LogHeldSilence(_)
             | Effect::LogIncarnationDecision(_)
             | Effect::LogLimitDecision(_)
             | Effect::ProbePace(_) => {}
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -58,6 +58,7 @@
 mod settings;
 mod shared_rate_limit;
 mod shared_retry_budget;
+mod silent_targets;
 mod slow_engines;
 mod slow_readers;
 mod soak;
--- a/crates/deckwind-testkit/tests/testsuite/rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rig.rs
@@ -247,6 +247,13 @@
         .await;
     }
 
+    /// Stops the announcements of all targets of a pool, as if their path to the control
+    /// replicas were lost.
+    pub fn mute(&mut self, pool: &str) {
+        let mut all = self.announcer.all.lock().expect("no holder panics");
+        all.0.retain(|_, target| target.pool != pool);
+    }
+
     /// Waits until the routers know everything that was announced. A ready target's
     /// announcement is answered before that and a draining one's after it, so this
     /// announces a draining target.
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -13,7 +13,7 @@
 use anyhow::Result;
 use deckwind_config::ControlSettings;
 use deckwind_core::control::{
-    ControlEvent, ControlLimits, IncarnationDecision, OperatorReply, RelayedReplies,
+    ControlEvent, ControlLimits, HeldSilence, IncarnationDecision, OperatorReply, RelayedReplies,
     RelayedRequest, RelayedRequests,
 };
 use deckwind_core::membership::LeaseTiming;
@@ -242,6 +242,7 @@
                 );
                 self.runtime.spawn(checking);
             }
+            Effect::LogHeldSilence(held) => log_held_silence(&held),
             Effect::LogIncarnationDecision(note) => log_incarnation_decision(&note),
             Effect::LogLimitDecision(note) => limit_metrics::log_change(&note),
             Effect::ProbePace(address) => {
@@ -330,6 +331,15 @@
     }
 }
 
+fn log_held_silence(held: &HeldSilence) {
+    metrics::counter!("deckwind_control_silences_held_total").increment(1);
+    log::info!(
+        "event=silence_held life={} silent_ms={}",
+        held.incarnation,
+        held.silence.as_millis()
+    );
+}
+
 fn log_incarnation_decision(note: &IncarnationDecision) {
     match note {
         IncarnationDecision::Ended { incarnation, by } => {
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -12,7 +12,7 @@
 use super::work_times::{WorkTimes, kind_of};
 use anyhow::{Context as _, Result};
 use deckwind_core::control::{
-    AnnouncementReport, ControlAction, ControlCore, ControlEvent, ControlLimits,
+    AnnouncementReport, ControlAction, ControlCore, ControlEvent, ControlLimits, HeldSilence,
     IncarnationDecision, LimitDecision, OperatorReply, OrderBatch, PlacementOrder, RelayedRequest,
 };
 use deckwind_core::membership::LeaseTiming;
@@ -45,6 +45,8 @@
     Check(Incarnation, SocketAddr),
     /// Log and count a decision about an incarnation of a target.
     LogIncarnationDecision(IncarnationDecision),
+    /// Log a target whose silence is not acted upon.
+    LogHeldSilence(HeldSilence),
     /// Log the start, change or end of a target's rate limit.
     LogLimitDecision(LimitDecision),
     /// Query the pace of an engine.
@@ -200,6 +202,7 @@
                 incarnation,
                 address,
             } => effects.push(Effect::Check(incarnation, address)),
+            ControlAction::LogHeldSilence(held) => effects.push(Effect::LogHeldSilence(held)),
             ControlAction::LogIncarnationDecision(note) => {
                 effects.push(Effect::LogIncarnationDecision(note))
             }
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -37,7 +37,9 @@
     EndedIncarnation, InstanceIndex, ProcessStart, ReleaseIndex, RequestClass, RetryBudgets,
     RetryLimits, RetrySource, ReturningCallers, TargetFault, TargetRecords,
 };
-use deckwind_core::state::{Configuration, Instance, Pool, Revision, Route, RouteKind};
+use deckwind_core::state::{
+    Configuration, Instance, InstanceState, Pool, Revision, Route, RouteKind,
+};
 use deckwind_core::time::Instant;
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::CallerDialect;
@@ -289,9 +291,18 @@
         let addresses: HashSet<SocketAddr> = index.iter().map(|i| i.address).collect();
         self.connections.retain(|a| addresses.contains(a));
         self.target_records().retain(now, |a| addresses.contains(a));
+        self.update_silent(now, &index);
         self.instances.store(Arc::new(index));
     }
 
+    /// Records which targets the control replicas don't hear.
+    fn update_silent(&self, now: Instant, index: &InstanceIndex) {
+        let silent = index.iter().filter(|i| i.state == InstanceState::Silent);
+        let mut records = self.target_records();
+        let silent = silent.map(|i| i.address);
+        records.evidence.set_silent(now, silent);
+    }
+
     /// Resets what is known of addresses whose incarnation has ended. Streams that pass
     /// through them take another path as soon as they stall.
     fn reset_ended_targets(&self, now: Instant, before: &InstanceIndex, index: &InstanceIndex) {
@@ -395,6 +406,12 @@
         self.failing_changed.notify_one();
     }
 
+    /// Records that something was received from or through these targets.
+    pub fn record_alive(&self, now: Instant, addresses: &[SocketAddr]) {
+        let mut records = self.target_records();
+        records.evidence.record_alive(now, addresses);
+    }
+
     /// Records that the engines on a stream's path have answered.
     pub fn record_answered(&self, addresses: &[SocketAddr]) {
         let mut records = self.target_records();
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -289,6 +289,8 @@
                     let Some(data) = frame.data_ref() else {
                         continue;
                     };
+                    let now = shared.clock.now();
+                    shared.routes.record_alive(now, reservation.addresses());
                     if let Some(end) = self.pass_on_chunk(&mut splitter, data, &mut run) {
                         return end;
                     }
--- a/crates/deckwindd/src/router/routes/reservation.rs
+++ b/crates/deckwindd/src/router/routes/reservation.rs
@@ -4,7 +4,7 @@
 use crate::router::shared::RouterShared;
 use deckwind_core::routes::{CapacityDemand, InstanceIndex, RequestClass, TargetChoice};
 use deckwind_core::routing::paths::{EnginePath, Stage, path_from, replace_stages};
-use deckwind_core::state::{DataCentre, Instance, InstanceState};
+use deckwind_core::state::{DataCentre, Instance};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -83,8 +83,8 @@
     /// Whether a target on the path other than the first no longer takes new requests.
     pub fn has_leaving_target(&self, instances: &InstanceIndex) -> bool {
         let records = self.shared.routes.target_records();
-        let takes_work =
-            |i: &Instance| i.state == InstanceState::Ready && !records.notices.leaves(i);
+        let now = self.shared.clock.now();
+        let takes_work = |i: &Instance| records.is_available(now, i) && !records.notices.leaves(i);
         let ready = |a: &SocketAddr| {
             let mut all = instances.iter();
             all.any(|i| i.address == *a && takes_work(i))
@@ -137,8 +137,7 @@
         let need = demand.need();
         let first = self.stages.first()?;
         let find = |a: SocketAddr| instances.iter().find(|i| i.address == a);
-        let takes_work =
-            |i: &Instance| i.state == InstanceState::Ready && !records.notices.leaves(i);
+        let takes_work = |i: &Instance| records.is_available(now, i) && !records.notices.leaves(i);
         let ready = |a| find(a).is_some_and(takes_work);
         let must_replace = |a| records.is_unconfirmed(now, a) || avoid.contains(&a) || !ready(a);
         let to_replace = |a| a != first.address && must_replace(a);
