--- a/crates/deckwind-core/src/control/announcements.rs
+++ b/crates/deckwind-core/src/control/announcements.rs
@@ -371,13 +371,7 @@
                 });
                 let holds = &mut leader_state.silence_holds;
                 if mass_silence.holds(holds, now, known, silence) {
-                    let incarnation = incarnation.clone();
-                    let held = HeldSilence {
-                        incarnation,
-                        silence,
-                    };
-                    let is_first = silence < period * (MAX_MISSED_ANNOUNCEMENTS + 1);
-                    out.extend(is_first.then_some(ControlAction::LogHeldSilence(held)));
+                    out.extend(held_silence_note(&incarnation, silence, period));
                     (change, next_check) = (None, period);
                 }
             }
@@ -494,6 +488,22 @@
     }
 }
 
+/// Returns the log note for a target whose silence is not acted upon, once for each
+/// silence.
+fn held_silence_note(
+    incarnation: &Incarnation,
+    silence: Duration,
+    period: Duration,
+) -> Option<ControlAction> {
+    let is_first = silence < period * (MAX_MISSED_ANNOUNCEMENTS + 1);
+    is_first.then(|| {
+        ControlAction::LogHeldSilence(HeldSilence {
+            incarnation: incarnation.clone(),
+            silence,
+        })
+    })
+}
+
 /// Returns the change for a target that has been silent for `silence`, and the time until
 /// its next check.
 fn silence_action(
--- a/crates/deckwind-core/src/routes/silence_evidence.rs
+++ b/crates/deckwind-core/src/routes/silence_evidence.rs
@@ -10,8 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time for which evidence counts: several usual pauses of a stream, and less than a
-/// router needs to notice by itself that a target is dead.
+/// Time for which evidence counts: several of the longest usual pauses of a stream.
 const EVIDENCE_TTL: Duration = Duration::from_millis(1_000);
 
 /// Time by which evidence must be newer than the mark, since an answer may have been on its
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -345,6 +345,8 @@
         records.record_full_engines(now, &grant.full);
         records.set_slow(now + SLOW_REPORT_TTL, grant.slow.iter().map(|p| p.address));
         metrics::gauge!("deckwind_route_targets_resting").set(records.notices.resting(now) as f64);
+        let silent_in_use = records.evidence.alive_count(now);
+        metrics::gauge!("deckwind_route_targets_silent_alive").set(silent_in_use as f64);
         drop(records);
         self.watched_streams.record_failing(now, &grant.failing);
         *self.granted_at.lock().expect("no holder panics") = now;
