Log how a stream's answer was framed, how it ended and whether an event was open

Two hypotheses are left that the log does not tell apart: the answer had neither a length nor chunks and ended with the connection of the crashed target, or the target ended its chunks inside an event.

stream_ended now states the framing of the latest answer and the bytes of an event that was open at its end, a counter has both by outcome, and a failed read is described with its causes instead of "error reading a body from connection".

--- a/crates/deckwind-core/src/routes/events.rs
+++ b/crates/deckwind-core/src/routes/events.rs
@@ -53,6 +53,11 @@
         (!events.bytes.is_empty()).then_some(events)
     }
 
+    /// Number of received bytes of an event that is not complete.
+    pub fn open_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns the remaining bytes once the stream has ended normally.
     pub fn into_remaining(self) -> Vec<u8> {
         self.buf
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -4,6 +4,7 @@
 //! Used by routers that serve releases and announced targets. Chat completions and
 //! template-based services are handled by `crate::router`.
 
+mod answer_end;
 mod attempt_result;
 mod attempts;
 mod choice;
@@ -23,6 +24,7 @@
 pub mod stall_detection;
 mod target_records;
 
+pub use answer_end::Framing;
 pub use attempt_result::{AttemptOutcome, AttemptResult, attempt_result, guarantees_not_run};
 pub use attempts::AttemptedTargets;
 pub use choice::{
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -383,7 +383,7 @@
         let target = self.target.map_or("-".to_string(), |a| a.to_string());
         let ms = |d: Option<Duration>| d.map_or(-1, |d| d.as_millis() as i64);
         log::info!(
-            "event=stream_ended request={} content={} route={} pool={} target={target} at={} tries={} refused={} tokens={} events={} longest_pause_ms={} first_ms={} revision={} status={} code={code} took_ms={}",
+            "event=stream_ended request={} content={} route={} pool={} target={target} at={} tries={} refused={} tokens={} events={} longest_pause_ms={} first_ms={} framing={} open_bytes={} revision={} status={} code={code} took_ms={}",
             job.head.id,
             job.content,
             job.route.name,
@@ -395,6 +395,8 @@
             stream.map_or(0, |s| s.events),
             ms(stream.map(|s| s.longest_pause)),
             ms(first),
+            stream.map_or("-", |s| s.framing.code()),
+            stream.map_or(0, |s| s.open_bytes),
             job.shared.revision(),
             status.as_u16(),
             took.as_millis()
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -8,7 +8,8 @@
 use super::responses::{Failure, RouteBody, strip_connection_headers};
 use super::target_run::{RunEnd, TargetRun};
 use bytes::Bytes;
-use deckwind_core::routes::EventSplitter;
+use deckwind_core::routes::{EventSplitter, Framing};
+use deckwind_net::targets::{describe_error, framing_of};
 use http::{Response, header};
 use http_body_util::BodyExt;
 use reroute::should_move;
@@ -44,6 +45,10 @@
     pub longest_pause: Duration,
     /// Data centre of the latest path.
     pub data_centre: String,
+    /// How the latest target marks the end of its answer.
+    pub framing: Framing,
+    /// Bytes of an event that was not complete when the latest target's answer ended.
+    pub open_bytes: usize,
 }
 
 /// End of the part of a stream that one target served.
@@ -230,6 +235,7 @@
         let caller = self.outbox.caller();
         let shared = self.opener.job.shared.clone();
         let mut splitter = EventSplitter::default();
+        self.progress.framing = framing_of(head.version, head.status, &head.headers);
         let watch = self.watch(&reservation);
         let mut last_event_at = Instant::now();
         let mut next_check = last_event_at + STALL_AFTER;
@@ -298,11 +304,13 @@
                 Some(Err(e)) => {
                     run.close(RunEnd::Broke);
                     self.opener.exclude(reservation.first());
-                    return SegmentEnd::Broken(e.to_string());
+                    self.record_end("broken", &splitter);
+                    return SegmentEnd::Broken(describe_error(&e));
                 }
                 None => break,
             }
         }
+        self.record_end("whole", &splitter);
         run.close(RunEnd::Served);
         reservation.record_answered();
         shared.routes.connections.return_connection(
@@ -341,6 +349,19 @@
         disconnect_reason.map(|_| SegmentEnd::CallerLeft)
     }
 
+    /// Records how the latest target's answer ended.
+    fn record_end(&mut self, end: &'static str, splitter: &EventSplitter) {
+        self.progress.open_bytes = splitter.open_bytes();
+        let inside_event = self.progress.open_bytes > 0;
+        metrics::counter!(
+            "deckwind_route_stream_ends_total",
+            "framing" => self.progress.framing.code(),
+            "end" => end,
+            "inside_event" => inside_event.to_string(),
+        )
+        .increment(1);
+    }
+
     fn send(&self, bytes: Vec<u8>) -> Result<(), DisconnectReason> {
         self.outbox.push(Bytes::from(bytes))
     }
