--- a/crates/deckwind-fakes/src/target_server/answers.rs
+++ b/crates/deckwind-fakes/src/target_server/answers.rs
@@ -3,8 +3,8 @@
 
 use super::fleet::{FakeFleet, PathError, parse_path};
 use super::{
-    CRASH_DOWNTIME, ENDS_ITS_TARGET, EVENT_GAP, EVENTS_PER_STREAM, FakeTargetFault, SeenRequest,
-    State, start_incarnation,
+    CRASH_DOWNTIME, ConnectionEnd, ENDS_ITS_TARGET, EVENT_GAP, EVENTS_PER_STREAM, FakeTargetFault,
+    SeenRequest, State, StreamEnding, StreamFraming, start_incarnation,
 };
 use anyhow::Result;
 use serde_json::{Value, json};
@@ -339,6 +339,9 @@
         s.write_all(head.as_bytes()).await?;
         return flood(s, request, last + 1..=*events, (*bytes, *continues), state).await;
     }
+    if let FakeTargetFault::EndsStream(ending) = fault {
+        return stream_to_ending(s, request, last + 1, *ending, state).await;
+    }
     // The head is sent with the first event, as the users' engines do.
     let mut head = Some(head);
     for event in last + 1..=EVENTS_PER_STREAM {
@@ -370,13 +373,56 @@
     Ok(true)
 }
 
+/// Writes the events from `first` on at once, and ends the stream as told.
+async fn stream_to_ending(
+    s: &mut Stream,
+    request: &str,
+    first: u64,
+    ending: StreamEnding,
+    state: &Mutex<State>,
+) -> Result<bool> {
+    let events: String = (first..=EVENTS_PER_STREAM).map(format_event).collect();
+    let sent = ending.broken_after.map_or(events.as_str(), |n| {
+        events.get(..n).unwrap_or(events.as_str())
+    });
+    let head = framed_stream_head(request, ending.framing, state);
+    s.write_all(head.as_bytes()).await?;
+    match ending.framing {
+        StreamFraming::Chunked if !sent.is_empty() => write_chunk(s, sent).await?,
+        StreamFraming::Chunked => {}
+        StreamFraming::Connection => s.write_all(sent.as_bytes()).await?,
+    }
+    if ending.framing == StreamFraming::Chunked && ending.broken_after.is_none() {
+        s.write_all(b"0\r\n\r\n").await?;
+    }
+    if ending.connection == ConnectionEnd::Reset {
+        // A reset that overtakes the bytes would drop them at the receiver.
+        tokio::time::sleep(EVENT_GAP).await;
+        s.get_ref().set_zero_linger()?;
+    }
+    Ok(false)
+}
+
 fn stream_head(request: &str, state: &Mutex<State>) -> String {
+    framed_stream_head(request, StreamFraming::Chunked, state)
+}
+
+fn framed_stream_head(request: &str, framing: StreamFraming, state: &Mutex<State>) -> String {
     let headers = target_headers(state, false);
+    let framing = match framing {
+        StreamFraming::Chunked => "\r\nTransfer-Encoding: chunked",
+        StreamFraming::Connection => "",
+    };
     format!(
-        "HTTP/1.1 200 OK\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked{headers}\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s\r\nContent-Type: text/event-stream{framing}{headers}\r\n\r\n"
     )
 }
 
+/// Returns the events of a whole stream.
+pub fn whole_stream() -> String {
+    (1..=EVENTS_PER_STREAM).map(format_event).collect()
+}
+
 /// Returns the header lines for the rest period (only in a 503), the announcement
 /// that the target leaves, and its limit.
 fn target_headers(state: &Mutex<State>, is_unavailable: bool) -> String {
--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 
 use answers::serve;
+pub use answers::whole_stream;
 use anyhow::{Context, Result};
 pub use fleet::{FakeFleet, FleetArrival, FleetConfig, Outage};
 use serde_json::{Value, json};
@@ -67,6 +68,8 @@
     RefusesOrders,
     /// Breaks a stream off in the middle of the event after this one.
     BreaksStreamAfter(u64),
+    /// Frames and ends streams in this way.
+    EndsStream(StreamEnding),
     /// Stalls a stream after an event until the fault is cleared, and reports the
     /// stage that causes the stall.
     StallsAfter {
@@ -77,6 +80,35 @@
     },
 }
 
+/// How a target marks the end of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamFraming {
+    /// By a last chunk.
+    Chunked,
+    /// By the end of the connection.
+    Connection,
+}
+
+/// What becomes of a connection at the end of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// It is closed.
+    Close,
+    /// It is reset.
+    Reset,
+}
+
+/// How a target frames a stream, and where and how it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamEnding {
+    /// How the end of a whole stream is marked.
+    pub framing: StreamFraming,
+    /// Bytes of events after which the stream is broken off; `None` if it is whole.
+    pub broken_after: Option<usize>,
+    /// What becomes of the connection.
+    pub connection: ConnectionEnd,
+}
+
 /// A request as it was received.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SeenRequest {
