Take a stream that ends inside an event as broken off, however it is framed

What callers saw: an answer that had been broken off arrived framed as complete, its last bytes those of an event that never ended.

Cause: an answer with neither a length nor chunks ends with its connection. The HTTP library reports that end like one that a length or a last chunk marks, and the relay read it as "whole", although a target that crashed closes its connection like one that is done. The bytes of the open event were passed on, the caller's answer was ended properly, the run counted as served, and a stream that could have been resumed was not.

Change: bodies are read through one type, MessageBody, whose end is never the mere lack of data: it states whether the framing marked it or only the connection (BodyEnd), a failed read is an error with its causes, and an HTTP/2 stream that the peer cancelled is one too (the library ends its body without an error). check_stream_end decides, in the core: an open event is a break with any framing, and so is an end by the connection before the first event. A break is handled as a reset is: the run counts as interrupted, the stream resumes after its last whole event or is broken off visibly. A connection that ended with its answer is not kept.

Ruled out: a race at the router's own end of the answer (code=whole in the log). A stream that ends with its connection between two events is still taken as whole (RFC 9112, section 8): nothing in it says otherwise.

--- a/crates/deckwind-core/src/routes/events.rs
+++ b/crates/deckwind-core/src/routes/events.rs
@@ -3,6 +3,8 @@
 //! Only complete events are passed on. A target may break off inside an event, and the next
 //! target then starts with that event again (WHATWG HTML, server-sent events).
 
+use super::answer_end::ReceivedEvents;
+
 /// Maximum number of buffered bytes of an incomplete event. A longer event is passed on in
 /// parts.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -11,6 +13,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     buf: Vec<u8>,
+    has_events: bool,
 }
 
 /// Part of a stream that ends with a complete event.
@@ -45,6 +48,7 @@
                 events.count += 1;
             }
             start += length;
+            self.has_events = true;
         }
         self.buf.drain(..start);
         if self.buf.len() > MAX_EVENT_BYTES {
@@ -58,9 +62,12 @@
         self.buf.len()
     }
 
-    /// Returns the remaining bytes once the stream has ended normally.
-    pub fn into_remaining(self) -> Vec<u8> {
-        self.buf
+    /// Returns what was received so far.
+    pub fn received(&self) -> ReceivedEvents {
+        ReceivedEvents {
+            any: self.has_events,
+            is_open: self.buf.iter().any(|b| !matches!(b, b'\n' | b'\r')),
+        }
     }
 }
 
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -24,7 +24,7 @@
 pub mod stall_detection;
 mod target_records;
 
-pub use answer_end::Framing;
+pub use answer_end::{BodyEnd, Framing, ReceivedEvents, StreamBreak, check_stream_end};
 pub use attempt_result::{AttemptOutcome, AttemptResult, attempt_result, guarantees_not_run};
 pub use attempts::AttemptedTargets;
 pub use choice::{
--- /dev/null
+++ b/crates/deckwind-net/src/body.rs
@@ -0,0 +1,209 @@
+//! Bodies of received messages: reading them, how their end is marked, and why reading one
+//! failed.
+
+use bytes::{Bytes, BytesMut};
+use deckwind_core::routes::{BodyEnd, Framing};
+use http::{HeaderMap, Response, StatusCode, Version, header, request, response};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming, SizeHint};
+use std::error::Error;
+
+/// Body of a message as it arrives. Its end is never just the lack of more data: it says
+/// what marked it.
+pub struct MessageBody {
+    body: Incoming,
+    framing: Framing,
+}
+
+/// Next part of a body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyPart {
+    /// Some bytes.
+    Data(Bytes),
+    /// The end, without an error.
+    End(BodyEnd),
+}
+
+/// Reason why a body broke off: the connection failed, or ended before the framing said so.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct BrokenBody(pub String);
+
+impl MessageBody {
+    /// Separates the head of an answer from its body.
+    pub fn of_answer(res: Response<Incoming>) -> (response::Parts, Self) {
+        let (head, body) = res.into_parts();
+        let framing = framing_of(head.version, head.status, &head.headers);
+        (head, Self { body, framing })
+    }
+
+    /// Wraps the body of a request. Only a length, chunks or an HTTP/2 stream end it.
+    pub fn of_request(head: &request::Parts, body: Incoming) -> Self {
+        let is_coded = head.headers.contains_key(header::TRANSFER_ENCODING);
+        let framing = match (head.version >= Version::HTTP_2, is_coded) {
+            (true, _) => Framing::Stream,
+            (false, true) => Framing::Chunked,
+            (false, false) => Framing::Length,
+        };
+        Self { body, framing }
+    }
+
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns what is known of the number of bytes left.
+    pub fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    /// Returns the next part. No data is lost if the future is dropped before it is ready.
+    ///
+    /// # Errors
+    /// If the body broke off.
+    pub async fn next(&mut self) -> Result<BodyPart, BrokenBody> {
+        loop {
+            let Some(frame) = self.body.frame().await else {
+                return self.end();
+            };
+            match frame {
+                // Trailers say nothing that is used.
+                Ok(frame) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(BodyPart::Data(data));
+                    }
+                }
+                Err(e) => return Err(BrokenBody(describe_error(&e))),
+            }
+        }
+    }
+
+    fn end(&self) -> Result<BodyPart, BrokenBody> {
+        // hyper ends the body also where the peer cancelled the stream.
+        if self.framing == Framing::Stream && !self.body.is_end_stream() {
+            return Err(BrokenBody("the peer cancelled the stream".to_string()));
+        }
+        Ok(BodyPart::End(self.framing.end()))
+    }
+}
+
+/// Returns how an answer with this head marks the end of its body. Bodies of answers to
+/// `HEAD` and `CONNECT` are not considered, because targets get no such requests.
+fn framing_of(version: Version, status: StatusCode, headers: &HeaderMap) -> Framing {
+    if version >= Version::HTTP_2 {
+        return Framing::Stream;
+    }
+    let has_no_body = status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    if has_no_body {
+        return Framing::Length;
+    }
+    // A transfer coding overrides a length. Unless chunked is the last one, only the
+    // connection ends the body.
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    if let Some(codings) = codings.next_back() {
+        let last = codings.to_str().unwrap_or_default().rsplit(',').next();
+        let is_chunked = last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"));
+        return match is_chunked {
+            true => Framing::Chunked,
+            false => Framing::Connection,
+        };
+    }
+    match headers.contains_key(header::CONTENT_LENGTH) {
+        true => Framing::Length,
+        false => Framing::Connection,
+    }
+}
+
+/// Describes an error with its causes, outermost first.
+fn describe_error(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
+
+/// Reason why a body could not be read completely.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CollectError {
+    /// The body exceeds its size limit.
+    #[error("it is too long")]
+    TooLong,
+    /// The limit on the bytes of all bodies together is reached.
+    #[error("no memory for it")]
+    OutOfMemory,
+    /// The body broke off.
+    #[error(transparent)]
+    Broken(#[from] BrokenBody),
+}
+
+/// Reservation of memory that can grow, and is released when it is dropped.
+pub trait ReserveBytes {
+    /// Reserves more bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails, and reserves nothing, if the limit would be exceeded.
+    fn reserve_bytes(&mut self, bytes: u64) -> Result<(), CollectError>;
+}
+
+/// Reservation for bodies whose size limit is the only one.
+pub struct NoReservation;
+
+impl ReserveBytes for NoReservation {
+    fn reserve_bytes(&mut self, _: u64) -> Result<(), CollectError> {
+        Ok(())
+    }
+}
+
+/// A body that was read to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CollectedBody {
+    /// The bytes.
+    pub bytes: Bytes,
+    /// How the end was marked.
+    pub end: BodyEnd,
+}
+
+/// Reads a body of at most `max_bytes` bytes to its end. Memory is reserved from `held` as
+/// data arrives.
+///
+/// # Errors
+///
+/// Fails if the body is too long, no memory can be reserved, or the body breaks off.
+pub async fn collect(
+    mut body: MessageBody,
+    max_bytes: usize,
+    held: &mut impl ReserveBytes,
+) -> Result<CollectedBody, CollectError> {
+    let mut first = Bytes::new();
+    let mut parts = BytesMut::new();
+    let end = loop {
+        let data = match body.next().await? {
+            BodyPart::Data(data) => data,
+            BodyPart::End(end) => break end,
+        };
+        if first.len() + parts.len() + data.len() > max_bytes {
+            return Err(CollectError::TooLong);
+        }
+        held.reserve_bytes(data.len() as u64)?;
+        // Most bodies arrive in a single frame, which is returned without a copy.
+        if first.is_empty() && parts.is_empty() {
+            first = data;
+            continue;
+        }
+        parts.extend_from_slice(&std::mem::take(&mut first));
+        parts.extend_from_slice(&data);
+    };
+    let bytes = match parts.is_empty() {
+        true => first,
+        false => parts.freeze(),
+    };
+    Ok(CollectedBody { bytes, end })
+}
--- a/crates/deckwind-net/src/lib.rs
+++ b/crates/deckwind-net/src/lib.rs
@@ -4,6 +4,7 @@
 //! systems ([`targets`]) and for their wire formats ([`edge`]). Decision logic belongs
 //! in `deckwind-core`.
 
+pub mod body;
 pub mod clock;
 pub mod edge;
 pub mod keys;
--- a/crates/deckwind-net/src/targets/connection_pool.rs
+++ b/crates/deckwind-net/src/targets/connection_pool.rs
@@ -9,13 +9,14 @@
 use super::connector::{BoxedStream, Connector, TcpConnector};
 use super::reach::{HEDGE_DELAY, Reach, TunnelOpener, Way};
 use super::traits::TargetError;
+use crate::body::{MessageBody, NoReservation, collect};
 use crate::clock::Clock;
 use crate::edge::TargetCall;
 use bytes::Bytes;
+use deckwind_core::routes::BodyEnd;
 use deckwind_core::time::Instant;
-use http::{HeaderMap, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http::{HeaderMap, Request, StatusCode, header, response};
+use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
@@ -240,16 +241,20 @@
         list.pop().map(|idle| idle.established)
     }
 
-    /// Returns a connection to the pool after its answer was read completely. `headers`
-    /// are those of the answer. The connection is closed if `max_idle` connections are
+    /// Returns a connection to the pool after its answer was read to its end. `headers` are
+    /// those of the answer. A connection that ended with its answer is dropped. The connection is closed if `max_idle` connections are
     /// idle already, because a target resets connections beyond its limit on those of
     /// all its callers together.
     pub fn return_connection(
         &self,
         connection: TargetConnection,
         headers: &HeaderMap,
+        end: BodyEnd,
         max_idle: usize,
     ) {
+        if end == BodyEnd::Closed {
+            return;
+        }
         let Some(idle_timeout) = idle_timeout(headers) else {
             return;
         };
@@ -284,7 +289,7 @@
         self.established.way
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer; returns it and the body.
     ///
     /// # Errors
     /// [`TargetError::NotSent`] if the target cannot have received the request,
@@ -292,11 +297,12 @@
     pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TargetError> {
+    ) -> Result<(response::Parts, MessageBody), TargetError> {
         self.established
             .tx
             .try_send_request(req)
             .await
+            .map(MessageBody::of_answer)
             .map_err(|mut e| {
                 let is_unsent = e.take_message().is_some();
                 let reason = e.into_error().to_string();
@@ -375,16 +381,14 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(call.body.clone())))
             .map_err(|e| TargetError::NotSent(e.to_string()))?;
-        let res = connection.send(req).await?;
-        let (head, body) = res.into_parts();
-        let limited = Limited::new(body, MAX_ANSWER_BYTES);
-        let collected = limited.collect().await;
+        let (head, body) = connection.send(req).await?;
+        let collected = collect(body, MAX_ANSWER_BYTES, &mut NoReservation).await;
         let body = collected.map_err(|e| TargetError::Broken(e.to_string()))?;
-        connections.return_connection(connection, &head.headers, MAX_IDLE_CONNECTIONS);
+        connections.return_connection(connection, &head.headers, body.end, MAX_IDLE_CONNECTIONS);
         Ok(TargetResponse {
             status: head.status,
             headers: head.headers,
-            body: body.to_bytes(),
+            body: body.bytes,
         })
     };
     match tokio::time::timeout(within, calling).await {
--- a/crates/deckwind-net/src/targets/http_client.rs
+++ b/crates/deckwind-net/src/targets/http_client.rs
@@ -1,10 +1,10 @@
 //! HTTP/2 client for one target. It keeps one connection and reconnects when that breaks.
 
 use super::traits::TargetError;
+use crate::body::{MessageBody, NoReservation, collect};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
-use hyper::body::Incoming;
 use hyper::client::conn::http2::SendRequest;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use serde::{Serialize, de::DeserializeOwned};
@@ -53,19 +53,22 @@
         format!("http://{}{path}", self.address)
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer; returns it and the body.
     ///
     /// # Errors
     /// [`TargetError::NotSent`] if the target cannot have received the request,
     /// [`TargetError::Broken`] if the connection broke after it was sent.
-    pub async fn send(&self, req: Request<Body>) -> Result<Response<Incoming>, TargetError> {
+    pub async fn send(
+        &self,
+        req: Request<Body>,
+    ) -> Result<(response::Parts, MessageBody), TargetError> {
         let mut tx = self.connect().await?;
         if let Err(e) = tx.ready().await {
             self.discard_connection();
             return Err(TargetError::NotSent(e.to_string()));
         }
         match tx.try_send_request(req).await {
-            Ok(res) => Ok(res),
+            Ok(res) => Ok(MessageBody::of_answer(res)),
             Err(mut e) => {
                 self.discard_connection();
                 let is_unsent = e.take_message().is_some();
@@ -125,13 +128,8 @@
     /// Sends a request and reads the complete answer. Any status other than success
     /// is returned as [`TargetError::Refused`].
     async fn send_and_collect(&self, req: Request<Body>) -> Result<Response<Bytes>, TargetError> {
-        let res = self.send(req).await?;
-        let (head, body) = res.into_parts();
-        let bytes = body
-            .collect()
-            .await
-            .map_err(|e| TargetError::Broken(e.to_string()))?
-            .to_bytes();
+        let (head, body) = self.send(req).await?;
+        let bytes = read_answer(body).await?;
         if !head.status.is_success() {
             let text = String::from_utf8_lossy(&bytes);
             return Err(TargetError::Refused(format!("{} {text}", head.status)));
@@ -139,3 +137,16 @@
         Ok(Response::from_parts(head, bytes))
     }
 }
+
+/// Maximum size of an answer, bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Reads an answer to its end.
+///
+/// # Errors
+/// [`TargetError::Broken`] if it breaks off or is too long.
+pub(super) async fn read_answer(body: MessageBody) -> Result<Bytes, TargetError> {
+    let collected = collect(body, MAX_ANSWER_BYTES, &mut NoReservation).await;
+    let collected = collected.map_err(|e| TargetError::Broken(e.to_string()))?;
+    Ok(collected.bytes)
+}
--- a/crates/deckwind-net/src/targets/http_engine.rs
+++ b/crates/deckwind-net/src/targets/http_engine.rs
@@ -7,12 +7,13 @@
     CacheEvents, Engine, EngineLoad, KvExport, OpenStage, StageStream, TargetError,
 };
 use crate::BoxFuture;
+use crate::body::{BodyPart, MessageBody};
 use bytes::{Bytes, BytesMut};
 use deckwind_core::control::TargetOrder;
 use deckwind_core::session::{StepOrder, StepOutput};
 use http::Request;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,13 +57,13 @@
             .header(OPEN_STAGE_HEADER, head)
             .body(body)
             .map_err(|e| TargetError::NotSent(e.to_string()))?;
-        let res = self.0.send(req).await?;
-        if !res.status().is_success() {
-            return Err(refusal_error(res.status(), res.headers()));
+        let (head, body) = self.0.send(req).await?;
+        if !head.status.is_success() {
+            return Err(refusal_error(head.status, &head.headers));
         }
         Ok(Box::new(HttpStage {
             tx,
-            rx: res.into_body(),
+            rx: body,
             buf: BytesMut::new(),
         }))
     }
@@ -98,7 +99,7 @@
 /// the engine.
 struct HttpStage {
     tx: mpsc::Sender<Result<Frame<Bytes>, Infallible>>,
-    rx: Incoming,
+    rx: MessageBody,
     buf: BytesMut,
 }
 
@@ -121,10 +122,9 @@
             if let Some(end) = self.buf.iter().position(|b| *b == b'\n') {
                 return Ok(self.buf.split_to(end + 1));
             }
-            let frame = self.rx.frame().await;
-            let frame = frame.ok_or_else(|| broken_error("the engine closed the stage"))?;
-            if let Ok(data) = frame.map_err(broken_error)?.into_data() {
-                self.buf.extend_from_slice(&data);
+            match self.rx.next().await.map_err(broken_error)? {
+                BodyPart::Data(data) => self.buf.extend_from_slice(&data),
+                BodyPart::End(_) => return Err(broken_error("the engine closed the stage")),
             }
         }
     }
@@ -139,7 +139,7 @@
         Box::pin(async move {
             let HttpStage { tx, mut rx, .. } = *self;
             drop(tx);
-            while let Some(Ok(_)) = rx.frame().await {}
+            while let Ok(BodyPart::Data(_)) = rx.next().await {}
         })
     }
 }
--- a/crates/deckwind-net/src/targets/http_service.rs
+++ b/crates/deckwind-net/src/targets/http_service.rs
@@ -1,11 +1,10 @@
 //! HTTP/2 client for plain services.
 
-use super::http_client::HttpTarget;
+use super::http_client::{HttpTarget, read_answer};
 use super::retry_after::refusal_error;
 use super::traits::{PlainService, ServiceAnswer, ServiceCall, TargetError};
 use crate::BoxFuture;
 use http::{Request, StatusCode, header};
-use http_body_util::BodyExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -31,24 +30,18 @@
         let req = req
             .body(HttpTarget::full_body(call.body))
             .map_err(|e| TargetError::NotSent(e.to_string()))?;
-        let res = self.0.send(req).await?;
-        let status = res.status();
+        let (head, body) = self.0.send(req).await?;
+        let status = head.status;
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            return Err(refusal_error(status, res.headers()));
+            return Err(refusal_error(status, &head.headers));
         }
-        let content_type = res
-            .headers()
+        let content_type = head
+            .headers
             .get(header::CONTENT_TYPE)
             .and_then(|v| v.to_str().ok())
             .unwrap_or("application/octet-stream")
             .to_string();
-        let body = res
-            .into_body()
-            .collect()
-            .await
-            .map_err(|e| TargetError::Broken(e.to_string()))?
-            .to_bytes()
-            .to_vec();
+        let body = read_answer(body).await?.to_vec();
         Ok(ServiceAnswer {
             status: status.as_u16(),
             content_type,
--- a/crates/deckwind-net/src/targets/http_weights.rs
+++ b/crates/deckwind-net/src/targets/http_weights.rs
@@ -1,10 +1,9 @@
 //! HTTP/2 client for the weight store, using range requests (RFC 9110, section 14).
 
-use super::http_client::HttpTarget;
+use super::http_client::{HttpTarget, read_answer};
 use super::traits::{TargetError, WeightChunk, WeightStore};
 use crate::BoxFuture;
 use http::{Request, header};
-use http_body_util::BodyExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -34,17 +33,14 @@
             .header(header::RANGE, range)
             .body(HttpTarget::full_body(Vec::new()))
             .map_err(|e| TargetError::NotSent(e.to_string()))?;
-        let res = self.0.send(req).await?;
-        if !res.status().is_success() {
-            return Err(TargetError::Refused(res.status().to_string()));
+        let (head, body) = self.0.send(req).await?;
+        if !head.status.is_success() {
+            return Err(TargetError::Refused(head.status.to_string()));
         }
-        let total = total_size(res.headers()).ok_or_else(|| {
+        let total = total_size(&head.headers).ok_or_else(|| {
             TargetError::Broken("the answer has no valid Content-Range".to_string())
         })?;
-        let body = res.into_body().collect().await;
-        let bytes = body
-            .map_err(|e| TargetError::Broken(e.to_string()))?
-            .to_bytes();
+        let bytes = read_answer(body).await?;
         Ok(WeightChunk {
             bytes: bytes.to_vec(),
             total,
--- a/crates/deckwind-net/src/targets/mod.rs
+++ b/crates/deckwind-net/src/targets/mod.rs
@@ -5,7 +5,6 @@
 //! ([`HttpEngine`] and so on) and a fake in `deckwind-fakes`; both pass the same contract
 //! tests.
 
-mod answer_body;
 mod connection_pool;
 mod connector;
 mod http_client;
@@ -18,7 +17,6 @@
 mod tcp_options;
 mod traits;
 
-pub use answer_body::{describe_error, framing_of};
 pub use connection_pool::{ConnectionPool, TargetConnection, TargetResponse, call_target};
 pub use connector::{BoxedStream, Connector, TargetStream, TcpConnector};
 pub use deckwind_core::control::{OrderKind, TargetOrder};
--- a/crates/deckwind-testkit/tests/testsuite/connections.rs
+++ b/crates/deckwind-testkit/tests/testsuite/connections.rs
@@ -2,6 +2,7 @@
 //! so each router keeps a share of it.
 
 use crate::run_async;
+use deckwind_core::routes::BodyEnd;
 use deckwind_core::state::Pool;
 use deckwind_fakes::FakeTargetServer;
 use deckwind_net::clock::Clock;
@@ -50,7 +51,7 @@
         );
     }
     for connection in in_use {
-        connections.return_connection(connection, &HeaderMap::new(), 2);
+        connections.return_connection(connection, &HeaderMap::new(), BodyEnd::Framed, 2);
     }
     let mut reused = Vec::new();
     for _ in 0..3 {
--- a/crates/deckwind-testkit/tests/testsuite/published_releases.rs
+++ b/crates/deckwind-testkit/tests/testsuite/published_releases.rs
@@ -284,7 +284,9 @@
         }
     }
     assert_eq!(String::from_utf8_lossy(&out), forwarded);
-    assert_eq!(String::from_utf8_lossy(&cutter.into_remaining()), rest);
+    assert!(pieces.concat().ends_with(rest));
+    assert_eq!(cutter.open_bytes(), rest.len());
+    assert_eq!(cutter.received().is_open, !rest.is_empty());
 }
 
 #[test]
--- a/crates/deckwind-testkit/tests/testsuite/slow_readers.rs
+++ b/crates/deckwind-testkit/tests/testsuite/slow_readers.rs
@@ -4,8 +4,9 @@
 use crate::rig::{API_KEY, Rig};
 use crate::run_async;
 use deckwind_fakes::{FakeTargetFault, FakeTargetServer, HOST};
+use deckwind_net::body::{CollectError, ReserveBytes};
 use deckwind_testkit::{Layout, eventually_async};
-use deckwindd::collect::{ByteBudget, CollectError, ReserveBytes};
+use deckwindd::byte_budget::ByteBudget;
 use http::StatusCode;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/deckwindd/src/control/calls.rs
+++ b/crates/deckwindd/src/control/calls.rs
@@ -8,12 +8,13 @@
 
 use super::handle::{ControlHandle, Input};
 use super::refusals::RefusalLog;
-use crate::collect::{ByteBudget, ByteReservation, CollectError, ReserveBytes, collect};
+use crate::byte_budget::{ByteBudget, ByteReservation};
 use crate::context::Context;
 use crate::router::listen;
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
 use deckwind_core::control::{AnnouncementFault, OperatorReply, OperatorRequest};
+use deckwind_net::body::{CollectError, MessageBody, ReserveBytes, collect};
 use deckwind_net::edge::{ControlCall, ControlDialect, InvalidInput};
 use deckwind_net::targets::set_tcp_options;
 use http::{Request, Response, StatusCode, header};
@@ -118,9 +119,10 @@
     let (head, body) = req.into_parts();
     let path = head.uri.path();
     let mut reservation = calls.budget.reservation();
+    let body = MessageBody::of_request(&head, body);
     let collecting = collect(body, MAX_BODY_BYTES, &mut reservation);
     let body = match tokio::time::timeout(BODY_TIMEOUT, collecting).await {
-        Ok(Ok(body)) => body,
+        Ok(Ok(body)) => body.bytes,
         Ok(Err(CollectError::OutOfMemory)) => return Ok(calls.refuse_for_memory(path)),
         Ok(Err(e)) => return Ok(refuse(path, StatusCode::BAD_REQUEST, &e.to_string())),
         Err(_) => {
--- a/crates/deckwindd/src/lib.rs
+++ b/crates/deckwindd/src/lib.rs
@@ -14,7 +14,7 @@
 //! ```
 
 pub mod admin;
-pub mod collect;
+pub mod byte_budget;
 pub mod commands;
 pub mod context;
 pub mod control;
--- a/crates/deckwindd/src/router/routes/held_bytes.rs
+++ b/crates/deckwindd/src/router/routes/held_bytes.rs
@@ -4,10 +4,10 @@
 //! received, and the bodies of requests in progress.
 
 use super::delivery::Delivery;
-use crate::collect::{CollectError, ReserveBytes};
 use deckwind_config::RouterSettings;
 use deckwind_core::routes::{AnswerArena, AnswerKey, BufferLimits, DisconnectOrder, LaggingCaller};
 use deckwind_core::time::Instant;
+use deckwind_net::body::{CollectError, ReserveBytes};
 use deckwind_net::clock::Clock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
--- a/crates/deckwindd/src/router/routes/http_server.rs
+++ b/crates/deckwindd/src/router/routes/http_server.rs
@@ -6,18 +6,18 @@
 use super::responses::{BodyError, Failure, RouteBody, full_body, strip_connection_headers};
 use super::target_notices::AnswerSource;
 use super::{non_streaming, opening};
-use crate::collect::{CollectError, collect};
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
 use deckwind_core::routes::{Permit, ReleaseIndex, TargetChoice};
 use deckwind_core::state::{CallerLimits, ContentDigest, Pool, Route, RouteKind};
 use deckwind_core::time::Instant;
+use deckwind_net::body::{CollectError, MessageBody, collect};
 use deckwind_net::edge::{CallerRequestHead, TargetRequestHead};
 use deckwind_net::targets::{set_tcp_options, set_tcp_options_with_timeout};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -237,6 +237,7 @@
             return Ok(failure.response());
         }
     };
+    let body = MessageBody::of_request(&parts, body);
     let request_id = head.id.clone();
     let mut res = match prepare(&shared, head, &parts, body, arrived).await {
         Ok(job) => run(job).await,
@@ -274,7 +275,7 @@
     shared: &Arc<RouterShared>,
     head: CallerRequestHead,
     parts: &Parts,
-    body: Incoming,
+    body: MessageBody,
     arrived: Instant,
 ) -> Result<Job, Failure> {
     await_first_release(shared, &head).await;
@@ -370,7 +371,7 @@
 }
 
 async fn read_body(
-    body: Incoming,
+    body: MessageBody,
     limits: CallerLimits,
     deliveries: &Arc<Deliveries>,
 ) -> Result<(Bytes, HeldBytes), Failure> {
@@ -387,10 +388,10 @@
     let collecting = collect(body, limits.body_bytes as usize, &mut held);
     match tokio::time::timeout(within, collecting).await {
         Err(_) => Err(Failure::BodyLate),
-        Ok(Ok(body)) => Ok((body, held)),
+        Ok(Ok(body)) => Ok((body.bytes, held)),
         Ok(Err(CollectError::TooLong)) => Err(Failure::TooLarge),
         Ok(Err(CollectError::OutOfMemory)) => Err(Failure::NoMemory),
-        Ok(Err(CollectError::Broken(why))) => Err(Failure::BadRequest(why)),
+        Ok(Err(CollectError::Broken(why))) => Err(Failure::BadRequest(why.to_string())),
     }
 }
 
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -8,13 +8,13 @@
 use super::reservation::Reservation;
 use super::responses::{Failure, RouteBody, strip_connection_headers};
 use super::target_run::{RunEnd, TargetRun};
-use crate::collect::collect;
 use bytes::Bytes;
 use deckwind_core::routes::{
     AttemptOutcome, AttemptResult, RequestClass, TargetChoice, TargetFault, attempt_result,
     choose_target,
 };
 use deckwind_core::state::RouteKind;
+use deckwind_net::body::collect;
 use deckwind_net::targets::TargetError;
 use http::{HeaderMap, Response, StatusCode};
 use std::collections::HashSet;
@@ -280,8 +280,7 @@
         let sending = async {
             let req = job.target_request(choice, None);
             let req = req.map_err(|e| AttemptError::Unreachable(e.to_string()))?;
-            let res = connection.send(req).await.map_err(attempt_error)?;
-            let (head, body) = res.into_parts();
+            let (head, body) = connection.send(req).await.map_err(attempt_error)?;
             job.apply_answer(choice, permit, head.status, &head.headers);
             let deliveries = &job.shared.routes.deliveries;
             let mut held = HeldBytes::new(deliveries, Side::Answers);
@@ -298,10 +297,15 @@
             }
         };
         let connection_headers = head.headers.clone();
-        let checked = self.check(head.status, head.headers, body, held);
+        let checked = self.check(head.status, head.headers, body.bytes, held);
         if !matches!(checked, Err(AttemptError::MayHaveRun(_))) {
             let max_idle_connections = job.shared.routes.max_idle_connections(&job.pool);
-            connections.return_connection(connection, &connection_headers, max_idle_connections);
+            connections.return_connection(
+                connection,
+                &connection_headers,
+                body.end,
+                max_idle_connections,
+            );
         }
         checked
     }
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -6,11 +6,10 @@
 use super::super::responses::strip_connection_headers;
 use super::super::target_run::{RunEnd, TargetRun};
 use super::{OpenOutcome, OpenedStream, StreamOpener};
-use crate::collect::collect;
 use deckwind_core::routes::{AttemptOutcome, AttemptResult, TargetChoice, attempt_result};
+use deckwind_net::body::{MessageBody, collect};
 use deckwind_net::targets::{TargetConnection, TargetError};
-use http::{Response, StatusCode};
-use hyper::body::Incoming;
+use http::{StatusCode, response};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -101,10 +100,11 @@
             }
         };
         match res {
-            Ok(res) => {
+            Ok((head, body)) => {
                 self.job
-                    .apply_answer(choice, permit, res.status(), res.headers());
-                self.read_head(reservation, run, connection, res).await
+                    .apply_answer(choice, permit, head.status, &head.headers);
+                self.read_head(reservation, run, connection, head, body)
+                    .await
             }
             Err(e) => {
                 let error = attempt_error(e);
@@ -119,9 +119,9 @@
         reservation: Reservation,
         run: TargetRun,
         connection: TargetConnection,
-        res: Response<Incoming>,
+        head: response::Parts,
+        body: MessageBody,
     ) -> Result<OpenOutcome, AttemptError> {
-        let (head, body) = res.into_parts();
         if let Err(error) = self.check_head(&head) {
             run.close(run_end(&error));
             return Err(error);
@@ -140,7 +140,7 @@
     }
 
     /// Checks that an answer belongs to this request and comes from the target itself.
-    fn check_head(&mut self, head: &http::response::Parts) -> Result<(), AttemptError> {
+    fn check_head(&mut self, head: &response::Parts) -> Result<(), AttemptError> {
         let shared = self.job.shared.clone();
         let answer = shared
             .cx
@@ -176,8 +176,8 @@
         &self,
         run: TargetRun,
         connection: TargetConnection,
-        mut head: http::response::Parts,
-        body: Incoming,
+        mut head: response::Parts,
+        body: MessageBody,
     ) -> Result<OpenOutcome, AttemptError> {
         let shared = &self.job.shared;
         let mut held = HeldBytes::new(&shared.routes.deliveries, Side::Answers);
@@ -190,10 +190,11 @@
         shared.routes.connections.return_connection(
             connection,
             &head.headers,
+            body.end,
             shared.routes.max_idle_connections(&self.job.pool),
         );
         strip_connection_headers(&mut head.headers);
-        Ok(OpenOutcome::Whole(head.status, head.headers, body))
+        Ok(OpenOutcome::Whole(head.status, head.headers, body.bytes))
     }
 }
 
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -16,9 +16,9 @@
     AttemptedTargets, CapacityDemand, ChoiceError, RequestClass, TargetChoice, TargetFault,
     choose_path, choose_target,
 };
+use deckwind_net::body::MessageBody;
 use deckwind_net::targets::TargetConnection;
 use http::{HeaderMap, Response, StatusCode};
-use hyper::body::Incoming;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,7 +52,7 @@
     /// Status and headers of the answer.
     pub head: http::response::Parts,
     /// The events.
-    pub body: Incoming,
+    pub body: MessageBody,
 }
 
 /// The answer of a target to an opened request.
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -5,13 +5,13 @@
 
 use super::delivery::{self, DisconnectReason, Outbox};
 use super::opening::{OpenOutcome, OpenedStream, StreamOpener};
+use super::reservation::Reservation;
 use super::responses::{Failure, RouteBody, strip_connection_headers};
 use super::target_run::{RunEnd, TargetRun};
 use bytes::Bytes;
-use deckwind_core::routes::{EventSplitter, Framing};
-use deckwind_net::targets::{describe_error, framing_of};
+use deckwind_core::routes::{EventSplitter, Framing, check_stream_end};
+use deckwind_net::body::BodyPart;
 use http::{Response, header};
-use http_body_util::BodyExt;
 use reroute::should_move;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -235,14 +235,14 @@
         let caller = self.outbox.caller();
         let shared = self.opener.job.shared.clone();
         let mut splitter = EventSplitter::default();
-        self.progress.framing = framing_of(head.version, head.status, &head.headers);
+        self.progress.framing = body.framing();
         let watch = self.watch(&reservation);
         let mut last_event_at = Instant::now();
         let mut next_check = last_event_at + STALL_AFTER;
-        loop {
+        let body_end = loop {
             let next_wakeup = next_check.min(Instant::now() + self.opener.job.time_left());
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
+            let part = tokio::select! {
+                part = body.next() => part,
                 _ = caller.disconnected() => return SegmentEnd::CallerLeft,
                 () = tokio::time::sleep_until(next_wakeup) => {
                     if self.opener.job.time_left().is_zero() {
@@ -290,41 +290,48 @@
                 watch.record_event();
             }
             self.reroute_leaving(&mut reservation, watch.as_ref()).await;
-            match frame {
-                Some(Ok(frame)) => {
-                    let Some(data) = frame.data_ref() else {
-                        continue;
-                    };
+            match part {
+                Ok(BodyPart::Data(data)) => {
                     let now = shared.clock.now();
                     shared.routes.record_alive(now, reservation.addresses());
-                    if let Some(end) = self.pass_on_chunk(&mut splitter, data, &mut run) {
+                    if let Some(end) = self.pass_on_chunk(&mut splitter, &data, &mut run) {
                         return end;
                     }
                 }
-                Some(Err(e)) => {
-                    run.close(RunEnd::Broke);
-                    self.opener.exclude(reservation.first());
+                Ok(BodyPart::End(end)) => break end,
+                Err(e) => {
                     self.record_end("broken", &splitter);
-                    return SegmentEnd::Broken(describe_error(&e));
+                    return self.break_segment(run, &reservation, e.to_string());
                 }
-                None => break,
             }
+        };
+        self.record_end(body_end.code(), &splitter);
+        if let Err(e) = check_stream_end(body_end, splitter.received()) {
+            return self.break_segment(run, &reservation, e.reason().to_string());
         }
-        self.record_end("whole", &splitter);
         run.close(RunEnd::Served);
         reservation.record_answered();
         shared.routes.connections.return_connection(
             connection,
             &head.headers,
+            body_end,
             shared.routes.max_idle_connections(&self.opener.job.pool),
         );
-        let remaining = splitter.into_remaining();
-        if !remaining.is_empty() && self.send(remaining).is_err() {
-            return SegmentEnd::CallerLeft;
-        }
         SegmentEnd::Whole
     }
 
+    /// Ends a run whose answer broke off.
+    fn break_segment(
+        &mut self,
+        run: TargetRun,
+        reservation: &Reservation,
+        why: String,
+    ) -> SegmentEnd {
+        run.close(RunEnd::Broke);
+        self.opener.exclude(reservation.first());
+        SegmentEnd::Broken(why)
+    }
+
     fn pass_on_chunk(
         &mut self,
         splitter: &mut EventSplitter,
--- a/crates/deckwindd/src/router/template_callers.rs
+++ b/crates/deckwindd/src/router/template_callers.rs
@@ -16,9 +16,9 @@
 use deckwind_core::router::{CheckedRequest, Denied, DeniedCode, SlotOutcome, Work};
 use deckwind_core::routing::prefix_hashes;
 use deckwind_core::state::{AccountName, ContentDigest, Outcome, TemplateName};
+use deckwind_net::body::{CollectError, MessageBody, NoReservation, collect};
 use deckwind_net::targets::ServiceCall;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -188,9 +188,10 @@
     Ok(shared.core().authenticate(&hex)?)
 }
 
-async fn read_body(shared: &RouterShared, body: Incoming) -> Result<Bytes, CallerError> {
-    let limited = Limited::new(body, shared.cfg.max_body_bytes);
-    let timed_read = tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await;
+async fn read_body(shared: &RouterShared, body: MessageBody) -> Result<Bytes, CallerError> {
+    let mut held = NoReservation;
+    let collecting = collect(body, shared.cfg.max_body_bytes, &mut held);
+    let timed_read = tokio::time::timeout(BODY_TIMEOUT, collecting).await;
     let collected = timed_read.map_err(|_| {
         not_run_error(
             StatusCode::REQUEST_TIMEOUT,
@@ -199,8 +200,8 @@
         )
     })?;
     match collected {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => {
+        Ok(body) => Ok(body.bytes),
+        Err(CollectError::TooLong) => {
             let message = format!("the body is above {} bytes", shared.cfg.max_body_bytes);
             Err(not_run_error(
                 StatusCode::PAYLOAD_TOO_LARGE,
@@ -309,7 +310,8 @@
     let full = req.uri().path();
     let path = full[format!("/s/{template}").len()..].to_string();
     let (method, uri) = (req.method().clone(), req.uri().clone());
-    let body = read_body(shared, req.into_body()).await?;
+    let (head, body) = req.into_parts();
+    let body = read_body(shared, MessageBody::of_request(&head, body)).await?;
     let content = content_digest(&method, &uri, &account, &body);
     shared.check_quarantine(&content)?;
     let (checked_request, _ticket) = admit(shared, &account, &template).await?;
@@ -387,7 +389,8 @@
     let key = idempotency_key(req.headers())?;
     let received_tokens = count_received_tokens(req.headers())?;
     let (method, uri) = (req.method().clone(), req.uri().clone());
-    let body = read_body(shared, req.into_body()).await?;
+    let (head, body) = req.into_parts();
+    let body = read_body(shared, MessageBody::of_request(&head, body)).await?;
     let content = content_digest(&method, &uri, &account, &body);
     shared.check_quarantine(&content)?;
     let chat = parse_chat(&body)?;
