--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -45,6 +45,8 @@
     pub longest_pause: Duration,
     /// Data centre of the latest path.
     pub data_centre: String,
+    /// Whether the caller has a part of an event that is not complete.
+    pub is_part_passed: bool,
     /// How the latest target marks the end of its answer.
     pub framing: Framing,
     /// Bytes of an event that was not complete when the latest target's answer ended.
@@ -146,7 +148,7 @@
     /// another one has begun: if none can, the first may still continue, and if it
     /// fails, it is the one that breaks the stream off.
     async fn resume_stalled(&mut self) -> Option<Box<OpenedStream>> {
-        if !self.opener.can_move() {
+        if self.progress.is_part_passed || !self.opener.can_move() {
             return None;
         }
         self.log_move("stalled");
@@ -190,7 +192,7 @@
     async fn resume_broken(&mut self, why: &str) -> Result<OpenedStream, Failure> {
         self.log_move(why);
         let resumable = self.opener.job.route.kind.is_retryable();
-        if !resumable || !self.opener.tries_left() {
+        if !resumable || self.progress.is_part_passed || !self.opener.tries_left() {
             return Err(Failure::Broken(why.to_string()));
         }
         match self.reopen().await? {
@@ -338,7 +340,9 @@
         data: &Bytes,
         run: &mut TargetRun,
     ) -> Option<SegmentEnd> {
-        let events = splitter.take(data, self.progress.last_event)?;
+        let events = splitter.take(data, self.progress.last_event);
+        self.progress.is_part_passed = splitter.is_part_passed();
+        let events = events?;
         run.record_event();
         let now = self.opener.job.shared.clock.now();
         let progress = &mut self.progress;
