Exit with 5 where a change was sent and its answer was lost or cut

What operators saw: `deckwind ... apply` exited with 1, "nothing was changed", though the change had been sent and no whole answer came; also where an answer 200 without a length ended inside its document.

Cause: the search for the leader took every failure of a replica alike, and a document that can't be read for a failed change. Only a refused connection says that nothing arrived.

--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod leader_changes;
 mod leaving_vms;
 mod limit_rig;
+mod lost_answers;
 mod notices;
 mod orders;
 mod overload;
--- a/crates/deckwind/src/ops/api.rs
+++ b/crates/deckwind/src/ops/api.rs
@@ -8,6 +8,7 @@
 use deckwind_wire::operator::{AppliedAnswer, ErrorAnswer, RejectedAnswer};
 use oxhttp::Client;
 use oxhttp::model::{Body, Request, StatusCode};
+use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -30,13 +31,24 @@
 pub struct ControlApi {
     replicas: Vec<SocketAddr>,
     token: Option<String>,
+    find_leader_timeout: Duration,
 }
 
 impl ControlApi {
     /// Creates a client for the replicas at these addresses. Without the operators' token
     /// it can only read the status, and only if the settings of the replicas hold none.
     pub fn new(replicas: Vec<SocketAddr>, token: Option<String>) -> Self {
-        Self { replicas, token }
+        Self {
+            replicas,
+            token,
+            find_leader_timeout: FIND_LEADER_TIMEOUT,
+        }
+    }
+
+    /// Sets the time after which the search for a leader is given up.
+    pub fn with_find_leader_timeout(mut self, timeout: Duration) -> Self {
+        self.find_leader_timeout = timeout;
+        self
     }
 
     /// Returns the status of the cluster.
@@ -54,14 +66,14 @@
     /// # Errors
     ///
     /// Fails with [`Exit::Rejected`] if the change was rejected, with [`Exit::Unknown`] if
-    /// the leader reported that the answer was lost, and with [`Exit::Failed`] or a plain
-    /// error otherwise.
+    /// it was sent and its answer was lost or cut, and with [`Exit::Failed`] or a plain error
+    /// otherwise.
     pub fn apply(&self, request: &ApplyRequest, wait: Duration) -> Result<AppliedAnswer> {
         let path = format!("/v1/apply?wait_ms={}", wait.as_millis());
         let body = serde_json::to_vec(request)?;
         let answer = self.send_to_leader("POST", &path, &body, wait)?;
         match answer.status {
-            StatusCode::OK => Ok(serde_json::from_str(&answer.body)?),
+            StatusCode::OK => serde_json::from_str(&answer.body).map_err(|_| answer_lost(request)),
             StatusCode::CONFLICT => {
                 let rejected: RejectedAnswer = serde_json::from_str(&answer.body)?;
                 Err(exit_error(Exit::Rejected, rejected.message))
@@ -93,6 +105,11 @@
 
     /// Sends a request to each replica in turn until the leader answers. Sending it again
     /// is safe, since a change carries its request id.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Exit::Unknown`] if a replica may have received a change and none answered
+    /// as the leader, and with a plain error otherwise.
     fn send_to_leader(
         &self,
         method: &str,
@@ -100,19 +117,27 @@
         body: &[u8],
         wait: Duration,
     ) -> Result<Answer> {
-        let deadline = Instant::now() + FIND_LEADER_TIMEOUT;
+        let deadline = Instant::now() + self.find_leader_timeout;
         let mut last = None;
+        let mut may_have_arrived = false;
         while Instant::now() < deadline {
             for replica in &self.replicas {
                 match self.send_to_replica(*replica, method, path, body, wait) {
                     Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => {}
                     Ok(answer) => return Ok(answer),
-                    Err(e) => last = Some(e),
+                    Err(e) => {
+                        may_have_arrived |= !is_connection_refused(&e);
+                        last = Some(e);
+                    }
                 }
             }
             std::thread::sleep(ROUND_PAUSE);
         }
         match last {
+            Some(e) if may_have_arrived && method != "GET" => {
+                let message = format!("the answer was lost; send the change again: {e:#}");
+                Err(exit_error(Exit::Unknown, message))
+            }
             Some(e) => Err(e.context("no control replica answered as the leader")),
             None => bail!("the control replicas have no leader at the moment; try again"),
         }
@@ -137,6 +162,14 @@
     }
 }
 
+/// Whether the request can't have arrived, because nothing listens at the address.
+fn is_connection_refused(e: &anyhow::Error) -> bool {
+    let io = e
+        .chain()
+        .find_map(|cause| cause.downcast_ref::<io::Error>());
+    io.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 fn send(req: Request<Body>, timeout: Duration) -> Result<Answer> {
     let client = Client::new().with_global_timeout(timeout);
     let res = client.request(req)?;
