--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -74,7 +74,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the snapshot in the data folder is of another version.
+    /// Fails if the snapshot in the data folder is damaged or of another version.
     pub fn new(
         cx: &Context,
         cfg: &ControlSettings,
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -74,7 +74,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the snapshot in the data folder is of another version.
+    /// Fails if the snapshot in the data folder is damaged or of another version.
     pub fn new(
         cfg: ReplicaConfig,
         lease: LeaseTiming,
@@ -85,7 +85,7 @@
     ) -> Result<Self> {
         let snapshot = opened.snapshot.as_deref();
         let core = ControlCore::new(cfg, lease, limits, opened.stored, snapshot, now)
-            .context("the snapshot in the data folder is of another version")?;
+            .context("the snapshot in the data folder can't be read")?;
         let times = WorkTimes::default();
         Ok(Self { core, store, times })
     }
