--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -343,11 +343,6 @@
         self.lock().born
     }
 
-    /// Sets the reported start of the target's incarnation, which may be wrong.
-    pub fn set_born(&self, born: u64) {
-        self.lock().born = born;
-    }
-
     /// Replaces the body of the target's reports until it restarts.
     pub fn override_report(&self, report: &str) {
         self.lock().report_override = Some(report.to_string());
--- a/crates/deckwind-testkit/tests/testsuite/quarantine.rs
+++ b/crates/deckwind-testkit/tests/testsuite/quarantine.rs
@@ -1,5 +1,5 @@
 //! Quarantine of request contents: when it begins and ends, its bounds, and that targets
-//! which crash by themselves quarantine none of their streams. `cut_runs` tests the view of
+//! which crash by themselves quarantine none of their streams. `interrupted_runs` tests the view of
 //! one router.
 
 use deckwind_core::control::{
