--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -0,0 +1,282 @@
+//! Ends of bodies that targets send, over real sockets: what marks an end, and who takes an
+//! answer that was broken off for a whole one.
+
+use crate::{any_loopback_port, run_async};
+use bytes::Bytes;
+use deckwind_core::routes::BodyEnd;
+use deckwind_net::body::{BodyPart, BrokenBody, MessageBody};
+use deckwind_net::clock::Clock;
+use deckwind_net::targets::{ConnectionPool, HttpTarget};
+use http::Request;
+use http_body_util::Full;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use yare::parameterized;
+
+/// Time that a receiver gets to read what was sent before the connection is reset.
+const TIME_TO_READ: Duration = Duration::from_millis(30);
+
+/// Maximum time until a body ends.
+const END_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// End of a body that is taken as whole by its framing.
+const FRAMED: Option<BodyEnd> = Some(BodyEnd::Framed);
+
+/// End of a body that only its connection marks.
+const CLOSED: Option<BodyEnd> = Some(BodyEnd::Closed);
+
+/// End of a body that was broken off, or of a message that is invalid.
+const BROKEN: Option<BodyEnd> = None;
+
+/// What becomes of a connection after the bytes were sent.
+#[derive(Clone, Copy, PartialEq)]
+enum Then {
+    Close,
+    Reset,
+    StayOpen,
+}
+
+/// Sends what `answer` returns for each request, then ends the connection. `read_request`
+/// reads one.
+async fn listen<R, F>(answer: Vec<u8>, then: Then, read_request: R) -> SocketAddr
+where
+    R: Fn(TcpStream) -> F + Send + 'static,
+    F: Future<Output = TcpStream> + Send,
+{
+    let listener = TcpListener::bind(any_loopback_port()).await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut stream = read_request(stream).await;
+            stream.write_all(&answer).await.expect("sent");
+            end_connection(stream, then).await;
+        }
+    });
+    address
+}
+
+async fn end_connection(mut stream: TcpStream, then: Then) {
+    match then {
+        Then::Close => stream.shutdown().await.expect("closed"),
+        Then::Reset => {
+            tokio::time::sleep(TIME_TO_READ).await;
+            stream.set_zero_linger().expect("a reset");
+            return;
+        }
+        Then::StayOpen => {}
+    }
+    // Bytes that were not read would turn the close into a reset.
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest).await;
+}
+
+async fn read_http1_request(mut stream: TcpStream) -> TcpStream {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.expect("a request"));
+    }
+    stream
+}
+
+/// Reads a body to its end, and returns its bytes.
+async fn read_to_end(mut body: MessageBody) -> (String, Result<BodyEnd, BrokenBody>) {
+    let mut bytes = Vec::new();
+    let reading = async {
+        loop {
+            match body.next().await? {
+                BodyPart::Data(data) => bytes.extend_from_slice(&data),
+                BodyPart::End(end) => return Ok(end),
+            }
+        }
+    };
+    let end = tokio::time::timeout(END_TIMEOUT, reading).await;
+    let end = end.expect("the body ends");
+    (String::from_utf8_lossy(&bytes).into_owned(), end)
+}
+
+/// Requests a body over HTTP/1.1, and reads it to its end. An error is that of the head.
+async fn request_http1(
+    address: SocketAddr,
+) -> Result<(String, Result<BodyEnd, BrokenBody>), String> {
+    let pool = ConnectionPool::new(Clock::start());
+    let connection = pool.get(address, Duration::ZERO).await;
+    let mut connection = connection.expect("a connection");
+    let req = Request::get("/x").header("host", address.to_string());
+    let req = req.body(Full::new(Bytes::new())).expect("a request");
+    let (_, body) = connection.send(req).await.map_err(|e| e.to_string())?;
+    Ok(read_to_end(body).await)
+}
+
+/// Guards against an end that is taken for that of a whole body, by framing, by the position
+/// of the end, and by its way.
+#[parameterized(
+    length_whole = { "1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", FRAMED, FRAMED },
+    length_cut_inside = { "1.1 200 OK\r\nContent-Length: 5\r\n\r\nwho", BROKEN, BROKEN },
+    length_cut_before = { "1.1 200 OK\r\nContent-Length: 5\r\n\r\n", BROKEN, BROKEN },
+    length_zero = { "1.1 200 OK\r\nContent-Length: 0\r\n\r\n", FRAMED, FRAMED },
+    length_with_bytes_after_it = { "1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholemore", FRAMED, FRAMED },
+    two_lengths = { "1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 3\r\n\r\nwhole", BROKEN, BROKEN },
+    chunked_whole = { "1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", FRAMED, FRAMED },
+    chunked_empty = { "1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", FRAMED, FRAMED },
+    chunked_cut_inside = { "1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho", BROKEN, BROKEN },
+    chunked_cut_between = { "1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", BROKEN, BROKEN },
+    chunked_cut_in_last_chunk = { "1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", BROKEN, BROKEN },
+    chunked_cut_in_trailers = { "1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-T: 1\r\n", BROKEN, BROKEN },
+    chunked_cut_before = { "1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", BROKEN, BROKEN },
+    chunked_with_trailers = { "1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-T: 1\r\n\r\n", FRAMED, FRAMED },
+    chunked_in_capitals = { "1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", FRAMED, FRAMED },
+    length_and_chunks = { "1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", FRAMED, FRAMED },
+    length_and_chunks_cut = { "1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho", BROKEN, BROKEN },
+    none_whole = { "1.1 200 OK\r\n\r\nwhole", CLOSED, BROKEN },
+    none_cut_before = { "1.1 200 OK\r\n\r\n", CLOSED, BROKEN },
+    none_and_kept_alive = { "1.1 200 OK\r\nConnection: keep-alive\r\n\r\nwhole", CLOSED, BROKEN },
+    old_without_length = { "1.0 200 OK\r\n\r\nwhole", CLOSED, BROKEN },
+    old_kept_alive_without_length = { "1.0 200 OK\r\nConnection: keep-alive\r\n\r\nwhole", CLOSED, BROKEN },
+    old_with_length = { "1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole", FRAMED, FRAMED },
+    old_with_length_cut = { "1.0 200 OK\r\nContent-Length: 5\r\n\r\nwho", BROKEN, BROKEN },
+    old_with_chunks = { "1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", BROKEN, BROKEN },
+    no_content = { "1.1 204 No Content\r\n\r\n", FRAMED, FRAMED },
+    not_modified = { "1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", FRAMED, FRAMED },
+    failure_without_length = { "1.1 500 Failed\r\n\r\nwhole", CLOSED, BROKEN },
+    head_cut = { "1.1 200 OK\r\nContent-Len", BROKEN, BROKEN },
+    head_cut_before_its_last_byte = { "1.1 200 OK\r\n\r", BROKEN, BROKEN },
+    nothing_but_an_interim_answer = { "1.1 103 Early Hints\r\n\r\n", BROKEN, BROKEN },
+)]
+fn an_end_says_what_marked_it(answer: &str, closed: Option<BodyEnd>, reset: Option<BodyEnd>) {
+    let answer = format!("HTTP/{answer}").into_bytes();
+    run_async(async move {
+        for (then, expected) in [(Then::Close, closed), (Then::Reset, reset)] {
+            let address = listen(answer.clone(), then, read_http1_request).await;
+            let received = request_http1(address).await;
+            let end = match &received {
+                Ok((_, end)) => end.as_ref().ok().copied(),
+                Err(_) => None,
+            };
+            let is_reset = then == Then::Reset;
+            assert_eq!(end, expected, "reset: {is_reset}, received: {received:?}");
+        }
+    });
+}
+
+/// Preface of an HTTP/2 connection.
+const PREFACE_BYTES: usize = 24;
+
+/// Types of HTTP/2 frames (RFC 9113, section 6).
+const DATA: u8 = 0;
+const HEADERS: u8 = 1;
+const RST_STREAM: u8 = 3;
+const SETTINGS: u8 = 4;
+const GOAWAY: u8 = 7;
+
+/// Flags of HTTP/2 frames.
+const NO_FLAGS: u8 = 0;
+const END_STREAM: u8 = 1;
+const END_HEADERS: u8 = 4;
+
+/// HTTP/2 error codes.
+const NO_ERROR: u8 = 0;
+const INTERNAL_ERROR: u8 = 2;
+const CANCEL: u8 = 8;
+
+/// Header block with `:status: 200` (RFC 7541, appendix A).
+const STATUS_200: &[u8] = &[0x88];
+/// Header block with `:status: 200` and `content-length: 5`.
+const STATUS_200_LENGTH_5: &[u8] = &[0x88, 0x0f, 0x0d, 1, b'5'];
+/// Header block with `x: 1`.
+const TRAILERS: &[u8] = &[0, 1, b'x', 1, b'1'];
+
+fn frame(kind: u8, flags: u8, stream: u8, payload: &[u8]) -> Vec<u8> {
+    let length = u8::try_from(payload.len()).expect("a short frame");
+    let mut frame = vec![0, 0, length, kind, flags, 0, 0, 0, stream];
+    frame.extend_from_slice(payload);
+    frame
+}
+
+fn head(flags: u8, block: &[u8]) -> Vec<u8> {
+    frame(HEADERS, END_HEADERS | flags, 1, block)
+}
+
+fn data(flags: u8, text: &str) -> Vec<u8> {
+    frame(DATA, flags, 1, text.as_bytes())
+}
+
+fn rst_stream(code: u8) -> Vec<u8> {
+    frame(RST_STREAM, NO_FLAGS, 1, &[0, 0, 0, code])
+}
+
+/// A GOAWAY frame; streams above `last` were not handled.
+fn goaway(last: u8, code: u8) -> Vec<u8> {
+    frame(GOAWAY, NO_FLAGS, 0, &[0, 0, 0, last, 0, 0, 0, code])
+}
+
+/// Reads frames until the headers of a request.
+async fn read_http2_request(mut stream: TcpStream) -> TcpStream {
+    let mut preface = [0; PREFACE_BYTES];
+    stream.read_exact(&mut preface).await.expect("a preface");
+    let settings = frame(SETTINGS, NO_FLAGS, 0, &[]);
+    stream.write_all(&settings).await.expect("sent");
+    loop {
+        let mut head = [0; 9];
+        stream.read_exact(&mut head).await.expect("a frame");
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]);
+        let mut payload = vec![0; length as usize];
+        stream.read_exact(&mut payload).await.expect("a payload");
+        if head[3] == HEADERS {
+            return stream;
+        }
+    }
+}
+
+/// Guards against an HTTP/2 answer that was reset and looks whole: the library ends the body
+/// of some without an error.
+#[parameterized(
+    whole = { &[head(0, STATUS_200), data(END_STREAM, "whole")], Then::StayOpen, FRAMED },
+    whole_then_closed = { &[head(0, STATUS_200), data(END_STREAM, "whole")], Then::Close, FRAMED },
+    whole_then_reset_without_error = { &[head(0, STATUS_200), data(END_STREAM, "whole"), rst_stream(NO_ERROR)], Then::StayOpen, FRAMED },
+    whole_with_empty_last_frame = { &[head(0, STATUS_200), data(0, "whole"), data(END_STREAM, "")], Then::StayOpen, FRAMED },
+    whole_with_length = { &[head(0, STATUS_200_LENGTH_5), data(END_STREAM, "whole")], Then::StayOpen, FRAMED },
+    whole_with_trailers = { &[head(0, STATUS_200), data(0, "whole"), head(END_STREAM, TRAILERS)], Then::StayOpen, FRAMED },
+    trailers_without_data = { &[head(0, STATUS_200), head(END_STREAM, TRAILERS)], Then::StayOpen, FRAMED },
+    empty = { &[head(END_STREAM, STATUS_200)], Then::StayOpen, FRAMED },
+    empty_then_reset_without_error = { &[head(END_STREAM, STATUS_200), rst_stream(NO_ERROR)], Then::StayOpen, FRAMED },
+    shorter_than_its_length = { &[head(0, STATUS_200_LENGTH_5), data(END_STREAM, "who")], Then::StayOpen, BROKEN },
+    cut_no_error = { &[head(0, STATUS_200), data(0, "who"), rst_stream(NO_ERROR)], Then::StayOpen, BROKEN },
+    cut_cancel = { &[head(0, STATUS_200), data(0, "who"), rst_stream(CANCEL)], Then::StayOpen, BROKEN },
+    cut_internal_error = { &[head(0, STATUS_200), data(0, "who"), rst_stream(INTERNAL_ERROR)], Then::StayOpen, BROKEN },
+    cut_before_no_error = { &[head(0, STATUS_200), rst_stream(NO_ERROR)], Then::StayOpen, BROKEN },
+    cut_before_cancel = { &[head(0, STATUS_200), rst_stream(CANCEL)], Then::StayOpen, BROKEN },
+    cut_with_length_no_error = { &[head(0, STATUS_200_LENGTH_5), data(0, "who"), rst_stream(NO_ERROR)], Then::StayOpen, BROKEN },
+    cut_by_goaway = { &[head(0, STATUS_200), data(0, "who"), goaway(0, NO_ERROR)], Then::Close, BROKEN },
+    cut_after_goaway = { &[head(0, STATUS_200), data(0, "who"), goaway(1, NO_ERROR)], Then::Close, BROKEN },
+    cut_by_goaway_with_error = { &[head(0, STATUS_200), data(0, "who"), goaway(1, INTERNAL_ERROR)], Then::Close, BROKEN },
+    whole_then_goaway = { &[head(0, STATUS_200), data(END_STREAM, "whole"), goaway(1, NO_ERROR)], Then::Close, FRAMED },
+    cut_by_close = { &[head(0, STATUS_200), data(0, "who")], Then::Close, BROKEN },
+    cut_by_reset_connection = { &[head(0, STATUS_200), data(0, "who")], Then::Reset, BROKEN },
+    cut_before_by_close = { &[head(0, STATUS_200)], Then::Close, BROKEN },
+    no_head = { &[rst_stream(NO_ERROR)], Then::StayOpen, BROKEN },
+)]
+fn an_http2_answer_is_whole_only_at_its_end_of_stream(
+    frames: &[Vec<u8>],
+    then: Then,
+    expected: Option<BodyEnd>,
+) {
+    let answer = frames.concat();
+    run_async(async move {
+        let address = listen(answer, then, read_http2_request).await;
+        let target = HttpTarget::new(address);
+        let req = Request::post(target.uri("/x")).body(HttpTarget::full_body("q"));
+        let sent = target.send(req.expect("a request")).await;
+        let received = match sent {
+            Ok((_, body)) => Ok(read_to_end(body).await),
+            Err(e) => Err(e),
+        };
+        let end = match &received {
+            Ok((_, end)) => end.as_ref().ok().copied(),
+            Err(_) => None,
+        };
+        assert_eq!(end, expected, "received: {received:?}");
+    });
+}
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod at_size;
 mod attempt_results;
 mod attempted_targets;
+mod body_ends;
 mod bystanders;
 mod caller_bodies;
 mod callers;
