Take a body with an unknown transfer coding as broken

What callers could see: an answer with "Transfer-Encoding: gzip, chunked", or any other coding, arrived as a complete 200 with the coded bytes, without the header that names the coding. With a coding that is not chunked, the end of the connection was its only end.

Cause: only the last coding was looked at, to find the framing; the header is removed because it applies to one connection, and nothing decodes the content. No request asks for another coding (RFC 9112, section 7.4).

Change: reading such a body fails before its first byte. A plain request then counts as one that may have run: it is retried where its route allows that, or answered with 502; a stream breaks off.

The fake target writes any bytes as an answer.

--- a/crates/deckwind-fakes/src/target_server/answers.rs
+++ b/crates/deckwind-fakes/src/target_server/answers.rs
@@ -127,7 +127,15 @@
         .run_request_ids
         .push(run);
     if req.line.ends_with(ENDS_ITS_TARGET) {
-        return crash_on_request(s, &request, is_stream, state, connection_epoch).await;
+        if is_stream {
+            begin_stream(s, &request, &fault, state).await?;
+        }
+        return crash_on_request(state, connection_epoch).await;
+    }
+    if let FakeTargetFault::Writes(answer) = &fault {
+        s.write_all(answer.text.replace("{id}", &request).as_bytes())
+            .await?;
+        return end_connection(s, answer.connection).await;
     }
     match is_stream {
         true => stream_events(s, &req, &request, &fault, state).await,
@@ -243,18 +251,26 @@
     state.record_arrival(request, fault);
 }
 
-/// Starts to run a request that crashes the target. For a stream it writes the head
-/// but no event, as the users' engines do.
-async fn crash_on_request(
+/// Begins a stream that the target does not finish. It writes the head but no event, as
+/// the users' engines do, unless the fault says otherwise.
+async fn begin_stream(
     s: &mut Stream,
     request: &str,
-    is_stream: bool,
+    fault: &FakeTargetFault,
+    state: &Mutex<State>,
+) -> Result<()> {
+    let FakeTargetFault::EndsStream(ending) = fault else {
+        return Ok(s.write_all(stream_head(request, state).as_bytes()).await?);
+    };
+    stream_to_ending(s, request, 1, *ending, state).await?;
+    Ok(())
+}
+
+/// Crashes the target shortly after it began to run a request.
+async fn crash_on_request(
     state: &Mutex<State>,
     connection_epoch: &watch::Sender<u32>,
 ) -> Result<bool> {
-    if is_stream {
-        s.write_all(stream_head(request, state).as_bytes()).await?;
-    }
     tokio::time::sleep(EVENT_GAP).await;
     state.lock().expect("no holder panics").crashes_by_request += 1;
     start_incarnation(state, connection_epoch);
@@ -395,7 +411,12 @@
     if ending.framing == StreamFraming::Chunked && ending.broken_after.is_none() {
         s.write_all(b"0\r\n\r\n").await?;
     }
-    if ending.connection == ConnectionEnd::Reset {
+    end_connection(s, ending.connection).await
+}
+
+/// Ends the connection after an answer; it is not kept open.
+async fn end_connection(s: &mut Stream, end: ConnectionEnd) -> Result<bool> {
+    if end == ConnectionEnd::Reset {
         // A reset that overtakes the bytes would drop them at the receiver.
         tokio::time::sleep(EVENT_GAP).await;
         s.get_ref().set_zero_linger()?;
--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -68,8 +68,11 @@
     RefusesOrders,
     /// Breaks a stream off in the middle of the event after this one.
     BreaksStreamAfter(u64),
-    /// Frames and ends streams in this way.
+    /// Frames and ends streams in this way. A request on which the target crashes gets the
+    /// stream up to its end, if that is broken off.
     EndsStream(StreamEnding),
+    /// Runs requests and answers them with these bytes.
+    Writes(RawAnswer),
     /// Stalls a stream after an event until the fault is cleared, and reports the
     /// stage that causes the stall.
     StallsAfter {
@@ -109,6 +112,15 @@
     pub connection: ConnectionEnd,
 }
 
+/// The bytes of an answer, and what becomes of its connection then.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RawAnswer {
+    /// Head and body. `{id}` stands for the ID of the request.
+    pub text: String,
+    /// What becomes of the connection.
+    pub connection: ConnectionEnd,
+}
+
 /// A request as it was received.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SeenRequest {
--- a/crates/deckwind-net/src/body.rs
+++ b/crates/deckwind-net/src/body.rs
@@ -13,6 +13,8 @@
 pub struct MessageBody {
     body: Incoming,
     framing: Framing,
+    /// Whether a transfer coding hides the content.
+    is_coded: bool,
 }
 
 /// Next part of a body.
@@ -34,7 +36,13 @@
     pub fn of_answer(res: Response<Incoming>) -> (response::Parts, Self) {
         let (head, body) = res.into_parts();
         let framing = framing_of(head.version, head.status, &head.headers);
-        (head, Self { body, framing })
+        let is_coded = has_unknown_coding(&head.headers);
+        let body = Self {
+            body,
+            framing,
+            is_coded,
+        };
+        (head, body)
     }
 
     /// Wraps the body of a request. Only a length, chunks or an HTTP/2 stream end it.
@@ -45,7 +53,11 @@
             (false, true) => Framing::Chunked,
             (false, false) => Framing::Length,
         };
-        Self { body, framing }
+        Self {
+            body,
+            framing,
+            is_coded: false,
+        }
     }
 
     /// Returns how the end of the body is marked.
@@ -61,8 +73,11 @@
     /// Returns the next part. No data is lost if the future is dropped before it is ready.
     ///
     /// # Errors
-    /// If the body broke off.
+    /// If the body broke off, or has a transfer coding that was not asked for.
     pub async fn next(&mut self) -> Result<BodyPart, BrokenBody> {
+        if self.is_coded {
+            return Err(BrokenBody("its transfer coding is unknown".to_string()));
+        }
         loop {
             let Some(frame) = self.body.frame().await else {
                 return self.end();
@@ -100,8 +115,8 @@
     if has_no_body {
         return Framing::Length;
     }
-    // A transfer coding overrides a length. Unless chunked is the last one, only the
-    // connection ends the body.
+    // A transfer coding overrides a length. The library reads any other than chunked up to
+    // the end of the connection.
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
     if let Some(codings) = codings.next_back() {
         let last = codings.to_str().unwrap_or_default().rsplit(',').next();
@@ -117,6 +132,17 @@
     }
 }
 
+/// Returns whether a body has a transfer coding other than a single chunked one. Requests to
+/// targets ask for no other (RFC 9112, section 7.4).
+fn has_unknown_coding(headers: &HeaderMap) -> bool {
+    let mut lines = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let Some(coding) = lines.next() else {
+        return false;
+    };
+    let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    !is_chunked || lines.next().is_some()
+}
+
 /// Describes an error with its causes, outermost first.
 fn describe_error(error: &dyn Error) -> String {
     let mut text = error.to_string();
--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -1,9 +1,11 @@
 //! Ends of bodies that targets send, over real sockets: what marks an end, and who takes an
 //! answer that was broken off for a whole one.
 
+use crate::rig::{API_KEY, Rig};
 use crate::{any_loopback_port, run_async};
 use bytes::Bytes;
 use deckwind_core::routes::BodyEnd;
+use deckwind_fakes::{ConnectionEnd, FakeTargetFault, RawAnswer};
 use deckwind_net::body::{BodyPart, BrokenBody, MessageBody};
 use deckwind_net::clock::Clock;
 use deckwind_net::targets::{ConnectionPool, HttpTarget};
@@ -161,6 +163,28 @@
     });
 }
 
+/// Guards against content that its transfer coding hides: it is passed on without the header
+/// that names the coding, so a caller would take the coded bytes for the content.
+#[parameterized(
+    then_chunked = { "Transfer-Encoding: gzip, chunked", "5\r\nwhole\r\n0\r\n\r\n" },
+    then_chunked_in_two_lines = { "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", "5\r\nwhole\r\n0\r\n\r\n" },
+    chunked_twice = { "Transfer-Encoding: chunked, chunked", "5\r\nwhole\r\n0\r\n\r\n" },
+    not_chunked_last = { "Transfer-Encoding: chunked, gzip", "whole" },
+    not_chunked = { "Transfer-Encoding: gzip", "whole" },
+    not_chunked_with_a_length = { "Content-Length: 5\r\nTransfer-Encoding: identity", "whole" },
+    empty = { "Transfer-Encoding:", "whole" },
+)]
+fn a_body_with_an_unknown_transfer_coding_is_broken(headers: &str, body: &str) {
+    let answer = format!("HTTP/1.1 200 OK\r\n{headers}\r\n\r\n{body}").into_bytes();
+    run_async(async move {
+        let address = listen(answer, Then::Close, read_http1_request).await;
+        let received = request_http1(address).await;
+        let (bytes, end) = received.expect("a head");
+        assert!(end.is_err(), "received {bytes:?}, {end:?}");
+        assert_eq!(bytes, "", "coded bytes must not be passed on");
+    });
+}
+
 /// Preface of an HTTP/2 connection.
 const PREFACE_BYTES: usize = 24;
 
@@ -280,3 +304,101 @@
         assert_eq!(end, expected, "received: {received:?}");
     });
 }
+
+/// Returns a fault: each request is answered with these bytes. `{own}` stands for the
+/// headers of a target's own answer.
+fn writes(text: &str, connection: ConnectionEnd) -> FakeTargetFault {
+    let own = "X-Deckwind-Request-Id: {id}\r\nX-Deckwind-Response-Seal: s\r\n";
+    let text = format!("HTTP/{}", text.replace("{own}", own));
+    FakeTargetFault::Writes(RawAnswer { text, connection })
+}
+
+/// An answer as its caller got it: the status, the body if it looks complete, and the number
+/// of targets that the request was sent to.
+type Received = (u16, Result<String, ()>, usize);
+
+/// Sends one request to two plain targets with this fault.
+async fn ask_targets_with(fault: FakeTargetFault, path: &str, is_stream: bool) -> Received {
+    let mut rig = Rig::start(2, 0).await;
+    rig.wait_until_in_force().await;
+    rig.wait_until_served(path, is_stream).await;
+    rig.plain.iter().for_each(|p| p.set_fault(fault.clone()));
+    let answer = rig.ask("r1", path, API_KEY, is_stream).await;
+    let sent = rig.send_count("r1");
+    rig.cluster.close().await.expect("closed");
+    (answer.status.as_u16(), answer.body.map_err(drop), sent)
+}
+
+/// Status of an answer that was broken off, and the number of targets.
+fn broken(sent: usize) -> (u16, Option<&'static str>, usize) {
+    (502, None, sent)
+}
+
+/// Guards against a plain answer that looks complete and is not the target's whole one, and
+/// against a whole one that is refused.
+#[parameterized(
+    without_length = { "1.1 200 OK\r\n{own}\r\nwhole", ConnectionEnd::Close, "/once/x", (200, Some("whole"), 1) },
+    without_length_reset = { "1.1 200 OK\r\n{own}\r\nwho", ConnectionEnd::Reset, "/once/x", broken(1) },
+    without_length_reset_repeatable = { "1.1 200 OK\r\n{own}\r\nwho", ConnectionEnd::Reset, "/safe/x", broken(2) },
+    reset_before_the_body = { "1.1 200 OK\r\n{own}\r\n", ConnectionEnd::Reset, "/once/x", broken(1) },
+    old_without_length = { "1.0 200 OK\r\n{own}\r\nwhole", ConnectionEnd::Close, "/once/x", (200, Some("whole"), 1) },
+    failure_without_length = { "1.1 500 Failed\r\n{own}\r\nwhole", ConnectionEnd::Close, "/once/x", (500, Some("whole"), 1) },
+    failure_without_length_reset = { "1.1 500 Failed\r\n{own}\r\nwho", ConnectionEnd::Reset, "/once/x", broken(1) },
+    refusal_without_length = { "1.1 404 Not Found\r\n{own}\r\nwhole", ConnectionEnd::Close, "/safe/x", (404, Some("whole"), 1) },
+    chunks_cut = { "1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", ConnectionEnd::Close, "/once/x", broken(1) },
+    head_cut = { "1.1 200 OK\r\n{own}Content-Len", ConnectionEnd::Close, "/once/x", broken(1) },
+    head_cut_repeatable = { "1.1 200 OK\r\n{own}Content-Len", ConnectionEnd::Close, "/safe/x", broken(2) },
+    not_modified = { "1.1 304 Not Modified\r\n{own}Content-Length: 5\r\n\r\n", ConnectionEnd::Close, "/once/x", (304, Some(""), 1) },
+    trailers = { "1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-T: 1\r\n\r\n", ConnectionEnd::Close, "/once/x", (200, Some("whole"), 1) },
+    coded = { "1.1 200 OK\r\n{own}Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", ConnectionEnd::Close, "/once/x", broken(1) },
+    content_coded = { "1.1 200 OK\r\n{own}Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole", ConnectionEnd::Close, "/once/x", broken(1) },
+)]
+fn a_plain_answer_looks_complete_only_if_it_is(
+    answer: &str,
+    connection: ConnectionEnd,
+    path: &str,
+    expected: (u16, Option<&str>, usize),
+) {
+    let fault = writes(answer, connection);
+    let path = path.to_string();
+    let (status, body, sent) = expected;
+    let expected = (status, body.map(str::to_string), sent);
+    run_async(async move {
+        let (status, body, sent) = ask_targets_with(fault, &path, false).await;
+        // The body of a router's own failure is not compared.
+        let body = body.ok().filter(|_| expected.1.is_some());
+        assert_eq!((status, body, sent), expected);
+    });
+}
+
+/// Guards against the same for answers on routes of streams: some are no streams.
+#[parameterized(
+    failure_without_length = { "1.1 500 Failed\r\n{own}\r\nwhole", ConnectionEnd::Close, (500, Some("whole"), 1) },
+    failure_without_length_reset = { "1.1 500 Failed\r\n{own}\r\nwho", ConnectionEnd::Reset, broken(1) },
+    failure_cut = { "1.1 500 Failed\r\n{own}Content-Length: 5\r\n\r\nwho", ConnectionEnd::Close, broken(1) },
+    head_cut = { "1.1 200 OK\r\n{own}Content-Ty", ConnectionEnd::Close, broken(1) },
+    content_coded = { "1.1 200 OK\r\n{own}Content-Encoding: gzip\r\n\r\ndata: 1\n\n", ConnectionEnd::Close, broken(1) },
+    coded = { "1.1 200 OK\r\n{own}Transfer-Encoding: gzip, chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n", ConnectionEnd::Close, (200, None, 1) },
+    trailers = { "1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\nX-T: 1\r\n\r\n", ConnectionEnd::Close, (200, Some("data: 1\n\n"), 1) },
+    length = { "1.1 200 OK\r\n{own}Content-Length: 9\r\n\r\ndata: 1\n\n", ConnectionEnd::Close, (200, Some("data: 1\n\n"), 1) },
+    length_above_the_chunks = { "1.1 200 OK\r\n{own}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n", ConnectionEnd::Close, (200, Some("data: 1\n\n"), 1) },
+    no_content = { "1.1 204 No Content\r\n{own}\r\n", ConnectionEnd::Close, (204, Some(""), 1) },
+    no_event = { "1.1 200 OK\r\n{own}Content-Length: 0\r\n\r\n", ConnectionEnd::Close, (200, Some(""), 1) },
+)]
+fn an_answer_on_a_stream_route_looks_complete_only_if_it_is(
+    answer: &str,
+    connection: ConnectionEnd,
+    expected: (u16, Option<&str>, usize),
+) {
+    let fault = writes(answer, connection);
+    let (status, body, sent) = expected;
+    let expected = (status, body.map(str::to_string), sent);
+    run_async(async move {
+        let (status, body, sent) = ask_targets_with(fault, "/tell/x", true).await;
+        if status == 200 {
+            assert_eq!(body.is_ok(), expected.1.is_some(), "{body:?}");
+        }
+        let body = body.ok().filter(|_| expected.1.is_some());
+        assert_eq!((status, body, sent), expected);
+    });
+}
