Drop a length that chunks override from a target's answer

What callers could see: an answer with both a Content-Length and chunks was read by its chunks and passed on with that length. A length below the true one made the answer look complete after its first bytes, and the rest stood on the connection where the next answer is due; one above it made the caller wait. A debug build panics in the caller's connection.

Cause: the HTTP library trusts a length that is set beside a body of known size. An intermediary has to remove it (RFC 9112, section 6.3).

Evidence: length_below_the_chunks and length_above_the_chunks failed before ("payload claims content-length of 5, custom content-length header claims 3") and pass now. On the stream route the length was removed already. 134 tests of body_ends, answer_ends and routes pass.

--- a/crates/deckwind-net/src/body.rs
+++ b/crates/deckwind-net/src/body.rs
@@ -32,9 +32,13 @@
 pub struct BrokenBody(pub String);
 
 impl MessageBody {
-    /// Separates the head of an answer from its body.
+    /// Separates the head of an answer from its body. A length that a transfer coding
+    /// overrides is removed, because it must not be passed on (RFC 9112, section 6.3).
     pub fn of_answer(res: Response<Incoming>) -> (response::Parts, Self) {
-        let (head, body) = res.into_parts();
+        let (mut head, body) = res.into_parts();
+        if head.headers.contains_key(header::TRANSFER_ENCODING) {
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
         let framing = framing_of(head.version, head.status, &head.headers);
         let is_coded = has_unknown_coding(&head.headers);
         let body = Self {
--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -348,6 +348,8 @@
     chunks_cut = { "1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", ConnectionEnd::Close, "/once/x", broken(1) },
     head_cut = { "1.1 200 OK\r\n{own}Content-Len", ConnectionEnd::Close, "/once/x", broken(1) },
     head_cut_repeatable = { "1.1 200 OK\r\n{own}Content-Len", ConnectionEnd::Close, "/safe/x", broken(2) },
+    length_below_the_chunks = { "1.1 200 OK\r\n{own}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", ConnectionEnd::Close, "/once/x", (200, Some("whole"), 1) },
+    length_above_the_chunks = { "1.1 200 OK\r\n{own}Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", ConnectionEnd::Close, "/once/x", (200, Some("whole"), 1) },
     not_modified = { "1.1 304 Not Modified\r\n{own}Content-Length: 5\r\n\r\n", ConnectionEnd::Close, "/once/x", (304, Some(""), 1) },
     trailers = { "1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-T: 1\r\n\r\n", ConnectionEnd::Close, "/once/x", (200, Some("whole"), 1) },
     coded = { "1.1 200 OK\r\n{own}Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", ConnectionEnd::Close, "/once/x", broken(1) },
