Test cut documents, and targets that crash under unframed streams

A document over HTTP/2 that is cut, reset or closed after its last byte is an error, an order among them; no part of a report or of a refusal can be read. A content whose targets crash before the first event, or inside the first or second one, of a stream that ends with its connection is quarantined after three crashes, on routes that can be resumed and on others.

--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -4,17 +4,26 @@
 use crate::rig::{API_KEY, Rig};
 use crate::{any_loopback_port, run_async};
 use bytes::Bytes;
+use deckwind_config::load;
 use deckwind_core::routes::BodyEnd;
-use deckwind_fakes::{ConnectionEnd, FakeTargetFault, RawAnswer};
+use deckwind_fakes::{
+    ConnectionEnd, ENDS_ITS_TARGET, FakeTargetFault, FakeTargetServer, RawAnswer, StreamEnding,
+    StreamFraming,
+};
 use deckwind_net::body::{BodyPart, BrokenBody, MessageBody};
 use deckwind_net::clock::Clock;
-use deckwind_net::targets::{ConnectionPool, HttpTarget};
-use http::Request;
+use deckwind_net::edge::Dialects;
+use deckwind_net::targets::{ConnectionPool, HttpTarget, TargetError, TcpConnector};
+use deckwind_testkit::{Layout, eventually_async};
+use deckwindd::context::Context;
+use http::{Request, StatusCode};
 use http_body_util::Full;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use yare::parameterized;
 
 /// Time that a receiver gets to read what was sent before the connection is reset.
@@ -404,3 +413,139 @@
         assert_eq!((status, body, sent), expected);
     });
 }
+
+/// Events of a stream on which its target crashes: positions in the first event and the second.
+const BEFORE_FIRST_EVENT: usize = 0;
+const INSIDE_FIRST_EVENT: usize = 5;
+const INSIDE_SECOND_EVENT: usize = 30;
+
+/// Number of targets that one content may crash.
+const MAX_CRASHES: u32 = 3;
+
+/// Number of requests with one content.
+const REQUESTS: usize = 8;
+
+/// Pause of a caller, in which the routers learn of a crash.
+const PAUSE: Duration = Duration::from_millis(400);
+
+async fn wait_until_both_serve(rig: &Rig, path: &str) {
+    for router in 0..2 {
+        eventually_async("the router serves", || async {
+            let answer = rig.ask_router(router, "warm-up", path, API_KEY, true, None);
+            let answer = answer.await;
+            (answer.status == 200 && answer.body.is_ok()).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Guards against a content that crashes each of its targets and is not found out: a target
+/// that crashed closes a stream without a length or chunks like one that has served it.
+#[parameterized(
+    before_the_first_event = { "/tell/", 6, 0, BEFORE_FIRST_EVENT },
+    inside_the_first_event = { "/tell/", 6, 0, INSIDE_FIRST_EVENT },
+    inside_the_second_event = { "/tell/", 6, 0, INSIDE_SECOND_EVENT },
+    before_the_first_event_resumable = { "/stream/", 0, 8, BEFORE_FIRST_EVENT },
+    inside_the_second_event_resumable = { "/stream/", 0, 8, INSIDE_SECOND_EVENT },
+)]
+fn a_content_is_quarantined_whose_targets_close_unframed_streams(
+    route: &str,
+    plain: usize,
+    engines: usize,
+    broken_after: usize,
+) {
+    let (path, other) = (format!("{route}1{ENDS_ITS_TARGET}"), format!("{route}x"));
+    let fault = FakeTargetFault::EndsStream(StreamEnding {
+        framing: StreamFraming::Connection,
+        broken_after: Some(broken_after),
+        connection: ConnectionEnd::Close,
+    });
+    run_async(async move {
+        let mut layout = Layout::new(1, 2).expect("a layout");
+        layout.retry_budget = (4.0, 200);
+        let mut rig = Rig::start_with(layout, plain, engines).await;
+        rig.wait_until_in_force().await;
+        let mut last_status = 0;
+        for i in 0..REQUESTS {
+            tokio::time::sleep(PAUSE).await;
+            wait_until_both_serve(&rig, &other).await;
+            rig.targets().for_each(|t| t.set_fault(fault.clone()));
+            let id = format!("r{i}");
+            let answer = rig.ask_router(i % 2, &id, &path, API_KEY, true, None);
+            let answer = answer.await;
+            rig.targets()
+                .for_each(|t| t.set_fault(FakeTargetFault::None));
+            last_status = answer.status.as_u16();
+            assert!(
+                last_status != 200 || answer.body.is_err(),
+                "{:?}",
+                answer.body
+            );
+        }
+        let crashes = rig.targets().map(FakeTargetServer::crashes_by_request);
+        assert_eq!((crashes.sum::<u32>(), last_status), (MAX_CRASHES, 503));
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// Guards against half a document that is taken for a whole one, and against an order that
+/// counts as done although its answer was cut.
+#[parameterized(
+    whole = { &[head(0, STATUS_200), data(END_STREAM, "[1,2]")], true },
+    half = { &[head(0, STATUS_200), data(END_STREAM, "[1,")], false },
+    empty = { &[head(END_STREAM, STATUS_200)], false },
+    reset_inside = { &[head(0, STATUS_200), data(0, "[1,"), rst_stream(NO_ERROR)], false },
+    reset_after_the_document = { &[head(0, STATUS_200), data(0, "[1,2]"), rst_stream(NO_ERROR)], false },
+    closed_after_the_document = { &[head(0, STATUS_200), data(0, "[1,2]"), goaway(1, NO_ERROR)], false },
+)]
+fn a_document_is_read_whole_or_not_at_all(frames: &[Vec<u8>], is_whole: bool) {
+    let answer = frames.concat();
+    let then = match is_whole {
+        true => Then::StayOpen,
+        false => Then::Close,
+    };
+    run_async(async move {
+        let address = listen(answer, then, read_http2_request).await;
+        let target = HttpTarget::new(address);
+        let read: Result<Vec<u32>, TargetError> = target.post_json("/v1/x", &()).await;
+        match is_whole {
+            true => assert_eq!(read, Ok(vec![1, 2])),
+            false => assert!(matches!(read, Err(TargetError::Broken(_))), "{read:?}"),
+        }
+    });
+}
+
+/// Returns the wire formats of the platform.
+fn dialects() -> Dialects {
+    let layout = Layout::new(1, 1).expect("a layout");
+    let file = layout
+        .control_settings(0)
+        .expect("the settings are written");
+    let settings = load(&file).expect("the settings are valid");
+    let clock = Clock::start();
+    Context::new(settings, Handle::current(), clock, Arc::new(TcpConnector)).dialects
+}
+
+/// A report of an engine.
+const REPORT: &str = r#"{"busy":false,"seq":3,"stalled":[{"id":"r","address":"127.0.0.1:9"}],"layers":{"from":0,"targetVersion":4},"born":7,"pace":1.5}"#;
+
+/// An answer to a refused change of path.
+const REFUSAL: &str = r#"{"address":"127.0.0.1:9"}"#;
+
+/// Guards against a report or a refusal that was cut and is read as far as it goes.
+#[test]
+fn a_part_of_a_report_or_refusal_says_nothing() {
+    run_async(async {
+        let engines = dialects().engines;
+        assert!(engines.read_report(REPORT.as_bytes()).is_ok());
+        for at in 0..REPORT.len() {
+            let read = engines.read_report(&REPORT.as_bytes()[..at]);
+            assert!(read.is_err(), "cut at {at}: {read:?}");
+        }
+        let refusing = |text: &str| engines.refusing_engine(StatusCode::CONFLICT, text.as_bytes());
+        assert!(refusing(REFUSAL).is_some());
+        for at in 0..REFUSAL.len() {
+            assert_eq!(refusing(&REFUSAL[..at]), None, "cut at {at}");
+        }
+    });
+}
