Refuse a part of the weights that is not the one asked for

What callers could see: a store that sends fewer bytes than asked for, none, more, or another range looked like one that sent the part; the reader had no way to tell.

Cause: only the total size was read from the answer's Content-Range; the end of the body was believed to be the end of the part.

Change: the range has to begin where it was asked to, and the body has to be as long as was asked for or reach the end of the weights.

Evidence: five cases of a_part_of_the_weights_is_whole failed before ("Ok(WeightChunk { bytes: [], total: 100 })") and pass now, with the contract tests.

--- a/crates/deckwind-net/src/targets/http_weights.rs
+++ b/crates/deckwind-net/src/targets/http_weights.rs
@@ -37,20 +37,43 @@
         if !head.status.is_success() {
             return Err(TargetError::Refused(head.status.to_string()));
         }
-        let total = total_size(&head.headers).ok_or_else(|| {
+        let range = ContentRange::of(&head.headers).ok_or_else(|| {
             TargetError::Broken("the answer has no valid Content-Range".to_string())
         })?;
         let bytes = read_answer(body).await?;
+        let expected = len.min(range.total.saturating_sub(offset));
+        if range.first != offset || bytes.len() as u64 != expected {
+            return Err(TargetError::Broken(format!(
+                "{} bytes from {} on instead of {expected} from {offset} on",
+                bytes.len(),
+                range.first
+            )));
+        }
         Ok(WeightChunk {
             bytes: bytes.to_vec(),
-            total,
+            total: range.total,
         })
     }
 }
 
-fn total_size(headers: &http::HeaderMap) -> Option<u64> {
-    let range = headers.get(header::CONTENT_RANGE)?.to_str().ok()?;
-    range.rsplit('/').next()?.parse().ok()
+/// The header `Content-Range` (RFC 9110, section 14.4), without the last position.
+struct ContentRange {
+    /// Position of the first byte.
+    first: u64,
+    /// Size of the complete weights, bytes.
+    total: u64,
+}
+
+impl ContentRange {
+    fn of(headers: &http::HeaderMap) -> Option<Self> {
+        let value = headers.get(header::CONTENT_RANGE)?.to_str().ok()?;
+        let (range, total) = value.strip_prefix("bytes ")?.split_once('/')?;
+        let (first, _) = range.split_once('-')?;
+        Some(Self {
+            first: first.parse().ok()?,
+            total: total.parse().ok()?,
+        })
+    }
 }
 
 impl WeightStore for HttpWeightStore {
--- a/crates/deckwind-net/src/targets/traits.rs
+++ b/crates/deckwind-net/src/targets/traits.rs
@@ -171,7 +171,7 @@
 /// Part of a model's weights.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WeightChunk {
-    /// Bytes from the requested offset on.
+    /// Bytes from the requested offset on: as many as requested, or up to the end.
     pub bytes: Vec<u8>,
     /// Size of the complete weights, bytes.
     pub total: u64,
--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -13,7 +13,9 @@
 use deckwind_net::body::{BodyPart, BrokenBody, MessageBody};
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::Dialects;
-use deckwind_net::targets::{ConnectionPool, HttpTarget, TargetError, TcpConnector};
+use deckwind_net::targets::{
+    ConnectionPool, HttpTarget, HttpWeightStore, TargetError, TcpConnector, WeightStore,
+};
 use deckwind_testkit::{Layout, eventually_async};
 use deckwindd::context::Context;
 use http::{Request, StatusCode};
@@ -488,6 +490,47 @@
     });
 }
 
+/// Header block of an answer with the bytes 0 to 9 of 100 (RFC 7541, appendix A).
+fn partial_content_head(range: &str) -> Vec<u8> {
+    const STATUS_206: u8 = 0x8a;
+    const CONTENT_RANGE: [u8; 2] = [0x0f, 0x0f];
+    let length = u8::try_from(range.len()).expect("a short range");
+    [
+        &[STATUS_206],
+        &CONTENT_RANGE[..],
+        &[length],
+        range.as_bytes(),
+    ]
+    .concat()
+}
+
+/// Guards against weights with a gap: a part that is shorter than what was asked for, or is
+/// another one, looked like the part itself.
+#[parameterized(
+    whole = { "bytes 0-9/100", "0123456789", Some(10) },
+    short = { "bytes 0-9/100", "01234", None },
+    shorter_by_its_head_too = { "bytes 0-4/100", "01234", None },
+    empty = { "bytes 0-9/100", "", None },
+    longer = { "bytes 0-9/100", "0123456789a", None },
+    another_part = { "bytes 10-19/100", "0123456789", None },
+    without_a_total = { "bytes 0-9/*", "0123456789", None },
+    the_last_part = { "bytes 0-4/5", "01234", Some(5) },
+)]
+fn a_part_of_the_weights_is_whole(range: &str, body: &str, expected: Option<usize>) {
+    let answer = [
+        head(0, &partial_content_head(range)),
+        data(END_STREAM, body),
+    ];
+    let answer = answer.concat();
+    run_async(async move {
+        let address = listen(answer, Then::StayOpen, read_http2_request).await;
+        let store = HttpWeightStore::new(address);
+        let read = store.read("m".to_string(), "1".to_string(), 0, 10).await;
+        let length = read.as_ref().ok().map(|chunk| chunk.bytes.len());
+        assert_eq!(length, expected, "{read:?}");
+    });
+}
+
 /// Guards against half a document that is taken for a whole one, and against an order that
 /// counts as done although its answer was cut.
 #[parameterized(
