--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use deckwind_config::load;
 use deckwind_core::routes::BodyEnd;
+use deckwind_core::state::Incarnation;
 use deckwind_fakes::{
     ConnectionEnd, ENDS_ITS_TARGET, FakeTargetFault, FakeTargetServer, RawAnswer, StreamEnding,
     StreamFraming,
@@ -18,6 +19,7 @@
 };
 use deckwind_testkit::{Layout, eventually_async};
 use deckwindd::context::Context;
+use deckwindd::control::{ControlHandle, Input, target_check};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use std::net::SocketAddr;
@@ -592,3 +594,64 @@
         }
     });
 }
+
+/// What a target does with the requests for its report: the answer to the first ones, and to
+/// later ones; `None` if it is gone then.
+struct Reports {
+    first: &'static str,
+    then: Option<&'static str>,
+}
+
+/// Number of requests that a check sends in parallel.
+const PARALLEL_CHECKS: usize = 2;
+
+async fn serve_reports(listener: TcpListener, reports: Reports) {
+    for i in 0.. {
+        let text = match (i < PARALLEL_CHECKS, reports.then) {
+            (true, _) => reports.first,
+            (false, Some(text)) => text,
+            (false, None) => return,
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
+        let mut stream = read_http1_request(stream).await;
+        let answer = format!("HTTP/1.1 200 OK\r\n\r\n{text}");
+        stream.write_all(answer.as_bytes()).await.expect("sent");
+        end_connection(stream, Then::Close).await;
+    }
+}
+
+/// Guards against a target that crashes while it sends its report and counts as running: its
+/// connection ends like that of one which is done.
+#[parameterized(
+    crashes_in_its_report = { Reports { first: "{\"busy\":fal", then: None }, false },
+    crashes_before_its_report = { Reports { first: "", then: None }, false },
+    reports = { Reports { first: REPORT, then: None }, true },
+    reports_another_start = { Reports { first: "{\"busy\":false,\"seq\":3,\"born\":8}", then: None }, false },
+    reports_something_else = { Reports { first: "ready", then: Some("ready") }, true },
+    reports_after_a_cut_one = { Reports { first: "{\"busy\":fal", then: Some(REPORT) }, true },
+    started_again_after_a_cut_one = { Reports { first: "{\"busy\":fal", then: Some("{\"busy\":false,\"seq\":0,\"born\":8}") }, false },
+)]
+fn a_target_that_crashes_in_its_report_does_not_run(reports: Reports, is_running: bool) {
+    run_async(async move {
+        let listener = TcpListener::bind(any_loopback_port()).await;
+        let listener = listener.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let serving = tokio::spawn(serve_reports(listener, reports));
+        let incarnation = Incarnation {
+            id: "e-0".into(),
+            born: Some(7),
+        };
+        let (handle, inbox) = ControlHandle::new();
+        let engines = dialects().engines;
+        target_check::check(incarnation, address, engines, handle, Clock::start()).await;
+        serving.abort();
+        let inputs = inbox.gather(Duration::ZERO).expect("the inbox is open");
+        let checked = inputs.iter().find_map(|input| match input {
+            Input::Checked(_, is_running) => Some(*is_running),
+            _ => None,
+        });
+        assert_eq!(checked, Some(is_running));
+    });
+}
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -21,7 +21,7 @@
 mod refusals;
 mod retry_metrics;
 mod supervisor;
-mod target_check;
+pub mod target_check;
 mod work_times;
 
 pub use handle::{ControlHandle, Inbox, Input};
