--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod cut_off_routers;
 mod decisions;
 mod engine_load;
+mod event_splitter;
 mod examples;
 mod fan_out;
 mod full_disk;
