--- a/crates/deckwind-net/src/targets/http_client.rs
+++ b/crates/deckwind-net/src/targets/http_client.rs
@@ -138,13 +138,13 @@
     }
 }
 
-/// Maximum size of an answer, bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Maximum size of an answer, bytes: none, since an exported cache may be of any size.
+const MAX_ANSWER_BYTES: usize = usize::MAX;
 
 /// Reads an answer to its end.
 ///
 /// # Errors
-/// [`TargetError::Broken`] if it breaks off or is too long.
+/// [`TargetError::Broken`] if it breaks off.
 pub(super) async fn read_answer(body: MessageBody) -> Result<Bytes, TargetError> {
     let collected = collect(body, MAX_ANSWER_BYTES, &mut NoReservation).await;
     let collected = collected.map_err(|e| TargetError::Broken(e.to_string()))?;
