Reset a tunnel's stream where its end was not the target's

What callers could see: an answer without a length or chunks, through another router, framed as complete where the task that carried its tunnel was dropped. Not seen by a user. A planned stop closes the connections between routers first, and a kill sends nothing, so that only a panic or an abort of that task leads here today.

Cause: quinn finishes a SendStream that is dropped, and a finished stream is what the opener takes for a connection that the target closed. Only two of the paths through carry reset it.

Change: both sides hold the sending half in a guard, SendHalf, which resets the stream when it is dropped unless it was finished on purpose.

Evidence: the cases carrying_is_dropped of a_tunnel_ends_properly_only_if_the_target_closes (Ok(0)) and an_answer_that_ends_with_its_tunnel_ends_properly_only_if_the_target_closes (Ok(Closed)) failed on the code before and pass now. The other tests of the module passed before, and state what holds: half-close, stray bytes and ended connections in the pool, connections that the kernel gave up. A case "ended after its answer" of the pool's test failed once while it was written: the end of a connection and the next request may cross, on any connection; the idle test waits for the notice instead.

--- a/crates/deckwind-net/src/tunnel.rs
+++ b/crates/deckwind-net/src/tunnel.rs
@@ -11,8 +11,10 @@
 //! Each tunnel is one bidirectional QUIC stream. A frame is its length (two bytes, big
 //! endian) and its content, which this module does not interpret. A finished stream is a
 //! closed connection, and a reset stream is a broken one, so that an answer that ends with
-//! its connection isn't taken for complete when it was cut. A connection between two
-//! processes is closed when its last tunnel is.
+//! its connection isn't taken for complete when it was cut. A stream is finished only where
+//! the target or the opener closed its side, and reset in all other cases, also where the
+//! task that carries the tunnel is dropped. A connection between two processes is closed
+//! when its last tunnel is.
 
 use crate::targets::BoxedStream;
 use anyhow::{Context as _, Result, bail};
@@ -61,13 +63,13 @@
     /// If the relay can't be reached or sends no answer. Sets no time limit.
     pub async fn open(&self, via: SocketAddr, request: &[u8]) -> Result<(Vec<u8>, TunnelStream)> {
         let connection = self.connection(via).await?;
-        let (mut tx, mut rx) = connection.open_bi().await?;
-        write_frame(&mut tx, request).await?;
+        let (tx, mut rx) = connection.open_bi().await?;
+        let mut tx = SendHalf::new(tx);
+        write_frame(&mut tx.inner, request).await?;
         let answer = read_frame(&mut rx).await?;
         let stream = TunnelStream {
             tx,
             rx,
-            is_finished: false,
             _connection: connection,
         };
         Ok((answer, stream))
@@ -119,11 +121,48 @@
     Ok(content)
 }
 
+/// Sending half of a stream, which is reset when it is dropped unless it was finished.
+/// quinn finishes a stream that is dropped, as if its end had been reached.
+struct SendHalf {
+    inner: SendStream,
+    is_finished: bool,
+}
+
+impl SendHalf {
+    fn new(inner: SendStream) -> Self {
+        Self {
+            inner,
+            is_finished: false,
+        }
+    }
+
+    /// Ends the stream properly. Does nothing if it has ended already.
+    fn finish(&mut self) {
+        self.is_finished = true;
+        // Fails only if the stream has ended already.
+        let _ = self.inner.finish();
+    }
+
+    /// Finishes the stream, and waits until the peer has all bytes or has left.
+    async fn finish_and_wait(mut self) {
+        self.finish();
+        let _ = self.inner.stopped().await;
+    }
+}
+
+impl Drop for SendHalf {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            // Fails only if the stream has ended already.
+            let _ = self.inner.reset(BROKEN);
+        }
+    }
+}
+
 /// The opener's end of a tunnel. Dropping it breaks the tunnel.
 pub struct TunnelStream {
-    tx: SendStream,
+    tx: SendHalf,
     rx: RecvStream,
-    is_finished: bool,
     /// Keeps the connection open.
     _connection: Arc<Connection>,
 }
@@ -144,25 +183,16 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        AsyncWrite::poll_write(Pin::new(&mut self.tx), cx, buf)
+        AsyncWrite::poll_write(Pin::new(&mut self.tx.inner), cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        AsyncWrite::poll_flush(Pin::new(&mut self.tx), cx)
+        AsyncWrite::poll_flush(Pin::new(&mut self.tx.inner), cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.is_finished = true;
-        AsyncWrite::poll_shutdown(Pin::new(&mut self.tx), cx)
-    }
-}
-
-impl Drop for TunnelStream {
-    fn drop(&mut self) {
-        // Fails only if the stream has ended already.
-        if !self.is_finished {
-            let _ = self.tx.reset(BROKEN);
-        }
+    fn poll_shutdown(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.tx.finish();
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -172,7 +202,7 @@
     pub from: IpAddr,
     /// Content of the request.
     pub request: Vec<u8>,
-    tx: SendStream,
+    tx: SendHalf,
     rx: RecvStream,
 }
 
@@ -188,19 +218,20 @@
 impl IncomingTunnel {
     /// Answers without opening the tunnel.
     pub async fn refuse(mut self, answer: &[u8]) {
-        if write_frame(&mut self.tx, answer).await.is_ok() {
-            let _ = self.tx.finish();
-            // The opener may have left; then nobody reads the answer.
-            let _ = self.tx.stopped().await;
+        // The opener may have left; then nobody reads the answer.
+        if write_frame(&mut self.tx.inner, answer).await.is_ok() {
+            self.tx.finish_and_wait().await;
         }
     }
 
     /// Answers, and passes bytes on between the opener and `target` until one of them
     /// closes or breaks its side. The opener's end closes the target's connection at once.
+    /// The opener sees a proper end only if the target closed its connection: any other
+    /// end, and dropping the future, breaks the tunnel.
     pub async fn carry(self, answer: &[u8], target: BoxedStream) -> CarriedBytes {
         let Self { mut tx, mut rx, .. } = self;
         let mut carried = CarriedBytes::default();
-        if write_frame(&mut tx, answer).await.is_err() {
+        if write_frame(&mut tx.inner, answer).await.is_err() {
             return carried;
         }
         let CarriedBytes {
@@ -221,9 +252,9 @@
             let mut buf = vec![0; COPY_BUFFER_BYTES];
             loop {
                 match from_target.read(&mut buf).await {
-                    Ok(0) => return tx.finish().is_ok(),
+                    Ok(0) => return true,
                     Ok(n) => {
-                        if tx.write_all(&buf[..n]).await.is_err() {
+                        if tx.inner.write_all(&buf[..n]).await.is_err() {
                             return false;
                         }
                         *down_bytes += n as u64;
@@ -232,15 +263,12 @@
                 }
             }
         };
-        let is_complete = tokio::select! {
-            is_complete = down => is_complete,
+        let is_closed_by_target = tokio::select! {
+            is_closed_by_target = down => is_closed_by_target,
             _ = up => false,
         };
-        match is_complete {
-            // Waits until the opener has the last bytes.
-            true => drop(tx.stopped().await),
-            // Fails only if the opener has left.
-            false => drop(tx.reset(BROKEN)),
+        if is_closed_by_target {
+            tx.finish_and_wait().await;
         }
         carried
     }
@@ -274,7 +302,7 @@
                 Ok(request) => handle(IncomingTunnel {
                     from,
                     request,
-                    tx,
+                    tx: SendHalf::new(tx),
                     rx,
                 }),
                 Err(e) => log::debug!("event=bad_tunnel_request from={from} error={e:?}"),
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -73,6 +73,7 @@
 mod target_limits;
 mod target_periods;
 mod template;
+mod tunnel_ends;
 
 use std::net::SocketAddr;
 
