Reset the connection of an HTTP/1.0 caller whose stream breaks off

What callers saw: a caller without chunks (HTTP/1.0) got a stream that had been broken off and ended like a whole one, with a closed connection.

Cause: to such a caller only the end of the connection marks the end of the answer (RFC 9112, section 6.3). The router dropped the socket when the answer's body failed, and the kernel then closes it in the ordinary way. The same held for a stream whose time was over, a caller disconnected because it lags, and a caller that closed its sending side.

Change: CallerStream wraps the connection. Before the first byte of an answer that ends with its connection is written, the socket is set to be reset when it is closed; only the orderly shutdown, which hyper calls after the whole answer was flushed, undoes that. So a reset is the default, also after a panic and when the process is killed.

Ruled out: HTTP/1.1 callers, with Connection: close too (chunked, no last chunk after a break), and whole answers, whose length is sent.

--- a/crates/deckwind-net/src/lib.rs
+++ b/crates/deckwind-net/src/lib.rs
@@ -5,6 +5,7 @@
 //! in `deckwind-core`.
 
 pub mod body;
+pub mod caller_stream;
 pub mod clock;
 pub mod edge;
 pub mod keys;
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
@@ -0,0 +1,278 @@
+//! How answers end for callers whose HTTP version has no chunks: only the end of the
+//! connection marks the end of a stream, so an answer that breaks off resets it.
+
+use crate::rig::{API_KEY, Rig};
+use crate::run_async;
+use deckwind_fakes::{
+    ConnectionEnd, FakeTargetFault, HOST, StreamEnding, StreamFraming, whole_stream,
+};
+use deckwind_testkit::{Layout, eventually_async};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use yare::parameterized;
+
+/// Timeout for the end of an answer.
+const END_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Receive buffer in bytes of a caller that reads nothing.
+const SMALL_BUFFER: u32 = 8_192;
+
+/// Path of streams that can't be resumed.
+const STREAM: &str = "/tell/x";
+
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Closed {
+    /// All bytes were received, and the sender closed the connection.
+    Properly,
+    ByReset,
+}
+
+/// What a caller received until its connection ended.
+#[derive(Debug)]
+struct RawAnswer {
+    head: String,
+    body: Vec<u8>,
+    closed: Closed,
+}
+
+impl RawAnswer {
+    fn events(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Sends a request without a body. `version` is that of HTTP, and `headers` are further
+/// header lines.
+async fn connect(
+    router: SocketAddr,
+    version: &str,
+    path: &str,
+    deadline: Duration,
+    headers: &str,
+) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(SMALL_BUFFER)
+        .expect("a small buffer");
+    let mut stream = socket.connect(router).await.expect("a connection");
+    let tokens = match path {
+        STREAM => "X-Deckwind-Token-Count: 50,24\r\n",
+        _ => "",
+    };
+    let head = format!(
+        "POST {path} {version}\r\nHost: {HOST}\r\nAuthorization: Bearer {API_KEY}\r\n\
+         X-Deckwind-Request-Id: r1\r\nX-Deckwind-Deadline-Ms: {}\r\n\
+         {tokens}Content-Length: 0\r\n{headers}\r\n",
+        deadline.as_millis()
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream
+}
+
+/// Reads until the connection ends.
+async fn read_to_end(mut stream: TcpStream) -> RawAnswer {
+    let mut bytes = Vec::new();
+    let reading = stream.read_to_end(&mut bytes);
+    let ended = tokio::time::timeout(END_TIMEOUT, reading).await;
+    let closed = match ended.expect("the connection ends") {
+        Ok(_) => Closed::Properly,
+        Err(e) if e.kind() == ErrorKind::ConnectionReset => Closed::ByReset,
+        Err(e) => panic!("{e}"),
+    };
+    let end = bytes.windows(4).position(|w| w == b"\r\n\r\n");
+    let end = end.unwrap_or_else(|| panic!("a head: {:?}", String::from_utf8_lossy(&bytes)));
+    RawAnswer {
+        head: String::from_utf8_lossy(&bytes[..end]).to_lowercase(),
+        body: bytes[end + 4..].to_vec(),
+        closed,
+    }
+}
+
+async fn ask(rig: &Rig, version: &str, path: &str, headers: &str) -> RawAnswer {
+    let router = rig.cluster.layout.routers[0].routes;
+    let deadline = Duration::from_secs(3);
+    read_to_end(connect(router, version, path, deadline, headers).await).await
+}
+
+async fn rig_of_one_target() -> Rig {
+    let mut rig = Rig::start(1, 0).await;
+    rig.wait_until_in_force().await;
+    rig.wait_until_served(STREAM, true).await;
+    rig
+}
+
+fn ends(
+    framing: StreamFraming,
+    broken_after: Option<usize>,
+    connection: ConnectionEnd,
+) -> FakeTargetFault {
+    FakeTargetFault::EndsStream(StreamEnding {
+        framing,
+        broken_after,
+        connection,
+    })
+}
+
+/// Guards against a reset that hides the end of a whole stream from a caller without chunks.
+#[parameterized(
+    alone = { "" },
+    keep_alive = { "Connection: keep-alive\r\n" },
+)]
+fn a_whole_stream_to_an_http_1_0_caller_ends_with_a_closed_connection(headers: &str) {
+    run_async(async {
+        let rig = rig_of_one_target().await;
+        let answer = ask(&rig, "HTTP/1.0", STREAM, headers).await;
+        assert_eq!(answer.closed, Closed::Properly);
+        assert!(
+            !answer.head.contains("transfer-encoding"),
+            "{}",
+            answer.head
+        );
+        assert_eq!(answer.events(), whole_stream());
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// Guards against a stream that broke off and looks complete to a caller without chunks,
+/// because its connection was closed like that of a whole one.
+#[parameterized(
+    by_close = { StreamFraming::Connection, ConnectionEnd::Close },
+    by_reset = { StreamFraming::Connection, ConnectionEnd::Reset },
+    chunked_by_close = { StreamFraming::Chunked, ConnectionEnd::Close },
+    chunked_by_reset = { StreamFraming::Chunked, ConnectionEnd::Reset },
+)]
+fn a_stream_to_an_http_1_0_caller_that_breaks_off_resets_the_connection(
+    framing: StreamFraming,
+    connection: ConnectionEnd,
+) {
+    run_async(async {
+        let rig = rig_of_one_target().await;
+        let whole = whole_stream();
+        let fault = ends(framing, Some(whole.len() / 2), connection);
+        rig.plain[0].set_fault(fault);
+        let answer = ask(&rig, "HTTP/1.0", STREAM, "").await;
+        assert_eq!(answer.closed, Closed::ByReset);
+        let events = answer.events();
+        assert!(whole.starts_with(&events), "{events:?}");
+        assert_ne!(events, whole);
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// Guards against a stream whose time is over and that looks complete to a caller without
+/// chunks.
+#[test]
+fn a_stream_to_an_http_1_0_caller_that_runs_out_of_time_resets_the_connection() {
+    run_async(async {
+        let rig = rig_of_one_target().await;
+        rig.plain[0].set_fault(FakeTargetFault::StallsAfter {
+            event: 2,
+            stage: rig.plain[0].address,
+        });
+        let router = rig.cluster.layout.routers[0].routes;
+        let deadline = Duration::from_millis(500);
+        let answer = read_to_end(connect(router, "HTTP/1.0", STREAM, deadline, "").await).await;
+        assert_eq!(answer.closed, Closed::ByReset);
+        assert!(whole_stream().starts_with(&answer.events()));
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// Guards against a caller without chunks that closes its sending side early: its answer
+/// must not look complete before it is.
+#[test]
+fn a_stream_to_an_http_1_0_caller_that_half_closes_does_not_look_complete_early() {
+    run_async(async {
+        let rig = rig_of_one_target().await;
+        let router = rig.cluster.layout.routers[0].routes;
+        let deadline = Duration::from_secs(3);
+        let mut stream = connect(router, "HTTP/1.0", STREAM, deadline, "").await;
+        let mut first = [0; 1];
+        stream.read_exact(&mut first).await.expect("a first byte");
+        stream.shutdown().await.expect("closed for writing");
+        let mut rest = Vec::new();
+        let reading = stream.read_to_end(&mut rest);
+        let ended = tokio::time::timeout(END_TIMEOUT, reading).await;
+        if ended.expect("the connection ends").is_ok() {
+            let text = String::from_utf8_lossy(&rest);
+            assert!(text.ends_with(&whole_stream()), "{text}");
+        }
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// Guards against a caller without chunks that the router disconnects because it lags, and
+/// whose answer then looks complete.
+#[test]
+fn an_http_1_0_caller_that_is_disconnected_sees_a_reset() {
+    run_async(async {
+        let mut layout = Layout::new(1, 1).expect("a layout");
+        layout.memory_mb = Some(1.0);
+        let mut rig = Rig::start_with(layout, 1, 0).await;
+        rig.wait_until_in_force().await;
+        rig.wait_until_served(STREAM, true).await;
+        rig.plain[0].set_fault(FakeTargetFault::Floods {
+            events: 5_000,
+            bytes: 4_000,
+            continues: false,
+        });
+        let router = rig.cluster.layout.routers[0].routes;
+        let deadline = Duration::from_secs(60);
+        let stuck = connect(router, "HTTP/1.0", STREAM, deadline, "").await;
+        eventually_async("the caller is disconnected", || async {
+            let router = rig.cluster.router(0).router().expect("a router");
+            let disconnected = router.shared().routes.deliveries.disconnected_count();
+            (disconnected >= 1).then_some(())
+        })
+        .await;
+        let answer = read_to_end(stuck).await;
+        assert_eq!(answer.closed, Closed::ByReset);
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// Guards against whole answers that a reset cuts: their length says where they end.
+#[parameterized(
+    version_1_0 = { "HTTP/1.0", 100 },
+    version_1_0_long = { "HTTP/1.0", 900_000 },
+    version_1_1_that_closes = { "HTTP/1.1", 900_000 },
+)]
+fn a_whole_answer_ends_with_its_length_and_a_closed_connection(version: &str, bytes: usize) {
+    run_async(async {
+        let rig = rig_of_one_target().await;
+        rig.plain[0].set_fault(FakeTargetFault::LongBody(bytes));
+        let answer = ask(&rig, version, "/once/x", "Connection: close\r\n").await;
+        assert_eq!(answer.closed, Closed::Properly);
+        let length = format!("content-length: {bytes}");
+        assert!(answer.head.contains(&length), "{}", answer.head);
+        assert_eq!(answer.body, "y".repeat(bytes).as_bytes());
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// Guards against a caller that asks for `Connection: close` and gets a stream without
+/// chunks: a close would then look like the end.
+#[test]
+fn a_stream_to_a_caller_that_closes_ends_with_a_last_chunk_only_if_it_is_whole() {
+    run_async(async {
+        let rig = rig_of_one_target().await;
+        for broken_after in [None, Some(30)] {
+            let fault = ends(
+                StreamFraming::Connection,
+                broken_after,
+                ConnectionEnd::Close,
+            );
+            rig.plain[0].set_fault(fault);
+            let answer = ask(&rig, "HTTP/1.1", STREAM, "Connection: close\r\n").await;
+            let chunked = "transfer-encoding: chunked";
+            assert!(answer.head.contains(chunked), "{}", answer.head);
+            let is_whole = answer.body.ends_with(b"\r\n0\r\n\r\n");
+            assert_eq!(is_whole, broken_after.is_none(), "{}", answer.events());
+        }
+        rig.cluster.close().await.expect("closed");
+    });
+}
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod attempted_targets;
 mod bystanders;
 mod caller_bodies;
+mod caller_ends;
 mod callers;
 mod command_line;
 mod connections;
--- a/crates/deckwindd/src/router/routes/http_server.rs
+++ b/crates/deckwindd/src/router/routes/http_server.rs
@@ -12,12 +12,13 @@
 use deckwind_core::state::{CallerLimits, ContentDigest, Pool, Route, RouteKind};
 use deckwind_core::time::Instant;
 use deckwind_net::body::{CollectError, MessageBody, collect};
+use deckwind_net::caller_stream::{CallerStream, EndsAnswer};
 use deckwind_net::edge::{CallerRequestHead, TargetRequestHead};
 use deckwind_net::targets::{set_tcp_options, set_tcp_options_with_timeout};
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -194,8 +195,10 @@
 async fn serve(stream: TcpStream, shared: Arc<RouterShared>) {
     let release = shared.routes.release();
     let limits = release.map_or_else(CallerLimits::default, |r| r.release().limits);
+    let stream = CallerStream::new(stream);
+    let ends_answer = stream.ends_answer();
     let for_requests = shared.clone();
-    let service = service_fn(move |req| handle(for_requests.clone(), req));
+    let service = service_fn(move |req| answer(for_requests.clone(), req, ends_answer.clone()));
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.head_ms)))
@@ -221,6 +224,19 @@
     }
 }
 
+async fn answer(
+    shared: Arc<RouterShared>,
+    req: Request<Incoming>,
+    ends_answer: EndsAnswer,
+) -> Result<Response<RouteBody>, BodyError> {
+    let version = req.version();
+    let res = handle(shared, req).await?;
+    if version < Version::HTTP_11 && res.body().size_hint().exact().is_none() {
+        ends_answer.set();
+    }
+    Ok(res)
+}
+
 async fn handle(
     shared: Arc<RouterShared>,
     req: Request<Incoming>,
