--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod body_ends;
 mod bystanders;
 mod caller_bodies;
+mod caller_ends;
 mod callers;
 mod command_line;
 mod connections;
