--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -15,7 +15,8 @@
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::Dialects;
 use deckwind_net::targets::{
-    ConnectionPool, HttpTarget, HttpWeightStore, TargetError, TcpConnector, WeightStore,
+    ConnectionPool, HttpTarget, HttpWeightStore, TargetConnection, TargetError, TcpConnector,
+    WeightStore,
 };
 use deckwind_testkit::{Layout, eventually_async};
 use deckwindd::context::Context;
@@ -112,16 +113,24 @@
     (String::from_utf8_lossy(&bytes).into_owned(), end)
 }
 
-/// Requests a body over HTTP/1.1, and reads it to its end. An error is that of the head.
-async fn request_http1(
+/// Requests a body over HTTP/1.1. An error is that of the head.
+async fn send_http1_request(
     address: SocketAddr,
-) -> Result<(String, Result<BodyEnd, BrokenBody>), String> {
+) -> Result<(MessageBody, TargetConnection), String> {
     let pool = ConnectionPool::new(Clock::start());
     let connection = pool.get(address, Duration::ZERO).await;
     let mut connection = connection.expect("a connection");
     let req = Request::get("/x").header("host", address.to_string());
     let req = req.body(Full::new(Bytes::new())).expect("a request");
     let (_, body) = connection.send(req).await.map_err(|e| e.to_string())?;
+    Ok((body, connection))
+}
+
+/// Requests a body over HTTP/1.1, and reads it to its end. An error is that of the head.
+async fn request_http1(
+    address: SocketAddr,
+) -> Result<(String, Result<BodyEnd, BrokenBody>), String> {
+    let (body, _connection) = send_http1_request(address).await?;
     Ok(read_to_end(body).await)
 }
 
@@ -176,6 +185,32 @@
     });
 }
 
+/// Guards against a stop of the process while answers are read: the task that reads a
+/// connection is dropped, which ends its body without an error, and others still run.
+#[parameterized(
+    length = { "Content-Length: 9\r\n\r\nwhole" },
+    chunked = { "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n" },
+    none = { "Content-Type: text/event-stream\r\n\r\nwhole" },
+)]
+fn a_body_whose_connection_is_no_longer_read_is_broken(answer: &str) {
+    let answer = format!("HTTP/1.1 200 OK\r\n{answer}").into_bytes();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.expect("the runtime of the connections starts");
+    run_async(async move {
+        let address = listen(answer, Then::StayOpen, read_http1_request).await;
+        let sending = runtime.spawn(send_http1_request(address));
+        let (mut body, connection) = sending.await.expect("sent").expect("a head");
+        let first = body.next().await;
+        assert_eq!(first, Ok(BodyPart::Data(Bytes::from("whole"))));
+        runtime.shutdown_background();
+        let (rest, end) = read_to_end(body).await;
+        assert!(end.is_err(), "{rest:?}, {end:?}");
+        drop(connection);
+    });
+}
+
 /// Guards against content that its transfer coding hides: it is passed on without the header
 /// that names the coding, so a caller would take the coded bytes for the content.
 #[parameterized(
