Give up a failure that stands still on a route of streams

What callers saw: a target that sent the head of a failure, and then neither the rest of it nor the end of its connection, kept its caller waiting without an end; neither the caller's time nor the route's timeout ended it.

Cause: on routes of streams an answer that is no stream was read to its end without a limit in time. Plain routes have one.

Change: it is given up when the request's time is over, as one that stalls before its head is: the run counts as abandoned, and the caller gets 504.

The fake target can keep its connection open without a word.

--- a/crates/deckwind-fakes/src/target_server/answers.rs
+++ b/crates/deckwind-fakes/src/target_server/answers.rs
@@ -135,7 +135,10 @@
     if let FakeTargetFault::Writes(answer) = &fault {
         s.write_all(answer.text.replace("{id}", &request).as_bytes())
             .await?;
-        return end_connection(s, answer.connection).await;
+        return match answer.connection {
+            Some(end) => end_connection(s, end).await,
+            None => std::future::pending().await,
+        };
     }
     match is_stream {
         true => stream_events(s, &req, &request, &fault, state).await,
--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -112,13 +112,13 @@
     pub connection: ConnectionEnd,
 }
 
-/// The bytes of an answer, and what becomes of its connection then.
+/// The bytes of an answer, and what becomes of its connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RawAnswer {
     /// Head and body. `{id}` stands for the ID of the request.
     pub text: String,
-    /// What becomes of the connection.
-    pub connection: ConnectionEnd,
+    /// How the connection ends after the answer; `None` if it stays open without a word.
+    pub connection: Option<ConnectionEnd>,
 }
 
 /// A request as it was received.
--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -355,7 +355,7 @@
 
 /// Returns a fault: each request is answered with these bytes. `{own}` stands for the
 /// headers of a target's own answer.
-fn writes(text: &str, connection: ConnectionEnd) -> FakeTargetFault {
+fn writes(text: &str, connection: Option<ConnectionEnd>) -> FakeTargetFault {
     let own = "X-Deckwind-Request-Id: {id}\r\nX-Deckwind-Response-Seal: s\r\n";
     let text = format!("HTTP/{}", text.replace("{own}", own));
     FakeTargetFault::Writes(RawAnswer { text, connection })
@@ -409,7 +409,7 @@
     path: &str,
     expected: (u16, Option<&str>, usize),
 ) {
-    let fault = writes(answer, connection);
+    let fault = writes(answer, Some(connection));
     let path = path.to_string();
     let (status, body, sent) = expected;
     let expected = (status, body.map(str::to_string), sent);
@@ -440,7 +440,7 @@
     connection: ConnectionEnd,
     expected: (u16, Option<&str>, usize),
 ) {
-    let fault = writes(answer, connection);
+    let fault = writes(answer, Some(connection));
     let (status, body, sent) = expected;
     let expected = (status, body.map(str::to_string), sent);
     run_async(async move {
@@ -453,6 +453,34 @@
     });
 }
 
+/// Maximum time until an answer: the timeout of the route, and half a second.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(3_500);
+
+/// Guards against a caller that waits without an end for an answer that has begun and stands
+/// still.
+#[parameterized(
+    plain = { "/once/x", false, "1.1 200 OK\r\n{own}Content-Length: 5\r\n\r\nwho" },
+    plain_without_length = { "/once/x", false, "1.1 200 OK\r\n{own}\r\nwho" },
+    plain_failure = { "/once/x", false, "1.1 500 Failed\r\n{own}Content-Length: 5\r\n\r\nwho" },
+    no_stream = { "/tell/x", true, "1.1 500 Failed\r\n{own}Content-Length: 5\r\n\r\nwho" },
+    no_stream_without_length = { "/tell/x", true, "1.1 500 Failed\r\n{own}\r\nwho" },
+)]
+fn an_answer_that_stands_still_is_given_up(path: &str, is_stream: bool, answer: &str) {
+    let fault = writes(answer, None);
+    let path = path.to_string();
+    run_async(async move {
+        let mut rig = Rig::start(2, 0).await;
+        rig.wait_until_in_force().await;
+        rig.wait_until_served(&path, is_stream).await;
+        rig.plain.iter().for_each(|p| p.set_fault(fault.clone()));
+        let asking = rig.ask("r1", &path, API_KEY, is_stream);
+        let answer = tokio::time::timeout(MAX_ANSWER_TIME, asking).await;
+        let answer = answer.expect("an answer by the deadline");
+        assert_eq!((answer.status.as_u16(), rig.send_count("r1")), (504, 1));
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
 /// Events of a stream on which its target crashes: positions in the first event and the second.
 const BEFORE_FIRST_EVENT: usize = 0;
 const INSIDE_FIRST_EVENT: usize = 5;
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -181,12 +181,14 @@
     ) -> Result<OpenOutcome, AttemptError> {
         let shared = &self.job.shared;
         let mut held = HeldBytes::new(&shared.routes.deliveries, Side::Answers);
-        let collected = collect(body, MAX_ANSWER, &mut held).await;
-        run.close(match collected {
-            Ok(_) => RunEnd::Failed,
-            Err(_) => RunEnd::Broke,
-        });
-        let body = collected.map_err(|e| AttemptError::Broken(e.to_string()))?;
+        let collecting = collect(body, MAX_ANSWER, &mut held);
+        let collected = shared.clock.timeout(self.job.time_left(), collecting).await;
+        let collected = match collected {
+            Some(collected) => collected.map_err(|e| AttemptError::Broken(e.to_string())),
+            None => Err(AttemptError::Stalled),
+        };
+        run.close(collected.as_ref().map_or_else(run_end, |_| RunEnd::Failed));
+        let body = collected?;
         shared.routes.connections.return_connection(
             connection,
             &head.headers,
