Don't count a short stream that ended with its connection as served

What callers could see: a content that crashes each target that runs it was not quarantined. If one of its targets happened to crash between two events of a stream without a length or chunks, the run counted as served: all crashes of that content were forgotten, and it was exempt at that router for 10 s.

Cause: "served" is meant to show that the target is still there. An end by the connection does not show it, though the caller's answer has to be taken as whole (RFC 9112, section 8).

Change: such a run counts as served only if it ran for as long as an interrupted one that does (500 ms after its first event), and says nothing otherwise. It does not count as a crash either: a target that frames none of its answers would get its contents quarantined. Plain answers without a length still count as served; their runs have no event that shows how long they ran.

--- a/crates/deckwind-core/src/routes/interrupted_runs.rs
+++ b/crates/deckwind-core/src/routes/interrupted_runs.rs
@@ -12,6 +12,9 @@
 //!  interrupted, ran for long ─┐
 //!  answered in full ──────────┴─► served: earlier crashes are forgotten ─────────────► leader
 //! ```
+//!
+//! A stream that ended with its connection between two events was answered in full as far as
+//! its caller can know. Its target may have crashed all the same, so a short one says nothing.
 
 use crate::control::{DEFAULT_ANNOUNCE_INTERVAL, MAX_MISSED_ANNOUNCEMENTS};
 use crate::state::{
@@ -174,6 +177,15 @@
         }
     }
 
+    /// Records a run whose answer looks whole, but ended with its connection, as it does if
+    /// the target crashes. It counts as served if it ran for long enough; `ran` is the time
+    /// since its first event, if there was one.
+    pub fn record_closed(&mut self, now: Instant, content: ContentDigest, ran: Option<Duration>) {
+        if ran.is_some_and(|ran| ran >= MAX_POISON_RUN_TIME) {
+            self.record_served(now, content);
+        }
+    }
+
     /// Records incarnations that crashed. Returns the request contents that were running
     /// there, with the incarnation.
     pub fn record_ended_incarnations(
--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -481,9 +481,10 @@
     });
 }
 
-/// Events of a stream on which its target crashes: positions in the first event and the second.
+/// Positions in a stream at which its target crashes.
 const BEFORE_FIRST_EVENT: usize = 0;
 const INSIDE_FIRST_EVENT: usize = 5;
+const AFTER_FIRST_EVENT: usize = "id: 1\ndata: token 1\n\n".len();
 const INSIDE_SECOND_EVENT: usize = 30;
 
 /// Number of targets that one content may crash.
@@ -521,40 +522,68 @@
     engines: usize,
     broken_after: usize,
 ) {
-    let (path, other) = (format!("{route}1{ENDS_ITS_TARGET}"), format!("{route}x"));
-    let fault = FakeTargetFault::EndsStream(StreamEnding {
-        framing: StreamFraming::Connection,
-        broken_after: Some(broken_after),
-        connection: ConnectionEnd::Close,
+    let route = route.to_string();
+    run_async(async move {
+        let crashes = crash_targets(&route, plain, engines, |_| broken_after).await;
+        assert_eq!(crashes, (MAX_CRASHES, StatusCode::SERVICE_UNAVAILABLE));
     });
+}
+
+/// Guards against crashes that are forgotten because another target, which crashed on the
+/// same content, happened to close its stream between two events: that does not show that
+/// the content was served.
+#[test]
+fn a_stream_that_ends_early_between_two_events_clears_no_content() {
+    let broken_after = |request: usize| match request % 2 {
+        0 => AFTER_FIRST_EVENT,
+        _ => BEFORE_FIRST_EVENT,
+    };
     run_async(async move {
-        let mut layout = Layout::new(1, 2).expect("a layout");
-        layout.retry_budget = (4.0, 200);
-        let mut rig = Rig::start_with(layout, plain, engines).await;
-        rig.wait_until_in_force().await;
-        let mut last_status = 0;
-        for i in 0..REQUESTS {
-            tokio::time::sleep(PAUSE).await;
-            wait_until_both_serve(&rig, &other).await;
-            rig.targets().for_each(|t| t.set_fault(fault.clone()));
-            let id = format!("r{i}");
-            let answer = rig.ask_router(i % 2, &id, &path, API_KEY, true, None);
-            let answer = answer.await;
-            rig.targets()
-                .for_each(|t| t.set_fault(FakeTargetFault::None));
-            last_status = answer.status.as_u16();
-            assert!(
-                last_status != 200 || answer.body.is_err(),
-                "{:?}",
-                answer.body
-            );
-        }
-        let crashes = rig.targets().map(FakeTargetServer::crashes_by_request);
-        assert_eq!((crashes.sum::<u32>(), last_status), (MAX_CRASHES, 503));
-        rig.cluster.close().await.expect("closed");
+        let crashes = crash_targets("/tell/", 6, 0, broken_after).await;
+        let expected = (2 * MAX_CRASHES, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(crashes, expected);
     });
 }
 
+/// Sends one content repeatedly, at two routers in turn, to targets that crash on it after
+/// some bytes of an unframed stream. Returns the number of crashes and the last status.
+async fn crash_targets(
+    route: &str,
+    plain: usize,
+    engines: usize,
+    broken_after: impl Fn(usize) -> usize,
+) -> (u32, StatusCode) {
+    let (path, other) = (format!("{route}1{ENDS_ITS_TARGET}"), format!("{route}x"));
+    let mut layout = Layout::new(1, 2).expect("a layout");
+    layout.retry_budget = (4.0, 200);
+    let mut rig = Rig::start_with(layout, plain, engines).await;
+    rig.wait_until_in_force().await;
+    let mut last_status = StatusCode::OK;
+    for i in 0..REQUESTS {
+        tokio::time::sleep(PAUSE).await;
+        wait_until_both_serve(&rig, &other).await;
+        let fault = FakeTargetFault::EndsStream(StreamEnding {
+            framing: StreamFraming::Connection,
+            broken_after: Some(broken_after(i)),
+            connection: ConnectionEnd::Close,
+        });
+        rig.targets().for_each(|t| t.set_fault(fault.clone()));
+        let id = format!("r{i}");
+        let answer = rig.ask_router(i % 2, &id, &path, API_KEY, true, None);
+        let answer = answer.await;
+        let healthy = FakeTargetFault::None;
+        rig.targets().for_each(|t| t.set_fault(healthy.clone()));
+        last_status = answer.status;
+        let is_cut = broken_after(i) != AFTER_FIRST_EVENT;
+        let looks_complete = last_status == StatusCode::OK && answer.body.is_ok();
+        assert!(!(is_cut && looks_complete), "{:?}", answer.body);
+    }
+    let crashes = rig.targets().map(FakeTargetServer::crashes_by_request);
+    let crashes = crashes.sum();
+    rig.cluster.close().await.expect("closed");
+    (crashes, last_status)
+}
+
 /// Header block of an answer with the bytes 0 to 9 of 100 (RFC 7541, appendix A).
 fn partial_content_head(range: &str) -> Vec<u8> {
     const STATUS_206: u8 = 0x8a;
--- a/crates/deckwindd/src/router/routes/poison_requests.rs
+++ b/crates/deckwindd/src/router/routes/poison_requests.rs
@@ -69,8 +69,18 @@
 
     /// Records that a target has served a request with this content and did not crash.
     pub fn record_served(&self, now: Instant, content: ContentDigest) {
+        self.record(|runs| runs.record_served(now, content));
+    }
+
+    /// Records a run whose answer ended with its connection; `ran` is the time since its
+    /// first event.
+    pub fn record_closed(&self, now: Instant, content: ContentDigest, ran: Option<Duration>) {
+        self.record(|runs| runs.record_closed(now, content, ran));
+    }
+
+    fn record(&self, record: impl FnOnce(&mut InterruptedRuns)) {
         let mut runs = self.runs();
-        runs.record_served(now, content);
+        record(&mut runs);
         let has_changes = runs.has_unreported_changes();
         drop(runs);
         if has_changes {
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -311,7 +311,7 @@
         if let Err(e) = check_stream_end(body_end, splitter.received()) {
             return self.break_segment(run, &reservation, e.reason().to_string());
         }
-        run.close(RunEnd::Served);
+        run.close(RunEnd::of_whole_stream(body_end));
         reservation.record_answered();
         shared.routes.connections.return_connection(
             connection,
--- a/crates/deckwindd/src/router/routes/target_run.rs
+++ b/crates/deckwindd/src/router/routes/target_run.rs
@@ -3,7 +3,7 @@
 use super::http_server::Job;
 use super::poison_requests::InterruptedRun;
 use crate::router::shared::RouterShared;
-use deckwind_core::routes::TargetChoice;
+use deckwind_core::routes::{BodyEnd, TargetChoice};
 use deckwind_core::state::{ContentDigest, Incarnation};
 use deckwind_core::time::Instant;
 use std::net::SocketAddr;
@@ -16,6 +16,9 @@
     NotRun,
     /// The target served the request: the answer is whole, and a success.
     Served,
+    /// The target sent a whole stream as far as can be told, and closed the connection,
+    /// which alone marks the end.
+    Closed,
     /// The target answered that it failed.
     Failed,
     /// The answer broke off, or was invalid.
@@ -26,11 +29,20 @@
 }
 
 impl RunEnd {
+    /// Returns the end of a run whose stream is whole.
+    pub fn of_whole_stream(end: BodyEnd) -> Self {
+        match end {
+            BodyEnd::Framed => Self::Served,
+            BodyEnd::Closed => Self::Closed,
+        }
+    }
+
     /// Returns the name used in logs and metrics.
     fn as_str(self) -> &'static str {
         match self {
             Self::NotRun => "not-run",
             Self::Served => "served",
+            Self::Closed => "closed",
             Self::Failed => "failed",
             Self::Broke => "broke",
             Self::Abandoned => "left",
@@ -85,12 +97,13 @@
         if std::mem::replace(&mut self.is_closed, true) {
             return;
         }
+        let now = self.shared.clock.now();
+        let poison_requests = &self.shared.routes.poison_requests;
         match end {
-            RunEnd::Served => {
-                let routes = &self.shared.routes;
-                routes
-                    .poison_requests
-                    .record_served(self.shared.clock.now(), self.content);
+            RunEnd::Served => poison_requests.record_served(now, self.content),
+            RunEnd::Closed => {
+                let ran = self.first_event.map(|at| now.since(at));
+                poison_requests.record_closed(now, self.content, ran);
             }
             RunEnd::Broke | RunEnd::Abandoned => self.report_interrupted(end),
             RunEnd::NotRun | RunEnd::Failed => {}
