Test that a connection that ended with its answer is not used again

Requests that run at most once, one after the other, to a target that closes after each answer: with a length, in HTTP/1.0, in chunks, without a length, and with a wrong promise to stay open. Passes on the code as it is.

--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -453,6 +453,35 @@
     });
 }
 
+/// Number of requests, each sent after the connection of the one before it has closed.
+const REQUESTS_IN_TURN: usize = 5;
+
+/// Guards against a request that is lost on a connection that has ended with the answer
+/// before it: requests that run at most once are not sent again.
+#[parameterized(
+    length = { "1.1 200 OK\r\n{own}Content-Length: 5\r\n\r\nwhole" },
+    length_in_old_version = { "1.0 200 OK\r\n{own}Content-Length: 5\r\n\r\nwhole" },
+    chunked = { "1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n" },
+    without_length = { "1.1 200 OK\r\n{own}\r\nwhole" },
+    without_length_kept_alive = { "1.1 200 OK\r\n{own}Connection: keep-alive\r\nKeep-Alive: timeout=60\r\n\r\nwhole" },
+)]
+fn a_connection_that_ended_with_its_answer_is_not_used_again(answer: &str) {
+    let fault = writes(answer, Some(ConnectionEnd::Close));
+    run_async(async move {
+        let mut rig = Rig::start(1, 0).await;
+        rig.wait_until_in_force().await;
+        rig.wait_until_served("/once/x", false).await;
+        rig.plain[0].set_fault(fault);
+        for i in 0..REQUESTS_IN_TURN {
+            let answer = rig.ask(&format!("r{i}"), "/once/x", API_KEY, false).await;
+            let received = (answer.status.as_u16(), answer.body.as_deref());
+            assert_eq!(received, (200, Ok("whole")), "request {i}");
+            tokio::time::sleep(TIME_TO_READ).await;
+        }
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
 /// Maximum time until an answer: the timeout of the route, and half a second.
 const MAX_ANSWER_TIME: Duration = Duration::from_millis(3_500);
 
