Log how plain answers ended, and why reports, lists and orders failed

The end of a plain request's answer (framed, or closed with its connection) was in no log line, so one that was passed on without a length could not be told from others. A batch of orders that was not taken was logged without the reason, and load reports, cache events and lists of VMs that were cut or refused were dropped without a line.

--- a/crates/deckwindd/src/control/orders.rs
+++ b/crates/deckwindd/src/control/orders.rs
@@ -21,13 +21,15 @@
         Ok::<(), TargetError>(())
     };
     let sent = clock.timeout(batch.order_timeout, sending).await;
-    let is_accepted = matches!(sent, Some(Ok(())));
-    if !is_accepted {
+    let sent = sent.unwrap_or(Err(TargetError::Late(batch.order_timeout)));
+    let is_accepted = sent.is_ok();
+    if let Err(e) = sent {
         log::info!(
-            "event=orders_not_taken target={} address={} revision={}",
+            "event=orders_not_taken target={} address={} revision={} error={:?}",
             batch.target,
             batch.address,
-            batch.revision
+            batch.revision,
+            e.to_string()
         );
     }
     handle.send(Input::OrdersDone(batch.target, is_accepted));
--- a/crates/deckwindd/src/router/reports.rs
+++ b/crates/deckwindd/src/router/reports.rs
@@ -46,10 +46,13 @@
 }
 
 async fn poll_load(shared: &RouterShared, key: TargetKey, engine: &dyn Engine) {
-    if let Ok(report) = engine.load().await {
-        let now = shared.clock.now();
-        let load = LoadReport { load: report.load };
-        shared.core().load_reported(now, key, load);
+    match engine.load().await {
+        Ok(report) => {
+            let now = shared.clock.now();
+            let load = LoadReport { load: report.load };
+            shared.core().load_reported(now, key, load);
+        }
+        Err(e) => log::debug!("event=load_not_reported error={:?}", e.to_string()),
     }
 }
 
@@ -59,8 +62,12 @@
     engine: &dyn Engine,
     from: u64,
 ) -> u64 {
-    let Ok(answer) = engine.cache_events(from).await else {
-        return from;
+    let answer = match engine.cache_events(from).await {
+        Ok(answer) => answer,
+        Err(e) => {
+            log::debug!("event=cache_events_not_reported error={:?}", e.to_string());
+            return from;
+        }
     };
     let mut core = shared.core();
     if let Some(index) = core.policy().prefixes() {
@@ -82,10 +89,11 @@
     };
     let list = HttpPlatformList::new(cfg.list);
     loop {
-        if let Ok(snapshot) = list.list().await {
-            shared
+        match list.list().await {
+            Ok(snapshot) => shared
                 .core()
-                .platform_listed(snapshot.sequence, snapshot.vms);
+                .platform_listed(snapshot.sequence, snapshot.vms),
+            Err(e) => log::info!("event=platform_not_listed error={:?}", e.to_string()),
         }
         tokio::time::sleep(cfg.every).await;
     }
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -10,11 +10,11 @@
 use super::target_run::{RunEnd, TargetRun};
 use bytes::Bytes;
 use deckwind_core::routes::{
-    AttemptOutcome, AttemptResult, RequestClass, TargetChoice, TargetFault, attempt_result,
-    choose_target,
+    AttemptOutcome, AttemptResult, BodyEnd, RequestClass, TargetChoice, TargetFault,
+    attempt_result, choose_target,
 };
 use deckwind_core::state::RouteKind;
-use deckwind_net::body::collect;
+use deckwind_net::body::{CollectedBody, collect};
 use deckwind_net::targets::TargetError;
 use http::{HeaderMap, Response, StatusCode};
 use std::collections::HashSet;
@@ -46,6 +46,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// What marked the end of the body.
+    end: BodyEnd,
     /// Counts the body as buffered until it is on its way.
     held: HeldBytes,
 }
@@ -297,13 +299,14 @@
             }
         };
         let connection_headers = head.headers.clone();
-        let checked = self.check(head.status, head.headers, body.bytes, held);
+        let end = body.end;
+        let checked = self.check(head.status, head.headers, body, held);
         if !matches!(checked, Err(AttemptError::MayHaveRun(_))) {
             let max_idle_connections = job.shared.routes.max_idle_connections(&job.pool);
             connections.return_connection(
                 connection,
                 &connection_headers,
-                body.end,
+                end,
                 max_idle_connections,
             );
         }
@@ -315,7 +318,7 @@
         &self,
         status: StatusCode,
         mut headers: HeaderMap,
-        body: Bytes,
+        body: CollectedBody,
         held: HeldBytes,
     ) -> Result<WholeAnswer, AttemptError> {
         let dialect = &self.job.shared.cx.dialects.callers;
@@ -348,7 +351,8 @@
         Ok(WholeAnswer {
             status,
             headers,
-            body,
+            body: body.bytes,
+            end: body.end,
             held,
         })
     }
@@ -361,9 +365,10 @@
             Ok(a) => (a.status, "answered"),
             Err(f) => (f.status(), f.code()),
         };
+        let end = result.as_ref().map_or("-", |a| a.end.code());
         let target = self.target.map_or("-".to_string(), |a| a.to_string());
         log::info!(
-            "event=request_ended request={} content={} route={} pool={} target={target} tries={} unreachable={} revision={} status={} code={code} took_ms={}",
+            "event=request_ended request={} content={} route={} pool={} target={target} tries={} unreachable={} revision={} status={} code={code} end={end} took_ms={}",
             job.head.id,
             job.content,
             job.route.name,
