Specify the ends of streams, and explore them exhaustively

A state machine of one stream over up to two or three targets: framing, halves of events that the network joins in any number, an end as framed, by a close, by a reset or by silence, resumable or not, tries left. Invariants: an answer is complete only if it is, or if its connection, all that marks its end, closed between events; the events passed on are the first ones, each once; pieces of two runs are joined only where a stream may be resumed; a run that broke is not served; a break is resumed while tries are left, else visible.

Events that are passed on in parts (above 1 MiB) are not modelled; tests of event_splitter cover them.

--- a/crates/deckwind-spec/examples/explore.rs
+++ b/crates/deckwind-spec/examples/explore.rs
@@ -4,8 +4,8 @@
 
 use deckwind_spec::{
     ClaimRules, ClaimSpec, LimitBounds, LimitRules, LimitSpec, LogBounds, LogRules, LogSpec,
-    RetryBounds, RetryRules, RetrySpec, Spec, claim_cases, explore, limit_cases, log_cases,
-    retry_cases,
+    RetryBounds, RetryRules, RetrySpec, Spec, StreamEndBounds, StreamEndRules, StreamEndSpec,
+    claim_cases, explore, limit_cases, log_cases, retry_cases, stream_end_cases,
 };
 use std::time::Instant;
 
@@ -66,4 +66,13 @@
         );
         explore_and_print(&name, &case.spec);
     }
+    for bounds in [StreamEndBounds::SMALL, StreamEndBounds::LARGE] {
+        let rules = StreamEndRules::ALL;
+        let name = format!("ends of streams, all rules, {bounds:?}");
+        explore_and_print(&name, &StreamEndSpec { rules, bounds });
+    }
+    for case in stream_end_cases() {
+        let name = format!("ends of streams without {}", case.disabled_rule);
+        explore_and_print(&name, &case.spec);
+    }
 }
--- a/crates/deckwind-spec/src/lib.rs
+++ b/crates/deckwind-spec/src/lib.rs
@@ -21,6 +21,9 @@
 mod retry_cases;
 mod retry_rules;
 mod retry_spec;
+mod stream_end_cases;
+mod stream_end_rules;
+mod stream_end_spec;
 mod tunnel_spec;
 
 pub use cases::{Case, claim_cases, log_cases};
@@ -33,6 +36,9 @@
 pub use retry_cases::retry_cases;
 pub use retry_rules::{RetryBounds, RetryRules};
 pub use retry_spec::RetrySpec;
+pub use stream_end_cases::stream_end_cases;
+pub use stream_end_rules::{StreamEndBounds, StreamEndRules};
+pub use stream_end_spec::StreamEndSpec;
 pub use tunnel_spec::{TunnelRules, TunnelSpec, tunnel_cases};
 
 use pathfinding::directed::bfs::bfs;
--- a/crates/deckwind-testkit/tests/testsuite/specification.rs
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -3,8 +3,9 @@
 
 use deckwind_spec::{
     Case, ClaimRules, ClaimSpec, ForwardingSpec, LimitBounds, LimitRules, LimitSpec, LogBounds,
-    LogRules, LogSpec, RetryBounds, RetryRules, RetrySpec, Spec, TunnelSpec, claim_cases, explore,
-    forwarding_cases, limit_cases, log_cases, retry_cases, tunnel_cases,
+    LogRules, LogSpec, RetryBounds, RetryRules, RetrySpec, Spec, StreamEndBounds, StreamEndRules,
+    StreamEndSpec, TunnelSpec, claim_cases, explore, forwarding_cases, limit_cases, log_cases,
+    retry_cases, stream_end_cases, tunnel_cases,
 };
 
 /// Asserts that without any one rule, exploration finds a run that violates the
@@ -103,3 +104,23 @@
 fn without_any_one_of_their_rules_tunnels_break() {
     assert_each_rule_is_needed(tunnel_cases());
 }
+
+/// Guards against an end of a stream that the rules do not cover: a broken one looks
+/// complete, or its events are lost, come twice or are not resumed.
+#[test]
+fn with_all_rules_a_stream_looks_complete_only_if_it_is() {
+    let spec = StreamEndSpec {
+        rules: StreamEndRules::ALL,
+        bounds: StreamEndBounds::SMALL,
+    };
+    let explored = explore(&spec);
+    println!("{} states", explored.states);
+    assert_eq!(explored.counterexample, None);
+    assert!(explored.states > 1_000, "{}", explored.states);
+}
+
+/// Guards against a rule of the ends of streams that protects nothing.
+#[test]
+fn without_any_one_of_their_rules_ends_of_streams_break() {
+    assert_each_rule_is_needed(stream_end_cases());
+}
