Test streams that break off behind another router

A router whose own connections are reset and whose new ones are not answered reaches its targets through a second one.

Rig::ask_router panics there, so Rig::try_router returns it as an error; ask_router is as strict as before. Whether tests that use ask_router on a stream that breaks at once can meet it directly was not seen in a run.

--- a/crates/deckwind-testkit/tests/testsuite/rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rig.rs
@@ -309,6 +309,21 @@
         tokens: bool,
         last_event: Option<u64>,
     ) -> CallerAnswer {
+        let asking = self.try_router(router, id, path, key, tokens, last_event);
+        asking.await.expect("an answer's head")
+    }
+
+    /// Like [`Rig::ask_router`]; fails if the connection breaks before the answer's head
+    /// arrives.
+    pub async fn try_router(
+        &self,
+        router: usize,
+        id: &str,
+        path: &str,
+        key: &str,
+        tokens: bool,
+        last_event: Option<u64>,
+    ) -> Result<CallerAnswer, String> {
         let router = self.cluster.layout.routers[router].routes;
         let client = Client::builder(TokioExecutor::new()).build_http();
         let call = FakeCall {
@@ -319,14 +334,14 @@
             last_event,
         };
         let req = call.request(router).expect("a request");
-        let res = client.request(req).await.expect("an answer's head");
+        let res = client.request(req).await.map_err(|e| format!("{e:?}"))?;
         let (head, body) = res.into_parts();
         let body = body.collect().await.map_err(|e| e.to_string());
-        CallerAnswer {
+        Ok(CallerAnswer {
             status: head.status,
             headers: head.headers,
             body: body.map(|b| String::from_utf8_lossy(&b.to_bytes()).into_owned()),
-        }
+        })
     }
 
     /// Returns all plain targets and engines.
--- a/crates/deckwind-testkit/tests/testsuite/tunnel_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/tunnel_ends.rs
@@ -1,8 +1,10 @@
 //! Ends of connections to targets through other routers: the opener of a tunnel takes as
 //! ended only what the target has ended.
 
+use crate::rig::{API_KEY, NOT_RESUMABLE, Rig};
 use crate::{any_loopback_port, run_async};
 use deckwind_core::routes::BodyEnd;
+use deckwind_fakes::{ConnectionEnd, FakeTargetFault, StreamEnding, StreamFraming, whole_stream};
 use deckwind_net::BoxFuture;
 use deckwind_net::body::{BodyPart, BrokenBody, MessageBody};
 use deckwind_net::clock::Clock;
@@ -11,7 +13,7 @@
     BoxedStream, ConnectionPool, Connector, TargetConnection, TargetStream,
 };
 use deckwind_net::tunnel::{CarriedBytes, IncomingTunnel, TunnelStream};
-use deckwind_testkit::eventually_async;
+use deckwind_testkit::{Layout, LinkFault, eventually_async};
 use http::{Request, response};
 use http_body_util::Full;
 use std::io;
@@ -459,3 +461,53 @@
         .await;
     });
 }
+
+/// Starts two routers, of which the first reaches targets only through the second: its own
+/// connections are reset, and new ones are not answered.
+async fn start_cut_off(plain: usize) -> Rig {
+    let layout = Layout::new(1, 2).expect("a layout");
+    let mut rig = Rig::start_with(layout, plain, 0).await;
+    rig.wait_until_in_force().await;
+    rig.cluster.router_links(0).cut(LinkFault::Reset);
+    rig.wait_until_served(NOT_RESUMABLE.path, NOT_RESUMABLE.tokens)
+        .await;
+    rig
+}
+
+/// Guards against streams without a length or chunks that are broken off behind another
+/// router: the caller of a router without a path of its own must see the break.
+#[parameterized(
+    closed = { ConnectionEnd::Close },
+    reset = { ConnectionEnd::Reset },
+)]
+fn a_stream_through_another_router_that_ends_inside_an_event_is_broken_off(
+    connection: ConnectionEnd,
+) {
+    run_async(async move {
+        let rig = start_cut_off(2).await;
+        let event = whole_stream().find("\n\n").expect("an event") + 2;
+        for at in (1..event).chain(event + 1..2 * event) {
+            let fault = ends(Some(at), connection);
+            rig.plain.iter().for_each(|p| p.set_fault(fault.clone()));
+            let id = format!("cut-{at}");
+            let asking = rig.try_router(0, &id, NOT_RESUMABLE.path, API_KEY, true, None);
+            // A break that follows the head at once may overtake it.
+            let body = asking.await.and_then(|answer| answer.body);
+            assert!(body.is_err(), "cut at {at}: {body:?}");
+            assert_eq!(rig.send_count(&id), 1, "cut at {at}");
+        }
+        let whole = ends(None, ConnectionEnd::Close);
+        rig.plain.iter().for_each(|p| p.set_fault(whole.clone()));
+        let answer = rig.ask("whole", NOT_RESUMABLE.path, API_KEY, true).await;
+        assert_eq!(answer.body, Ok(whole_stream()));
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+fn ends(broken_after: Option<usize>, connection: ConnectionEnd) -> FakeTargetFault {
+    FakeTargetFault::EndsStream(StreamEnding {
+        framing: StreamFraming::Connection,
+        broken_after,
+        connection,
+    })
+}
