Specify how connections through another router end

The specification knew one break, at the router. Now the target closes or resets its connection, and the relay passes that on, gives the tunnel up, or is gone. New invariant: what the router takes as ended was ended by the target. New rules: resetting a tunnel that is given up, taking the loss of the relay for an error, ending a stream after all bytes. Without any one of the six rules the exploration finds a violation.

Change of an existing check: the case "passing a break on as a reset" expects the new invariant in place of "a cut answer was taken for a whole one", because the new one is asked first. The old one still holds, and the case "ending a stream after all bytes" shows that it is checked.

--- a/crates/deckwind-spec/src/tunnel_spec.rs
+++ b/crates/deckwind-spec/src/tunnel_spec.rs
@@ -3,7 +3,9 @@
 //! and connections break at any time.
 //!
 //! The answer has two pieces and ends with its connection, so that only the kind of that
-//! end tells a whole answer from a cut one.
+//! end tells a whole answer from a cut one. The target closes or resets its connection; the
+//! relay passes that on, gives the tunnel up by itself, or is gone. What the router takes as
+//! ended must have been ended by the target.
 
 use crate::Spec;
 use crate::cases::Case;
@@ -18,8 +20,14 @@
     pub only_unsent_goes_elsewhere: bool,
     /// Of attempts that overlap, only the first to connect sends the request.
     pub first_to_connect_sends: bool,
-    /// A relay passes a broken connection on as a reset stream.
+    /// A relay passes a connection that the target reset on as a reset stream.
     pub break_is_reset: bool,
+    /// A relay that gives a tunnel up by itself resets the stream.
+    pub given_up_is_reset: bool,
+    /// The loss of the connection to the relay is an error.
+    pub loss_is_error: bool,
+    /// The end of a stream follows all bytes that the target sent.
+    pub end_follows_bytes: bool,
 }
 
 impl TunnelRules {
@@ -28,6 +36,9 @@
         only_unsent_goes_elsewhere: true,
         first_to_connect_sends: true,
         break_is_reset: true,
+        given_up_is_reset: true,
+        loss_is_error: true,
+        end_follows_bytes: true,
     };
 }
 
@@ -37,11 +48,31 @@
     Connecting,
     Connected,
     Sent,
-    /// The stream has ended; the answer was taken for whole if so.
+    /// The stream has ended, and the answer was taken for whole.
     Finished,
     Failed,
 }
 
+/// What the target has done to its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum TargetEnd {
+    Open,
+    /// Closed after the whole answer.
+    Closed,
+    /// Reset at any time.
+    Reset,
+}
+
+/// The router's stream, after all pieces that it receives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum StreamEnd {
+    Open,
+    Finished,
+    Reset,
+    /// The relay is gone.
+    Lost,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Attempt {
     /// Number of the race: attempts that overlapped before one of them had sent.
@@ -49,8 +80,12 @@
     progress: Progress,
     sent: bool,
     arrived: bool,
+    /// Pieces of the answer that the target has sent.
+    answered: u8,
     /// Pieces of the answer that have reached the router.
     pieces: u8,
+    target: TargetEnd,
+    stream: StreamEnd,
 }
 
 impl Attempt {
@@ -60,7 +95,10 @@
             progress: Progress::Connecting,
             sent: false,
             arrived: false,
+            answered: 0,
             pieces: 0,
+            target: TargetEnd::Open,
+            stream: StreamEnd::Open,
         }
     }
 
@@ -131,24 +169,81 @@
                 a.sent = true;
             })],
             Progress::Connected => vec![step("is dropped", &|a| a.progress = Progress::Failed)],
-            Progress::Sent => {
-                let broken = match self.rules.break_is_reset {
-                    true => Progress::Failed,
-                    false => Progress::Finished,
-                };
-                let mut steps = vec![step("breaks", &|a| a.progress = broken)];
-                if attempt.arrived && attempt.pieces < PIECES {
-                    steps.push(step("receives a piece", &|a| a.pieces += 1));
+            Progress::Sent => match self.seen_end(attempt.stream) {
+                None if attempt.pieces < attempt.answered => {
+                    vec![step("receives a piece", &|a| a.pieces += 1)]
                 }
-                if attempt.pieces == PIECES {
-                    steps.push(step("ends", &|a| a.progress = Progress::Finished));
-                }
-                steps
-            }
+                None => Vec::new(),
+                Some(seen) => vec![step("sees the end", &|a| a.progress = seen)],
+            },
             Progress::Finished | Progress::Failed => Vec::new(),
         }
     }
 
+    /// Returns what the router takes an end of its stream for.
+    fn seen_end(&self, end: StreamEnd) -> Option<Progress> {
+        match end {
+            StreamEnd::Open => None,
+            StreamEnd::Finished => Some(Progress::Finished),
+            StreamEnd::Reset => Some(Progress::Failed),
+            StreamEnd::Lost => match self.rules.loss_is_error {
+                true => Some(Progress::Failed),
+                false => Some(Progress::Finished),
+            },
+        }
+    }
+
+    /// Returns the steps of the target that serves attempt `i`.
+    fn target_steps(&self, s: &TunnelState, i: usize) -> Vec<(String, TunnelState)> {
+        let attempt = s.attempts[i];
+        if !attempt.arrived || attempt.target != TargetEnd::Open {
+            return Vec::new();
+        }
+        let step = |name: &str, change: &dyn Fn(&mut Attempt)| {
+            let mut n = s.clone();
+            change(&mut n.attempts[i]);
+            (format!("target {i}: {name}"), n)
+        };
+        let next = match attempt.answered < PIECES {
+            true => step("sends a piece", &|a| a.answered += 1),
+            false => step("closes", &|a| a.target = TargetEnd::Closed),
+        };
+        vec![next, step("resets", &|a| a.target = TargetEnd::Reset)]
+    }
+
+    /// Returns the steps of the relay, or of the network, that carries attempt `i`.
+    fn relay_steps(&self, s: &TunnelState, i: usize) -> Vec<(String, TunnelState)> {
+        let attempt = s.attempts[i];
+        if attempt.progress != Progress::Sent || attempt.stream != StreamEnd::Open {
+            return Vec::new();
+        }
+        let step = |name: &str, end: StreamEnd| {
+            let mut n = s.clone();
+            n.attempts[i].stream = end;
+            (format!("relay {i}: {name}"), n)
+        };
+        let reset_if = |rule: bool| match rule {
+            true => StreamEnd::Reset,
+            false => StreamEnd::Finished,
+        };
+        let mut steps = vec![
+            step("gives up", reset_if(self.rules.given_up_is_reset)),
+            step("is gone", StreamEnd::Lost),
+        ];
+        let has_all = attempt.pieces == attempt.answered || !self.rules.end_follows_bytes;
+        match attempt.target {
+            TargetEnd::Closed if has_all => {
+                steps.push(step("passes the close on", StreamEnd::Finished));
+            }
+            TargetEnd::Reset => {
+                let end = reset_if(self.rules.break_is_reset);
+                steps.push(step("passes the reset on", end));
+            }
+            TargetEnd::Closed | TargetEnd::Open => {}
+        }
+        steps
+    }
+
     /// The bytes of attempt `i` reach the target, perhaps after the router gave it up.
     fn arrive(&self, s: &TunnelState, i: usize) -> Option<TunnelState> {
         let attempt = s.attempts[i];
@@ -174,6 +269,8 @@
             .collect();
         for i in 0..s.attempts.len() {
             steps.extend(self.router_steps(s, i));
+            steps.extend(self.target_steps(s, i));
+            steps.extend(self.relay_steps(s, i));
             let arrived = self.arrive(s, i);
             steps.extend(arrived.map(|n| (format!("attempt {i}: arrives"), n)));
         }
@@ -184,14 +281,22 @@
         if s.runs > 1 {
             return Some(RAN_TWICE.to_string());
         }
-        let is_cut = |a: &Attempt| a.progress == Progress::Finished && a.pieces < PIECES;
-        let has_cut = s.attempts.iter().any(is_cut);
-        has_cut.then(|| CUT_ANSWER_TAKEN.to_string())
+        let taken = || {
+            s.attempts
+                .iter()
+                .filter(|a| a.progress == Progress::Finished)
+        };
+        if taken().any(|a| a.target != TargetEnd::Closed) {
+            return Some(NOT_ENDED_BY_TARGET.to_string());
+        }
+        let is_cut = taken().any(|a| a.pieces < PIECES);
+        is_cut.then(|| CUT_ANSWER_TAKEN.to_string())
     }
 }
 
 const RAN_TWICE: &str = "the request ran twice";
 const CUT_ANSWER_TAKEN: &str = "a cut answer was taken for a whole one";
+const NOT_ENDED_BY_TARGET: &str = "what was taken as ended was not ended by the target";
 
 /// Returns the tunnel specification with each rule disabled in turn.
 pub fn tunnel_cases() -> Vec<Case<TunnelSpec>> {
@@ -227,6 +332,30 @@
                 break_is_reset: false,
                 ..all
             },
+            NOT_ENDED_BY_TARGET,
+        ),
+        case(
+            "resetting a tunnel that is given up",
+            TunnelRules {
+                given_up_is_reset: false,
+                ..all
+            },
+            NOT_ENDED_BY_TARGET,
+        ),
+        case(
+            "taking the loss of the relay for an error",
+            TunnelRules {
+                loss_is_error: false,
+                ..all
+            },
+            NOT_ENDED_BY_TARGET,
+        ),
+        case(
+            "ending a stream after all bytes",
+            TunnelRules {
+                end_follows_bytes: false,
+                ..all
+            },
             CUT_ANSWER_TAKEN,
         ),
     ]
