End a chat's event stream only where its sender says so

What callers saw: a chat whose session ended early closed its event stream like a whole one (last chunk), after an event that names the error. An HTTP/1.0 caller of templates saw an ordinary close.

Cause: the body was a channel whose end is that of its sender. Any drop of the sending task, at the end of the runtime or by a panic too, read as a whole body.

Change: ChannelBody ends only with an explicit end. A dropped sender is an error, reported after the connection could write what it has taken, so the event with the error still arrives. Connections of callers of templates use CallerStream, as those of routes do. An error of such a connection is logged.

Ruled out: answers in one piece and recorded answers: both need the session's end to be Complete, and the length is sent.

Evidence: both cases of a_chat_that_ends_early_breaks_its_event_stream_off failed on the code before (chunked: last chunk after the error; HTTP/1.0: "left: Properly, right: ByReset") and pass now. tokio-stream is no longer used by deckwindd.

--- a/crates/deckwind-net/src/caller_stream.rs
+++ b/crates/deckwind-net/src/caller_stream.rs
@@ -5,6 +5,8 @@
 //! the kernel resets it whenever it ends without [`AsyncWrite::poll_shutdown`]: after an
 //! error, a panic, or the end of the process.
 
+use http::{Response, Version};
+use hyper::body::Body;
 use socket2::SockRef;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -28,10 +30,12 @@
 pub struct EndsAnswer(Arc<AtomicBool>);
 
 impl EndsAnswer {
-    /// States that the end of the connection marks the end of the answer that is about
-    /// to be written.
-    pub fn set(&self) {
-        self.0.store(true, Ordering::Relaxed);
+    /// Sets the flag if the end of the connection marks the end of this answer to a request
+    /// with this version, which is about to be written.
+    pub fn set_for<B: Body>(&self, version: Version, res: &Response<B>) {
+        if version < Version::HTTP_11 && res.body().size_hint().exact().is_none() {
+            self.0.store(true, Ordering::Relaxed);
+        }
     }
 
     fn is_set(&self) -> bool {
--- a/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
@@ -2,14 +2,18 @@
 //! connection marks the end of a stream, so an answer that breaks off resets it.
 
 use crate::rig::{API_KEY, Rig};
-use crate::run_async;
+use crate::{any_loopback_port, run_async};
+use deckwind_core::state::{Change, LayerRange};
 use deckwind_fakes::{
-    ConnectionEnd, EVENTS_PER_STREAM, FakeTargetFault, HOST, StreamEnding, StreamFraming,
-    whole_stream,
+    ConnectionEnd, EVENTS_PER_STREAM, EngineFault, FakeEngine, FakeEngineConfig, FakeTargetFault,
+    HOST, StreamEnding, StreamFraming, serve, whole_stream,
+};
+use deckwind_testkit::{
+    Caller, Cluster, Layout, account, chat_template, engine_target, eventually_async,
 };
-use deckwind_testkit::{Layout, eventually_async};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -24,6 +28,20 @@
 /// Path of streams that can't be resumed.
 const STREAM: &str = "/tell/x";
 
+/// Number of layers of the chat model.
+const LAYERS: u32 = 4;
+
+/// Time that an engine needs for a token.
+const STEP_TIME: Duration = Duration::from_millis(20);
+
+/// Number of tokens of a chat: more than are sent before its engine fails.
+const TOKENS: u32 = 100;
+
+const PROMPT: &str = "rewrite the swap of tuesday";
+
+/// End of a chunked body that is whole, with the end of the chunk before it.
+const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
 /// Number of streams that are broken off just after an event.
 const ROUNDS: usize = 100;
 
@@ -274,7 +292,7 @@
             let answer = ask(&rig, "HTTP/1.1", STREAM, "Connection: close\r\n").await;
             let chunked = "transfer-encoding: chunked";
             assert!(answer.head.contains(chunked), "{}", answer.head);
-            let is_whole = answer.body.ends_with(b"\r\n0\r\n\r\n");
+            let is_whole = answer.body.ends_with(LAST_CHUNK);
             assert_eq!(is_whole, broken_after.is_none(), "{}", answer.events());
         }
         rig.cluster.close().await.expect("closed");
@@ -305,3 +323,78 @@
         rig.cluster.close().await.expect("closed");
     });
 }
+
+/// Guards against a chat whose session ends early and whose event stream looks complete.
+#[parameterized(
+    chunked = { "HTTP/1.1" },
+    without_chunks = { "HTTP/1.0" },
+)]
+fn a_chat_that_ends_early_breaks_its_event_stream_off(version: &str) {
+    run_async(async {
+        let cluster = Cluster::start(1, 1).await.expect("a cluster");
+        let template = chat_template("swaps", LAYERS);
+        let changes = [
+            Change::Template(template),
+            Change::Account(account("care", "key")),
+        ];
+        for change in changes {
+            cluster.apply(change).await.expect("applied");
+        }
+        let mut cfg = FakeEngineConfig::new(LayerRange::new(0, LAYERS), LAYERS);
+        cfg.step_time = STEP_TIME;
+        let engine = FakeEngine::new(cfg);
+        let served = serve::engine(any_loopback_port(), Arc::new(engine.clone()));
+        let served = served.await.expect("an engine");
+        let target = engine_target("engine", served.address, 0, LAYERS);
+        cluster
+            .apply(Change::Target(target))
+            .await
+            .expect("applied");
+        let caller = Caller::new(cluster.callers(0), "key");
+        eventually_async("the chat is served", || async {
+            let answer = caller.chat("swaps", PROMPT, 1, &[]).await.ok()?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+
+        let whole = read_to_end(chat(&cluster, version).await).await;
+        assert_eq!(whole.closed, Closed::Properly);
+        assert!(whole.events().contains("[DONE]"), "{}", whole.events());
+
+        let stream = chat(&cluster, version).await;
+        stream.readable().await.expect("a first byte");
+        let retired = cluster.apply(Change::RetireTarget("engine".into())).await;
+        retired.expect("applied");
+        engine.set_fault(EngineFault::Dead);
+        let broken = read_to_end(stream).await;
+        let events = broken.events();
+        assert!(events.contains("event: error"), "{events}");
+        assert!(!events.contains("[DONE]"), "{events}");
+        match version {
+            "HTTP/1.0" => assert_eq!(broken.closed, Closed::ByReset),
+            _ => assert!(!broken.body.ends_with(LAST_CHUNK), "{events}"),
+        }
+        cluster.close().await.expect("closed");
+        served.kill().await;
+    });
+}
+
+/// Asks for a chat as an event stream.
+async fn chat(cluster: &Cluster, version: &str) -> TcpStream {
+    let body = serde_json::json!({
+        "model": "swaps",
+        "messages": [{ "role": "user", "content": PROMPT }],
+        "max_tokens": TOKENS,
+        "stream": true,
+    });
+    let body = body.to_string();
+    let stream = TcpStream::connect(cluster.callers(0)).await;
+    let mut stream = stream.expect("a connection");
+    let head = format!(
+        "POST /v1/chat/completions {version}\r\nHost: {HOST}\r\nAuthorization: Bearer key\r\n\
+         Connection: close\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream
+}
--- a/crates/deckwindd/src/router/chat_response.rs
+++ b/crates/deckwindd/src/router/chat_response.rs
@@ -1,6 +1,7 @@
 //! Sends the answer of a chat session to its caller: as one response body, or as
 //! server-sent events (WHATWG HTML, section 9.2).
 
+use super::channel_body::{self, BodySender};
 use super::chat::ChatEvent;
 use super::chat_body::{ChatRequest, chunk, completion};
 use super::claims::HeldClaim;
@@ -12,13 +13,10 @@
 use deckwind_core::session::EndReason;
 use deckwind_core::state::Outcome;
 use http::{HeaderValue, Response, StatusCode, header};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
-use std::convert::Infallible;
+use http_body_util::BodyExt;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::ReceiverStream;
 
 /// Chat request whose session is running, with the resources that it holds until it ends.
 pub struct ChatResponder {
@@ -140,10 +138,9 @@
 
     /// Returns a response that streams the answer as server-sent events.
     pub fn into_event_stream(self) -> Response<Body> {
-        let (tx, rx) = mpsc::channel(MAX_BUFFERED_TOKENS);
+        let (tx, body) = channel_body::channel(MAX_BUFFERED_TOKENS);
         tokio::spawn(self.send_events(tx));
-        let body = BodyExt::boxed(StreamBody::new(ReceiverStream::new(rx)));
-        let mut res = Response::new(body);
+        let mut res = Response::new(body.boxed());
         let headers = res.headers_mut();
         let event_stream = HeaderValue::from_static("text/event-stream");
         headers.insert(header::CONTENT_TYPE, event_stream);
@@ -151,9 +148,10 @@
         res
     }
 
-    /// Sends the answer as server-sent events. If the caller disconnects, `tx` is closed;
-    /// `self` is then dropped with the receiver of the session, which cancels its stages.
-    async fn send_events(mut self, tx: mpsc::Sender<Result<Frame<Bytes>, Infallible>>) {
+    /// Sends the answer as server-sent events. An answer that is not whole breaks off after
+    /// the event that says why. If the caller disconnects, `tx` is closed; `self` is then
+    /// dropped with the receiver of the session, which cancels its stages.
+    async fn send_events(mut self, tx: BodySender) {
         let mut text = String::new();
         let mut tokens = 0;
         loop {
@@ -191,10 +189,14 @@
                 let body = self.completion(&text, tokens);
                 self.record_answer(&body).await;
             }
-            let sent = tx.send(Ok(Frame::data(Bytes::from(data)))).await;
-            if sent.is_err() || ended {
-                return;
+            let sent = tx.send(Bytes::from(data)).await;
+            if sent.is_ok() && !ended {
+                continue;
             }
+            if sent.is_err() || (is_complete && tx.end().await.is_err()) {
+                log::debug!("event=caller_left request={}", self.id);
+            }
+            return;
         }
     }
 
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -16,6 +16,7 @@
 //! `routes` serves published routes; the modules above serve templates.
 
 mod admin_page;
+mod channel_body;
 mod chat;
 mod chat_body;
 mod chat_response;
--- a/crates/deckwindd/src/router/routes/http_server.rs
+++ b/crates/deckwindd/src/router/routes/http_server.rs
@@ -16,9 +16,9 @@
 use deckwind_net::edge::{CallerRequestHead, TargetRequestHead};
 use deckwind_net::targets::{set_tcp_options, set_tcp_options_with_timeout};
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -231,9 +231,7 @@
 ) -> Result<Response<RouteBody>, BodyError> {
     let version = req.version();
     let res = handle(shared, req).await?;
-    if version < Version::HTTP_11 && res.body().size_hint().exact().is_none() {
-        ends_answer.set();
-    }
+    ends_answer.set_for(version, &res);
     Ok(res)
 }
 
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -27,6 +27,7 @@
 pub use http_server::{accept, accept_readiness_checks};
 pub use permits::request_permits;
 pub use poison_requests::{InterruptedRun, report_interrupted_runs};
+pub use responses::BodyError;
 pub use stall_detection::{report_slow_engines, watch_streams};
 
 use crate::context::{Context, announce_interval};
--- a/crates/deckwindd/src/router/template_answers.rs
+++ b/crates/deckwindd/src/router/template_answers.rs
@@ -1,15 +1,15 @@
 //! Responses to callers of templates: bodies, and errors with stable codes.
 
+use super::routes::BodyError;
 use bytes::Bytes;
 use deckwind_core::router::{Denied, DeniedCode};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use serde::Serialize;
-use std::convert::Infallible;
 use std::time::Duration;
 
 /// Body of a response.
-pub type Body = BoxBody<Bytes, Infallible>;
+pub type Body = BoxBody<Bytes, BodyError>;
 
 /// Whether a request that failed may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -89,7 +89,9 @@
 
 /// Creates a body that is complete from the start.
 pub fn full_body(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).boxed()
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed()
 }
 
 /// Creates a response with a status, a content type and a body.
--- a/crates/deckwindd/src/router/template_callers.rs
+++ b/crates/deckwindd/src/router/template_callers.rs
@@ -17,6 +17,7 @@
 use deckwind_core::routing::prefix_hashes;
 use deckwind_core::state::{AccountName, ContentDigest, Outcome, TemplateName};
 use deckwind_net::body::{CollectError, MessageBody, NoReservation, collect};
+use deckwind_net::caller_stream::{CallerStream, EndsAnswer};
 use deckwind_net::targets::ServiceCall;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
@@ -78,7 +79,9 @@
         let _ = stream.set_nodelay(true);
         let shared = shared.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |req| handle(shared.clone(), req));
+            let stream = CallerStream::new(stream);
+            let ends_answer = stream.ends_answer();
+            let service = service_fn(move |req| answer(shared.clone(), req, ends_answer.clone()));
             let mut builder = auto::Builder::new(TokioExecutor::new());
             builder
                 .http1()
@@ -86,9 +89,10 @@
                 .header_read_timeout(HEAD_TIMEOUT)
                 .max_buf_size(MAX_HEAD_BYTES);
             builder.http2().max_header_list_size(MAX_HEAD_BYTES as u32);
-            let _ = builder
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let serving = builder.serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = serving.await {
+                log::debug!("event=caller_connection_ended error={:?}", e.to_string());
+            }
         });
     }
 }
@@ -102,6 +106,17 @@
     }
 }
 
+async fn answer(
+    shared: Arc<RouterShared>,
+    req: Request<Incoming>,
+    ends_answer: EndsAnswer,
+) -> Result<Response<Body>, Infallible> {
+    let version = req.version();
+    let res = handle(shared, req).await?;
+    ends_answer.set_for(version, &res);
+    Ok(res)
+}
+
 async fn handle(
     shared: Arc<RouterShared>,
     req: Request<Incoming>,
