Test that a stream of a killed router does not look complete

A router that is killed within a stream leaves the end of its connections to the kernel. For HTTP/1.0 the socket option set before the first byte makes it a reset; for HTTP/1.1 the last chunk is missing.

The test of HTTP/1.1 asks for Connection: close: in a trial without, waiting for the idle connection to end ran into the test's timeout.

--- a/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
@@ -1,16 +1,18 @@
 //! How answers end for callers whose HTTP version has no chunks: only the end of the
 //! connection marks the end of a stream, so an answer that breaks off resets it.
 
-use crate::rig::{API_KEY, Rig};
+use crate::processes::process_cluster;
+use crate::rig::{API_KEY, Rig, data_centre_of, post};
 use crate::{any_loopback_port, run_async};
 use deckwind_core::state::{Change, LayerRange};
 use deckwind_fakes::{
     ConnectionEnd, EVENTS_PER_STREAM, EngineFault, FakeEngine, FakeEngineConfig, FakeTargetFault,
-    HOST, StreamEnding, StreamFraming, serve, whole_stream,
+    FakeTargetServer, HOST, StreamEnding, StreamFraming, release_document, serve, whole_stream,
 };
 use deckwind_testkit::{
     Caller, Cluster, Layout, account, chat_template, engine_target, eventually_async,
 };
+use http::StatusCode;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,6 +27,9 @@
 /// Receive buffer in bytes of a caller that reads nothing.
 const SMALL_BUFFER: u32 = 8_192;
 
+/// Header line that asks for the end of the connection after the answer.
+const CLOSE: &str = "Connection: close\r\n";
+
 /// Path of streams that can't be resumed.
 const STREAM: &str = "/tell/x";
 
@@ -267,7 +272,7 @@
     run_async(async {
         let rig = rig_of_one_target().await;
         rig.plain[0].set_fault(FakeTargetFault::LongBody(bytes));
-        let answer = ask(&rig, version, "/once/x", "Connection: close\r\n").await;
+        let answer = ask(&rig, version, "/once/x", CLOSE).await;
         assert_eq!(answer.closed, Closed::Properly);
         let length = format!("content-length: {bytes}");
         assert!(answer.head.contains(&length), "{}", answer.head);
@@ -289,7 +294,7 @@
                 ConnectionEnd::Close,
             );
             rig.plain[0].set_fault(fault);
-            let answer = ask(&rig, "HTTP/1.1", STREAM, "Connection: close\r\n").await;
+            let answer = ask(&rig, "HTTP/1.1", STREAM, CLOSE).await;
             let chunked = "transfer-encoding: chunked";
             assert!(answer.head.contains(chunked), "{}", answer.head);
             let is_whole = answer.body.ends_with(LAST_CHUNK);
@@ -398,3 +403,61 @@
     stream.write_all(head.as_bytes()).await.expect("sent");
     stream
 }
+
+/// Guards against a router that is killed within a stream, which then looks complete: the
+/// kernel closes its connections.
+#[parameterized(
+    chunked = { "HTTP/1.1" },
+    without_chunks = { "HTTP/1.0" },
+)]
+fn a_stream_of_a_router_that_is_killed_does_not_look_complete(version: &str) {
+    run_async(async {
+        let cluster = process_cluster(1, 1);
+        let control = cluster.control(0).expect("a control replica");
+        let router = cluster.router(0).expect("a router");
+        let address = cluster.layout.routers[0].routes;
+        let target = FakeTargetServer::start("p-0").await.expect("a target");
+        publish_target(cluster.layout.control_calls[0], &target).await;
+        let deadline = Duration::from_secs(3);
+        eventually_async("a stream is served", || async {
+            TcpStream::connect(address).await.ok()?;
+            let stream = connect(address, version, STREAM, deadline, CLOSE).await;
+            let answer = read_to_end(stream).await;
+            answer.head.contains("200 ok").then_some(())
+        })
+        .await;
+
+        target.set_fault(FakeTargetFault::StallsAfter {
+            event: 2,
+            stage: target.address,
+        });
+        let stream = connect(address, version, STREAM, deadline, CLOSE).await;
+        stream.readable().await.expect("a first byte");
+        router.kill();
+        let answer = read_to_end(stream).await;
+        match version {
+            "HTTP/1.0" => {
+                assert_eq!(answer.closed, Closed::ByReset);
+                assert!(whole_stream().starts_with(&answer.events()));
+            }
+            _ => assert!(!answer.body.ends_with(LAST_CHUNK), "{}", answer.events()),
+        }
+        control.kill();
+    });
+}
+
+/// Publishes the first release, and announces a target of its plain routes.
+async fn publish_target(control: SocketAddr, target: &FakeTargetServer) {
+    let release = release_document(1, &[API_KEY]);
+    let announcement = target.announcement("plain", data_centre_of(0), "ready", 1);
+    let posts = [
+        ("/v1/config/put", release),
+        ("/v1/instances/p-0/heartbeat", announcement),
+    ];
+    for (path, body) in posts {
+        eventually_async("control accepts it", || async {
+            (post(control, path, &body).await == StatusCode::OK).then_some(())
+        })
+        .await;
+    }
+}
