Test that requests whose bodies are cut do not run

Bodies short of their length or without a last chunk, ended by half-close or reset, to templates, routes and control (a whole release document without its end), and HTTP/2 bodies reset with CANCEL, NO_ERROR or with the connection.

No fault was found: the tests pass on the code as it is.

--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod connections;
 mod connectivity;
 mod contracts;
+mod cut_bodies;
 mod cut_off_routers;
 mod decisions;
 mod engine_load;
