--- a/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
@@ -1,14 +1,21 @@
 //! How answers end for callers whose HTTP version has no chunks: only the end of the
 //! connection marks the end of a stream, so an answer that breaks off resets it.
 
-use crate::rig::{API_KEY, Rig};
-use crate::run_async;
+use crate::processes::process_cluster;
+use crate::rig::{API_KEY, Rig, data_centre_of, post};
+use crate::{any_loopback_port, run_async};
+use deckwind_core::state::{Change, LayerRange};
 use deckwind_fakes::{
-    ConnectionEnd, FakeTargetFault, HOST, StreamEnding, StreamFraming, whole_stream,
+    ConnectionEnd, EVENTS_PER_STREAM, EngineFault, FakeEngine, FakeEngineConfig, FakeTargetFault,
+    FakeTargetServer, HOST, StreamEnding, StreamFraming, release_document, serve, whole_stream,
 };
-use deckwind_testkit::{Layout, eventually_async};
+use deckwind_testkit::{
+    Caller, Cluster, Layout, account, chat_template, engine_target, eventually_async,
+};
+use http::StatusCode;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -20,9 +27,29 @@
 /// Receive buffer in bytes of a caller that reads nothing.
 const SMALL_BUFFER: u32 = 8_192;
 
+/// Header line that asks for the end of the connection after the answer.
+const CLOSE: &str = "Connection: close\r\n";
+
 /// Path of streams that can't be resumed.
 const STREAM: &str = "/tell/x";
 
+/// Number of layers of the chat model.
+const LAYERS: u32 = 4;
+
+/// Time that an engine needs for a token.
+const STEP_TIME: Duration = Duration::from_millis(20);
+
+/// Number of tokens of a chat: more than are sent before its engine fails.
+const TOKENS: u32 = 100;
+
+const PROMPT: &str = "rewrite the swap of tuesday";
+
+/// End of a chunked body that is whole, with the end of the chunk before it.
+const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
+/// Number of streams that are broken off just after an event.
+const ROUNDS: usize = 100;
+
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Closed {
@@ -245,7 +272,7 @@
     run_async(async {
         let rig = rig_of_one_target().await;
         rig.plain[0].set_fault(FakeTargetFault::LongBody(bytes));
-        let answer = ask(&rig, version, "/once/x", "Connection: close\r\n").await;
+        let answer = ask(&rig, version, "/once/x", CLOSE).await;
         assert_eq!(answer.closed, Closed::Properly);
         let length = format!("content-length: {bytes}");
         assert!(answer.head.contains(&length), "{}", answer.head);
@@ -267,12 +294,170 @@
                 ConnectionEnd::Close,
             );
             rig.plain[0].set_fault(fault);
-            let answer = ask(&rig, "HTTP/1.1", STREAM, "Connection: close\r\n").await;
+            let answer = ask(&rig, "HTTP/1.1", STREAM, CLOSE).await;
             let chunked = "transfer-encoding: chunked";
             assert!(answer.head.contains(chunked), "{}", answer.head);
-            let is_whole = answer.body.ends_with(b"\r\n0\r\n\r\n");
+            let is_whole = answer.body.ends_with(LAST_CHUNK);
             assert_eq!(is_whole, broken_after.is_none(), "{}", answer.events());
         }
         rig.cluster.close().await.expect("closed");
     });
 }
+
+/// Guards against events that were received whole, but lost on their way to the caller
+/// because the stream broke off just after them.
+#[test]
+fn the_events_before_a_break_reach_the_caller() {
+    run_async(async {
+        let rig = rig_of_one_target().await;
+        let whole = whole_stream();
+        for count in (1..EVENTS_PER_STREAM as usize).cycle().take(ROUNDS) {
+            let sent: String = whole.split_inclusive("\n\n").take(count).collect();
+            let fault = ends(
+                StreamFraming::Connection,
+                Some(sent.len() + 1),
+                ConnectionEnd::Close,
+            );
+            rig.plain[0].set_fault(fault);
+            for version in ["HTTP/1.0", "HTTP/1.1"] {
+                let answer = ask(&rig, version, STREAM, "").await;
+                let received = answer.events();
+                assert!(received.contains(&sent), "{version} {count}: {received}");
+            }
+        }
+        rig.cluster.close().await.expect("closed");
+    });
+}
+
+/// Guards against a chat whose session ends early and whose event stream looks complete.
+#[parameterized(
+    chunked = { "HTTP/1.1" },
+    without_chunks = { "HTTP/1.0" },
+)]
+fn a_chat_that_ends_early_breaks_its_event_stream_off(version: &str) {
+    run_async(async {
+        let cluster = Cluster::start(1, 1).await.expect("a cluster");
+        let template = chat_template("swaps", LAYERS);
+        let changes = [
+            Change::Template(template),
+            Change::Account(account("care", "key")),
+        ];
+        for change in changes {
+            cluster.apply(change).await.expect("applied");
+        }
+        let mut cfg = FakeEngineConfig::new(LayerRange::new(0, LAYERS), LAYERS);
+        cfg.step_time = STEP_TIME;
+        let engine = FakeEngine::new(cfg);
+        let served = serve::engine(any_loopback_port(), Arc::new(engine.clone()));
+        let served = served.await.expect("an engine");
+        let target = engine_target("engine", served.address, 0, LAYERS);
+        cluster
+            .apply(Change::Target(target))
+            .await
+            .expect("applied");
+        let caller = Caller::new(cluster.callers(0), "key");
+        eventually_async("the chat is served", || async {
+            let answer = caller.chat("swaps", PROMPT, 1, &[]).await.ok()?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+
+        let whole = read_to_end(chat(&cluster, version).await).await;
+        assert_eq!(whole.closed, Closed::Properly);
+        assert!(whole.events().contains("[DONE]"), "{}", whole.events());
+
+        let stream = chat(&cluster, version).await;
+        stream.readable().await.expect("a first byte");
+        let retired = cluster.apply(Change::RetireTarget("engine".into())).await;
+        retired.expect("applied");
+        engine.set_fault(EngineFault::Dead);
+        let broken = read_to_end(stream).await;
+        let events = broken.events();
+        assert!(events.contains("event: error"), "{events}");
+        assert!(!events.contains("[DONE]"), "{events}");
+        match version {
+            "HTTP/1.0" => assert_eq!(broken.closed, Closed::ByReset),
+            _ => assert!(!broken.body.ends_with(LAST_CHUNK), "{events}"),
+        }
+        cluster.close().await.expect("closed");
+        served.kill().await;
+    });
+}
+
+/// Asks for a chat as an event stream.
+async fn chat(cluster: &Cluster, version: &str) -> TcpStream {
+    let body = serde_json::json!({
+        "model": "swaps",
+        "messages": [{ "role": "user", "content": PROMPT }],
+        "max_tokens": TOKENS,
+        "stream": true,
+    });
+    let body = body.to_string();
+    let stream = TcpStream::connect(cluster.callers(0)).await;
+    let mut stream = stream.expect("a connection");
+    let head = format!(
+        "POST /v1/chat/completions {version}\r\nHost: {HOST}\r\nAuthorization: Bearer key\r\n\
+         Connection: close\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream
+}
+
+/// Guards against a router that is killed within a stream, which then looks complete: the
+/// kernel closes its connections.
+#[parameterized(
+    chunked = { "HTTP/1.1" },
+    without_chunks = { "HTTP/1.0" },
+)]
+fn a_stream_of_a_router_that_is_killed_does_not_look_complete(version: &str) {
+    run_async(async {
+        let cluster = process_cluster(1, 1);
+        let control = cluster.control(0).expect("a control replica");
+        let router = cluster.router(0).expect("a router");
+        let address = cluster.layout.routers[0].routes;
+        let target = FakeTargetServer::start("p-0").await.expect("a target");
+        publish_target(cluster.layout.control_calls[0], &target).await;
+        let deadline = Duration::from_secs(3);
+        eventually_async("a stream is served", || async {
+            TcpStream::connect(address).await.ok()?;
+            let stream = connect(address, version, STREAM, deadline, CLOSE).await;
+            let answer = read_to_end(stream).await;
+            answer.head.contains("200 ok").then_some(())
+        })
+        .await;
+
+        target.set_fault(FakeTargetFault::StallsAfter {
+            event: 2,
+            stage: target.address,
+        });
+        let stream = connect(address, version, STREAM, deadline, CLOSE).await;
+        stream.readable().await.expect("a first byte");
+        router.kill();
+        let answer = read_to_end(stream).await;
+        match version {
+            "HTTP/1.0" => {
+                assert_eq!(answer.closed, Closed::ByReset);
+                assert!(whole_stream().starts_with(&answer.events()));
+            }
+            _ => assert!(!answer.body.ends_with(LAST_CHUNK), "{}", answer.events()),
+        }
+        control.kill();
+    });
+}
+
+/// Publishes the first release, and announces a target of its plain routes.
+async fn publish_target(control: SocketAddr, target: &FakeTargetServer) {
+    let release = release_document(1, &[API_KEY]);
+    let announcement = target.announcement("plain", data_centre_of(0), "ready", 1);
+    let posts = [
+        ("/v1/config/put", release),
+        ("/v1/instances/p-0/heartbeat", announcement),
+    ];
+    for (path, body) in posts {
+        eventually_async("control accepts it", || async {
+            (post(control, path, &body).await == StatusCode::OK).then_some(())
+        })
+        .await;
+    }
+}
