Take a refusal whose body was cut as a refusal

What callers saw: a target that says in the head of its answer that it did not run the request, and then breaks off, led to 502 instead of 503: a request that runs at most once could not be sent again by its caller, and the targets' state was not recorded.

Cause: plain requests read the body before they looked at the head. Routes of streams look at the head first.

Evidence: refusal_cut and refusal_cut_once failed before (502 where 503 is right) and pass now; refusal_whole passed before. 140 tests of body_ends (plain answers), at_most_once, attempts, routes and retries pass.

--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -288,7 +288,12 @@
             let mut held = HeldBytes::new(deliveries, Side::Answers);
             let max_len = MAX_ANSWER.min(deliveries.max_answer_size());
             let collected = collect(body, max_len, &mut held).await;
-            let body = collected.map_err(|e| broken(e.to_string()))?;
+            let body =
+                collected.map_err(|e| match self.check_head(head.status, &head.headers) {
+                    // The head says that nothing ran, whatever became of the rest.
+                    Err(AttemptError::NotRun) => AttemptError::NotRun,
+                    _ => broken(e.to_string()),
+                })?;
             Ok((head, body, held))
         };
         let (head, body, held) = match job.shared.clock.timeout(within, sending).await {
@@ -314,15 +319,9 @@
     }
 
     /// Checks that an answer belongs to this request and comes from the target itself.
-    fn check(
-        &self,
-        status: StatusCode,
-        mut headers: HeaderMap,
-        body: CollectedBody,
-        held: HeldBytes,
-    ) -> Result<WholeAnswer, AttemptError> {
+    fn check_head(&self, status: StatusCode, headers: &HeaderMap) -> Result<(), AttemptError> {
         let dialect = &self.job.shared.cx.dialects.callers;
-        let answer = dialect.read_answer(status, &headers);
+        let answer = dialect.read_answer(status, headers);
         if answer.id.as_ref().is_some_and(|id| *id != self.job.head.id) {
             return Err(broken("the answer is another request's".to_string()));
         }
@@ -340,6 +339,18 @@
         if status.is_success() && (!answer.is_signed || answer.content_encoded) {
             return Err(broken("the answer is not the target's own".to_string()));
         }
+        Ok(())
+    }
+
+    /// Checks a whole answer, and returns it as it is passed on.
+    fn check(
+        &self,
+        status: StatusCode,
+        mut headers: HeaderMap,
+        body: CollectedBody,
+        held: HeldBytes,
+    ) -> Result<WholeAnswer, AttemptError> {
+        self.check_head(status, &headers)?;
         if let Some(address) = self.target {
             self.job
                 .shared
