Soak and test at size: answers that end with their connection, and a check of their ends

What callers saw: an answer that had been broken off arrived framed as complete. Neither the soak nor the test at size could find that: their targets framed every answer, a crash closed a connection only between two writes, the proxy turned a reset into a close, and a caller's answer was compared only if it looked complete.

Change: a share of the fakes' answers (engines and plain targets, drawn from seed, request and number) has neither a length nor chunks. Pieces are written in two parts, so a crash cuts them at any byte, by close or by reset, and some answers are broken off inside an event while their target lives on. The fakes record each cut. The proxy passes resets on, and resets where it closed: it can't know where it cuts. The soak crashes targets under load, and also asks for streams that can't be resumed; such a request may run once only.

The new check: what came is the beginning of the answer, each byte once and in order, also where it is broken off or given up; it looks complete exactly if its last byte came, and has a length or chunks. It excuses one case: the target recorded that it closed an unframed answer after exactly this event or byte (RFC 9112, section 8). A break after the last byte is excused only where a target recorded a cut, or the router or a connection had a fault meanwhile; the test at size, which doesn't know these, doesn't judge that half.

--- a/crates/deckwind-fakes/src/lib.rs
+++ b/crates/deckwind-fakes/src/lib.rs
@@ -23,8 +23,8 @@
 pub use service::{FakeService, ServiceFault};
 pub use site::{FakeCall, HOST, generation_head, release_document, request_id};
 pub use target_server::{
-    Arrival, CRASH_DOWNTIME, ConnectionEnd, ENDS_ITS_TARGET, EVENTS_PER_STREAM, FakeFleet,
-    FakeTargetFault, FakeTargetServer, FleetArrival, FleetConfig, Outage, SeenRequest,
-    StreamEnding, StreamFraming, whole_stream,
+    AnswerDraws, Arrival, CRASH_DOWNTIME, ConnectionEnd, CutAnswer, CutPlace, ENDS_ITS_TARGET,
+    EVENTS_PER_STREAM, FakeFleet, FakeTargetFault, FakeTargetServer, FleetArrival, FleetConfig,
+    Outage, SeenRequest, StreamEnding, StreamFraming, whole_stream,
 };
 pub use weights::FakeWeightStore;
--- a/crates/deckwind-fakes/src/target_server/answers.rs
+++ b/crates/deckwind-fakes/src/target_server/answers.rs
@@ -1,6 +1,7 @@
 //! Reads requests from a connection and writes the answers of a fake target,
 //! including malformed ones.
 
+use super::answer_body::{AnswerBody, AnswerPlan, BodyKind};
 use super::fleet::{FakeFleet, PathError, parse_path};
 use super::{
     CRASH_DOWNTIME, ConnectionEnd, ENDS_ITS_TARGET, EVENT_GAP, EVENTS_PER_STREAM, FakeTargetFault,
@@ -93,6 +94,7 @@
     let request = req.headers.get("x-deckwind-request-id").cloned();
     let request = request.unwrap_or_default();
     record_arrival(state, &request, &fault);
+    let plan = draw_plan(state, &request);
     let fleet_request = record_fleet_request(state, s.get_ref().local_addr()?, &request);
     wait_while_paused(state).await;
     let expected = req.headers.get("x-deckwind-expect-instance");
@@ -116,7 +118,7 @@
     let is_stream = req.headers.contains_key("x-deckwind-token-count");
     if let Some(run) = fleet_request {
         if is_stream {
-            return run.stream(s, &req, &fault, state).await;
+            return run.stream(s, &req, (&fault, plan), state).await;
         }
         run.fleet.record_start(run.arrival);
     }
@@ -127,14 +129,24 @@
         .run_request_ids
         .push(run);
     if req.line.ends_with(ENDS_ITS_TARGET) {
-        return crash_on_request(s, &request, is_stream, state, connection_epoch).await;
+        let head = is_stream.then(|| framed_stream_head(&request, plan.framing, state));
+        return crash_on_request(s, head, state, connection_epoch).await;
     }
     match is_stream {
-        true => stream_events(s, &req, &request, &fault, state).await,
-        false => answer_plain(s, &request, &fault, state).await,
+        true => stream_events(s, &req, &request, (&fault, plan), state).await,
+        false => answer_plain(s, &request, (&fault, plan), state).await,
     }
 }
 
+/// Draws how the answer to a request that just arrived is sent.
+fn draw_plan(state: &Mutex<State>, request: &str) -> AnswerPlan {
+    let state = state.lock().expect("no holder panics");
+    let number = state.received_requests.len();
+    state
+        .answer_draws
+        .map_or(AnswerPlan::default(), |d| d.draw(request, number))
+}
+
 /// A request that a target of a fleet received.
 struct FleetRequest {
     fleet: FakeFleet,
@@ -168,7 +180,7 @@
         &self,
         s: &mut Stream,
         req: &SeenRequest,
-        fault: &FakeTargetFault,
+        (fault, plan): (&FakeTargetFault, AnswerPlan),
         state: &Mutex<State>,
     ) -> Result<bool> {
         let path = req.headers.get("path").and_then(|p| parse_path(p));
@@ -180,9 +192,12 @@
         let last = req.headers.get("last-event-id");
         let last: u64 = last.and_then(|l| l.parse().ok()).unwrap_or(0);
         let pace = self.fleet.pace();
+        let end = self.fleet.events(&self.request);
         let mut next = last + 1;
         let mut stalled_since = None;
-        while next <= self.fleet.events(&self.request) {
+        let events = (BodyKind::Events, end.saturating_sub(last));
+        let mut body = AnswerBody::new(s, state, &self.request, plan, events);
+        while next <= end {
             tokio::time::sleep(pace.event_interval).await;
             wait_while_paused(state).await;
             if let Some(down) = stream.down_engine() {
@@ -190,7 +205,9 @@
                 self.update_stall(state, Some(down));
                 match (since.elapsed() >= pace.stall_timeout, next == last + 1) {
                     (false, _) => continue,
-                    (true, true) => return self.refuse(s, PathError::Down(down), state).await,
+                    (true, true) => {
+                        return self.refuse(body.stream, PathError::Down(down), state).await;
+                    }
                     (true, false) => return Ok(false),
                 }
             }
@@ -198,23 +215,19 @@
                 self.update_stall(state, None);
             }
             if next == last + 1 {
-                self.write_head(s, state).await?;
+                self.fleet.record_start(self.arrival);
+                let head = framed_stream_head(&self.request, plan.framing, state);
+                body.start(&head).await?;
             }
             if matches!(fault, FakeTargetFault::BreaksStreamAfter(at) if next > *at) {
-                write_chunk(s, &format!("id: {next}\nda")).await?;
+                return body.write_beginning(&format!("id: {next}\nda")).await;
+            }
+            if !body.write(next, &format_event(next)).await? {
                 return Ok(false);
             }
-            write_chunk(s, &format_event(next)).await?;
             next += 1;
         }
-        s.write_all(b"0\r\n\r\n").await?;
-        Ok(true)
-    }
-
-    async fn write_head(&self, s: &mut Stream, state: &Mutex<State>) -> Result<()> {
-        self.fleet.record_start(self.arrival);
-        let head = stream_head(&self.request, state);
-        Ok(s.write_all(head.as_bytes()).await?)
+        body.finish().await
     }
 
     fn update_stall(&self, state: &Mutex<State>, down_engine: Option<SocketAddr>) {
@@ -247,13 +260,12 @@
 /// but no event, as the users' engines do.
 async fn crash_on_request(
     s: &mut Stream,
-    request: &str,
-    is_stream: bool,
+    stream_head: Option<String>,
     state: &Mutex<State>,
     connection_epoch: &watch::Sender<u32>,
 ) -> Result<bool> {
-    if is_stream {
-        s.write_all(stream_head(request, state).as_bytes()).await?;
+    if let Some(head) = stream_head {
+        s.write_all(head.as_bytes()).await?;
     }
     tokio::time::sleep(EVENT_GAP).await;
     state.lock().expect("no holder panics").crashes_by_request += 1;
@@ -265,7 +277,7 @@
 async fn answer_plain(
     s: &mut Stream,
     request: &str,
-    fault: &FakeTargetFault,
+    (fault, plan): (&FakeTargetFault, AnswerPlan),
     state: &Mutex<State>,
 ) -> Result<bool> {
     let ok_head =
@@ -313,7 +325,29 @@
             write_response(s, state, &ok_head, body.as_bytes()).await?;
             write_response(s, state, &ok_head.replace(request, "stale"), b"stale").await
         }
-        _ => write_response(s, state, &ok_head, body.as_bytes()).await,
+        _ => match plan.framing == StreamFraming::Connection || plan.break_at.is_some() {
+            true => write_plain_body(s, request, (&ok_head, &body), plan, state).await,
+            false => write_response(s, state, &ok_head, body.as_bytes()).await,
+        },
+    }
+}
+
+/// Writes a plain answer without a length.
+async fn write_plain_body(
+    s: &mut Stream,
+    request: &str,
+    (head, text): (&str, &str),
+    plan: AnswerPlan,
+    state: &Mutex<State>,
+) -> Result<bool> {
+    let headers = target_headers(state, false);
+    let framing = framing_header(plan.framing);
+    let mut body = AnswerBody::new(s, state, request, plan, (BodyKind::Plain, 1));
+    body.start(&format!("HTTP/1.1 {head}{framing}{headers}\r\n\r\n"))
+        .await?;
+    match body.write(1, text).await? {
+        true => body.finish().await,
+        false => Ok(false),
     }
 }
 
@@ -321,39 +355,54 @@
     s: &mut Stream,
     req: &SeenRequest,
     request: &str,
-    fault: &FakeTargetFault,
+    (fault, plan): (&FakeTargetFault, AnswerPlan),
     state: &Mutex<State>,
 ) -> Result<bool> {
     let last = req.headers.get("last-event-id");
     let last = last.and_then(|l| l.parse().ok()).unwrap_or(0);
-    let head = stream_head(request, state);
     if *fault == FakeTargetFault::ClosesMidAnswer {
         return Ok(false);
     }
+    let head = framed_stream_head(request, plan.framing, state);
     if let FakeTargetFault::Floods {
         events,
         bytes,
         continues,
     } = fault
     {
-        s.write_all(head.as_bytes()).await?;
-        return flood(s, request, last + 1..=*events, (*bytes, *continues), state).await;
+        // A flood is written as fast as it is read.
+        let plan = AnswerPlan {
+            split_at: plan.split_at.filter(|_| plan.break_at.is_some()),
+            ..plan
+        };
+        let count = (BodyKind::Events, events.saturating_sub(last));
+        let mut body = AnswerBody::new(s, state, request, plan, count);
+        body.start(&head).await?;
+        return flood(
+            body,
+            request,
+            last + 1..=*events,
+            (*bytes, *continues),
+            state,
+        )
+        .await;
     }
     if let FakeTargetFault::EndsStream(ending) = fault {
         return stream_to_ending(s, request, last + 1, *ending, state).await;
     }
+    let count = (BodyKind::Events, EVENTS_PER_STREAM.saturating_sub(last));
+    let mut body = AnswerBody::new(s, state, request, plan, count);
     // The head is sent with the first event, as the users' engines do.
     let mut head = Some(head);
     for event in last + 1..=EVENTS_PER_STREAM {
         tokio::time::sleep(EVENT_GAP).await;
         let stalls = matches!(fault, FakeTargetFault::StallsAfter { event: at, .. } if event > *at);
         if let Some(head) = head.take_if(|_| !stalls) {
-            s.write_all(head.as_bytes()).await?;
+            body.start(&head).await?;
         }
         match fault {
             FakeTargetFault::BreaksStreamAfter(at) if event > *at => {
-                write_chunk(s, &format!("id: {event}\nda")).await?;
-                return Ok(false);
+                return body.write_beginning(&format!("id: {event}\nda")).await;
             }
             FakeTargetFault::StallsAfter { event: at, stage } if event > *at => {
                 let stall = (request.to_string(), *stage);
@@ -362,15 +411,16 @@
                     tokio::time::sleep(EVENT_GAP).await;
                 }
                 if let Some(head) = head.take() {
-                    s.write_all(head.as_bytes()).await?;
+                    body.start(&head).await?;
                 }
-                write_chunk(s, &format_event(event)).await?;
             }
-            _ => write_chunk(s, &format_event(event)).await?,
+            _ => {}
+        }
+        if !body.write(event, &format_event(event)).await? {
+            return Ok(false);
         }
     }
-    s.write_all(b"0\r\n\r\n").await?;
-    Ok(true)
+    body.finish().await
 }
 
 /// Writes the events from `first` on at once, and ends the stream as told.
@@ -403,21 +453,21 @@
     Ok(false)
 }
 
-fn stream_head(request: &str, state: &Mutex<State>) -> String {
-    framed_stream_head(request, StreamFraming::Chunked, state)
-}
-
 fn framed_stream_head(request: &str, framing: StreamFraming, state: &Mutex<State>) -> String {
     let headers = target_headers(state, false);
-    let framing = match framing {
-        StreamFraming::Chunked => "\r\nTransfer-Encoding: chunked",
-        StreamFraming::Connection => "",
-    };
+    let framing = framing_header(framing);
     format!(
         "HTTP/1.1 200 OK\r\nX-Deckwind-Request-Id: {request}\r\nX-Deckwind-Response-Seal: s\r\nContent-Type: text/event-stream{framing}{headers}\r\n\r\n"
     )
 }
 
+fn framing_header(framing: StreamFraming) -> &'static str {
+    match framing {
+        StreamFraming::Chunked => "\r\nTransfer-Encoding: chunked",
+        StreamFraming::Connection => "",
+    }
+}
+
 /// Returns the events of a whole stream.
 pub fn whole_stream() -> String {
     (1..=EVENTS_PER_STREAM).map(format_event).collect()
@@ -453,7 +503,7 @@
 
 /// Writes events as fast as they are read.
 async fn flood(
-    s: &mut Stream,
+    mut body: AnswerBody<'_>,
     request: &str,
     events: std::ops::RangeInclusive<u64>,
     (bytes, continues): (usize, bool),
@@ -462,7 +512,10 @@
     let mut next = *events.end() + 1;
     let text = "x".repeat(bytes);
     for event in events {
-        write_chunk(s, &format!("id: {event}\ndata: {text}\n\n")).await?;
+        let piece = format!("id: {event}\ndata: {text}\n\n");
+        if !body.write(event, &piece).await? {
+            return Ok(false);
+        }
     }
     let written = request.to_string();
     state
@@ -472,11 +525,12 @@
         .push(written);
     while continues && is_flooding(state) {
         tokio::time::sleep(EVENT_GAP).await;
-        write_chunk(s, &format_event(next)).await?;
+        if !body.write(next, &format_event(next)).await? {
+            return Ok(false);
+        }
         next += 1;
     }
-    s.write_all(b"0\r\n\r\n").await?;
-    Ok(true)
+    body.finish().await
 }
 
 fn is_flooding(state: &Mutex<State>) -> bool {
@@ -489,7 +543,7 @@
     matches!(state.fault, FakeTargetFault::StallsAfter { .. })
 }
 
-fn format_event(event: u64) -> String {
+pub(super) fn format_event(event: u64) -> String {
     format!("id: {event}\ndata: token {event}\n\n")
 }
 
--- a/crates/deckwind-fakes/src/target_server/fleet.rs
+++ b/crates/deckwind-fakes/src/target_server/fleet.rs
@@ -2,7 +2,8 @@
 //! if an engine on the path is down. Records the requests that all targets of the fleet
 //! receive.
 
-use super::State;
+use super::answers::format_event;
+use super::{CutAnswer, State};
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -142,6 +143,17 @@
         lock(&self.0.outages).clone()
     }
 
+    /// Returns the answers to a request that targets of the fleet began and did not finish.
+    pub fn cut_answers(&self, request: &str) -> Vec<CutAnswer> {
+        let targets = lock(&self.0.targets);
+        let cut_at = |state: &Arc<Mutex<State>>| {
+            let state = lock(state);
+            let cut = state.cut_answers.iter().filter(|c| c.request == request);
+            cut.cloned().collect::<Vec<_>>()
+        };
+        targets.values().flat_map(cut_at).collect()
+    }
+
     /// Returns the speed and capacity of the fleet's engines.
     pub(super) fn pace(&self) -> FleetConfig {
         self.0.pace
@@ -167,6 +179,11 @@
         mean / 2 + hasher.finish() % mean.max(1)
     }
 
+    /// Returns the body of the whole stream for a request.
+    pub fn stream(&self, request: &str) -> String {
+        (1..=self.events(request)).map(format_event).collect()
+    }
+
     /// Records that a target received a request, and returns the index of the record.
     pub(super) fn record_arrival(&self, request: &str, pool: &str, address: SocketAddr) -> usize {
         let mut arrivals = lock(&self.0.arrivals);
--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -4,9 +4,11 @@
 //! The module `answers` writes the bytes of the answers itself, because about half of the
 //! faults are malformed answers that an HTTP library would not write.
 
+mod answer_body;
 mod answers;
 mod fleet;
 
+pub use answer_body::{AnswerDraws, CutAnswer, CutPlace};
 use answers::serve;
 pub use answers::whole_stream;
 use anyhow::{Context, Result};
@@ -163,6 +165,10 @@
     report_override: Option<String>,
     /// IDs of the requests whose flood of events was written completely.
     completed_floods: Vec<String>,
+    /// How answers are framed and broken off if no fault says otherwise.
+    answer_draws: Option<AnswerDraws>,
+    /// Answers that were cut, of all incarnations.
+    cut_answers: Vec<CutAnswer>,
     /// Number of orders to move a request to another path.
     path_changes: u32,
     /// Number of incarnations that crashed on a request.
@@ -327,8 +333,8 @@
     }
 
     /// Restarts the target with the same ID. Running requests are aborted and its state is
-    /// reset, except for the records of seen and run requests and of crashes, its card
-    /// and its fleet.
+    /// reset, except for the records of seen and run requests, of cut answers and of crashes,
+    /// its card, its fleet and its shares of answers.
     pub fn restart(&self) {
         start_incarnation(&self.state, &self.connection_epoch);
     }
@@ -363,6 +369,16 @@
         self.lock().fault = fault;
     }
 
+    /// Sets the shares of answers that end with their connection and that are broken off.
+    pub fn set_answer_draws(&self, draws: AnswerDraws) {
+        self.lock().answer_draws = Some(draws);
+    }
+
+    /// Returns the answers that the target began and did not finish, in order.
+    pub fn cut_answers(&self) -> Vec<CutAnswer> {
+        self.lock().cut_answers.clone()
+    }
+
     /// Sets the `Retry-After` value of each 503: seconds, a date, or an invalid value.
     /// `None` omits the header.
     pub fn set_retry_after(&self, retry_after: Option<&str>) {
@@ -486,6 +502,8 @@
         received_requests: previous.received_requests,
         run_request_ids: previous.run_request_ids,
         crashes_by_request: previous.crashes_by_request,
+        answer_draws: previous.answer_draws,
+        cut_answers: previous.cut_answers,
         kind: previous.kind,
         fleet: previous.fleet,
         ..State::default()
--- a/crates/deckwind-testkit/examples/at_size.rs
+++ b/crates/deckwind-testkit/examples/at_size.rs
@@ -45,7 +45,7 @@
             std::fs::remove_dir_all(&logs).context("failed to remove the logs")?;
         }
     }
-    println!("{exceeded} of {count} exceeded the retry limits");
+    println!("{exceeded} of {count} exceeded the retry limits or had a wrong answer");
     Ok(())
 }
 
@@ -109,6 +109,9 @@
         report.beyond_attempts,
         report.worst
     );
+    for error in &report.answer_errors {
+        println!("  {error}");
+    }
     let faults = report.faults.iter();
     let faults: Vec<String> = faults
         .map(|(at, t)| {
--- a/crates/deckwind-testkit/src/at_size/callers.rs
+++ b/crates/deckwind-testkit/src/at_size/callers.rs
@@ -1,10 +1,11 @@
 //! Open-loop load generator: sends requests at a set rate, however earlier requests end.
 
 use super::size::{KEY, Size};
+use crate::answer_check::{AnswerError, AnswerState, check_body, check_framing, read_body};
 use bytes::Bytes;
-use deckwind_fakes::HOST;
+use deckwind_fakes::{FakeFleet, HOST};
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -97,6 +98,9 @@
     /// Request rate in percent of the usual one.
     pub rate_percent: AtomicU64,
     outcomes: Mutex<Outcomes>,
+    /// The fleet that answers, which knows how long its streams are and what it cut.
+    fleet: FakeFleet,
+    answer_errors: Mutex<Vec<String>>,
     /// Times of the requests that were sent.
     pub send_times: SendTimes,
     next_number: AtomicU64,
@@ -105,7 +109,7 @@
 
 impl Callers {
     /// Creates callers of the routers at these addresses.
-    pub fn new(routers: Vec<SocketAddr>) -> Arc<Self> {
+    pub fn new(routers: Vec<SocketAddr>, fleet: FakeFleet) -> Arc<Self> {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
@@ -115,6 +119,8 @@
             routers,
             rate_percent: AtomicU64::new(100),
             outcomes: Mutex::default(),
+            fleet,
+            answer_errors: Mutex::default(),
             send_times: SendTimes::default(),
             next_number: AtomicU64::new(0),
             stop: AtomicBool::new(false),
@@ -162,6 +168,11 @@
         *self.outcomes.lock().expect("no holder panics")
     }
 
+    /// Returns what was wrong with answers so far.
+    pub fn answer_errors(&self) -> Vec<String> {
+        self.answer_errors.lock().expect("no holder panics").clone()
+    }
+
     /// Sends one streaming request and returns whether it is served.
     pub async fn is_served(&self) -> bool {
         let id = self.next_id(RequestKind::Stream);
@@ -169,7 +180,7 @@
             .send(RequestKind::Stream, &id, 0, RequestKind::Stream.timeout())
             .await;
         match sent {
-            Ok((StatusCode::OK, res)) => read_to_end(res).await,
+            Ok((StatusCode::OK, res)) => self.is_whole(RequestKind::Stream, &id, res).await,
             _ => false,
         }
     }
@@ -216,7 +227,7 @@
             };
             match status {
                 StatusCode::OK => {
-                    if read_to_end(res).await {
+                    if self.is_whole(kind, &id, res).await {
                         outcome = Outcome::Served;
                         break;
                     }
@@ -238,6 +249,30 @@
         self.record_outcome(outcome);
     }
 
+    /// Reads an answer to its end and checks it; returns whether it is complete and no pause
+    /// in it was longer than [`MAX_STREAM_PAUSE`].
+    async fn is_whole(&self, kind: RequestKind, id: &str, res: Response<Incoming>) -> bool {
+        let expected = match kind {
+            RequestKind::Stream => self.fleet.stream(id),
+            RequestKind::Once | RequestKind::Safe => format!("answer to {id}"),
+        };
+        let framing = check_framing(res.headers());
+        let give_up_at = || std::time::Instant::now() + MAX_STREAM_PAUSE;
+        let body = read_body(res.into_body(), Duration::ZERO, give_up_at).await;
+        let cuts = self.fleet.cut_answers(id);
+        let checked = framing.and_then(|()| check_body(expected.as_bytes(), &body, &cuts));
+        match checked {
+            Ok(state) => state == AnswerState::Whole,
+            // Routers and their connections end at any time here.
+            Err(AnswerError::BrokenAfterEnd) => false,
+            Err(e) => {
+                let mut errors = self.answer_errors.lock().expect("no holder panics");
+                errors.push(format!("{id}: {e}; cuts: {cuts:?}"));
+                false
+            }
+        }
+    }
+
     fn record_outcome(&self, outcome: Outcome) {
         let mut outcomes = self.outcomes.lock().expect("no holder panics");
         match outcome {
@@ -283,16 +318,3 @@
         Duration::try_from_secs_f64(s).unwrap_or_default()
     })
 }
-
-/// Reads an answer to its end; returns whether it is complete and no pause in it was
-/// longer than [`MAX_STREAM_PAUSE`].
-async fn read_to_end(res: Response<Incoming>) -> bool {
-    let mut body = res.into_body();
-    loop {
-        match tokio::time::timeout(MAX_STREAM_PAUSE, body.frame()).await {
-            Ok(Some(Ok(_))) => {}
-            Ok(None) => return true,
-            Ok(Some(Err(_))) | Err(_) => return false,
-        }
-    }
-}
--- a/crates/deckwind-testkit/src/at_size/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/mod.rs
@@ -21,7 +21,7 @@
 use crate::layout::Layout;
 use crate::processes::{Process, Processes};
 use anyhow::{Context, Result, bail};
-use deckwind_fakes::{FakeFleet, FakeTargetServer, FleetArrival};
+use deckwind_fakes::{AnswerDraws, FakeFleet, FakeTargetServer, FleetArrival};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
@@ -55,6 +55,11 @@
 /// Time for requests in progress to finish at the end of a run.
 const FINISH_TIME: Duration = Duration::from_secs(8);
 
+/// Percentage of answers that end with their connection, and of those that their target
+/// breaks off inside an event beside the faults of a run.
+const UNFRAMED_PERCENT: u64 = 40;
+const BROKEN_PERCENT: u64 = 1;
+
 /// Results of one run.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -73,15 +78,19 @@
     pub uncharged_retries: usize,
     /// Outcomes of the callers' requests.
     pub outcomes: Outcomes,
+    /// What was wrong with answers: an end that is missing, or other bytes than the target's.
+    pub answer_errors: Vec<String>,
     /// The faults that were injected, with their times since the callers started.
     pub faults: Vec<(Duration, FaultEvent)>,
 }
 
 impl Report {
-    /// Whether a retry budget or the limit on attempts was exceeded.
+    /// Whether a retry budget or the limit on attempts was exceeded, or an answer was wrong.
     pub fn exceeds_limits(&self) -> bool {
         let pools = [self.engines, self.plain];
-        pools.iter().flatten().any(|w| w.used() > 1.0) || self.beyond_attempts > 0
+        pools.iter().flatten().any(|w| w.used() > 1.0)
+            || self.beyond_attempts > 0
+            || !self.answer_errors.is_empty()
     }
 }
 
@@ -124,6 +133,7 @@
     faults: &FaultPlan,
 ) -> Result<Report> {
     let mut deployment = Deployment::start(processes, size).await?;
+    deployment.draw_answers(seed);
     let announcer = deployment.announce();
     deployment.wait_until_served().await?;
     let started = Instant::now();
@@ -159,7 +169,7 @@
         let addresses = layout.routers.iter().map(|r| r.routes).collect();
         let control_client = ControlClient::new(layout.control_calls.clone());
         Ok(Self {
-            callers: Callers::new(addresses),
+            callers: Callers::new(addresses, fleet.clone()),
             processes,
             size,
             control,
@@ -171,6 +181,17 @@
         })
     }
 
+    /// Sets how the targets frame their answers and which ones they break off.
+    fn draw_answers(&self, seed: u64) {
+        for (i, target) in self.targets.iter().enumerate() {
+            target.server.set_answer_draws(AnswerDraws {
+                seed: seed.wrapping_add(i as u64),
+                unframed_percent: UNFRAMED_PERCENT,
+                broken_percent: BROKEN_PERCENT,
+            });
+        }
+    }
+
     /// Starts a task that announces all targets until it is aborted.
     fn announce(&self) -> JoinHandle<()> {
         let (targets, control_client) = (self.targets.clone(), self.control_client.clone());
@@ -236,6 +257,7 @@
                 &self.processes.lines("event=repeat_paid")?,
             ),
             outcomes: self.callers.outcomes(),
+            answer_errors: self.callers.answer_errors(),
             faults,
         })
     }
--- a/crates/deckwind-testkit/src/lib.rs
+++ b/crates/deckwind-testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! Starts real daemons on loopback with fake targets, in one process ([`Cluster`]) or as
 //! separate processes ([`Processes`]). Not for use in production.
 
+pub mod answer_check;
 pub mod at_size;
 mod caller;
 mod cluster;
--- a/crates/deckwind-testkit/src/soak/calls.rs
+++ b/crates/deckwind-testkit/src/soak/calls.rs
@@ -1,12 +1,14 @@
 //! Requests of callers and operators, and checks of their answers.
 
 use super::environment::Target;
-use super::notices::{FaultSpans, id_for_router};
+use super::notices::{FaultSpans, id_for_router, router_of};
+use crate::answer_check::{
+    AnswerEnd, AnswerError, AnswerState, ReceivedBody, check_body, check_framing, read_body,
+};
 use bytes::Bytes;
-use deckwind_fakes::{ENDS_ITS_TARGET, EVENTS_PER_STREAM, FakeCall, release_document};
+use deckwind_fakes::{CutAnswer, ENDS_ITS_TARGET, FakeCall, release_document, whole_stream};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use serde_json::Value;
@@ -14,7 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Timeout of one request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -33,6 +35,9 @@
 /// begin with it, and all have the same content.
 pub const POISON: &str = "ends";
 
+/// Kind of requests for streams that can't be resumed; their ids begin with it.
+pub const TELL: &str = "tell";
+
 /// Number of events in a [`FLOOD`] answer and bytes of each: more than socket buffers
 /// hold at the pace at which the caller reads.
 const FLOOD_SIZE: (u64, usize) = (300, 8_000);
@@ -53,6 +58,10 @@
     pub requests: AtomicU64,
     pub served: AtomicU64,
     pub refused: AtomicU64,
+    /// Answers that their targets cut where nobody can tell that from their end.
+    pub cut_unseen: AtomicU64,
+    /// Answers whose callers saw that they were broken off.
+    pub broken: AtomicU64,
     /// Requests whose answers said that they were not run.
     pub not_run: Mutex<BTreeSet<String>>,
     pub violations: Mutex<Vec<String>>,
@@ -81,22 +90,24 @@
         self.violations.lock().expect("no holder panics").push(what);
     }
 
-    async fn send(&self, req: Request<Full<Bytes>>) -> Option<(StatusCode, Option<Bytes>)> {
-        self.send_and_read(req, Duration::ZERO).await
+    async fn send(&self, req: Request<Full<Bytes>>) -> Option<(StatusCode, ReceivedBody)> {
+        let (status, _, body) = self.send_and_read(req, Duration::ZERO).await?;
+        Some((status, body))
     }
 
-    /// Sends a request and reads the answer with a pause after each piece.
+    /// Sends a request and reads the answer with a pause after each piece. Returns the
+    /// status, whether the head says where the body ends, and the body as far as it came.
     async fn send_and_read(
         &self,
         req: Request<Full<Bytes>>,
         pause: Duration,
-    ) -> Option<(StatusCode, Option<Bytes>)> {
-        let sending = async {
-            let res = self.http.request(req).await.ok()?;
-            let status = res.status();
-            Some((status, read(res.into_body(), pause).await))
-        };
-        tokio::time::timeout(REQUEST_TIMEOUT, sending).await.ok()?
+    ) -> Option<(StatusCode, Result<(), AnswerError>, ReceivedBody)> {
+        let deadline = Instant::now() + REQUEST_TIMEOUT;
+        let sending = tokio::time::timeout(REQUEST_TIMEOUT, self.http.request(req));
+        let res = sending.await.ok()?.ok()?;
+        let (status, framing) = (res.status(), check_framing(res.headers()));
+        let body = read_body(res.into_body(), pause, || deadline).await;
+        Some((status, framing, body))
     }
 
     /// Tries the replicas in turn until one answers with 200.
@@ -107,8 +118,10 @@
                 .uri(format!("http://{address}{path}"))
                 .body(Full::new(Bytes::from(body.to_string())))
                 .ok()?;
-            if let Some((StatusCode::OK, Some(body))) = self.send(req).await {
-                return Some(body);
+            if let Some((StatusCode::OK, body)) = self.send(req).await
+                && body.end == AnswerEnd::Complete
+            {
+                return Some(body.bytes);
             }
         }
         None
@@ -146,16 +159,20 @@
             id,
             path: &path,
             key: KEY,
-            generation: matches!(kind, "stream" | FLOOD | POISON),
+            generation: matches!(kind, "stream" | TELL | FLOOD | POISON),
             last_event: None,
         };
         let Ok(req) = call.request(address) else {
             return Outcome::Unknown;
         };
-        let Some((status, body)) = self.send_and_read(req, pause).await else {
+        let sent_at = Instant::now();
+        let Some((status, framing, body)) = self.send_and_read(req, pause).await else {
             return Outcome::Unknown;
         };
-        self.check_answer(kind, id, status, body)
+        if let Err(e) = framing {
+            self.record_violation(format!("{id} ({status}): {e}"));
+        }
+        self.check_answer(kind, id, status, &body, sent_at)
     }
 
     fn check_answer(
@@ -163,40 +180,79 @@
         kind: &str,
         id: &str,
         status: StatusCode,
-        body: Option<Bytes>,
+        body: &ReceivedBody,
+        sent_at: Instant,
     ) -> Outcome {
-        match (status.as_u16(), body) {
-            (200, Some(body)) => {
-                let expected = match kind {
-                    "stream" => stream_body(),
-                    FLOOD => flood_body(),
-                    _ => format!("answer to {id}"),
-                };
-                if body != expected.as_bytes() {
-                    let body = String::from_utf8_lossy(&body[..body.len().min(1_000)]);
-                    self.record_violation(format!("{id} has an unexpected answer: {body:?}"));
-                }
-                self.served.fetch_add(1, Ordering::Relaxed);
-                Outcome::Served
-            }
-            (503 | 429 | 408 | 421, _) => {
+        match status.as_u16() {
+            200 => self.check_success(kind, id, body, sent_at),
+            503 | 429 | 408 | 421 => {
                 let mut not_run = self.not_run.lock().expect("no holder panics");
                 not_run.insert(id.to_string());
                 self.refused.fetch_add(1, Ordering::Relaxed);
                 Outcome::Refused
             }
-            (401 | 404, _) => {
+            401 | 404 => {
                 self.record_violation(format!("{id} was refused with {status}"));
                 Outcome::Refused
             }
             _ => Outcome::Unknown,
         }
     }
-}
 
-fn stream_body() -> String {
-    let event = |i| format!("id: {i}\ndata: token {i}\n\n");
-    (1..=EVENTS_PER_STREAM).map(event).collect()
+    fn check_success(
+        &self,
+        kind: &str,
+        id: &str,
+        body: &ReceivedBody,
+        sent_at: Instant,
+    ) -> Outcome {
+        let expected = match kind {
+            "stream" | TELL => whole_stream(),
+            FLOOD => flood_body(),
+            POISON => String::new(),
+            _ => format!("answer to {id}"),
+        };
+        let targets = self.targets.lock().expect("no holder panics").clone();
+        let cuts: Vec<CutAnswer> = targets.iter().flat_map(|t| t.cuts_of(id)).collect();
+        match check_body(expected.as_bytes(), body, &cuts) {
+            // No event of a poison request's stream comes, so it never is complete.
+            Ok(AnswerState::Whole) if kind == POISON => {
+                self.record_violation(format!("{id} has a complete answer"));
+                Outcome::Served
+            }
+            Ok(AnswerState::Whole) => {
+                self.served.fetch_add(1, Ordering::Relaxed);
+                Outcome::Served
+            }
+            Ok(AnswerState::CutUnseen) => {
+                self.cut_unseen.fetch_add(1, Ordering::Relaxed);
+                Outcome::Unknown
+            }
+            Ok(AnswerState::Unfinished) => {
+                let is_broken = body.end == AnswerEnd::Broken;
+                self.broken
+                    .fetch_add(u64::from(is_broken), Ordering::Relaxed);
+                Outcome::Unknown
+            }
+            Err(AnswerError::BrokenAfterEnd)
+                if kind == POISON || self.had_fault(id, &targets, sent_at) =>
+            {
+                Outcome::Unknown
+            }
+            Err(e) => {
+                self.record_violation(format!("{id}: {e}; cuts: {cuts:?}"));
+                Outcome::Unknown
+            }
+        }
+    }
+
+    /// Whether the request's router or a connection of a target had a fault since `from`, so
+    /// that the end of an answer may not have come.
+    fn had_fault(&self, id: &str, targets: &[Arc<Target>], from: Instant) -> bool {
+        let now = Instant::now();
+        let router = router_of(id).is_some_and(|r| self.router_faults[r].overlaps(from, now));
+        router || targets.iter().any(|t| t.had_fault(from, now))
+    }
 }
 
 fn flood_body() -> String {
@@ -204,16 +260,3 @@
     let event = |i| format!("id: {i}\ndata: {text}\n\n");
     (1..=FLOOD_SIZE.0).map(event).collect()
 }
-
-async fn read(mut body: Incoming, pause: Duration) -> Option<Bytes> {
-    let mut body_bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.ok()?.into_data() {
-            body_bytes.extend_from_slice(&data);
-        }
-        if !pause.is_zero() {
-            tokio::time::sleep(pause).await;
-        }
-    }
-    Some(body_bytes.into())
-}
--- a/crates/deckwind-testkit/src/soak/environment.rs
+++ b/crates/deckwind-testkit/src/soak/environment.rs
@@ -1,13 +1,13 @@
 //! Targets, callers and an operator that use the processes under test, and the checks of
 //! what they observe.
 
-use super::calls::{FLOOD, ONCE, Outcome, POISON, Shared};
+use super::calls::{FLOOD, ONCE, Outcome, POISON, Shared, TELL};
 use super::limits::{LIMITS, check_limits};
 use super::notices::{self, FaultSpans, REST_PERIOD};
 use super::{Proxy, ProxyFault, Seen};
 use crate::layout::Layout;
 use anyhow::{Context, Result, bail, ensure};
-use deckwind_fakes::{FakeTargetFault, FakeTargetServer, request_id};
+use deckwind_fakes::{AnswerDraws, CutAnswer, FakeTargetFault, FakeTargetServer, request_id};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use rand::RngExt;
@@ -40,6 +40,11 @@
 const MAX_CRASHES: u32 = 3;
 const REQUIRED_REFUSALS: u32 = 4;
 
+/// Percentage of answers that end with their connection, and of those that their target
+/// breaks off inside an event.
+const UNFRAMED_PERCENT: u64 = 40;
+const BROKEN_PERCENT: u64 = 4;
+
 /// A fake target and the proxy in front of it.
 pub struct Target {
     id: String,
@@ -54,8 +59,23 @@
     connection_faults: FaultSpans,
 }
 
+impl Target {
+    /// Returns the answers to a request that the target cut.
+    pub fn cuts_of(&self, request: &str) -> Vec<CutAnswer> {
+        let mut cuts = self.server.cut_answers();
+        cuts.retain(|c| c.request == request);
+        cuts
+    }
+
+    /// Whether the target's connections were disturbed in this time.
+    pub fn had_fault(&self, from: Instant, to: Instant) -> bool {
+        self.connection_faults.overlaps(from, to)
+    }
+}
+
 /// Everything around the processes under test.
 pub struct Environment {
+    seed: u64,
     shared: Arc<Shared>,
     announcer: JoinHandle<()>,
     next_target: u64,
@@ -86,6 +106,8 @@
             requests: AtomicU64::new(0),
             served: AtomicU64::new(0),
             refused: AtomicU64::new(0),
+            cut_unseen: AtomicU64::new(0),
+            broken: AtomicU64::new(0),
             not_run: Mutex::default(),
             violations: Mutex::default(),
             router_faults: layout
@@ -97,6 +119,7 @@
         });
         let announcer = tokio::spawn(announce_all(shared.clone()));
         let mut environment = Self {
+            seed,
             shared,
             announcer,
             next_target: seed % 1_000 * 1_000,
@@ -118,6 +141,11 @@
         self.next_target += 1;
         let id = format!("{pool}-{}", self.next_target);
         let server = FakeTargetServer::start(&id).await?;
+        server.set_answer_draws(AnswerDraws {
+            seed: self.seed.wrapping_add(self.next_target),
+            unframed_percent: UNFRAMED_PERCENT,
+            broken_percent: BROKEN_PERCENT,
+        });
         let proxy = Proxy::start(server.address).await?;
         let target = Target {
             id,
@@ -257,6 +285,15 @@
         target.announced.store(0, Ordering::Relaxed);
     }
 
+    /// Crashes a random target under load: it refuses connections for `length` and restarts
+    /// under its id.
+    pub fn crash_target(&self, rng: &mut ChaCha8Rng, length: Duration) {
+        let targets = self.shared.targets.lock().expect("no holder panics");
+        let target = &targets[rng.random_range(0..targets.len())];
+        target.server.crash(length);
+        target.announced.store(0, Ordering::Relaxed);
+    }
+
     /// Ends all faults of connections.
     pub fn heal(&self) {
         for target in self.shared.targets.lock().expect("no holder panics").iter() {
@@ -321,6 +358,8 @@
             served: count(&self.shared.served),
             refused: count(&self.shared.refused),
             released: acknowledged,
+            broken: count(&self.shared.broken),
+            cut_unseen: count(&self.shared.cut_unseen),
             faults: 0,
         })
     }
@@ -359,7 +398,8 @@
                     "{id} ran, but its answer said that it did not run"
                 );
                 let again = !ran.insert(id.clone());
-                ensure!(!(again && id.starts_with(ONCE)), "{id} ran twice");
+                let runs_once = id.starts_with(ONCE) || id.starts_with(TELL);
+                ensure!(!(again && runs_once), "{id} ran twice");
             }
             for seen in target.server.received_requests() {
                 let id = request_id(&seen);
@@ -372,15 +412,15 @@
 }
 
 async fn run_caller(shared: Arc<Shared>, number: u64) {
-    let kinds = ["safe", ONCE, "stream", FLOOD];
+    let kinds = ["safe", ONCE, "stream", FLOOD, TELL];
     while !shared.stop.load(Ordering::Relaxed) {
         let next = shared.next_id();
         let kind = match next % POISON_INTERVAL {
             0 => POISON,
-            _ => kinds[(next % 4) as usize],
+            _ => kinds[next as usize % kinds.len()],
         };
         let id = format!("{kind}-{number}-{next}");
-        let outcome = shared.request(kind, &id, next as usize / 4).await;
+        let outcome = shared.request(kind, &id, next as usize / kinds.len()).await;
         if outcome != Outcome::Served {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -39,6 +39,9 @@
 /// Probability that a fault comes with a target that announces a rate limit for a while.
 const LIMIT_PROBABILITY: f64 = 0.5;
 
+/// Probability that a fault comes with a target that crashes under load.
+const CRASH_PROBABILITY: f64 = 0.5;
+
 /// Results of one run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -50,6 +53,10 @@
     pub refused: u64,
     /// Highest release version that was acknowledged.
     pub released: u64,
+    /// Number of answers that were broken off visibly.
+    pub broken: u64,
+    /// Number of answers that their targets cut where nobody can tell that from their end.
+    pub cut_unseen: u64,
     /// Number of injected faults.
     pub faults: u64,
 }
@@ -74,6 +81,8 @@
     refusal_rng: ChaCha8Rng,
     /// Generator for targets that announce rate limits, separate for the same reason.
     limit_rng: ChaCha8Rng,
+    /// Generator for targets that crash under load, separate for the same reason.
+    crash_rng: ChaCha8Rng,
     faults: u64,
 }
 
@@ -121,6 +130,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             refusal_rng: ChaCha8Rng::seed_from_u64(!seed),
             limit_rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(32)),
+            crash_rng: ChaCha8Rng::seed_from_u64(!seed.rotate_left(32)),
             faults: 0,
         })
     }
@@ -137,6 +147,10 @@
             let ms = Duration::from_millis(self.limit_rng.random_range(1_000..6_000));
             self.environment.announce_limits(&mut self.limit_rng, ms);
         }
+        if self.crash_rng.random_bool(CRASH_PROBABILITY) {
+            let ms = Duration::from_millis(self.crash_rng.random_range(50..800));
+            self.environment.crash_target(&mut self.crash_rng, ms);
+        }
         let ms = Duration::from_millis(self.rng.random_range(50..2_500));
         match self.rng.random_range(0..10) {
             0 => self.restart_control(StopKind::Kill, ms).await,
--- a/crates/deckwind-testkit/src/soak/proxy.rs
+++ b/crates/deckwind-testkit/src/soak/proxy.rs
@@ -1,11 +1,11 @@
 //! A fault-injecting TCP proxy on loopback.
 
 use anyhow::Result;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -23,7 +23,8 @@
     OneWay,
     /// No bytes pass and connections stay open; new connections hang too.
     Silent,
-    /// Connections are closed, and new ones are closed at once.
+    /// Connections are reset, and new ones are closed at once. An open connection is not
+    /// closed, since that would end an answer without a length like a whole one.
     Reset,
 }
 
@@ -67,41 +68,53 @@
     }
 }
 
-async fn forward(caller: TcpStream, target: TcpStream, fault: watch::Receiver<ProxyFault>) {
-    let (from_caller, to_caller) = caller.into_split();
-    let (from_target, to_target) = target.into_split();
-    let closed = Arc::new(tokio::sync::Notify::new());
-    let to_target_copy = copy(from_caller, to_target, fault.clone(), false);
-    let to_caller_copy = copy(from_target, to_caller, fault.clone(), true);
-    let reset = async {
-        let mut fault = fault;
-        while *fault.borrow_and_update() != ProxyFault::Reset {
-            if fault.changed().await.is_err() {
-                closed.notified().await;
-            }
+/// Forwards until both sides are closed, or until one of them is reset, which is passed on.
+async fn forward(mut caller: TcpStream, mut target: TcpStream, fault: watch::Receiver<ProxyFault>) {
+    let is_reset = {
+        let (from_caller, to_caller) = caller.split();
+        let (from_target, to_target) = target.split();
+        let requests = copy(from_caller, to_target, fault.clone(), false);
+        let answers = copy(from_target, to_caller, fault.clone(), true);
+        tokio::select! {
+            copied = async { tokio::try_join!(requests, answers) } => copied.is_err(),
+            () = wait_for_reset(fault) => true,
         }
     };
-    tokio::select! {
-        () = async { tokio::join!(to_target_copy, to_caller_copy); } => {}
-        () = reset => {}
+    if is_reset {
+        for stream in [&caller, &target] {
+            if let Err(e) = stream.set_zero_linger() {
+                eprintln!("can't reset a proxied connection: {e}");
+            }
+        }
+    }
+}
+
+async fn wait_for_reset(mut fault: watch::Receiver<ProxyFault>) {
+    if fault.wait_for(|f| *f == ProxyFault::Reset).await.is_err() {
+        // The proxy is gone, and no fault can follow.
+        std::future::pending().await
     }
 }
 
+/// Copies one direction and closes it at its end. Fails if the sender resets its connection;
+/// a receiver that is gone ends the copy like its end.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut fault: watch::Receiver<ProxyFault>,
     is_answer: bool,
-) {
+) -> io::Result<()> {
     let mut buf = vec![0; 16 * 1024];
-    while let Ok(length) = from.read(&mut buf).await {
+    loop {
+        let length = from.read(&mut buf).await?;
         if length == 0 {
-            return;
+            let _ = to.shutdown().await;
+            return Ok(());
         }
         let is_blocked =
             |h: &ProxyFault| *h == ProxyFault::Silent || (*h == ProxyFault::OneWay && is_answer);
         if fault.wait_for(|h| !is_blocked(h)).await.is_err() {
-            return;
+            return Err(io::ErrorKind::ConnectionReset.into());
         }
         let current = *fault.borrow();
         if let ProxyFault::Delayed(delay) = current {
@@ -113,7 +126,7 @@
         };
         for piece_bytes in buf[..length].chunks(piece) {
             if to.write_all(piece_bytes).await.is_err() {
-                return;
+                return Ok(());
             }
             tokio::time::sleep(pause).await;
         }
--- a/crates/deckwind-testkit/tests/testsuite/at_size.rs
+++ b/crates/deckwind-testkit/tests/testsuite/at_size.rs
@@ -16,6 +16,7 @@
         let report = run_processes(1, vec![pauses, cuts]).await;
         assert_eq!(report.beyond_attempts, 0, "{report:?}");
         assert_eq!(report.uncharged_retries, 0, "{report:?}");
+        assert!(report.answer_errors.is_empty(), "{report:?}");
     });
 }
 
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of whole clusters, one module per feature.
 
 mod announcements;
+mod answer_check;
 mod answer_ends;
 mod at_most_once;
 mod at_size;
