--- a/crates/deckwind-testkit/tests/testsuite/answer_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/answer_ends.rs
@@ -9,7 +9,8 @@
 /// Number of events at every byte of which streams are broken off.
 const EVENTS_CUT: usize = 3;
 
-fn ends(
+/// Returns a fault that ends streams in this way.
+pub fn ends(
     framing: StreamFraming,
     broken_after: Option<usize>,
     connection: ConnectionEnd,
--- a/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
@@ -1,13 +1,15 @@
-//! How answers end for callers whose HTTP version has no chunks: only the end of the
-//! connection marks the end of a stream, so an answer that breaks off resets it.
+//! How answers end on their callers' connections: an answer that breaks off looks complete
+//! to no caller. Without chunks (HTTP/1.0), only the end of the connection marks the end of
+//! a stream, so a break resets it.
 
+use crate::answer_ends::ends;
 use crate::processes::process_cluster;
 use crate::rig::{API_KEY, Rig, data_centre_of, post};
 use crate::{any_loopback_port, run_async};
 use deckwind_core::state::{Change, LayerRange};
 use deckwind_fakes::{
     ConnectionEnd, EVENTS_PER_STREAM, EngineFault, FakeEngine, FakeEngineConfig, FakeTargetFault,
-    FakeTargetServer, HOST, StreamEnding, StreamFraming, release_document, serve, whole_stream,
+    FakeTargetServer, HOST, StreamFraming, release_document, serve, whole_stream,
 };
 use deckwind_testkit::{
     Caller, Cluster, Layout, account, chat_template, engine_target, eventually_async,
@@ -132,18 +134,6 @@
     rig
 }
 
-fn ends(
-    framing: StreamFraming,
-    broken_after: Option<usize>,
-    connection: ConnectionEnd,
-) -> FakeTargetFault {
-    FakeTargetFault::EndsStream(StreamEnding {
-        framing,
-        broken_after,
-        connection,
-    })
-}
-
 /// Guards against a reset that hides the end of a whole stream from a caller without chunks.
 #[parameterized(
     alone = { "" },
