Read the whole request in a test's HTTP/2 target before it answers

whole_then_goaway failed once in a run of all tests under load: the target answered after the head of the request and closed, before the client had sent the request's body. The HTTP/2 library then forgets that the answer had ended, and its body is an error: a whole answer that is taken as broken, not the other way round. The cases are about answers to requests that were received; the target now reads the request to its end of stream.

--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -284,7 +284,8 @@
     frame(GOAWAY, NO_FLAGS, 0, &[0, 0, 0, last, 0, 0, 0, code])
 }
 
-/// Reads frames until the headers of a request.
+/// Reads frames until the end of a request. A connection that closes while a request is sent
+/// breaks its answer, even a whole one.
 async fn read_http2_request(mut stream: TcpStream) -> TcpStream {
     let mut preface = [0; PREFACE_BYTES];
     stream.read_exact(&mut preface).await.expect("a preface");
@@ -296,7 +297,8 @@
         let length = u32::from_be_bytes([0, head[0], head[1], head[2]]);
         let mut payload = vec![0; length as usize];
         stream.read_exact(&mut payload).await.expect("a payload");
-        if head[3] == HEADERS {
+        let [kind, flags] = [head[3], head[4]];
+        if matches!(kind, HEADERS | DATA) && flags & END_STREAM != 0 {
             return stream;
         }
     }
