--- a/crates/deckwind-fakes/src/target_server/answers.rs
+++ b/crates/deckwind-fakes/src/target_server/answers.rs
@@ -16,6 +16,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Time for which a silent target keeps its connection: longer than any caller waits.
+const SILENCE: Duration = Duration::from_secs(600);
+
 /// Serves requests on one connection until an answer or a fault closes it.
 pub(super) async fn serve(
     stream: TcpStream,
@@ -273,7 +276,7 @@
     let body = format!("answer to {request}");
     match fault {
         FakeTargetFault::NeverAnswers => {
-            tokio::time::sleep(Duration::from_secs(600)).await;
+            tokio::time::sleep(SILENCE).await;
             Ok(false)
         }
         FakeTargetFault::Fails => {
@@ -340,7 +343,10 @@
         return flood(s, request, last + 1..=*events, (*bytes, *continues), state).await;
     }
     if let FakeTargetFault::EndsStream(ending) = fault {
-        return stream_to_ending(s, request, last + 1, *ending, state).await;
+        return stream_to_ending(s, request, last + 1, (*ending, usize::MAX), state).await;
+    }
+    if let FakeTargetFault::EndsStreamBytewise(ending) = fault {
+        return stream_to_ending(s, request, last + 1, (*ending, 1), state).await;
     }
     // The head is sent with the first event, as the users' engines do.
     let mut head = Some(head);
@@ -373,32 +379,42 @@
     Ok(true)
 }
 
-/// Writes the events from `first` on at once, and ends the stream as told.
+/// Writes the events from `first` on in pieces of this size, and ends the stream as told.
 async fn stream_to_ending(
     s: &mut Stream,
     request: &str,
     first: u64,
-    ending: StreamEnding,
+    (ending, piece_bytes): (StreamEnding, usize),
     state: &Mutex<State>,
 ) -> Result<bool> {
     let events: String = (first..=EVENTS_PER_STREAM).map(format_event).collect();
     let sent = ending.broken_after.map_or(events.as_str(), |n| {
         events.get(..n).unwrap_or(events.as_str())
     });
-    let head = framed_stream_head(request, ending.framing, state);
+    let mut head = framed_stream_head(request, ending.framing, state);
+    if ending.broken_after.is_none() && ending.connection == ConnectionEnd::Close {
+        // Otherwise the next request may be sent on it.
+        head = head.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+    }
     s.write_all(head.as_bytes()).await?;
-    match ending.framing {
-        StreamFraming::Chunked if !sent.is_empty() => write_chunk(s, sent).await?,
-        StreamFraming::Chunked => {}
-        StreamFraming::Connection => s.write_all(sent.as_bytes()).await?,
+    s.get_ref().set_nodelay(true)?;
+    for piece in sent.as_bytes().chunks(piece_bytes) {
+        match ending.framing {
+            StreamFraming::Chunked => write_chunk(s, std::str::from_utf8(piece)?).await?,
+            StreamFraming::Connection => s.write_all(piece).await?,
+        }
     }
     if ending.framing == StreamFraming::Chunked && ending.broken_after.is_none() {
         s.write_all(b"0\r\n\r\n").await?;
     }
-    if ending.connection == ConnectionEnd::Reset {
-        // A reset that overtakes the bytes would drop them at the receiver.
-        tokio::time::sleep(EVENT_GAP).await;
-        s.get_ref().set_zero_linger()?;
+    match ending.connection {
+        ConnectionEnd::Close => {}
+        ConnectionEnd::Reset => {
+            // A reset that overtakes the bytes would drop them at the receiver.
+            tokio::time::sleep(EVENT_GAP).await;
+            s.get_ref().set_zero_linger()?;
+        }
+        ConnectionEnd::Silence => tokio::time::sleep(SILENCE).await,
     }
     Ok(false)
 }
--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -70,6 +70,8 @@
     BreaksStreamAfter(u64),
     /// Frames and ends streams in this way.
     EndsStream(StreamEnding),
+    /// Like [`FakeTargetFault::EndsStream`], one byte after the other.
+    EndsStreamBytewise(StreamEnding),
     /// Stalls a stream after an event until the fault is cleared, and reports the
     /// stage that causes the stall.
     StallsAfter {
@@ -96,6 +98,8 @@
     Close,
     /// It is reset.
     Reset,
+    /// It stays open, and nothing more is sent.
+    Silence,
 }
 
 /// How a target frames a stream, and where and how it ends.
--- a/crates/deckwind-testkit/tests/testsuite/event_splitter.rs
+++ b/crates/deckwind-testkit/tests/testsuite/event_splitter.rs
@@ -49,6 +49,10 @@
 
 const LINE_ENDS: [&str; 3] = ["\n", "\r\n", "\r"];
 
+fn stream_of(lines: &[&str], line_end: &str) -> String {
+    lines.iter().map(|l| format!("{l}{line_end}")).collect()
+}
+
 /// What a reader of a stream knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Known {
@@ -187,7 +191,7 @@
 )]
 fn a_stream_is_read_alike_wherever_it_is_cut(line_end: &str) {
     for lines in STREAMS {
-        let stream: String = lines.iter().map(|l| format!("{l}{line_end}")).collect();
+        let stream = stream_of(lines, line_end);
         for after in [None, Some(1), Some(2)] {
             assert_read_in_any_pieces(stream.as_bytes(), after);
         }
@@ -203,8 +207,7 @@
 )]
 fn a_byte_order_mark_belongs_to_no_event(line_end: &str) {
     for lines in STREAMS {
-        let stream: String = lines.iter().map(|l| format!("{l}{line_end}")).collect();
-        let stream = [BYTE_ORDER_MARK, stream.as_bytes()].concat();
+        let stream = [BYTE_ORDER_MARK, stream_of(lines, line_end).as_bytes()].concat();
         assert_read_in_any_pieces(&stream, None);
     }
 }
