--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -75,6 +75,8 @@
     EndsStream(StreamEnding),
     /// Runs requests and answers them with these bytes.
     Writes(RawAnswer),
+    /// Like [`FakeTargetFault::EndsStream`], one byte after the other.
+    EndsStreamBytewise(StreamEnding),
     /// Stalls a stream after an event until the fault is cleared, and reports the
     /// stage that causes the stall.
     StallsAfter {
@@ -101,6 +103,8 @@
     Close,
     /// It is reset.
     Reset,
+    /// It stays open, and nothing more is sent.
+    Silence,
 }
 
 /// How a target frames a stream, and where and how it ends.
