Soak: suspensions overlap with the faults that follow them

The soak waited for a suspended process to be resumed before it injected the next fault, so signals, restarts and changes of processes came one after another; only disturbed connections, refusals, limits, crashes of targets and releases overlapped with them.

Change: a task resumes the process; restarts and further suspensions go on meanwhile. The faults' end waits for all of them. A process that was killed meanwhile gets no signal.

Evidence: module soak passes (2 tests, 30 s, once, load 37).

--- a/crates/deckwind-testkit/src/processes.rs
+++ b/crates/deckwind-testkit/src/processes.rs
@@ -26,9 +26,19 @@
 impl ResumeHandle {
     /// Sends SIGCONT.
     pub fn resume(&self) -> Result<()> {
+        self.send(&["CONT"])
+    }
+
+    /// Resumes the process as after a suspension of its VM: SIGUSR1, then SIGCONT.
+    pub fn resume_vm(&self) -> Result<()> {
+        self.send(&["USR1", "CONT"])
+    }
+
+    /// Sends signals unless the process has ended and its id may be another one's.
+    fn send(&self, names: &[&str]) -> Result<()> {
         let is_unreaped = self.is_unreaped.lock().expect("no holder panics");
         match *is_unreaped {
-            true => signal(self.id, "CONT"),
+            true => names.iter().try_for_each(|name| signal(self.id, name)),
             false => Ok(()),
         }
     }
--- a/crates/deckwind-testkit/src/soak/environment.rs
+++ b/crates/deckwind-testkit/src/soak/environment.rs
@@ -276,6 +276,12 @@
         self.shared.router_faults[router].add_now();
     }
 
+    /// Returns a function that does the same as [`Self::record_router_fault`] later.
+    pub fn router_fault_recorder(&self, router: usize) -> impl FnOnce() + Send + 'static {
+        let shared = self.shared.clone();
+        move || shared.router_faults[router].add_now()
+    }
+
     /// Restarts a random target under its id: it loses its layers, load and state, and
     /// its announcements are numbered from 1 again.
     pub fn restart_target(&self, rng: &mut ChaCha8Rng) {
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -21,6 +21,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
 
 /// Number of control replicas and of routers.
 const REPLICA_COUNT: usize = 3;
@@ -83,6 +84,8 @@
     limit_rng: ChaCha8Rng,
     /// Generator for targets that crash under load, separate for the same reason.
     crash_rng: ChaCha8Rng,
+    /// Tasks that resume suspended processes.
+    resumes: JoinSet<Result<()>>,
     faults: u64,
 }
 
@@ -101,7 +104,7 @@
         let pause = soak.rng.random_range(50..1_200);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
-    soak.heal()?;
+    soak.heal().await?;
     soak.environment.wait_until_served(RECOVERY_TIMEOUT).await?;
     workload.stop().await;
     soak.environment
@@ -131,6 +134,7 @@
             refusal_rng: ChaCha8Rng::seed_from_u64(!seed),
             limit_rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(32)),
             crash_rng: ChaCha8Rng::seed_from_u64(!seed.rotate_left(32)),
+            resumes: JoinSet::new(),
             faults: 0,
         })
     }
@@ -157,8 +161,8 @@
             1 => self.restart_control(StopKind::Terminate, ms).await,
             2 => self.restart_router(StopKind::Kill, ms).await,
             3 => self.restart_router(StopKind::Terminate, ms).await,
-            4 => self.pause(ms, false).await,
-            9 => self.pause(ms, true).await,
+            4 => self.pause(ms, false),
+            9 => self.pause(ms, true),
             5 => {
                 self.environment.disturb_connections(&mut self.rng, ms);
                 Ok(())
@@ -199,26 +203,35 @@
         Ok(())
     }
 
-    /// Suspends a process for `ms` and resumes it. With `suspended`, its clock also
-    /// advances without its timers, as when a VM is suspended.
-    async fn pause(&mut self, ms: Duration, suspended: bool) -> Result<()> {
+    /// Suspends a process, which is resumed after `ms` while other faults go on. With
+    /// `suspended`, its clock also advances without its timers, as when a VM is suspended.
+    fn pause(&mut self, ms: Duration, suspended: bool) -> Result<()> {
         let i = self.rng.random_range(0..REPLICA_COUNT + ROUTER_COUNT);
         let all = self.control.iter().chain(&self.routers);
         let Some(Some(process)) = all.into_iter().nth(i) else {
             return Ok(());
         };
         process.signal("STOP")?;
-        tokio::time::sleep(ms).await;
-        if suspended {
-            process.signal("USR1")?;
-        }
-        if let Some(router) = i.checked_sub(REPLICA_COUNT) {
-            self.environment.record_router_fault(router);
-        }
-        process.signal("CONT")
+        let handle = process.resume_handle();
+        let router = i.checked_sub(REPLICA_COUNT);
+        let record = router.map(|r| self.environment.router_fault_recorder(r));
+        self.resumes.spawn(async move {
+            tokio::time::sleep(ms).await;
+            if let Some(record) = record {
+                record();
+            }
+            match suspended {
+                true => handle.resume_vm(),
+                false => handle.resume(),
+            }
+        });
+        Ok(())
     }
 
-    fn heal(&mut self) -> Result<()> {
+    async fn heal(&mut self) -> Result<()> {
+        while let Some(resumed) = self.resumes.join_next().await {
+            resumed??;
+        }
         self.environment.heal();
         let all = self.control.iter().chain(&self.routers);
         ensure!(
