Keep a rest period that a restarted target asked for before routers heard of it

Cause: requests name only the id, so the answer of the new incarnation was recorded as the old one's, and forgotten when the router heard that it had ended.

Change: where the id is the same, a rest period received within 3 s before that (two announcements and a renewal) holds for the new incarnation as well. At worst a restarted target is spared for the rest that it asked for just before its crash.

Evidence: a_rest_period_asked_for_shortly_before_a_restart_is_known_holds (3 cases; the function is new, so it could not run before); 94 tests of notices, rest_periods and incarnations pass.

--- a/crates/deckwind-core/src/routes/notices.rs
+++ b/crates/deckwind-core/src/routes/notices.rs
@@ -24,6 +24,10 @@
 /// targets keep serving after sending it. Notices of known targets are never dropped.
 const UNKNOWN_TARGET_TTL: Duration = Duration::from_secs(120);
 
+/// Time for which a restarted target may answer before this VM has heard of its new
+/// incarnation: two announcements and a renewal.
+const MAX_NEWS_DELAY: Duration = Duration::from_secs(3);
+
 /// Notices in the head of a target's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TargetNotice {
@@ -88,6 +92,30 @@
         }
     }
 
+    /// Applies that a target has restarted. A rest period that was received shortly before
+    /// may be the new incarnation's own, because requests name only the id: if the id is the
+    /// same, it holds for the new incarnation as well.
+    pub fn replace_incarnation(
+        &mut self,
+        now: Instant,
+        address: SocketAddr,
+        old: &Incarnation,
+        new: &Incarnation,
+    ) {
+        let notices = self.by_address.get(&address).into_iter().flatten();
+        let recent = notices.filter(|s| {
+            s.incarnation == *old
+                && s.rest_ends_at > now
+                && now.since(s.received_at) < MAX_NEWS_DELAY
+        });
+        let rest_ends_at = recent.map(|s| s.rest_ends_at).max();
+        let Some(rest_ends_at) = rest_ends_at.filter(|_| old.id == new.id) else {
+            return;
+        };
+        let stored = self.stored_mut(now, address, new);
+        stored.rest_ends_at = stored.rest_ends_at.max(rest_ends_at);
+    }
+
     fn stored_mut(
         &mut self,
         now: Instant,
--- a/crates/deckwind-testkit/tests/testsuite/notices.rs
+++ b/crates/deckwind-testkit/tests/testsuite/notices.rs
@@ -109,6 +109,26 @@
     assert_eq!(turns_away(&notices, &new, 500), late);
 }
 
+/// Guards against the rest period of a target that restarted before this VM heard of it: it was
+/// taken for the old incarnation's and forgotten with it. Arguments: the id of the new one, time
+/// in ms at which this VM hears of it, and whether the rest period holds for it.
+#[parameterized(
+    heard_soon = { 1, 1_500, true },
+    heard_late = { 1, 4_000, false },
+    another_id = { 2, 1_500, false },
+)]
+fn a_rest_period_asked_for_shortly_before_a_restart_is_known_holds(id: u32, ms: u64, holds: bool) {
+    let old = target(1, 7);
+    let mut new = target(id, 8);
+    new.address = old.address;
+    let mut notices = TargetNotices::default();
+    notices.record(START, old.address, &old.incarnation(), &rest(5_000));
+    let (old, new) = (old.incarnation(), new.incarnation());
+    notices.replace_incarnation(at(ms), address(1), &old, &new);
+    assert_eq!(notices.is_blocked(at(ms), address(1), &new), holds);
+    assert!(!notices.is_blocked(at(5_001), address(1), &new));
+}
+
 /// A notice of leaving is kept while the target is known and for a while after: an engine that
 /// holds no layers for a moment is not listed to routers.
 #[test]
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -314,8 +314,13 @@
                 by,
             } = over;
             self.connections.close_idle(address);
-            self.target_records()
-                .reset_target(now + DOWN_REPORT_TTL, address);
+            let mut records = self.target_records();
+            records.reset_target(now + DOWN_REPORT_TTL, address);
+            if let Some(by) = &by {
+                let notices = &mut records.notices;
+                notices.replace_incarnation(now, address, &incarnation, by);
+            }
+            drop(records);
             metrics::counter!("deckwind_route_lives_ended_total").increment(1);
             let by = by.map_or("-".to_string(), |incarnation| incarnation.to_string());
             log::info!("event=life_over target={address} life={incarnation} by={by}");
