Refuse a whole record that can't be read, instead of cutting it off

Callers saw nothing yet. A control replica whose last log record is complete, with its checksum, and holds a body that this version can't decode (a folder of a version with another format, after a compaction it is the only record) cut that record off as torn: synced entries, the term and the vote were lost without an error.

Cause: the reader took any record that it could not return as the torn end, without asking what had ended it: a missing checksum, or the decoder.

Ruled out: a torn write with a valid checksum, since the body is covered by it. The single-record files were refused before as damaged, and now say why.

Change: a record that is whole and can't be decoded is an error of its own (StoreError::Unreadable), and nothing is cut off.

--- a/crates/deckwind-store/src/lib.rs
+++ b/crates/deckwind-store/src/lib.rs
@@ -14,7 +14,8 @@
 //! A batch is written as one record with one sync. A record torn by a crash is the
 //! last one and was never acknowledged, so [`Store::open`] truncates it. A damaged
 //! record followed by a valid one had been synced, so the disk has lost synced data:
-//! [`Store::open`] then fails with the file and the offset.
+//! [`Store::open`] then fails with the file and the offset. It also fails if a record is
+//! whole by its checksum and can't be decoded: that one was not torn.
 
 mod disk;
 mod fs_disk;
--- a/crates/deckwind-store/src/record.rs
+++ b/crates/deckwind-store/src/record.rs
@@ -42,24 +42,29 @@
     pub end: usize,
 }
 
-/// Reads all records of a file.
+/// Reason why the records of a file can't be read, with the offset of the first such record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordError {
+    /// A damaged record is followed by a valid one.
+    Damaged(usize),
+    /// A record is valid, and its body is none of the expected type.
+    Unreadable(usize),
+}
+
+/// Reads all records of a file. Only bytes that are no valid record count as torn.
 ///
 /// # Errors
-/// Returns the offset of a damaged record that is followed by a valid one.
-pub fn read_all<T: DeserializeOwned>(bytes: &[u8]) -> Result<Records<T>, usize> {
+/// If a record is damaged and not the last one, or valid and unreadable.
+pub fn read_all<T: DeserializeOwned>(bytes: &[u8]) -> Result<Records<T>, RecordError> {
     let mut values = Vec::new();
     let mut at = 0;
-    while at < bytes.len() {
-        let parsed =
-            body_at(bytes, at).and_then(|b| Some((b.len(), postcard::from_bytes(b).ok()?)));
-        let Some((len, value)) = parsed else {
-            break;
-        };
+    while let Some(body) = body_at(bytes, at) {
+        let value = postcard::from_bytes(body).map_err(|_| RecordError::Unreadable(at))?;
         values.push(value);
-        at += HEADER_LEN + len;
+        at += HEADER_LEN + body.len();
     }
     if has_valid_record_after(bytes, at) {
-        return Err(at);
+        return Err(RecordError::Damaged(at));
     }
     Ok(Records { values, end: at })
 }
--- a/crates/deckwind-store/src/store.rs
+++ b/crates/deckwind-store/src/store.rs
@@ -1,7 +1,7 @@
 //! Opening a data folder, and writing, syncing and compacting its log.
 
 use crate::disk::Disk;
-use crate::record;
+use crate::record::{self, RecordError};
 use deckwind_core::replication::{Entry, HardState, ReplicaId, SnapshotMeta, Stored};
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -32,6 +32,17 @@
         /// Offset of the damage in bytes.
         at: usize,
     },
+    /// A record is whole, and its content is of a format that this version doesn't know.
+    #[error(
+        "{file}: the record at byte {at} is whole, but this version can't read it: start the \
+         version that wrote it, or move the data folder away and start again"
+    )]
+    Unreadable {
+        /// File in the data folder.
+        file: &'static str,
+        /// Offset of the record in bytes.
+        at: usize,
+    },
     /// The folder belongs to a replica with another slot.
     #[error(
         "identity: the folder belongs to slot {found}, the settings say slot {wanted}; give each \
@@ -241,7 +252,7 @@
     let bytes = disk
         .read(LOG)?
         .ok_or(StoreError::Damaged { file: LOG, at: 0 })?;
-    let records = record::read_all(&bytes).map_err(|at| StoreError::Damaged { file: LOG, at })?;
+    let records = record::read_all(&bytes).map_err(|e| file_error(LOG, e))?;
     let torn_bytes = bytes.len() - records.end;
     if torn_bytes > 0 {
         disk.truncate(LOG, records.end as u64)?;
@@ -264,7 +275,15 @@
         Ok(mut records) if records.end == bytes.len() => {
             records.values.pop().map(Some).ok_or(damaged)
         }
-        _ => Err(damaged),
+        Ok(_) => Err(damaged),
+        Err(e) => Err(file_error(file, e)),
+    }
+}
+
+fn file_error(file: &'static str, error: RecordError) -> StoreError {
+    match error {
+        RecordError::Damaged(at) => StoreError::Damaged { file, at },
+        RecordError::Unreadable(at) => StoreError::Unreadable { file, at },
     }
 }
 
--- a/crates/deckwind-testkit/tests/testsuite/store.rs
+++ b/crates/deckwind-testkit/tests/testsuite/store.rs
@@ -4,7 +4,7 @@
 use deckwind_core::replication::{
     ClusterId, Entry, HardState, Index, Payload, Position, ReplicaId, SnapshotMeta, Term,
 };
-use deckwind_store::{FsDisk, MemoryDisk, Store, StoreError};
+use deckwind_store::{Disk, FsDisk, MemoryDisk, Store, StoreError};
 use yare::parameterized;
 
 const ID: ReplicaId = ReplicaId {
@@ -149,6 +149,30 @@
     assert_eq!(opened.stored.entries, [entry(1, 1), entry(2, 2)]);
 }
 
+/// Guards against synced data that is thrown away as a torn tail: a last record that is
+/// complete and has its checksum was written whole, also if this version can't read it.
+#[test]
+fn a_whole_last_record_that_is_unreadable_is_refused() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = Store::open(Box::new(disk.clone()), ID).unwrap();
+    store.put_entries(vec![entry(1, 1)]);
+    store.commit().unwrap();
+    drop(store);
+    let mut writer = disk.clone();
+    // A record of another type, in place of one of another version.
+    let other = writer.read("identity").unwrap().unwrap();
+    let offset = writer.read("log").unwrap().unwrap().len();
+    writer.append("log", &other).unwrap();
+    writer.sync("log").unwrap();
+    let refused = Store::open(Box::new(disk.clone()), ID).err();
+    assert!(
+        matches!(refused, Some(StoreError::Unreadable { file: "log", at }) if at == offset),
+        "{refused:?}"
+    );
+    let kept = disk.read("log").unwrap().unwrap().len();
+    assert_eq!(kept, offset + other.len(), "nothing is cut off");
+}
+
 #[test]
 fn a_folder_of_another_slot_is_refused() {
     let disk = MemoryDisk::default();
