Take a torn header that reads as zeros for a torn record

An empty body has the checksum 0, like bytes that were not written, so it looked like a whole record that can't be decoded.

--- a/crates/deckwind-store/src/record.rs
+++ b/crates/deckwind-store/src/record.rs
@@ -21,7 +21,8 @@
 }
 
 /// Returns the body of the record at offset `at`, if the record is complete and its
-/// checksum matches.
+/// checksum matches. No record has an empty body, whose checksum is 0 like the bytes of a
+/// header that was not written to its end.
 fn body_at(bytes: &[u8], at: usize) -> Option<&[u8]> {
     let header = bytes.get(at..at + HEADER_LEN)?;
     if header[..4] != MAGIC {
@@ -31,7 +32,7 @@
         |i: usize| u32::from_le_bytes([header[i], header[i + 1], header[i + 2], header[i + 3]]);
     let start = at + HEADER_LEN;
     let body = bytes.get(start..start.checked_add(u32_at(4) as usize)?)?;
-    (crc32fast::hash(body) == u32_at(8)).then_some(body)
+    (!body.is_empty() && crc32fast::hash(body) == u32_at(8)).then_some(body)
 }
 
 /// Contents of a file of records.
--- a/crates/deckwind-testkit/tests/testsuite/store.rs
+++ b/crates/deckwind-testkit/tests/testsuite/store.rs
@@ -149,6 +149,24 @@
     assert_eq!(opened.stored.entries, [entry(1, 1), entry(2, 2)]);
 }
 
+/// Guards against a header whose end was not written and reads as zeros: it must not look
+/// like a whole record with an empty body, or the replica would not start.
+#[test]
+fn a_torn_header_that_reads_as_zeros_is_cut_off() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = Store::open(Box::new(disk.clone()), ID).unwrap();
+    store.put_entries(vec![entry(1, 1)]);
+    store.commit().unwrap();
+    drop(store);
+    let mut writer = disk.clone();
+    let mut torn = b"dwr1".to_vec();
+    torn.resize(40, 0);
+    writer.append("log", &torn).unwrap();
+    writer.sync("log").unwrap();
+    let (_, opened) = Store::open(Box::new(disk), ID).unwrap();
+    assert_eq!(opened.stored.entries, [entry(1, 1)]);
+}
+
 /// Guards against synced data that is thrown away as a torn tail: a last record that is
 /// complete and has its checksum was written whole, also if this version can't read it.
 #[test]
