State whether an event was open, not whether bytes were left, in the metric of ends

After a long event that was passed on in part nothing may be buffered although it is open; a line feed after a carriage return is buffered although none is. open_bytes begins at 0 for each target.

--- a/crates/deckwind-net/src/targets/connection_pool.rs
+++ b/crates/deckwind-net/src/targets/connection_pool.rs
@@ -241,10 +241,10 @@
         list.pop().map(|idle| idle.established)
     }
 
-    /// Returns a connection to the pool after its answer was read to its end. `headers` are
-    /// those of the answer. A connection that ended with its answer is dropped. The connection is closed if `max_idle` connections are
-    /// idle already, because a target resets connections beyond its limit on those of
-    /// all its callers together.
+    /// Returns a connection to the pool after its answer was read to its end, `end`.
+    /// `headers` are those of the answer. A connection that ended with it is dropped, and
+    /// so is one if `max_idle` connections are idle already, because a target resets
+    /// connections beyond its limit on those of all its callers together.
     pub fn return_connection(
         &self,
         connection: TargetConnection,
--- a/crates/deckwindd/src/control/target_check.rs
+++ b/crates/deckwindd/src/control/target_check.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Timeout for the answer of a target that routers report as failing: some hundred round
+/// Timeout for one answer of a target that routers report as failing: some hundred round
 /// trips. The chain of engines that it belongs to is stalled meanwhile.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -238,6 +238,7 @@
         let shared = self.opener.job.shared.clone();
         let mut splitter = EventSplitter::default();
         self.progress.framing = body.framing();
+        self.progress.open_bytes = 0;
         let watch = self.watch(&reservation);
         let mut last_event_at = Instant::now();
         let mut next_check = last_event_at + STALL_AFTER;
@@ -363,7 +364,7 @@
     /// Records how the latest target's answer ended.
     fn record_end(&mut self, end: &'static str, splitter: &EventSplitter) {
         self.progress.open_bytes = splitter.open_bytes();
-        let inside_event = self.progress.open_bytes > 0;
+        let inside_event = splitter.received().is_open;
         metrics::counter!(
             "deckwind_route_stream_ends_total",
             "framing" => self.progress.framing.code(),
