--- a/crates/deckwind-store/src/record.rs
+++ b/crates/deckwind-store/src/record.rs
@@ -21,7 +21,8 @@
 }
 
 /// Returns the body of the record at offset `at`, if the record is complete and its
-/// checksum matches.
+/// checksum matches. No record has an empty body, whose checksum is 0 like the bytes of a
+/// header that was not written to its end.
 fn body_at(bytes: &[u8], at: usize) -> Option<&[u8]> {
     let header = bytes.get(at..at + HEADER_LEN)?;
     if header[..4] != MAGIC {
@@ -31,7 +32,7 @@
         |i: usize| u32::from_le_bytes([header[i], header[i + 1], header[i + 2], header[i + 3]]);
     let start = at + HEADER_LEN;
     let body = bytes.get(start..start.checked_add(u32_at(4) as usize)?)?;
-    (crc32fast::hash(body) == u32_at(8)).then_some(body)
+    (!body.is_empty() && crc32fast::hash(body) == u32_at(8)).then_some(body)
 }
 
 /// Contents of a file of records.
@@ -42,24 +43,29 @@
     pub end: usize,
 }
 
-/// Reads all records of a file.
+/// Reason why the records of a file can't be read, with the offset of the first such record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordError {
+    /// A damaged record is followed by a valid one.
+    Damaged(usize),
+    /// A record is valid, and its body is none of the expected type.
+    Unreadable(usize),
+}
+
+/// Reads all records of a file. Only bytes that are no valid record count as torn.
 ///
 /// # Errors
-/// Returns the offset of a damaged record that is followed by a valid one.
-pub fn read_all<T: DeserializeOwned>(bytes: &[u8]) -> Result<Records<T>, usize> {
+/// If a record is damaged and not the last one, or valid and unreadable.
+pub fn read_all<T: DeserializeOwned>(bytes: &[u8]) -> Result<Records<T>, RecordError> {
     let mut values = Vec::new();
     let mut at = 0;
-    while at < bytes.len() {
-        let parsed =
-            body_at(bytes, at).and_then(|b| Some((b.len(), postcard::from_bytes(b).ok()?)));
-        let Some((len, value)) = parsed else {
-            break;
-        };
+    while let Some(body) = body_at(bytes, at) {
+        let value = postcard::from_bytes(body).map_err(|_| RecordError::Unreadable(at))?;
         values.push(value);
-        at += HEADER_LEN + len;
+        at += HEADER_LEN + body.len();
     }
     if has_valid_record_after(bytes, at) {
-        return Err(at);
+        return Err(RecordError::Damaged(at));
     }
     Ok(Records { values, end: at })
 }
