--- a/crates/deckwind-testkit/src/soak/environment.rs
+++ b/crates/deckwind-testkit/src/soak/environment.rs
@@ -166,22 +166,24 @@
     /// was acknowledged yet.
     pub async fn wait_until_served(&self, timeout: Duration) -> Result<()> {
         let end = Instant::now() + timeout;
+        let mut last = Vec::new();
         while Instant::now() < end {
             if self.shared.acknowledged.load(Ordering::Relaxed) == 0 {
                 self.shared.publish(1).await;
             }
-            let mut served = 0;
+            last.clear();
             for (i, kind) in ["safe", ONCE, "stream"].iter().enumerate() {
                 let id = format!("{kind}-probe-{}-{i}", self.shared.next_id());
-                served += u32::from(self.shared.request(kind, &id, 0).await == Outcome::Served);
+                let outcome = self.shared.request(kind, &id, 0).await;
+                last.push((id, outcome));
             }
-            if served == 3 {
+            if last.iter().all(|(_, outcome)| *outcome == Outcome::Served) {
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
         bail!(
-            "requests are not served within {timeout:?}; violations: {:?}",
+            "requests are not served within {timeout:?}: {last:?}; violations: {:?}",
             self.shared.violations()
         );
     }
--- a/crates/deckwind-testkit/tests/testsuite/soak.rs
+++ b/crates/deckwind-testkit/tests/testsuite/soak.rs
@@ -1,9 +1,9 @@
 //! A short soak test of the real programs with fixed seeds. The example `soak` runs
 //! other seeds by hand. Every seed that has failed stays here with its cause.
 
-use crate::processes::process_cluster;
+use crate::processes::processes_with_layout;
 use crate::run_async;
-use deckwind_testkit::soak;
+use deckwind_testkit::{Layout, soak};
 use std::time::Duration;
 use yare::parameterized;
 
@@ -17,8 +17,12 @@
 fn promises_hold_under_faults_from_outside(seed: u64) {
     run_async(async move {
         let duration = Duration::from_secs(6);
-        let summary = soak::run(process_cluster(3, 2), seed, duration).await;
-        let summary = summary.expect("every guarantee holds");
+        let mut layout = Layout::new(3, 2).expect("the folder and ports are reserved");
+        layout.keep_folder();
+        let logs = layout.folder().to_path_buf();
+        let summary = soak::run(processes_with_layout(layout), seed, duration).await;
+        let summary = summary.unwrap_or_else(|e| panic!("{e:#}; logs in {}", logs.display()));
         assert!(summary.served > 0 && summary.released > 0, "{summary:?}");
+        std::fs::remove_dir_all(&logs).expect("the logs are removed");
     });
 }
