--- a/crates/deckwind-net/src/body.rs
+++ b/crates/deckwind-net/src/body.rs
@@ -107,8 +107,8 @@
     }
 }
 
-/// Returns how an answer with this head marks the end of its body. Bodies of answers to
-/// `HEAD` and `CONNECT` are not considered, because targets get no such requests.
+/// Returns how an answer with this head marks the end of its body. An answer to `HEAD` is
+/// judged as one with a body: at worst its connection is not used again.
 fn framing_of(version: Version, status: StatusCode, headers: &HeaderMap) -> Framing {
     if version >= Version::HTTP_2 {
         return Framing::Stream;
