Name the shared parts of prompts, and the time a run wrote, in logs of interrupted runs

The incident's logs could not tell its hypotheses apart: no line named the parts of a prompt, and begun_ms_ago runs up to the moment when the end of a run was noticed. The adapter now decodes the parts that a request names; a header that can't be read names none and is logged, the request is served as before. event=run_cut and stream_ended have parts=, run_cut has wrote_ms= (first to last event), the histogram deckwind_route_cut_run_writing_seconds has the same. No decision uses them yet.

--- a/crates/deckwind-core/src/state/content.rs
+++ b/crates/deckwind-core/src/state/content.rs
@@ -39,11 +39,19 @@
     hasher.update(part);
 }
 
-/// Error for text that is not a digest of 32 hexadecimal digits.
+/// Error for text that is neither a digest of 32 hexadecimal digits nor a part of prompts.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("{0:?} is no digest of a request: 32 hexadecimal digits, as logs and status print them")]
+#[error(
+    "{0:?} is no digest of a request (32 hexadecimal digits) or part of prompts, as logs and status print them"
+)]
 pub struct ParseDigestError(String);
 
+impl ParseDigestError {
+    pub(super) fn new(text: &str) -> Self {
+        Self(text.to_string())
+    }
+}
+
 impl FromStr for ContentDigest {
     type Err = ParseDigestError;
 
@@ -51,9 +59,7 @@
         const DIGITS: usize = 32;
         let is_well_formed = s.len() == DIGITS && s.bytes().all(|b| b.is_ascii_hexdigit());
         let digest = u128::from_str_radix(s, 16).ok().filter(|_| is_well_formed);
-        digest
-            .map(Self)
-            .ok_or_else(|| ParseDigestError(s.to_string()))
+        digest.map(Self).ok_or_else(|| ParseDigestError::new(s))
     }
 }
 
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -27,6 +27,7 @@
 mod quarantine;
 mod release;
 mod release_change;
+mod request_trait;
 mod retry_ledger;
 mod state_machine;
 
@@ -55,6 +56,7 @@
     PublishedRelease, Release, Route, RouteKind, Split,
 };
 pub use release_change::{ItemChanges, ReleaseChange, ReleaseDelta, RouteKey};
+pub use request_trait::{MAX_PARTS, PartId, RequestTrait, RequestTraits};
 pub use retry_ledger::{
     RetryAllowance, RetryAllowanceId, RetryAllowanceKey, RetryChange, RetryLedger,
 };
--- a/crates/deckwind-net/src/edge.rs
+++ b/crates/deckwind-net/src/edge.rs
@@ -8,7 +8,9 @@
 use deckwind_core::control::{AnnouncementFault, UnloadMode};
 use deckwind_core::routes::TargetNotice;
 use deckwind_core::routing::paths::Stage;
-use deckwind_core::state::{Incarnation, Instance, KeyDigest, LayerRange, PublishedRelease};
+use deckwind_core::state::{
+    Incarnation, Instance, KeyDigest, LayerRange, PartId, PublishedRelease,
+};
 use http::{HeaderMap, Method, StatusCode, request::Parts};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,6 +30,17 @@
     pub generation: Option<Generation>,
     /// Number of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Parts of the prompt.
+    pub prompt: PromptParts,
+}
+
+/// Parts of a prompt in their order, as the caller names them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptParts {
+    /// Names of the parts.
+    pub ids: Vec<PartId>,
+    /// Why the parts could not be read. The request is proper without them.
+    pub unreadable: Option<String>,
 }
 
 /// Size of a generation request, in tokens.
--- a/crates/deckwindd/src/router/routes/http_server.rs
+++ b/crates/deckwindd/src/router/routes/http_server.rs
@@ -9,7 +9,9 @@
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
 use deckwind_core::routes::{Permit, ReleaseIndex, TargetChoice};
-use deckwind_core::state::{CallerLimits, ContentDigest, Pool, Route, RouteKind};
+use deckwind_core::state::{
+    CallerLimits, ContentDigest, MAX_PARTS, Pool, RequestTraits, Route, RouteKind,
+};
 use deckwind_core::time::Instant;
 use deckwind_net::body::{CollectError, MessageBody, collect};
 use deckwind_net::caller_stream::{CallerStream, EndsAnswer};
@@ -61,9 +63,9 @@
     pub parts: Parts,
     /// Body of the request.
     pub body: Bytes,
-    /// Digest of method, URI, account and body: equal whenever the request is repeated,
-    /// whichever of the account's callers sends it.
-    pub content: ContentDigest,
+    /// What the request may share with others: its content, which is the same whenever it is
+    /// repeated, and the parts of its prompt.
+    pub traits: RequestTraits,
     /// Counts the body as buffered.
     _held: HeldBytes,
     /// Route of the request.
@@ -111,7 +113,7 @@
         self.shared
             .routes
             .poison_requests
-            .may_send(now, &self.content)
+            .may_send(now, &self.traits.content())
     }
 
     /// Applies what a target's answer reports about the target, whatever the status of
@@ -316,8 +318,9 @@
     let wait_time = head.wait_time.unwrap_or(route.timeout());
     let uri = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     let content = ContentDigest::of(parts.method.as_str(), uri, account.as_deref(), &body);
+    log_ignored_parts(&head);
     Ok(Job {
-        content,
+        traits: RequestTraits::new(content, account.as_deref(), &head.prompt.ids),
         is_late: shared
             .routes
             .is_late(&route, wait_time.min(route.timeout())),
@@ -335,6 +338,25 @@
     })
 }
 
+/// Logs that parts of a prompt are not known, or not all of them count as traits. The request
+/// is served all the same.
+fn log_ignored_parts(head: &CallerRequestHead) {
+    let prompt = &head.prompt;
+    if let Some(why) = &prompt.unreadable {
+        log::warn!(
+            "event=prompt_parts_unreadable request={} value={why}",
+            head.id
+        );
+    }
+    if prompt.ids.len() > MAX_PARTS + 1 {
+        log::info!(
+            "event=prompt_parts_ignored request={} parts={} counted={MAX_PARTS}",
+            head.id,
+            prompt.ids.len()
+        );
+    }
+}
+
 /// Waits for the first release if the router has just started: a lease takes a round
 /// trip, or an election.
 async fn await_first_release(shared: &RouterShared, head: &CallerRequestHead) {
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -381,7 +381,7 @@
         log::info!(
             "event=request_ended request={} content={} route={} pool={} target={target} tries={} unreachable={} revision={} status={} code={code} end={end} took_ms={}",
             job.head.id,
-            job.content,
+            job.traits.content(),
             job.route.name,
             job.pool.name,
             self.tries,
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -9,7 +9,7 @@
 use super::relay;
 use super::reservation::Reservation;
 use super::responses::{Failure, RouteBody};
-use super::target_run::TargetRun;
+use super::target_run::{TargetRun, format_parts};
 use attempt::AttemptError;
 use bytes::Bytes;
 use deckwind_core::routes::{
@@ -383,9 +383,10 @@
         let target = self.target.map_or("-".to_string(), |a| a.to_string());
         let ms = |d: Option<Duration>| d.map_or(-1, |d| d.as_millis() as i64);
         log::info!(
-            "event=stream_ended request={} content={} route={} pool={} target={target} at={} tries={} refused={} tokens={} events={} longest_pause_ms={} first_ms={} framing={} open_bytes={} revision={} status={} code={code} took_ms={}",
+            "event=stream_ended request={} content={} parts={} route={} pool={} target={target} at={} tries={} refused={} tokens={} events={} longest_pause_ms={} first_ms={} framing={} open_bytes={} revision={} status={} code={code} took_ms={}",
             job.head.id,
-            job.content,
+            job.traits.content(),
+            format_parts(&job.traits),
             job.route.name,
             job.pool.name,
             stream.map_or("-", |s| s.data_centre.as_str()),
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -180,7 +180,7 @@
         log::warn!(
             "event=stream_moves request={} content={} at={} last_event={:?} tries={} why={why:?}",
             self.opener.job.head.id,
-            self.opener.job.content,
+            self.opener.job.traits.content(),
             self.progress.data_centre,
             self.progress.last_event,
             self.opener.attempted.count()
--- a/crates/deckwindd/src/router/routes/target_run.rs
+++ b/crates/deckwindd/src/router/routes/target_run.rs
@@ -4,10 +4,11 @@
 use super::poison_requests::InterruptedRun;
 use crate::router::shared::RouterShared;
 use deckwind_core::routes::{BodyEnd, TargetChoice};
-use deckwind_core::state::{ContentDigest, Incarnation};
+use deckwind_core::state::{Incarnation, PartId, RequestTraits};
 use deckwind_core::time::Instant;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// End of a run, as seen by the router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,11 +56,12 @@
 pub struct TargetRun {
     shared: Arc<RouterShared>,
     request: String,
-    content: ContentDigest,
+    traits: RequestTraits,
     address: SocketAddr,
     incarnation: Incarnation,
     sent: Instant,
     first_event: Option<Instant>,
+    last_event: Option<Instant>,
     events: u32,
     is_closed: bool,
 }
@@ -70,11 +72,12 @@
         Self {
             shared: job.shared.clone(),
             request: job.head.id.clone(),
-            content: job.content,
+            traits: job.traits.clone(),
             address: choice.address,
             incarnation: choice.incarnation(),
             sent: job.shared.clock.now(),
             first_event: None,
+            last_event: None,
             events: 0,
             is_closed: false,
         }
@@ -83,9 +86,9 @@
     /// Counts received events.
     pub fn record_event(&mut self) {
         self.events += 1;
-        if self.first_event.is_none() {
-            self.first_event = Some(self.shared.clock.now());
-        }
+        let now = self.shared.clock.now();
+        self.first_event.get_or_insert(now);
+        self.last_event = Some(now);
     }
 
     /// Ends the run.
@@ -100,10 +103,10 @@
         let now = self.shared.clock.now();
         let poison_requests = &self.shared.routes.poison_requests;
         match end {
-            RunEnd::Served => poison_requests.record_served(now, self.content),
+            RunEnd::Served => poison_requests.record_served(now, self.traits.content()),
             RunEnd::Closed => {
                 let ran = self.first_event.map(|at| now.since(at));
-                poison_requests.record_closed(now, self.content, ran);
+                poison_requests.record_closed(now, self.traits.content(), ran);
             }
             RunEnd::Broke | RunEnd::Abandoned => self.report_interrupted(end),
             RunEnd::NotRun | RunEnd::Failed => {}
@@ -114,7 +117,7 @@
         self.log_interrupted(end);
         let now = self.shared.clock.now();
         let interrupted = InterruptedRun {
-            content: self.content,
+            content: self.traits.content(),
             address: self.address,
             incarnation: &self.incarnation,
             run_time: self.first_event.map(|at| now.since(at)),
@@ -126,26 +129,50 @@
             .record_interrupted(now, &interrupted);
     }
 
+    /// Returns the time from the first event to the last one, if there was any.
+    fn writing_time(&self) -> Option<Duration> {
+        let (first, last) = (self.first_event?, self.last_event?);
+        Some(last.since(first))
+    }
+
     /// Logs a run that was not answered whole: which content ran where, and for how
     /// long.
     fn log_interrupted(&self, end: RunEnd) {
         let now = self.shared.clock.now();
         let since = |at: Option<Instant>| at.map_or(-1, |at| now.since(at).as_millis() as i64);
         metrics::counter!("deckwind_route_runs_cut_total", "how" => end.as_str()).increment(1);
+        let wrote = self.writing_time().unwrap_or_default();
+        metrics::histogram!("deckwind_route_cut_run_writing_seconds").record(wrote.as_secs_f64());
         log::info!(
-            "event=run_cut request={} content={} target={} life={} how={} sent_ms_ago={} begun_ms_ago={} pieces={}",
+            "event=run_cut request={} content={} target={} life={} how={} sent_ms_ago={} begun_ms_ago={} wrote_ms={} pieces={} parts={}",
             self.request,
-            self.content,
+            self.traits.content(),
             self.address,
             self.incarnation,
             end.as_str(),
             since(Some(self.sent)),
             since(self.first_event),
-            self.events
+            self.writing_time()
+                .map_or(-1, |wrote| wrote.as_millis() as i64),
+            self.events,
+            format_parts(&self.traits)
         );
     }
 }
 
+/// Maximum number of parts of a prompt in one log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Formats the parts of a prompt that other requests may share, for logs.
+pub fn format_parts(traits: &RequestTraits) -> String {
+    let parts = traits.shared_parts();
+    if parts.is_empty() {
+        return "-".to_string();
+    }
+    let logged = parts.iter().take(MAX_LOGGED_PARTS).map(PartId::to_string);
+    logged.collect::<Vec<_>>().join(",")
+}
+
 impl Drop for TargetRun {
     fn drop(&mut self) {
         self.end(RunEnd::Abandoned);
