--- a/crates/deckwind-fakes/src/lib.rs
+++ b/crates/deckwind-fakes/src/lib.rs
@@ -25,6 +25,6 @@
 pub use target_server::{
     AnswerDraws, Arrival, CRASH_DOWNTIME, ConnectionEnd, CutAnswer, CutPlace, ENDS_ITS_TARGET,
     EVENTS_PER_STREAM, FakeFleet, FakeTargetFault, FakeTargetServer, FleetArrival, FleetConfig,
-    Outage, RawAnswer, SeenRequest, StreamEnding, StreamFraming, whole_stream,
+    Outage, POISON_PART_PREFIX, RawAnswer, SeenRequest, StreamEnding, StreamFraming, whole_stream,
 };
 pub use weights::FakeWeightStore;
--- a/crates/deckwind-fakes/src/site.rs
+++ b/crates/deckwind-fakes/src/site.rs
@@ -23,6 +23,8 @@
     pub generation: bool,
     /// ID of the last event that the caller received, to resume a stream after it.
     pub last_event: Option<u64>,
+    /// Parts of the prompt, as `ID:TOKENS` separated by commas.
+    pub prompt_parts: Option<&'a str>,
 }
 
 /// Returns the raw HTTP/1.1 head of a generation request with an empty body.
@@ -57,6 +59,9 @@
         if let Some(last) = self.last_event {
             req = req.header("last-event-id", last.to_string());
         }
+        if let Some(parts) = self.prompt_parts {
+            req = req.header("x-deckwind-prompt-prefix", parts);
+        }
         req.body(Full::new(Bytes::from("body")))
     }
 }
--- a/crates/deckwind-fakes/src/target_server/answers.rs
+++ b/crates/deckwind-fakes/src/target_server/answers.rs
@@ -4,8 +4,9 @@
 use super::answer_body::{AnswerBody, AnswerPlan, BodyKind};
 use super::fleet::{FakeFleet, PathError, parse_path};
 use super::{
-    CRASH_DOWNTIME, ConnectionEnd, ENDS_ITS_TARGET, EVENT_GAP, EVENTS_PER_STREAM, FakeTargetFault,
-    SeenRequest, State, StreamEnding, StreamFraming, start_incarnation,
+    CRASH_DOWNTIME, ConnectionEnd, DARK_TIME, ENDS_ITS_TARGET, EVENT_GAP, EVENTS_PER_STREAM,
+    FakeTargetFault, PartCrash, SeenRequest, State, StreamEnding, StreamFraming, pause_and_restart,
+    start_incarnation,
 };
 use anyhow::Result;
 use serde_json::{Value, json};
@@ -74,8 +75,8 @@
 async fn handle_request(
     s: &mut Stream,
     req: SeenRequest,
-    state: &Mutex<State>,
-    connection_epoch: &watch::Sender<u32>,
+    state: &Arc<Mutex<State>>,
+    connection_epoch: &Arc<watch::Sender<u32>>,
 ) -> Result<bool> {
     match req.line.as_str() {
         "GET /v1/report" => {
@@ -137,6 +138,14 @@
         }
         return crash_on_request(state, connection_epoch).await;
     }
+    let parts = req.headers.get("x-deckwind-prompt-prefix");
+    if let Some(crash) = parts.and_then(|parts| PartCrash::of_parts(parts)) {
+        begin_stream(s, &request, (&fault, plan), state).await?;
+        if crash != PartCrash::AfterHead {
+            write_first_event(s, &req, plan.framing).await?;
+        }
+        return crash_on_part(crash, state, connection_epoch).await;
+    }
     if let FakeTargetFault::Writes(answer) = &fault {
         s.write_all(answer.text.replace("{id}", &request).as_bytes())
             .await?;
@@ -297,6 +306,36 @@
     Ok(false)
 }
 
+/// Writes the first event of a stream whose head is written.
+async fn write_first_event(
+    s: &mut Stream,
+    req: &SeenRequest,
+    framing: StreamFraming,
+) -> Result<()> {
+    let last = req.headers.get("last-event-id");
+    let last: u64 = last.and_then(|l| l.parse().ok()).unwrap_or(0);
+    tokio::time::sleep(EVENT_GAP).await;
+    let event = format_event(last + 1);
+    match framing {
+        StreamFraming::Chunked => write_chunk(s, &event).await,
+        StreamFraming::Connection => Ok(s.write_all(event.as_bytes()).await?),
+    }
+}
+
+/// Crashes the target on a part of a prompt, after it began to write the answer.
+async fn crash_on_part(
+    crash: PartCrash,
+    state: &Arc<Mutex<State>>,
+    connection_epoch: &Arc<watch::Sender<u32>>,
+) -> Result<bool> {
+    if crash != PartCrash::Dark {
+        return crash_on_request(state, connection_epoch).await;
+    }
+    state.lock().expect("no holder panics").crashes_by_request += 1;
+    pause_and_restart(state, connection_epoch, DARK_TIME);
+    std::future::pending().await
+}
+
 async fn answer_plain(
     s: &mut Stream,
     request: &str,
--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -265,6 +265,45 @@
 /// them. The target restarts with the same ID after [`CRASH_DOWNTIME`].
 pub const ENDS_ITS_TARGET: &str = "/ends-its-target";
 
+/// Beginning of the ids of prompt parts on which a target crashes when it begins to write an
+/// answer; see [`PartCrash`].
+pub const POISON_PART_PREFIX: &str = "bad";
+
+/// How a target crashes on a part of a prompt. The digit after [`POISON_PART_PREFIX`] says
+/// which.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartCrash {
+    /// `bad0`: after the head of the answer.
+    AfterHead,
+    /// `bad1`: after the first event.
+    AfterFirstEvent,
+    /// `bad2`: after the first event it stops to read and to write, for [`DARK_TIME`], and then
+    /// restarts.
+    Dark,
+}
+
+impl PartCrash {
+    /// Returns how a request with these prompt parts (`ID:TOKENS`, separated by commas)
+    /// crashes its target. The last part never does.
+    fn of_parts(parts: &str) -> Option<Self> {
+        let (shared, _last) = parts.rsplit_once(',')?;
+        let kinds = shared
+            .split(',')
+            .filter_map(|part| part.trim().strip_prefix(POISON_PART_PREFIX));
+        kinds
+            .filter_map(|kind| kind.bytes().next())
+            .find_map(|digit| match digit {
+                b'0' => Some(Self::AfterHead),
+                b'1' => Some(Self::AfterFirstEvent),
+                b'2' => Some(Self::Dark),
+                _ => None,
+            })
+    }
+}
+
+/// Time for which a target is dark after [`PartCrash::Dark`].
+pub const DARK_TIME: Duration = Duration::from_millis(1_500);
+
 /// Downtime of a target that crashed on a request: it closes new connections at once
 /// and [`FakeTargetServer::is_reachable`] returns `false`, so tests don't announce it.
 pub const CRASH_DOWNTIME: Duration = Duration::from_millis(400);
@@ -338,14 +377,8 @@
 
     /// Pauses the target for `length`, then restarts it with the same ID.
     pub fn pause_and_restart(&self, length: Duration) {
-        let until = Instant::now() + length;
-        self.pause(length);
         record_outage(&self.lock(), self.address);
-        let (state, connection_epoch) = (self.state.clone(), self.connection_epoch.clone());
-        tokio::spawn(async move {
-            tokio::time::sleep_until(until).await;
-            start_incarnation(&state, &connection_epoch);
-        });
+        pause_and_restart(&self.state, &self.connection_epoch, length);
     }
 
     /// Restarts the target with the same ID. Running requests are aborted and its state is
@@ -523,6 +556,21 @@
     connection_epoch.send_modify(|epoch| *epoch += 1);
 }
 
+/// Pauses a target for `length`, and starts its next incarnation afterwards.
+fn pause_and_restart(
+    state: &Arc<Mutex<State>>,
+    connection_epoch: &Arc<watch::Sender<u32>>,
+    length: Duration,
+) {
+    let until = Instant::now() + length;
+    state.lock().expect("no holder panics").paused_until = Some(until);
+    let (state, connection_epoch) = (state.clone(), connection_epoch.clone());
+    tokio::spawn(async move {
+        tokio::time::sleep_until(until).await;
+        start_incarnation(&state, &connection_epoch);
+    });
+}
+
 fn record_outage(state: &State, address: SocketAddr) {
     if let Some((fleet, _)) = &state.fleet {
         fleet.record_outage(address);
--- a/crates/deckwind-testkit/src/soak/calls.rs
+++ b/crates/deckwind-testkit/src/soak/calls.rs
@@ -161,6 +161,7 @@
             key: KEY,
             generation: matches!(kind, "stream" | TELL | FLOOD | POISON),
             last_event: None,
+            prompt_parts: None,
         };
         let Ok(req) = call.request(address) else {
             return Outcome::Unknown;
--- a/crates/deckwind-testkit/tests/testsuite/rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rig.rs
@@ -324,15 +324,29 @@
         tokens: bool,
         last_event: Option<u64>,
     ) -> Result<CallerAnswer, String> {
-        let router = self.cluster.layout.routers[router].routes;
-        let client = Client::builder(TokioExecutor::new()).build_http();
         let call = FakeCall {
             id,
             path,
             key,
             generation: tokens,
             last_event,
+            prompt_parts: None,
         };
+        self.try_call(router, &call).await
+    }
+
+    /// Sends a call to the given router.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks before the answer's head arrives.
+    pub async fn try_call(
+        &self,
+        router: usize,
+        call: &FakeCall<'_>,
+    ) -> Result<CallerAnswer, String> {
+        let router = self.cluster.layout.routers[router].routes;
+        let client = Client::builder(TokioExecutor::new()).build_http();
         let req = call.request(router).expect("a request");
         let res = client.request(req).await.map_err(|e| format!("{e:?}"))?;
         let (head, body) = res.into_parts();
