Close unread what a router can't serve in time when a crowd of connections comes

What callers would see: a balancer that hands most new connections of a data centre to one router makes all of that router's callers late, those of before too. accept() read every connection, and nothing bounded what a router reads.

Change: admission::ConnectionGate. The router measures each 50 ms how late its tasks run. Two late measurements in a row lower the share of new connections that it reads, by AIMD; the rest is closed unread at once, so that callers try elsewhere. The share is never zero. Connections of callers may use 45 in 100 of the file descriptors (setting router.file_descriptors, else the process's limit); beyond that new ones are closed unread instead of waiting in the backlog. Meanwhile answers have Connection: close. What is read is served as before. Readiness stays: a router that is not ready hands the crowd to the next one.

Evidence: connection_gate, virtual time, 3 to 30 routers, 90 in 100 of the connections at one of them: from 3 s on three quarters and more of what is read is in time, under 1 in 100 is never read; without the gate under three quarters are in time (asserted). One real router at its bound closes a new connection unread, serves an open one, and reads again afterwards. Event lines overloaded, not_overloaded; gauges deckwind_route_connections_read_share, deckwind_route_caller_connections; counter deckwind_route_connections_closed_unread_total.

--- a/crates/deckwind-config/src/check.rs
+++ b/crates/deckwind-config/src/check.rs
@@ -236,6 +236,10 @@
         let message = "must be above 0; leave it out if it is not known";
         out.add_at_key("router.memory", message);
     }
+    if r.file_descriptors.is_some_and(|n| n < 1.0) {
+        let message = "must be at least 1; leave it out if it is not known";
+        out.add_at_key("router.file_descriptors", message);
+    }
     if s.control_vms.iter().any(|vm| vm.address == r.peers) && s.control.is_none() {
         out.add_at_key(
             "router.peers",
--- a/crates/deckwind-config/src/schema.rs
+++ b/crates/deckwind-config/src/schema.rs
@@ -129,6 +129,7 @@
             optional_key("ready", ValueKind::Address),
             optional_key("killed_after", ValueKind::Duration),
             optional_key("memory", ValueKind::Number),
+            optional_key("file_descriptors", ValueKind::Number),
             optional_key(
                 "repeats",
                 ValueKind::Object(&[
--- a/crates/deckwind-config/src/settings.rs
+++ b/crates/deckwind-config/src/settings.rs
@@ -117,6 +117,9 @@
     /// callers.
     #[serde(default, deserialize_with = "maybe_number")]
     pub memory: Option<f64>,
+    /// Number of file descriptors that the process may open; its own limit if not set.
+    #[serde(default, deserialize_with = "maybe_number")]
+    pub file_descriptors: Option<f64>,
     /// Retry budget over all routers.
     #[serde(default)]
     pub repeats: RetryBudgetSettings,
--- a/crates/deckwind-core/src/admission/mod.rs
+++ b/crates/deckwind-core/src/admission/mod.rs
@@ -12,10 +12,12 @@
 //! after which a retry can succeed, instead of being held until near its deadline. Queues
 //! are bounded in length, and the deadline is known on entry.
 
+mod connection_gate;
 mod limiter;
 mod queue;
 mod retry_budget;
 
+pub use connection_gate::{ConnectionGate, GateDecision, LAG_INTERVAL};
 pub use limiter::AccountLimiter;
 pub use queue::{Admission, AdmissionConfig, AdmissionRefusal, Offer, Refused, Ticket, TicketId};
 pub use retry_budget::{RetryBudget, RetryPolicy};
--- a/crates/deckwind-net/src/lib.rs
+++ b/crates/deckwind-net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod caller_stream;
 pub mod clock;
+mod descriptors;
 pub mod edge;
 pub mod keys;
 pub mod quic;
@@ -14,6 +15,8 @@
 pub mod tunnel;
 mod unauthenticated;
 
+pub use descriptors::descriptor_limit;
+
 use std::future::Future;
 use std::pin::Pin;
 
--- a/crates/deckwind-testkit/src/layout.rs
+++ b/crates/deckwind-testkit/src/layout.rs
@@ -45,6 +45,8 @@
     pub retry_budget: (f64, u32),
     /// Memory of a router's VM in MB.
     pub memory_mb: Option<f64>,
+    /// Number of file descriptors that a router may open.
+    pub file_descriptors: Option<u32>,
     /// Data centres that VMs are assigned to in turn.
     pub data_centres: Vec<&'static str>,
     /// Duration of a lease, if it isn't the default.
@@ -123,6 +125,7 @@
             retry_budget: (8.0, 100),
             platform: None,
             memory_mb: None,
+            file_descriptors: None,
             data_centres: vec!["recife-a"],
             lease: None,
             _reserved_ports: ports,
@@ -232,6 +235,9 @@
         if let Some(memory) = self.memory_mb {
             settings["router"]["memory"] = serde_json::json!(memory);
         }
+        if let Some(descriptors) = self.file_descriptors {
+            settings["router"]["file_descriptors"] = serde_json::json!(descriptors);
+        }
         if let Some(list) = self.platform {
             settings["platform"] = serde_json::json!({ "list": list, "every": "100ms" });
         }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod caller_ends;
 mod callers;
 mod command_line;
+mod connection_gate;
 mod connections;
 mod connectivity;
 mod contracts;
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -16,6 +16,7 @@
 //! `routes` serves published routes; the modules above serve templates.
 
 mod admin_page;
+mod caller_connections;
 mod channel_body;
 mod chat;
 mod chat_body;
@@ -94,6 +95,7 @@
         admin_page::serve(cfg.admin, shared.clone())?;
         let mut tasks = vec![
             tokio::spawn(tunnels::serve(shared.clone(), peer.clone())),
+            tokio::spawn(caller_connections::watch_lag(shared.clone())),
             tokio::spawn(lease::run_renewals(shared.clone())),
             tokio::spawn(lease::report_failing(shared.clone())),
             tokio::spawn(lease::report_retries_short(shared.clone())),
--- a/crates/deckwindd/src/router/routes/http_server.rs
+++ b/crates/deckwindd/src/router/routes/http_server.rs
@@ -208,8 +208,15 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let Some(open) = shared.caller_connections.accept() else {
+                    continue;
+                };
                 set_tcp_options_with_timeout(&stream, MAX_UNREAD_TIME);
-                tokio::spawn(serve(stream, shared.clone()));
+                let serving = serve(stream, shared.clone());
+                tokio::spawn(async move {
+                    serving.await;
+                    drop(open);
+                });
             }
             Err(e) => {
                 log::warn!("event=accept_failed error={:?}", e.to_string());
@@ -287,7 +294,7 @@
             failure.response()
         }
     };
-    if shared.routes.is_closing() {
+    if shared.routes.is_closing() || shared.caller_connections.closes_after_answer() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/deckwindd/src/router/shared.rs
+++ b/crates/deckwindd/src/router/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by the tasks of a router.
 
+use super::caller_connections::CallerConnections;
 use super::control_client::ControlClient;
 use super::routes::Routes;
 use super::template_runs::TargetCrashCounts;
@@ -62,6 +63,8 @@
 
 /// State shared by all tasks of a router.
 pub struct RouterShared {
+    /// Open connections of callers.
+    pub caller_connections: Arc<CallerConnections>,
     /// Context of the daemon.
     pub cx: Context,
     /// VM of the router.
@@ -114,7 +117,9 @@
         };
         let data_centre = cx.settings.data_centre.clone();
         let tunnels = Tunnels::new(cx.clock, data_centre, &peer);
+        let descriptors = cfg.file_descriptors.map(|n| n as usize);
         Self {
+            caller_connections: Arc::new(CallerConnections::new(descriptors)),
             cx: cx.clone(),
             vm: cx.settings.vm.clone(),
             boot: cx.boot,
--- a/crates/deckwindd/src/router/template_callers.rs
+++ b/crates/deckwindd/src/router/template_callers.rs
@@ -78,9 +78,13 @@
             tokio::time::sleep(EXPIRE_INTERVAL).await;
             continue;
         };
+        let Some(open) = shared.caller_connections.accept() else {
+            continue;
+        };
         let _ = stream.set_nodelay(true);
         let shared = shared.clone();
         tokio::spawn(async move {
+            let _open = open;
             let stream = CallerStream::new(stream);
             let ends_answer = stream.ends_answer();
             let service = service_fn(move |req| answer(shared.clone(), req, ends_answer.clone()));
