--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -266,19 +266,18 @@
 pub const ENDS_ITS_TARGET: &str = "/ends-its-target";
 
 /// Beginning of the ids of prompt parts on which a target crashes when it begins to write an
-/// answer; see [`PartCrash`].
+/// answer. The digit that follows says how: `0` after the head of the answer, `1` after its first
+/// event, `2` by going dark after its first event.
 pub const POISON_PART_PREFIX: &str = "bad";
 
-/// How a target crashes on a part of a prompt. The digit after [`POISON_PART_PREFIX`] says
-/// which.
+/// How a target crashes on a part of a prompt; see [`POISON_PART_PREFIX`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartCrash {
-    /// `bad0`: after the head of the answer.
+    /// After the head of the answer.
     AfterHead,
-    /// `bad1`: after the first event.
+    /// After the first event.
     AfterFirstEvent,
-    /// `bad2`: after the first event it stops to read and to write, for [`DARK_TIME`], and then
-    /// restarts.
+    /// After the first event it stops to read and to write, for [`DARK_TIME`], and then restarts.
     Dark,
 }
 
