Count no run that was sent to a target after it had crashed

All callers ask for one content; both engines of its pool had just crashed on poison requests, and accept and close connections until they are back. Each run that was sent to them meanwhile broke off after 0 ms and counted as a crash under the sound content: four such, more than the poison request's three, so it explained that one away.

Cause: a run counts if it had just begun at an incarnation that is known to have ended; nobody asked whether the end came before the run. Class: an effect is taken for a cause.

Change: a run that was sent to an incarnation after that was known to have ended, or within 500 ms after it had broken off another run at this router, is no evidence.

Evidence: run_cut lines with sent_ms_ago=0 after the first break at the same incarnation; interrupted_runs::a_run_sent_to_a_crashed_target_is_no_evidence (new with its function).

--- a/crates/deckwind-core/src/routes/interrupted_runs.rs
+++ b/crates/deckwind-core/src/routes/interrupted_runs.rs
@@ -46,6 +46,10 @@
 /// many callers request at the same time.
 const SERVED_EXEMPTION: Duration = Duration::from_secs(10);
 
+/// Time after a target broke a run off for which it is taken for crashed. A run that is sent to
+/// it then is broken off too, and is no evidence against its request.
+const BREAK_WINDOW: Duration = Duration::from_millis(500);
+
 /// Time for which a crash counts that is not agreed, as in the agreed state.
 const OWN_CRASHES_TTL: Duration = Duration::from_secs(10 * 60);
 
@@ -117,6 +121,8 @@
     /// Recently ended incarnations. A run may be noticed as interrupted after its target
     /// crashed.
     ended_incarnations: VecDeque<(Incarnation, Instant)>,
+    /// Incarnations that lately broke off a run, with the time of the first one.
+    breaks: VecDeque<(Incarnation, Instant)>,
     /// Crashes that this router observed and that are not agreed.
     own_crashes: HashMap<RequestTrait, OwnCrashes>,
     /// Groups of traits that this router's own crashes suffice to quarantine.
@@ -148,6 +154,7 @@
             pending_timeout: period * WAIT_PERIODS + WAIT_MARGIN,
             pending: VecDeque::new(),
             ended_incarnations: VecDeque::new(),
+            breaks: VecDeque::new(),
             own_crashes: HashMap::new(),
             own_culprits: Vec::new(),
             served: HashMap::new(),
@@ -156,6 +163,28 @@
         }
     }
 
+    /// Records that a target broke a run off.
+    pub fn record_break(&mut self, now: Instant, incarnation: &Incarnation) {
+        self.breaks.retain(|(_, at)| now.since(*at) < BREAK_WINDOW);
+        if !self.breaks.iter().any(|(broke, _)| broke == incarnation) {
+            push_bounded(&mut self.breaks, (incarnation.clone(), now));
+        }
+    }
+
+    /// Whether a run that was sent at `sent` went to an incarnation that had shown signs of its
+    /// end before. Such a run did not crash it.
+    pub fn was_sent_after_end(
+        &self,
+        now: Instant,
+        incarnation: &Incarnation,
+        sent: Instant,
+    ) -> bool {
+        let is_before = |(ended, at): &(Incarnation, Instant)| ended == incarnation && *at <= sent;
+        let is_recent = |at: &Instant| now.since(*at) < BREAK_WINDOW;
+        let mut breaks = self.breaks.iter().filter(|(_, at)| is_recent(at));
+        breaks.any(is_before) || self.ended_incarnations.iter().any(is_before)
+    }
+
     /// Records an interrupted run. `wrote` is the time from its first event to its last one,
     /// if there was any. Returns whether the run may have crashed its target.
     pub fn record_interrupted(
--- a/crates/deckwind-testkit/tests/testsuite/interrupted_runs.rs
+++ b/crates/deckwind-testkit/tests/testsuite/interrupted_runs.rs
@@ -239,3 +239,37 @@
     cut_runs.set_agreed(at, Arc::new(SuspectList::default()));
     assert!(cut_runs.may_send(at, &digest.into()));
 }
+
+/// When a run was sent to an incarnation that had broken off another one, or was known to have
+/// ended, at 100 s; and whether the run is no evidence.
+///
+/// Guards against a sound content that was refused for an hour: all callers asked for it, both
+/// targets of its pool had just crashed, and each run that was sent to them meanwhile counted.
+#[parameterized(
+    before_the_break = { 99_990, true, false, false },
+    after_the_break = { 100_010, true, false, true },
+    long_after_the_break = { 100_600, true, false, false },
+    before_the_known_end = { 99_990, false, true, false },
+    after_the_known_end = { 100_600, false, true, true },
+    after_neither = { 100_010, false, false, false },
+)]
+fn a_run_sent_to_a_crashed_target_is_no_evidence(
+    sent_ms: u64,
+    broke: bool,
+    known: bool,
+    is_after: bool,
+) {
+    let mut cut_runs = InterruptedRuns::default();
+    let at = Instant::from_millis(100_000);
+    let crashed = incarnation("a");
+    if broke {
+        cut_runs.record_break(at, &crashed);
+    }
+    if known {
+        cut_runs.record_ended_incarnations(at, vec![crashed.clone()]);
+    }
+    let sent = Instant::from_millis(sent_ms);
+    let now = at.max(sent) + Duration::from_millis(1);
+    assert_eq!(cut_runs.was_sent_after_end(now, &crashed, sent), is_after);
+    assert!(!cut_runs.was_sent_after_end(now, &incarnation("b"), sent));
+}
--- a/crates/deckwindd/src/router/routes/poison_requests.rs
+++ b/crates/deckwindd/src/router/routes/poison_requests.rs
@@ -33,6 +33,8 @@
     pub address: SocketAddr,
     /// Incarnation of the target.
     pub incarnation: &'a Incarnation,
+    /// Time at which the request was sent.
+    pub sent: Instant,
     /// Time from the first event of the run to its last one; `None` if there was none.
     pub writing_time: Option<Duration>,
     /// Whether the target broke the run off.
@@ -90,9 +92,16 @@
 
     /// Records an interrupted run.
     pub fn record_interrupted(&self, now: Instant, run: &InterruptedRun) {
+        let mut runs = self.runs();
+        if runs.was_sent_after_end(now, run.incarnation, run.sent) {
+            return;
+        }
+        if run.broken_off {
+            runs.record_break(now, run.incarnation);
+        }
         let is_suspect =
-            self.runs()
-                .record_interrupted(now, run.request, run.incarnation, run.writing_time);
+            runs.record_interrupted(now, run.request, run.incarnation, run.writing_time);
+        drop(runs);
         if is_suspect && run.broken_off {
             let mut broke = self.broken_targets.lock().expect("no holder panics");
             if broke.len() < MAX_BROKEN_TARGETS && !broke.contains(&run.address) {
--- a/crates/deckwindd/src/router/routes/target_run.rs
+++ b/crates/deckwindd/src/router/routes/target_run.rs
@@ -128,6 +128,7 @@
             request: &self.traits,
             address: self.address,
             incarnation: &self.incarnation,
+            sent: self.sent,
             writing_time: self.writing_time(),
             broken_off: end == RunEnd::Broke,
         };
--- a/crates/deckwindd/src/router/template_runs.rs
+++ b/crates/deckwindd/src/router/template_runs.rs
@@ -62,6 +62,7 @@
     request: RequestTraits,
     address: SocketAddr,
     number: u64,
+    sent: Instant,
     first_progress_at: Option<Instant>,
     last_progress_at: Option<Instant>,
     /// Whether the run has gone on for long enough to clear its request.
@@ -76,6 +77,7 @@
             request: request.clone(),
             address,
             number: shared.crash_counts.count(address),
+            sent: shared.clock.now(),
             first_progress_at: None,
             last_progress_at: None,
             is_cleared: false,
@@ -123,6 +125,7 @@
             request: &self.request,
             address: self.address,
             incarnation: &incarnation,
+            sent: self.sent,
             writing_time: self.writing_time(),
             // The leader cannot probe configured targets, since it does not track them.
             broken_off: false,
