Let a router's own crashes count only until their meaning is agreed

By reading and by tests the same lasts up to ten minutes.

Cause: a router counts the crashes it observes on top of the agreed ones until the agreed list changes. A crash that another router had reported, or that the agreed state attributes to another trait, changes nothing in the list, so the router waited for an answer that never came: requests with a part of an agreed group were undecided (503 after 400 ms), and what the router's own crashes alone seemed to prove was refused. Class: a belief of one router ends only by an event that need not come.

Change: when the leader has answered the report, its crashes are agreed; a second later, by when the list has come, only the list counts. Until then, and with no leader, all is as before.

Evidence: both new tests of interrupted_runs fail without the change (Undecided, Quarantined in place of Send; run with a stub), and pass with it. Unchanged: the tests of what is known before the replicas agree.

--- a/crates/deckwind-core/src/routes/interrupted_runs.rs
+++ b/crates/deckwind-core/src/routes/interrupted_runs.rs
@@ -50,6 +50,10 @@
 /// it then is broken off too, and is no evidence against its request.
 const BREAK_WINDOW: Duration = Duration::from_millis(500);
 
+/// Time until the list of suspects has come after the leader agreed on a crash. From then on
+/// it says what the crash means.
+const LIST_DELAY: Duration = Duration::from_secs(1);
+
 /// Time for which a crash counts that is not agreed, as in the agreed state.
 const OWN_CRASHES_TTL: Duration = Duration::from_secs(10 * 60);
 
@@ -99,6 +103,16 @@
     /// other routers.
     known_crashes: usize,
     last_crash: Instant,
+    /// Incarnation whose crash was recorded last, and the time at which that was agreed.
+    last_life: Incarnation,
+    agreed_at: Option<Instant>,
+}
+
+impl OwnCrashes {
+    /// Returns whether the agreed list says what the crashes mean.
+    fn is_agreed(&self, now: Instant) -> bool {
+        self.agreed_at.is_some_and(|at| now.since(at) >= LIST_DELAY)
+    }
 }
 
 /// Whether a request may be sent to a target.
@@ -123,7 +137,7 @@
     ended_incarnations: VecDeque<(Incarnation, Instant)>,
     /// Incarnations that lately broke off a run, with the time of the first one.
     breaks: VecDeque<(Incarnation, Instant)>,
-    /// Crashes that this router observed and that are not agreed.
+    /// Crashes that this router observed and whose meaning is not agreed yet.
     own_crashes: HashMap<RequestTrait, OwnCrashes>,
     /// Groups of traits that this router's own crashes suffice to quarantine.
     own_culprits: Vec<Vec<RequestTrait>>,
@@ -322,6 +336,8 @@
                     suspect: Suspect::default(),
                     known_crashes: 0,
                     last_crash: now,
+                    last_life: run.life.clone(),
+                    agreed_at: None,
                 });
             own.last_crash = now;
             let crash = Crash::new(run.life.clone(), run.run, run.begun);
@@ -329,6 +345,8 @@
                 // Counted on top of the agreed crashes, which can't include this one yet: from
                 // the third crash on, the router that saw it sends the request to no target.
                 own.known_crashes = own.known_crashes.max(before(suspect)) + 1;
+                own.last_life = run.life.clone();
+                own.agreed_at = None;
             }
             reported.push(*suspect);
         }
@@ -390,7 +408,7 @@
         let cleared = own.known_crashes > 1
             && self.agreed.crash_count(suspect) == 0
             && age >= AGREEMENT_TIMEOUT;
-        match age >= OWN_CRASHES_TTL || cleared {
+        match age >= OWN_CRASHES_TTL || cleared || own.is_agreed(now) {
             true => 0,
             false => own.known_crashes,
         }
@@ -452,6 +470,23 @@
         self.unreported.drain(..).collect()
     }
 
+    /// Records that these changes, which were reported to the leader, are agreed. The router's
+    /// own crashes among them stop counting even if they change nothing in the agreed list.
+    pub fn record_agreed(&mut self, now: Instant, changes: &[SuspectChange]) {
+        for change in changes {
+            let SuspectChange::Ended(run) = change else {
+                continue;
+            };
+            for suspect in &run.traits {
+                if let Some(own) = self.own_crashes.get_mut(suspect)
+                    && own.last_life == run.life
+                {
+                    own.agreed_at.get_or_insert(now);
+                }
+            }
+        }
+    }
+
     /// Queues changes again that could not be delivered to the leader.
     pub fn requeue(&mut self, news: Vec<SuspectChange>) {
         for change in news.into_iter().rev() {
--- a/crates/deckwind-testkit/tests/testsuite/interrupted_runs.rs
+++ b/crates/deckwind-testkit/tests/testsuite/interrupted_runs.rs
@@ -2,8 +2,10 @@
 //! what the router knows before the control replicas agree, and what clears a content.
 
 use crate::quarantine::{apply, content, crash, crash_of, incarnation, quarantined};
-use deckwind_core::routes::InterruptedRuns;
-use deckwind_core::state::{RequestTrait, StateMachine, SuspectChange, SuspectList};
+use deckwind_core::routes::{InterruptedRuns, SendVerdict};
+use deckwind_core::state::{
+    PartId, RequestTrait, RequestTraits, StateMachine, SuspectChange, SuspectList,
+};
 use deckwind_core::time::Instant;
 use std::sync::Arc;
 use std::time::Duration;
@@ -273,3 +275,79 @@
     assert_eq!(cut_runs.was_sent_after_end(now, &crashed, sent), is_after);
     assert!(!cut_runs.was_sent_after_end(now, &incarnation("b"), sent));
 }
+
+/// Returns a request whose prompt has these parts and one of its own.
+fn request_with_parts(name: &str, parts: &[&str]) -> RequestTraits {
+    let parts = parts.iter().copied().chain([name]);
+    let parts: Vec<PartId> = parts.map(|p| PartId::of_bytes(p.as_bytes())).collect();
+    RequestTraits::new(content(name), None, &parts)
+}
+
+/// Guards against sound requests that were all refused for up to ten minutes: a crash that
+/// their router noticed did not change the agreed list, since another router had reported it,
+/// and nothing else ended the wait for that.
+#[test]
+fn a_crash_that_changes_no_agreed_count_leaves_nothing_undecided() {
+    let mut machine = StateMachine::default();
+    let at = Instant::from_millis(100_000);
+    for i in 0..3 {
+        let request = request_with_parts(&format!("bad {i}"), &["first", "at fault"]);
+        let life = incarnation(&format!("target {i}"));
+        apply(&mut machine, 1, vec![crash_of(&request, life, false)]);
+    }
+    let bystander = request_with_parts("bystander", &["first"]);
+    let last = incarnation("last");
+    let known = crash_of(&bystander, last.clone(), false);
+    apply(&mut machine, 1, vec![known]);
+    let list = machine.configuration().suspects();
+    let mut runs = InterruptedRuns::default();
+    runs.set_agreed(at, list.clone());
+    runs.record_ended_incarnations(at, vec![last.clone()]);
+    runs.record_interrupted(at, &bystander, &last, None);
+    let changes = runs.take_unreported_changes();
+    apply(&mut machine, 1, changes.clone());
+    runs.record_agreed(at, &changes);
+    let is_same_list = machine.configuration().suspects() == list;
+    assert!(is_same_list, "so no list is sent");
+    let sound = request_with_parts("sound", &["first"]);
+    let later = at + Duration::from_secs(1);
+    assert_eq!(runs.verdict(later, &sound), SendVerdict::Send);
+    let bad = request_with_parts("bad again", &["first", "at fault"]);
+    assert_eq!(runs.verdict(later, &bad), SendVerdict::Quarantined);
+}
+
+/// Guards against a first part that many requests share and that one router alone refused for
+/// up to ten minutes: it saw three crashes under it, which a content explains with a crash that
+/// another router saw, and the part was at two more crashes since it was served elsewhere.
+#[test]
+fn what_is_agreed_takes_the_place_of_own_crashes_of_a_wide_part() {
+    let mut machine = StateMachine::default();
+    let at = Instant::from_millis(100_000);
+    let mut runs = InterruptedRuns::default();
+    let poison = request_with_parts("poison", &["first"]);
+    let elsewhere = crash_of(&poison, incarnation("elsewhere"), false);
+    apply(&mut machine, 1, vec![elsewhere]);
+    for (request, life) in [("poison", "a"), ("poison", "b"), ("bystander", "c")] {
+        let life = incarnation(life);
+        let request = request_with_parts(request, &["first"]);
+        runs.record_interrupted(at, &request, &life, None);
+        runs.record_ended_incarnations(at, vec![life]);
+    }
+    let changes = runs.take_unreported_changes();
+    apply(&mut machine, 1, changes.clone());
+    runs.record_agreed(at, &changes);
+    runs.set_agreed(at, machine.configuration().suspects());
+    let served = request_with_parts("served", &["first"]).all().to_vec();
+    let served = served.into_iter().map(SuspectChange::Served);
+    apply(&mut machine, 2, served.collect());
+    for life in ["d", "e"] {
+        let other = request_with_parts(life, &["first"]);
+        let crash = crash_of(&other, incarnation(life), false);
+        apply(&mut machine, 3, vec![crash]);
+    }
+    let later = at + Duration::from_secs(10);
+    runs.set_agreed(later, machine.configuration().suspects());
+    let sound = request_with_parts("sound", &["first"]);
+    assert_eq!(runs.verdict(later, &sound), SendVerdict::Send);
+    assert_eq!(runs.verdict(later, &poison), SendVerdict::Quarantined);
+}
--- a/crates/deckwindd/src/router/routes/poison_requests.rs
+++ b/crates/deckwindd/src/router/routes/poison_requests.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Records that the leader has agreed on these changes.
+    fn record_agreed(&self, now: Instant, changes: &[SuspectChange]) {
+        self.runs().record_agreed(now, changes);
+    }
+
     /// Queues changes again that could not be reported, to be sent with later ones.
     fn requeue(&self, changes: Vec<SuspectChange>) {
         if !changes.is_empty() {
@@ -182,12 +187,15 @@
         let report = shared.routes.poison_requests.next_report().await;
         let request = ControlRequest::CutRuns(report.clone());
         let asked = shared.control.ask(&request, REPORT_TIMEOUT).await;
-        if !matches!(asked, Ok(ControlReply::Done)) {
-            log::warn!(
-                "event=cut_runs_not_told changes={} answer={asked:?}",
-                report.changes.len()
-            );
-            shared.routes.poison_requests.requeue(report.changes);
+        let poison_requests = &shared.routes.poison_requests;
+        if matches!(asked, Ok(ControlReply::Done)) {
+            poison_requests.record_agreed(shared.clock.now(), &report.changes);
+            continue;
         }
+        log::warn!(
+            "event=cut_runs_not_told changes={} answer={asked:?}",
+            report.changes.len()
+        );
+        poison_requests.requeue(report.changes);
     }
 }
