Clear a request whose short answer ended with its connection, later

Cause: such an answer may be that of a target that crashed between two events, so it said nothing, and nothing was ever learned from it: on a route whose answers are short and end this way no request is ever cleared, and chance crashes add up. Class: evidence that is put off and never taken up.

Change: the run waits like one that was interrupted; if its incarnation is not known to have ended by the time at which that would be known, it was served.

Ruled out by a test: taking the target's next answer as the proof. A target that restarts under its id answers runs that were meant for the one before (body_ends::a_stream_that_ends_early_between_two_events_clears_no_content failed so).

Evidence: interrupted_runs::a_closed_run_counts_once_its_target_would_be_known_to_have_crashed. It does not end the soak's failures where three crashes come within 6 s of the first answer.

--- a/crates/deckwind-core/src/routes/interrupted_runs.rs
+++ b/crates/deckwind-core/src/routes/interrupted_runs.rs
@@ -17,7 +17,8 @@
 //! be noticed long after its target crashed.
 //!
 //! A stream that ended with its connection between two events was answered in full as far as
-//! its caller can know. Its target may have crashed all the same, so a short one says nothing.
+//! its caller can know. Its target may have crashed all the same, so a short one says nothing
+//! until the end of that incarnation would be known.
 
 use crate::control::{DEFAULT_ANNOUNCE_INTERVAL, MAX_MISSED_ANNOUNCEMENTS};
 use crate::state::{
@@ -95,6 +96,14 @@
     }
 }
 
+/// A run whose answer looks whole, but ended with its connection.
+#[derive(Clone, Debug)]
+struct ClosedRun {
+    request: RequestTraits,
+    incarnation: Incarnation,
+    closed: Instant,
+}
+
 /// Crashes that this router observed while requests with one trait had just begun.
 #[derive(Clone, Debug)]
 struct OwnCrashes {
@@ -132,6 +141,8 @@
 pub struct InterruptedRuns {
     pending_timeout: Duration,
     pending: VecDeque<PendingRun>,
+    /// Short runs that ended with their connections, whose incarnations may have crashed.
+    closed: VecDeque<ClosedRun>,
     /// Recently ended incarnations. A run may be noticed as interrupted after its target
     /// crashed.
     ended_incarnations: VecDeque<(Incarnation, Instant)>,
@@ -167,6 +178,7 @@
         Self {
             pending_timeout: period * WAIT_PERIODS + WAIT_MARGIN,
             pending: VecDeque::new(),
+            closed: VecDeque::new(),
             ended_incarnations: VecDeque::new(),
             breaks: VecDeque::new(),
             own_crashes: HashMap::new(),
@@ -265,17 +277,37 @@
     }
 
     /// Records a run whose answer looks whole, but ended with its connection, as it does if
-    /// the target crashes. It counts as served if it wrote for long enough; `wrote` is the
-    /// time from its first event to its last one, if there was any.
+    /// the target crashes. It counts as served if it wrote for long enough, or once its
+    /// incarnation would be known to have ended; `wrote` is the time from its first event to its
+    /// last one, if there was any.
     pub fn record_closed(
         &mut self,
         now: Instant,
         request: &RequestTraits,
+        incarnation: &Incarnation,
         wrote: Option<Duration>,
     ) {
         if wrote.is_some_and(|wrote| wrote >= MAX_POISON_RUN_TIME) {
             self.record_served(now, request);
+            return;
         }
+        let run = ClosedRun {
+            request: request.clone(),
+            incarnation: incarnation.clone(),
+            closed: now,
+        };
+        push_bounded(&mut self.closed, run);
+    }
+
+    /// Takes the closed runs whose incarnations would be known to have ended by now.
+    fn take_survived(&mut self, now: Instant) -> Vec<RequestTraits> {
+        let is_survived = |run: &ClosedRun| now.since(run.closed) >= self.pending_timeout;
+        let count = self
+            .closed
+            .iter()
+            .take_while(|run| is_survived(run))
+            .count();
+        self.closed.drain(..count).map(|run| run.request).collect()
     }
 
     /// Records incarnations that crashed. Returns the request contents that were running
@@ -291,6 +323,8 @@
             .into_iter()
             .partition(|w| incarnations.contains(&w.incarnation));
         self.pending = rest.into();
+        self.closed
+            .retain(|run| !incarnations.contains(&run.incarnation));
         for incarnation in incarnations {
             push_bounded(&mut self.ended_incarnations, (incarnation, now));
         }
@@ -502,6 +536,9 @@
     }
 
     fn remove_expired(&mut self, now: Instant) {
+        for request in self.take_survived(now) {
+            self.record_served(now, &request);
+        }
         while self.pending.front().is_some_and(|w| w.until <= now) {
             self.pending.pop_front();
         }
--- a/crates/deckwind-testkit/tests/testsuite/interrupted_runs.rs
+++ b/crates/deckwind-testkit/tests/testsuite/interrupted_runs.rs
@@ -351,3 +351,35 @@
     assert_eq!(runs.verdict(later, &sound), SendVerdict::Send);
     assert_eq!(runs.verdict(later, &poison), SendVerdict::Quarantined);
 }
+
+/// Time from the end of an answer of the content, which ended with its connection, to three
+/// crashes under it; whether its target is known to have crashed in between; and whether the
+/// content was served.
+///
+/// Guards against a sound content that was refused for an hour, after it had been answered in
+/// full again and again: short answers that end with their connection cleared nothing.
+#[parameterized(
+    end_may_be_unknown = { 5_900, false, false },
+    end_would_be_known = { 6_100, false, true },
+    crashed = { 6_100, true, false },
+)]
+fn a_closed_run_counts_once_its_target_would_be_known_to_have_crashed(
+    after_ms: u64,
+    has_crashed: bool,
+    is_served: bool,
+) {
+    let mut runs = InterruptedRuns::default();
+    let popular = content("popular").into();
+    let closed = Instant::from_millis(100_000);
+    let wrote = Some(Duration::from_millis(230));
+    runs.record_closed(closed, &popular, &incarnation("a"), wrote);
+    if has_crashed {
+        runs.record_ended_incarnations(closed, vec![incarnation("a")]);
+    }
+    let later = closed + Duration::from_millis(after_ms);
+    for name in ["x", "y", "z"] {
+        runs.record_interrupted(later, &popular, &incarnation(name), None);
+        runs.record_ended_incarnations(later, vec![incarnation(name)]);
+    }
+    assert_eq!(runs.may_send(later, &popular), is_served);
+}
--- a/crates/deckwindd/src/router/routes/poison_requests.rs
+++ b/crates/deckwindd/src/router/routes/poison_requests.rs
@@ -76,8 +76,14 @@
 
     /// Records a run whose answer ended with its connection; `wrote` is the time from its first
     /// event to its last one.
-    pub fn record_closed(&self, now: Instant, request: &RequestTraits, wrote: Option<Duration>) {
-        self.record(|runs| runs.record_closed(now, request, wrote));
+    pub fn record_closed(
+        &self,
+        now: Instant,
+        request: &RequestTraits,
+        incarnation: &Incarnation,
+        wrote: Option<Duration>,
+    ) {
+        self.record(|runs| runs.record_closed(now, request, incarnation, wrote));
     }
 
     fn record(&self, record: impl FnOnce(&mut InterruptedRuns)) {
--- a/crates/deckwindd/src/router/routes/target_run.rs
+++ b/crates/deckwindd/src/router/routes/target_run.rs
@@ -114,7 +114,8 @@
         match end {
             RunEnd::Served => poison_requests.record_served(now, &self.traits),
             RunEnd::Closed => {
-                poison_requests.record_closed(now, &self.traits, self.writing_time());
+                let wrote = self.writing_time();
+                poison_requests.record_closed(now, &self.traits, &self.incarnation, wrote);
             }
             RunEnd::Broke | RunEnd::Abandoned => self.report_interrupted(end),
             RunEnd::NotRun | RunEnd::Failed => {}
