--- a/crates/deckwind-core/src/state/attribution.rs
+++ b/crates/deckwind-core/src/state/attribution.rs
@@ -1,4 +1,5 @@
-//! Which of the traits of the requests at several crashes explains them.
+//! Evidence that a trait of requests crashes targets. `culprits` chooses the traits that explain
+//! the crashes.
 //!
 //! ```text
 //!  crash 1: runs {c1 a x}, {c2 b}          x is at each crash, and is quarantined
@@ -13,10 +14,9 @@
 use super::content::ContentDigest;
 use super::incarnations::Incarnation;
 use super::quarantine::{MAX_ENDS, QUARANTINE_THRESHOLD};
-use super::request_trait::RequestTrait;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 /// Maximum number of runs recorded per crash and trait. More make a trait no less specific.
 const MAX_RUNS_PER_CRASH: usize = 8;
@@ -56,6 +56,16 @@
         &self.life
     }
 
+    /// Returns the runs with the trait, sorted.
+    pub(super) fn runs(&self) -> &[RunKey] {
+        &self.runs
+    }
+
+    /// Returns whether routers had received an event of each of the runs.
+    pub(super) fn begun(&self) -> bool {
+        self.begun
+    }
+
     /// Returns whether all runs of the other crash are known here, as far as runs are recorded.
     fn contains_runs(&self, other: &Self) -> bool {
         let is_known = |run: &RunKey| self.runs.binary_search(run).is_ok();
@@ -86,7 +96,7 @@
 /// Strength of the evidence against a trait, in the order in which it weighs: whether it was
 /// never served, whether it is likely to be at fault by itself, the number of crashes, few
 /// runs, and few runs that had produced an event.
-type Evidence = (bool, bool, usize, Reverse<usize>, Reverse<usize>);
+pub(super) type Evidence = (bool, bool, usize, Reverse<usize>, Reverse<usize>);
 
 impl Suspect {
     /// Records a crash, in place of the oldest one if there are too many. Returns whether it
@@ -135,7 +145,7 @@
     /// crashed target to the next. It is one request, and has produced events at times. A
     /// poison request crashes its targets as they begin to run it, so no event of it ever
     /// comes; or the crashes are those of several requests with the trait.
-    fn evidence(&self) -> Evidence {
+    pub(super) fn evidence(&self) -> Evidence {
         let all_runs = self.crashes.iter().flat_map(|c| &c.runs);
         let requests: BTreeSet<&RunKey> = all_runs.clone().collect();
         let begun = self.crashes.iter().filter(|c| c.begun).count();
@@ -149,7 +159,7 @@
         )
     }
 
-    fn all_runs(&self) -> impl Iterator<Item = (&Incarnation, RunKey)> + Clone {
+    pub(super) fn all_runs(&self) -> impl Iterator<Item = (&Incarnation, RunKey)> + Clone {
         self.crashes
             .iter()
             .flat_map(|c| c.runs.iter().map(|run| (&c.life, *run)))
@@ -160,14 +170,14 @@
     }
 
     /// Returns whether both traits were at the same crashes, and each time in the same runs.
-    fn is_inseparable_from(&self, other: &Self) -> bool {
+    pub(super) fn is_inseparable_from(&self, other: &Self) -> bool {
         let is_same = |c: &Crash| other.crash_of(&c.life).is_some_and(|o| o.runs == c.runs);
         self.crashes.len() == other.crashes.len() && self.crashes.iter().all(is_same)
     }
 
     /// Returns whether each run with this trait also has the other one, and not the other way
     /// round. One that was served explains nothing for one that never was.
-    fn is_narrower_than(&self, other: &Self) -> bool {
+    pub(super) fn is_narrower_than(&self, other: &Self) -> bool {
         let is_within = |c: &Crash| match other.crash_of(&c.life) {
             Some(other) => other.contains_runs(c),
             None => other.is_full(),
@@ -179,150 +189,9 @@
 
     /// Returns whether narrower traits explain the crashes, but for fewer than would be needed
     /// to quarantine this one.
-    fn is_explained_by(&self, narrower: &[&Suspect]) -> bool {
+    pub(super) fn is_explained_by(&self, narrower: &[&Suspect]) -> bool {
         let is_explained = |c: &&Crash| narrower.iter().any(|n| n.crash_of(&c.life).is_some());
         let explained = self.crashes.iter().filter(is_explained).count();
         self.crashes.len() - explained < QUARANTINE_THRESHOLD
     }
 }
-
-/// Number of crashes under runs without an event that make a trait a likely cause of each of
-/// them: one may be chance.
-const LIKELY_CRASHES: usize = 2;
-
-/// Likely causes of crashes: the runs without an event there of each trait that is at several
-/// such crashes. A poison request crashes its targets as they begin to run it.
-struct LikelyCauses<'a>(HashMap<&'a Incarnation, Vec<&'a [RunKey]>>);
-
-impl<'a> LikelyCauses<'a> {
-    fn new(suspects: &[Candidate<'a>]) -> Self {
-        let mut causes: HashMap<&Incarnation, Vec<&[RunKey]>> = HashMap::new();
-        for (_, suspect) in suspects {
-            let without_event = suspect.crashes.iter().filter(|c| !c.begun);
-            if without_event.clone().count() >= LIKELY_CRASHES {
-                for crash in without_event {
-                    causes.entry(&crash.life).or_default().push(&crash.runs);
-                }
-            }
-        }
-        Self(causes)
-    }
-
-    /// Returns whether other runs are a likelier cause of a crash at which all runs with the
-    /// trait had produced events.
-    fn has_likelier(&self, crash: &Crash) -> bool {
-        let is_other = |run: &RunKey| crash.runs.binary_search(run).is_err();
-        let mut causes = self.0.get(&crash.life).into_iter().flatten();
-        crash.begun && causes.any(|runs| runs.iter().all(is_other))
-    }
-
-    /// Returns whether the crashes of a trait suffice to quarantine it. One that has a likelier
-    /// cause counts half.
-    fn suffice(&self, suspect: &Suspect) -> bool {
-        let weaker = suspect.crashes.iter().filter(|c| self.has_likelier(c));
-        2 * suspect.crashes.len() - weaker.count() >= 2 * QUARANTINE_THRESHOLD
-    }
-}
-
-/// A trait with its crashes.
-type Candidate<'a> = (RequestTrait, &'a Suspect);
-
-fn is_part(suspect: RequestTrait) -> bool {
-    !matches!(suspect, RequestTrait::Content(_))
-}
-
-/// Removes and returns the traits whose crashes narrower ones explain: either several parts
-/// together, or one content or account. A second one with the same part is no coincidence.
-fn remove_wide<'a>(candidates: &mut Vec<Candidate<'a>>) -> Vec<Candidate<'a>> {
-    let mut by_run: HashMap<(&Incarnation, RunKey), Vec<usize>> = HashMap::new();
-    for (i, (_, suspect)) in candidates.iter().enumerate() {
-        for run in suspect.all_runs() {
-            by_run.entry(run).or_default().push(i);
-        }
-    }
-    let is_wide = |(_, suspect): &Candidate| {
-        let sharing = suspect.all_runs().filter_map(|run| by_run.get(&run));
-        if sharing.clone().all(|sharing| sharing.len() == 1) {
-            return false;
-        }
-        let sharing: BTreeSet<usize> = sharing.flatten().copied().collect();
-        let sharing = sharing.into_iter().map(|i| candidates[i]);
-        let narrower: Vec<Candidate> = sharing
-            .filter(|(_, other)| other.is_narrower_than(suspect))
-            .collect();
-        let (parts, single): (Vec<Candidate>, Vec<Candidate>) = narrower
-            .into_iter()
-            .partition(|(t, _)| matches!(t, RequestTrait::Part(_)));
-        let parts: Vec<&Suspect> = parts.into_iter().map(|(_, part)| part).collect();
-        let mut single = single.into_iter();
-        suspect.is_explained_by(&parts)
-            || single.any(|(_, content)| suspect.is_explained_by(&[content]))
-    };
-    let (wide, rest) = candidates.iter().partition(|c| is_wide(c));
-    *candidates = rest;
-    wide
-}
-
-/// Returns the traits that reach the quarantine threshold, without those whose crashes are
-/// all explained by others with stronger evidence. Traits that came together in each run form
-/// one group, and so do parts with equal evidence: which of them is at fault is not known, so
-/// only requests with all of them are refused, and any other request with one of them decides.
-pub fn culprits<'a>(
-    suspects: impl Iterator<Item = (RequestTrait, &'a Suspect)>,
-) -> Vec<Vec<RequestTrait>> {
-    let suspects: Vec<_> = suspects.collect();
-    let likely_causes = LikelyCauses::new(&suspects);
-    let mut candidates = suspects;
-    candidates.retain(|(_, s)| s.reaches_threshold() && likely_causes.suffice(s));
-    let wide = remove_wide(&mut candidates);
-    candidates.sort_by_cached_key(|(_, s)| Reverse(s.evidence()));
-    let mut groups: Vec<(&Suspect, Vec<RequestTrait>)> = Vec::new();
-    // Groups by a run of their first crash, which inseparable ones share.
-    let mut by_run: HashMap<(&Incarnation, RunKey), Vec<usize>> = HashMap::new();
-    let mut part_groups: Vec<usize> = Vec::new();
-    // The strongest culprit at each crash.
-    let mut explained: HashMap<&Incarnation, Evidence> = HashMap::new();
-    for (candidate, suspect) in candidates {
-        let evidence = suspect.evidence();
-        let is_explained = |c: &Crash| explained.get(&c.life).is_some_and(|e| *e > evidence);
-        if suspect.crashes.iter().all(is_explained) {
-            continue;
-        }
-        let mut alike = suspect
-            .all_runs()
-            .filter_map(|run| by_run.get(&run))
-            .flatten();
-        let alike = alike.find(|g| suspect.is_inseparable_from(groups[**g].0));
-        let is_tied = |g: &&usize| {
-            let other = groups[**g].0;
-            other.evidence() == evidence && other.has_crashes_within(suspect)
-        };
-        let tied = || {
-            part_groups
-                .iter()
-                .find(is_tied)
-                .filter(|_| is_part(candidate))
-        };
-        if let Some(group) = alike.or_else(tied).copied() {
-            groups[group].1.push(candidate);
-            continue;
-        }
-        for crash in &suspect.crashes {
-            explained.entry(&crash.life).or_insert(evidence);
-        }
-        if let Some(run) = suspect.all_runs().next() {
-            by_run.entry(run).or_default().push(groups.len());
-        }
-        let mut group = vec![candidate];
-        if is_part(candidate) {
-            part_groups.push(groups.len());
-            // A wider part that was at all of its crashes may be at fault in its place.
-            let wider = wide
-                .iter()
-                .filter(|(_, wide)| suspect.is_narrower_than(wide));
-            group.extend(wider.map(|(t, _)| *t));
-        }
-        groups.push((suspect, group));
-    }
-    groups.into_iter().map(|(_, traits)| traits).collect()
-}
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -18,6 +18,7 @@
 mod command;
 mod configuration;
 mod content;
+mod culprits;
 mod encoding;
 mod incarnations;
 mod instance_index;
@@ -32,7 +33,7 @@
 mod retry_ledger;
 mod state_machine;
 
-pub use attribution::{Crash, RunKey, Suspect, culprits};
+pub use attribution::{Crash, RunKey, Suspect};
 pub use claims::{
     Claim, ClaimKey, ClaimLimits, ClaimStatus, ClaimTable, ClaimVerdict, Outcome, RouterProcess,
 };
@@ -41,6 +42,7 @@
 };
 pub use configuration::{Configuration, Delta, Versioned};
 pub use content::{ContentDigest, ParseDigestError};
+pub use culprits::culprits;
 pub use encoding::{DecodeStateError, STATE_VERSION};
 pub use incarnations::{Incarnation, IncarnationStatus};
 pub use instances::{Instance, InstanceChange, InstanceId, InstanceState, Instances};
--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -11,9 +11,10 @@
 //! it, and targets also crash for other reasons. A trait that was present at three crashes,
 //! and was not served successfully in between, makes its requests be sent to no target
 //! until an hour has passed since its last crash. Which of several traits a crash is
-//! attributed to: `attribution`.
+//! attributed to: `culprits`.
 
-use super::attribution::{Crash, RunKey, Suspect, culprits};
+use super::attribution::{Crash, RunKey, Suspect};
+use super::culprits::culprits;
 use super::incarnations::Incarnation;
 use super::request_trait::{RequestTrait, RequestTraits};
 use serde::{Deserialize, Serialize};
