Teach the fleet of fakes parts at fault, and the soak crowds at one router

At size: engines of a fleet crash on a part, all prompts share their first part, and a fault sends ten requests a second with the part to all routers.

Soak: a fault may come with 250 new connections a second to one router. A connection that is closed without an answer was not read, unless its router had a fault: its request must not have run, and the caller tries the other router.

The platform's names of requests and of the release at size stand in the fakes only: one `FakeCall` for all callers, one copy of prompt parts and of the fleet's release.

--- a/crates/deckwind-fakes/src/lib.rs
+++ b/crates/deckwind-fakes/src/lib.rs
@@ -21,7 +21,10 @@
 pub use model::{FakeModel, expected_answer};
 pub use platform::FakePlatformList;
 pub use service::{FakeService, ServiceFault};
-pub use site::{FakeCall, HOST, generation_head, release_document, request_id};
+pub use site::{
+    AcceleratorKind, FakeCall, HOST, USUAL_TOKENS, fleet_release_document, generation_head,
+    prompt_parts, release_document, request_id,
+};
 pub use target_server::{
     AnswerDraws, Arrival, CRASH_DOWNTIME, ConnectionEnd, CutAnswer, CutPlace, ENDS_ITS_TARGET,
     EVENTS_PER_STREAM, FakeFleet, FakeTargetFault, FakeTargetServer, FleetArrival, FleetConfig,
--- a/crates/deckwind-fakes/src/site.rs
+++ b/crates/deckwind-fakes/src/site.rs
@@ -6,6 +6,24 @@
 use http_body_util::Full;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Number of prompt tokens and of answer tokens that callers usually announce.
+pub const USUAL_TOKENS: (u32, u32) = (50, 24);
+
+/// Deadline that callers usually set.
+const USUAL_DEADLINE: Duration = Duration::from_secs(3);
+
+/// Beginning of all prompts of [`prompt_parts`], and a part on which targets crash.
+const FIRST_PART: &str = "f0:40";
+const PART_AT_FAULT: &str = "bad0:20";
+
+/// Number of bytes of a request's ID that name its own part.
+const MAX_ID_BYTES: usize = 16;
+
+/// Pools of [`fleet_release_document`].
+const ENGINES: &str = "engines";
+const PLAIN: &str = "plain";
 
 /// The host of the routes in [`release_document`].
 pub const HOST: &str = "site.example";
@@ -19,8 +37,11 @@
     pub path: &'a str,
     /// API key, sent as the bearer token.
     pub key: &'a str,
-    /// Whether the request is a generation, which is answered by a stream of events.
-    pub generation: bool,
+    /// Number of prompt tokens and of answer tokens of a generation, which is answered by a
+    /// stream of events.
+    pub tokens: Option<(u32, u32)>,
+    /// Time left until the deadline.
+    pub deadline: Duration,
     /// ID of the last event that the caller received, to resume a stream after it.
     pub last_event: Option<u64>,
     /// Parts of the prompt, as `ID:TOKENS` separated by commas.
@@ -37,8 +58,21 @@
     )
 }
 
-impl FakeCall<'_> {
-    /// Builds the request to a router, with a deadline of 3 s.
+impl<'a> FakeCall<'a> {
+    /// Returns a plain request with a deadline of 3 s.
+    pub fn new(id: &'a str, path: &'a str, key: &'a str) -> Self {
+        Self {
+            id,
+            path,
+            key,
+            tokens: None,
+            deadline: USUAL_DEADLINE,
+            last_event: None,
+            prompt_parts: None,
+        }
+    }
+
+    /// Builds the request to a router.
     ///
     /// The tenant header names another account, which a router has to ignore in
     /// favour of the key.
@@ -50,11 +84,14 @@
         let mut req = Request::post(format!("http://{router}{}", self.path))
             .header("host", HOST)
             .header("x-deckwind-request-id", self.id)
-            .header("x-deckwind-deadline-ms", "3000")
+            .header(
+                "x-deckwind-deadline-ms",
+                self.deadline.as_millis().to_string(),
+            )
             .header("x-deckwind-tenant", "somebody-else")
             .header("authorization", format!("Bearer {}", self.key));
-        if self.generation {
-            req = req.header("x-deckwind-token-count", "50,24");
+        if let Some((prompt, answer)) = self.tokens {
+            req = req.header("x-deckwind-token-count", format!("{prompt},{answer}"));
         }
         if let Some(last) = self.last_event {
             req = req.header("last-event-id", last.to_string());
@@ -66,6 +103,17 @@
     }
 }
 
+/// Returns the parts of a generation request's prompt. All share the first one; the last one
+/// is the request's own. If `is_at_fault`, targets crash on the one in between.
+pub fn prompt_parts(id: &str, is_at_fault: bool) -> String {
+    let own = id.bytes().rev().take(MAX_ID_BYTES);
+    let own: String = own.map(|b| format!("{b:02x}")).collect();
+    match is_at_fault {
+        true => format!("{FIRST_PART},{PART_AT_FAULT},{own}:50"),
+        false => format!("{FIRST_PART},{own}:50"),
+    }
+}
+
 /// Returns a release document with one account that has the given keys.
 ///
 /// The routes `/safe/`, `/once/` and `/tell/` (streams that can't be resumed) use
@@ -108,3 +156,62 @@
     let id = seen.headers.get("x-deckwind-request-id");
     id.cloned().unwrap_or_default()
 }
+
+/// A kind of accelerator of the engines of [`fleet_release_document`].
+#[derive(Clone, Copy, Debug)]
+pub struct AcceleratorKind<'a> {
+    /// Name of the kind.
+    pub name: &'a str,
+    /// Memory in MB.
+    pub memory_mb: f64,
+    /// Step time relative to the fastest kind.
+    pub step_factor: f64,
+    /// Time to read prompts, relative to the fastest kind.
+    pub read_factor: f64,
+}
+
+/// Returns a release document at the size of a deployment, with one account that has this key.
+///
+/// The route `/stream/` uses the pool `engines`, the routes `/once/` and `/safe/` the pool
+/// `plain`. At most `attempts` targets may run a request that may run again.
+pub fn fleet_release_document(
+    version: u64,
+    key: &str,
+    attempts: u32,
+    kinds: &[AcceleratorKind],
+) -> Value {
+    let route = |name: &str, kind: &str, pool: &str, attempts: u32, timeout: u32| {
+        json!({
+            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": timeout, "sloMs": if pool == ENGINES { 500 } else { 120 },
+            "priority": 1, "backend": pool, "maxAttempts": attempts, "public": false,
+            "resumable": pool == ENGINES, "gap_aim_ms": 250,
+        })
+    };
+    let kind = |k: &AcceleratorKind| {
+        json!({
+            "name": k.name, "mb": k.memory_mb,
+            "pace": k.step_factor, "read_x": k.read_factor,
+        })
+    };
+    let kinds: Vec<Value> = kinds.iter().map(kind).collect();
+    json!({
+        "version": version,
+        "routes": [
+            route("stream", "streaming", ENGINES, attempts, 20_000),
+            route("once", "unsafe", PLAIN, 1, 800),
+            route("safe", "safe", PLAIN, attempts, 600),
+        ],
+        "services": [
+            {"name": PLAIN, "healthPath": "/health", "maxConns": 410},
+            {"name": ENGINES, "healthPath": "/health", "maxConns": 1248, "engine": {
+                "slots": 192, "kvCapacity": 100_000, "kvTokenBytes": 492_000, "stride": 5,
+                "step_ms": 1.02, "loads_at_once": 6, "models": [{"name": "m", "load_s": 14.0}],
+                "layers": 80, "layer_mb": 1750.0, "usual": {"prompt": 740, "answer": 225},
+                "kinds": kinds}},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4_194_304,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "tenants": [{"name": "account", "apiKeys": [key], "priority": 1}],
+    })
+}
--- a/crates/deckwind-fakes/src/target_server/answers.rs
+++ b/crates/deckwind-fakes/src/target_server/answers.rs
@@ -6,7 +6,7 @@
 use super::{
     CRASH_DOWNTIME, ConnectionEnd, DARK_TIME, ENDS_ITS_TARGET, EVENT_GAP, EVENTS_PER_STREAM,
     FakeTargetFault, PartCrash, SeenRequest, State, StreamEnding, StreamFraming, pause_and_restart,
-    start_incarnation,
+    record_outage, start_incarnation,
 };
 use anyhow::Result;
 use serde_json::{Value, json};
@@ -99,7 +99,8 @@
     let request = request.unwrap_or_default();
     record_arrival(state, &request, &fault);
     let plan = draw_plan(state, &request);
-    let fleet_request = record_fleet_request(state, s.get_ref().local_addr()?, &request);
+    let address = s.get_ref().local_addr()?;
+    let fleet_request = record_fleet_request(state, address, &request);
     wait_while_paused(state).await;
     let expected = req.headers.get("x-deckwind-expect-instance");
     if expected.is_some_and(|e| *e != id) {
@@ -120,8 +121,10 @@
         return write_response(s, state, &head, b"own words").await;
     }
     let is_stream = req.headers.contains_key("x-deckwind-token-count");
+    let parts = req.headers.get("x-deckwind-prompt-prefix");
+    let part_crash = parts.and_then(|parts| PartCrash::of_parts(parts));
     if let Some(run) = fleet_request {
-        if is_stream {
+        if is_stream && part_crash.is_none() {
             return run.stream(s, &req, (&fault, plan), state).await;
         }
         run.fleet.record_start(run.arrival);
@@ -136,15 +139,14 @@
         if is_stream {
             begin_stream(s, &request, (&fault, plan), state).await?;
         }
-        return crash_on_request(state, connection_epoch).await;
+        return crash_on_request(address, state, connection_epoch).await;
     }
-    let parts = req.headers.get("x-deckwind-prompt-prefix");
-    if let Some(crash) = parts.and_then(|parts| PartCrash::of_parts(parts)) {
+    if let Some(crash) = part_crash {
         begin_stream(s, &request, (&fault, plan), state).await?;
         if crash != PartCrash::AfterHead {
             write_first_event(s, &req, plan.framing).await?;
         }
-        return crash_on_part(crash, state, connection_epoch).await;
+        return crash_on_part(crash, address, state, connection_epoch).await;
     }
     if let FakeTargetFault::Writes(answer) = &fault {
         s.write_all(answer.text.replace("{id}", &request).as_bytes())
@@ -294,13 +296,20 @@
     Ok(())
 }
 
+fn record_crash(address: SocketAddr, state: &Mutex<State>) {
+    let mut state = state.lock().expect("no holder panics");
+    state.crashes_by_request += 1;
+    record_outage(&state, address);
+}
+
 /// Crashes the target shortly after it began to run a request.
 async fn crash_on_request(
+    address: SocketAddr,
     state: &Mutex<State>,
     connection_epoch: &watch::Sender<u32>,
 ) -> Result<bool> {
     tokio::time::sleep(EVENT_GAP).await;
-    state.lock().expect("no holder panics").crashes_by_request += 1;
+    record_crash(address, state);
     start_incarnation(state, connection_epoch);
     state.lock().expect("no holder panics").down_until = Some(Instant::now() + CRASH_DOWNTIME);
     Ok(false)
@@ -325,13 +334,14 @@
 /// Crashes the target on a part of a prompt, after it began to write the answer.
 async fn crash_on_part(
     crash: PartCrash,
+    address: SocketAddr,
     state: &Arc<Mutex<State>>,
     connection_epoch: &Arc<watch::Sender<u32>>,
 ) -> Result<bool> {
     if crash != PartCrash::Dark {
-        return crash_on_request(state, connection_epoch).await;
+        return crash_on_request(address, state, connection_epoch).await;
     }
-    state.lock().expect("no holder panics").crashes_by_request += 1;
+    record_crash(address, state);
     pause_and_restart(state, connection_epoch, DARK_TIME);
     std::future::pending().await
 }
--- a/crates/deckwind-testkit/src/at_size/callers.rs
+++ b/crates/deckwind-testkit/src/at_size/callers.rs
@@ -3,8 +3,8 @@
 use super::size::{KEY, Size};
 use crate::answer_check::{AnswerError, AnswerState, check_body, check_framing, read_body};
 use bytes::Bytes;
-use deckwind_fakes::{FakeFleet, HOST};
-use http::{Request, Response, StatusCode, header};
+use deckwind_fakes::{FakeCall, FakeFleet, prompt_parts};
+use http::{Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -32,11 +32,16 @@
 /// that is left.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
+/// Number of prompt tokens and of answer tokens of a stream.
+const STREAM_TOKENS: (u32, u32) = (400, 150);
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
     /// A streaming request to an engine.
     Stream,
+    /// A streaming request with a part in its prompt on which engines crash.
+    PoisonPart,
     /// A plain request that must run at most once.
     Once,
     /// A plain request that may be retried.
@@ -46,7 +51,7 @@
 impl RequestKind {
     fn route(self) -> &'static str {
         match self {
-            Self::Stream => "stream",
+            Self::Stream | Self::PoisonPart => "stream",
             Self::Once => "once",
             Self::Safe => "safe",
         }
@@ -54,7 +59,7 @@
 
     fn timeout(self) -> Duration {
         Duration::from_millis(match self {
-            Self::Stream => 20_000,
+            Self::Stream | Self::PoisonPart => 20_000,
             Self::Once => 800,
             Self::Safe => 600,
         })
@@ -193,6 +198,16 @@
         )
     }
 
+    /// Sends a request with a part on which engines crash, and reads its answer to the end.
+    pub async fn send_poison_part(self: Arc<Self>, router: usize) {
+        let kind = RequestKind::PoisonPart;
+        let id = self.next_id(kind);
+        if let Ok((_, res)) = self.send(kind, &id, router, kind.timeout()).await {
+            let deadline = (Instant::now() + kind.timeout()).into_std();
+            read_body(res.into_body(), Duration::ZERO, || deadline).await;
+        }
+    }
+
     /// Returns the caller's own router, or the next ready one.
     fn router_of(&self, caller: usize) -> usize {
         let count = self.routers.len();
@@ -203,7 +218,7 @@
 
     fn record_send(&self, kind: RequestKind) {
         let times = match kind {
-            RequestKind::Stream => &self.send_times.streams,
+            RequestKind::Stream | RequestKind::PoisonPart => &self.send_times.streams,
             RequestKind::Once | RequestKind::Safe => &self.send_times.plain,
         };
         times.lock().expect("no holder panics").push(Instant::now());
@@ -253,7 +268,7 @@
     /// in it was longer than [`MAX_STREAM_PAUSE`].
     async fn is_whole(&self, kind: RequestKind, id: &str, res: Response<Incoming>) -> bool {
         let expected = match kind {
-            RequestKind::Stream => self.fleet.stream(id),
+            RequestKind::Stream | RequestKind::PoisonPart => self.fleet.stream(id),
             RequestKind::Once | RequestKind::Safe => format!("answer to {id}"),
         };
         let framing = check_framing(res.headers());
@@ -289,19 +304,19 @@
         router: usize,
         remaining: Duration,
     ) -> Result<(StatusCode, Response<Incoming>), ()> {
-        let route = kind.route();
-        let mut req = Request::post(format!("http://{}/{route}/{id}", self.routers[router]))
-            .header(header::HOST, HOST)
-            .header("x-deckwind-request-id", id)
-            .header("x-deckwind-deadline-ms", remaining.as_millis().to_string())
-            .header(header::AUTHORIZATION, format!("Bearer {KEY}"));
-        if kind == RequestKind::Stream {
-            req = req.header("x-deckwind-token-count", "400,150");
-        }
-        let req = req.body(Full::new(Bytes::from_static(b"body")));
+        let path = format!("/{}/{id}", kind.route());
+        let generation = matches!(kind, RequestKind::Stream | RequestKind::PoisonPart);
+        let parts = prompt_parts(id, kind == RequestKind::PoisonPart);
+        let call = FakeCall {
+            tokens: generation.then_some(STREAM_TOKENS),
+            prompt_parts: generation.then_some(&parts),
+            deadline: remaining,
+            ..FakeCall::new(id, &path, KEY)
+        };
+        let req = call.request(self.routers[router]);
         self.record_send(kind);
         let timeout = match kind {
-            RequestKind::Stream => remaining.min(MAX_STREAM_PAUSE),
+            RequestKind::Stream | RequestKind::PoisonPart => remaining.min(MAX_STREAM_PAUSE),
             RequestKind::Once | RequestKind::Safe => remaining,
         };
         let sending = self.http.request(req.map_err(|_| ())?);
--- a/crates/deckwind-testkit/src/at_size/faults.rs
+++ b/crates/deckwind-testkit/src/at_size/faults.rs
@@ -38,6 +38,8 @@
     ControlFreezes,
     /// All replicas are killed and restarted.
     AllControlKilled,
+    /// Requests come at all routers that share a part on which engines crash.
+    PoisonPart,
     /// The request rate rises for a while.
     Burst,
     /// A release that changes nothing but its version is published.
@@ -46,7 +48,7 @@
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [FaultKind; 14] = [
+    pub const ALL: [FaultKind; 15] = [
         FaultKind::EnginesEnd,
         FaultKind::EnginesSilent,
         FaultKind::EnginesPause,
@@ -59,11 +61,15 @@
         FaultKind::ControlKilled,
         FaultKind::ControlFreezes,
         FaultKind::AllControlKilled,
+        FaultKind::PoisonPart,
         FaultKind::Burst,
         FaultKind::Release,
     ];
 }
 
+/// Interval between two requests with a part at fault.
+const POISON_PART_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Upper bound of the share of processes that a fault hits, in percent.
 const MAX_PERCENT: usize = 30;
 
@@ -158,6 +164,7 @@
                 let all = self.control.len();
                 self.restart_control(all, fault, rng).await?;
             }
+            FaultKind::PoisonPart => self.send_poison_parts(length),
             FaultKind::Burst => self.burst(fault),
             FaultKind::Release => {
                 self.publish().await;
@@ -278,6 +285,18 @@
         Ok(())
     }
 
+    fn send_poison_parts(&self, length: Duration) {
+        let callers = self.callers.clone();
+        let routers = self.routers.len();
+        tokio::spawn(async move {
+            let count = length.as_millis() / POISON_PART_INTERVAL.as_millis();
+            for i in 0..count as usize {
+                tokio::spawn(callers.clone().send_poison_part(i % routers));
+                tokio::time::sleep(POISON_PART_INTERVAL).await;
+            }
+        });
+    }
+
     fn burst(&self, fault: FaultEvent) {
         let callers = self.callers.clone();
         callers.rate_percent.store(170, Ordering::Relaxed);
--- a/crates/deckwind-testkit/src/at_size/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/mod.rs
@@ -78,6 +78,8 @@
     pub uncharged_retries: usize,
     /// Outcomes of the callers' requests.
     pub outcomes: Outcomes,
+    /// Number of crashes on a part of a prompt.
+    pub crashes_by_part: u32,
     /// What was wrong with answers: an end that is missing, or other bytes than the target's.
     pub answer_errors: Vec<String>,
     /// The faults that were injected, with their times since the callers started.
@@ -257,6 +259,11 @@
                 &self.processes.lines("event=repeat_paid")?,
             ),
             outcomes: self.callers.outcomes(),
+            crashes_by_part: self
+                .targets
+                .iter()
+                .map(|t| t.server.crashes_by_request())
+                .sum(),
             answer_errors: self.callers.answer_errors(),
             faults,
         })
--- a/crates/deckwind-testkit/src/at_size/size.rs
+++ b/crates/deckwind-testkit/src/at_size/size.rs
@@ -1,7 +1,7 @@
 //! Sizes of deployments and the release that they run.
 
-use deckwind_fakes::{FleetConfig, HOST};
-use serde_json::{Value, json};
+use deckwind_fakes::{AcceleratorKind, FleetConfig, fleet_release_document};
+use serde_json::Value;
 use std::time::Duration;
 
 /// Pools of the engines and of the plain targets.
@@ -109,39 +109,13 @@
 
     /// Returns the release document with this version.
     pub fn release(&self, version: u64) -> Value {
-        let route = |name: &str, kind: &str, pool: &str, attempts: u32, timeout: u32| {
-            json!({
-                "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
-                "timeoutMs": timeout, "sloMs": if pool == ENGINES { 500 } else { 120 },
-                "priority": 1, "backend": pool, "maxAttempts": attempts, "public": false,
-                "resumable": pool == ENGINES, "gap_aim_ms": 250,
-            })
+        let kind = |g: &EngineGroup| AcceleratorKind {
+            name: g.kind,
+            memory_mb: g.memory_mb,
+            step_factor: g.step_factor,
+            read_factor: g.read_factor,
         };
-        let kind = |g: &EngineGroup| {
-            json!({
-                "name": g.kind, "mb": g.memory_mb,
-                "pace": g.step_factor, "read_x": g.read_factor,
-            })
-        };
-        let kinds: Vec<Value> = self.engine_groups.iter().map(kind).collect();
-        json!({
-            "version": version,
-            "routes": [
-                route("stream", "streaming", ENGINES, self.attempts, 20_000),
-                route("once", "unsafe", PLAIN, 1, 800),
-                route("safe", "safe", PLAIN, self.attempts, 600),
-            ],
-            "services": [
-                {"name": PLAIN, "healthPath": "/health", "maxConns": 410},
-                {"name": ENGINES, "healthPath": "/health", "maxConns": 1248, "engine": {
-                    "slots": 192, "kvCapacity": 100_000, "kvTokenBytes": 492_000, "stride": 5,
-                    "step_ms": 1.02, "loads_at_once": 6, "models": [{"name": "m", "load_s": 14.0}],
-                    "layers": 80, "layer_mb": 1750.0, "usual": {"prompt": 740, "answer": 225},
-                    "kinds": kinds}},
-            ],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4_194_304,
-                "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-            "tenants": [{"name": "account", "apiKeys": [KEY], "priority": 1}],
-        })
+        let kinds: Vec<AcceleratorKind> = self.engine_groups.iter().map(kind).collect();
+        fleet_release_document(version, KEY, self.attempts, &kinds)
     }
 }
--- a/crates/deckwind-testkit/src/soak/calls.rs
+++ b/crates/deckwind-testkit/src/soak/calls.rs
@@ -6,9 +6,13 @@
     AnswerEnd, AnswerError, AnswerState, ReceivedBody, check_body, check_framing, read_body,
 };
 use bytes::Bytes;
-use deckwind_fakes::{CutAnswer, ENDS_ITS_TARGET, FakeCall, release_document, whole_stream};
-use http::{Request, StatusCode};
+use deckwind_fakes::{
+    CutAnswer, ENDS_ITS_TARGET, FakeCall, USUAL_TOKENS, prompt_parts, release_document,
+    whole_stream,
+};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use serde_json::Value;
@@ -39,13 +43,6 @@
 /// crash each target that runs them; their ids begin with it.
 pub const POISON_PART: &str = "part";
 
-/// Beginning of the prompts of all generation requests, and part on which targets crash.
-const FIRST_PART: &str = "f0:40";
-const PART_AT_FAULT: &str = "bad0:20";
-
-/// Number of bytes of a request's id that name its own part.
-const MAX_ID_BYTES: usize = 16;
-
 /// Kind of requests for streams that can't be resumed; their ids begin with it.
 pub const TELL: &str = "tell";
 
@@ -58,9 +55,14 @@
 
 type Http = Client<HttpConnector, Full<Bytes>>;
 
+/// Kind of the requests of a crowd, each on a new connection; their ids begin with it.
+const CROWD: &str = "safe";
+
 /// State shared by all tasks.
 pub struct Shared {
     pub http: Http,
+    /// Opens a connection for each request.
+    pub new_connections: Http,
     pub control: Vec<SocketAddr>,
     pub routers: Vec<SocketAddr>,
     pub targets: Mutex<Vec<Arc<Target>>>,
@@ -73,7 +75,9 @@
     pub cut_unseen: AtomicU64,
     /// Answers whose callers saw that they were broken off.
     pub broken: AtomicU64,
-    /// Requests whose answers said that they were not run.
+    /// Requests whose new connections were closed without an answer, thus unread.
+    pub unread: AtomicU64,
+    /// Requests whose answers said that they were not run, and those that were not read.
     pub not_run: Mutex<BTreeSet<String>>,
     pub violations: Mutex<Vec<String>>,
     /// Times at which each router was killed, stopped or suspended.
@@ -116,9 +120,7 @@
         let deadline = Instant::now() + REQUEST_TIMEOUT;
         let sending = tokio::time::timeout(REQUEST_TIMEOUT, self.http.request(req));
         let res = sending.await.ok()?.ok()?;
-        let (status, framing) = (res.status(), check_framing(res.headers()));
-        let body = read_body(res.into_body(), pause, || deadline).await;
-        Some((status, framing, body))
+        Some(read_answer(res, pause, deadline).await)
     }
 
     /// Tries the replicas in turn until one answers with 200.
@@ -168,14 +170,11 @@
             _ => (format!("/{kind}/x"), Duration::ZERO),
         };
         let generation = matches!(kind, "stream" | TELL | FLOOD | POISON | POISON_PART);
-        let parts = prompt_parts(kind, id);
+        let parts = prompt_parts(id, kind == POISON_PART);
         let call = FakeCall {
-            id,
-            path: &path,
-            key: KEY,
-            generation,
-            last_event: None,
+            tokens: generation.then_some(USUAL_TOKENS),
             prompt_parts: generation.then_some(&parts),
+            ..FakeCall::new(id, &path, KEY)
         };
         let Ok(req) = call.request(address) else {
             return Outcome::Unknown;
@@ -190,6 +189,45 @@
         self.check_answer(kind, id, status, &body, sent_at)
     }
 
+    /// Sends a request of a crowd on a new connection. Returns whether the router read it, as
+    /// far as can be told: one that closes a new connection without an answer has not, unless
+    /// it had a fault.
+    pub async fn request_on_new_connection(&self, number: u64, router: usize) -> bool {
+        let router = router % self.routers.len();
+        let id = id_for_router(&format!("{CROWD}-crowd-{number}"), router);
+        let path = format!("/{CROWD}/x");
+        let call = FakeCall::new(&id, &path, KEY);
+        let Ok(req) = call.request(self.routers[router]) else {
+            return true;
+        };
+        let sent_at = Instant::now();
+        let sending = self.new_connections.request(req);
+        let Ok(sent) = tokio::time::timeout(REQUEST_TIMEOUT, sending).await else {
+            return true;
+        };
+        match sent {
+            Ok(res) => {
+                let deadline = sent_at + REQUEST_TIMEOUT;
+                let (status, framing, body) = read_answer(res, Duration::ZERO, deadline).await;
+                if let Err(e) = framing {
+                    self.record_violation(format!("{id} ({status}): {e}"));
+                }
+                self.check_answer(CROWD, &id, status, &body, sent_at);
+                true
+            }
+            Err(e) => {
+                let had_fault = self.router_faults[router].overlaps(sent_at, Instant::now());
+                if e.is_connect() || had_fault {
+                    return true;
+                }
+                let mut not_run = self.not_run.lock().expect("no holder panics");
+                not_run.insert(id);
+                self.unread.fetch_add(1, Ordering::Relaxed);
+                false
+            }
+        }
+    }
+
     fn check_answer(
         &self,
         kind: &str,
@@ -271,22 +309,20 @@
     }
 }
 
+/// Reads an answer until the deadline. Returns the status, whether the head says where the
+/// body ends, and the body as far as it came.
+async fn read_answer(
+    res: Response<Incoming>,
+    pause: Duration,
+    deadline: Instant,
+) -> (StatusCode, Result<(), AnswerError>, ReceivedBody) {
+    let (status, framing) = (res.status(), check_framing(res.headers()));
+    let body = read_body(res.into_body(), pause, || deadline).await;
+    (status, framing, body)
+}
+
 fn flood_body() -> String {
     let text = "x".repeat(FLOOD_SIZE.1);
     let event = |i| format!("id: {i}\ndata: {text}\n\n");
     (1..=FLOOD_SIZE.0).map(event).collect()
 }
-
-/// Returns the parts of a request's prompt. The last one is its own.
-fn prompt_parts(kind: &str, id: &str) -> String {
-    let own: String = id
-        .bytes()
-        .rev()
-        .take(MAX_ID_BYTES)
-        .map(|b| format!("{b:02x}"))
-        .collect();
-    match kind {
-        POISON_PART => format!("{FIRST_PART},{PART_AT_FAULT},{own}:50"),
-        _ => format!("{FIRST_PART},{own}:50"),
-    }
-}
--- a/crates/deckwind-testkit/src/soak/environment.rs
+++ b/crates/deckwind-testkit/src/soak/environment.rs
@@ -28,6 +28,9 @@
 /// Interval between two releases.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Interval between two new connections of a crowd.
+const CROWD_INTERVAL: Duration = Duration::from_millis(4);
+
 /// One in this number of a caller's requests is a poison request ([`POISON`]), and one has a
 /// part at fault ([`POISON_PART`]).
 const POISON_INTERVAL: u64 = 40;
@@ -107,6 +110,10 @@
     pub async fn start(layout: &Layout, seed: u64) -> Result<Self> {
         let shared = Arc::new(Shared {
             http: Client::builder(TokioExecutor::new()).build_http(),
+            new_connections: Client::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(0)
+                .retry_canceled_requests(false)
+                .build_http(),
             control: layout.control_calls.clone(),
             routers: layout.routers.iter().map(|r| r.routes).collect(),
             targets: Mutex::default(),
@@ -116,6 +123,7 @@
             refused: AtomicU64::new(0),
             cut_unseen: AtomicU64::new(0),
             broken: AtomicU64::new(0),
+            unread: AtomicU64::new(0),
             not_run: Mutex::default(),
             violations: Mutex::default(),
             router_faults: layout
@@ -230,6 +238,26 @@
         });
     }
 
+    /// Sends most new connections to one router for a while, as a balancer may. A caller whose
+    /// connection is closed unread tries the other router.
+    pub fn crowd(&self, router: usize, length: Duration) {
+        let shared = self.shared.clone();
+        let end = Instant::now() + length;
+        tokio::spawn(async move {
+            while Instant::now() < end && !shared.stop.load(Ordering::Relaxed) {
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    let number = shared.next_id();
+                    if !shared.request_on_new_connection(number, router).await {
+                        let other = shared.next_id();
+                        shared.request_on_new_connection(other, router + 1).await;
+                    }
+                });
+                tokio::time::sleep(CROWD_INTERVAL).await;
+            }
+        });
+    }
+
     /// Has a random target announce that it leaves, and starts another one in its place.
     pub async fn replace_target(&mut self, rng: &mut ChaCha8Rng) -> Result<()> {
         let targets = self
@@ -388,6 +416,7 @@
             released: acknowledged,
             broken: count(&self.shared.broken),
             cut_unseen: count(&self.shared.cut_unseen),
+            unread: count(&self.shared.unread),
             faults: 0,
         })
     }
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -43,6 +43,9 @@
 /// Probability that a fault comes with a target that crashes under load.
 const CRASH_PROBABILITY: f64 = 0.5;
 
+/// Probability that a fault comes with a crowd of connections at one router.
+const CROWD_PROBABILITY: f64 = 0.3;
+
 /// Results of one run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -58,6 +61,8 @@
     pub broken: u64,
     /// Number of answers that their targets cut where nobody can tell that from their end.
     pub cut_unseen: u64,
+    /// Number of new connections of crowds that a router closed unread.
+    pub unread: u64,
     /// Number of injected faults.
     pub faults: u64,
 }
@@ -84,6 +89,8 @@
     limit_rng: ChaCha8Rng,
     /// Generator for targets that crash under load, separate for the same reason.
     crash_rng: ChaCha8Rng,
+    /// Generator for crowds of connections, separate for the same reason.
+    crowd_rng: ChaCha8Rng,
     /// Tasks that resume suspended processes.
     resumes: JoinSet<Result<()>>,
     faults: u64,
@@ -134,6 +141,7 @@
             refusal_rng: ChaCha8Rng::seed_from_u64(!seed),
             limit_rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(32)),
             crash_rng: ChaCha8Rng::seed_from_u64(!seed.rotate_left(32)),
+            crowd_rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(16)),
             resumes: JoinSet::new(),
             faults: 0,
         })
@@ -155,6 +163,11 @@
             let ms = Duration::from_millis(self.crash_rng.random_range(50..800));
             self.environment.crash_target(&mut self.crash_rng, ms);
         }
+        if self.crowd_rng.random_bool(CROWD_PROBABILITY) {
+            let ms = Duration::from_millis(self.crowd_rng.random_range(300..1_500));
+            let router = self.crowd_rng.random_range(0..ROUTER_COUNT);
+            self.environment.crowd(router, ms);
+        }
         let ms = Duration::from_millis(self.rng.random_range(50..2_500));
         match self.rng.random_range(0..10) {
             0 => self.restart_control(StopKind::Kill, ms).await,
--- a/crates/deckwind-testkit/tests/testsuite/at_size.rs
+++ b/crates/deckwind-testkit/tests/testsuite/at_size.rs
@@ -20,6 +20,33 @@
     });
 }
 
+/// Number of engines that one part of a prompt may crash: five, and three more requests that
+/// have been sent meanwhile.
+const MAX_CRASHES_BY_PART: u32 = 8;
+
+/// Guards against requests that share one part of their prompts, and nothing else, and crash
+/// engine after engine of a fleet whose engines depend on each other.
+#[test]
+fn a_part_at_fault_crashes_few_engines_of_a_fleet() {
+    run_async(async {
+        let storm = FaultEvent {
+            length: Duration::from_secs(10),
+            pause: Duration::from_secs(15),
+            ..fault(FaultKind::PoisonPart, 100)
+        };
+        let report = run_processes(2, vec![storm]).await;
+        assert!(report.crashes_by_part > 0, "{report:?}");
+        assert!(report.crashes_by_part <= MAX_CRASHES_BY_PART, "{report:?}");
+        assert!(!report.exceeds_limits(), "{report:?}");
+        // Sound requests share the caller and the first part.
+        let outcomes = report.outcomes;
+        assert!(
+            outcomes.served >= outcomes.refused + outcomes.failed,
+            "{report:?}"
+        );
+    });
+}
+
 fn fault(kind: FaultKind, percent: usize) -> FaultEvent {
     FaultEvent {
         kind,
--- a/crates/deckwind-testkit/tests/testsuite/connection_gate.rs
+++ b/crates/deckwind-testkit/tests/testsuite/connection_gate.rs
@@ -184,14 +184,7 @@
         for _ in 0..MAX_OPEN {
             open.push(TcpStream::connect(address).await.expect("connected"));
         }
-        let call = FakeCall {
-            id: "unread",
-            path: "/safe/x",
-            key: API_KEY,
-            generation: false,
-            last_event: None,
-            prompt_parts: None,
-        };
+        let call = FakeCall::new("unread", "/safe/x", API_KEY);
         eventually_async("a new connection is closed unread", || async {
             rig.try_call(0, &call).await.is_err().then_some(())
         })
--- a/crates/deckwind-testkit/tests/testsuite/poison_parts.rs
+++ b/crates/deckwind-testkit/tests/testsuite/poison_parts.rs
@@ -8,7 +8,7 @@
 
 use crate::rig::{API_KEY, CallerAnswer, Rig};
 use crate::run_async;
-use deckwind_fakes::{FakeCall, FakeTargetServer};
+use deckwind_fakes::{FakeCall, FakeTargetServer, USUAL_TOKENS};
 use deckwind_testkit::{Layout, eventually_async};
 use http::StatusCode;
 use std::time::Duration;
@@ -44,13 +44,11 @@
 async fn ask(rig: &Rig, router: usize, id: &str, parts: &[&str]) -> CallerAnswer {
     let parts: String = parts.iter().map(|part| format!("{part}:40,")).collect();
     let own: String = id.bytes().map(|b| format!("{b:02x}")).collect();
+    let path = format!("/stream/{id}");
     let call = FakeCall {
-        id,
-        path: &format!("/stream/{id}"),
-        key: API_KEY,
-        generation: true,
-        last_event: None,
+        tokens: Some(USUAL_TOKENS),
         prompt_parts: Some(&format!("{parts}{own}:50")),
+        ..FakeCall::new(id, &path, API_KEY)
     };
     let answer = rig.try_call(router, &call).await;
     answer.expect("an answer's head")
--- a/crates/deckwind-testkit/tests/testsuite/rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rig.rs
@@ -1,7 +1,7 @@
 //! A small cluster with fake targets, for tests of routes.
 
 use bytes::Bytes;
-use deckwind_fakes::{FakeCall, FakeTargetServer, release_document};
+use deckwind_fakes::{FakeCall, FakeTargetServer, USUAL_TOKENS, release_document};
 use deckwind_testkit::{Cluster, Layout, eventually_async};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -325,12 +325,9 @@
         last_event: Option<u64>,
     ) -> Result<CallerAnswer, String> {
         let call = FakeCall {
-            id,
-            path,
-            key,
-            generation: tokens,
+            tokens: tokens.then_some(USUAL_TOKENS),
             last_event,
-            prompt_parts: None,
+            ..FakeCall::new(id, path, key)
         };
         self.try_call(router, &call).await
     }
