--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -62,6 +62,7 @@
 mod retry_share;
 mod returning_callers;
 mod rig;
+mod routed_body_ends;
 mod routes;
 mod seeds;
 mod sessions;
