Count a crash half against runs that had written for longer than a poison request lives

Cause: whether a run had written one event or written for 200 ms was the same evidence. Poison requests crash their targets 40 to 115 ms after they were sent, as recorded.

Change: a report says how far the run had come (no event; begun; in flow, from 125 ms of writing on). A crash under runs that were all in flow counts half. A poison request that writes for longer than 125 ms would crash six targets in place of three; none is known.

--- a/crates/deckwind-core/src/routes/interrupted_runs.rs
+++ b/crates/deckwind-core/src/routes/interrupted_runs.rs
@@ -23,7 +23,7 @@
 use crate::control::{DEFAULT_ANNOUNCE_INTERVAL, MAX_MISSED_ANNOUNCEMENTS};
 use crate::state::{
     ContentDigest, Crash, CrashedRun, Incarnation, QUARANTINE_THRESHOLD, RequestTrait,
-    RequestTraits, Suspect, SuspectChange, SuspectList, culprits,
+    RequestTraits, RunProgress, Suspect, SuspectChange, SuspectList, culprits,
 };
 use crate::time::Instant;
 use std::collections::{HashMap, VecDeque};
@@ -78,8 +78,7 @@
     traits: Vec<RequestTrait>,
     served: Vec<RequestTrait>,
     incarnation: Incarnation,
-    /// Whether an event of the run had come.
-    begun: bool,
+    progress: RunProgress,
     until: Instant,
 }
 
@@ -91,7 +90,7 @@
             traits: self.traits,
             served: self.served,
             life: self.incarnation,
-            begun: self.begun,
+            progress: self.progress,
         }
     }
 }
@@ -234,7 +233,7 @@
             traits,
             served,
             incarnation: incarnation.clone(),
-            begun: wrote.is_some(),
+            progress: RunProgress::of(wrote),
             until: now + self.pending_timeout,
         };
         let mut ended = self.ended_incarnations.iter();
@@ -374,7 +373,7 @@
                     agreed_at: None,
                 });
             own.last_crash = now;
-            let crash = Crash::new(run.life.clone(), run.run, run.begun);
+            let crash = Crash::new(run.life.clone(), run.run, run.progress);
             if own.suspect.record(crash) {
                 // Counted on top of the agreed crashes, which can't include this one yet: from
                 // the third crash on, the router that saw it sends the request to no target.
--- a/crates/deckwind-core/src/state/attribution.rs
+++ b/crates/deckwind-core/src/state/attribution.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// Maximum number of runs recorded per crash and trait. More make a trait no less specific.
 const MAX_RUNS_PER_CRASH: usize = 8;
@@ -31,23 +32,50 @@
     }
 }
 
+/// Longest time that poison requests were seen to run until they crash their targets, with a
+/// margin.
+const MAX_CRASH_TIME: Duration = Duration::from_millis(125);
+
+/// How far a run had come when its target crashed, from the most likely cause to the least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum RunProgress {
+    /// No event had come.
+    NoEvent,
+    /// It had written for no longer than poison requests take to crash a target.
+    Begun,
+    /// It had written for longer.
+    InFlow,
+}
+
+impl RunProgress {
+    /// Returns the progress of a run with this time from its first event to its last one, if
+    /// there was any.
+    pub fn of(wrote: Option<Duration>) -> Self {
+        match wrote {
+            None => Self::NoEvent,
+            Some(wrote) if wrote <= MAX_CRASH_TIME => Self::Begun,
+            Some(_) => Self::InFlow,
+        }
+    }
+}
+
 /// A crash of a target while runs with a trait had just begun there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     life: Incarnation,
     /// The runs with the trait, sorted.
     runs: Vec<RunKey>,
-    /// Whether routers had received an event of each of them.
-    begun: bool,
+    /// How far the one of them had come that had come least far.
+    progress: RunProgress,
 }
 
 impl Crash {
     /// Returns the crash of an incarnation that had just begun this run.
-    pub fn new(life: Incarnation, run: RunKey, begun: bool) -> Self {
+    pub fn new(life: Incarnation, run: RunKey, progress: RunProgress) -> Self {
         Self {
             life,
             runs: vec![run],
-            begun,
+            progress,
         }
     }
 
@@ -61,9 +89,9 @@
         &self.runs
     }
 
-    /// Returns whether routers had received an event of each of the runs.
-    pub(super) fn begun(&self) -> bool {
-        self.begun
+    /// Returns how far the run had come that had come least far.
+    pub(super) fn progress(&self) -> RunProgress {
+        self.progress
     }
 
     /// Returns whether all runs of the other crash are known here, as far as runs are recorded.
@@ -74,7 +102,7 @@
 
     /// Adds the runs of the other report of this crash.
     fn merge(&mut self, other: &Self) {
-        self.begun &= other.begun;
+        self.progress = self.progress.min(other.progress);
         for run in &other.runs {
             if let Err(at) = self.runs.binary_search(run)
                 && self.runs.len() < MAX_RUNS_PER_CRASH
@@ -148,7 +176,8 @@
     pub(super) fn evidence(&self) -> Evidence {
         let all_runs = self.crashes.iter().flat_map(|c| &c.runs);
         let requests: BTreeSet<&RunKey> = all_runs.clone().collect();
-        let begun = self.crashes.iter().filter(|c| c.begun).count();
+        let has_event = |c: &&Crash| c.progress != RunProgress::NoEvent;
+        let begun = self.crashes.iter().filter(has_event).count();
         let is_likely = begun == 0 || requests.len() >= QUARANTINE_THRESHOLD;
         (
             !self.was_served,
--- a/crates/deckwind-core/src/state/culprits.rs
+++ b/crates/deckwind-core/src/state/culprits.rs
@@ -1,7 +1,7 @@
 //! Chooses the traits that explain the crashes of several targets: see `attribution` for what
 //! counts as evidence.
 
-use super::attribution::{Crash, Evidence, RunKey, Suspect};
+use super::attribution::{Crash, Evidence, RunKey, RunProgress, Suspect};
 use super::incarnations::Incarnation;
 use super::quarantine::QUARANTINE_THRESHOLD;
 use super::request_trait::RequestTrait;
@@ -20,7 +20,10 @@
     fn new(suspects: &[Candidate<'a>]) -> Self {
         let mut causes: HashMap<&Incarnation, Vec<&[RunKey]>> = HashMap::new();
         for (_, suspect) in suspects {
-            let without_event = suspect.crashes().iter().filter(|c| !c.begun());
+            let without_event = suspect
+                .crashes()
+                .iter()
+                .filter(|c| c.progress() == RunProgress::NoEvent);
             if without_event.clone().count() >= LIKELY_CRASHES {
                 for crash in without_event {
                     causes.entry(crash.life()).or_default().push(crash.runs());
@@ -30,18 +33,22 @@
         Self(causes)
     }
 
-    /// Returns whether other runs are a likelier cause of a crash at which all runs with the
-    /// trait had produced events.
-    fn has_likelier(&self, crash: &Crash) -> bool {
+    /// Returns whether the runs with the trait are an unlikely cause of a crash: all were in
+    /// flow, or all had begun and other runs are a likelier cause.
+    fn is_unlikely(&self, crash: &Crash) -> bool {
         let is_other = |run: &RunKey| crash.runs().binary_search(run).is_err();
         let mut causes = self.0.get(crash.life()).into_iter().flatten();
-        crash.begun() && causes.any(|runs| runs.iter().all(is_other))
+        match crash.progress() {
+            RunProgress::NoEvent => false,
+            RunProgress::Begun => causes.any(|runs| runs.iter().all(is_other)),
+            RunProgress::InFlow => true,
+        }
     }
 
-    /// Returns whether the crashes of a trait suffice to quarantine it. One that has a likelier
-    /// cause counts half.
+    /// Returns whether the crashes of a trait suffice to quarantine it. One of which it is an
+    /// unlikely cause counts half.
     fn suffice(&self, suspect: &Suspect) -> bool {
-        let weaker = suspect.crashes().iter().filter(|c| self.has_likelier(c));
+        let weaker = suspect.crashes().iter().filter(|c| self.is_unlikely(c));
         2 * suspect.crashes().len() - weaker.count() >= 2 * QUARANTINE_THRESHOLD
     }
 }
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -33,7 +33,7 @@
 mod retry_ledger;
 mod state_machine;
 
-pub use attribution::{Crash, RunKey, Suspect};
+pub use attribution::{Crash, RunKey, RunProgress, Suspect};
 pub use claims::{
     Claim, ClaimKey, ClaimLimits, ClaimStatus, ClaimTable, ClaimVerdict, Outcome, RouterProcess,
 };
--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -13,7 +13,7 @@
 //! until an hour has passed since its last crash. Which of several traits a crash is
 //! attributed to: `culprits`.
 
-use super::attribution::{Crash, RunKey, Suspect};
+use super::attribution::{Crash, RunKey, RunProgress, Suspect};
 use super::culprits::culprits;
 use super::incarnations::Incarnation;
 use super::request_trait::{RequestTrait, RequestTraits};
@@ -58,8 +58,8 @@
     pub served: Vec<RequestTrait>,
     /// The incarnation that crashed.
     pub life: Incarnation,
-    /// Whether the router had received an event of the run.
-    pub begun: bool,
+    /// How far the run had come.
+    pub progress: RunProgress,
 }
 
 /// An observation of a router, or a decision of an operator.
@@ -144,7 +144,7 @@
         }
         for suspect in run.traits {
             let row = self.row(suspect, now_ms);
-            let crash = Crash::new(run.life.clone(), run.run, run.begun);
+            let crash = Crash::new(run.life.clone(), run.run, run.progress);
             if row.suspect.record(crash) {
                 row.last_ms = now_ms;
             }
--- a/crates/deckwind-spec/src/attribution_spec.rs
+++ b/crates/deckwind-spec/src/attribution_spec.rs
@@ -8,7 +8,8 @@
 use crate::Spec;
 use crate::cases::Case;
 use deckwind_core::state::{
-    ContentDigest, Crash, Incarnation, PartId, RequestTrait, RequestTraits, Suspect, culprits,
+    ContentDigest, Crash, Incarnation, PartId, RequestTrait, RequestTraits, RunProgress, Suspect,
+    culprits,
 };
 use std::collections::BTreeMap;
 
@@ -114,7 +115,7 @@
             for (number, runs) in crashes {
                 for run in runs {
                     let life = incarnation(*number);
-                    suspect.record(Crash::new(life, content(*run).into(), false));
+                    suspect.record(Crash::new(life, content(*run).into(), RunProgress::NoEvent));
                 }
             }
         }
