review: a machine that is gone while it is taken in keeps its successor out

The leader takes in only the replica with the lowest address of those that ask. One that is removed for good while it is a learner stays first, and its successor never votes. Later two lost disks end control for good, and the acknowledged manifest is never read back (CONFIG).

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,106 @@
+"""A machine of the core that is removed while it is taken in, and the successor of it."""
+import os
+import sys
+import time
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(FOLDER))
+from standin import (CannotRun, Deployment, Operator, Server, TROUBLE, as_slot, manifest,
+                     request_once, run, votes)
+
+CATCH_UP_S = 4.0     # bounds.catchUpS
+RECOVERY_S = 12.0    # bounds.recoveryS
+CONTACT_S = 3.0      # bounds.contactMs
+
+
+def wait_for_five(d, within):
+    """Waits until a leader counts five voters; returns the leader."""
+    deadline = time.monotonic() + within
+    while time.monotonic() < deadline:
+        core, status = d.leader(1.0)
+        if core and sum(v for vs in votes(status).values() for v in vs) == 5:
+            return core
+        time.sleep(0.1)
+    return None
+
+
+def serve_check(d, note):
+    served = 0
+    for i in range(10):
+        front = d.fronts[i % len(d.fronts)]
+        _, status, _ = request_once(d, front, "GET", "site.example", "/safe/x", "k1-secret")
+        served += status == 200
+        d.record.note(f"client: GET /safe/x at {front.name}: {status}")
+        time.sleep(0.05)
+    d.record.note(f"client: {served} of 10 served {note}")
+    return served
+
+
+def note_members(d, status):
+    voting = votes(status)
+    d.record.note("members, whether each votes: " + str(
+        {c.name: voting.get(as_slot(c.ip)) for c in d.cores + d.spares}))
+
+
+def case(holder):
+    d = Deployment(FOLDER, spare_cores=1)
+    holder.append(d)
+    record, operator = d.record, Operator(d)
+    d.start()
+    if not operator.put(manifest(1)):
+        raise CannotRun("the first manifest is not acknowledged")
+    server = Server(d, "app1", 0)
+    server.announce_forever()
+    leader = wait_for_five(d, 15.0)
+    if leader is None:
+        raise CannotRun("five replicas never vote")
+    time.sleep(2.0)
+    if serve_check(d, "before") < 8:
+        raise CannotRun("the quiet deployment does not serve")
+
+    # One loss: a machine of the core that is neither the leader nor a seed loses its disk, is
+    # back after a second, and is removed for good 0.3 s later. Its successor, at a new address
+    # and with an empty disk, starts a second after that.
+    lost = next(c for c in reversed(d.cores) if c is not leader)
+    successor = d.spares[0]
+    if TROUBLE:
+        lost.kill()
+        killed_at = time.monotonic()
+        lost.wipe()
+        time.sleep(1.0)
+        lost.start()
+        time.sleep(max(0.0, killed_at + 1.3 - time.monotonic()))
+    lost.kill()
+    record.note(f"{lost.name} is removed for good")
+    time.sleep(1.0)
+    successor.start()
+    # Calm for more than twice catchUpS: the successor counts, and what it replaces doesn't.
+    time.sleep(2 * CATCH_UP_S + 2.0)
+    leader, status = d.leader(10.0)
+    if leader is None:
+        raise CannotRun("nobody leads after the replacement")
+    note_members(d, status)
+    if not operator.put(manifest(2)):
+        raise CannotRun("the second manifest is not acknowledged")
+    if serve_check(d, "after the replacement") < 8:
+        raise CannotRun("the deployment does not serve after the replacement")
+
+    # As many machines of the core as may be lost at once lose their disks: two of the four that
+    # were there from the start.
+    others = [c for c in d.cores if c is not lost and c is not leader][:2]
+    for core in others:
+        core.kill()
+        core.wipe()
+    time.sleep(2.0)
+    for core in others:
+        core.start()
+    back = time.monotonic()
+    time.sleep(RECOVERY_S)
+    version = operator.read(within=CONTACT_S + 12.0)
+    served = serve_check(d, f"{time.monotonic() - back:.0f} s after all were back")
+    record.note(f"version read back: {version}; version acknowledged: 2")
+    print(f"read back: {version}; acknowledged: 2; served at the end: {served} of 10")
+    return version is None or version < 2
+
+
+run(FOLDER, case)
