--- a/review/1/case.py
+++ b/review/1/case.py
@@ -93,6 +93,7 @@
     time.sleep(RECOVERY_S)
     version = operator.read(within=CONTACT_S + 12.0)
     served = serve_check(d, f"{time.monotonic() - back:.0f} s after all were back")
+    record.note(f"the server ran {len(server.runs)} requests in all")
     record.note(f"version read back: {version}; version acknowledged: 2")
     print(f"read back: {version}; acknowledged: 2; served at the end: {served} of 10")
     return version is None or version < 2
