Show who waits to vote among the control replicas, and why

Four hypotheses looked the same: no leader knows of the learner, its request is refused, it never catches up, or a change is never committed.

The leader now has a line for each change of the members with its reason, and one for each replica that waits and for what; each replica says what it takes itself for. The status and four gauges say how many vote of how many wanted. Logic is unchanged.

The leader's part of join.rs is now admission.rs.

--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -78,6 +78,8 @@
 pub use retry_budget_allocator::{RetryBudgetAllocator, RetryCounts};
 pub use retry_messages::{PoolRetryReport, RetryGrant, RetryReport};
 pub use scan_counts::ScanCounts;
-pub use status::{ClusterStatus, EngineView, QuarantinedView, ReplicaView, RouterView};
+pub use status::{
+    ClusterStatus, EngineView, QuarantinedView, ReplicaView, RouterView, WaitingView,
+};
 pub use target_limiter::{LimitChange, PERMIT_BURST, PERMIT_TTL, TargetLimiter};
 pub use tunnel_messages::{TunnelRefusal, TunnelReply, TunnelRequest};
--- a/crates/deckwind-core/src/control/status.rs
+++ b/crates/deckwind-core/src/control/status.rs
@@ -5,7 +5,7 @@
 
 use super::control_core::{ControlCore, LeaderState};
 use crate::membership::{InForce, RouterLease};
-use crate::replication::Term;
+use crate::replication::{Term, WaitingReplica};
 use crate::state::{
     DataCentre, Incarnation, Instance, InstanceId, InstanceState, LayerRange, QuarantinedGroup,
     RequestTrait, Revision, RouterProcess, VmName,
@@ -49,6 +49,15 @@
     pub leads: bool,
 }
 
+/// A control replica that does not vote yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingView {
+    /// Slot and identity of the replica.
+    pub id: String,
+    /// What it waits for, as in log lines.
+    pub waits_for: String,
+}
+
 /// A target that announces itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineView {
@@ -116,6 +125,12 @@
     pub lagging: Vec<VmName>,
     /// Control replicas.
     pub replicas: Vec<ReplicaView>,
+    /// Number of control replicas that vote when nothing is lost.
+    #[serde(default)]
+    pub voters_wanted: usize,
+    /// Control replicas that do not vote yet.
+    #[serde(default)]
+    pub waiting: Vec<WaitingView>,
     /// Routers.
     pub routers: Vec<RouterView>,
     /// Number of claims held.
@@ -144,6 +159,8 @@
             in_force: self.in_force(now, revision) == InForce::Yes,
             lagging,
             replicas: self.replica_views(),
+            voters_wanted: self.replica.desired_voters(),
+            waiting: self.waiting_views(now),
             routers: self.router_views(now),
             claims: self.state_machine.claims().len(),
             log_entries: self.replica.log().len(),
@@ -176,6 +193,15 @@
         replicas.collect()
     }
 
+    fn waiting_views(&self, now: Instant) -> Vec<WaitingView> {
+        let waiting = self.replica.waiting_replicas(now).into_iter();
+        let view = |w: WaitingReplica| WaitingView {
+            id: w.id.to_string(),
+            waits_for: w.reason.name().to_string(),
+        };
+        waiting.map(view).collect()
+    }
+
     fn router_views(&self, now: Instant) -> Vec<RouterView> {
         let Some(leader_state) = &self.leader_state else {
             return Vec::new();
--- a/crates/deckwind-core/src/replication/join.rs
+++ b/crates/deckwind-core/src/replication/join.rs
@@ -1,8 +1,8 @@
-//! Cluster formation and the admission of replicas with a new data folder.
+//! Cluster formation and the join requests of replicas that are not members.
 
 use super::ids::{ClusterId, Index, Position, ReplicaId, Term};
 use super::log::{Entry, Payload};
-use super::members::{MemberChange, Members};
+use super::members::Members;
 use super::message::{Body, Message};
 use super::replica::Replica;
 use super::types::Action;
@@ -159,92 +159,4 @@
         out.push(Action::Append(vec![genesis]));
         self.start_pre_vote(now, out);
     }
-
-    /// Takes the next of the three steps for a replica that asked to join: removing the
-    /// old identity at its slot, adding it as a learner, promoting it to a voter. Without
-    /// such a replica, removes a surplus voter if there is one.
-    pub(super) fn advance_join(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if !self.may_change_members() {
-            return;
-        }
-        let next = self
-            .leader_state
-            .as_ref()
-            .and_then(|l| l.joining.first_key_value());
-        let Some((&slot, &id)) = next else {
-            self.remove_surplus_voter(now, out);
-            return;
-        };
-        if self.members.voters.contains(&id) {
-            self.finish_join(slot);
-            return;
-        }
-        if let Some(change) = self.next_join_change(now, id) {
-            self.change_members(change, out);
-        }
-    }
-
-    /// Removes the voter that has been unresponsive longest while there are more voters
-    /// than wanted: a replica that was replaced by one at another address is not expected
-    /// back. A removed replica that does come back asks to join again.
-    fn remove_surplus_voter(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let Some(seed_discovery) = self.cfg.seed_discovery else {
-            return;
-        };
-        if self.members.voters.len() <= seed_discovery.desired_voters {
-            return;
-        }
-        let others = self.members.voters.iter().filter(|id| **id != self.cfg.id);
-        let unresponsive = others.filter(|id| self.is_unresponsive(now, **id));
-        let oldest = unresponsive
-            .min_by_key(|id| self.last_acked_send(**id))
-            .copied();
-        if let Some(id) = oldest {
-            self.change_members(MemberChange::Remove(id), out);
-        }
-    }
-
-    fn finish_join(&mut self, slot: u32) {
-        if let Some(leader_state) = &mut self.leader_state {
-            leader_state.joining.remove(&slot);
-        }
-    }
-
-    fn next_join_change(&mut self, now: Instant, id: ReplicaId) -> Option<MemberChange> {
-        if self.members.learners.contains(&id) {
-            return self.has_caught_up(id).then_some(MemberChange::Promote(id));
-        }
-        match self.members.at_slot(id.slot) {
-            None => Some(MemberChange::AddLearner(id)),
-            Some(old) if old != self.cfg.id && self.is_unresponsive(now, old) => {
-                Some(MemberChange::Remove(old))
-            }
-            Some(_) => {
-                self.finish_join(id.slot);
-                None
-            }
-        }
-    }
-
-    fn has_caught_up(&self, id: ReplicaId) -> bool {
-        let leader_state = self.leader_state.as_ref();
-        let progress = leader_state.and_then(|l| l.peers.get(&id));
-        progress.is_some_and(|p| p.matched >= self.commit)
-    }
-
-    /// Returns whether a member has not answered for longer than the longest election
-    /// timeout. A member that still answers is not replaced by another identity that
-    /// claims its slot.
-    fn is_unresponsive(&self, now: Instant, id: ReplicaId) -> bool {
-        let last = self.last_acked_send(id);
-        last.is_some_and(|at| now.since(at) > self.cfg.timing.election_max)
-    }
-
-    /// Returns the send time of the latest message that a member has answered, or the
-    /// time at which this replica became leader if it has answered none.
-    fn last_acked_send(&self, id: ReplicaId) -> Option<Instant> {
-        let leader_state = self.leader_state.as_ref()?;
-        let last = leader_state.peers.get(&id).and_then(|p| p.last_acked_send);
-        Some(last.unwrap_or(leader_state.elected_at))
-    }
 }
--- a/crates/deckwind-core/src/replication/leader.rs
+++ b/crates/deckwind-core/src/replication/leader.rs
@@ -3,6 +3,7 @@
 
 use super::ids::{Index, Position, ReplicaId, Term};
 use super::log::{Entry, Payload};
+use super::member_notes::{MemberChangeReason, MemberDecision};
 use super::members::MemberChange;
 use super::message::Body;
 use super::replica::Replica;
@@ -389,7 +390,12 @@
         self.commit >= self.members_index && self.commit >= leader_state.first_index
     }
 
-    pub(super) fn change_members(&mut self, change: MemberChange, out: &mut Vec<Action>) {
+    pub(super) fn change_members(
+        &mut self,
+        change: MemberChange,
+        reason: MemberChangeReason,
+        out: &mut Vec<Action>,
+    ) {
         if !self.may_change_members() {
             return;
         }
@@ -397,7 +403,13 @@
         if next == self.members || next.is_empty() {
             return;
         }
-        self.append_to_log(Payload::Members(next), out);
+        let index = self.append_to_log(Payload::Members(next), out).index;
+        let decision = MemberDecision {
+            change,
+            reason,
+            index,
+        };
+        out.push(Action::LogMemberDecision(decision));
         self.refresh_members();
         let peers = self.peers();
         let start = self.log.last().index.next();
--- a/crates/deckwind-core/src/replication/mod.rs
+++ b/crates/deckwind-core/src/replication/mod.rs
@@ -26,6 +26,7 @@
 //! [`Replica::flush`] once, then carries out the actions: first the sends that need
 //! no sync, then the writes, a **sync**, the other sends, and [`Event::Synced`].
 
+mod admission;
 mod election;
 mod fence;
 mod follower;
@@ -33,6 +34,7 @@
 mod join;
 mod leader;
 mod log;
+mod member_notes;
 mod members;
 mod message;
 mod replica;
@@ -41,6 +43,9 @@
 pub use fence::{Fence, FenceIssuer, FenceSupport};
 pub use ids::{ClusterId, Index, Position, ReplicaId, Term};
 pub use log::{Entry, Log, Payload};
+pub use member_notes::{
+    MemberChangeReason, MemberDecision, Membership, WaitReason, WaitingReplica,
+};
 pub use members::{MemberChange, Members};
 pub use message::{Body, Message};
 pub use replica::Replica;
--- a/crates/deckwind-core/src/replication/replica.rs
+++ b/crates/deckwind-core/src/replication/replica.rs
@@ -3,6 +3,7 @@
 use super::ids::{Index, Position, ReplicaId, Term};
 use super::leader::LeaderState;
 use super::log::{Entry, Log, Payload};
+use super::member_notes::{MemberChangeReason, Membership};
 use super::members::Members;
 use super::message::{Body, Message};
 use super::types::{Action, Event, HardState, ReplicaConfig, Role, SnapshotMeta, Stored};
@@ -105,6 +106,16 @@
         &self.members
     }
 
+    /// Returns the part of this replica by the members in effect.
+    pub fn membership(&self) -> Membership {
+        self.members.membership(self.cfg.id)
+    }
+
+    /// Returns the number of voters that the cluster has when nothing is lost.
+    pub fn desired_voters(&self) -> usize {
+        self.cfg.desired_voters()
+    }
+
     /// Returns the last index known to be committed.
     pub fn commit(&self) -> Index {
         self.commit
@@ -139,7 +150,9 @@
             Event::Receive(message) => self.receive(now, message, out),
             Event::Propose { token, command } => self.propose(token, command, out),
             Event::SeedsChanged(slots) => self.set_seeds(slots),
-            Event::Change(change) => self.change_members(change, out),
+            Event::Change(change) => {
+                self.change_members(change, MemberChangeReason::Requested, out)
+            }
             Event::Synced(at) => self.on_synced(at, out),
             Event::SnapshotSynced(through) => self.on_compacted(through),
         }
--- a/crates/deckwind-core/src/replication/types.rs
+++ b/crates/deckwind-core/src/replication/types.rs
@@ -2,6 +2,7 @@
 
 use super::ids::{ClusterId, Index, Position, ReplicaId, Term};
 use super::log::Entry;
+use super::member_notes::MemberDecision;
 use super::members::{MemberChange, Members};
 use super::message::Message;
 use serde::{Deserialize, Serialize};
@@ -117,6 +118,12 @@
             max_batch_bytes: MAX_BATCH_BYTES,
         }
     }
+
+    /// Returns the number of voters that the cluster has when nothing is lost.
+    pub fn desired_voters(&self) -> usize {
+        self.seed_discovery
+            .map_or(self.slots.len(), |s| s.desired_voters)
+    }
 }
 
 /// Input of a replica.
@@ -178,6 +185,8 @@
     },
     /// Apply these committed entries in order.
     Apply(Vec<Entry>),
+    /// Log and count a change of the members that this leader has started.
+    LogMemberDecision(MemberDecision),
     /// The proposal was appended to the leader's log. It is accepted once the entry at
     /// this position is applied.
     Proposed {
--- a/crates/deckwind-testkit/src/simulated_network.rs
+++ b/crates/deckwind-testkit/src/simulated_network.rs
@@ -105,6 +105,7 @@
             | Effect::LogHeldSilence(_)
             | Effect::LogIncarnationDecision(_)
             | Effect::LogLimitDecision(_)
+            | Effect::LogMemberDecision(_)
             | Effect::ProbePace(_) => {}
             Effect::OperatorReply(token, reply) => {
                 if let Some(Requester::Operator(id)) = self.pending.remove(&token) {
--- a/crates/deckwind/src/commands/status.rs
+++ b/crates/deckwind/src/commands/status.rs
@@ -45,6 +45,7 @@
         replicas.add_row([r.id.clone(), r.votes.to_string(), r.leads.to_string()]);
     }
     lines.push(replicas.to_string());
+    lines.extend(voters_line(status));
     lines.push(router_table(&status.routers));
     if !status.engines.is_empty() {
         lines.push(pool_table(&status.engines));
@@ -71,6 +72,21 @@
     )
 }
 
+/// Returns how many replicas vote and who does not yet, or `None` if as many vote as wanted.
+fn voters_line(status: &ClusterStatus) -> Option<String> {
+    let voters = status.replicas.iter().filter(|r| r.votes).count();
+    if voters >= status.voters_wanted && status.waiting.is_empty() {
+        return None;
+    }
+    let waiting = status.waiting.iter();
+    let waiting = waiting.map(|w| format!("; {} waits: {}", w.id, w.waits_for));
+    let waiting: String = waiting.collect();
+    Some(format!(
+        "{voters} of {} replicas vote{waiting}",
+        status.voters_wanted
+    ))
+}
+
 /// Table cell for an unknown value.
 const UNKNOWN: &str = "-";
 
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -3,6 +3,7 @@
 
 use super::handle::{ControlHandle, Inbox, Input, ReplyTo};
 use super::limit_metrics::{self, LimitMetrics};
+use super::member_metrics::{self, MemberMetrics};
 use super::node::{ControlNode, Effect, Now};
 use super::peers::Senders;
 use super::placement_task;
@@ -67,6 +68,7 @@
     role: Role,
     retry_metrics: RetryMetrics,
     limit_metrics: LimitMetrics,
+    member_metrics: MemberMetrics,
 }
 
 impl Driver {
@@ -123,6 +125,7 @@
             role: Role::Unformed,
             retry_metrics: RetryMetrics::default(),
             limit_metrics: LimitMetrics::default(),
+            member_metrics: MemberMetrics::default(),
         })
     }
 
@@ -160,6 +163,8 @@
         self.log_role_change();
         self.retry_metrics.update(now.at, self.node.core());
         self.limit_metrics.update(now.at, self.node.core());
+        self.member_metrics
+            .update(now.at, self.node.core().replica());
         Ok(())
     }
 
@@ -245,6 +250,7 @@
             Effect::LogHeldSilence(held) => log_held_silence(&held),
             Effect::LogIncarnationDecision(note) => log_incarnation_decision(&note),
             Effect::LogLimitDecision(note) => limit_metrics::log_change(&note),
+            Effect::LogMemberDecision(decision) => member_metrics::log_decision(&decision),
             Effect::ProbePace(address) => {
                 let dialect = self.dialect.clone();
                 let connections = self.engine_connections.clone();
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod engine_pace;
 mod handle;
 mod limit_metrics;
+mod member_metrics;
 mod node;
 mod operators;
 mod orders;
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -16,7 +16,7 @@
     IncarnationDecision, LimitDecision, OperatorReply, OrderBatch, PlacementOrder, RelayedRequest,
 };
 use deckwind_core::membership::LeaseTiming;
-use deckwind_core::replication::{Action, Body, Event, Position, ReplicaConfig};
+use deckwind_core::replication::{Action, Body, Event, MemberDecision, Position, ReplicaConfig};
 use deckwind_core::state::Incarnation;
 use deckwind_core::time::Instant;
 use deckwind_store::{OpenedStore, Store};
@@ -49,6 +49,8 @@
     LogHeldSilence(HeldSilence),
     /// Log the start, change or end of a target's rate limit.
     LogLimitDecision(LimitDecision),
+    /// Log and count a change of the members.
+    LogMemberDecision(MemberDecision),
     /// Query the pace of an engine.
     ProbePace(SocketAddr),
 }
@@ -207,6 +209,9 @@
                 effects.push(Effect::LogIncarnationDecision(note))
             }
             ControlAction::LogLimitDecision(note) => effects.push(Effect::LogLimitDecision(note)),
+            ControlAction::Replica(Action::LogMemberDecision(decision)) => {
+                effects.push(Effect::LogMemberDecision(decision));
+            }
             ControlAction::ProbePace { address } => effects.push(Effect::ProbePace(address)),
             ControlAction::ForwardRequests { slot, requests } => {
                 effects.push(Effect::ForwardRequests(slot, requests));
