Any leader promotes the learners in its log; learners without a leader ask again

Two more lost disks, later, ended control: every request was refused, and the acknowledged manifest could not be read back.

Cause: the plan for a new replica stood only in the memory of the leader that had received its join request. The learner asks no more once its own log names it, so the next leader neither knows of it nor hears of it, and it never votes.

Change: a leader promotes any learner in its log that answers and has caught up. A replica that hears no leader asks to join unless it is a voter.

Tests (member_changes, virtual time): the leader killed at moments after the return, and leader and learner cut off together.

Why it works: what has to be done follows from the log and from who answers, which every leader has; and a replica believes a leader that speaks to it, not its own log.

--- a/crates/deckwind-core/src/replication/admission.rs
+++ b/crates/deckwind-core/src/replication/admission.rs
@@ -9,13 +9,19 @@
 use crate::time::Instant;
 
 impl Replica {
-    /// Takes the next of the three steps for a replica that asked to join: removing the
-    /// old identity at its slot, adding it as a learner, promoting it to a voter. Without
-    /// such a replica, removes a surplus voter if there is one.
-    pub(super) fn advance_join(&mut self, now: Instant, out: &mut Vec<Action>) {
+    /// Takes the next step towards the wanted voters. A learner in the log is promoted by
+    /// whichever leader finds that it has caught up. For a replica that asked to join there
+    /// are two steps before that: removing the old identity at its slot, and adding it as a
+    /// learner. Without such a replica, removes a surplus voter if there is one.
+    pub(super) fn advance_members(&mut self, now: Instant, out: &mut Vec<Action>) {
         if !self.may_change_members() {
             return;
         }
+        if let Some(id) = self.promotable_learner(now) {
+            let promotion = MemberChange::Promote(id);
+            self.change_members(promotion, MemberChangeReason::CaughtUp, out);
+            return;
+        }
         let next = self
             .leader_state
             .as_ref()
@@ -33,6 +39,12 @@
         }
     }
 
+    /// Returns a learner that answers and has caught up.
+    fn promotable_learner(&self, now: Instant) -> Option<ReplicaId> {
+        let mut learners = self.members.learners.iter().copied();
+        learners.find(|id| !self.is_unresponsive(now, *id) && self.has_caught_up(*id))
+    }
+
     /// Removes the voter that has been unresponsive longest while there are more voters
     /// than wanted: a replica that was replaced by one at another address is not expected
     /// back. A removed replica that does come back asks to join again.
@@ -65,8 +77,7 @@
         id: ReplicaId,
     ) -> Option<(MemberChange, MemberChangeReason)> {
         if self.members.learners.contains(&id) {
-            let promotion = (MemberChange::Promote(id), MemberChangeReason::CaughtUp);
-            return self.has_caught_up(id).then_some(promotion);
+            return None;
         }
         match self.members.at_slot(id.slot) {
             None => Some((MemberChange::AddLearner(id), MemberChangeReason::Asked)),
@@ -131,11 +142,9 @@
         if !self.may_change_members() {
             return WaitReason::ChangeUncommitted;
         }
+        let is_learner = self.members.learners.contains(&id);
         match (first, self.members.at_slot(id.slot)) {
-            (first, _) if first.is_none_or(|(_, f)| *f != id) => match first {
-                Some((_, first)) => WaitReason::Behind(*first),
-                None => WaitReason::NotAsked,
-            },
+            (Some((_, first)), _) if !is_learner && *first != id => WaitReason::Behind(*first),
             (_, Some(other)) if other != id => WaitReason::SlotHeld(other),
             _ if self.is_unresponsive(now, id) => WaitReason::Silent,
             _ => WaitReason::CatchingUp {
--- a/crates/deckwind-core/src/replication/join.rs
+++ b/crates/deckwind-core/src/replication/join.rs
@@ -2,6 +2,7 @@
 
 use super::ids::{ClusterId, Index, Position, ReplicaId, Term};
 use super::log::{Entry, Payload};
+use super::member_notes::Membership;
 use super::members::Members;
 use super::message::{Body, Message};
 use super::replica::Replica;
@@ -18,11 +19,12 @@
 const ELECTIONS_BEFORE_JOIN: u32 = 9;
 
 impl Replica {
-    /// Sends a join request to all other slots if this replica is not a member or seems
-    /// to have been removed.
+    /// Sends a join request to all other slots if this replica is not a voter or seems to
+    /// have been removed. Called only while it hears no leader: a learner then can't know
+    /// whether the entry that made it one was ever committed.
     pub(super) fn join_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let is_member = self.members.contains(self.cfg.id);
-        if is_member && self.failed_elections < ELECTIONS_BEFORE_JOIN {
+        let is_voter = self.membership() == Membership::Voter;
+        if is_voter && self.failed_elections < ELECTIONS_BEFORE_JOIN {
             return;
         }
         if now < self.next_join {
--- a/crates/deckwind-core/src/replication/leader.rs
+++ b/crates/deckwind-core/src/replication/leader.rs
@@ -138,7 +138,7 @@
             self.become_follower(now, term);
             return;
         }
-        self.advance_join(now, out);
+        self.advance_members(now, out);
         let is_due = self
             .leader_state
             .as_ref()
--- a/crates/deckwind-core/src/replication/member_notes.rs
+++ b/crates/deckwind-core/src/replication/member_notes.rs
@@ -51,8 +51,6 @@
     ChangeUncommitted,
     /// Another replica is taken in first.
     Behind(ReplicaId),
-    /// The leader has received no join request of the learner.
-    NotAsked,
     /// This member still holds the slot.
     SlotHeld(ReplicaId),
     /// The learner does not answer.
@@ -72,7 +70,6 @@
         match self {
             Self::ChangeUncommitted => "change_uncommitted",
             Self::Behind(_) => "behind_another",
-            Self::NotAsked => "not_asked",
             Self::SlotHeld(_) => "slot_held",
             Self::Silent => "silent",
             Self::CatchingUp { .. } => "catching_up",
--- a/crates/deckwindd/src/control/member_metrics.rs
+++ b/crates/deckwindd/src/control/member_metrics.rs
@@ -97,7 +97,7 @@
         WaitReason::CatchingUp { synced, commit } => {
             format!(" synced={} commit={}", synced.0, commit.0)
         }
-        WaitReason::ChangeUncommitted | WaitReason::NotAsked | WaitReason::Silent => String::new(),
+        WaitReason::ChangeUncommitted | WaitReason::Silent => String::new(),
     }
 }
 
