Leaders keep no plan for new replicas: one possible step at a tick, for any of them

Two more lost disks, later, ended control: every request was refused, and the acknowledged manifest could not be read back.

Cause: join requests were worked off for the lowest slot alone; the others waited until that one voted, and nothing took a silent one off the list. Ruled out: requests that do not arrive, a change that is not committed.

Change: at each tick the leader compares the members in its log with who answers and who asks, and takes the one step that is possible, for whichever replica it is. A learner is added at once; the voter that it replaces is removed when the learner has caught up, then the learner votes. Silent learners are removed when as many voters as wanted answer. Tried and dropped: promoting before removing (six voters need four answers: with the new replica down again nobody leads; failed in all cases of a test).

Why it works: no replica's progress depends on another's, and what has to be done is in the log, which every leader has.

--- a/crates/deckwind-core/src/replication/admission.rs
+++ b/crates/deckwind-core/src/replication/admission.rs
@@ -1,94 +1,145 @@
 //! The leader's changes of the members: admission of replicas that asked to join, and
 //! removal of those that they replace.
+//!
+//! A leader keeps no plan. At each tick it compares the members in its log with who answers
+//! and who asks, and takes one step that is possible now, for whichever replica it is:
+//!
+//! ```text
+//!  asks ─► learner ─(has caught up)─► the silent voter that it replaces goes ─► voter
+//!  more voters than wanted ─► a silent voter goes
+//!  as many voters as wanted answer ─► silent learners go
+//! ```
+//!
+//! A voter is removed before its replacement votes: with both among the voters, a majority
+//! would need one more that answers. It is removed only once the replacement holds all that
+//! is committed, and one voter at a time while replacements answer.
 
 use super::ids::{Index, ReplicaId};
+use super::leader::JoinRequest;
 use super::member_notes::{MemberChangeReason, WaitReason, WaitingReplica};
 use super::members::MemberChange;
 use super::replica::Replica;
 use super::types::Action;
 use crate::time::Instant;
 
+/// A change of the members that is possible now, and why.
+type MemberStep = (MemberChange, MemberChangeReason);
+
 impl Replica {
-    /// Takes the next step towards the wanted voters. A learner in the log is promoted by
-    /// whichever leader finds that it has caught up. For a replica that asked to join there
-    /// are two steps before that: removing the old identity at its slot, and adding it as a
-    /// learner. Without such a replica, removes a surplus voter if there is one.
+    /// Records a join request. Requests of members, and of an earlier process of this
+    /// replica's own slot, need no step.
+    pub(super) fn record_join(&mut self, now: Instant, id: ReplicaId) {
+        let is_known = self.members.contains(id) || id.slot == self.cfg.id.slot;
+        if let (Some(leader_state), false) = (&mut self.leader_state, is_known) {
+            let request = JoinRequest { id, at: now };
+            leader_state.join_requests.insert(id.slot, request);
+        }
+    }
+
+    /// Takes the next step towards the wanted voters, if one is possible.
     pub(super) fn advance_members(&mut self, now: Instant, out: &mut Vec<Action>) {
         if !self.may_change_members() {
             return;
         }
-        if let Some(id) = self.promotable_learner(now) {
-            let promotion = MemberChange::Promote(id);
-            self.change_members(promotion, MemberChangeReason::CaughtUp, out);
-            return;
-        }
-        let next = self
-            .leader_state
-            .as_ref()
-            .and_then(|l| l.joining.first_key_value());
-        let Some((&slot, &id)) = next else {
-            self.remove_surplus_voter(now, out);
-            return;
-        };
-        if self.members.voters.contains(&id) {
-            self.finish_join(slot);
-            return;
+        self.forget_old_joins(now);
+        let step = self
+            .promotion(now)
+            .or_else(|| self.replacement(now))
+            .or_else(|| self.admission())
+            .or_else(|| self.surplus_voter(now))
+            .or_else(|| self.silent_learner(now));
+        if let Some((change, reason)) = step {
+            self.change_members(now, change, reason, out);
         }
-        if let Some((change, reason)) = self.next_join_change(now, id) {
-            self.change_members(change, reason, out);
+    }
+
+    fn forget_old_joins(&mut self, now: Instant) {
+        let members = &self.members;
+        if let Some(leader_state) = &mut self.leader_state {
+            leader_state
+                .join_requests
+                .retain(|_, r| !r.is_outdated(now) && !members.contains(r.id));
         }
     }
 
-    /// Returns a learner that answers and has caught up.
-    fn promotable_learner(&self, now: Instant) -> Option<ReplicaId> {
-        let mut learners = self.members.learners.iter().copied();
-        learners.find(|id| !self.is_unresponsive(now, *id) && self.has_caught_up(*id))
+    /// Promotes a learner that is ready, unless it replaces a voter that is to go first.
+    fn promotion(&self, now: Instant) -> Option<MemberStep> {
+        let mut ready = self.ready_learners(now);
+        let id = ready.find(|id| self.replaced_by(now, *id).is_none())?;
+        Some((MemberChange::Promote(id), MemberChangeReason::CaughtUp))
     }
 
-    /// Removes the voter that has been unresponsive longest while there are more voters
-    /// than wanted: a replica that was replaced by one at another address is not expected
-    /// back. A removed replica that does come back asks to join again.
-    fn remove_surplus_voter(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let Some(seed_discovery) = self.cfg.seed_discovery else {
-            return;
-        };
-        if self.members.voters.len() <= seed_discovery.desired_voters {
-            return;
-        }
-        let others = self.members.voters.iter().filter(|id| **id != self.cfg.id);
-        let unresponsive = others.filter(|id| self.is_unresponsive(now, **id));
-        let oldest = unresponsive
-            .min_by_key(|id| self.last_acked_send(**id))
-            .copied();
-        if let Some(id) = oldest {
-            self.change_members(MemberChange::Remove(id), MemberChangeReason::Surplus, out);
+    /// Removes a silent voter that a ready learner replaces. While there are fewer voters
+    /// than wanted, a learner that answers and replaces nobody comes first.
+    fn replacement(&self, now: Instant) -> Option<MemberStep> {
+        let is_short = self.members.voters.len() < self.cfg.desired_voters();
+        if is_short && self.is_voter_on_its_way(now) {
+            return None;
         }
+        let mut replaced = self
+            .ready_learners(now)
+            .filter_map(|id| self.replaced_by(now, id));
+        let id = replaced.find(|id| self.is_unresponsive(now, *id))?;
+        Some((MemberChange::Remove(id), MemberChangeReason::Replaced))
     }
 
-    fn finish_join(&mut self, slot: u32) {
-        if let Some(leader_state) = &mut self.leader_state {
-            leader_state.joining.remove(&slot);
-        }
+    /// Returns the learners that answer and have caught up.
+    fn ready_learners(&self, now: Instant) -> impl Iterator<Item = ReplicaId> + '_ {
+        let learners = self.members.learners.iter().copied();
+        learners.filter(move |id| !self.is_unresponsive(now, *id) && self.has_caught_up(*id))
+    }
+
+    fn is_voter_on_its_way(&self, now: Instant) -> bool {
+        let mut learners = self.members.learners.iter();
+        learners.any(|id| !self.is_unresponsive(now, *id) && self.replaced_by(now, *id).is_none())
+    }
+
+    /// Returns the voter that a learner replaces: the one at its slot, also while it still
+    /// answers, as another identity may only claim the slot; or else, if there are as many
+    /// voters as wanted, one that is silent.
+    fn replaced_by(&self, now: Instant, learner: ReplicaId) -> Option<ReplicaId> {
+        let voters = &self.members.voters;
+        let holder = voters.iter().find(|id| id.slot == learner.slot).copied();
+        let is_full = voters.len() >= self.cfg.desired_voters();
+        holder.or_else(|| self.longest_silent_voter(now).filter(|_| is_full))
+    }
+
+    /// Adds a replica that asked to join as a learner.
+    fn admission(&self) -> Option<MemberStep> {
+        let (_, request) = self
+            .leader_state
+            .as_ref()?
+            .join_requests
+            .first_key_value()?;
+        let addition = MemberChange::AddLearner(request.id);
+        Some((addition, MemberChangeReason::Asked))
     }
 
-    fn next_join_change(
-        &mut self,
-        now: Instant,
-        id: ReplicaId,
-    ) -> Option<(MemberChange, MemberChangeReason)> {
-        if self.members.learners.contains(&id) {
+    /// Removes the voter that has been silent longest while there are more voters than
+    /// wanted. A removed replica that comes back asks to join again.
+    fn surplus_voter(&self, now: Instant) -> Option<MemberStep> {
+        if self.members.voters.len() <= self.cfg.desired_voters() {
             return None;
         }
-        match self.members.at_slot(id.slot) {
-            None => Some((MemberChange::AddLearner(id), MemberChangeReason::Asked)),
-            Some(old) if old != self.cfg.id && self.is_unresponsive(now, old) => {
-                Some((MemberChange::Remove(old), MemberChangeReason::Replaced))
-            }
-            Some(_) => {
-                self.finish_join(id.slot);
-                None
-            }
-        }
+        let id = self.longest_silent_voter(now)?;
+        Some((MemberChange::Remove(id), MemberChangeReason::Surplus))
+    }
+
+    fn longest_silent_voter(&self, now: Instant) -> Option<ReplicaId> {
+        let voters = self.members.voters.iter().copied();
+        let silent = voters.filter(|id| self.is_unresponsive(now, *id));
+        silent.min_by_key(|id| self.last_acked_send(*id))
+    }
+
+    /// Removes a silent learner once as many voters as wanted answer. Until then it may be
+    /// needed and costs little.
+    fn silent_learner(&self, now: Instant) -> Option<MemberStep> {
+        let mut learners = self.members.learners.iter();
+        let silent = learners.find(|id| self.is_unresponsive(now, **id))?;
+        let voters = self.members.voters.iter();
+        let answering = voters.filter(|id| !self.is_unresponsive(now, **id)).count();
+        let removal = (MemberChange::Remove(*silent), MemberChangeReason::Surplus);
+        (answering >= self.cfg.desired_voters()).then_some(removal)
     }
 
     fn has_caught_up(&self, id: ReplicaId) -> bool {
@@ -102,20 +153,18 @@
         progress.map_or(Index(0), |p| p.matched)
     }
 
-    /// Returns whether a member has not answered for longer than the longest election
-    /// timeout. A member that still answers is not replaced by another identity that
-    /// claims its slot.
+    /// Returns whether another member has not answered for longer than the longest election
+    /// timeout.
     fn is_unresponsive(&self, now: Instant, id: ReplicaId) -> bool {
         let last = self.last_acked_send(id);
         last.is_some_and(|at| now.since(at) > self.cfg.timing.election_max)
     }
 
-    /// Returns the send time of the latest message that a member has answered, or the
-    /// time at which this replica became leader if it has answered none.
+    /// Returns the send time of the latest message that another member has answered, or the
+    /// time from which this leader has sent to it if it has answered none.
     fn last_acked_send(&self, id: ReplicaId) -> Option<Instant> {
-        let leader_state = self.leader_state.as_ref()?;
-        let last = leader_state.peers.get(&id).and_then(|p| p.last_acked_send);
-        Some(last.unwrap_or(leader_state.elected_at))
+        let progress = self.leader_state.as_ref()?.peers.get(&id)?;
+        Some(progress.last_acked_send.unwrap_or(progress.since))
     }
 
     /// Returns the replicas that this leader knows of and that do not vote yet, each with
@@ -124,7 +173,8 @@
         let Some(leader_state) = &self.leader_state else {
             return Vec::new();
         };
-        let asking = leader_state.joining.values().copied();
+        let requests = leader_state.join_requests.values();
+        let asking = requests.filter(|r| !r.is_outdated(now)).map(|r| r.id);
         let asking = asking.filter(|id| !self.members.contains(*id));
         let learners = self.members.learners.iter().copied();
         learners
@@ -137,20 +187,21 @@
     }
 
     fn wait_reason(&self, now: Instant, id: ReplicaId) -> WaitReason {
-        let joining = self.leader_state.as_ref().map(|l| &l.joining);
-        let first = joining.and_then(|j| j.first_key_value());
         if !self.may_change_members() {
             return WaitReason::ChangeUncommitted;
         }
-        let is_learner = self.members.learners.contains(&id);
-        match (first, self.members.at_slot(id.slot)) {
-            (Some((_, first)), _) if !is_learner && *first != id => WaitReason::Behind(*first),
-            (_, Some(other)) if other != id => WaitReason::SlotHeld(other),
-            _ if self.is_unresponsive(now, id) => WaitReason::Silent,
-            _ => WaitReason::CatchingUp {
-                synced: self.synced_by(id),
-                commit: self.commit,
-            },
+        if !self.members.contains(id) {
+            return WaitReason::Asked;
+        }
+        if self.is_unresponsive(now, id) {
+            return WaitReason::Silent;
+        }
+        if self.has_caught_up(id) {
+            return WaitReason::Replacing(self.replaced_by(now, id));
+        }
+        WaitReason::CatchingUp {
+            synced: self.synced_by(id),
+            commit: self.commit,
         }
     }
 }
--- a/crates/deckwind-core/src/replication/join.rs
+++ b/crates/deckwind-core/src/replication/join.rs
@@ -6,13 +6,13 @@
 use super::members::Members;
 use super::message::{Body, Message};
 use super::replica::Replica;
-use super::types::Action;
+use super::types::{Action, Role};
 use crate::time::Instant;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Interval between two join requests.
-const JOIN_INTERVAL: Duration = Duration::from_millis(300);
+pub(super) const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Number of consecutive lost elections after which a member sends join requests, in
 /// case it has been removed. They take about twice the longest election timeout.
@@ -93,8 +93,8 @@
         if !self.may_join(from.slot) {
             return;
         }
-        if let Some(leader_state) = &mut self.leader_state {
-            leader_state.joining.insert(from.slot, from);
+        if self.role == Role::Leader {
+            self.record_join(now, from);
             return;
         }
         self.forward_join(from, unformed, out);
--- a/crates/deckwind-core/src/replication/leader.rs
+++ b/crates/deckwind-core/src/replication/leader.rs
@@ -2,6 +2,7 @@
 //! acknowledgements and maintaining the leader lease.
 
 use super::ids::{Index, Position, ReplicaId, Term};
+use super::join::JOIN_INTERVAL;
 use super::log::{Entry, Payload};
 use super::member_notes::{MemberChangeReason, MemberDecision};
 use super::members::MemberChange;
@@ -15,6 +16,8 @@
 /// Replication progress of a peer, as known to the leader.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Progress {
+    /// Time from which this leader has sent to the peer.
+    pub since: Instant,
     /// Next index to send.
     pub next: Index,
     /// Last index that the peer has synced.
@@ -46,26 +49,47 @@
     pub first_index: Index,
     pub peers: BTreeMap<ReplicaId, Progress>,
     pub next_heartbeat: Instant,
-    /// Replicas that asked to join, by slot.
-    pub joining: BTreeMap<u32, ReplicaId>,
+    /// Latest join requests of replicas that are not members, by slot.
+    pub join_requests: BTreeMap<u32, JoinRequest>,
 }
 
+/// A join request that the leader has received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct JoinRequest {
+    /// Replica that asks.
+    pub id: ReplicaId,
+    /// Time at which the request was received.
+    pub at: Instant,
+}
+
+impl JoinRequest {
+    /// Returns whether the replica has stopped asking: it would have asked again.
+    pub fn is_outdated(&self, now: Instant) -> bool {
+        now.since(self.at) > JOIN_REQUEST_TTL
+    }
+}
+
+/// Time after which a join request counts no longer: that of a few requests, as some may be
+/// lost.
+const JOIN_REQUEST_TTL: Duration = JOIN_INTERVAL.saturating_mul(4);
+
 impl LeaderState {
     pub fn new(now: Instant, next: Index, peers: Vec<ReplicaId>) -> Self {
-        let progress = |id| (id, Progress::starting_at(next));
+        let progress = |id| (id, Progress::starting_at(now, next));
         Self {
             elected_at: now,
             first_index: next,
             peers: peers.into_iter().map(progress).collect(),
             next_heartbeat: now,
-            joining: BTreeMap::new(),
+            join_requests: BTreeMap::new(),
         }
     }
 }
 
 impl Progress {
-    fn starting_at(next: Index) -> Self {
+    fn starting_at(now: Instant, next: Index) -> Self {
         Self {
+            since: now,
             next,
             matched: Index(0),
             last_acked_send: None,
@@ -392,6 +416,7 @@
 
     pub(super) fn change_members(
         &mut self,
+        now: Instant,
         change: MemberChange,
         reason: MemberChangeReason,
         out: &mut Vec<Action>,
@@ -416,7 +441,7 @@
         if let Some(leader_state) = &mut self.leader_state {
             leader_state.peers.retain(|id, _| peers.contains(id));
             for id in peers {
-                let progress = Progress::starting_at(start);
+                let progress = Progress::starting_at(now, start);
                 leader_state.peers.entry(id).or_insert(progress);
             }
         }
--- a/crates/deckwind-core/src/replication/member_notes.rs
+++ b/crates/deckwind-core/src/replication/member_notes.rs
@@ -12,9 +12,9 @@
     Asked,
     /// The learner has caught up.
     CaughtUp,
-    /// The member is silent, and another replica asked to join at its slot.
+    /// The voter is silent, and a learner that replaces it has caught up.
     Replaced,
-    /// The member is silent, and there are more voters than wanted.
+    /// The member is silent, and there are voters enough without it.
     Surplus,
     /// An operator requested the change.
     Requested,
@@ -49,10 +49,10 @@
 pub enum WaitReason {
     /// The previous change of the members is not committed.
     ChangeUncommitted,
-    /// Another replica is taken in first.
-    Behind(ReplicaId),
-    /// This member still holds the slot.
-    SlotHeld(ReplicaId),
+    /// It asked to join and is not a member yet.
+    Asked,
+    /// The learner is ready. The voter that it replaces still answers or is being removed.
+    Replacing(Option<ReplicaId>),
     /// The learner does not answer.
     Silent,
     /// The learner lacks committed entries.
@@ -69,8 +69,8 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::ChangeUncommitted => "change_uncommitted",
-            Self::Behind(_) => "behind_another",
-            Self::SlotHeld(_) => "slot_held",
+            Self::Asked => "asked",
+            Self::Replacing(_) => "replacing",
             Self::Silent => "silent",
             Self::CatchingUp { .. } => "catching_up",
         }
--- a/crates/deckwind-core/src/replication/members.rs
+++ b/crates/deckwind-core/src/replication/members.rs
@@ -41,11 +41,6 @@
         self.voters.contains(&id) || self.learners.contains(&id)
     }
 
-    /// Returns the member at a slot.
-    pub fn at_slot(&self, slot: u32) -> Option<ReplicaId> {
-        self.all().find(|id| id.slot == slot)
-    }
-
     /// Returns all members, voters first.
     pub fn all(&self) -> impl Iterator<Item = ReplicaId> + '_ {
         self.voters.iter().chain(&self.learners).copied()
--- a/crates/deckwind-core/src/replication/mod.rs
+++ b/crates/deckwind-core/src/replication/mod.rs
@@ -17,8 +17,8 @@
 //! A replica is identified by its data folder, not by its VM: [`ReplicaId`] holds
 //! the slot of the VM and a random identity created with the folder. A replica that
 //! restarts with an empty folder has a new identity, so no vote or acknowledgement
-//! of the old one counts for it. The leader first removes the old identity, then
-//! adds the new one as a learner, then promotes it to a voter.
+//! of the old one counts for it. The leader adds the new identity as a learner; once it
+//! has caught up, it removes the old one and promotes the learner to a voter.
 //!
 //! # Duties of the driver
 //!
--- a/crates/deckwind-core/src/replication/replica.rs
+++ b/crates/deckwind-core/src/replication/replica.rs
@@ -151,7 +151,7 @@
             Event::Propose { token, command } => self.propose(token, command, out),
             Event::SeedsChanged(slots) => self.set_seeds(slots),
             Event::Change(change) => {
-                self.change_members(change, MemberChangeReason::Requested, out)
+                self.change_members(now, change, MemberChangeReason::Requested, out)
             }
             Event::Synced(at) => self.on_synced(at, out),
             Event::SnapshotSynced(through) => self.on_compacted(through),
--- a/crates/deckwind-spec/examples/explore.rs
+++ b/crates/deckwind-spec/examples/explore.rs
@@ -4,8 +4,9 @@
 
 use deckwind_spec::{
     ClaimRules, ClaimSpec, LimitBounds, LimitRules, LimitSpec, LogBounds, LogRules, LogSpec,
-    RetryBounds, RetryRules, RetrySpec, Spec, StreamEndBounds, StreamEndRules, StreamEndSpec,
-    claim_cases, explore, limit_cases, log_cases, retry_cases, stream_end_cases,
+    MembershipFaults, MembershipRules, MembershipSpec, RetryBounds, RetryRules, RetrySpec, Spec,
+    StreamEndBounds, StreamEndRules, StreamEndSpec, claim_cases, explore, limit_cases, log_cases,
+    membership_cases, retry_cases, stream_end_cases,
 };
 use std::time::Instant;
 
@@ -23,6 +24,18 @@
 }
 
 fn main() {
+    for faults in MembershipFaults::SMALL
+        .into_iter()
+        .chain(MembershipFaults::LARGE)
+    {
+        let rules = MembershipRules::ALL;
+        let name = format!("members, all rules, {faults:?}");
+        explore_and_print(&name, &MembershipSpec { rules, faults });
+    }
+    for case in membership_cases() {
+        let name = format!("members without {}", case.disabled_rule);
+        explore_and_print(&name, &case.spec);
+    }
     for bounds in LogBounds::LARGE {
         let rules = LogRules::ALL;
         explore_and_print(
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -38,6 +38,7 @@
 mod limit_rig;
 mod lost_answers;
 mod member_changes;
+mod member_storms;
 mod notices;
 mod orders;
 mod overload;
--- a/crates/deckwind-testkit/tests/testsuite/member_changes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/member_changes.rs
@@ -1,7 +1,7 @@
 //! Replicas that are taken in while others are lost: all wanted replicas vote again in time,
 //! whichever leader began to take them in.
 
-use crate::seed_cluster::{ALL, SeedCluster};
+use crate::seed_cluster::{ALL, SeedCluster, VOTERS};
 use yare::parameterized;
 
 /// Time after which a replica that is back no longer counts as lost, ms.
@@ -84,3 +84,101 @@
         cluster
     });
 }
+
+/// Guards against a VM that is gone for good while it is taken in and keeps its successor,
+/// at another slot, out.
+#[test]
+fn a_replica_that_is_gone_while_it_is_taken_in_holds_up_nobody() {
+    assert_all_vote_in_time(|at| {
+        let mut cluster = SeedCluster::formed();
+        let (lost, _) = lose_a_disk(&mut cluster);
+        cluster.run(at);
+        cluster.kill(lost);
+        cluster.run(1_000);
+        cluster.start_empty(60, false);
+        cluster
+    });
+}
+
+/// Trouble of a replica that is taken in, which ends after several seconds.
+#[derive(Clone, Copy)]
+enum Trouble {
+    Frozen,
+    CutOff,
+    Down,
+}
+
+/// Guards against a replica that is not to be reached while it is taken in, and keeps
+/// another one that lost its disk out for as long.
+#[parameterized(
+    frozen = { Trouble::Frozen },
+    cut_off = { Trouble::CutOff },
+    down = { Trouble::Down },
+)]
+fn a_replica_in_trouble_while_it_is_taken_in_holds_up_nobody(trouble: Trouble) {
+    for at in moments() {
+        let mut cluster = SeedCluster::formed();
+        let leader = cluster.leader_slot();
+        let [first, second] = two_followers(&cluster);
+        for slot in [first, second] {
+            cluster.kill(slot);
+        }
+        cluster.run(1_000);
+        cluster.start_empty(first, false);
+        cluster.run(at);
+        let others: Vec<u32> = ALL.into_iter().filter(|s| *s != first).collect();
+        match trouble {
+            Trouble::Frozen => cluster.freeze(first, true),
+            Trouble::CutOff => cluster.cut(&[first], &others),
+            Trouble::Down => cluster.kill(first),
+        }
+        cluster.start_empty(second, false);
+        cluster.run(CATCH_UP_MS);
+        let votes = |slot| cluster.identity_votes(slot);
+        assert!(
+            votes(second),
+            "at {at} ms, leader {leader}:\n{}",
+            cluster.describe()
+        );
+        match trouble {
+            Trouble::Frozen => cluster.freeze(first, false),
+            Trouble::CutOff => cluster.cuts.clear(),
+            Trouble::Down => cluster.restart(first),
+        }
+        let took = cluster.run_until_all_vote(CATCH_UP_MS);
+        assert!(
+            took.is_some(),
+            "at {at} ms, {first} back:\n{}",
+            cluster.describe()
+        );
+    }
+}
+
+/// Returns two slots that do not lead, the lower one first.
+fn two_followers(cluster: &SeedCluster) -> [u32; 2] {
+    let leader = cluster.leader_slot();
+    let mut followers = ALL.into_iter().rev().filter(|s| *s != leader);
+    let second = followers.next().expect("five slots");
+    [followers.next().expect("five slots"), second]
+}
+
+/// Guards against entries that are committed on fewer replicas than a majority of the wanted
+/// ones, while two are taken in.
+#[test]
+fn two_replicas_are_taken_in_one_after_the_other() {
+    let mut cluster = SeedCluster::formed();
+    let lost = two_followers(&cluster);
+    for slot in lost {
+        cluster.kill(slot);
+    }
+    cluster.run(1_000);
+    for slot in lost {
+        cluster.start_empty(slot, false);
+    }
+    for _ in 0..CATCH_UP_MS {
+        cluster.run(1);
+        let voters = cluster.voters().len();
+        assert!(voters >= VOTERS - 1, "{}", cluster.describe());
+    }
+    assert_eq!(cluster.run_until_all_vote(CATCH_UP_MS), Some(0));
+}
--- a/crates/deckwind-testkit/tests/testsuite/seed_cluster.rs
+++ b/crates/deckwind-testkit/tests/testsuite/seed_cluster.rs
@@ -140,6 +140,14 @@
         self.unreachable.insert(slot);
     }
 
+    /// Stops or resumes a replica that stands still.
+    pub fn freeze(&mut self, slot: u32, is_frozen: bool) {
+        match is_frozen {
+            true => self.frozen.insert(slot),
+            false => self.frozen.remove(&slot),
+        };
+    }
+
     /// Loses the messages between two groups of slots, in both directions.
     pub fn cut(&mut self, side: &[u32], other: &[u32]) {
         for a in side {
@@ -260,6 +268,13 @@
         leader.members().voters.iter().map(|id| id.slot).collect()
     }
 
+    /// Returns whether the leader's log names the replica that runs at this slot as a voter.
+    pub fn identity_votes(&self, slot: u32) -> bool {
+        let leader = self.leader().expect("there is a leader");
+        let running = self.replicas.get(&slot);
+        running.is_some_and(|r| leader.members().voters.contains(&r.id()))
+    }
+
     /// Describes the members for messages of failed tests.
     pub fn describe(&self) -> String {
         let describe = |r: &Replica| {
--- a/crates/deckwind-testkit/tests/testsuite/specification.rs
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -3,9 +3,10 @@
 
 use deckwind_spec::{
     AttributionSpec, Case, ClaimRules, ClaimSpec, ForwardingSpec, LimitBounds, LimitRules,
-    LimitSpec, LogBounds, LogRules, LogSpec, RetryBounds, RetryRules, RetrySpec, Spec,
-    StreamEndBounds, StreamEndRules, StreamEndSpec, TunnelSpec, attribution_cases, claim_cases,
-    explore, forwarding_cases, limit_cases, log_cases, retry_cases, stream_end_cases, tunnel_cases,
+    LimitSpec, LogBounds, LogRules, LogSpec, MembershipFaults, MembershipRules, MembershipSpec,
+    RetryBounds, RetryRules, RetrySpec, Spec, StreamEndBounds, StreamEndRules, StreamEndSpec,
+    TunnelSpec, attribution_cases, claim_cases, explore, forwarding_cases, limit_cases, log_cases,
+    membership_cases, retry_cases, stream_end_cases, tunnel_cases,
 };
 
 /// Asserts that without any one rule, exploration finds a run that violates the
@@ -137,3 +138,22 @@
 fn without_any_one_of_its_rules_the_attribution_breaks() {
     assert_each_rule_is_needed(attribution_cases());
 }
+
+/// Guards against a replica that is taken in and never votes, and against one that keeps
+/// others out.
+#[test]
+fn with_all_rules_all_wanted_replicas_vote_again() {
+    for faults in MembershipFaults::SMALL {
+        let rules = MembershipRules::ALL;
+        let explored = explore(&MembershipSpec { rules, faults });
+        println!("{faults:?}: {} states", explored.states);
+        assert_eq!(explored.counterexample, None, "{faults:?}");
+        assert!(explored.states > 500, "{faults:?}: {}", explored.states);
+    }
+}
+
+/// Guards against a rule of taking replicas in that protects nothing.
+#[test]
+fn without_any_one_of_their_rules_not_all_replicas_vote() {
+    assert_each_rule_is_needed(membership_cases());
+}
--- a/crates/deckwindd/src/control/member_metrics.rs
+++ b/crates/deckwindd/src/control/member_metrics.rs
@@ -93,11 +93,14 @@
 
 fn details(reason: WaitReason) -> String {
     match reason {
-        WaitReason::Behind(other) | WaitReason::SlotHeld(other) => format!(" other={other}"),
+        WaitReason::Replacing(Some(voter)) => format!(" voter={voter}"),
         WaitReason::CatchingUp { synced, commit } => {
             format!(" synced={} commit={}", synced.0, commit.0)
         }
-        WaitReason::ChangeUncommitted | WaitReason::Silent => String::new(),
+        WaitReason::ChangeUncommitted
+        | WaitReason::Asked
+        | WaitReason::Replacing(None)
+        | WaitReason::Silent => String::new(),
     }
 }
 
