Release, targets and lease of a router are one value, replaced and read as a whole

Cause: `renew` extended the lease first and put the release that came with it in force some milliseconds later; requests read the one and the other in two steps. With several cores a request found the new lease and the old release. Ruled out: a lease granted without the release (401 follows without another renewal).

Change: ServingState holds all three. What comes with a grant is prepared before its lease counts anywhere. A request admitted before a lapse is admitted again before it is sent. Related paths: a grant whose changes can't be applied no longer extends the lease; a request whose body took long runs as it was admitted last; readiness and tunnels read the same value.

Tests: serving_state.rs.

Why it works: there is no moment at which a reader could find the new lease with anything older than what came with it.

--- a/crates/deckwind-core/src/membership/router_lease.rs
+++ b/crates/deckwind-core/src/membership/router_lease.rs
@@ -61,10 +61,21 @@
         }
     }
 
+    /// Returns the configuration after the changes of a grant of this term, or `None` if
+    /// they change nothing or the grant is to be ignored.
+    pub fn preview(&self, term: Term, delta: &Delta) -> Option<Configuration> {
+        if term < self.term || delta.to <= self.applied() {
+            return None;
+        }
+        let mut cfg = self.configuration.clone();
+        cfg.merge(delta.clone()).then_some(cfg)
+    }
+
     /// Applies a grant and its configuration changes. Ignores grants of an older term,
-    /// which come from a deposed leader. Returns whether the grant was applied.
+    /// which come from a deposed leader, and grants whose changes can't be applied: the
+    /// lease counts only together with them. Returns whether the grant was applied.
     pub fn apply_grant(&mut self, grant: LeaseGrant, delta: Delta) -> bool {
-        if grant.term < self.term {
+        if grant.term < self.term || !self.configuration.merge(delta) {
             return false;
         }
         self.term = grant.term;
@@ -73,7 +84,6 @@
             .unwrap_or(self.timing.ttl)
             .min(self.timing.ttl);
         self.expires_at = self.expires_at.max(grant.requested_at + lasts);
-        self.configuration.merge(delta);
         true
     }
 
@@ -92,6 +102,11 @@
         self.configuration.revision()
     }
 
+    /// Returns the time at which the lease expires.
+    pub fn expires_at(&self) -> Instant {
+        self.expires_at
+    }
+
     /// Returns whether the lease is live.
     pub fn is_live(&self, now: Instant) -> bool {
         now < self.expires_at
--- a/crates/deckwind-core/src/router/router_core.rs
+++ b/crates/deckwind-core/src/router/router_core.rs
@@ -134,7 +134,8 @@
     }
 
     /// Applies a lease grant from the leader, with the configuration changes, rate
-    /// shares and number of routers that come with it.
+    /// shares and number of routers that come with it. Returns whether it was applied; see
+    /// [`RouterLeaseState::apply_grant`].
     pub fn apply_grant(
         &mut self,
         grant: LeaseGrant,
@@ -142,7 +143,7 @@
         delta: Delta,
         shares: Vec<(AccountName, AccountShare)>,
         routers: u32,
-    ) {
+    ) -> bool {
         let changed = ChangedKinds {
             accounts: !delta.accounts.is_empty(),
             targets: !delta.targets.is_empty(),
@@ -150,7 +151,7 @@
         };
         let new_leader = grant.term > self.lease.term();
         if !self.lease.apply_grant(grant, delta) {
-            return;
+            return false;
         }
         if new_leader {
             self.limiter.reset_reported();
@@ -164,6 +165,7 @@
             self.resize_pools(now);
         }
         self.set_rates(now);
+        true
     }
 
     /// Rebuilds the state derived from the kinds of objects that changed. The index
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -19,6 +19,7 @@
 mod retry_after;
 mod retry_budget;
 mod returning_callers;
+mod serving_state;
 mod silence_evidence;
 mod slow_readers;
 pub mod stall_detection;
@@ -41,6 +42,7 @@
 pub use retry_after::RefusalReason;
 pub use retry_budget::{PoolRetryBudget, ProcessStart, RetryBudgets, RetryLimits, RetrySource};
 pub use returning_callers::ReturningCallers;
+pub use serving_state::{ServingChanges, ServingState};
 pub use silence_evidence::SilenceEvidence;
 pub use slow_readers::{
     AnswerArena, AnswerKey, BufferLimits, DisconnectOrder, LaggingCaller, MAX_SPARED_CHUNKS,
--- a/crates/deckwind-core/src/state/configuration.rs
+++ b/crates/deckwind-core/src/state/configuration.rs
@@ -158,8 +158,9 @@
         }
     }
 
-    /// Merges a delta. An object is replaced only by a newer revision of it.
-    pub fn merge(&mut self, delta: Delta) {
+    /// Merges a delta. An object is replaced only by a newer revision of it. Returns false
+    /// if the release of the delta can't be applied; the revision then stays unchanged.
+    pub fn merge(&mut self, delta: Delta) -> bool {
         merge(&mut self.templates, delta.templates);
         merge(&mut self.accounts, delta.accounts);
         merge(&mut self.targets, delta.targets);
@@ -174,6 +175,7 @@
         if is_applied {
             self.revision = self.revision.max(delta.to);
         }
+        is_applied
     }
 
     fn release_since(&self, since: Revision) -> Option<ReleaseDelta> {
--- a/crates/deckwind-spec/src/lib.rs
+++ b/crates/deckwind-spec/src/lib.rs
@@ -23,6 +23,7 @@
 mod retry_cases;
 mod retry_rules;
 mod retry_spec;
+mod serving_spec;
 mod stream_end_cases;
 mod stream_end_rules;
 mod stream_end_spec;
@@ -40,6 +41,7 @@
 pub use retry_cases::retry_cases;
 pub use retry_rules::{RetryBounds, RetryRules};
 pub use retry_spec::RetrySpec;
+pub use serving_spec::{ServingRules, ServingSpec, serving_cases};
 pub use stream_end_cases::stream_end_cases;
 pub use stream_end_rules::{StreamEndBounds, StreamEndRules};
 pub use stream_end_spec::StreamEndSpec;
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -68,6 +68,7 @@
 mod routes;
 mod seed_cluster;
 mod seeds;
+mod serving_state;
 mod sessions;
 mod settings;
 mod shared_rate_limit;
--- a/crates/deckwind-testkit/tests/testsuite/specification.rs
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -4,9 +4,10 @@
 use deckwind_spec::{
     AttributionSpec, Case, ClaimRules, ClaimSpec, ForwardingSpec, LimitBounds, LimitRules,
     LimitSpec, LogBounds, LogRules, LogSpec, MembershipFaults, MembershipRules, MembershipSpec,
-    RetryBounds, RetryRules, RetrySpec, Spec, StreamEndBounds, StreamEndRules, StreamEndSpec,
-    TunnelSpec, attribution_cases, claim_cases, explore, forwarding_cases, limit_cases, log_cases,
-    membership_cases, retry_cases, stream_end_cases, tunnel_cases,
+    RetryBounds, RetryRules, RetrySpec, ServingRules, ServingSpec, Spec, StreamEndBounds,
+    StreamEndRules, StreamEndSpec, TunnelSpec, attribution_cases, claim_cases, explore,
+    forwarding_cases, limit_cases, log_cases, membership_cases, retry_cases, serving_cases,
+    stream_end_cases, tunnel_cases,
 };
 
 /// Asserts that without any one rule, exploration finds a run that violates the
@@ -157,3 +158,19 @@
 fn without_any_one_of_their_rules_not_all_replicas_vote() {
     assert_each_rule_is_needed(membership_cases());
 }
+
+/// Guards against a request that a router admits by a new lease and an old release.
+#[test]
+fn with_all_rules_no_request_runs_with_a_revoked_key() {
+    let rules = ServingRules::ALL;
+    let explored = explore(&ServingSpec { rules });
+    println!("{} states", explored.states);
+    assert_eq!(explored.counterexample, None);
+    assert!(explored.states > 15, "{}", explored.states);
+}
+
+/// Guards against a rule of serving that protects nothing.
+#[test]
+fn without_any_one_of_their_rules_routers_serve_by_an_old_release() {
+    assert_each_rule_is_needed(serving_cases());
+}
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -126,16 +126,28 @@
     shared
         .routes
         .apply_grant(sent_at, now, lease_duration, &in_use, &grant);
+    // The changes are prepared before the lease counts anywhere: no request may be served
+    // by the new lease and the old configuration.
+    let cfg = shared.core().lease().preview(grant.term, &delta);
+    let changes = cfg.map(|cfg| shared.routes.prepare(now, &cfg));
+    let has_changes = changes.is_some();
     let lease = grant.lease(sent_at);
-    let old_revision = shared.core().lease().applied();
-    shared
-        .core()
-        .apply_grant(lease, now, delta, grant.shares, grant.routers);
-    let applied = shared.core().lease().applied();
-    if applied > old_revision {
+    let (is_applied, until, applied) = {
+        let mut core = shared.core();
+        let is_applied = core.apply_grant(lease, now, delta, grant.shares, grant.routers);
+        (
+            is_applied,
+            core.lease().expires_at(),
+            core.lease().applied(),
+        )
+    };
+    if !is_applied {
+        log::warn!("event=grant_ignored vm={} revision={applied}", shared.vm);
+        return false;
+    }
+    shared.routes.renew(now, until, changes);
+    if has_changes {
         drop_unused_clients(shared);
-        let cfg = shared.core().configuration().clone();
-        shared.routes.configuration_changed(now, &cfg);
         metrics::gauge!("deckwind_router_revision", "vm" => shared.vm.to_string())
             .set(applied.0 as f64);
         log::info!(
--- a/crates/deckwindd/src/router/routes/http_server.rs
+++ b/crates/deckwindd/src/router/routes/http_server.rs
@@ -8,7 +8,7 @@
 use super::{non_streaming, opening};
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
-use deckwind_core::routes::{Permit, ReleaseIndex, SendVerdict, TargetChoice};
+use deckwind_core::routes::{Permit, ReleaseIndex, SendVerdict, ServingState, TargetChoice};
 use deckwind_core::state::{
     CallerLimits, ContentDigest, MAX_PARTS, Pool, RequestTraits, Route, RouteKind,
 };
@@ -87,6 +87,8 @@
     pub rank: u8,
     /// Time of arrival.
     pub arrived: Instant,
+    /// Time at which the release in force admitted the request.
+    admitted_at: Instant,
     /// Deadline of the request.
     pub deadline: Instant,
 }
@@ -107,11 +109,21 @@
         }
     }
 
-    /// Whether the router still has a lease. Checked just before each send, because a
-    /// request with a key that was revoked meanwhile must not run.
-    pub fn has_lease(&self) -> bool {
+    /// Checks that the request may still run, just before each send. A request that was
+    /// admitted before the lease lapsed is admitted again: its key may have been revoked
+    /// meanwhile.
+    ///
+    /// # Errors
+    /// If the router has no lease, or the release in force does not admit the request.
+    pub fn check_admitted(&self) -> Result<(), Failure> {
         let now = self.shared.clock.now();
-        self.shared.core().lease().is_live(now)
+        let serving = self.shared.routes.serving();
+        if serving.is_live_since(now, self.admitted_at) {
+            return Ok(());
+        }
+        let admission = authorize(&self.shared, &serving, &self.head, &self.parts)?;
+        let is_same = admission.route.name == self.route.name && admission.account == self.account;
+        is_same.then_some(()).ok_or(Failure::NoRoute)
     }
 
     /// Decides whether the request may be sent to a target.
@@ -327,20 +339,24 @@
     arrived: Instant,
 ) -> Result<Job, Failure> {
     await_first_release(shared, &head).await;
-    let release = shared.routes.release();
-    let release = release.ok_or_else(|| lease_failure(shared))?;
-    let authorized = authorize(shared, &release, &head, parts)?;
-    let (route, account, priority) = authorized;
-    if !shared.routes.admits(route.kind) {
+    let serving = shared.routes.serving();
+    let admission = authorize(shared, &serving, &head, parts)?;
+    if !shared.routes.admits(admission.route.kind) {
         return Err(Failure::Stopping);
     }
-    let limits = release.release().limits;
+    let limits = admission.release.release().limits;
     let (body, held) = read_body(body, limits, &shared.routes.deliveries).await?;
     // Reading the body may have taken long, and what was allowed before may no longer
     // be.
-    let release = shared.routes.release();
-    let release = release.ok_or_else(|| lease_failure(shared))?;
-    authorize(shared, &release, &head, parts)?;
+    let admitted_at = shared.clock.now();
+    let serving = shared.routes.serving();
+    let admission = authorize(shared, &serving, &head, parts)?;
+    let Admission {
+        release,
+        route,
+        account,
+        priority,
+    } = admission;
     let pool = release.pool(&route, rand::random());
     let pool = pool.cloned().ok_or(Failure::NoTarget)?;
     shared.routes.count_request(shared.clock.now(), &pool.name);
@@ -367,6 +383,7 @@
         route,
         pool,
         arrived,
+        admitted_at,
     })
 }
 
@@ -416,26 +433,36 @@
     }
 }
 
-type Authorized = (Route, Option<String>, Option<u8>);
+/// Why and as whose a request may run.
+struct Admission {
+    release: Arc<ReleaseIndex>,
+    route: Route,
+    account: Option<String>,
+    /// Priority of the account.
+    priority: Option<u8>,
+}
 
 fn authorize(
     shared: &RouterShared,
-    release: &ReleaseIndex,
+    serving: &ServingState,
     head: &CallerRequestHead,
     parts: &Parts,
-) -> Result<Authorized, Failure> {
-    if !shared.core().lease().is_live(shared.clock.now()) {
-        return Err(lease_failure(shared));
-    }
+) -> Result<Admission, Failure> {
+    let is_live = serving.is_live(shared.clock.now());
+    let release = serving.release().filter(|_| is_live);
+    let release = release.ok_or_else(|| lease_failure(shared))?;
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
     let route = release.route(host, parts.uri.path());
     let route = route.ok_or(Failure::NoRoute)?;
     let rights = release.admit(route, head.key.as_ref());
     let rights = rights.map_err(|_| Failure::UnknownKey)?;
-    let account = rights.map(|r| r.account.to_string());
-    let priority = rights.and_then(|r| r.priority);
-    Ok((route.clone(), account, priority))
+    Ok(Admission {
+        release: release.clone(),
+        route: route.clone(),
+        account: rights.map(|r| r.account.to_string()),
+        priority: rights.and_then(|r| r.priority),
+    })
 }
 
 async fn read_body(
@@ -497,9 +524,9 @@
 fn ready(shared: &RouterShared, req: &Request<Incoming>) -> Response<RouteBody> {
     let known =
         req.method() == Method::GET && req.uri().path() == shared.cx.dialects.callers.ready_path();
-    let live = shared.core().lease().is_live(shared.clock.now());
-    let serves = live
-        && shared.routes.release().is_some()
+    let serving = shared.routes.serving();
+    let serves = serving.is_live(shared.clock.now())
+        && serving.release().is_some()
         && !shared.routes.is_draining()
         && !shared.control.is_partitioned();
     let status = match (known, serves) {
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -32,12 +32,13 @@
 pub use target_run::format_parts;
 
 use crate::context::{Context, announce_interval};
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use deckwind_config::RouterSettings;
 use deckwind_core::control::{EngineFull, EngineStreamLoad, Grant, LimitReport, RetryReport};
 use deckwind_core::routes::{
     EndedIncarnation, InstanceIndex, ProcessStart, ReleaseIndex, RequestClass, RetryBudgets,
-    RetryLimits, RetrySource, ReturningCallers, TargetFault, TargetRecords,
+    RetryLimits, RetrySource, ReturningCallers, ServingChanges, ServingState, TargetFault,
+    TargetRecords,
 };
 use deckwind_core::state::{
     Configuration, Instance, InstanceState, Pool, Revision, Route, RouteKind,
@@ -69,8 +70,8 @@
 
 /// State that the tasks of published routes share.
 pub struct Routes {
-    release: ArcSwapOption<ReleaseIndex>,
-    instances: ArcSwap<InstanceIndex>,
+    /// Written by the task that renews the lease alone.
+    serving: ArcSwap<ServingState>,
     target_records: Mutex<TargetRecords>,
     retry_budgets: Mutex<RetryBudgets>,
     clock: Clock,
@@ -133,8 +134,7 @@
             first: seeds.is_some_and(|s| s.first_start),
         };
         Self {
-            release: ArcSwapOption::empty(),
-            instances: ArcSwap::default(),
+            serving: ArcSwap::default(),
             target_records: Mutex::default(),
             retry_budgets: Mutex::new(RetryBudgets::new(limits, started)),
             clock: cx.clock,
@@ -165,14 +165,25 @@
         pool.max_idle_connections(self.routers.load(Ordering::Relaxed))
     }
 
+    /// Returns the release, the targets and the lease of this router.
+    pub fn serving(&self) -> Arc<ServingState> {
+        self.serving.load_full()
+    }
+
     /// Returns the release in force at this router.
     pub fn release(&self) -> Option<Arc<ReleaseIndex>> {
-        self.release.load_full()
+        self.serving().release().cloned()
     }
 
     /// Returns the targets of the applied configuration.
     pub fn instances(&self) -> Arc<InstanceIndex> {
-        self.instances.load_full()
+        self.serving().instances().clone()
+    }
+
+    /// Puts a renewed lease in force, together with what came with it.
+    pub fn renew(&self, now: Instant, until: Instant, changes: Option<ServingChanges>) {
+        let serving = self.serving().renewed(now, until, changes);
+        self.serving.store(Arc::new(serving));
     }
 
     /// Locks the records of targets. Hold the lock for one call only.
@@ -260,9 +271,11 @@
         self.retry_budgets.lock().expect("no holder panics")
     }
 
-    /// Applies a changed configuration.
-    pub fn configuration_changed(&self, now: Instant, cfg: &Configuration) {
-        let before = self.release().map(|r| r.revision());
+    /// Prepares a changed configuration, which is in force with the next renewal of the
+    /// lease. Quarantined requests are refused, and ended targets forgotten, from now on.
+    pub fn prepare(&self, now: Instant, cfg: &Configuration) -> ServingChanges {
+        let mut release = self.release();
+        let before = release.as_ref().map(|r| r.revision());
         if before != Some(cfg.release_revision()) {
             let index = ReleaseIndex::new(cfg);
             if let Some(index) = &index {
@@ -271,8 +284,6 @@
                     index.release().version,
                     index.revision()
                 );
-            }
-            if let Some(index) = &index {
                 let known = |pool: &str| index.release().pool(pool).is_some();
                 let mut budgets = self.retry_budgets.lock().expect("no holder panics");
                 budgets.retain(known);
@@ -281,7 +292,7 @@
                 let mut callers = self.returning_callers.lock().expect("no holder panics");
                 callers.retain(known);
             }
-            self.release.store(index.map(Arc::new));
+            release = index.map(Arc::new);
         }
         let index = InstanceIndex::new(cfg);
         let before = self.instances();
@@ -294,7 +305,10 @@
         self.connections.retain(|a| addresses.contains(a));
         self.target_records().retain(now, |a| addresses.contains(a));
         self.update_silent(now, &index);
-        self.instances.store(Arc::new(index));
+        ServingChanges {
+            release,
+            instances: Arc::new(index),
+        }
     }
 
     /// Records which targets the control replicas don't hear.
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -153,8 +153,8 @@
             Ok(choice) => choice,
             Err(failure) => return AttemptEnd::Stopped(failure),
         };
-        if !self.job.has_lease() {
-            return AttemptEnd::Stopped(Failure::NoLease);
+        if let Err(failure) = self.job.check_admitted() {
+            return AttemptEnd::Stopped(failure);
         }
         if self.job.time_left().is_zero() {
             return AttemptEnd::Stopped(Failure::NoTime);
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -146,9 +146,7 @@
                     Failure::NoTime
                 });
             }
-            if !self.job.has_lease() {
-                return Err(final_failure(Failure::NoLease));
-            }
+            self.job.check_admitted().map_err(final_failure)?;
             let retry_spent = std::mem::take(&mut self.retry_spent);
             if is_retry && !retry_spent && !self.acquire_retry(is_new).await {
                 return Err(final_failure(Failure::NoRepeat));
--- a/crates/deckwindd/src/router/tunnels.rs
+++ b/crates/deckwindd/src/router/tunnels.rs
@@ -215,12 +215,11 @@
     shared: &RouterShared,
     target: SocketAddr,
 ) -> Result<BoxedStream, TunnelRefusal> {
-    let has_lease = shared.core().lease().is_live(shared.clock.now());
-    if !has_lease || shared.routes.is_draining() {
+    let serving = shared.routes.serving();
+    if !serving.is_live(shared.clock.now()) || shared.routes.is_draining() {
         return Err(TunnelRefusal::NotServing);
     }
-    let instances = shared.routes.instances();
-    if !instances.iter().any(|i| i.address == target) {
+    if !serving.instances().iter().any(|i| i.address == target) {
         return Err(TunnelRefusal::UnknownTarget);
     }
     let connecting = shared.routes.connections.connect_for_peer(target);
