A data folder remembers that it was created at the first start of the system

Cause: only the lowest seed forms the cluster, and only while its settings call this the first start. At its second start they don't, and its disk remembered nothing.

Change: a new folder remembers the first start and the seeds; a seed may form the cluster if its folder remembers one with the same seeds. Pre-votes wait for the sync while there are unsynced entries, so nobody knows of a cluster that its former may lose.

A seed that lost its disk forms no cluster; the folder remembers whenever the power is lost.

Why it works: what a seed has to know at its second start is on its disk before it can do anything else.

--- a/crates/deckwind-core/src/replication/election.rs
+++ b/crates/deckwind-core/src/replication/election.rs
@@ -36,7 +36,10 @@
         self.votes.clear();
         self.reset_retry_timer(now);
         let last = self.log.last();
-        self.ask_voters(Body::PreVote { last }, false, out);
+        // A cluster that was just formed must not be known to others before it is synced:
+        // they would wait for it if it were lost.
+        let needs_sync = self.synced != last;
+        self.ask_voters(Body::PreVote { last }, needs_sync, out);
         self.count_pre_vote(now, self.cfg.id, out);
     }
 
--- a/crates/deckwind-core/src/replication/types.rs
+++ b/crates/deckwind-core/src/replication/types.rs
@@ -85,6 +85,26 @@
     pub desired_voters: usize,
 }
 
+impl SeedDiscovery {
+    /// Creates the configuration of the replica at `slot`. It may form the cluster if it is
+    /// a seed and the whole system starts for the first time (`is_first_start`), or if its
+    /// data folder was created at that start with the same seeds: it may have been stopped
+    /// before there was a cluster. A replica that lost its disk remembers nothing.
+    pub fn new(
+        slot: u32,
+        seeds: &BTreeSet<u32>,
+        is_first_start: bool,
+        first_seeds: Option<&BTreeSet<u32>>,
+        desired_voters: usize,
+    ) -> Self {
+        let remembers = first_seeds == Some(seeds);
+        Self {
+            may_form: seeds.contains(&slot) && (is_first_start || remembers),
+            desired_voters,
+        }
+    }
+}
+
 /// Configuration of a replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaConfig {
--- a/crates/deckwind-store/src/lib.rs
+++ b/crates/deckwind-store/src/lib.rs
@@ -6,6 +6,7 @@
 //! ```text
 //!  data folder
 //!  ├ identity       identifier of the replica; written once
+//!  ├ first_start    slots of the seeds, if created at the first start of the whole system
 //!  ├ snapshot       state up to an entry; replaced as a whole
 //!  ├ log            one record per batch after it: magic, length, CRC-32, body
 //!  └ lock           locked by the daemon that uses the folder
--- a/crates/deckwind-store/src/store.rs
+++ b/crates/deckwind-store/src/store.rs
@@ -4,10 +4,12 @@
 use crate::record::{self, RecordError};
 use deckwind_core::replication::{Entry, HardState, ReplicaId, SnapshotMeta, Stored};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::io;
 use thiserror::Error;
 
 const IDENTITY: &str = "identity";
+const FIRST_START: &str = "first_start";
 const SNAPSHOT: &str = "snapshot";
 const LOG: &str = "log";
 
@@ -77,6 +79,9 @@
     pub id: ReplicaId,
     /// Whether the folder was new.
     pub is_new: bool,
+    /// Slots of the seeds at the first start of the whole system, if the folder was created
+    /// then.
+    pub first_seeds: Option<BTreeSet<u32>>,
     /// State to pass to [`deckwind_core::replication::Replica::new`].
     pub stored: Stored,
     /// Encoded state in the snapshot, if there is one.
@@ -96,11 +101,19 @@
 
 impl Store {
     /// Opens a data folder. `fresh` is the identifier that a new folder gets.
-    pub fn open(
+    pub fn open(disk: Box<dyn Disk>, fresh: ReplicaId) -> Result<(Self, OpenedStore), StoreError> {
+        Self::open_at_start(disk, fresh, None)
+    }
+
+    /// Opens a data folder like [`Store::open`]. With `first_seeds` the whole system starts
+    /// for the first time: a new folder remembers that, and these slots of the seeds.
+    pub fn open_at_start(
         mut disk: Box<dyn Disk>,
         fresh: ReplicaId,
+        first_seeds: Option<&BTreeSet<u32>>,
     ) -> Result<(Self, OpenedStore), StoreError> {
-        let (id, is_fresh) = open_identity(disk.as_mut(), fresh)?;
+        let (id, is_fresh) = open_identity(disk.as_mut(), fresh, first_seeds)?;
+        let first_seeds = read_single_record(disk.as_ref(), FIRST_START)?;
         let snapshot: Option<Snapshot> = read_single_record(disk.as_ref(), SNAPSHOT)?;
         let (batches, end, truncated_bytes) = open_log(disk.as_mut())?;
         let mut stored = Stored::default();
@@ -124,6 +137,7 @@
         let opened = OpenedStore {
             id,
             is_new: is_fresh,
+            first_seeds,
             stored,
             snapshot: snapshot_data,
             truncated_bytes,
@@ -230,8 +244,13 @@
 }
 
 /// Returns the identifier in the folder and whether the folder is new. A new folder
-/// gets an empty log and the identifier `fresh`.
-fn open_identity(disk: &mut dyn Disk, fresh: ReplicaId) -> Result<(ReplicaId, bool), StoreError> {
+/// gets an empty log, the slots of the seeds at a first start, and the identifier `fresh`.
+/// The identifier comes last: a folder without one is new.
+fn open_identity(
+    disk: &mut dyn Disk,
+    fresh: ReplicaId,
+    first_seeds: Option<&BTreeSet<u32>>,
+) -> Result<(ReplicaId, bool), StoreError> {
     if let Some(id) = read_single_record::<ReplicaId>(disk, IDENTITY)? {
         if id.slot != fresh.slot {
             return Err(StoreError::OtherSlot {
@@ -242,6 +261,9 @@
         return Ok((id, false));
     }
     replace_file(disk, LOG, &[])?;
+    if let Some(seeds) = first_seeds {
+        replace_file(disk, FIRST_START, &record::encode(seeds))?;
+    }
     replace_file(disk, IDENTITY, &record::encode(&fresh))?;
     Ok((fresh, true))
 }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod event_splitter;
 mod examples;
 mod fan_out;
+mod first_start;
 mod full_disk;
 mod growth;
 mod inbox;
--- a/crates/deckwind-testkit/tests/testsuite/seed_cluster.rs
+++ b/crates/deckwind-testkit/tests/testsuite/seed_cluster.rs
@@ -32,6 +32,8 @@
 struct Disk {
     id: ReplicaId,
     stored: Stored,
+    /// Slots of the seeds, if the folder was created at the first start of the whole system.
+    first_seeds: Option<BTreeSet<u32>>,
 }
 
 impl Disk {
@@ -107,8 +109,12 @@
             slot,
             identity: self.identity,
         };
-        let stored = Stored::default();
-        self.disks.insert(slot, Disk { id, stored });
+        let disk = Disk {
+            id,
+            stored: Stored::default(),
+            first_seeds: first_start.then(|| SEEDS.into_iter().collect()),
+        };
+        self.disks.insert(slot, disk);
         self.start(slot, first_start);
     }
 
@@ -119,14 +125,14 @@
 
     fn start(&mut self, slot: u32, first_start: bool) {
         let disk = &self.disks[&slot];
-        let slots = SEEDS.into_iter().chain([slot]);
+        let seeds: BTreeSet<u32> = SEEDS.into_iter().collect();
+        let slots = seeds.iter().copied().chain([slot]);
         let seed = u64::from(slot) + self.identity + self.now_ms;
         let mut cfg = ReplicaConfig::new(disk.id, slots, seed);
         cfg.timing = self.timing;
-        cfg.seed_discovery = Some(SeedDiscovery {
-            may_form: first_start && SEEDS.contains(&slot),
-            desired_voters: VOTERS,
-        });
+        let first_seeds = disk.first_seeds.as_ref();
+        let discovery = SeedDiscovery::new(slot, &seeds, first_start, first_seeds, VOTERS);
+        cfg.seed_discovery = Some(discovery);
         let now = Instant::from_millis(self.now_ms);
         let replica = Replica::new(cfg, disk.stored.clone(), now);
         self.replicas.insert(slot, replica);
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -24,7 +24,7 @@
 use deckwind_net::targets::ConnectionPool;
 use deckwind_store::{OpenedStore, Store};
 use deckwind_wire::ControlReply;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
@@ -85,13 +85,13 @@
         senders: Senders,
         handle: ControlHandle,
     ) -> Result<Self> {
-        let mut slots = cx.known_slots();
-        let is_seed = slots.contains(&cfg.slot);
-        slots.push(cfg.slot);
+        let seeds: BTreeSet<u32> = cx.known_slots().into_iter().collect();
+        let slots = seeds.iter().copied().chain([cfg.slot]);
         let mut replica = ReplicaConfig::new(opened.id, slots, rand::random());
-        replica.seed_discovery = cx.settings.seeds.as_ref().map(|s| SeedDiscovery {
-            may_form: s.first_start && is_seed,
-            desired_voters: 2 * usize::from(s.lost_at_once) + 1,
+        replica.seed_discovery = cx.settings.seeds.as_ref().map(|s| {
+            let desired_voters = 2 * usize::from(s.lost_at_once) + 1;
+            let first_seeds = opened.first_seeds.as_ref();
+            SeedDiscovery::new(cfg.slot, &seeds, s.first_start, first_seeds, desired_voters)
         });
         replica.timing = Timing {
             heartbeat: cfg.heartbeat,
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -57,7 +57,7 @@
         cfg: &ControlSettings,
         open_disk: OpenDisk,
     ) -> Result<Self> {
-        let (store, opened) = supervisor::open(&open_disk, cfg)?;
+        let (store, opened) = supervisor::open(cx, &open_disk, cfg)?;
         let _guard = cx.runtime.enter();
         let address = cx.control_address(cfg.slot)?;
         let peer = QuicPeer::bind(address, cx.key_files().as_ref(), MAX_MESSAGE_BYTES)?;
--- a/crates/deckwindd/src/control/supervisor.rs
+++ b/crates/deckwindd/src/control/supervisor.rs
@@ -38,18 +38,25 @@
 }
 
 /// Opens the data folder of a replica, with a new random identity if it holds none.
-pub fn open(open_disk: &OpenDisk, cfg: &ControlSettings) -> Result<(Store, OpenedStore)> {
+pub fn open(
+    cx: &Context,
+    open_disk: &OpenDisk,
+    cfg: &ControlSettings,
+) -> Result<(Store, OpenedStore)> {
     let disk = open_disk(&cfg.data_folder)?;
     let fresh = ReplicaId {
         slot: cfg.slot,
         identity: rand::random(),
     };
-    let (store, opened) = Store::open(disk, fresh)
+    let is_first_start = cx.settings.seeds.as_ref().is_some_and(|s| s.first_start);
+    let first_seeds = is_first_start.then(|| cx.known_slots().into_iter().collect());
+    let (store, opened) = Store::open_at_start(disk, fresh, first_seeds.as_ref())
         .with_context(|| format!("data folder {}", cfg.data_folder.display()))?;
     log::info!(
-        "event=store_opened replica={} fresh={} entries={} cut_bytes={}",
+        "event=store_opened replica={} fresh={} first_start={} entries={} cut_bytes={}",
         opened.id,
         opened.is_new,
+        opened.first_seeds.is_some(),
         opened.stored.entries.len(),
         opened.truncated_bytes
     );
@@ -89,7 +96,7 @@
                     return Ok(None);
                 }
             }
-            match open(&self.open_disk, &self.cfg) {
+            match open(&self.cx, &self.open_disk, &self.cfg) {
                 Ok((store, opened)) => return self.driver(store, opened).map(Some),
                 Err(e) if is_disk_error(&e) => {
                     log::warn!("event=store_not_opened error={:?}", format!("{e:#}"));
