What a data folder holds at the start is synced before it counts

Found by reading (review): a record that was written and not synced when its process was killed counts as synced at the next start, in the position that the replica acknowledges by. A loss of power then takes it away, and with it an acknowledged entry, if a majority hangs on that copy.

Change: opening the folder syncs its log. Test store::what_a_start_finds_survives_a_loss_of_power; the open before this change has no sync on that path (by the code; the test was not run on it).

--- a/crates/deckwind-store/src/store.rs
+++ b/crates/deckwind-store/src/store.rs
@@ -269,7 +269,8 @@
 }
 
 /// Reads the log and truncates a torn last record. Returns the batches, the size of
-/// the log and the number of bytes truncated.
+/// the log and the number of bytes truncated. What is returned is synced: a process that
+/// was killed may have written it without a sync, and it counts as synced from now on.
 fn open_log(disk: &mut dyn Disk) -> Result<(Vec<Batch>, usize, usize), StoreError> {
     let bytes = disk
         .read(LOG)?
@@ -278,8 +279,8 @@
     let torn_bytes = bytes.len() - records.end;
     if torn_bytes > 0 {
         disk.truncate(LOG, records.end as u64)?;
-        disk.sync(LOG)?;
     }
+    disk.sync(LOG)?;
     Ok((records.values, records.end, torn_bytes))
 }
 
--- a/crates/deckwind-testkit/tests/testsuite/store.rs
+++ b/crates/deckwind-testkit/tests/testsuite/store.rs
@@ -217,3 +217,26 @@
         FsDisk::open(folder.path()).expect("the folder opens again");
     }
 }
+
+/// Guards against a record that was written and not synced when its process was killed, that
+/// counts as synced at the next start, and that a loss of power then takes away.
+#[test]
+fn what_a_start_finds_survives_a_loss_of_power() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = Store::open(Box::new(disk.clone()), ID).expect("a new folder");
+    store.put_entries(vec![entry(1, 1)]);
+    // The append succeeds; the process is killed before the sync.
+    disk.fail_after(1);
+    assert!(store.commit().is_err());
+    drop(store);
+    disk.clear_failure();
+    let open = || {
+        Store::open(Box::new(disk.clone()), ID)
+            .expect("the folder opens")
+            .1
+    };
+    let found = open().stored.entries;
+    assert_eq!(found, [entry(1, 1)]);
+    disk.crash(0);
+    assert_eq!(open().stored.entries, found);
+}
