The size of a head bounds the number of its fields, not the library's default

Found by the review: a request with more than 100 header fields got 431 however short it was; the manifest bounds the bytes of a head only. The router now reads as many fields as fit into that size, and answers of targets with up to 1,024 fields, which the library would have taken for broken above 100.

Test caller_bodies::a_short_head_of_many_fields_is_served (100 and 2,500 fields): 431 before in both, 200 now. Answers of targets have no test of their own.

--- a/crates/deckwind-net/src/targets/connection_pool.rs
+++ b/crates/deckwind-net/src/targets/connection_pool.rs
@@ -332,9 +332,13 @@
     }
 }
 
+/// Maximum number of header fields of a target's answer.
+const MAX_ANSWER_FIELDS: usize = 1_024;
+
 async fn handshake(address: SocketAddr, stream: BoxedStream) -> Result<RequestSender, TargetError> {
     let handshake = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_ANSWER_FIELDS)
         .handshake(TokioIo::new(stream));
     let handshake = handshake.await;
     let (tx, connection) =
--- a/crates/deckwind-testkit/tests/testsuite/caller_bodies.rs
+++ b/crates/deckwind-testkit/tests/testsuite/caller_bodies.rs
@@ -104,3 +104,20 @@
         rig.cluster.close().await.expect("closed");
     });
 }
+
+/// Guards against a head that is refused for the number of its fields, although it is no
+/// longer than a head may be.
+#[parameterized(
+    a_hundred = { 100 },
+    as_many_as_fit = { 2_500 },
+)]
+fn a_short_head_of_many_fields_is_served(fields: usize) {
+    run_async(async move {
+        let rig = Rig::start(1, 0).await;
+        rig.wait_until_served("/once/x", false).await;
+        let headers = format!("{}Content-Length: 2\r\n", "x:\r\n".repeat(fields));
+        let answered = send_raw(&rig, &request("many", &headers, "ab"), false).await;
+        assert_eq!(answered, Some(200));
+        rig.cluster.close().await.expect("closed");
+    });
+}
--- a/crates/deckwindd/src/router/routes/http_server.rs
+++ b/crates/deckwindd/src/router/routes/http_server.rs
@@ -60,6 +60,10 @@
 /// Minimum size in bytes of the buffer for a head that hyper accepts.
 const MIN_HEAD_BUFFER: usize = 8 * 1024;
 
+/// Size in bytes of the shortest header field, a name of one letter without a value: the size
+/// of a head bounds the number of its fields.
+const MIN_FIELD_BYTES: usize = "a:\r\n".len();
+
 /// A request that may run.
 pub struct Job {
     /// State that all tasks share.
@@ -249,6 +253,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.head_ms)))
         .max_buf_size((2 * limits.head_bytes as usize).max(MIN_HEAD_BUFFER))
+        .max_headers(limits.head_bytes as usize / MIN_FIELD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut serving = pin!(serving);
     let mut is_shutting_down = false;
