A learner has caught up once a round of entries takes less than an election timeout

A learner counted as caught up while it had synced all that was committed at that moment. Under a steady load on a slow link it never has.

Change: rounds, as in Ongaro's dissertation (section 4.2.1).

--- a/crates/deckwind-core/src/replication/admission.rs
+++ b/crates/deckwind-core/src/replication/admission.rs
@@ -42,6 +42,7 @@
             return;
         }
         self.forget_old_joins(now);
+        self.advance_rounds(now);
         let step = self
             .promotion(now)
             .or_else(|| self.replacement(now))
@@ -62,6 +63,17 @@
         }
     }
 
+    fn advance_rounds(&mut self, now: Instant) {
+        let last = self.log.last().index;
+        let members = &self.members;
+        let peers = self.leader_state.iter_mut().flat_map(|l| &mut l.peers);
+        for (id, p) in peers {
+            if members.learners.contains(id) {
+                p.rounds.advance(now, p.matched, last);
+            }
+        }
+    }
+
     /// Promotes a learner that is ready, unless it replaces a voter that is to go first.
     fn promotion(&self, now: Instant) -> Option<MemberStep> {
         let mut ready = self.ready_learners(now);
@@ -86,7 +98,7 @@
     /// Returns the learners that answer and have caught up.
     fn ready_learners(&self, now: Instant) -> impl Iterator<Item = ReplicaId> + '_ {
         let learners = self.members.learners.iter().copied();
-        learners.filter(move |id| !self.is_unresponsive(now, *id) && self.has_caught_up(*id))
+        learners.filter(move |id| !self.is_unresponsive(now, *id) && self.has_caught_up(now, *id))
     }
 
     fn is_voter_on_its_way(&self, now: Instant) -> bool {
@@ -142,8 +154,11 @@
         (answering >= self.cfg.desired_voters()).then_some(removal)
     }
 
-    fn has_caught_up(&self, id: ReplicaId) -> bool {
-        self.synced_by(id) >= self.commit
+    /// Returns whether a learner catches up in less than the shortest election timeout.
+    fn has_caught_up(&self, now: Instant, id: ReplicaId) -> bool {
+        let leader_state = self.leader_state.as_ref();
+        let progress = leader_state.and_then(|l| l.peers.get(&id));
+        progress.is_some_and(|p| p.rounds.are_short(now, self.cfg.timing.election_min))
     }
 
     /// Returns the last index that a peer is known to have synced.
@@ -196,7 +211,7 @@
         if self.is_unresponsive(now, id) {
             return WaitReason::Silent;
         }
-        if self.has_caught_up(id) {
+        if self.has_caught_up(now, id) {
             return WaitReason::Replacing(self.replaced_by(now, id));
         }
         WaitReason::CatchingUp {
--- a/crates/deckwind-core/src/replication/leader.rs
+++ b/crates/deckwind-core/src/replication/leader.rs
@@ -8,6 +8,7 @@
 use super::members::MemberChange;
 use super::message::Body;
 use super::replica::Replica;
+use super::rounds::Rounds;
 use super::types::{Action, ProposalRefusal, Role};
 use crate::time::Instant;
 use std::collections::BTreeMap;
@@ -24,6 +25,8 @@
     pub matched: Index,
     /// Send time of the latest message that the peer has answered.
     pub last_acked_send: Option<Instant>,
+    /// Rounds in which a learner catches up.
+    pub rounds: Rounds,
     /// Time at which a snapshot was last sent; none once the peer has answered.
     pub snapshot_sent: Option<Instant>,
     /// A large message, or a probe after a rejection, that must be answered before
@@ -93,6 +96,7 @@
             next,
             matched: Index(0),
             last_acked_send: None,
+            rounds: Rounds::starting_at(now),
             snapshot_sent: None,
             in_flight: None,
         }
--- a/crates/deckwind-core/src/replication/mod.rs
+++ b/crates/deckwind-core/src/replication/mod.rs
@@ -38,6 +38,7 @@
 mod members;
 mod message;
 mod replica;
+mod rounds;
 mod types;
 
 pub use fence::{Fence, FenceIssuer, FenceSupport};
--- a/crates/deckwind-testkit/tests/testsuite/member_changes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/member_changes.rs
@@ -182,3 +182,20 @@
     }
     assert_eq!(cluster.run_until_all_vote(CATCH_UP_MS), Some(0));
 }
+
+/// Guards against a replica on a slow link that never votes under a steady load, as it never
+/// has all entries of the moment.
+#[test]
+fn a_replica_votes_although_entries_come_faster_than_it_answers() {
+    let mut cluster = SeedCluster::formed();
+    let (lost, _) = lose_a_disk(&mut cluster);
+    cluster.delays.insert(lost, 30);
+    for token in 0..CATCH_UP_MS / 5 {
+        cluster.propose(token);
+        cluster.run(5);
+        if cluster.identity_votes(lost) {
+            return;
+        }
+    }
+    panic!("{}", cluster.describe());
+}
--- a/crates/deckwind-testkit/tests/testsuite/seed_cluster.rs
+++ b/crates/deckwind-testkit/tests/testsuite/seed_cluster.rs
@@ -59,6 +59,8 @@
     pub unreachable: BTreeSet<u32>,
     /// Directed pairs of slots between which messages are lost.
     pub cuts: BTreeSet<(u32, u32)>,
+    /// Additional delay of messages from and to a slot, ms.
+    pub delays: BTreeMap<u32, u64>,
     /// Slots that stand still; messages to them wait.
     frozen: BTreeSet<u32>,
     disks: BTreeMap<u32, Disk>,
@@ -85,6 +87,7 @@
             replicas: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             cuts: BTreeSet::new(),
+            delays: BTreeMap::new(),
             frozen: BTreeSet::new(),
             disks: BTreeMap::new(),
             timing,
@@ -178,7 +181,11 @@
             }
             match action {
                 Action::Append(entries) => synced = entries.last().map(|e| e.at),
-                Action::Send { message, .. } => self.in_flight.push((self.now_ms + 1, message)),
+                Action::Send { message, .. } => {
+                    let delay = |slot| self.delays.get(&slot).copied().unwrap_or(0);
+                    let takes = 1 + delay(slot) + delay(message.to_slot);
+                    self.in_flight.push((self.now_ms + takes, message));
+                }
                 _ => {}
             }
         }
