A router's own crashes in a file of their own

interrupted_runs.rs had two jobs: the runs, and the crashes that the router itself saw. No logic changed. `Groups::explain` answers a question and is named `explains`.

--- a/crates/deckwind-core/src/routes/interrupted_runs.rs
+++ b/crates/deckwind-core/src/routes/interrupted_runs.rs
@@ -20,6 +20,7 @@
 //! its caller can know. Its target may have crashed all the same, so a short one says nothing
 //! until the end of that incarnation would be known.
 
+use super::own_crashes::OwnCrashes;
 use crate::control::{DEFAULT_ANNOUNCE_INTERVAL, MAX_MISSED_ANNOUNCEMENTS};
 use crate::state::{
     ContentDigest, Crash, CrashedRun, Incarnation, QUARANTINE_THRESHOLD, RequestTrait,
@@ -51,10 +52,6 @@
 /// it then is broken off too, and is no evidence against its request.
 const BREAK_WINDOW: Duration = Duration::from_millis(500);
 
-/// Time until the list of suspects has come after the leader agreed on a crash. From then on
-/// it says what the crash means.
-const LIST_DELAY: Duration = Duration::from_secs(1);
-
 /// Time for which a crash counts that is not agreed, as in the agreed state.
 const OWN_CRASHES_TTL: Duration = Duration::from_secs(10 * 60);
 
@@ -103,26 +100,6 @@
     closed: Instant,
 }
 
-/// Crashes that this router observed while requests with one trait had just begun.
-#[derive(Clone, Debug)]
-struct OwnCrashes {
-    suspect: Suspect,
-    /// Number of crashes known when the last one was recorded, including those seen by
-    /// other routers.
-    known_crashes: usize,
-    last_crash: Instant,
-    /// Incarnation whose crash was recorded last, and the time at which that was agreed.
-    last_life: Incarnation,
-    agreed_at: Option<Instant>,
-}
-
-impl OwnCrashes {
-    /// Returns whether the agreed list says what the crashes mean.
-    fn is_agreed(&self, now: Instant) -> bool {
-        self.agreed_at.is_some_and(|at| now.since(at) >= LIST_DELAY)
-    }
-}
-
 /// Whether a request may be sent to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendVerdict {
@@ -365,22 +342,9 @@
             let own = self
                 .own_crashes
                 .entry(*suspect)
-                .or_insert_with(|| OwnCrashes {
-                    suspect: Suspect::default(),
-                    known_crashes: 0,
-                    last_crash: now,
-                    last_life: run.life.clone(),
-                    agreed_at: None,
-                });
-            own.last_crash = now;
+                .or_insert_with(|| OwnCrashes::new(now, &run.life));
             let crash = Crash::new(run.life.clone(), run.run, run.progress);
-            if own.suspect.record(crash) {
-                // Counted on top of the agreed crashes, which can't include this one yet: from
-                // the third crash on, the router that saw it sends the request to no target.
-                own.known_crashes = own.known_crashes.max(before(suspect)) + 1;
-                own.last_life = run.life.clone();
-                own.agreed_at = None;
-            }
+            own.record(now, &run.life, crash, before(suspect));
             reported.push(*suspect);
         }
         let run = CrashedRun {
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -15,6 +15,7 @@
 mod interrupted_runs;
 mod limits;
 mod notices;
+mod own_crashes;
 mod relay_choice;
 mod retry_after;
 mod retry_budget;
--- a/crates/deckwind-core/src/state/culprits.rs
+++ b/crates/deckwind-core/src/state/culprits.rs
@@ -107,7 +107,7 @@
 
 impl<'a> Groups<'a> {
     /// Returns whether stronger culprits were at all crashes of a trait.
-    fn explain(&self, suspect: &Suspect) -> bool {
+    fn explains(&self, suspect: &Suspect) -> bool {
         let evidence = suspect.evidence();
         let is_stronger = |e: &Evidence| *e > evidence;
         let mut crashes = suspect.crashes().iter();
@@ -166,7 +166,7 @@
     candidates.sort_by_cached_key(|(_, s)| Reverse(s.evidence()));
     let mut culprits = Groups::default();
     for candidate in candidates {
-        if culprits.explain(candidate.1) {
+        if culprits.explains(candidate.1) {
             continue;
         }
         match culprits.group_of(candidate) {
