The soak loses disks of control replicas, and kills another while they are taken in

Now a fault may come with a lost disk, if all replicas vote by their own metrics, and with a kill of another replica within 0.9 s of the return; after the faults all must vote within the time of recovery. A gauge says whether a replica votes. Draws have a generator of their own, so seeds keep their other faults.

--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod notices;
 mod proxy;
+mod replicas;
 
 pub use limits::check_limits;
 pub use notices::{FaultSpans, id_for_router};
@@ -46,6 +47,16 @@
 /// Probability that a fault comes with a crowd of connections at one router.
 const CROWD_PROBABILITY: f64 = 0.3;
 
+/// Probability that a fault comes with a control replica that loses its disk, if all vote.
+const DISK_LOSS_PROBABILITY: f64 = 0.3;
+
+/// Probability that another replica is killed while one that lost its disk is taken in.
+const KILL_BESIDE_PROBABILITY: f64 = 0.6;
+
+/// Longest time from the return of a replica that lost its disk until another is killed, ms:
+/// it may be a learner by then, or not known yet.
+const KILL_BESIDE_MS: u64 = 900;
+
 /// Results of one run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -91,6 +102,8 @@
     crash_rng: ChaCha8Rng,
     /// Generator for crowds of connections, separate for the same reason.
     crowd_rng: ChaCha8Rng,
+    /// Generator for lost disks of control replicas, separate for the same reason.
+    disk_rng: ChaCha8Rng,
     /// Tasks that resume suspended processes.
     resumes: JoinSet<Result<()>>,
     faults: u64,
@@ -142,6 +155,7 @@
             limit_rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(32)),
             crash_rng: ChaCha8Rng::seed_from_u64(!seed.rotate_left(32)),
             crowd_rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(16)),
+            disk_rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(48)),
             resumes: JoinSet::new(),
             faults: 0,
         })
@@ -168,6 +182,9 @@
             let router = self.crowd_rng.random_range(0..ROUTER_COUNT);
             self.environment.crowd(router, ms);
         }
+        if self.disk_rng.random_bool(DISK_LOSS_PROBABILITY) {
+            self.lose_disk().await?;
+        }
         let ms = Duration::from_millis(self.rng.random_range(50..2_500));
         match self.rng.random_range(0..10) {
             0 => self.restart_control(StopKind::Kill, ms).await,
@@ -203,6 +220,38 @@
         Ok(())
     }
 
+    /// Kills a control replica and removes its disk, if all replicas vote: with three of them
+    /// only one disk may be lost at a time. Another one may be killed while the first is taken
+    /// in; it comes back with its disk.
+    async fn lose_disk(&mut self) -> Result<()> {
+        let i = self.disk_rng.random_range(0..REPLICA_COUNT);
+        let other = (i + self.disk_rng.random_range(1..REPLICA_COUNT)) % REPLICA_COUNT;
+        let down = Duration::from_millis(self.disk_rng.random_range(20..600));
+        let beside = Duration::from_millis(self.disk_rng.random_range(0..KILL_BESIDE_MS));
+        let kills_beside = self.disk_rng.random_bool(KILL_BESIDE_PROBABILITY);
+        if !replicas::all_vote(&self.processes.layout.control_admin).await {
+            return Ok(());
+        }
+        self.kill_control(i).await?;
+        std::fs::remove_dir_all(self.processes.layout.data_folder(i))?;
+        tokio::time::sleep(down).await;
+        self.control[i] = Some(self.processes.control(i)?);
+        if kills_beside {
+            tokio::time::sleep(beside).await;
+            self.kill_control(other).await?;
+            tokio::time::sleep(down).await;
+            self.control[other] = Some(self.processes.control(other)?);
+        }
+        Ok(())
+    }
+
+    async fn kill_control(&mut self, i: usize) -> Result<()> {
+        match self.control[i].take() {
+            Some(process) => stop_process(process, StopKind::Kill).await,
+            None => Ok(()),
+        }
+    }
+
     async fn restart_router(&mut self, how: StopKind, down: Duration) -> Result<()> {
         let i = self.rng.random_range(0..ROUTER_COUNT);
         self.environment.record_router_fault(i);
@@ -251,7 +300,8 @@
             all.flatten().count() == REPLICA_COUNT + ROUTER_COUNT,
             "not all processes run"
         );
-        Ok(())
+        let admin = &self.processes.layout.control_admin;
+        replicas::wait_until_all_vote(admin, RECOVERY_TIMEOUT).await
     }
 
     fn close(&mut self) -> Result<()> {
--- a/crates/deckwindd/src/control/member_metrics.rs
+++ b/crates/deckwindd/src/control/member_metrics.rs
@@ -48,6 +48,12 @@
 
     fn log_membership(&mut self, replica: &Replica) {
         let membership = replica.membership();
+        let votes = if membership == Membership::Voter {
+            1.0
+        } else {
+            0.0
+        };
+        metrics::gauge!("deckwind_control_votes").set(votes);
         if self.membership.replace(membership) == Some(membership) {
             return;
         }
