An admitted request, and the membership cases, in files of their own

The faults and cases of the membership specification are apart from it, as with the other specifications. No logic changed.

--- a/crates/deckwind-core/src/replication/members.rs
+++ b/crates/deckwind-core/src/replication/members.rs
@@ -5,7 +5,8 @@
 use std::collections::BTreeSet;
 
 /// Replicas of a cluster. Two successive sets differ by one replica, so a majority of
-/// one and a majority of the other always have a replica in common.
+/// one and a majority of the other always have a replica in common. A slot has one voter at
+/// most; beside it there may be learners with other identities that are to replace it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Members {
     /// Replicas whose acknowledgements and votes count.
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -11,6 +11,7 @@
 mod delivery;
 mod held_bytes;
 mod http_server;
+mod job;
 mod non_streaming;
 mod opening;
 mod permits;
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -3,7 +3,7 @@
 
 use super::delivery;
 use super::held_bytes::{HeldBytes, Side};
-use super::http_server::Job;
+use super::job::Job;
 use super::permits::NoPermit;
 use super::reservation::Reservation;
 use super::responses::{Failure, RouteBody, strip_connection_headers};
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -5,7 +5,7 @@
 mod attempt;
 
 use super::delivery;
-use super::http_server::Job;
+use super::job::Job;
 use super::relay;
 use super::reservation::Reservation;
 use super::responses::{Failure, RouteBody};
--- a/crates/deckwindd/src/router/routes/reservation.rs
+++ b/crates/deckwindd/src/router/routes/reservation.rs
@@ -1,6 +1,6 @@
 //! Load that a stream causes at its targets: number of requests, memory, and the path.
 
-use super::http_server::Job;
+use super::job::Job;
 use crate::router::shared::RouterShared;
 use deckwind_core::routes::{CapacityDemand, InstanceIndex, RequestClass, TargetChoice};
 use deckwind_core::routing::paths::{EnginePath, Stage, path_from, replace_stages};
--- a/crates/deckwindd/src/router/routes/target_run.rs
+++ b/crates/deckwindd/src/router/routes/target_run.rs
@@ -1,6 +1,6 @@
 //! One run of a request at one target, and how it ended.
 
-use super::http_server::Job;
+use super::job::Job;
 use super::poison_requests::InterruptedRun;
 use crate::router::shared::RouterShared;
 use deckwind_core::routes::{BodyEnd, MAX_POISON_RUN_TIME, TargetChoice};
