The soak judges a connection that ended as its router was killed by the whole kill

Traced: the router was killed. Its log has its last line at 29.502 s, in the middle of requests 445 to 447, and its next start at 30.135 s. The crowd's check took a connection that ends without an answer for one closed unread unless a moment of a fault lay within the request; that moment was recorded just before the signal, and the request came between the two.

The check now knows the span from before SIGKILL until the process is gone, and judges when all is over. It is as strict as before for every connection that ends while its router lives, and for planned stops. No product code changed.

--- a/crates/deckwind-testkit/src/soak/calls.rs
+++ b/crates/deckwind-testkit/src/soak/calls.rs
@@ -55,6 +55,14 @@
 
 type Http = Client<HttpConnector, Full<Bytes>>;
 
+/// A request whose new connection ended without an answer.
+pub struct ClosedUnread {
+    id: String,
+    router: usize,
+    sent_at: Instant,
+    failed_at: Instant,
+}
+
 /// Kind of the requests of a crowd, each on a new connection; their ids begin with it.
 const CROWD: &str = "safe";
 
@@ -82,6 +90,10 @@
     pub violations: Mutex<Vec<String>>,
     /// Times at which each router was killed, stopped or suspended.
     pub router_faults: Vec<FaultSpans>,
+    /// Spans in which each router was killed, by router: from before the signal until the
+    /// process was gone.
+    pub router_kills: Vec<FaultSpans>,
+    pub closed_unread: Mutex<Vec<ClosedUnread>>,
     pub stop: AtomicBool,
 }
 
@@ -216,18 +228,38 @@
                 true
             }
             Err(e) => {
-                let had_fault = self.router_faults[router].overlaps(sent_at, Instant::now());
+                let failed_at = Instant::now();
+                let had_fault = self.router_faults[router].overlaps(sent_at, failed_at);
                 if e.is_connect() || had_fault {
                     return true;
                 }
-                let mut not_run = self.not_run.lock().expect("no holder panics");
-                not_run.insert(id);
+                let closed = ClosedUnread {
+                    id,
+                    router,
+                    sent_at,
+                    failed_at,
+                };
+                let mut all = self.closed_unread.lock().expect("no holder panics");
+                all.push(closed);
                 self.unread.fetch_add(1, Ordering::Relaxed);
                 false
             }
         }
     }
 
+    /// Returns the requests that must not have run: those with an answer that says so, and
+    /// those whose connections a router closed unread. A connection that ended as its router
+    /// was killed says nothing; the span of a kill is known only once the process is gone.
+    pub fn requests_not_run(&self) -> BTreeSet<String> {
+        let mut not_run = self.not_run.lock().expect("no holder panics").clone();
+        let closed = self.closed_unread.lock().expect("no holder panics");
+        let was_killed =
+            |c: &&ClosedUnread| self.router_kills[c.router].overlaps(c.sent_at, c.failed_at);
+        let closed = closed.iter().filter(|c| !was_killed(c));
+        not_run.extend(closed.map(|c| c.id.clone()));
+        not_run
+    }
+
     fn check_answer(
         &self,
         kind: &str,
--- a/crates/deckwind-testkit/src/soak/environment.rs
+++ b/crates/deckwind-testkit/src/soak/environment.rs
@@ -92,6 +92,11 @@
     next_target: u64,
 }
 
+fn spans_of_routers(layout: &Layout) -> Vec<FaultSpans> {
+    let routers = layout.routers.iter();
+    routers.map(|_| FaultSpans::default()).collect()
+}
+
 /// The running tasks of the callers and the operator.
 pub struct Workload(Arc<Shared>, Vec<JoinHandle<()>>);
 
@@ -125,12 +130,10 @@
             broken: AtomicU64::new(0),
             unread: AtomicU64::new(0),
             not_run: Mutex::default(),
+            closed_unread: Mutex::default(),
             violations: Mutex::default(),
-            router_faults: layout
-                .routers
-                .iter()
-                .map(|_| FaultSpans::default())
-                .collect(),
+            router_faults: spans_of_routers(layout),
+            router_kills: spans_of_routers(layout),
             stop: AtomicBool::new(false),
         });
         let announcer = tokio::spawn(announce_all(shared.clone()));
@@ -314,6 +317,11 @@
         self.shared.router_faults[router].add_now();
     }
 
+    /// Records that a router was being killed from `from` until now.
+    pub fn record_router_kill(&self, router: usize, from: Instant) {
+        self.shared.router_kills[router].add_since(from);
+    }
+
     /// Returns a function that does the same as [`Self::record_router_fault`] later.
     pub fn router_fault_recorder(&self, router: usize) -> impl FnOnce() + Send + 'static {
         let shared = self.shared.clone();
@@ -446,7 +454,7 @@
     /// ran after an answer said that it didn't, and that no caller's key was forwarded.
     fn check_executions(&self) -> Result<()> {
         let mut ran = BTreeSet::new();
-        let not_run = self.shared.not_run.lock().expect("no holder panics");
+        let not_run = self.shared.requests_not_run();
         for target in self.shared.targets.lock().expect("no holder panics").iter() {
             // Requests that a target refused aren't in its list.
             for id in target.server.run_request_ids() {
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -255,9 +255,13 @@
     async fn restart_router(&mut self, how: StopKind, down: Duration) -> Result<()> {
         let i = self.rng.random_range(0..ROUTER_COUNT);
         self.environment.record_router_fault(i);
+        let begun = Instant::now();
         if let Some(process) = self.routers[i].take() {
             stop_process(process, how).await?;
         }
+        if how == StopKind::Kill {
+            self.environment.record_router_kill(i, begun);
+        }
         tokio::time::sleep(down / 2).await;
         // The new process knows nothing that the old one received while it stopped.
         self.environment.record_router_fault(i);
--- a/crates/deckwind-testkit/src/soak/notices.rs
+++ b/crates/deckwind-testkit/src/soak/notices.rs
@@ -34,6 +34,12 @@
         all.push((now, now + length + MAX_DELAY));
     }
 
+    /// Adds a span that begins at `from` and ends now.
+    pub fn add_since(&self, from: Instant) {
+        let mut all = self.0.lock().expect("no holder panics");
+        all.push((from, Instant::now()));
+    }
+
     /// Adds the current moment, without time after it.
     pub fn add_now(&self) {
         let now = Instant::now();
