Show leases that a leader grants without a change that the router lacks

A leader whose rate limit on state is used up grants leases without the state, for a bounded time. Routers write lease_without_state at the first such lease in a row and state_caught_up after the last; the leader's load line has without_state. Two counters. No decision is changed.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -107,6 +107,8 @@
     pub(super) round_schedule: RoundSchedule,
     /// Number of reply rounds so far.
     pub(super) reply_rounds: u64,
+    /// Number of leases granted to routers that lack an urgent change.
+    pub(super) leases_without_state: u64,
     /// Revision published to routers. It lags behind the state while a reply round is
     /// pending.
     pub(super) published_revision: Revision,
@@ -161,6 +163,7 @@
             announcement_buffer: AnnouncementBuffer::default(),
             round_schedule: RoundSchedule::default(),
             reply_rounds: 0,
+            leases_without_state: 0,
             published_revision: Revision::ZERO,
             state_rate_limiter: StateRateLimiter::new(limits.state_bytes_per_s, now),
             delta_cache: DeltaCache::default(),
@@ -211,6 +214,12 @@
         Some((leases.len(), shown.0.saturating_sub(oldest.0)))
     }
 
+    /// Returns the number of leases that this replica has granted without an urgent change
+    /// that the router lacks.
+    pub fn leases_without_state(&self) -> u64 {
+        self.leases_without_state
+    }
+
     /// Handles one event. `wall_ms` is the wall clock in milliseconds since the Unix
     /// epoch, used to age claims and quarantines.
     pub fn step(
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -154,6 +154,7 @@
             }
             _ => None,
         };
+        self.leases_without_state += u64::from(lasts.is_some());
         match self.grant(now, &parked.renewal, lasts, delta) {
             Some(grant) => out.push(ControlAction::Reply {
                 token,
--- a/crates/deckwindd/src/control/work_times.rs
+++ b/crates/deckwindd/src/control/work_times.rs
@@ -22,6 +22,8 @@
     since_load_line: BTreeMap<&'static str, Duration>,
     long_batch_logged_at: Option<Instant>,
     load_logged_at: Option<Instant>,
+    /// Leases granted without an urgent change, as of the last line with the load.
+    leases_without_state: u64,
 }
 
 impl WorkTimes {
@@ -75,6 +77,9 @@
             return;
         };
         metrics::gauge!("deckwind_control_routers_behind_revisions").set(behind as f64);
+        let without_state = core.leases_without_state() - self.leases_without_state;
+        self.leases_without_state += without_state;
+        metrics::counter!("deckwind_control_leases_without_state_total").increment(without_state);
         if core.replica().role() != Role::Leader {
             return;
         }
@@ -84,7 +89,8 @@
             .map(|(kind, took)| format!("{kind}_ms={}", took.as_millis()))
             .collect();
         log::info!(
-            "event=leader_load over_ms={} routers={routers} behind={behind} {}",
+            "event=leader_load over_ms={} routers={routers} behind={behind} \
+             without_state={without_state} {}",
             period.as_millis(),
             kinds.join(" ")
         );
--- a/crates/deckwindd/src/router/lease.rs
+++ b/crates/deckwindd/src/router/lease.rs
@@ -2,6 +2,7 @@
 //! reports urgent changes to the leader between renewals.
 
 use super::control_client::{RENEWAL_TIMEOUT, RequestTime};
+use super::lease_log::LeaseLog;
 use super::shared::RouterShared;
 use deckwind_core::control::Grant;
 use deckwind_core::state::{Delta, PackedDelta};
@@ -33,10 +34,10 @@
 
 /// Renews the lease repeatedly. Never returns.
 pub async fn run_renewals(shared: Arc<RouterShared>) {
-    let mut was_live = false;
+    let mut log = LeaseLog::default();
     loop {
-        let granted = renew(&shared).await;
-        log_lease_change(&shared, &mut was_live);
+        let granted = renew(&shared, &mut log).await;
+        log.record_lease(&shared);
         if !granted {
             tokio::time::sleep(RENEWAL_RETRY_DELAY).await;
         }
@@ -82,7 +83,7 @@
     }
 }
 
-async fn renew(shared: &RouterShared) -> bool {
+async fn renew(shared: &RouterShared, log: &mut LeaseLog) -> bool {
     let sent_at = shared.clock.now();
     let (in_use, use_known, failing) = {
         let records = shared.routes.target_records();
@@ -146,6 +147,7 @@
         return false;
     }
     shared.routes.renew(now, until, changes);
+    log.record_grant(shared, lease);
     if has_changes {
         drop_unused_clients(shared);
         metrics::gauge!("deckwind_router_revision", "vm" => shared.vm.to_string())
@@ -207,18 +209,3 @@
         .collect();
     shared.clients.retain(|a| addresses.contains(a));
 }
-
-fn log_lease_change(shared: &RouterShared, was_live: &mut bool) {
-    let (live, revision) = {
-        let core = shared.core();
-        (
-            core.lease().is_live(shared.clock.now()),
-            core.lease().applied(),
-        )
-    };
-    if live != *was_live {
-        *was_live = live;
-        let event = if live { "lease_held" } else { "lease_lost" };
-        log::info!("event={event} vm={} revision={revision}", shared.vm);
-    }
-}
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -24,6 +24,7 @@
 mod claims;
 mod control_client;
 mod lease;
+mod lease_log;
 mod reports;
 mod routes;
 mod service;
