Failing test: a leader grants leases without a change that was acknowledged before its term

In virtual time: 40 routers behind a slow link, a release is acknowledged, all replicas lose power at once and come back.

--- a/crates/deckwind-testkit/src/control_simulation.rs
+++ b/crates/deckwind-testkit/src/control_simulation.rs
@@ -17,7 +17,7 @@
 use deckwindd::control::{ControlNode, Now};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Faults of the network; rates are in parts per 1,000.
@@ -98,6 +98,10 @@
     pub(crate) leaders: BTreeMap<Term, ReplicaId>,
     pub(crate) committed: BTreeMap<Index, Entry>,
     pub(crate) accepted: Revision,
+    /// Accepted changes with the times of their replies, oldest first.
+    pub(crate) accepted_at: VecDeque<(Instant, Revision)>,
+    /// Revision of the latest accepted change that must be in force.
+    pub(crate) due_revision: Revision,
     pub(crate) newest_terms: BTreeMap<TargetName, Term>,
     /// Replies to operators and targets, by request or instance id.
     pub replies: BTreeMap<String, Vec<OperatorReply>>,
@@ -138,6 +142,8 @@
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
             accepted: Revision::ZERO,
+            accepted_at: VecDeque::new(),
+            due_revision: Revision::ZERO,
             newest_terms: BTreeMap::new(),
             replies: BTreeMap::new(),
             limits: ControlLimits {
@@ -199,6 +205,12 @@
         }
     }
 
+    /// Sets the rate, in bytes per second, at which the replicas that start from now on
+    /// send state while they lead.
+    pub fn set_state_rate(&mut self, bytes_per_s: f64) {
+        self.limits.state_bytes_per_s = bytes_per_s;
+    }
+
     /// Starts a replica from the contents of its disk.
     pub fn start(&mut self, slot: usize) {
         let now = self.local_time(slot).at;
@@ -419,6 +431,7 @@
     pub(crate) fn record_reply(&mut self, id: &str, reply: OperatorReply) {
         if let OperatorReply::Accepted { revision, in_force } = &reply {
             self.accepted = self.accepted.max(*revision);
+            self.accepted_at.push_back((self.now, *revision));
             if *in_force == InForce::Yes {
                 self.check_in_force(*revision);
             }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -80,6 +80,7 @@
 mod soak;
 mod spare_engines;
 mod specification;
+mod stale_leases;
 mod stalled_streams;
 mod status;
 mod store;
--- /dev/null
+++ b/crates/deckwind-testkit/tests/testsuite/stale_leases.rs
@@ -0,0 +1,97 @@
+//! Leases of routers that lack an accepted change, over restarts and changes of leader, in
+//! virtual time. The leader's link is slow, so that most routers wait for the state.
+
+use deckwind_core::control::{OperatorReply, OperatorRequest};
+use deckwind_core::state::PublishedRelease;
+use deckwind_testkit::fan_out::release;
+use deckwind_testkit::{ControlSimulation, NetFaults};
+use std::time::Duration;
+use yare::parameterized;
+
+/// Number of control replicas.
+const REPLICAS: usize = 5;
+
+/// Number of routers, whose copies of a release take seconds on the slow link.
+const ROUTERS: usize = 40;
+
+/// Rate at which a leader sends state, bytes per second.
+const STATE_BYTES_PER_S: f64 = 100_000.0;
+
+/// Number of routes of a release.
+const ROUTES: u64 = 1_640;
+
+fn publish(sim: &mut ControlSimulation, version: u64) {
+    let id = format!("release-{version}");
+    let release = release(version, ROUTES);
+    let document = version.to_string().into_bytes();
+    let published = PublishedRelease { release, document };
+    let slot = sim.run_until_leader();
+    sim.request(slot, &id, OperatorRequest::Publish(Box::new(published)));
+    while sim.last_reply(&id).is_none() {
+        sim.step();
+    }
+    let reply = sim.last_reply(&id);
+    assert!(
+        matches!(reply, Some(OperatorReply::Accepted { .. })),
+        "{reply:?}"
+    );
+}
+
+fn crash_all(sim: &mut ControlSimulation) {
+    (0..REPLICAS).for_each(|slot| sim.crash(slot, 0));
+}
+
+/// Starts a cluster with a slow link and a release that all routers have applied.
+fn cluster(seed: u64) -> ControlSimulation {
+    let mut sim = ControlSimulation::new(REPLICAS, ROUTERS, seed, NetFaults::NONE);
+    publish(&mut sim, 1);
+    sim.run_for(Duration::from_secs(3));
+    let revision = sim.routers[0].applied();
+    assert!(sim.routers.iter().all(|r| r.applied() == revision));
+    sim.set_state_rate(STATE_BYTES_PER_S);
+    crash_all(&mut sim);
+    sim.heal();
+    sim.run_until_leader();
+    sim.run_for(Duration::from_secs(3));
+    sim
+}
+
+/// Guards against a change that was acknowledged before control went down and is not in
+/// force in time: the next leader applies it after its election, and granted leases without
+/// it for as long as if it had just been accepted.
+#[parameterized(
+    at_once = { 41, 0 },
+    within_a_lease = { 42, 1_500 },
+    after_the_leases = { 43, 4_000 },
+    long_after = { 44, 20_000 },
+)]
+fn no_router_serves_without_a_change_accepted_before_a_full_stop(seed: u64, down_ms: u64) {
+    let mut sim = cluster(seed);
+    publish(&mut sim, 2);
+    crash_all(&mut sim);
+    sim.run_for(Duration::from_millis(down_ms));
+    sim.heal();
+    sim.run_until_leader();
+    sim.run_for(Duration::from_secs(10));
+    assert!(sim.routers.iter().all(|r| r.serves(sim.now())));
+}
+
+/// The same with a leader that is lost just after it acknowledged the change, and with those
+/// that follow it.
+#[parameterized(
+    one = { 51, 1 },
+    another = { 52, 1 },
+    two = { 53, 2 },
+    two_again = { 54, 2 },
+)]
+fn no_router_serves_without_a_change_that_the_lost_leader_accepted(seed: u64, leaders: usize) {
+    let mut sim = cluster(seed);
+    publish(&mut sim, 2);
+    for _ in 0..leaders {
+        let leader = sim.run_until_leader();
+        sim.crash(leader, 0);
+    }
+    sim.run_until_leader();
+    sim.run_for(Duration::from_secs(10));
+    assert!(sim.routers.iter().all(|r| r.serves(sim.now())));
+}
