A leader grants no lease without a change that was acknowledged before its term

What callers saw: after a full stop of control, or a change of leader, requests were handled by a release, or with a key, that an acknowledged change had replaced long before.

Cause: a leader whose rate limit on state is used up grants leases without the state, until 2 s after the first urgent change that the router lacks. It counted these 2 s from when it applied the change itself. So changes of any age counted as just made.

Ruled out: lease before release (the simulation has one lease value), lost entries (the release is read back), the relays' pacing (a paced grant's lease counts from its request).

Change: entries of earlier terms raise the floor of the list of urgent changes; routers behind the floor get no lease without their state, as docs/DESIGN.md said already. No limit is changed.

--- a/crates/deckwind-core/src/control/apply.rs
+++ b/crates/deckwind-core/src/control/apply.rs
@@ -7,7 +7,7 @@
 use super::operator::OperatorReply;
 use super::pending::{InForceWait, Requester};
 use super::reply_schedule::Urgency;
-use crate::replication::{Entry, Payload, Position, SnapshotMeta};
+use crate::replication::{Entry, Payload, Position, SnapshotMeta, Term};
 use crate::state::{Command, Reply};
 use crate::time::Instant;
 
@@ -25,6 +25,7 @@
             self.log_bytes += entry.size();
             let known = self.state_machine.retry_ledger().changes();
             let reply = self.apply_entry(&entry, &mut urgency, out);
+            self.record_inherited(entry.at.term);
             retries_changed |= self.state_machine.retry_ledger().changes() != known;
             let pending = self.proposals.take_applied(entry.at.index, entry.at.term);
             match (pending, reply) {
@@ -49,6 +50,18 @@
         self.compact_if_due(out);
     }
 
+    /// Records the applied revision as inherited if its entry is of an earlier term than that
+    /// of this leader. A leader applies such entries after its election if it did not know
+    /// before that they are committed.
+    fn record_inherited(&mut self, entry_term: Term) {
+        let revision = self.state_machine.configuration().revision();
+        if let Some(leader_state) = &mut self.leader_state
+            && entry_term < leader_state.term
+        {
+            leader_state.urgent.record_inherited(revision);
+        }
+    }
+
     fn apply_entry(
         &mut self,
         entry: &Entry,
--- a/crates/deckwind-core/src/control/urgent_changes.rs
+++ b/crates/deckwind-core/src/control/urgent_changes.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct UrgentChanges {
     /// Routers that lack this revision have been behind for too long, or since before
-    /// this leader's term.
+    /// this leader's term, also if the entry was applied only during the term.
     floor: Revision,
     recent: VecDeque<(Revision, Instant)>,
 }
@@ -34,13 +34,19 @@
         }
     }
 
-    /// Records a committed urgent change.
+    /// Records that the changes up to `revision` were accepted in an earlier term: this leader
+    /// doesn't know how long ago.
+    pub fn record_inherited(&mut self, revision: Revision) {
+        self.floor = self.floor.max(revision);
+    }
+
+    /// Records an urgent change that was committed now.
     pub fn record(&mut self, now: Instant, revision: Revision) {
         while let Some((old, at)) = self.recent.front().copied() {
             if now.since(at) < MAX_STALENESS {
                 break;
             }
-            self.floor = old;
+            self.floor = self.floor.max(old);
             self.recent.pop_front();
         }
         self.recent.push_back((revision, now));
