--- a/crates/deckwind-testkit/tests/testsuite/specification.rs
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -4,10 +4,10 @@
 use deckwind_spec::{
     AttributionSpec, Case, ClaimRules, ClaimSpec, ForwardingSpec, LimitBounds, LimitRules,
     LimitSpec, LogBounds, LogRules, LogSpec, MembershipFaults, MembershipRules, MembershipSpec,
-    RetryBounds, RetryRules, RetrySpec, ServingRules, ServingSpec, Spec, StreamEndBounds,
-    StreamEndRules, StreamEndSpec, TunnelSpec, attribution_cases, claim_cases, explore,
-    forwarding_cases, limit_cases, log_cases, membership_cases, retry_cases, serving_cases,
-    stream_end_cases, tunnel_cases,
+    RetryBounds, RetryRules, RetrySpec, ServingRules, ServingSpec, Spec, StalenessRules,
+    StalenessSpec, StreamEndBounds, StreamEndRules, StreamEndSpec, TunnelSpec, attribution_cases,
+    claim_cases, explore, forwarding_cases, limit_cases, log_cases, membership_cases, retry_cases,
+    serving_cases, staleness_cases, stream_end_cases, tunnel_cases,
 };
 
 /// Asserts that without any one rule, exploration finds a run that violates the
@@ -174,3 +174,19 @@
 fn without_any_one_of_their_rules_routers_serve_by_an_old_release() {
     assert_each_rule_is_needed(serving_cases());
 }
+
+/// Guards against a router that serves without an acknowledged change after a change of leader.
+#[test]
+fn with_all_rules_no_router_serves_without_a_change_for_long() {
+    let rules = StalenessRules::ALL;
+    let explored = explore(&StalenessSpec { rules });
+    println!("{} states", explored.states);
+    assert_eq!(explored.counterexample, None);
+    assert!(explored.states > 80, "{}", explored.states);
+}
+
+/// Guards against a rule of leases without state that protects nothing.
+#[test]
+fn without_any_one_of_their_rules_leases_outlast_an_acknowledged_change() {
+    assert_each_rule_is_needed(staleness_cases());
+}
