--- a/crates/deckwind-testkit/tests/testsuite/stale_leases.rs
+++ b/crates/deckwind-testkit/tests/testsuite/stale_leases.rs
@@ -95,3 +95,30 @@
     sim.run_for(Duration::from_secs(10));
     assert!(sim.routers.iter().all(|r| r.serves(sim.now())));
 }
+
+/// Time within which a system serves again after all of it was down, by the shortest bound
+/// of a deployment.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+/// Guards against routers that wait long for a lease after a full stop, because all of them
+/// need the state at once. The replicas send it at half of a link of 100 Mbit/s.
+#[parameterized(
+    tens = { 61, 20 },
+    hundreds = { 62, 195 },
+)]
+fn all_routers_serve_soon_after_a_full_stop(seed: u64, routers: usize) {
+    let mut sim = ControlSimulation::new(REPLICAS, routers, seed, NetFaults::NONE);
+    publish(&mut sim, 1);
+    sim.run_for(Duration::from_secs(3));
+    publish(&mut sim, 2);
+    crash_all(&mut sim);
+    sim.run_for(Duration::from_secs(4));
+    sim.heal();
+    let started = sim.now();
+    while !sim.routers.iter().all(|r| r.serves(sim.now())) {
+        sim.step();
+    }
+    let took = sim.now().since(started);
+    println!("{routers} routers serve {took:?} after the start of control");
+    assert!(took < RECOVERY_TIME, "{took:?}");
+}
