Checks of targets and placement steps in files of their own

No behaviour is changed; announcements, silent_targets, placement, incarnations, target_periods, stale_leases and specification pass.

--- a/crates/deckwind-core/src/control/incarnations.rs
+++ b/crates/deckwind-core/src/control/incarnations.rs
@@ -2,9 +2,9 @@
 //! and which announcements must be ignored.
 
 use super::announcement_fault::AnnouncementFault;
-use super::announcements::MAX_MISSED_ANNOUNCEMENTS;
 use super::control_core::{ControlCore, LeaderState};
 use super::event::{ControlAction, IncarnationDecision};
+use super::target_checks::MAX_MISSED_ANNOUNCEMENTS;
 use crate::state::{CommandBody, Incarnation, Instance, InstanceState, Instances};
 use crate::time::Instant;
 use std::time::Duration;
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -36,6 +36,7 @@
 mod peer_routers;
 mod pending;
 mod placement_groups;
+mod placement_handlers;
 mod placement_manager;
 mod relay;
 mod relay_messages;
@@ -48,6 +49,7 @@
 mod slow_engines;
 mod state_rate_limiter;
 mod status;
+mod target_checks;
 mod target_limiter;
 mod tracked_allowance;
 mod tunnel_messages;
@@ -55,7 +57,6 @@
 
 pub use announcement_fault::AnnouncementFault;
 pub use announcement_reports::AnnouncementReport;
-pub use announcements::MAX_MISSED_ANNOUNCEMENTS;
 pub use control_core::ControlCore;
 pub use event::{
     ANNOUNCE_INTERVAL_RANGE, ControlAction, ControlEvent, ControlLimits, DEFAULT_ANNOUNCE_INTERVAL,
@@ -81,5 +82,6 @@
 pub use status::{
     ClusterStatus, EngineView, QuarantinedView, ReplicaView, RouterView, WaitingView,
 };
+pub use target_checks::MAX_MISSED_ANNOUNCEMENTS;
 pub use target_limiter::{LimitChange, PERMIT_BURST, PERMIT_TTL, TargetLimiter};
 pub use tunnel_messages::{TunnelRefusal, TunnelReply, TunnelRequest};
