--- a/crates/deckwind-testkit/src/control_simulation.rs
+++ b/crates/deckwind-testkit/src/control_simulation.rs
@@ -106,7 +106,7 @@
     /// Replies to operators and targets, by request or instance id.
     pub replies: BTreeMap<String, Vec<OperatorReply>>,
     limits: ControlLimits,
-    lease: LeaseTiming,
+    pub(crate) lease: LeaseTiming,
 }
 
 /// Step of virtual time.
--- a/crates/deckwind-testkit/src/simulation_checks.rs
+++ b/crates/deckwind-testkit/src/simulation_checks.rs
@@ -12,26 +12,23 @@
 //! 7. no target receives an older leader's order after a newer one's, even if it doesn't
 //!    check fences;
 //! 8. the retries of all routers in a window stay within the retry budget;
-//! 9. a change that was accepted longer ago than [`IN_FORCE_WITHIN`] is in force: no router
-//!    that may serve has an older revision.
+//! 9. a change that was accepted longer ago than a full lease is in force: no router that may
+//!    serve has an older revision.
 
 use crate::control_simulation::ControlSimulation;
 use crate::simulated_routers::{RETRY_LIMITS, SimulatedRouter};
 use deckwind_core::state::Revision;
 use deckwind_core::time::Instant;
-use std::time::Duration;
 
 /// Part of the retry budget that routers may use.
 const USABLE_SHARE: f64 = 0.8;
 
-/// Time within which an accepted change is in force everywhere, over all losses.
-const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
-
 impl ControlSimulation {
     /// Checks that no router serves without a change that was accepted long enough ago.
     fn check_accepted_in_force(&mut self) {
         let now = self.now;
-        let is_due = |at: Instant| now.since(at) > IN_FORCE_WITHIN;
+        let bound = self.lease.ttl_with_drift();
+        let is_due = |at: Instant| now.since(at) > bound;
         while let Some((at, revision)) = self.accepted_at.front().copied() {
             if !is_due(at) {
                 break;
@@ -43,7 +40,7 @@
         let stale = self.routers.iter().filter(is_stale).count();
         assert_eq!(
             stale, 0,
-            "routers that serve without revision {}, accepted over {IN_FORCE_WITHIN:?} ago",
+            "routers that serve without revision {}, accepted over {bound:?} ago",
             self.due_revision
         );
     }
--- a/crates/deckwind-testkit/tests/testsuite/stale_leases.rs
+++ b/crates/deckwind-testkit/tests/testsuite/stale_leases.rs
@@ -3,7 +3,7 @@
 
 use deckwind_core::control::{OperatorReply, OperatorRequest};
 use deckwind_core::state::PublishedRelease;
-use deckwind_testkit::fan_out::release;
+use deckwind_testkit::fan_out::{engine, release};
 use deckwind_testkit::{ControlSimulation, NetFaults};
 use std::time::Duration;
 use yare::parameterized;
@@ -17,12 +17,16 @@
 /// Rate at which a leader sends state, bytes per second.
 const STATE_BYTES_PER_S: f64 = 100_000.0;
 
-/// Number of routes of a release.
-const ROUTES: u64 = 1_640;
+/// Rate at which even few copies of a release take seconds, bytes per second.
+const SLOW_STATE_BYTES_PER_S: f64 = 20_000.0;
 
+/// Number of routes that each release adds.
+const ROUTES: u64 = 820;
+
+/// Publishes a release, each version with [`ROUTES`] routes more.
 fn publish(sim: &mut ControlSimulation, version: u64) {
     let id = format!("release-{version}");
-    let release = release(version, ROUTES);
+    let release = release(version, version * ROUTES);
     let document = version.to_string().into_bytes();
     let published = PublishedRelease { release, document };
     let slot = sim.run_until_leader();
@@ -41,14 +45,15 @@
     (0..REPLICAS).for_each(|slot| sim.crash(slot, 0));
 }
 
-/// Starts a cluster with a slow link and a release that all routers have applied.
-fn cluster(seed: u64) -> ControlSimulation {
+/// Starts a cluster whose leaders send state at this rate, and a release that all routers
+/// have applied.
+fn cluster(seed: u64, bytes_per_s: f64) -> ControlSimulation {
     let mut sim = ControlSimulation::new(REPLICAS, ROUTERS, seed, NetFaults::NONE);
     publish(&mut sim, 1);
     sim.run_for(Duration::from_secs(3));
     let revision = sim.routers[0].applied();
     assert!(sim.routers.iter().all(|r| r.applied() == revision));
-    sim.set_state_rate(STATE_BYTES_PER_S);
+    sim.set_state_rate(bytes_per_s);
     crash_all(&mut sim);
     sim.heal();
     sim.run_until_leader();
@@ -66,7 +71,7 @@
     long_after = { 44, 20_000 },
 )]
 fn no_router_serves_without_a_change_accepted_before_a_full_stop(seed: u64, down_ms: u64) {
-    let mut sim = cluster(seed);
+    let mut sim = cluster(seed, STATE_BYTES_PER_S);
     publish(&mut sim, 2);
     crash_all(&mut sim);
     sim.run_for(Duration::from_millis(down_ms));
@@ -85,7 +90,7 @@
     two_again = { 54, 2 },
 )]
 fn no_router_serves_without_a_change_that_the_lost_leader_accepted(seed: u64, leaders: usize) {
-    let mut sim = cluster(seed);
+    let mut sim = cluster(seed, STATE_BYTES_PER_S);
     publish(&mut sim, 2);
     for _ in 0..leaders {
         let leader = sim.run_until_leader();
@@ -122,3 +127,26 @@
     println!("{routers} routers serve {took:?} after the start of control");
     assert!(took < RECOVERY_TIME, "{took:?}");
 }
+
+/// Guards against routers that lose their leases after a change of leader though they lack
+/// nothing but new targets, which they can do without.
+#[test]
+fn a_change_of_leader_costs_no_lease_for_want_of_new_targets() {
+    let mut sim = cluster(71, SLOW_STATE_BYTES_PER_S);
+    let leader = sim.run_until_leader();
+    (0..1_000).for_each(|i| sim.announce(leader, engine(i, 4, 1)));
+    sim.run_for(Duration::from_millis(200));
+    sim.crash(leader, 0);
+    sim.run_until_leader();
+    sim.run_for(Duration::from_secs(1));
+    let behind = |sim: &ControlSimulation| {
+        let newest = sim.routers.iter().map(|r| r.applied()).max();
+        sim.routers.iter().any(|r| Some(r.applied()) < newest)
+    };
+    assert!(behind(&sim), "the state takes longer than this");
+    for _ in 0..1_000 {
+        sim.step();
+        let without_lease = sim.routers.iter().filter(|r| !r.serves(sim.now())).count();
+        assert_eq!(without_lease, 0);
+    }
+}
