Only urgent changes bound a lease without state after a change of leader

What callers saw: after a change of leader, routers that lacked nothing but new targets lost their leases while the state waited for the rate limit, and refused requests.

Cause: the floor of a new leader was the last revision of any kind, and a batch recorded its last revision also where only an earlier entry of it was urgent.

--- a/crates/deckwind-core/src/control/apply.rs
+++ b/crates/deckwind-core/src/control/apply.rs
@@ -24,8 +24,7 @@
         for entry in entries {
             self.log_bytes += entry.size();
             let known = self.state_machine.retry_ledger().changes();
-            let reply = self.apply_entry(&entry, &mut urgency, out);
-            self.record_inherited(entry.at.term);
+            let reply = self.apply_entry(now, &entry, &mut urgency, out);
             retries_changed |= self.state_machine.retry_ledger().changes() != known;
             let pending = self.proposals.take_applied(entry.at.index, entry.at.term);
             match (pending, reply) {
@@ -38,32 +37,27 @@
             self.apply_retry_changes(now, out);
         }
         let changed = self.state_machine.configuration().visible_revision() > before;
-        if let (Some(urgency), Some(leader_state)) =
-            (urgency.filter(|_| changed), &mut self.leader_state)
-        {
-            if urgency == Urgency::Urgent {
-                let shown = self.state_machine.configuration().visible_revision();
-                leader_state.urgent.record(now, shown);
-            }
+        if let (Some(urgency), true) = (urgency.filter(|_| changed), self.leader_state.is_some()) {
             self.inform_routers(now, urgency, out);
         }
         self.compact_if_due(out);
     }
 
-    /// Records the applied revision as inherited if its entry is of an earlier term than that
-    /// of this leader. A leader applies such entries after its election if it did not know
-    /// before that they are committed.
-    fn record_inherited(&mut self, entry_term: Term) {
-        let revision = self.state_machine.configuration().revision();
-        if let Some(leader_state) = &mut self.leader_state
-            && entry_term < leader_state.term
-        {
-            leader_state.urgent.record_inherited(revision);
+    /// Records the applied revision as one with an urgent change. It is inherited if its entry
+    /// is of an earlier term than that of this leader, which applies such entries after its
+    /// election if it did not know before that they are committed.
+    fn record_urgent(&mut self, now: Instant, entry_term: Term) {
+        self.last_urgent = self.state_machine.configuration().revision();
+        match &mut self.leader_state {
+            Some(l) if entry_term < l.term => l.urgent.record_inherited(self.last_urgent),
+            Some(l) => l.urgent.record(now, self.last_urgent),
+            None => {}
         }
     }
 
     fn apply_entry(
         &mut self,
+        now: Instant,
         entry: &Entry,
         urgency: &mut Option<Urgency>,
         out: &mut Vec<ControlAction>,
@@ -76,11 +70,18 @@
             out.push(ControlAction::Stop(DecodeError::Command { index }));
             return None;
         };
-        *urgency = (*urgency).max(Urgency::of(&command.body));
+        let mut own_urgency = Urgency::of(&command.body);
         if self.log_ended_incarnations(&command.body, out) {
-            *urgency = Some(Urgency::Urgent);
+            own_urgency = Some(Urgency::Urgent);
+        }
+        *urgency = (*urgency).max(own_urgency);
+        let before = self.state_machine.configuration().visible_revision();
+        let reply = self.state_machine.apply(command);
+        let has_changed = self.state_machine.configuration().visible_revision() > before;
+        if has_changed && own_urgency == Some(Urgency::Urgent) {
+            self.record_urgent(now, entry.at.term);
         }
-        Some(self.state_machine.apply(command))
+        Some(reply)
     }
 
     fn answer(
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -112,6 +112,8 @@
     /// Revision published to routers. It lags behind the state while a reply round is
     /// pending.
     pub(super) published_revision: Revision,
+    /// Last revision with an urgent change; after a snapshot, the revision of that.
+    pub(super) last_urgent: Revision,
     pub(super) state_rate_limiter: StateRateLimiter,
     pub(super) delta_cache: DeltaCache,
     pub(super) in_force_waits: Vec<InForceWait>,
@@ -145,6 +147,7 @@
             Some(bytes) => StateMachine::from_snapshot(bytes)?,
             None => StateMachine::new(limits.claims),
         };
+        let last_urgent = state_machine.configuration().revision();
         Ok(Self {
             hard_state: stored.hard_state,
             replica: Replica::new(cfg, stored, now),
@@ -165,6 +168,7 @@
             reply_rounds: 0,
             leases_without_state: 0,
             published_revision: Revision::ZERO,
+            last_urgent,
             state_rate_limiter: StateRateLimiter::new(limits.state_bytes_per_s, now),
             delta_cache: DeltaCache::default(),
             in_force_waits: Vec::new(),
@@ -293,7 +297,10 @@
                 Action::Refused { token, .. } => self.handle_refused(token, out),
                 Action::Install { meta, data } => {
                     match StateMachine::from_snapshot(&data) {
-                        Ok(machine) => self.state_machine = machine,
+                        Ok(machine) => {
+                            self.last_urgent = machine.configuration().revision();
+                            self.state_machine = machine;
+                        }
                         Err(_) => out.push(ControlAction::Stop(DecodeError::Snapshot)),
                     }
                     out.push(ControlAction::Replica(Action::Install { meta, data }));
@@ -344,7 +351,7 @@
                 watched_upto: Revision::ZERO,
                 next_silence_check: since,
                 next_suspect_cleanup: since,
-                urgent: UrgentChanges::new(self.published_revision),
+                urgent: UrgentChanges::new(self.last_urgent),
                 engine_load: EngineLoadTable::default(),
                 last_reply_round: BTreeMap::new(),
                 admin_addresses: BTreeMap::new(),
