--- a/crates/deckwind-spec/src/staleness_spec.rs
+++ b/crates/deckwind-spec/src/staleness_spec.rs
@@ -18,15 +18,18 @@
 pub struct StalenessRules {
     /// A lease without the change ends [`MAX_STALENESS`] after the leader accepted it.
     pub bounded_by_change: bool,
-    /// A leader grants no lease without a change that was accepted before its term.
-    pub no_inherited_change: bool,
+    /// A leader grants no lease without a change that it knew as accepted at its election.
+    pub no_known_change: bool,
+    /// The same for a change of an earlier term that it applies only after its election.
+    pub no_change_applied_later: bool,
 }
 
 impl StalenessRules {
     /// Enables all rules.
     pub const ALL: StalenessRules = StalenessRules {
         bounded_by_change: true,
-        no_inherited_change: true,
+        no_known_change: true,
+        no_change_applied_later: true,
     };
 }
 
@@ -37,8 +40,10 @@
     None,
     /// Leads since before the change, and counts the ticks since it was accepted.
     Accepted { ticks: u8 },
+    /// Was elected after the change and knew of it, and counts the ticks since.
+    Knew { ticks: u8 },
     /// Was elected after the change, and counts the ticks since it applied it.
-    Inherited { ticks: u8 },
+    AppliedLater { ticks: u8 },
 }
 
 /// State of the staleness specification.
@@ -71,8 +76,11 @@
         };
         match leader {
             Leader::None => 0,
-            Leader::Inherited { .. } if self.rules.no_inherited_change => 0,
-            Leader::Accepted { ticks } | Leader::Inherited { ticks } => bounded(ticks),
+            Leader::Knew { .. } if self.rules.no_known_change => 0,
+            Leader::AppliedLater { .. } if self.rules.no_change_applied_later => 0,
+            Leader::Accepted { ticks }
+            | Leader::Knew { ticks }
+            | Leader::AppliedLater { ticks } => bounded(ticks),
         }
     }
 
@@ -100,12 +108,20 @@
             ));
         }
         if !leads && s.accepted {
-            let leader = Leader::Inherited { ticks: 0 };
-            let n = StalenessState {
-                leader,
-                ..s.clone()
-            };
-            steps.push(("another leader is elected and applies the change", n));
+            let knew = Leader::Knew { ticks: 0 };
+            let later = Leader::AppliedLater { ticks: 0 };
+            for (name, leader) in [
+                ("another leader is elected that knew the change", knew),
+                ("another leader is elected, then applies the change", later),
+            ] {
+                steps.push((
+                    name,
+                    StalenessState {
+                        leader,
+                        ..s.clone()
+                    },
+                ));
+            }
         }
         steps
     }
@@ -134,7 +150,8 @@
             age: if s.accepted { next(s.age) } else { 0 },
             leader: match s.leader {
                 Leader::Accepted { ticks } if s.accepted => Leader::Accepted { ticks: next(ticks) },
-                Leader::Inherited { ticks } => Leader::Inherited { ticks: next(ticks) },
+                Leader::Knew { ticks } => Leader::Knew { ticks: next(ticks) },
+                Leader::AppliedLater { ticks } => Leader::AppliedLater { ticks: next(ticks) },
                 other => other,
             },
             lease: s.lease.saturating_sub(1),
@@ -188,9 +205,16 @@
             },
         ),
         case(
-            "granting no lease without an inherited change",
+            "granting no lease without a change known at the election",
+            StalenessRules {
+                no_known_change: false,
+                ..all
+            },
+        ),
+        case(
+            "granting no lease without a change applied after the election",
             StalenessRules {
-                no_inherited_change: false,
+                no_change_applied_later: false,
                 ..all
             },
         ),
