A drain or departure said again is acknowledged once it is in force, as the first one is

What targets saw: a drain sent twice was acknowledged at once the second time, as in force, while routers still selected the target: requests would arrive after its drain time.

Cause: the repetition changes nothing, and "committed before" was taken for "in force"; the same at a new leader, which cannot know. It waits for the revision that wrote the target now, as the first one does, and for as long.

--- a/crates/deckwind-core/src/control/announcements.rs
+++ b/crates/deckwind-core/src/control/announcements.rs
@@ -9,8 +9,7 @@
 use super::event::ControlAction;
 use super::incarnations::unconfirmed_incarnation;
 use super::operator::OperatorReply;
-use super::pending::Requester;
-use crate::membership::InForce;
+use super::pending::{InForceWait, Requester};
 use crate::state::{
     CommandBody, Incarnation, IncarnationStatus, Instance, InstanceChange, InstanceState,
 };
@@ -221,7 +220,7 @@
                 .record(now, &incarnation, instance.announced);
         let committed = self.state_machine.configuration().instances();
         if !is_newest || compare_announcement(&instance, committed) != AnnouncementDiff::Changed {
-            self.acknowledge(token, out);
+            self.acknowledge_again(now, token, &incarnation.id, out);
             return;
         }
         let since = self.replica.leader_since().unwrap_or(now);
@@ -261,7 +260,7 @@
         let committed = self.state_machine.configuration().instances();
         let known = committed.get(&incarnation.id).map(Instance::incarnation);
         let (Some(known), Some(leader_state)) = (known, &self.leader_state) else {
-            self.acknowledge(token, out);
+            self.acknowledge_again(now, token, &incarnation.id, out);
             return;
         };
         incarnation.born = incarnation.born.or(known.born);
@@ -281,7 +280,7 @@
                 return;
             }
             IncarnationStatus::Ended => {
-                self.acknowledge(token, out);
+                self.acknowledge_again(now, token, &incarnation.id, out);
                 return;
             }
         };
@@ -299,11 +298,21 @@
         self.propose(now, CommandBody::Instances(vec![change]), requester, out);
     }
 
-    fn acknowledge(&self, token: u64, out: &mut Vec<ControlAction>) {
-        let reply = OperatorReply::Accepted {
-            revision: self.state_machine.configuration().revision(),
-            in_force: InForce::Yes,
-        };
-        out.push(ControlAction::OperatorReply { token, reply });
+    /// Acknowledges a drain or a departure that changes nothing, as it was committed before:
+    /// like the first one, once the change is in force.
+    fn acknowledge_again(
+        &mut self,
+        now: Instant,
+        token: u64,
+        id: &str,
+        out: &mut Vec<ControlAction>,
+    ) {
+        let instances = self.state_machine.configuration().instances();
+        self.in_force_waits.push(InForceWait {
+            token,
+            revision: instances.written_at(id),
+            deadline: now + IN_FORCE_TIMEOUT,
+        });
+        self.answer_in_force_waits(now, out);
     }
 }
--- a/crates/deckwind-core/src/state/instances.rs
+++ b/crates/deckwind-core/src/state/instances.rs
@@ -189,6 +189,12 @@
         self.all.get(id).is_some_and(|v| v.value.is_none())
     }
 
+    /// Returns the revision that wrote the instance with this id, or its departure, last; zero
+    /// if it is not known.
+    pub fn written_at(&self, id: &str) -> Revision {
+        self.all.get(id).map_or(Revision::ZERO, |v| v.revision)
+    }
+
     /// Compares an incarnation with the known one of the same target id.
     pub fn incarnation_status(&self, incarnation: &Incarnation) -> IncarnationStatus {
         let known = self.get(&incarnation.id).map(|i| i.born);
--- a/crates/deckwind-testkit/tests/testsuite/stale_leases.rs
+++ b/crates/deckwind-testkit/tests/testsuite/stale_leases.rs
@@ -2,7 +2,7 @@
 //! virtual time. The leader's link is slow, so that most routers wait for the state.
 
 use deckwind_core::control::{OperatorReply, OperatorRequest};
-use deckwind_core::state::PublishedRelease;
+use deckwind_core::state::{InstanceState, PublishedRelease};
 use deckwind_testkit::fan_out::{engine, release};
 use deckwind_testkit::{ControlSimulation, NetFaults};
 use std::time::Duration;
@@ -150,3 +150,24 @@
         assert_eq!(without_lease, 0);
     }
 }
+
+/// Guards against a drain that is acknowledged as in force while routers still select the
+/// target: the target repeats it, and the repetition changes nothing. The simulation checks
+/// each acknowledgement.
+#[test]
+fn a_repeated_drain_is_not_reported_as_in_force_too_early() {
+    let mut sim = cluster(81, STATE_BYTES_PER_S);
+    let leader = sim.run_until_leader();
+    sim.announce(leader, engine(1, 4, 1));
+    sim.run_for(Duration::from_secs(2));
+    publish(&mut sim, 2);
+    let mut draining = engine(1, 4, 2);
+    draining.state = InstanceState::Draining;
+    sim.announce(leader, draining.clone());
+    sim.run_for(Duration::from_millis(50));
+    draining.announced = 3;
+    sim.announce(leader, draining);
+    sim.run_for(Duration::from_secs(2));
+    let replies = &sim.replies["engine-1"];
+    assert_eq!(replies.len(), 3, "{replies:?}");
+}
