Promote beyond the wanted voters only while all voters answer

Callers saw: nothing yet. In virtual time, member_storms 2431 and 2943 ended without a leader for good, so every later change was refused.

Cause: a leader takes no voter for silent until it has led for the longest election timeout. A new leader with a ready learner at a new slot (the successor of a replaced VM) found nobody that it replaces and promoted it at once, beside the lost voter: six voters, of which the lost VM and the previous leader were gone. With the successor lost again three of six were left.

Change: at the wanted number or above, a learner becomes one more voter only while the last answer of each voter to this leader still counts for the lease. Otherwise it waits until one is known to be silent and replaces that one. The reason is in `event=replica_waits … for=replacing voter=…`.

Weighed: a voter that is slow (answers after more than a lease, sooner than silence) is kept, and the learner waits as a spare that replaces the first voter that falls silent; there are as many voters as wanted meanwhile. Two successors at once are taken in one after the other, as before. The cost is at most the longest election timeout after an election (by the rule; not measured). No new time bound: it is the lease's.

Evidence, old code (debug, loaded machine): member_storms::a_leader_remains_although_a_successor_is_lost_again panicked: seeds [2431, 2943]; FAILED, 1 passed, 1 failed, 1 ignored With the change: passes; member_changes, member_storms, seeds, first_start, specification: all pass (69 tests). Of `replication`, the four seeded_schedules had not ended after ten minutes at load 25 and are run next.

Specification: what a leader knows of silence is a step of its own now, lost with the leader, and a successor may be lost in turn.

--- a/crates/deckwind-core/src/replication/admission.rs
+++ b/crates/deckwind-core/src/replication/admission.rs
@@ -12,7 +12,8 @@
 //!
 //! A voter is removed before its replacement votes: with both among the voters, a majority
 //! would need one more that answers. It is removed only once the replacement holds all that
-//! is committed, and one voter at a time while replacements answer.
+//! is committed, and one voter at a time while replacements answer. A new leader does not know
+//! yet who is lost: nobody votes beyond the wanted number until all voters have answered it.
 
 use super::ids::{Index, ReplicaId};
 use super::leader::JoinRequest;
@@ -74,13 +75,32 @@
         }
     }
 
-    /// Promotes a learner that is ready, unless it replaces a voter that is to go first.
+    /// Promotes a learner that is ready, unless it replaces a voter that is to go first, or
+    /// may do so: beyond the wanted number, a voter is added only while all voters answer.
     fn promotion(&self, now: Instant) -> Option<MemberStep> {
+        let is_full = self.members.voters.len() >= self.cfg.desired_voters();
+        if is_full && self.unanswering_voter(now).is_some() {
+            return None;
+        }
         let mut ready = self.ready_learners(now);
         let id = ready.find(|id| self.replaced_by(now, *id).is_none())?;
         Some((MemberChange::Promote(id), MemberChangeReason::CaughtUp))
     }
 
+    /// Returns a voter whose last answer to this leader no longer counts for the lease, or that
+    /// has not answered it yet. It may be lost although it is not known to be silent.
+    fn unanswering_voter(&self, now: Instant) -> Option<ReplicaId> {
+        let leader_state = self.leader_state.as_ref()?;
+        let lease = self.cfg.timing.lease();
+        let answers = |id: &ReplicaId| {
+            let progress = leader_state.peers.get(id);
+            let last = progress.map_or(Some(now), |p| p.last_acked_send);
+            last.is_some_and(|at| now < at + lease)
+        };
+        let mut voters = self.members.voters.iter();
+        voters.find(|id| !answers(id)).copied()
+    }
+
     /// Removes a silent voter that a ready learner replaces. While there are fewer voters
     /// than wanted, a learner that answers and replaces nobody comes first.
     fn replacement(&self, now: Instant) -> Option<MemberStep> {
@@ -212,7 +232,8 @@
             return WaitReason::Silent;
         }
         if self.has_caught_up(now, id) {
-            return WaitReason::Replacing(self.replaced_by(now, id));
+            let replaced = self.replaced_by(now, id);
+            return WaitReason::Replacing(replaced.or_else(|| self.unanswering_voter(now)));
         }
         WaitReason::CatchingUp {
             synced: self.synced_by(id),
--- a/crates/deckwind-core/src/replication/member_notes.rs
+++ b/crates/deckwind-core/src/replication/member_notes.rs
@@ -51,7 +51,8 @@
     ChangeUncommitted,
     /// It asked to join and is not a member yet.
     Asked,
-    /// The learner is ready. The voter that it replaces still answers or is being removed.
+    /// The learner is ready. The voter that it replaces, or may replace, is not known to be
+    /// silent yet or is being removed.
     Replacing(Option<ReplicaId>),
     /// The learner does not answer.
     Silent,
--- a/crates/deckwind-spec/src/membership_cases.rs
+++ b/crates/deckwind-spec/src/membership_cases.rs
@@ -9,6 +9,7 @@
     const NONE: MembershipFaults = MembershipFaults {
         leader_restarts: 0,
         replaced: false,
+        replaced_again: false,
         second_loss: false,
     };
 
@@ -28,6 +29,14 @@
         },
     ];
 
+    /// Faults that leave no leader if a successor votes beside the lost voter that it replaces.
+    pub const LOST_SUCCESSOR: MembershipFaults = MembershipFaults {
+        replaced: true,
+        replaced_again: true,
+        second_loss: true,
+        ..Self::NONE
+    };
+
     /// Faults explored by the `explore` example.
     pub const LARGE: [MembershipFaults; 2] = [
         MembershipFaults {
@@ -98,5 +107,14 @@
             second_loss,
             TOO_FEW_COPIES,
         ),
+        case(
+            "one more voter only if all answer",
+            MembershipRules {
+                one_more_only_if_all_answer: false,
+                ..all
+            },
+            MembershipFaults::LOST_SUCCESSOR,
+            NOT_ALL_VOTE,
+        ),
     ]
 }
--- a/crates/deckwind-spec/src/membership_spec.rs
+++ b/crates/deckwind-spec/src/membership_spec.rs
@@ -20,6 +20,9 @@
 /// Slot of the successor of the lost one.
 const SUCCESSOR: u8 = 5;
 
+/// Slot of the successor of that successor.
+const SECOND_SUCCESSOR: u8 = 6;
+
 /// Slot of a second replica that loses its disk.
 const SECOND: u8 = 3;
 
@@ -37,6 +40,9 @@
     /// While there are fewer voters than wanted, no voter is removed for a learner as long as
     /// another one that runs is to be promoted.
     pub promoted_one_by_one: bool,
+    /// While there are as many voters as wanted, a learner becomes one more only if all of them
+    /// answer the leader.
+    pub one_more_only_if_all_answer: bool,
 }
 
 impl MembershipRules {
@@ -47,6 +53,7 @@
         nobody_waits_for_another: true,
         gone_learners_are_removed: true,
         promoted_one_by_one: true,
+        one_more_only_if_all_answer: true,
     };
 }
 
@@ -58,6 +65,8 @@
     /// Whether the replica that lost its disk is gone for good while it is taken in, and a
     /// successor comes at another slot.
     pub replaced: bool,
+    /// Whether that successor is gone for good as well, and another one comes.
+    pub replaced_again: bool,
     /// Whether a second replica loses its disk.
     pub second_loss: bool,
 }
@@ -92,6 +101,8 @@
     term: u8,
     /// Join requests that the leader has received.
     asked: BTreeSet<u8>,
+    /// Replicas that the leader knows to be silent.
+    silent: BTreeSet<u8>,
     committed: Vec<Entry>,
     left: MembershipFaults,
     violation: Option<&'static str>,
@@ -176,11 +187,13 @@
     fn leader_steps_down(&mut self) {
         self.leader = None;
         self.asked.clear();
+        self.silent.clear();
     }
 
     fn append(&mut self, change: Change) {
         if let Change::Remove(id) = change {
             self.asked.remove(&id);
+            self.silent.remove(&id);
         }
         let entry = Entry {
             term: self.term,
@@ -286,7 +299,7 @@
                 .filter_map(|id| members.voter_at(id % IDENTITY));
             changes.extend(
                 holders
-                    .filter(|old| !s.is_running(*old))
+                    .filter(|old| s.silent.contains(old))
                     .map(Change::Remove),
             );
         }
@@ -303,13 +316,15 @@
         let may = |id: &u8| self.rules.any_leader_promotes || s.asked.contains(id);
         let learners = || members.learners.iter().copied().filter(may);
         let is_short = members.voters.len() < WANTED as usize;
-        let is_coming = |id: u8| s.is_running(id) && replaced_by(s, members, id).is_none();
+        let is_coming = |id: u8| !s.silent.contains(&id) && replaced_by(s, members, id).is_none();
         let promoted_first =
             self.rules.promoted_one_by_one && is_short && learners().any(is_coming);
+        let all_answer = members.voters.iter().all(|id| s.is_running(*id));
+        let may_grow = is_short || all_answer || !self.rules.one_more_only_if_all_answer;
         let step = |id: u8| match replaced_by(s, members, id) {
-            None => Some(Change::Promote(id)),
-            Some(old) if !s.is_running(old) && !promoted_first => Some(Change::Remove(old)),
-            Some(_) => None,
+            None if may_grow => Some(Change::Promote(id)),
+            Some(old) if s.silent.contains(&old) && !promoted_first => Some(Change::Remove(old)),
+            _ => None,
         };
         learners().filter(has_caught_up).filter_map(step).collect()
     }
@@ -329,19 +344,26 @@
     fn removals(&self, s: &MembershipState, members: &Members) -> Vec<Change> {
         let mut gone = Vec::new();
         if members.voters.len() > WANTED as usize {
-            gone.extend(members.voters.iter().filter(|id| !s.is_running(**id)));
+            gone.extend(members.voters.intersection(&s.silent));
         }
-        let answering = members
-            .voters
-            .iter()
-            .filter(|id| s.is_running(**id))
-            .count();
+        let answering = members.voters.difference(&s.silent).count();
         if answering >= WANTED as usize && self.rules.gone_learners_are_removed {
-            gone.extend(members.learners.iter().filter(|id| !s.is_running(**id)));
+            gone.extend(members.learners.intersection(&s.silent));
         }
         gone.into_iter().copied().map(Change::Remove).collect()
     }
 
+    /// Returns the members that are gone and that the leader does not know to be silent yet.
+    fn unnoticed(&self, s: &MembershipState) -> Vec<u8> {
+        let Some(leading) = s.leading() else {
+            return Vec::new();
+        };
+        let members = Members::of(&leading.log);
+        let all = members.voters.union(&members.learners).copied();
+        all.filter(|id| !s.is_running(*id) && !s.silent.contains(id))
+            .collect()
+    }
+
     fn protocol_steps(&self, s: &MembershipState) -> Vec<(String, MembershipState)> {
         let mut out = Vec::new();
         let mut push = |name: String, n: Option<MembershipState>| out.extend(n.map(|n| (name, n)));
@@ -351,6 +373,11 @@
             push(format!("{} asks to join", r.id), self.ask(s, r));
         }
         push("the leader commits".to_string(), self.commit(s));
+        for id in self.unnoticed(s) {
+            let mut n = s.clone();
+            n.silent.insert(id);
+            push(format!("the leader knows that {id} is silent"), Some(n));
+        }
         for change in self.changes(s) {
             let mut n = s.clone();
             n.append(change);
@@ -373,6 +400,12 @@
             n.replace(LOST + IDENTITY, SUCCESSOR);
             out.push(("the lost one is gone for good".to_string(), n));
         }
+        if s.left.replaced_again && !s.left.replaced {
+            let mut n = s.clone();
+            n.left.replaced_again = false;
+            n.replace(SUCCESSOR, SECOND_SUCCESSOR);
+            out.push(("the successor is gone for good".to_string(), n));
+        }
         if s.left.second_loss {
             let mut n = s.clone();
             n.left.second_loss = false;
@@ -384,15 +417,9 @@
 }
 
 /// Returns the voter that a learner replaces: the one at its slot or, if there are as many
-/// voters as wanted, one that is gone.
+/// voters as wanted, one that is known to be silent.
 fn replaced_by(s: &MembershipState, members: &Members, learner: u8) -> Option<u8> {
-    let gone = || {
-        members
-            .voters
-            .iter()
-            .find(|id| !s.is_running(**id))
-            .copied()
-    };
+    let gone = || members.voters.intersection(&s.silent).next().copied();
     let is_full = members.voters.len() >= WANTED as usize;
     let holder = members.voter_at(learner % IDENTITY);
     holder.or_else(|| gone().filter(|_| is_full))
@@ -415,6 +442,7 @@
             leader: Some(0),
             term: 1,
             asked: BTreeSet::new(),
+            silent: BTreeSet::new(),
             committed: genesis.clone(),
             left: self.faults,
             violation: None,
--- a/crates/deckwind-testkit/tests/testsuite/member_changes.rs
+++ b/crates/deckwind-testkit/tests/testsuite/member_changes.rs
@@ -183,6 +183,34 @@
     assert_eq!(cluster.run_until_all_vote(CATCH_UP_MS), Some(0));
 }
 
+/// Guards against a successor that votes beside the lost voter which it replaces: once it is
+/// lost again together with another voter, fewer than a majority are left, and nobody leads.
+#[parameterized(
+    asked_nobody_yet = { 0 },
+    just_asked = { 20 },
+    learner = { 60 },
+    voter = { 300 },
+)]
+fn a_leader_is_elected_after_the_successor_and_the_leader_are_lost(leader_lost_ms: u64) {
+    for successor_lost_ms in (500..1_600).step_by(50) {
+        let mut cluster = SeedCluster::formed();
+        let leader = cluster.leader_slot();
+        cluster.kill(two_followers(&cluster)[0]);
+        cluster.run(1_000);
+        cluster.start_empty(60, false);
+        cluster.run(leader_lost_ms);
+        cluster.kill(leader);
+        cluster.run(successor_lost_ms);
+        cluster.kill(60);
+        cluster.run(CATCH_UP_MS);
+        assert!(
+            cluster.leader().is_some(),
+            "successor lost {successor_lost_ms} ms later:\n{}",
+            cluster.describe()
+        );
+    }
+}
+
 /// Guards against a replica on a slow link that never votes under a steady load, as it never
 /// has all entries of the moment.
 #[test]
--- a/crates/deckwind-testkit/tests/testsuite/member_storms.rs
+++ b/crates/deckwind-testkit/tests/testsuite/member_storms.rs
@@ -24,6 +24,9 @@
 /// Seeds that CI runs.
 const SEEDS_IN_CI: Range<u64> = 0..60;
 
+/// Seeds in which a VM is replaced, its leader is lost, and then the successor is.
+const SEEDS_OF_LOST_SUCCESSORS: [u64; 2] = [2_431, 2_943];
+
 /// Seeds that are run by hand.
 const SEEDS_BY_HAND: Range<u64> = 1_000..3_000;
 
@@ -239,7 +242,8 @@
     std::panic::catch_unwind(|| play(seed)).is_ok()
 }
 
-fn assert_all_pass(seeds: Range<u64>) {
+fn assert_all_pass(seeds: impl IntoIterator<Item = u64>) {
+    let seeds = seeds.into_iter();
     let failed: Vec<u64> = seeds.filter(|seed| !passes(*seed)).collect();
     assert!(failed.is_empty(), "seeds {failed:?}");
 }
@@ -251,7 +255,14 @@
     assert_all_pass(SEEDS_IN_CI);
 }
 
-/// The same, by hand: `cargo test --release … -- --ignored more_random_losses`.
+/// Guards against a successor that votes beside the lost voter which it replaces, and is lost
+/// again: fewer than a majority are left then, and nobody leads any more.
+#[test]
+fn a_leader_remains_although_a_successor_is_lost_again() {
+    assert_all_pass(SEEDS_OF_LOST_SUCCESSORS);
+}
+
+/// More random losses, by hand: `cargo test --release … -- --ignored more_random_losses`.
 #[test]
 #[ignore = "takes minutes"]
 fn all_vote_and_nothing_is_lost_after_more_random_losses() {
