Let an empty replica ask the members that send to its slot

Callers saw: nothing at that moment. After a loss of power with two disks lost, three of five replicas answered and two stayed unformed for good, so the next loss would stop the control and refuse every change.

Cause: an empty replica asks its seeds only. Each of them had been replaced at another address, or was as empty. The members go on sending to exactly these slots, for the earlier identities, and that was dropped unread.

Change: a replica keeps the slot of a member that sends to another identity at its slot (16 at most, until the process ends) and asks it to join, too. Nothing else is taken from such a message: no term, vote, entry or cluster, and no answer. One of another cluster is not kept, nor is any by a replica that may form the cluster; contacts count nowhere in forming one.

Ruled out: answering the message at once (the join request is paced already); forgetting contacts after a while (once the earlier identity is removed nobody sends to it any more, and it would be shut out again).

Successors now join while their predecessors still run, in all rows; what is asserted is the same.

--- a/crates/deckwind-core/src/replication/join.rs
+++ b/crates/deckwind-core/src/replication/join.rs
@@ -52,11 +52,27 @@
         }
     }
 
+    /// Records the sender of a message for another identity at this slot, which is a member.
+    /// Nothing else of the message is used. A replica that may form the cluster records
+    /// nobody: it knows the slots of all that form it with this replica, and no other cluster
+    /// is its own. The sender of a join request may not be a member.
+    pub(super) fn record_contact(&mut self, now: Instant, message: &Message) {
+        let id = self.cfg.id;
+        let own = self.hard_state.cluster.or(message.cluster);
+        let is_of_cluster = message.cluster.is_some() && message.cluster == own;
+        let is_for_slot = message.to_slot == id.slot && message.from.slot != id.slot;
+        let is_join = matches!(message.body, Body::Join { .. });
+        if is_for_slot && is_of_cluster && !is_join && !self.may_form_cluster() {
+            self.contacts.record(now, message.from.slot);
+        }
+    }
+
     /// Returns the slots of all other replicas that may be members.
     fn other_slots(&self) -> BTreeSet<u32> {
         let mut slots = self.cfg.slots.clone();
         if self.cfg.seed_discovery.is_some() {
             slots.extend(self.members.all().map(|id| id.slot));
+            slots.extend(self.contacts.slots());
         }
         slots.remove(&self.cfg.id.slot);
         slots
--- a/crates/deckwind-core/src/replication/mod.rs
+++ b/crates/deckwind-core/src/replication/mod.rs
@@ -27,6 +27,7 @@
 //! no sync, then the writes, a **sync**, the other sends, and [`Event::Synced`].
 
 mod admission;
+mod contacts;
 mod election;
 mod fence;
 mod follower;
--- a/crates/deckwind-core/src/replication/replica.rs
+++ b/crates/deckwind-core/src/replication/replica.rs
@@ -1,5 +1,6 @@
 //! State of a replica and the dispatch of events to the code for its role.
 
+use super::contacts::Contacts;
 use super::ids::{Index, Position, ReplicaId, Term};
 use super::leader::LeaderState;
 use super::log::{Entry, Log, Payload};
@@ -43,6 +44,8 @@
     pub(super) next_join: Instant,
     /// Unformed replicas that sent a join request, by slot.
     pub(super) unformed_peers: BTreeMap<u32, ReplicaId>,
+    /// Members that have sent to an earlier identity at this slot.
+    pub(super) contacts: Contacts,
 }
 
 impl Replica {
@@ -74,6 +77,7 @@
             leader_state: None,
             next_join: now,
             unformed_peers: BTreeMap::new(),
+            contacts: Contacts::default(),
             cfg,
         };
         replica.refresh_members();
@@ -188,6 +192,7 @@
 
     fn receive(&mut self, now: Instant, message: Message, out: &mut Vec<Action>) {
         if !self.is_addressed_here(&message) {
+            self.record_contact(now, &message);
             return;
         }
         if let Body::Join { unformed } = message.body {
--- a/crates/deckwind-spec/src/membership_cases.rs
+++ b/crates/deckwind-spec/src/membership_cases.rs
@@ -11,10 +11,11 @@
         replaced: false,
         replaced_again: false,
         second_loss: false,
+        no_seed_left: false,
     };
 
     /// Faults explored in the tests.
-    pub const SMALL: [MembershipFaults; 3] = [
+    pub const SMALL: [MembershipFaults; 4] = [
         MembershipFaults {
             leader_restarts: 1,
             ..Self::NONE
@@ -27,6 +28,11 @@
             second_loss: true,
             ..Self::NONE
         },
+        MembershipFaults {
+            second_loss: true,
+            no_seed_left: true,
+            ..Self::NONE
+        },
     ];
 
     /// Faults that leave no leader if a successor votes beside the lost voter that it replaces.
@@ -38,7 +44,7 @@
     };
 
     /// Faults explored by the `explore` example.
-    pub const LARGE: [MembershipFaults; 2] = [
+    pub const LARGE: [MembershipFaults; 3] = [
         MembershipFaults {
             leader_restarts: 1,
             replaced: true,
@@ -49,13 +55,19 @@
             second_loss: true,
             ..Self::NONE
         },
+        MembershipFaults {
+            leader_restarts: 1,
+            second_loss: true,
+            no_seed_left: true,
+            ..Self::NONE
+        },
     ];
 }
 
 /// Returns the membership specification with each rule disabled in turn.
 pub fn membership_cases() -> Vec<Case<MembershipSpec>> {
     let all = MembershipRules::ALL;
-    let [leader_goes, replaced, second_loss] = MembershipFaults::SMALL;
+    let [leader_goes, replaced, second_loss, no_seed_left] = MembershipFaults::SMALL;
     let case = |disabled_rule, rules, faults, violates| Case {
         disabled_rule,
         spec: MembershipSpec { rules, faults },
@@ -116,5 +128,14 @@
             MembershipFaults::LOST_SUCCESSOR,
             NOT_ALL_VOTE,
         ),
+        case(
+            "asking who sends to its slot",
+            MembershipRules {
+                asks_who_sends_to_its_slot: false,
+                ..all
+            },
+            no_seed_left,
+            NOT_ALL_VOTE,
+        ),
     ]
 }
--- a/crates/deckwind-spec/src/membership_spec.rs
+++ b/crates/deckwind-spec/src/membership_spec.rs
@@ -43,6 +43,8 @@
     /// While there are as many voters as wanted, a learner becomes one more only if all of them
     /// answer the leader.
     pub one_more_only_if_all_answer: bool,
+    /// A replica also asks the members that send to another identity at its slot.
+    pub asks_who_sends_to_its_slot: bool,
 }
 
 impl MembershipRules {
@@ -54,6 +56,7 @@
         gone_learners_are_removed: true,
         promoted_one_by_one: true,
         one_more_only_if_all_answer: true,
+        asks_who_sends_to_its_slot: true,
     };
 }
 
@@ -69,6 +72,9 @@
     pub replaced_again: bool,
     /// Whether a second replica loses its disk.
     pub second_loss: bool,
+    /// Whether all seeds are gone, or as empty as the replicas that lost their disks, so that
+    /// those know no member from their settings.
+    pub no_seed_left: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -103,6 +109,8 @@
     asked: BTreeSet<u8>,
     /// Replicas that the leader knows to be silent.
     silent: BTreeSet<u8>,
+    /// Replicas that have received a message for another identity at their slot.
+    contacted: BTreeSet<u8>,
     committed: Vec<Entry>,
     left: MembershipFaults,
     violation: Option<&'static str>,
@@ -272,11 +280,26 @@
         let is_learner = !r.log.is_empty() && own.learners.contains(&r.id);
         let asks = is_outside || (is_learner && self.rules.learner_asks_again);
         let is_known = Members::of(&leading.log).contains(r.id) || s.asked.contains(&r.id);
-        let mut n = (asks && !is_known).then(|| s.clone())?;
+        let knows_a_member =
+            !self.faults.no_seed_left || !r.log.is_empty() || s.contacted.contains(&r.id);
+        let mut n = (asks && knows_a_member && !is_known).then(|| s.clone())?;
         n.asked.insert(r.id);
         Some(n)
     }
 
+    /// The leader sends to another identity at the slot of a replica that knows no member.
+    fn contact(&self, s: &MembershipState, r: &Replica) -> Option<MembershipState> {
+        let members = Members::of(&s.leading()?.log);
+        let all = members.voters.union(&members.learners);
+        let mut others = all.filter(|id| **id != r.id && **id % IDENTITY == r.id % IDENTITY);
+        let is_needed = self.faults.no_seed_left && r.log.is_empty();
+        let is_new = others.next().is_some() && !s.contacted.contains(&r.id);
+        let has_rule = self.rules.asks_who_sends_to_its_slot;
+        let mut n = (has_rule && is_needed && is_new).then(|| s.clone())?;
+        n.contacted.insert(r.id);
+        Some(n)
+    }
+
     /// Returns the changes that the leader may start now: none until the last one and an
     /// entry of its own term are committed.
     fn changes(&self, s: &MembershipState) -> Vec<Change> {
@@ -371,6 +394,10 @@
             push(format!("{} becomes leader", r.id), self.elect(s, r));
             push(format!("{} receives the log", r.id), self.replicate(s, i));
             push(format!("{} asks to join", r.id), self.ask(s, r));
+            push(
+                format!("the leader sends to the slot of {}", r.id),
+                self.contact(s, r),
+            );
         }
         push("the leader commits".to_string(), self.commit(s));
         for id in self.unnoticed(s) {
@@ -443,6 +470,7 @@
             term: 1,
             asked: BTreeSet::new(),
             silent: BTreeSet::new(),
+            contacted: BTreeSet::new(),
             committed: genesis.clone(),
             left: self.faults,
             violation: None,
--- a/crates/deckwind-testkit/tests/testsuite/seeds.rs
+++ b/crates/deckwind-testkit/tests/testsuite/seeds.rs
@@ -2,7 +2,12 @@
 //! once, admit replicas at other addresses, and remove voters that never return.
 
 use crate::seed_cluster::{ALL, SEEDS, SeedCluster};
-use deckwind_core::replication::{Index, Role, Timing};
+use deckwind_core::replication::{
+    Action, Body, ClusterId, Event, Index, Message, Position, Replica, ReplicaConfig, ReplicaId,
+    Role, SeedDiscovery, Stored, Term, Timing,
+};
+use deckwind_core::time::Instant;
+use std::collections::BTreeSet;
 use yare::parameterized;
 
 #[test]
@@ -88,12 +93,14 @@
 /// Time after which a replica that is back no longer counts as lost, ms.
 const CATCH_UP_MS: u64 = 4_000;
 
-/// Replaces replicas, one after the other, by others at new addresses.
+/// Replaces replicas, one after the other, by others at new addresses, each of which joins
+/// while its predecessor still runs.
 fn replace(cluster: &mut SeedCluster, replacements: &[(u32, u32)]) {
     for (gone, successor) in replacements {
-        cluster.kill(*gone);
-        cluster.run(1_000);
         cluster.start_empty(*successor, false);
+        cluster.run(CATCH_UP_MS);
+        assert!(cluster.identity_votes(*successor), "{}", cluster.describe());
+        cluster.kill(*gone);
         let took = cluster.run_until_all_vote(CATCH_UP_MS);
         assert!(took.is_some(), "{}", cluster.describe());
     }
@@ -136,6 +143,88 @@
     assert!(took.is_some(), "{}", cluster.describe());
 }
 
+/// Cluster whose members send to an earlier identity at the slot of [`empty_replica`].
+const CLUSTER: ClusterId = ClusterId(7);
+
+/// Creates a replica with an empty log at the last seed.
+fn empty_replica(cluster: Option<ClusterId>, first_start: bool) -> Replica {
+    let seeds: BTreeSet<u32> = SEEDS.into_iter().collect();
+    let id = ReplicaId {
+        slot: 30,
+        identity: 2,
+    };
+    let mut cfg = ReplicaConfig::new(id, SEEDS, 1);
+    cfg.seed_discovery = Some(SeedDiscovery::new(30, &seeds, first_start, None, 5));
+    let mut stored = Stored::default();
+    stored.hard_state.cluster = cluster;
+    Replica::new(cfg, stored, Instant::from_millis(1))
+}
+
+/// Delivers a vote request for an earlier identity at the slot of [`empty_replica`].
+fn request_vote_of_predecessor(replica: &mut Replica, from: u32) {
+    let message = Message {
+        cluster: Some(CLUSTER),
+        from: ReplicaId {
+            slot: from,
+            identity: 1,
+        },
+        to_slot: 30,
+        to_identity: Some(1),
+        term: Term(5),
+        body: Body::Vote {
+            last: Position::default(),
+        },
+    };
+    let mut out = Vec::new();
+    let now = Instant::from_millis(5_000);
+    replica.step(now, Event::Receive(message), &mut out);
+    assert!(out.is_empty(), "{out:?}");
+}
+
+/// Returns the slots that a replica asks to join at its next tick.
+fn asked_slots(replica: &mut Replica) -> BTreeSet<u32> {
+    let mut out = Vec::new();
+    replica.step(Instant::from_millis(6_000), Event::Tick, &mut out);
+    let asked = out.iter().filter_map(|action| match action {
+        Action::Send { message, .. } if matches!(message.body, Body::Join { .. }) => {
+            Some(message.to_slot)
+        }
+        _ => None,
+    });
+    asked.collect()
+}
+
+/// Guards against messages for an earlier identity that count for the replica which runs at
+/// the slot now, and against one that is drawn into another cluster by them.
+#[parameterized(
+    unformed = { None, false, &[10, 20, 60] },
+    of_the_same_cluster = { Some(CLUSTER), false, &[10, 20, 60] },
+    of_another_cluster = { Some(ClusterId(8)), false, &[10, 20] },
+    at_the_first_start = { None, true, &[10, 20] },
+)]
+fn a_message_for_an_earlier_identity_only_shows_whom_to_ask(
+    cluster: Option<ClusterId>,
+    first_start: bool,
+    asked: &[u32],
+) {
+    let mut replica = empty_replica(cluster, first_start);
+    request_vote_of_predecessor(&mut replica, 60);
+    assert_eq!(replica.term(), Term(0));
+    assert_eq!(replica.role(), Role::Unformed);
+    assert_eq!(asked_slots(&mut replica), asked.iter().copied().collect());
+}
+
+/// Guards against join requests without bound, to all who ever sent something.
+#[test]
+fn only_some_members_that_send_to_an_earlier_identity_are_asked() {
+    let mut replica = empty_replica(None, false);
+    for slot in 100..200 {
+        request_vote_of_predecessor(&mut replica, slot);
+    }
+    let asked = asked_slots(&mut replica);
+    assert!((10..=20).contains(&asked.len()), "{asked:?}");
+}
+
 #[test]
 fn a_voter_removed_while_partitioned_joins_again() {
     let mut cluster = SeedCluster::new(&[10, 20, 30, 40, 50], Timing::default());
