A stopping router sends what can end in time, and answers the rest at the end

Callers of a router that was stopped saw their connections close without an answer, at the end of the time until it is killed: requests that were in progress when the stop began, and requests that came up to its last moment and were passed on to a target. Among them were requests that may not be repeated.

Cause: admission went by two fixed times (2.8 s, 4.5 s) and by the kind of the route only, not by how long a request may take (its deadline, or its route's timeout) against the time that is left. A router that is killed after 3 s never came to refuse anything. A request was admitted when its head was read, so that a slow body, a wait for a permit or a refusal by a target led to a first send at any later time. At the end nothing ended what was left.

Change: PlannedStop in the core holds the times of a stop, derived from the time until the process is killed; the fixed times remain as upper bounds, so 8 s gives 2.8, 4.5 and 7.4 s as before. It decides for each request, when its head is read and again just before each send. Until load balancers have removed the router all are admitted. After that one whose deadline is past the end of the answers gets 503 with Retry-After, unsent. One that may have run is sent again for as long as answers are awaited: a refusal could no longer say "not run". At the end each request without an answer gets one: 504 if it may have run, 503 if not. Each refusal (event=refused_by_stop) and interruption (event=interrupted_by_stop) has one line and a counter.

Ruled out: requests between the last check of those in progress and the exit. A request is counted before the clock is read for its admission, and the router waits for the end of admission before it looks at the count.

Not touched: streams that are being relayed at the end are still cut by the exit.

--- a/crates/deckwind-testkit/src/layout.rs
+++ b/crates/deckwind-testkit/src/layout.rs
@@ -51,6 +51,8 @@
     pub data_centres: Vec<&'static str>,
     /// Duration of a lease, if it isn't the default.
     pub lease: Option<&'static str>,
+    /// Time from SIGTERM until a router's process is killed, if it is.
+    pub killed_after: Option<&'static str>,
 }
 
 /// Ports chosen by the OS and reserved until this value is dropped.
@@ -128,6 +130,7 @@
             file_descriptors: None,
             data_centres: vec!["recife-a"],
             lease: None,
+            killed_after: None,
             _reserved_ports: ports,
         })
     }
@@ -235,6 +238,9 @@
         if let Some(memory) = self.memory_mb {
             settings["router"]["memory"] = serde_json::json!(memory);
         }
+        if let Some(killed_after) = self.killed_after {
+            settings["router"]["killed_after"] = serde_json::json!(killed_after);
+        }
         if let Some(descriptors) = self.file_descriptors {
             settings["router"]["file_descriptors"] = serde_json::json!(descriptors);
         }
--- a/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/caller_ends.rs
@@ -437,7 +437,7 @@
 }
 
 /// Publishes the first release, and announces a target of its plain routes.
-async fn publish_target(control: SocketAddr, target: &FakeTargetServer) {
+pub async fn publish_target(control: SocketAddr, target: &FakeTargetServer) {
     let release = release_document(1, &[API_KEY]);
     let announcement = target.announcement("plain", data_centre_of(0), "ready", 1);
     let posts = [
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -46,6 +46,7 @@
 mod paths;
 mod placement;
 mod placement_at_size;
+mod planned_stops;
 mod poison_part_storms;
 mod poison_parts;
 mod poison_requests;
--- a/crates/deckwind-testkit/tests/testsuite/rig.rs
+++ b/crates/deckwind-testkit/tests/testsuite/rig.rs
@@ -165,6 +165,24 @@
     res.map_or(StatusCode::SERVICE_UNAVAILABLE, |r| r.status())
 }
 
+/// Sends a call to the router at an address, over a new connection.
+///
+/// # Errors
+///
+/// Fails if the connection breaks before the answer's head arrives.
+pub async fn send_call(router: SocketAddr, call: &FakeCall<'_>) -> Result<CallerAnswer, String> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let req = call.request(router).expect("a request");
+    let res = client.request(req).await.map_err(|e| format!("{e:?}"))?;
+    let (head, body) = res.into_parts();
+    let body = body.collect().await.map_err(|e| e.to_string());
+    Ok(CallerAnswer {
+        status: head.status,
+        headers: head.headers,
+        body: body.map(|b| String::from_utf8_lossy(&b.to_bytes()).into_owned()),
+    })
+}
+
 impl Rig {
     /// Starts one control replica, one router, and the given numbers of plain targets and
     /// engines.
@@ -342,17 +360,7 @@
         router: usize,
         call: &FakeCall<'_>,
     ) -> Result<CallerAnswer, String> {
-        let router = self.cluster.layout.routers[router].routes;
-        let client = Client::builder(TokioExecutor::new()).build_http();
-        let req = call.request(router).expect("a request");
-        let res = client.request(req).await.map_err(|e| format!("{e:?}"))?;
-        let (head, body) = res.into_parts();
-        let body = body.collect().await.map_err(|e| e.to_string());
-        Ok(CallerAnswer {
-            status: head.status,
-            headers: head.headers,
-            body: body.map(|b| String::from_utf8_lossy(&b.to_bytes()).into_owned()),
-        })
+        send_call(self.cluster.layout.routers[router].routes, call).await
     }
 
     /// Returns all plain targets and engines.
--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -39,9 +39,10 @@
 use crate::context::Context;
 use anyhow::{Context as _, Result};
 use deckwind_config::RouterSettings;
+use deckwind_core::routes::PlannedStop;
+use deckwind_core::time::Instant;
 use deckwind_net::quic::QuicPeer;
 use deckwind_wire::{ControlRequest, MAX_MESSAGE_BYTES};
-use routes::AdmissionLevel;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,17 +61,8 @@
 /// Interval between checks for remaining requests while the router drains.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time after the start of a graceful shutdown during which routes accept all requests.
-/// Load balancers check readiness every second, and remove a router after two failed
-/// checks.
-const FULL_ACCEPT_DURATION: Duration = Duration::from_millis(2_800);
-
-/// Time after the start of a graceful shutdown from which no request is accepted, so that
-/// the longest request that is answered as a whole ends before the process is killed.
-const MAX_ACCEPT_DURATION: Duration = Duration::from_millis(4_500);
-
-/// Time reserved before the process is killed, for the work that follows the last answer.
-const KILL_MARGIN: Duration = Duration::from_millis(600);
+/// Maximum time to write answers to callers whose requests are interrupted.
+const INTERRUPT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Maximum time to wait until the leader confirms the release of the lease. Without
 /// confirmation the lease expires.
@@ -151,27 +143,20 @@
         &self.shared
     }
 
-    /// Shuts down gracefully: accepts no new requests, waits for those in progress, releases
-    /// the lease and closes the connections.
+    /// Shuts down gracefully: admits requests that can end in time, waits for those in
+    /// progress, interrupts the rest, releases the lease and closes the connections.
     pub async fn close(self) {
+        let clock = self.shared.clock;
+        let stop = PlannedStop::new(clock.now(), self.drain, self.killed_after);
         self.shared.core().drain();
-        self.shared.routes.drain();
-        let started_at = tokio::time::Instant::now();
-        let deadline = started_at + self.drain_timeout();
+        self.shared.routes.stop.begin(stop);
         if self.shared.cfg.routes.is_some() {
-            let steps = [
-                (FULL_ACCEPT_DURATION, AdmissionLevel::NoStreams),
-                (MAX_ACCEPT_DURATION, AdmissionLevel::Nothing),
-            ];
-            for (after, admission_level) in steps {
-                tokio::time::sleep_until((started_at + after).min(deadline)).await;
-                self.shared.routes.set_admission_level(admission_level);
+            while clock.now() < stop.admits_until() {
+                tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
             }
         }
-        while self.shared.in_progress() > 0 && tokio::time::Instant::now() < deadline {
-            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        }
-        log::info!("event=drained in_progress={}", self.shared.in_progress());
+        self.wait_for_requests(stop.answers_until()).await;
+        self.interrupt_requests().await;
         for task in &self.tasks {
             task.abort();
         }
@@ -180,9 +165,24 @@
         self.peer.close().await;
     }
 
-    /// Returns the maximum time to wait for requests in progress.
-    fn drain_timeout(&self) -> Duration {
-        let until_killed = self.killed_after.map(|d| d.saturating_sub(KILL_MARGIN));
-        until_killed.unwrap_or(self.drain).min(self.drain)
+    /// Waits until no request is in progress, at most until the deadline.
+    async fn wait_for_requests(&self, deadline: Instant) {
+        while self.shared.in_progress() > 0 && self.shared.clock.now() < deadline {
+            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Ends the requests that have no answer yet, so that their callers learn whether they may
+    /// have run.
+    async fn interrupt_requests(&self) {
+        let in_progress = self.shared.in_progress();
+        let stop = &self.shared.routes.stop;
+        stop.end_answers();
+        self.wait_for_requests(self.shared.clock.now() + INTERRUPT_TIMEOUT)
+            .await;
+        log::info!(
+            "event=drained in_progress={in_progress} interrupted={}",
+            stop.interrupted()
+        );
     }
 }
--- a/crates/deckwindd/src/router/routes/http_server.rs
+++ b/crates/deckwindd/src/router/routes/http_server.rs
@@ -3,10 +3,13 @@
 use super::held_bytes::{Deliveries, HeldBytes, Side};
 use super::job::{Admission, Job, authorize};
 use super::responses::{BodyError, Failure, RouteBody, full_body, strip_connection_headers};
+use super::stop_state::MayHaveRun;
 use super::{non_streaming, opening};
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
-use deckwind_core::state::{CallerLimits, ContentDigest, MAX_PARTS, RequestTraits, RouteKind};
+use deckwind_core::state::{
+    CallerLimits, ContentDigest, MAX_PARTS, RequestTraits, Route, RouteKind,
+};
 use deckwind_core::time::Instant;
 use deckwind_net::body::{CollectError, MessageBody, collect};
 use deckwind_net::caller_stream::{CallerStream, EndsAnswer};
@@ -98,7 +101,7 @@
                 return;
             }
             () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if !is_shutting_down => {
-                if shared.routes.is_closing() {
+                if shared.routes.stop.closes_connections() {
                     serving.as_mut().graceful_shutdown();
                     is_shutting_down = true;
                 }
@@ -136,14 +139,24 @@
     };
     let body = MessageBody::of_request(&parts, body);
     let request_id = head.id.clone();
-    let mut res = match prepare(&shared, head, &parts, body, arrived).await {
-        Ok(job) => run(job).await,
-        Err(failure) => {
-            log_refused(&shared, &request_id, &parts, &failure);
-            failure.response()
+    let may_have_run = MayHaveRun::default();
+    let serving = async {
+        match prepare(&shared, head, &parts, body, arrived, &may_have_run).await {
+            Ok(job) => run(job).await,
+            Err(failure) => {
+                log_refused(&shared, &request_id, &parts, &failure);
+                failure.response()
+            }
         }
     };
-    if shared.routes.is_closing() || shared.caller_connections.closes_after_answer() {
+    let stop = &shared.routes.stop;
+    let mut res = tokio::select! {
+        biased;
+        res = serving => res,
+        () = stop.answers_ended() => stop.interrupt(&request_id, may_have_run.get()).response(),
+    };
+    let is_stopping = shared.routes.stop.closes_connections();
+    if is_stopping || shared.caller_connections.closes_after_answer() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
@@ -174,13 +187,14 @@
     parts: &Parts,
     body: MessageBody,
     arrived: Instant,
+    may_have_run: &MayHaveRun,
 ) -> Result<Job, Failure> {
     await_first_release(shared, &head).await;
     let serving = shared.routes.serving();
     let admission = authorize(shared, &serving, &head, parts)?;
-    if !shared.routes.admits(admission.route.kind) {
-        return Err(Failure::Stopping);
-    }
+    let route = &admission.route;
+    let stop = &shared.routes.stop;
+    stop.check_admitted(&head.id, route.kind, arrived + wait_time(&head, route))?;
     let limits = admission.release.release().limits;
     let (body, held) = read_body(body, limits, &shared.routes.deliveries).await?;
     // Reading the body may have taken long, and what was allowed before may no longer
@@ -200,17 +214,16 @@
     let mut parts = parts.clone();
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
-    let wait_time = head.wait_time.unwrap_or(route.timeout());
+    let wait_time = wait_time(&head, &route);
     let uri = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     let content = ContentDigest::of(parts.method.as_str(), uri, account.as_deref(), &body);
     log_ignored_parts(&head);
     Ok(Job {
         traits: RequestTraits::new(content, account.as_deref(), &head.prompt.ids),
-        is_late: shared
-            .routes
-            .is_late(&route, wait_time.min(route.timeout())),
+        is_late: shared.routes.is_late(&route, wait_time),
         shared: shared.clone(),
-        deadline: arrived + wait_time.min(route.timeout()),
+        deadline: arrived + wait_time,
+        may_have_run: may_have_run.clone(),
         rank: rank(priority, route.priority),
         account,
         head,
@@ -224,6 +237,13 @@
     })
 }
 
+/// Returns the time for which the caller waits for an answer, at most the route's timeout.
+fn wait_time(head: &CallerRequestHead, route: &Route) -> Duration {
+    head.wait_time
+        .unwrap_or(route.timeout())
+        .min(route.timeout())
+}
+
 /// Logs that parts of a prompt are not known, or not all of them count as traits. The request
 /// is served all the same.
 fn log_ignored_parts(head: &CallerRequestHead) {
@@ -325,7 +345,7 @@
     let serving = shared.routes.serving();
     let serves = serving.is_live(shared.clock.now())
         && serving.release().is_some()
-        && !shared.routes.is_draining()
+        && !shared.routes.stop.has_begun()
         && !shared.control.is_partitioned();
     let status = match (known, serves) {
         (false, _) => StatusCode::NOT_FOUND,
--- a/crates/deckwindd/src/router/routes/job.rs
+++ b/crates/deckwindd/src/router/routes/job.rs
@@ -4,10 +4,13 @@
 use super::held_bytes::HeldBytes;
 use super::permits::NoPermit;
 use super::responses::Failure;
+use super::stop_state::MayHaveRun;
 use super::target_notices::AnswerSource;
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
-use deckwind_core::routes::{Permit, ReleaseIndex, SendVerdict, ServingState, TargetChoice};
+use deckwind_core::routes::{
+    Permit, ReleaseIndex, SendVerdict, ServingState, StoppingRequest, TargetChoice,
+};
 use deckwind_core::state::{Pool, RequestTraits, Route};
 use deckwind_core::time::Instant;
 use deckwind_net::edge::{CallerRequestHead, TargetRequestHead};
@@ -101,6 +104,8 @@
     pub(super) admitted_at: Instant,
     /// Deadline of the request.
     pub deadline: Instant,
+    /// Whether a target may have run the request.
+    pub may_have_run: MayHaveRun,
 }
 
 impl Job {
@@ -136,6 +141,23 @@
         is_same.then_some(()).ok_or(Failure::NoRoute)
     }
 
+    fn as_stopping(&self) -> StoppingRequest {
+        StoppingRequest {
+            kind: self.route.kind,
+            deadline: self.deadline,
+            may_have_run: self.may_have_run.get(),
+        }
+    }
+
+    /// Checks that the router does not stop too soon for the request to be sent now.
+    ///
+    /// # Errors
+    /// If it does.
+    pub fn check_stop(&self) -> Result<(), Failure> {
+        let stop = &self.shared.routes.stop;
+        stop.check_sendable(&self.head.id, &self.as_stopping())
+    }
+
     /// Decides whether the request may be sent to a target.
     fn verdict(&self) -> SendVerdict {
         let now = self.shared.clock.now();
@@ -193,10 +215,14 @@
     }
 
     /// Whether the request may not be sent to the chosen target by now: the target accepts
-    /// nothing new, or nothing without a valid permit, or targets have crashed on the request.
+    /// nothing new, or nothing without a valid permit, targets have crashed on the request, or
+    /// the router stops too soon for it.
     pub fn is_blocked(&self, choice: &TargetChoice, permit: Option<&Permit>) -> bool {
+        let routes = &self.shared.routes;
         let now = self.shared.clock.now();
-        !self.may_be_sent() || self.shared.routes.is_blocked(now, choice, permit)
+        !self.may_be_sent()
+            || routes.is_blocked(now, choice, permit)
+            || !routes.stop.may_send(&self.as_stopping())
     }
 
     /// Creates the request to a target, to be resumed after `last_event`.
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -21,6 +21,7 @@
 mod responses;
 mod stall_detection;
 mod stall_reports;
+mod stop_state;
 mod target_notices;
 mod target_run;
 
@@ -41,9 +42,7 @@
     RetryLimits, RetrySource, ReturningCallers, ServingChanges, ServingState, TargetFault,
     TargetRecords,
 };
-use deckwind_core::state::{
-    Configuration, Instance, InstanceState, Pool, Revision, Route, RouteKind,
-};
+use deckwind_core::state::{Configuration, Instance, InstanceState, Pool, Revision, Route};
 use deckwind_core::time::Instant;
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::CallerDialect;
@@ -55,9 +54,10 @@
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use stop_state::StopState;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
@@ -105,20 +105,8 @@
     retries_short: Notify,
     /// Notified when the leader has granted retries.
     retries_granted: Notify,
-    draining: AtomicBool,
-    /// Requests that are still admitted during a planned stop; see [`AdmissionLevel`].
-    admission_level: AtomicU8,
-}
-
-/// Requests that are admitted while the router stops.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum AdmissionLevel {
-    /// All requests.
-    All = 0,
-    /// Only requests with a whole answer: a stream could outlast the process.
-    NoStreams = 1,
-    /// No requests.
-    Nothing = 2,
+    /// The planned stop of this router, once it has begun.
+    pub stop: StopState,
 }
 
 impl Routes {
@@ -155,8 +143,7 @@
             permits: PermitQueue::default(),
             retries_short: Notify::new(),
             retries_granted: Notify::new(),
-            draining: AtomicBool::new(false),
-            admission_level: AtomicU8::new(AdmissionLevel::All as u8),
+            stop: StopState::new(cx.clock),
         }
     }
 
@@ -481,36 +468,6 @@
             }
         }
     }
-
-    /// Begins a planned stop: the router is no longer ready, but still serves requests.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether a planned stop has begun.
-    pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
-    }
-
-    /// Restricts the requests that are admitted from now on.
-    pub fn set_admission_level(&self, admission_level: AdmissionLevel) {
-        self.admission_level
-            .store(admission_level as u8, Ordering::Relaxed);
-    }
-
-    /// Whether requests of this kind are admitted.
-    pub fn admits(&self, kind: RouteKind) -> bool {
-        let refused_from = match kind.is_stream() {
-            true => AdmissionLevel::NoStreams,
-            false => AdmissionLevel::Nothing,
-        };
-        self.admission_level.load(Ordering::Relaxed) < refused_from as u8
-    }
-
-    /// Whether connections are closed after their next answer.
-    pub fn is_closing(&self) -> bool {
-        self.admission_level.load(Ordering::Relaxed) > AdmissionLevel::All as u8
-    }
 }
 
 /// Maximum number of targets logged for one change of the configuration. A data centre
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -125,7 +125,11 @@
     async fn run_all(&mut self) -> Result<WholeAnswer, Failure> {
         let mut ran: Option<Result<WholeAnswer, Failure>> = None;
         loop {
-            let (may_continue, failure) = match self.run_once().await {
+            let end = self.run_once().await;
+            if ran.is_none() && matches!(end, AttemptEnd::Unreachable | AttemptEnd::NotRun) {
+                self.job.may_have_run.record_not_run();
+            }
+            let (may_continue, failure) = match end {
                 AttemptEnd::Final(answered) => return Ok(answered),
                 AttemptEnd::Stopped(failure) => (false, failure),
                 AttemptEnd::NotSent => continue,
@@ -153,7 +157,8 @@
             Ok(choice) => choice,
             Err(failure) => return AttemptEnd::Stopped(failure),
         };
-        if let Err(failure) = self.job.check_admitted() {
+        let checked = self.job.check_admitted();
+        if let Err(failure) = checked.and_then(|()| self.job.check_stop()) {
             return AttemptEnd::Stopped(failure);
         }
         if self.job.time_left().is_zero() {
@@ -284,6 +289,7 @@
         let sending = async {
             let req = job.target_request(choice, None);
             let req = req.map_err(|e| AttemptError::Unreachable(e.to_string()))?;
+            job.may_have_run.record_sent();
             let (head, body) = connection.send(req).await.map_err(attempt_error)?;
             job.apply_answer(choice, permit, head.status, &head.headers);
             let deliveries = &job.shared.routes.deliveries;
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -66,6 +66,7 @@
             .record_sent(choice.address, choice.incarnation());
         self.target = Some(choice.address);
         self.log_extra_attempt();
+        self.job.may_have_run.record_sent();
         let run = TargetRun::begin(&self.job, choice);
         let way = connection.way();
         let res = {
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -147,6 +147,7 @@
                 });
             }
             self.job.check_admitted().map_err(final_failure)?;
+            self.job.check_stop().map_err(final_failure)?;
             let retry_spent = std::mem::take(&mut self.retry_spent);
             if is_retry && !retry_spent && !self.acquire_retry(is_new).await {
                 return Err(final_failure(Failure::NoRepeat));
@@ -166,6 +167,9 @@
                 error,
                 AttemptError::Unreachable(_) | AttemptError::NotRun(_)
             );
+            if !may_have_run {
+                self.job.may_have_run.record_not_run();
+            }
             let handled = self.handle_failure(choice.address, error);
             // Refusals after an attempt that may have run don't guarantee that the
             // request has not run.
--- a/crates/deckwindd/src/router/routes/responses.rs
+++ b/crates/deckwindd/src/router/routes/responses.rs
@@ -61,6 +61,8 @@
     NotSentAgain(String),
     /// The request may have run: no answer was received in time.
     Late,
+    /// The request may have run: this router stopped before an answer was received.
+    Interrupted,
 }
 
 impl Failure {
@@ -95,7 +97,7 @@
             | Failure::Undecided
             | Failure::NoTime => StatusCode::SERVICE_UNAVAILABLE,
             Failure::Broken(_) | Failure::NotSentAgain(_) => StatusCode::BAD_GATEWAY,
-            Failure::Late => StatusCode::GATEWAY_TIMEOUT,
+            Failure::Late | Failure::Interrupted => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -123,6 +125,7 @@
             Failure::Broken(_) => "target-broke",
             Failure::NotSentAgain(_) => "not-sent-again",
             Failure::Late => "target-late",
+            Failure::Interrupted => "interrupted-by-stop",
         }
     }
 
@@ -146,8 +149,14 @@
 
     /// Returns the response for the caller.
     pub fn response(&self) -> Response<RouteBody> {
-        if *self == Failure::Quarantined {
-            metrics::counter!("deckwind_route_quarantined_total").increment(1);
+        match self {
+            Failure::Quarantined => {
+                metrics::counter!("deckwind_route_quarantined_total").increment(1);
+            }
+            Failure::Stopping => {
+                metrics::counter!("deckwind_route_refused_by_stop_total").increment(1);
+            }
+            _ => {}
         }
         let text = match self {
             Failure::BadRequest(why) | Failure::Broken(why) | Failure::NotSentAgain(why) => {
--- a/crates/deckwindd/src/router/tunnels.rs
+++ b/crates/deckwindd/src/router/tunnels.rs
@@ -216,7 +216,7 @@
     target: SocketAddr,
 ) -> Result<BoxedStream, TunnelRefusal> {
     let serving = shared.routes.serving();
-    if !serving.is_live(shared.clock.now()) || shared.routes.is_draining() {
+    if !serving.is_live(shared.clock.now()) || shared.routes.stop.has_begun() {
         return Err(TunnelRefusal::NotServing);
     }
     if !serving.instances().iter().any(|i| i.address == target) {
