A stream that outlasts a planned stop is broken off before the router ends

A stream that was still relayed at the end of the stop was cut by the exit of the process: no line of the log named it, and a reset for callers without chunks was left to the kernel.

Cause: only requests that wait for a whole answer were ended. Change: the task that passes a stream's events on ends it with the others: broken off, counted, logged (event=interrupted_by_stop, stream_ended code=interrupted-by-stop), as after a target that breaks off.

Test first, on the commit before: "timed out after 30s waiting until no request is in progress" after the router had closed.

--- a/crates/deckwind-testkit/tests/testsuite/planned_stops.rs
+++ b/crates/deckwind-testkit/tests/testsuite/planned_stops.rs
@@ -114,6 +114,9 @@
     assert_eq!(shorter.answers_until(), after(2_000));
 }
 
+/// End of a complete chunked body.
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
 /// Time between two requests to a router that stops.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -238,3 +241,38 @@
         rig.cluster.close().await.expect("closed");
     });
 }
+
+/// Guards against a stream that is still relayed when its router ends: its caller gets no end,
+/// and no log says so.
+#[test]
+fn a_stream_that_outlasts_a_stop_is_broken_off_before_the_router_ends() {
+    run_async(async {
+        let mut rig = Rig::start_placed(short_stop_layout(), 0, 4).await;
+        rig.wait_until_served("/long/x", true).await;
+        for engine in &rig.engines {
+            engine.set_fault(FakeTargetFault::StallsAfter {
+                event: 2,
+                stage: engine.address,
+            });
+        }
+        let address = rig.cluster.layout.routers[0].routes;
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let head = generation_head("/long/x", API_KEY, "stalled");
+        stream.write_all(head.as_bytes()).await.expect("written");
+        stream.readable().await.expect("a first byte");
+        let router = rig.cluster.take_router(0);
+        let shared = router.router().expect("a router").shared().clone();
+        router.close().await.expect("closed");
+        eventually_async("no request is in progress", || async {
+            (shared.in_progress() == 0).then_some(())
+        })
+        .await;
+        let mut answer = Vec::new();
+        // The connection may be reset; what arrived before that counts.
+        let _ = stream.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        assert!(!answer.ends_with(LAST_CHUNK), "{answer}");
+        rig.cluster.close().await.expect("closed");
+    });
+}
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -103,9 +103,25 @@
 }
 
 impl Relay {
-    async fn run(mut self, mut opened: OpenedStream) {
+    async fn run(mut self, opened: OpenedStream) {
         let status = opened.head.status;
-        let code = loop {
+        let shared = self.opener.job.shared.clone();
+        let stop = &shared.routes.stop;
+        let code = tokio::select! {
+            biased;
+            code = self.pass_on_all(opened) => code,
+            () = stop.answers_ended() => {
+                let failure = stop.interrupt(&self.opener.job.head.id, true);
+                self.outbox.break_off(failure.code());
+                failure.code()
+            }
+        };
+        self.opener.log_end(status, code, Some(&self.progress));
+    }
+
+    /// Passes the stream on to its end, and returns how it ended, for logs.
+    async fn pass_on_all(&mut self, mut opened: OpenedStream) -> &'static str {
+        loop {
             self.progress.data_centre = opened.reservation.data_centre_name();
             let end = self.pass_on_events(opened).await;
             let why = match end {
@@ -140,8 +156,7 @@
                     break "broken-off";
                 }
             }
-        };
-        self.opener.log_end(status, code, Some(&self.progress));
+        }
     }
 
     /// Resumes a stalled stream at another target. The first target is kept until
