A template's request that outlasts a planned stop is answered as one that may have run

A caller of a template whose request was still running at the end of a stop saw its connection close, and could not tell whether the request had run.

Cause: the same as for published routes: nothing ended what was left before the exit. Change: the server of templates ends such a request with 504 interrupted-by-stop, ran: unknown. Its claim is recorded as one that may have run, as for any caller that is not answered, so no router runs it again. Chats whose events are being sent are still cut by the exit.

--- a/crates/deckwind-testkit/tests/testsuite/planned_stops.rs
+++ b/crates/deckwind-testkit/tests/testsuite/planned_stops.rs
@@ -3,16 +3,20 @@
 use crate::caller_ends::publish_target;
 use crate::processes::processes_with_layout;
 use crate::rig::{API_KEY, CallerAnswer, Rig, post, send_call};
-use crate::run_async;
+use crate::{any_loopback_port, run_async};
 use deckwind_core::routes::{PlannedStop, StoppingRequest};
-use deckwind_core::state::RouteKind;
+use deckwind_core::state::{Change, RouteKind, Workload};
 use deckwind_core::time::Instant;
 use deckwind_fakes::{
-    FakeCall, FakeTargetFault, FakeTargetServer, generation_head, release_document,
+    FakeCall, FakeService, FakeTargetFault, FakeTargetServer, ServiceFault, generation_head,
+    release_document, serve,
+};
+use deckwind_testkit::{
+    Caller, Cluster, Layout, account, eventually_async, service_target, service_template,
 };
-use deckwind_testkit::{Layout, eventually_async};
 use http::StatusCode;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -123,6 +127,9 @@
 /// Maximum time for a request's body, longer than any stop of these tests.
 const MAX_BODY_TIME_MS: u64 = 15_000;
 
+/// Timeout of a template's request, longer than any stop of these tests and than any wait.
+const LONG_TIMEOUT_MS: u64 = 60_000;
+
 /// A cluster whose routers are killed sooner after SIGTERM than requests may take: 3 s.
 fn short_stop_layout() -> Layout {
     let mut layout = Layout::new(1, 1).expect("a layout");
@@ -276,3 +283,58 @@
         rig.cluster.close().await.expect("closed");
     });
 }
+
+/// Guards against a template's request that may have run, and that a stopping router leaves
+/// without an answer.
+#[test]
+fn a_template_s_request_that_outlasts_a_stop_is_answered_and_not_run_again() {
+    run_async(async {
+        let mut layout = Layout::new(1, 2).expect("a layout");
+        layout.killed_after = Some("3s");
+        let mut cluster = Cluster::start_with(layout).await.expect("a cluster");
+        let service = FakeService::new("confirm");
+        let served = serve::service(any_loopback_port(), Arc::new(service.clone())).await;
+        let address = served.expect("served").address;
+        let mut template = service_template("confirm", false);
+        let timeout_ms = LONG_TIMEOUT_MS;
+        template.workload = Workload::Service { timeout_ms };
+        template.deadline_ms = timeout_ms;
+        let changes = [
+            Change::Template(template),
+            Change::Account(account("care", "key")),
+            Change::Target(service_target("confirm-1", address, "confirm")),
+        ];
+        for change in changes {
+            cluster.apply(change).await.expect("applied");
+        }
+        let callers = [0, 1].map(|i| Caller::new(cluster.callers(i), "key"));
+        let ask = |router: usize| {
+            let caller = callers[router].clone();
+            async move {
+                let headers = [("idempotency-key", "k")];
+                let asking = caller.post("/s/confirm/x", "{}".to_string(), &headers);
+                asking.await.expect("an answer")
+            }
+        };
+        service.set_fault(ServiceFault::RunsThenFreezes);
+        let asked = tokio::spawn(ask(0));
+        eventually_async("the request runs", || async {
+            service.runs().contains_key("k").then_some(())
+        })
+        .await;
+        cluster.take_router(0).close().await.expect("closed");
+        let answer = asked.await.expect("no panic");
+        let code = answer.code();
+        assert_eq!((answer.status, code.as_str()), (504, "interrupted-by-stop"));
+        assert_eq!(answer.header("deckwind-ran"), Some("unknown"));
+        service.set_fault(ServiceFault::None);
+        let again = eventually_async("the outcome is recorded", || async {
+            let answer = ask(1).await;
+            (answer.code() != "in-progress").then_some(answer)
+        })
+        .await;
+        assert_eq!((again.status, again.code().as_str()), (409, "may-have-run"));
+        assert_eq!(service.runs()["k"], 1);
+        cluster.close().await.expect("closed");
+    });
+}
--- a/crates/deckwindd/src/router/template_callers.rs
+++ b/crates/deckwindd/src/router/template_callers.rs
@@ -129,7 +129,11 @@
 ) -> Result<Response<Body>, Infallible> {
     let id = shared.request_id();
     let path = req.uri().path().to_string();
-    let result = route(&shared, &id, req).await;
+    let result = tokio::select! {
+        biased;
+        result = route(&shared, &id, req) => result,
+        () = shared.routes.stop.answers_ended() => Err(interrupted(&shared, &id)),
+    };
     let mut res = result.unwrap_or_else(|e| {
         log::info!(
             "event=request_refused request={id} revision={} path={path:?} code={} status={}",
@@ -182,6 +186,13 @@
     ))
 }
 
+/// Ends a request that has no answer when the router ends.
+fn interrupted(shared: &RouterShared, id: &str) -> CallerError {
+    let failure = shared.routes.stop.interrupt(id, true);
+    let message = "the router stopped before the answer came; look up what came of the request";
+    CallerError::new(failure.status(), failure.code(), Ran::Unknown, message)
+}
+
 fn not_run_error(status: StatusCode, code: &str, message: &str) -> CallerError {
     CallerError::new(status, code, Ran::NotRun, message)
 }
