--- a/crates/deckwindd/src/router/mod.rs
+++ b/crates/deckwindd/src/router/mod.rs
@@ -62,7 +62,7 @@
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Maximum time to write answers to callers whose requests are interrupted.
-const INTERRUPT_TIMEOUT: Duration = Duration::from_millis(100);
+const INTERRUPT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Maximum time to wait until the leader confirms the release of the lease. Without
 /// confirmation the lease expires.
