Test heads of answers that stop at any byte

Callers of other systems got a 200 with an empty or a short body, framed as whole, from a target that stopped in the middle of its answer's head and closed. See whether that can happen here.

What they play:

- At the connection pool, every byte of a head, by close, by reset and by silence; framed by a length, by chunks and by the connection; for POST, HEAD and after an interim answer; on new connections and on kept ones.
Each close and reset is `TargetError::Broken` (the request may have run), never an answer and never "not sent"; in silence there is no answer.
- At a router, every byte by close and by reset: plain requests that run at most once (502, sent once), repeatable ones (502 when both targets do it, sent once or twice), both also with HEAD; streams that can't be resumed (502, sent once), streams that can (all events, each once, from another target), streams that their caller resumes, and resumptions of the router's own that stop in the head (broken off visibly).

Ruled out by the library's source: a head is complete only with its empty line, so a length with fewer digits or a field that is cut never is one.

What can't be told remains: a target that writes the empty line of an unfinished head itself, without a length or chunks, and closes; see docs/design/ends-of-answers.md.

--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod answer_check;
 mod answer_ends;
+mod answer_heads;
 mod at_most_once;
 mod at_size;
 mod attempt_results;
