Limit the bytes that a target may send without getting on with its answer

What callers saw: with a target that sends interim answers, the digits of a chunk's size or the spaces after them without end, a request waited for its deadline, or longer: the bytes kept the worker that the request ran on. The connection stayed busy until then.

Cause: hyper bounds heads, chunk extensions and trailers, but not these three. Nothing above it sees the bytes.

Ruled out, as the tests for them passed on the code as it was: lines, fields and empty lines of a head, chunk extensions, trailers, bytes after an answer (its connection is closed and not used again), reports and orders (1 MB and the call's time), heads, bodies and events that trickle in (the request's deadline; an event is passed on in parts).

Change: connections to targets, direct and through other routers, read through a stream that fails after 1 MB without progress: since the request was sent, its head was read, or content was read. The size of an answer stays unlimited, and slow ones are not touched. The reason of a failed head is logged with its causes.

Release builds were not measured.

The fakes send bytes without end, at most 64 MiB, with or without pauses, in answers, reports and answers to orders.

--- a/crates/deckwind-fakes/src/lib.rs
+++ b/crates/deckwind-fakes/src/lib.rs
@@ -27,7 +27,8 @@
 };
 pub use target_server::{
     AnswerDraws, Arrival, CRASH_DOWNTIME, ConnectionEnd, CutAnswer, CutPlace, ENDS_ITS_TARGET,
-    EVENTS_PER_STREAM, FakeFleet, FakeTargetFault, FakeTargetServer, FleetArrival, FleetConfig,
-    Outage, POISON_PART_PREFIX, RawAnswer, SeenRequest, StreamEnding, StreamFraming, whole_stream,
+    EVENTS_PER_STREAM, EndlessAnswer, FakeFleet, FakeTargetFault, FakeTargetServer, FleetArrival,
+    FleetConfig, MAX_ENDLESS_BYTES, Outage, POISON_PART_PREFIX, RawAnswer, SeenRequest,
+    StreamEnding, StreamFraming, whole_stream,
 };
 pub use weights::FakeWeightStore;
--- a/crates/deckwind-fakes/src/target_server/answers.rs
+++ b/crates/deckwind-fakes/src/target_server/answers.rs
@@ -5,8 +5,8 @@
 use super::fleet::{FakeFleet, PathError, parse_path};
 use super::{
     CRASH_DOWNTIME, ConnectionEnd, DARK_TIME, ENDS_ITS_TARGET, EVENT_GAP, EVENTS_PER_STREAM,
-    FakeTargetFault, PartCrash, SeenRequest, State, StreamEnding, StreamFraming, pause_and_restart,
-    record_outage, start_incarnation,
+    EndlessAnswer, FakeTargetFault, MAX_ENDLESS_BYTES, PartCrash, SeenRequest, State, StreamEnding,
+    StreamFraming, pause_and_restart, record_outage, start_incarnation,
 };
 use anyhow::Result;
 use serde_json::{Value, json};
@@ -78,16 +78,9 @@
     state: &Arc<Mutex<State>>,
     connection_epoch: &Arc<watch::Sender<u32>>,
 ) -> Result<bool> {
-    match req.line.as_str() {
-        "GET /v1/report" => {
-            wait_while_paused(state).await;
-            return send_report(s, state).await;
-        }
-        "POST /v1/order" => {
-            wait_while_paused(state).await;
-            return handle_order(s, &req, state).await;
-        }
-        _ => {}
+    if matches!(req.line.as_str(), "GET /v1/report" | "POST /v1/order") {
+        wait_while_paused(state).await;
+        return answer_call(s, &req, state).await;
     }
     let (id, fault) = {
         let mut state = state.lock().expect("no holder panics");
@@ -156,12 +149,27 @@
             None => std::future::pending().await,
         };
     }
+    if let FakeTargetFault::WritesEndlessly(answer) = &fault {
+        return write_endlessly(s, answer, &request, state).await;
+    }
     match is_stream {
         true => stream_events(s, &req, &request, (&fault, plan), state).await,
         false => answer_plain(s, &request, (&fault, plan), state).await,
     }
 }
 
+/// Answers a request for a report, or an order.
+async fn answer_call(s: &mut Stream, req: &SeenRequest, state: &Mutex<State>) -> Result<bool> {
+    let fault = state.lock().expect("no holder panics").fault.clone();
+    if let FakeTargetFault::AnswersCallsEndlessly(answer) = fault {
+        return write_endlessly(s, &answer, "", state).await;
+    }
+    match req.line.as_str() {
+        "GET /v1/report" => send_report(s, state).await,
+        _ => handle_order(s, req, state).await,
+    }
+}
+
 /// Draws how the answer to a request that just arrived is sent.
 fn draw_plan(state: &Mutex<State>, request: &str) -> AnswerPlan {
     let state = state.lock().expect("no holder panics");
@@ -529,6 +537,38 @@
     end_connection(s, ending.connection).await
 }
 
+/// Minimum size of one write of an answer without end and without pauses, bytes.
+const ENDLESS_WRITE_BYTES: usize = 16 * 1024;
+
+/// Writes an answer without end until the caller closes the connection, and records its size.
+async fn write_endlessly(
+    s: &mut Stream,
+    answer: &EndlessAnswer,
+    request: &str,
+    state: &Mutex<State>,
+) -> Result<bool> {
+    s.get_ref().set_nodelay(true)?;
+    let times = match answer.pause {
+        Some(_) => 1,
+        None => ENDLESS_WRITE_BYTES.div_ceil(answer.repeated.len()),
+    };
+    let repeated = answer.repeated.repeat(times);
+    let mut piece = answer.beginning.replace("{id}", request);
+    let mut written = 0;
+    while written < MAX_ENDLESS_BYTES && s.write_all(piece.as_bytes()).await.is_ok() {
+        written += piece.len();
+        piece.clone_from(&repeated);
+        if let Some(pause) = answer.pause {
+            tokio::time::sleep(pause).await;
+        }
+    }
+    let mut rest = Vec::new();
+    let _ = s.read_to_end(&mut rest).await;
+    let mut state = state.lock().expect("no holder panics");
+    state.closed_endless_answers.push(written);
+    Ok(false)
+}
+
 /// Ends the connection after an answer; it is not kept open.
 async fn end_connection(s: &mut Stream, end: ConnectionEnd) -> Result<bool> {
     match end {
--- a/crates/deckwind-fakes/src/target_server/mod.rs
+++ b/crates/deckwind-fakes/src/target_server/mod.rs
@@ -75,6 +75,10 @@
     EndsStream(StreamEnding),
     /// Runs requests and answers them with these bytes.
     Writes(RawAnswer),
+    /// Runs requests and answers them without end.
+    WritesEndlessly(EndlessAnswer),
+    /// Answers report requests and orders without end. No order is applied.
+    AnswersCallsEndlessly(EndlessAnswer),
     /// Like [`FakeTargetFault::EndsStream`], one byte after the other.
     EndsStreamBytewise(StreamEnding),
     /// Stalls a stream after an event until the fault is cleared, and reports the
@@ -127,6 +131,22 @@
     pub connection: Option<ConnectionEnd>,
 }
 
+/// Bytes that a target sends without end, until its caller closes the connection. After
+/// [`MAX_ENDLESS_BYTES`] it only waits for that.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndlessAnswer {
+    /// Bytes that come once. `{id}` stands for the ID of the request.
+    pub beginning: String,
+    /// Bytes that come again and again.
+    pub repeated: String,
+    /// Pause after each time; without one they come as fast as they are read.
+    pub pause: Option<Duration>,
+}
+
+/// Maximum number of bytes of an answer without end, so that a caller which reads all of
+/// it does not use up the memory of the machine.
+pub const MAX_ENDLESS_BYTES: usize = 64 << 20;
+
 /// A request as it was received.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SeenRequest {
@@ -185,6 +205,8 @@
     answer_draws: Option<AnswerDraws>,
     /// Answers that were cut, of all incarnations.
     cut_answers: Vec<CutAnswer>,
+    /// Bytes of each answer without end whose connection the caller closed.
+    closed_endless_answers: Vec<usize>,
     /// Number of orders to move a request to another path.
     path_changes: u32,
     /// Number of incarnations that crashed on a request.
@@ -484,6 +506,12 @@
         self.lock().completed_floods.clone()
     }
 
+    /// Returns the sizes of the answers without end whose connection the caller closed, in
+    /// bytes.
+    pub fn closed_endless_answers(&self) -> Vec<usize> {
+        self.lock().closed_endless_answers.clone()
+    }
+
     /// Returns the number of orders to move a request to another path.
     pub fn path_changes(&self) -> u32 {
         self.lock().path_changes
--- a/crates/deckwind-net/src/body.rs
+++ b/crates/deckwind-net/src/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of received messages: reading them, how their end is marked, and why reading one
 //! failed.
 
+use crate::targets::OverheadMeter;
 use bytes::{Bytes, BytesMut};
 use deckwind_core::routes::{BodyEnd, Framing};
 use http::{HeaderMap, Response, StatusCode, Version, header, request, response};
@@ -15,6 +16,8 @@
     framing: Framing,
     /// Whether a transfer coding hides the content.
     is_coded: bool,
+    /// Told about the content, if its connection limits what comes without any.
+    meter: Option<OverheadMeter>,
 }
 
 /// Next part of a body.
@@ -45,10 +48,17 @@
             body,
             framing,
             is_coded,
+            meter: None,
         };
         (head, body)
     }
 
+    /// Tells the meter of the body's connection about the content that is read.
+    pub fn with_meter(mut self, meter: OverheadMeter) -> Self {
+        self.meter = Some(meter);
+        self
+    }
+
     /// Wraps the body of a request. Only a length, chunks or an HTTP/2 stream end it.
     pub fn of_request(head: &request::Parts, body: Incoming) -> Self {
         let is_coded = head.headers.contains_key(header::TRANSFER_ENCODING);
@@ -61,6 +71,7 @@
             body,
             framing,
             is_coded: false,
+            meter: None,
         }
     }
 
@@ -90,6 +101,7 @@
                 // Trailers say nothing that is used.
                 Ok(frame) => {
                     if let Ok(data) = frame.into_data() {
+                        self.record_progress();
                         return Ok(BodyPart::Data(data));
                     }
                 }
@@ -98,6 +110,12 @@
         }
     }
 
+    fn record_progress(&self) {
+        if let Some(meter) = &self.meter {
+            meter.record_progress();
+        }
+    }
+
     fn end(&self) -> Result<BodyPart, BrokenBody> {
         // hyper ends the body also where the peer cancelled the stream.
         if self.framing == Framing::Stream && !self.body.is_end_stream() {
@@ -148,7 +166,7 @@
 }
 
 /// Describes an error with its causes, outermost first.
-fn describe_error(error: &dyn Error) -> String {
+pub(crate) fn describe_error(error: &dyn Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(cause) = source {
--- a/crates/deckwind-net/src/targets/connection_pool.rs
+++ b/crates/deckwind-net/src/targets/connection_pool.rs
@@ -7,9 +7,10 @@
 //! connection.
 
 use super::connector::{BoxedStream, Connector, TcpConnector};
+use super::overhead_limit::{LimitedStream, OverheadMeter};
 use super::reach::{HEDGE_DELAY, Reach, TunnelOpener, Way};
 use super::traits::TargetError;
-use crate::body::{MessageBody, NoReservation, collect};
+use crate::body::{MessageBody, NoReservation, collect, describe_error};
 use crate::clock::Clock;
 use crate::edge::TargetCall;
 use bytes::Bytes;
@@ -49,6 +50,7 @@
 /// A connection to a target, without its address.
 struct Established {
     tx: RequestSender,
+    meter: OverheadMeter,
     way: Way,
     opened_at: Instant,
 }
@@ -159,8 +161,11 @@
         stream: BoxedStream,
         way: Way,
     ) -> Result<Established, TargetError> {
+        let meter = OverheadMeter::default();
+        let stream = LimitedStream::new(stream, meter.clone());
         Ok(Established {
             tx: handshake(address, stream).await?,
+            meter,
             way,
             opened_at: self.inner.clock.now(),
         })
@@ -298,19 +303,20 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<(response::Parts, MessageBody), TargetError> {
-        self.established
-            .tx
-            .try_send_request(req)
-            .await
-            .map(MessageBody::of_answer)
-            .map_err(|mut e| {
-                let is_unsent = e.take_message().is_some();
-                let reason = e.into_error().to_string();
-                match is_unsent {
-                    true => TargetError::NotSent(reason),
-                    false => TargetError::Broken(reason),
-                }
-            })
+        let Established { tx, meter, .. } = &mut self.established;
+        meter.record_progress();
+        let sent = tx.try_send_request(req).await;
+        meter.record_progress();
+        let res = sent.map_err(|mut e| {
+            let is_unsent = e.take_message().is_some();
+            let reason = describe_error(&e.into_error());
+            match is_unsent {
+                true => TargetError::NotSent(reason),
+                false => TargetError::Broken(reason),
+            }
+        })?;
+        let (head, body) = MessageBody::of_answer(res);
+        Ok((head, body.with_meter(meter.clone())))
     }
 }
 
@@ -335,7 +341,10 @@
 /// Maximum number of header fields of a target's answer.
 const MAX_ANSWER_FIELDS: usize = 1_024;
 
-async fn handshake(address: SocketAddr, stream: BoxedStream) -> Result<RequestSender, TargetError> {
+async fn handshake(
+    address: SocketAddr,
+    stream: LimitedStream,
+) -> Result<RequestSender, TargetError> {
     let handshake = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_ANSWER_FIELDS)
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod cut_bodies;
 mod cut_off_routers;
 mod decisions;
+mod endless_answers;
 mod engine_load;
 mod event_splitter;
 mod examples;
