A switch of protocols is no answer

What callers saw: 101 with the target's headers less those of connections, from a target that answers a plain request or a stream with a switch of protocols, as if it were the answer. The request counted as answered and was not sent again. It can also be what is left of an answer: hyper hands a 101 over as a whole answer with an empty body.

Cause: the pool passed on every head that the library returned. No request to a target asks for another protocol: the headers that do are removed (RFC 9110, section 15.2.2).

Change: TargetConnection::send returns TargetError::Broken for 101, as for any answer that broke off.

Evidence, the tests on the code before:

a_switch_of_protocols_is_no_answer: Ok(Ok(CollectedBody { bytes: b"", end: Framed })) routed_body_ends, switch_of_protocols (plain and stream) and .._repeatable: left: (101, None, 1), right: (502, None, 1) and (502, None, 2)

After: pass, with all of endless_answers, answer_heads and routed_body_ends.

Other interim answers can't get here: the library skips them.

--- a/crates/deckwind-net/src/targets/connection_pool.rs
+++ b/crates/deckwind-net/src/targets/connection_pool.rs
@@ -315,6 +315,10 @@
                 false => TargetError::Broken(reason),
             }
         })?;
+        if res.status() == StatusCode::SWITCHING_PROTOCOLS {
+            let why = "a switch to a protocol that was not asked for".to_string();
+            return Err(TargetError::Broken(why));
+        }
         let (head, body) = MessageBody::of_answer(res);
         Ok((head, body.with_meter(meter.clone())))
     }
--- a/crates/deckwind-testkit/tests/testsuite/endless_answers.rs
+++ b/crates/deckwind-testkit/tests/testsuite/endless_answers.rs
@@ -154,6 +154,25 @@
     });
 }
 
+/// Guards against an answer that is taken although it switches the connection to a protocol
+/// that no request asks for.
+#[test]
+fn a_switch_of_protocols_is_no_answer() {
+    let switch = "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n";
+    let fault = FakeTargetFault::WritesEndlessly(endless(switch, "x"));
+    run_async(async move {
+        let target = FakeTargetServer::start("t").await.expect("a target");
+        target.set_fault(fault);
+        let pool = ConnectionPool::new(Clock::start());
+        let mut connection = connect(&pool, &target).await;
+        let received = request(&mut connection).await;
+        let is_broken = matches!(received, Err(TargetError::Broken(_)));
+        assert!(is_broken, "{received:?}");
+        drop(connection);
+        closed_answer(&target).await;
+    });
+}
+
 /// Guards against an answer to a question of our own that holds a connection, memory or the
 /// asker for longer than the question may take.
 #[parameterized(
--- a/crates/deckwind-testkit/tests/testsuite/routed_body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/routed_body_ends.rs
@@ -65,6 +65,8 @@
     trailers = { "1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-T: 1\r\n\r\n", ConnectionEnd::Close, "/once/x", (200, Some("whole"), 1) },
     coded = { "1.1 200 OK\r\n{own}Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", ConnectionEnd::Close, "/once/x", broken(1) },
     content_coded = { "1.1 200 OK\r\n{own}Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole", ConnectionEnd::Close, "/once/x", broken(1) },
+    switch_of_protocols = { "1.1 101 Switching Protocols\r\n{own}Connection: upgrade\r\nUpgrade: x\r\n\r\n", ConnectionEnd::Close, "/once/x", broken(1) },
+    switch_of_protocols_repeatable = { "1.1 101 Switching Protocols\r\n{own}Connection: upgrade\r\nUpgrade: x\r\n\r\n", ConnectionEnd::Close, "/safe/x", broken(2) },
 )]
 fn a_plain_answer_looks_complete_only_if_it_is(
     answer: &str,
@@ -95,6 +97,7 @@
     trailers = { "1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\nX-T: 1\r\n\r\n", ConnectionEnd::Close, (200, Some("data: 1\n\n"), 1) },
     length = { "1.1 200 OK\r\n{own}Content-Length: 9\r\n\r\ndata: 1\n\n", ConnectionEnd::Close, (200, Some("data: 1\n\n"), 1) },
     length_above_the_chunks = { "1.1 200 OK\r\n{own}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n", ConnectionEnd::Close, (200, Some("data: 1\n\n"), 1) },
+    switch_of_protocols = { "1.1 101 Switching Protocols\r\n{own}Connection: upgrade\r\nUpgrade: x\r\n\r\n", ConnectionEnd::Close, broken(1) },
     no_content = { "1.1 204 No Content\r\n{own}\r\n", ConnectionEnd::Close, (204, Some(""), 1) },
     no_event = { "1.1 200 OK\r\n{own}Content-Length: 0\r\n\r\n", ConnectionEnd::Close, (200, Some(""), 1) },
 )]
