A target whose answers are none is avoided for a while

What callers saw: a plain target that broke off each answer, or sent bytes that are none, got the next request too, and the one after it: 502 for requests that run at most once, a retry for each other one. It looks the least busy, as its requests end soon. The same for a stream whose target sends invalid bytes after the head.

Cause: of plain requests only unreachable targets and refusals were recorded as failures, of streams only heads that broke off. TargetFault::Answer ("a bad answer or broke one off") was not recorded elsewhere.

Change: a plain answer that broke off, is another's, or is too long without a length (it may be without end) is recorded as TargetFault::Answer: the target is avoided for half a second at first, unless all are. Not recorded: our own limit on memory, an answer that states its length and is too long, a late one. BrokenBody says whether the connection failed or the bytes are invalid; a stream's target is recorded for invalid ones.

Considered and left: recording every stream that is cut.

--- a/crates/deckwind-net/src/body.rs
+++ b/crates/deckwind-net/src/body.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming, SizeHint};
 use std::error::Error;
+use std::io;
 
 /// Body of a message as it arrives. Its end is never just the lack of more data: it says
 /// what marked it.
@@ -29,10 +30,16 @@
     End(BodyEnd),
 }
 
-/// Reason why a body broke off: the connection failed, or ended before the framing said so.
+/// Reason why a body broke off.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{0}")]
-pub struct BrokenBody(pub String);
+pub enum BrokenBody {
+    /// The connection failed, or ended before the framing said so.
+    #[error("{0}")]
+    CutOff(String),
+    /// The sender sent bytes that are no part of a message.
+    #[error("{0}")]
+    Invalid(String),
+}
 
 impl MessageBody {
     /// Separates the head of an answer from its body. A length that a transfer coding
@@ -91,7 +98,8 @@
     /// If the body broke off, or has a transfer coding that was not asked for.
     pub async fn next(&mut self) -> Result<BodyPart, BrokenBody> {
         if self.is_coded {
-            return Err(BrokenBody("its transfer coding is unknown".to_string()));
+            let why = "its transfer coding is unknown".to_string();
+            return Err(BrokenBody::Invalid(why));
         }
         loop {
             let Some(frame) = self.body.frame().await else {
@@ -105,7 +113,7 @@
                         return Ok(BodyPart::Data(data));
                     }
                 }
-                Err(e) => return Err(BrokenBody(describe_error(&e))),
+                Err(e) => return Err(broken_body(&e)),
             }
         }
     }
@@ -119,7 +127,8 @@
     fn end(&self) -> Result<BodyPart, BrokenBody> {
         // hyper ends the body also where the peer cancelled the stream.
         if self.framing == Framing::Stream && !self.body.is_end_stream() {
-            return Err(BrokenBody("the peer cancelled the stream".to_string()));
+            let why = "the peer cancelled the stream".to_string();
+            return Err(BrokenBody::CutOff(why));
         }
         Ok(BodyPart::End(self.framing.end()))
     }
@@ -165,6 +174,22 @@
     !is_chunked || lines.next().is_some()
 }
 
+/// Tells invalid bytes from a connection that failed.
+fn broken_body(error: &hyper::Error) -> BrokenBody {
+    let why = describe_error(error);
+    let cause = error.source().and_then(|e| e.downcast_ref::<io::Error>());
+    let is_invalid = |e: &io::Error| {
+        matches!(
+            e.kind(),
+            io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData
+        )
+    };
+    match cause.is_some_and(is_invalid) {
+        true => BrokenBody::Invalid(why),
+        false => BrokenBody::CutOff(why),
+    }
+}
+
 /// Describes an error with its causes, outermost first.
 pub(crate) fn describe_error(error: &dyn Error) -> String {
     let mut text = error.to_string();
--- a/crates/deckwind-testkit/tests/testsuite/endless_answers.rs
+++ b/crates/deckwind-testkit/tests/testsuite/endless_answers.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use deckwind_core::routes::BodyEnd;
 use deckwind_fakes::{
-    ConnectionEnd, EndlessAnswer, FakeTargetFault, FakeTargetServer, MAX_ENDLESS_BYTES,
+    ConnectionEnd, EndlessAnswer, FakeTargetFault, FakeTargetServer, MAX_ENDLESS_BYTES, RawAnswer,
     StreamFraming, whole_stream,
 };
 use deckwind_net::body::{CollectError, CollectedBody, NoReservation, collect};
@@ -18,7 +18,7 @@
 use deckwind_testkit::eventually_async;
 use http::{Method, Request};
 use http_body_util::Full;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use yare::parameterized;
 
 /// Maximum number of bytes that a target can send before its caller closes the connection:
@@ -349,3 +349,66 @@
         rig.cluster.close().await.expect("closed");
     });
 }
+
+/// Time for which a target that failed once is avoided.
+const AVOIDED_TIME: Duration = Duration::from_millis(500);
+
+/// Number of requests after a bad answer.
+const REQUESTS_AFTER: usize = 20;
+
+/// Guards against a target whose answers are none and that still gets its share of the
+/// requests, or more: it looks the least busy.
+#[parameterized(
+    plain_head_cut = { "/once/", false, "HTTP/1.1 200 OK\r\n{own}Content-Len", "" },
+    plain_endless_head = { "/once/", false, "HTTP/1.1 200 OK\r\n{own}", "X-A: 1\r\n" },
+    plain_endless_interim_answers = { "/once/", false, "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+    plain_body_cut = { "/once/", false, "HTTP/1.1 200 OK\r\n{own}Content-Length: 5\r\n\r\nwho", "" },
+    plain_endless_chunk_size = { "/once/", false, "{chunks}", "0" },
+    plain_endless_body = { "/once/", false, "HTTP/1.1 200 OK\r\n{own}\r\n", "x" },
+    plain_invalid_chunk = { "/once/", false, "{chunks}zz\r\n", "" },
+    stream_invalid_chunk = { "/tell/", true, "{chunks}zz\r\n", "" },
+    stream_head_cut = { "/tell/", true, "HTTP/1.1 200 OK\r\n{own}Content-Len", "" },
+    stream_endless_head = { "/tell/", true, "HTTP/1.1 200 OK\r\n{own}", "X-A: 1\r\n" },
+    stream_endless_chunk_size = { "/tell/", true, "{chunks}", "0" },
+)]
+fn a_target_that_sends_no_answer_is_avoided(
+    route: &str,
+    is_stream: bool,
+    beginning: &str,
+    repeated: &str,
+) {
+    let answer = endless(beginning, repeated);
+    let fault = match repeated {
+        "" => FakeTargetFault::Writes(RawAnswer {
+            text: answer.beginning,
+            connection: Some(ConnectionEnd::Close),
+        }),
+        _ => FakeTargetFault::WritesEndlessly(answer),
+    };
+    let route = route.to_string();
+    run_async(async move {
+        let mut rig = Rig::start(2, 0).await;
+        rig.wait_until_in_force().await;
+        rig.wait_until_served(&format!("{route}x"), is_stream).await;
+        let faulty = rig.plain[0].clone();
+        faulty.set_fault(fault);
+        let runs = || faulty.run_request_ids().len();
+        let before = runs();
+        // The target is avoided from a moment after this one.
+        let mut asked_at = Instant::now();
+        while runs() == before {
+            asked_at = Instant::now();
+            let path = format!("{route}first");
+            rig.ask("first", &path, API_KEY, is_stream).await;
+        }
+        let before = runs();
+        for i in 0..REQUESTS_AFTER {
+            let (id, path) = (format!("r{i}"), format!("{route}{i}"));
+            rig.ask(&id, &path, API_KEY, is_stream).await;
+            if asked_at.elapsed() < AVOIDED_TIME {
+                assert_eq!(runs(), before, "request {i} went to the target");
+            }
+        }
+        rig.cluster.close().await.expect("closed");
+    });
+}
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -10,11 +10,11 @@
 use super::target_run::{RunEnd, TargetRun};
 use bytes::Bytes;
 use deckwind_core::routes::{
-    AttemptOutcome, AttemptResult, BodyEnd, RequestClass, SendVerdict, TargetChoice, TargetFault,
-    attempt_result, choose_target,
+    AttemptOutcome, AttemptResult, BodyEnd, Framing, RequestClass, SendVerdict, TargetChoice,
+    TargetFault, attempt_result, choose_target,
 };
 use deckwind_core::state::RouteKind;
-use deckwind_net::body::{CollectedBody, collect};
+use deckwind_net::body::{CollectError, CollectedBody, collect};
 use deckwind_net::targets::TargetError;
 use http::{HeaderMap, Response, StatusCode};
 use std::collections::HashSet;
@@ -61,6 +61,8 @@
     Unreachable(String),
     /// The target says that it did not run the request.
     NotRun,
+    /// The answer broke off or is invalid; the request may have run.
+    Broken(String),
     /// The request may have run.
     MayHaveRun(Failure),
 }
@@ -175,7 +177,7 @@
             Err(AttemptError::Unreachable(why)) => {
                 self.tries -= 1;
                 self.unreachable += 1;
-                self.mark_unreachable(address, &why);
+                self.mark_failed(address, TargetFault::Down, &why);
                 AttemptEnd::Unreachable
             }
             Err(AttemptError::Blocked) => {
@@ -186,16 +188,22 @@
                 self.record_refusal(address);
                 AttemptEnd::NotRun
             }
+            Err(AttemptError::Broken(why)) => {
+                self.mark_failed(address, TargetFault::Answer, &why);
+                AttemptEnd::Ran(Err(Failure::Broken(why)))
+            }
             Err(AttemptError::MayHaveRun(failure)) => AttemptEnd::Ran(Err(failure)),
         }
     }
 
-    fn mark_unreachable(&self, address: SocketAddr, why: &str) {
+    /// Records that a target failed, so that others are preferred for a while. Without the
+    /// record the target would look the least busy and be chosen again.
+    fn mark_failed(&self, address: SocketAddr, fault: TargetFault, why: &str) {
         let shared = &self.job.shared;
-        let why = format!("unreachable for request {}: {why}", self.job.head.id);
+        let why = format!("{why} (request {})", self.job.head.id);
         shared
             .routes
-            .target_failed(shared.clock.now(), address, TargetFault::Down, &why);
+            .target_failed(shared.clock.now(), address, fault, &why);
     }
 
     /// Returns the failure of a request that targets refused: [`Failure::NotTaken`] if
@@ -208,8 +216,7 @@
     }
 
     /// Records that a target refused the request without running it, so that others are
-    /// preferred for a while. Without the record the target would look the least busy
-    /// and be chosen again.
+    /// preferred for a while.
     fn record_refusal(&self, address: SocketAddr) {
         let shared = &self.job.shared;
         let now = shared.clock.now();
@@ -289,12 +296,13 @@
             let deliveries = &job.shared.routes.deliveries;
             let mut held = HeldBytes::new(deliveries, Side::Answers);
             let max_len = MAX_ANSWER.min(deliveries.max_answer_size());
+            let framing = body.framing();
             let collected = collect(body, max_len, &mut held).await;
             let body =
                 collected.map_err(|e| match self.check_head(head.status, &head.headers) {
                     // The head says that nothing ran, whatever became of the rest.
                     Err(AttemptError::NotRun) => AttemptError::NotRun,
-                    _ => broken(e.to_string()),
+                    _ => body_error(&e, framing),
                 })?;
             Ok((head, body, held))
         };
@@ -308,7 +316,11 @@
         let connection_headers = head.headers.clone();
         let end = body.end;
         let checked = self.check(head.status, head.headers, body, held);
-        if !matches!(checked, Err(AttemptError::MayHaveRun(_))) {
+        let is_kept = !matches!(
+            checked,
+            Err(AttemptError::Broken(_) | AttemptError::MayHaveRun(_))
+        );
+        if is_kept {
             let max_idle_connections = job.shared.routes.max_idle_connections(&job.pool);
             connections.return_connection(
                 connection,
@@ -325,7 +337,9 @@
         let dialect = &self.job.shared.cx.dialects.callers;
         let answer = dialect.read_answer(status, headers);
         if answer.id.as_ref().is_some_and(|id| *id != self.job.head.id) {
-            return Err(broken("the answer is another request's".to_string()));
+            return Err(AttemptError::Broken(
+                "the answer is another request's".to_string(),
+            ));
         }
         let outcome = match answer.not_run {
             true => AttemptOutcome::NotRun(status.as_u16()),
@@ -339,7 +353,9 @@
             AttemptResult::PassOn => {}
         }
         if status.is_success() && (!answer.is_signed || answer.content_encoded) {
-            return Err(broken("the answer is not the target's own".to_string()));
+            return Err(AttemptError::Broken(
+                "the answer is not the target's own".to_string(),
+            ));
         }
         Ok(())
     }
@@ -404,17 +420,27 @@
             RunEnd::NotRun
         }
         Err(AttemptError::MayHaveRun(Failure::Late)) => RunEnd::Abandoned,
-        Err(AttemptError::MayHaveRun(_)) => RunEnd::Broke,
+        Err(AttemptError::Broken(_) | AttemptError::MayHaveRun(_)) => RunEnd::Broke,
     }
 }
 
 fn attempt_error(e: TargetError) -> AttemptError {
     match e {
         TargetError::NotSent(why) => AttemptError::Unreachable(why),
-        other => broken(other.to_string()),
+        other => AttemptError::Broken(other.to_string()),
     }
 }
 
-fn broken(why: String) -> AttemptError {
-    AttemptError::MayHaveRun(Failure::Broken(why))
+/// Returns the error of an attempt whose answer's body could not be read. An answer that is
+/// too long, and does not state its length, may be without end.
+fn body_error(e: &CollectError, framing: Framing) -> AttemptError {
+    let is_target_fault = match e {
+        CollectError::Broken(_) => true,
+        CollectError::TooLong => framing != Framing::Length,
+        CollectError::OutOfMemory => false,
+    };
+    match is_target_fault {
+        true => AttemptError::Broken(e.to_string()),
+        false => AttemptError::MayHaveRun(Failure::Broken(e.to_string())),
+    }
 }
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -287,7 +287,8 @@
         );
     }
 
-    fn mark_failed(&mut self, address: SocketAddr, fault: TargetFault, why: &str) {
+    /// Records that a target failed, and excludes it for this request.
+    pub fn mark_failed(&mut self, address: SocketAddr, fault: TargetFault, why: &str) {
         self.excluded.insert(address);
         let shared = &self.job.shared;
         let why = format!("{why} (request {})", self.job.head.id);
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -9,8 +9,8 @@
 use super::responses::{Failure, RouteBody, strip_connection_headers};
 use super::target_run::{RunEnd, TargetRun};
 use bytes::Bytes;
-use deckwind_core::routes::{EventSplitter, Framing, check_stream_end};
-use deckwind_net::body::BodyPart;
+use deckwind_core::routes::{EventSplitter, Framing, TargetFault, check_stream_end};
+use deckwind_net::body::{BodyPart, BrokenBody};
 use http::{Response, header};
 use reroute::should_move;
 use std::time::Duration;
@@ -304,6 +304,10 @@
                 Ok(BodyPart::End(end)) => break end,
                 Err(e) => {
                     self.record_end("broken", &splitter);
+                    if let BrokenBody::Invalid(why) = &e {
+                        let first = reservation.first();
+                        self.opener.mark_failed(first, TargetFault::Answer, why);
+                    }
                     return self.break_segment(run, &reservation, e.to_string());
                 }
             }
