Answers over HTTP/2 without end are given up

What would be seen: a template's engine or service, the platform's list, cache events or the weight store that sends without end makes a router hold all of it: a document for 2 s, a service's answer for its timeout, the output of a step for its limit and longer. The search for the end of an output began again with each part. A session whose engine did not end its answer to a closed stage never ended, and kept the stage's stream open.

Cause: HTTP/2 answers were read with a limit of usize::MAX, a step's output with none, and the end of a stage without a timeout.

Change: limits for JSON documents (16 MB), exported caches (1 GB), services' answers and outputs of a step (64 MB), parts of weights (what was asked for); outputs are searched once; a stage is reset 1 s after it was closed. Too long is TargetError::Broken, as for any answer that broke off, and counts in deckwind_target_answers_without_end_total. The reason of a refusal that is kept and logged is at most 256 bytes.

Price: a legitimate answer of a template's service above 64 MB is refused now; the limit is chosen, not measured, and no test covers the limit of exported caches.

--- a/crates/deckwind-net/src/targets/http_client.rs
+++ b/crates/deckwind-net/src/targets/http_client.rs
@@ -1,7 +1,7 @@
 //! HTTP/2 client for one target. It keeps one connection and reconnects when that breaks.
 
 use super::traits::TargetError;
-use crate::body::{MessageBody, NoReservation, collect};
+use crate::body::{CollectError, MessageBody, NoReservation, collect};
 use bytes::Bytes;
 use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
@@ -113,13 +113,24 @@
         &self,
         path: &str,
         body: &Q,
+    ) -> Result<A, TargetError> {
+        self.post_json_with_limit(path, body, MAX_DOCUMENT_BYTES)
+            .await
+    }
+
+    /// Posts a JSON body and parses the JSON answer, which has at most `max_bytes` bytes.
+    pub async fn post_json_with_limit<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &Q,
+        max_bytes: usize,
     ) -> Result<A, TargetError> {
         let body = serde_json::to_vec(body).map_err(|e| TargetError::NotSent(e.to_string()))?;
         let req = Request::post(self.uri(path))
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Self::full_body(body))
             .map_err(|e| TargetError::NotSent(e.to_string()))?;
-        let answer = tokio::time::timeout(JSON_TIMEOUT, self.send_and_collect(req))
+        let answer = tokio::time::timeout(JSON_TIMEOUT, self.send_and_collect(req, max_bytes))
             .await
             .map_err(|_| TargetError::Late(JSON_TIMEOUT))??;
         serde_json::from_slice(&answer.into_body()).map_err(|e| TargetError::Broken(e.to_string()))
@@ -127,26 +138,39 @@
 
     /// Sends a request and reads the complete answer. Any status other than success
     /// is returned as [`TargetError::Refused`].
-    async fn send_and_collect(&self, req: Request<Body>) -> Result<Response<Bytes>, TargetError> {
+    async fn send_and_collect(
+        &self,
+        req: Request<Body>,
+        max_bytes: usize,
+    ) -> Result<Response<Bytes>, TargetError> {
         let (head, body) = self.send(req).await?;
-        let bytes = read_answer(body).await?;
+        let bytes = read_answer(body, max_bytes).await?;
         if !head.status.is_success() {
-            let text = String::from_utf8_lossy(&bytes);
+            let reason = &bytes[..bytes.len().min(MAX_REASON_BYTES)];
+            let text = String::from_utf8_lossy(reason);
             return Err(TargetError::Refused(format!("{} {text}", head.status)));
         }
         Ok(Response::from_parts(head, bytes))
     }
 }
 
-/// Maximum size of an answer, bytes: none, since an exported cache may be of any size.
-const MAX_ANSWER_BYTES: usize = usize::MAX;
+/// Maximum size of a JSON document, bytes: a list of more than a hundred thousand VMs.
+const MAX_DOCUMENT_BYTES: usize = 16 << 20;
 
-/// Reads an answer to its end.
+/// Maximum size of the reason of a refusal that is kept and logged, bytes.
+const MAX_REASON_BYTES: usize = 256;
+
+/// Reads an answer of at most `max_bytes` bytes to its end.
 ///
 /// # Errors
-/// [`TargetError::Broken`] if it breaks off.
-pub(super) async fn read_answer(body: MessageBody) -> Result<Bytes, TargetError> {
-    let collected = collect(body, MAX_ANSWER_BYTES, &mut NoReservation).await;
-    let collected = collected.map_err(|e| TargetError::Broken(e.to_string()))?;
+/// [`TargetError::Broken`] if it breaks off or is longer.
+pub(super) async fn read_answer(body: MessageBody, max_bytes: usize) -> Result<Bytes, TargetError> {
+    let collected = collect(body, max_bytes, &mut NoReservation).await;
+    let collected = collected.map_err(|e| {
+        if e == CollectError::TooLong {
+            metrics::counter!("deckwind_target_answers_without_end_total").increment(1);
+        }
+        TargetError::Broken(e.to_string())
+    })?;
     Ok(collected.bytes)
 }
--- a/crates/deckwind-net/src/targets/http_engine.rs
+++ b/crates/deckwind-net/src/targets/http_engine.rs
@@ -17,6 +17,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -39,6 +40,16 @@
 /// Header that carries an [`OpenStage`] as JSON.
 pub const OPEN_STAGE_HEADER: &str = "deckwind-stage";
 
+/// Maximum size of the output of one step, bytes: the activations of a long prompt.
+const MAX_OUTPUT_BYTES: usize = 64 << 20;
+
+/// Maximum size of an exported cache, bytes.
+const MAX_EXPORT_BYTES: usize = 1 << 30;
+
+/// Maximum time for which a closed stage waits for the end of its engine's answer. After it,
+/// the stream is reset.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// HTTP/2 client for an engine.
 #[derive(Clone)]
 pub struct HttpEngine(Arc<HttpTarget>);
@@ -83,7 +94,11 @@
     }
 
     fn export_kv(&self, session: String) -> BoxFuture<'_, Result<KvExport, TargetError>> {
-        Box::pin(async move { self.0.post_json(paths::EXPORT, &session).await })
+        Box::pin(async move {
+            self.0
+                .post_json_with_limit(paths::EXPORT, &session, MAX_EXPORT_BYTES)
+                .await
+        })
     }
 
     fn import_kv(&self, kv: KvExport) -> BoxFuture<'_, Result<(), TargetError>> {
@@ -118,9 +133,15 @@
     }
 
     async fn read_line(&mut self) -> Result<BytesMut, TargetError> {
+        let mut searched = 0;
         loop {
-            if let Some(end) = self.buf.iter().position(|b| *b == b'\n') {
-                return Ok(self.buf.split_to(end + 1));
+            if let Some(end) = self.buf[searched..].iter().position(|b| *b == b'\n') {
+                return Ok(self.buf.split_to(searched + end + 1));
+            }
+            searched = self.buf.len();
+            if searched > MAX_OUTPUT_BYTES {
+                metrics::counter!("deckwind_target_answers_without_end_total").increment(1);
+                return Err(broken_error("the output of a step is too long"));
             }
             match self.rx.next().await.map_err(broken_error)? {
                 BodyPart::Data(data) => self.buf.extend_from_slice(&data),
@@ -139,7 +160,10 @@
         Box::pin(async move {
             let HttpStage { tx, mut rx, .. } = *self;
             drop(tx);
-            while let Ok(BodyPart::Data(_)) = rx.next().await {}
+            let draining = async { while let Ok(BodyPart::Data(_)) = rx.next().await {} };
+            if tokio::time::timeout(CLOSE_TIMEOUT, draining).await.is_err() {
+                log::info!("event=stage_reset reason=\"its engine does not end it\"");
+            }
         })
     }
 }
--- a/crates/deckwind-net/src/targets/http_service.rs
+++ b/crates/deckwind-net/src/targets/http_service.rs
@@ -11,6 +11,9 @@
 /// Header with the idempotency key (draft-ietf-httpapi-idempotency-key-header).
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// Maximum size of an answer, bytes. It is passed on as a whole.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
 /// HTTP/2 client for a plain service.
 #[derive(Clone)]
 pub struct HttpService(Arc<HttpTarget>);
@@ -41,7 +44,7 @@
             .and_then(|v| v.to_str().ok())
             .unwrap_or("application/octet-stream")
             .to_string();
-        let body = read_answer(body).await?.to_vec();
+        let body = read_answer(body, MAX_ANSWER_BYTES).await?.to_vec();
         Ok(ServiceAnswer {
             status: status.as_u16(),
             content_type,
--- a/crates/deckwind-net/src/targets/http_weights.rs
+++ b/crates/deckwind-net/src/targets/http_weights.rs
@@ -40,7 +40,8 @@
         let range = ContentRange::of(&head.headers).ok_or_else(|| {
             TargetError::Broken("the answer has no valid Content-Range".to_string())
         })?;
-        let bytes = read_answer(body).await?;
+        let max_bytes = usize::try_from(len).unwrap_or(usize::MAX);
+        let bytes = read_answer(body, max_bytes).await?;
         let expected = len.min(range.total.saturating_sub(offset));
         if range.first != offset || bytes.len() as u64 != expected {
             return Err(TargetError::Broken(format!(
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod cut_off_routers;
 mod decisions;
 mod endless_answers;
+mod endless_http2_answers;
 mod engine_load;
 mod event_splitter;
 mod examples;
