--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod answer_check;
 mod answer_ends;
+mod answer_heads;
 mod at_most_once;
 mod at_size;
 mod attempt_results;
@@ -20,6 +21,8 @@
 mod cut_bodies;
 mod cut_off_routers;
 mod decisions;
+mod endless_answers;
+mod endless_http2_answers;
 mod engine_load;
 mod event_splitter;
 mod examples;
