Log whom a replica without a leader asks to join

Operators saw: `event=membership … is=none` once, then nothing from a replica that asked in vain; the leader, who does not hear it, has no line either.

Change: `event=asks_to_join replica= is= asked= unformed= contacts= waited_ms=`, again every 2 s while no leader speaks to it, with the slots it asks, those that said they are as empty, and members that send to an earlier identity at its slot; gauge `deckwind_control_join_wait_seconds`.

Test: seeds::a_replica_reports_whom_it_asks_until_a_leader_speaks_to_it (the function is new, so there is no failing run before).

--- a/crates/deckwind-core/src/replication/election.rs
+++ b/crates/deckwind-core/src/replication/election.rs
@@ -166,6 +166,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.cfg.id);
         self.failed_elections = 0;
+        self.asks_since = None;
         let next = self.log.last().index.next();
         self.leader_state = Some(LeaderState::new(now, next, self.peers()));
         self.append_to_log(Payload::Noop, out);
--- a/crates/deckwind-core/src/replication/follower.rs
+++ b/crates/deckwind-core/src/replication/follower.rs
@@ -18,6 +18,7 @@
         self.leader = Some(from);
         self.last_leader_contact = now;
         self.failed_elections = 0;
+        self.asks_since = None;
         self.reset_election_timer(now);
         true
     }
--- a/crates/deckwind-core/src/replication/join.rs
+++ b/crates/deckwind-core/src/replication/join.rs
@@ -2,7 +2,7 @@
 
 use super::ids::{ClusterId, Index, Position, ReplicaId, Term};
 use super::log::{Entry, Payload};
-use super::member_notes::Membership;
+use super::member_notes::{JoinSearch, Membership};
 use super::members::Members;
 use super::message::{Body, Message};
 use super::replica::Replica;
@@ -36,6 +36,7 @@
             self.form_cluster(now, out);
             return;
         }
+        self.asks_since.get_or_insert(now);
         for slot in self.other_slots() {
             let message = Message {
                 cluster: self.hard_state.cluster,
@@ -67,6 +68,16 @@
         }
     }
 
+    /// Returns whom this replica asks to join, or `None` if a leader speaks to it.
+    pub fn join_search(&self) -> Option<JoinSearch> {
+        Some(JoinSearch {
+            since: self.asks_since?,
+            asked: self.other_slots().into_iter().collect(),
+            unformed: self.unformed_peers.keys().copied().collect(),
+            contacts: self.contacts.slots().collect(),
+        })
+    }
+
     /// Returns the slots of all other replicas that may be members.
     fn other_slots(&self) -> BTreeSet<u32> {
         let mut slots = self.cfg.slots.clone();
--- a/crates/deckwind-core/src/replication/member_notes.rs
+++ b/crates/deckwind-core/src/replication/member_notes.rs
@@ -3,6 +3,7 @@
 
 use super::ids::{Index, ReplicaId};
 use super::members::{MemberChange, Members};
+use crate::time::Instant;
 use std::fmt;
 
 /// Reason for a change of the members.
@@ -87,6 +88,19 @@
     pub reason: WaitReason,
 }
 
+/// Whom a replica asks to join, while no leader speaks to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JoinSearch {
+    /// Time of the first of these requests.
+    pub since: Instant,
+    /// Slots that are asked.
+    pub asked: Vec<u32>,
+    /// Slots whose replicas were unformed too when they last asked this one.
+    pub unformed: Vec<u32>,
+    /// Slots of members that have sent to an earlier identity at this slot.
+    pub contacts: Vec<u32>,
+}
+
 /// Part of a replica in its cluster, by the members in its own log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Membership {
--- a/crates/deckwind-core/src/replication/mod.rs
+++ b/crates/deckwind-core/src/replication/mod.rs
@@ -46,7 +46,7 @@
 pub use ids::{ClusterId, Index, Position, ReplicaId, Term};
 pub use log::{Entry, Log, Payload};
 pub use member_notes::{
-    MemberChangeReason, MemberDecision, Membership, WaitReason, WaitingReplica,
+    JoinSearch, MemberChangeReason, MemberDecision, Membership, WaitReason, WaitingReplica,
 };
 pub use members::{MemberChange, Members};
 pub use message::{Body, Message};
--- a/crates/deckwind-core/src/replication/replica.rs
+++ b/crates/deckwind-core/src/replication/replica.rs
@@ -42,6 +42,8 @@
     pub(super) failed_elections: u32,
     pub(super) leader_state: Option<LeaderState>,
     pub(super) next_join: Instant,
+    /// Time of the first join request since a leader last spoke to this replica.
+    pub(super) asks_since: Option<Instant>,
     /// Unformed replicas that sent a join request, by slot.
     pub(super) unformed_peers: BTreeMap<u32, ReplicaId>,
     /// Members that have sent to an earlier identity at this slot.
@@ -76,6 +78,7 @@
             failed_elections: 0,
             leader_state: None,
             next_join: now,
+            asks_since: None,
             unformed_peers: BTreeMap::new(),
             contacts: Contacts::default(),
             cfg,
--- a/crates/deckwind-testkit/tests/testsuite/seeds.rs
+++ b/crates/deckwind-testkit/tests/testsuite/seeds.rs
@@ -1,7 +1,7 @@
 //! Replicas that discover each other through seed addresses: they form one cluster
 //! once, admit replicas at other addresses, and remove voters that never return.
 
-use crate::seed_cluster::{ALL, SEEDS, SeedCluster};
+use crate::seed_cluster::{ALL, DEPLOYED, SEEDS, SeedCluster};
 use deckwind_core::replication::{
     Action, Body, ClusterId, Event, Index, Message, Position, Replica, ReplicaConfig, ReplicaId,
     Role, SeedDiscovery, Stored, Term, Timing,
@@ -225,6 +225,21 @@
     assert!((10..=20).contains(&asked.len()), "{asked:?}");
 }
 
+/// Guards against a replica that asks in vain without a trace of whom.
+#[test]
+fn a_replica_reports_whom_it_asks_until_a_leader_speaks_to_it() {
+    let mut cluster = SeedCluster::empty(DEPLOYED);
+    cluster.start_empty(20, false);
+    cluster.start_empty(30, false);
+    cluster.run(1_000);
+    let search = cluster.replicas[&30].join_search().expect("it asks");
+    assert_eq!(search.asked, [10, 20]);
+    assert_eq!(search.unformed, [20]);
+    assert!(search.contacts.is_empty());
+    let formed = SeedCluster::formed();
+    assert!(formed.replicas.values().all(|r| r.join_search().is_none()));
+}
+
 #[test]
 fn a_voter_removed_while_partitioned_joins_again() {
     let mut cluster = SeedCluster::new(&[10, 20, 30, 40, 50], Timing::default());
--- a/crates/deckwindd/src/control/member_metrics.rs
+++ b/crates/deckwindd/src/control/member_metrics.rs
@@ -21,6 +21,7 @@
     at: Option<Instant>,
     waits: BTreeMap<ReplicaId, Wait>,
     membership: Option<Membership>,
+    join_logged_at: Option<Instant>,
 }
 
 /// A replica that does not vote yet.
@@ -38,6 +39,7 @@
         }
         self.at = Some(now);
         self.log_membership(replica);
+        self.log_join_search(now, replica);
         let waiting = replica.waiting_replicas(now);
         self.log_ended_waits(now, &waiting);
         for replica in &waiting {
@@ -64,6 +66,33 @@
         );
     }
 
+    /// Logs whom a replica asks to join that no leader speaks to, and what is known of them.
+    fn log_join_search(&mut self, now: Instant, replica: &Replica) {
+        let search = replica.join_search();
+        let waited = search
+            .as_ref()
+            .map_or(Duration::ZERO, |s| now.since(s.since));
+        metrics::gauge!("deckwind_control_join_wait_seconds").set(waited.as_secs_f64());
+        let Some(search) = search else {
+            self.join_logged_at = None;
+            return;
+        };
+        let logged_at = self.join_logged_at;
+        if logged_at.is_some_and(|at| now.since(at) < REPEAT_INTERVAL) {
+            return;
+        }
+        self.join_logged_at = Some(now);
+        log::info!(
+            "event=asks_to_join replica={} is={} asked={:?} unformed={:?} contacts={:?} waited_ms={}",
+            replica.id(),
+            replica.membership(),
+            search.asked,
+            search.unformed,
+            search.contacts,
+            waited.as_millis()
+        );
+    }
+
     fn log_ended_waits(&mut self, now: Instant, waiting: &[WaitingReplica]) {
         self.waits.retain(|id, wait| {
             let still_waits = waiting.iter().any(|w| w.id == *id);
