At size: an operator publishes changes, probes check what is in force

Callers saw: a change that had been confirmed was not in force in time, came back older, an invalid one was taken, or an added route was not served, on real processes. The run at size counted retries only.

Change: an operator (operator.rs) publishes changes of all kinds, probes (probes.rs) go to every router, and checks.rs compares what they and the readings saw with the stated bounds. New faults: the leader killed, a disk lost, routers behind as all replicas restart. Not run on processes yet.

--- a/crates/deckwind-testkit/examples/at_size.rs
+++ b/crates/deckwind-testkit/examples/at_size.rs
@@ -1,31 +1,46 @@
 //! Runs the real programs at the size of a deployment, injects random faults and prints how
 //! much of the retry budget was used.
 //!
-//! `cargo run --release -p deckwind-testkit --example at_size -- DAEMON SIZE FIRST COUNT SECONDS [TROUBLE...]`
+//! `cargo run --release -p deckwind-testkit --example at_size -- DAEMON SIZE FIRST COUNT SECONDS [OPTION...] [TROUBLE...]`
 //!
 //! DAEMON is the program `deckwindd`, SIZE is `hundreds` or `tens`, and FIRST and COUNT give
 //! the seeds. Each TROUBLE is a kind of fault to be drawn at random, or
-//! `KIND:PERCENT:LENGTH_MS:PAUSE_MS` for a fixed fault; fixed faults are injected in order.
-//! The logs of a seed that exceeds the retry budget or the attempts of a request are kept in
-//! the folder that is printed; if the environment variable `KEEP` is set, those of all seeds
-//! are.
+//! `KIND:PERCENT:LENGTH_MS:PAUSE_MS` for a fixed fault; fixed faults are injected in order;
+//! `none` is a run without faults. The logs of a seed that exceeds the retry budget or the
+//! attempts of a request, or in which a check of the operator fails, are kept in the folder
+//! that is printed; if the environment variable `KEEP` is set, those of all seeds are.
+//!
+//! Each OPTION is `NAME=VALUE`: `changes` (an operator publishes a change about every so many
+//! ms, and probes check what is in force), `routes` (routes of each of its releases beside
+//! those that change), `routers` (their number), `load` (of callers, in percent) and `link`
+//! (bandwidth of a control replica in Mbit/s).
 
 use anyhow::{Context, Result, bail};
 use deckwind_testkit::Processes;
-use deckwind_testkit::at_size::{self, FaultEvent, FaultKind, FaultPlan, Report, Size};
+use deckwind_testkit::at_size::{
+    self, Change, FaultEvent, FaultKind, FaultPlan, OperatorPlan, OperatorReport, Report, Size,
+    Spread,
+};
 use std::time::Duration;
 
+/// Number of failed checks that are printed in full.
+const MAX_FINDINGS: usize = 12;
+
 fn main() -> Result<()> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let [daemon, size, first, count, seconds, faults @ ..] = args.as_slice() else {
-        bail!("usage: at_size DAEMON SIZE FIRST COUNT SECONDS [TROUBLE...]");
+    let [daemon, size, first, count, seconds, rest @ ..] = args.as_slice() else {
+        bail!("usage: at_size DAEMON SIZE FIRST COUNT SECONDS [OPTION...] [TROUBLE...]");
     };
-    let size = match size.as_str() {
+    let (options, faults): (Vec<_>, Vec<_>) = rest.iter().cloned().partition(|a| a.contains('='));
+    let mut size = match size.as_str() {
         "hundreds" => Size::large(),
         "tens" => Size::small(),
         other => bail!("unknown size {other:?}, expected hundreds or tens"),
     };
-    let faults = parse_faults(faults)?;
+    for option in &options {
+        set_option(&mut size, option)?;
+    }
+    let faults = parse_faults(&faults)?;
     let (first, count): (u64, u64) = (first.parse()?, count.parse()?);
     let length = Duration::from_secs(seconds.parse()?);
     let runtime = tokio::runtime::Runtime::new()?;
@@ -45,7 +60,37 @@
             std::fs::remove_dir_all(&logs).context("failed to remove the logs")?;
         }
     }
-    println!("{exceeded} of {count} exceeded the retry limits or had a wrong answer");
+    println!("{exceeded} of {count} exceeded the retry limits or failed a check");
+    Ok(())
+}
+
+/// Sets an OPTION argument.
+fn set_option(size: &mut Size, option: &str) -> Result<()> {
+    let (name, value) = option
+        .split_once('=')
+        .context("an option without a value")?;
+    let plan = size.operator.unwrap_or(OperatorPlan {
+        interval: Duration::from_millis(500),
+        routes: 0,
+    });
+    match name {
+        "changes" => {
+            let interval = Duration::from_millis(value.parse()?);
+            size.operator = Some(OperatorPlan { interval, ..plan });
+        }
+        "routes" => {
+            let routes = value.parse()?;
+            size.operator = Some(OperatorPlan { routes, ..plan });
+        }
+        "routers" => size.routers = value.parse()?,
+        "link" => size.link_mbps = Some(value.parse()?),
+        "load" => {
+            let share = value.parse::<f64>()? / 100.0;
+            size.streams_per_s *= share;
+            size.plain_per_s = (size.plain_per_s.0 * share, size.plain_per_s.1 * share);
+        }
+        other => bail!("unknown option {other:?}"),
+    }
     Ok(())
 }
 
@@ -54,6 +99,9 @@
     if args.is_empty() {
         return Ok(FaultPlan::Drawn(FaultKind::ALL.to_vec()));
     }
+    if args == ["none"] {
+        return Ok(FaultPlan::None);
+    }
     if args.iter().any(|a| a.contains(':')) {
         let fixed = args.iter().map(|a| parse_trouble(a));
         return Ok(FaultPlan::Given(fixed.collect::<Result<_>>()?));
@@ -120,4 +168,54 @@
         })
         .collect();
     println!("  {}", faults.join("; "));
+    if let Some(operator) = &report.operator {
+        print_operator(operator);
+    }
+}
+
+fn print_operator(report: &OperatorReport) {
+    for (change, spread) in &report.changes {
+        println!("  {}", format_change(change, spread));
+    }
+    for change in &report.others {
+        let (version, kind) = (change.release.version, &change.kind);
+        let (sent, refused) = (change.sent.as_secs_f64(), change.refused);
+        let calls = change.calls;
+        println!("  {version} {kind} sent {sent:.2} s calls {calls} refused {refused:?}");
+    }
+    let [acknowledged, last, older] = report.longest().map(|d| d.as_millis());
+    let (probes, unclear) = report.probes;
+    let (first, added) = report.served;
+    println!(
+        "  operator: changes {} others {} probes {probes} unclear {unclear} readings {} longest_ms \
+         ack {acknowledged} last_router {last} older_seen {older} served first {:.3} of {} added {:.3} of {}",
+        report.changes.len(),
+        report.others.len(),
+        report.readings,
+        first.share(),
+        first.probes,
+        added.share(),
+        added.probes,
+    );
+    println!("  failed checks: {:?}", report.counts());
+    for finding in report.findings.iter().take(MAX_FINDINGS) {
+        println!("  {finding}");
+    }
+}
+
+fn format_change(change: &Change, spread: &Spread) -> String {
+    let (at, replica) = change.acknowledged.unwrap_or_default();
+    format!(
+        "{} {} sent {:.2} s ack_ms {} by {replica} calls {} last_router_ms {} never {} older_seen_ms {}",
+        change.release.version,
+        change.kind,
+        change.sent.as_secs_f64(),
+        at.saturating_sub(change.sent).as_millis(),
+        change.calls,
+        spread
+            .last_router
+            .map_or("-".to_string(), |d| d.as_millis().to_string()),
+        spread.never,
+        spread.older_seen.as_millis(),
+    )
 }
--- a/crates/deckwind-testkit/src/at_size/faults.rs
+++ b/crates/deckwind-testkit/src/at_size/faults.rs
@@ -3,7 +3,8 @@
 use super::Deployment;
 use super::size::{ENGINES, PLAIN};
 use crate::processes::Process;
-use anyhow::Result;
+use crate::soak::replicas;
+use anyhow::{Context, Result};
 use deckwind_fakes::FakeTargetFault;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -38,6 +39,12 @@
     ControlFreezes,
     /// All replicas are killed and restarted.
     AllControlKilled,
+    /// The leader is killed and restarted.
+    LeaderKilled,
+    /// A replica is killed and restarted without its disk, if all replicas vote.
+    DiskLost,
+    /// Some routers are suspended; as they resume, all replicas are killed and restarted.
+    RoutersBehind,
     /// Requests come at all routers that share a part on which engines crash.
     PoisonPart,
     /// The request rate rises for a while.
@@ -48,7 +55,7 @@
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [FaultKind; 15] = [
+    pub const ALL: [FaultKind; 18] = [
         FaultKind::EnginesEnd,
         FaultKind::EnginesSilent,
         FaultKind::EnginesPause,
@@ -61,6 +68,9 @@
         FaultKind::ControlKilled,
         FaultKind::ControlFreezes,
         FaultKind::AllControlKilled,
+        FaultKind::LeaderKilled,
+        FaultKind::DiskLost,
+        FaultKind::RoutersBehind,
         FaultKind::PoisonPart,
         FaultKind::Burst,
         FaultKind::Release,
@@ -70,12 +80,17 @@
 /// Interval between two requests with a part at fault.
 const POISON_PART_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time for all replicas to vote before a disk is removed.
+const MAX_VOTE_WAIT: Duration = Duration::from_secs(10);
+
 /// Upper bound of the share of processes that a fault hits, in percent.
 const MAX_PERCENT: usize = 30;
 
 /// Source of the faults of a run.
 #[derive(Clone, Debug)]
 pub enum FaultPlan {
+    /// No faults.
+    None,
     /// Faults of random kinds out of these, drawn from the seed.
     Drawn(Vec<FaultKind>),
     /// The given faults in turn, repeatedly.
@@ -83,10 +98,11 @@
 }
 
 impl FaultPlan {
-    pub(super) fn next(&self, number: usize, rng: &mut ChaCha8Rng) -> FaultEvent {
+    pub(super) fn next(&self, number: usize, rng: &mut ChaCha8Rng) -> Option<FaultEvent> {
         match self {
-            Self::Drawn(kinds) => FaultEvent::draw(rng, kinds),
-            Self::Given(all) => all[number % all.len()],
+            Self::None => None,
+            Self::Drawn(kinds) => Some(FaultEvent::draw(rng, kinds)),
+            Self::Given(all) => all.get(number % all.len().max(1)).copied(),
         }
     }
 }
@@ -164,6 +180,17 @@
                 let all = self.control.len();
                 self.restart_control(all, fault, rng).await?;
             }
+            FaultKind::LeaderKilled => {
+                let leader = self.leader()?;
+                self.restart_replicas(vec![leader], length).await?;
+            }
+            FaultKind::DiskLost => self.lose_disk(length, rng).await?,
+            FaultKind::RoutersBehind => {
+                self.freeze_routers(fault, rng)?;
+                tokio::time::sleep(length).await;
+                let all = (0..self.control.len()).collect();
+                self.restart_replicas(all, Duration::ZERO).await?;
+            }
             FaultKind::PoisonPart => self.send_poison_parts(length),
             FaultKind::Burst => self.burst(fault),
             FaultKind::Release => {
@@ -229,6 +256,7 @@
             let Some(process) = self.routers[*i].take() else {
                 continue;
             };
+            self.probes.record_life(*i);
             self.callers.ready[*i].store(false, Ordering::Relaxed);
             stops.push(tokio::task::spawn_blocking(move || match planned {
                 true => process.terminate().map(drop),
@@ -243,6 +271,7 @@
         }
         for i in selected {
             self.routers[i] = Some(self.processes.router(i)?);
+            self.probes.record_life(i);
             self.mark_not_ready(i, Duration::from_millis(500));
         }
         Ok(())
@@ -257,18 +286,54 @@
         let first = rng.random_range(0..self.control.len());
         let all = self.control.len();
         let selected: Vec<usize> = (0..count).map(|i| (first + i) % all).collect();
+        self.restart_replicas(selected, fault.length).await
+    }
+
+    /// Kills replicas and restarts them after a sixth of `length`.
+    async fn restart_replicas(&mut self, selected: Vec<usize>, length: Duration) -> Result<()> {
         for i in &selected {
-            if let Some(process) = self.control[*i].take() {
-                tokio::task::spawn_blocking(move || process.kill()).await?;
-            }
+            self.kill_replica(*i).await?;
         }
-        tokio::time::sleep(fault.length / 6).await;
+        tokio::time::sleep(length / 6).await;
         for i in selected {
             self.control[i] = Some(self.processes.control(i)?);
         }
         Ok(())
     }
 
+    async fn kill_replica(&mut self, i: usize) -> Result<()> {
+        if let Some(process) = self.control[i].take() {
+            tokio::task::spawn_blocking(move || process.kill()).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the slot of the replica that was the last to say in its log that it leads.
+    fn leader(&self) -> Result<usize> {
+        let lines = self.processes.lines("event=role ")?;
+        let led = lines.iter().filter(|l| l.contains("role=leader"));
+        let led = led.filter_map(|line| {
+            let term: u64 = line.rsplit("term=").next()?.trim().parse().ok()?;
+            let name = line.split(':').next()?.strip_prefix("control-")?;
+            Some((term, name.parse().ok()?))
+        });
+        let (_, slot) = led.max().context("no replica has led")?;
+        Ok(slot)
+    }
+
+    /// Kills a replica, removes its disk and restarts it, if all replicas vote.
+    async fn lose_disk(&mut self, length: Duration, rng: &mut ChaCha8Rng) -> Result<()> {
+        let i = rng.random_range(0..self.control.len());
+        let admin = &self.processes.layout.control_admin;
+        if let Err(e) = replicas::wait_until_all_vote(admin, MAX_VOTE_WAIT).await {
+            eprintln!("no disk is removed: {e}");
+            return Ok(());
+        }
+        self.kill_replica(i).await?;
+        std::fs::remove_dir_all(self.processes.layout.data_folder(i))?;
+        self.restart_replicas(vec![i], length).await
+    }
+
     /// Suspends a process and resumes it after `length`.
     fn freeze(&self, process: Option<&Process>, length: Duration) -> Result<()> {
         let Some(process) = process else {
--- a/crates/deckwind-testkit/src/at_size/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/mod.rs
@@ -7,12 +7,24 @@
 //! faults of a run, but not its schedule.
 
 mod callers;
+mod checks;
 mod faults;
+mod operator;
+mod operator_report;
+mod probes;
+mod releases;
 mod size;
 mod tally;
 
 pub use callers::{Callers, Outcomes};
+pub use checks::{
+    Change, Finding, History, Probe, Reading, ReleaseBounds, ServedShare, ShownVersions, Spread,
+    Violation,
+};
 pub use faults::{FaultEvent, FaultKind, FaultPlan};
+pub use operator::OperatorPlan;
+pub use operator_report::{BOUNDS, OperatorReport, Records};
+pub use releases::{FIXED_PATH, Handling, MOVED_PATH, PROBE_POOLS, ProbeRoute, Release, marker};
 pub use size::{EngineGroup, Size};
 pub use tally::{
     PeakWindow, ReceivedRequest, RetryBudget, beyond_attempts, peak_window, uncharged_retries,
@@ -27,6 +39,8 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use operator::Operator;
+use probes::Probes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
@@ -60,6 +74,9 @@
 const UNFRAMED_PERCENT: u64 = 40;
 const BROKEN_PERCENT: u64 = 1;
 
+/// Number of targets in each of the pools that only probes reach.
+const PROBE_TARGETS: usize = 3;
+
 /// Results of one run.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -84,15 +101,20 @@
     pub answer_errors: Vec<String>,
     /// The faults that were injected, with their times since the callers started.
     pub faults: Vec<(Duration, FaultEvent)>,
+    /// What the operator saw, if there was one.
+    pub operator: Option<OperatorReport>,
 }
 
 impl Report {
-    /// Whether a retry budget or the limit on attempts was exceeded, or an answer was wrong.
+    /// Whether a retry budget or the limit on attempts was exceeded, an answer was wrong or a
+    /// check of the operator failed.
     pub fn exceeds_limits(&self) -> bool {
+        let operator = self.operator.as_ref();
         let pools = [self.engines, self.plain];
         pools.iter().flatten().any(|w| w.used() > 1.0)
             || self.beyond_attempts > 0
             || !self.answer_errors.is_empty()
+            || operator.is_some_and(|o| !o.findings.is_empty())
     }
 }
 
@@ -115,6 +137,13 @@
     callers: Arc<Callers>,
     control_client: ControlClient,
     version: u64,
+    probes: Arc<Probes>,
+}
+
+/// Tasks of an operator and of the probes beside it.
+struct OperatorTasks {
+    operator: Arc<Operator>,
+    tasks: JoinSet<()>,
 }
 
 /// Returns the layout of a deployment of this size.
@@ -123,6 +152,7 @@
     layout.retry_budget = size.retry_budget;
     layout.data_centres = DATA_CENTRES.to_vec();
     layout.lease = Some("2800ms");
+    layout.link_mbps = size.link_mbps;
     Ok(layout)
 }
 
@@ -140,12 +170,16 @@
     deployment.wait_until_served().await?;
     let started = Instant::now();
     let load_generator = deployment.callers.start(&deployment.size, seed);
+    let operator = deployment.start_operator(started, seed);
     tokio::time::sleep(WARM_UP).await;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut injected = Vec::new();
     let end = Instant::now() + length;
     while Instant::now() < end {
-        let fault = faults.next(injected.len(), &mut rng);
+        let Some(fault) = faults.next(injected.len(), &mut rng) else {
+            tokio::time::sleep_until(end).await;
+            break;
+        };
         injected.push((started.elapsed(), fault));
         deployment.inject(fault, &mut rng).await?;
         tokio::time::sleep(fault.pause).await;
@@ -155,8 +189,14 @@
         .await
         .context("the load generator panicked")?;
     tokio::time::sleep(FINISH_TIME).await;
+    let operator_report = match operator {
+        Some(operator) => Some(deployment.finish_operator(operator).await),
+        None => None,
+    };
     announcer.abort();
-    deployment.report(injected)
+    let mut report = deployment.report(injected)?;
+    report.operator = operator_report;
+    Ok(report)
 }
 
 impl Deployment {
@@ -168,9 +208,10 @@
         let fleet = FakeFleet::new(size.pace);
         let targets = start_targets(&size, &fleet).await?;
         let layout = &processes.layout;
-        let addresses = layout.routers.iter().map(|r| r.routes).collect();
+        let addresses: Vec<SocketAddr> = layout.routers.iter().map(|r| r.routes).collect();
         let control_client = ControlClient::new(layout.control_calls.clone());
         Ok(Self {
+            probes: Probes::new(addresses.clone(), Instant::now()),
             callers: Callers::new(addresses, fleet.clone()),
             processes,
             size,
@@ -205,6 +246,33 @@
         })
     }
 
+    /// Starts the operator and the probes if the deployment has any.
+    fn start_operator(&self, started: Instant, seed: u64) -> Option<OperatorTasks> {
+        let plan = self.size.operator?;
+        let control = self.processes.layout.control_calls.clone();
+        let operator = Operator::new(control, self.size.clone(), started, self.version);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(operator.clone().publish_changes(plan, seed));
+        tasks.spawn(operator.clone().read_back());
+        tasks.spawn(self.probes.clone().run(operator.clone(), seed));
+        Some(OperatorTasks { operator, tasks })
+    }
+
+    /// Stops the operator, reads the release at the end and checks what was recorded.
+    async fn finish_operator(&self, operator: OperatorTasks) -> OperatorReport {
+        let OperatorTasks { operator, tasks } = operator;
+        operator.stop();
+        tasks.join_all().await;
+        let end_readings = operator.read_at_end().await;
+        let records = Records {
+            changes: operator.changes(),
+            probes: self.probes.handled(&self.fleet.arrivals()),
+            readings: operator.readings(),
+            end_readings,
+        };
+        OperatorReport::of(records, BOUNDS)
+    }
+
     async fn publish(&mut self) -> bool {
         self.version += 1;
         let document = self.size.release(self.version);
@@ -266,6 +334,7 @@
                 .sum(),
             answer_errors: self.callers.answer_errors(),
             faults,
+            operator: None,
         })
     }
 }
@@ -295,6 +364,14 @@
         let centre = DATA_CENTRES[i % DATA_CENTRES.len()];
         all.push(start_target(&format!("plain-{i}"), PLAIN, centre, None, fleet).await?);
     }
+    let probe_targets = size.operator.map_or(0, |_| PROBE_TARGETS);
+    for (pool, i) in PROBE_POOLS
+        .into_iter()
+        .flat_map(|p| (0..probe_targets).map(move |i| (p, i)))
+    {
+        let centre = DATA_CENTRES[i % DATA_CENTRES.len()];
+        all.push(start_target(&format!("{pool}-{i}"), pool, centre, None, fleet).await?);
+    }
     Ok(all)
 }
 
--- a/crates/deckwind-testkit/src/at_size/size.rs
+++ b/crates/deckwind-testkit/src/at_size/size.rs
@@ -1,5 +1,6 @@
 //! Sizes of deployments and the release that they run.
 
+use super::operator::OperatorPlan;
 use deckwind_fakes::{AcceleratorKind, FleetConfig, fleet_release_document};
 use serde_json::Value;
 use std::time::Duration;
@@ -56,6 +57,10 @@
     pub attempts: u32,
     /// Speed and capacity of the engines.
     pub pace: FleetConfig,
+    /// Changes of the release during a run, if there are any.
+    pub operator: Option<OperatorPlan>,
+    /// Bandwidth of a control replica's link in Mbit/s, if it is limited.
+    pub link_mbps: Option<f64>,
 }
 
 impl Size {
@@ -90,6 +95,8 @@
                 stall_timeout: Duration::from_millis(2_500),
                 max_streams: 160,
             },
+            operator: None,
+            link_mbps: None,
         }
     }
 
--- a/crates/deckwind-testkit/src/layout.rs
+++ b/crates/deckwind-testkit/src/layout.rs
@@ -51,6 +51,8 @@
     pub data_centres: Vec<&'static str>,
     /// Duration of a lease, if it isn't the default.
     pub lease: Option<&'static str>,
+    /// Bandwidth of a control replica's link in Mbit/s, if it is limited.
+    pub link_mbps: Option<f64>,
 }
 
 /// Ports chosen by the OS and reserved until this value is dropped.
@@ -128,6 +130,7 @@
             file_descriptors: None,
             data_centres: vec!["recife-a"],
             lease: None,
+            link_mbps: None,
             _reserved_ports: ports,
         })
     }
@@ -192,6 +195,9 @@
             "operator_token_sha256": self.token_sha256,
         });
         self.set_lease(&mut settings["control"]);
+        if let Some(mbps) = self.link_mbps {
+            settings["control"]["link_mbps"] = serde_json::json!(mbps);
+        }
         self.write(&name, &settings)
     }
 
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -56,6 +56,7 @@
 mod rejections;
 mod relayed_requests;
 mod release_changes;
+mod release_checks;
 mod renewals;
 mod replication;
 mod replication_flow;
