--- a/crates/deckwind-testkit/src/at_size/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/mod.rs
@@ -211,7 +211,7 @@
         let addresses: Vec<SocketAddr> = layout.routers.iter().map(|r| r.routes).collect();
         let control_client = ControlClient::new(layout.control_calls.clone());
         Ok(Self {
-            probes: Probes::new(addresses.clone(), Instant::now()),
+            probes: Probes::new(addresses.clone()),
             callers: Callers::new(addresses, fleet.clone()),
             processes,
             size,
--- a/crates/deckwind-testkit/src/at_size/operator.rs
+++ b/crates/deckwind-testkit/src/at_size/operator.rs
@@ -211,6 +211,11 @@
         self.stop.load(Ordering::Relaxed)
     }
 
+    /// Time since the start of the run.
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Returns all changes so far.
     pub fn changes(&self) -> Vec<Change> {
         self.changes.lock().expect("no holder panics").clone()
@@ -326,7 +331,7 @@
     async fn put(&self, mut change: Change, body: String, replica: usize) {
         let version = change.release.version;
         let timeout = self.timeout(&change.release);
-        change.sent = self.started.elapsed();
+        change.sent = self.elapsed();
         self.changes.lock().expect("no holder panics").push(change);
         let outcome = self
             .put_until_clear(Bytes::from(body), replica, timeout)
@@ -364,7 +369,7 @@
             outcome.calls += 1;
             match self.client.post(replica, &body, timeout).await {
                 Some(StatusCode::OK) => {
-                    outcome.acknowledged = Some((self.started.elapsed(), replica));
+                    outcome.acknowledged = Some((self.elapsed(), replica));
                     return outcome;
                 }
                 Some(StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS) | None => {}
@@ -416,7 +421,7 @@
     }
 
     async fn read(&self, replica: usize) -> Option<Reading> {
-        let sent = self.started.elapsed();
+        let sent = self.elapsed();
         let (status, body) = self.client.get(replica).await?;
         if status != StatusCode::OK {
             return None;
@@ -426,7 +431,7 @@
         Some(Reading {
             replica,
             sent,
-            answered: self.started.elapsed(),
+            answered: self.elapsed(),
             version,
             is_as_sent: self.is_as_sent(version, &document),
         })
--- a/crates/deckwind-testkit/src/at_size/probes.rs
+++ b/crates/deckwind-testkit/src/at_size/probes.rs
@@ -20,7 +20,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
 /// Interval between two probes of one router.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
@@ -45,19 +44,17 @@
     routers: Vec<SocketAddr>,
     /// Number of restarts of each router, counted at its end and at its start.
     lives: Vec<AtomicU64>,
-    started: Instant,
     answered: Mutex<Vec<Answered>>,
     next_number: AtomicU64,
 }
 
 impl Probes {
     /// Creates the probes of the routers at these addresses.
-    pub fn new(routers: Vec<SocketAddr>, started: Instant) -> Arc<Self> {
+    pub fn new(routers: Vec<SocketAddr>) -> Arc<Self> {
         Arc::new(Self {
             http: Client::builder(TokioExecutor::new()).build_http(),
             lives: routers.iter().map(|_| AtomicU64::new(0)).collect(),
             routers,
-            started,
             answered: Mutex::default(),
             next_number: AtomicU64::new(0),
         })
@@ -84,14 +81,20 @@
                 let paths = operator.paths.lock().expect("no holder panics");
                 draw(&paths, &mut rng)
             };
-            sent.spawn(self.clone().send(router, path, key));
+            sent.spawn(self.clone().send(operator.clone(), router, path, key));
             while sent.try_join_next().is_some() {}
             tokio::time::sleep(PROBE_INTERVAL).await;
         }
         while sent.join_next().await.is_some() {}
     }
 
-    async fn send(self: Arc<Self>, router: usize, path: String, key: String) {
+    async fn send(
+        self: Arc<Self>,
+        operator: Arc<Operator>,
+        router: usize,
+        path: String,
+        key: String,
+    ) {
         let id = format!("probe-{}", self.next_number.fetch_add(1, Ordering::Relaxed));
         let full_path = format!("{path}{id}");
         let call = FakeCall {
@@ -102,7 +105,7 @@
             return;
         };
         let life = self.lives[router].load(Ordering::SeqCst);
-        let sent = self.started.elapsed();
+        let sent = operator.elapsed();
         let status = tokio::time::timeout(PROBE_DEADLINE * 2, async {
             let res = self.http.request(req).await.ok()?;
             let status = res.status();
@@ -117,7 +120,7 @@
             path,
             key,
             sent,
-            answered: self.started.elapsed(),
+            answered: operator.elapsed(),
             handling: None,
         };
         let mut answered = self.answered.lock().expect("no holder panics");
