--- a/crates/deckwind-testkit/examples/at_size.rs
+++ b/crates/deckwind-testkit/examples/at_size.rs
@@ -12,8 +12,9 @@
 //!
 //! Each OPTION is `NAME=VALUE`: `changes` (an operator publishes a change about every so many
 //! ms, and probes check what is in force), `routes` (routes of each of its releases beside
-//! those that change), `routers` (their number), `load` (of callers, in percent) and `link`
-//! (bandwidth of a control replica in Mbit/s).
+//! those that change), `routers` (their number), `load` (of callers, in percent), `link`
+//! (bandwidth of a control replica in Mbit/s), and `seeds=1` (VMs have loopback addresses of
+//! their own and find the control replicas through seeds).
 
 use anyhow::{Context, Result, bail};
 use deckwind_testkit::Processes;
@@ -84,6 +85,7 @@
         }
         "routers" => size.routers = value.parse()?,
         "link" => size.link_mbps = Some(value.parse()?),
+        "seeds" => size.has_seeds = value.parse::<u8>()? > 0,
         "load" => {
             let share = value.parse::<f64>()? / 100.0;
             size.streams_per_s *= share;
--- a/crates/deckwind-testkit/src/at_size/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/mod.rs
@@ -148,7 +148,10 @@
 
 /// Returns the layout of a deployment of this size.
 pub fn layout(size: &Size) -> Result<Layout> {
-    let mut layout = Layout::new(size.control, size.routers)?;
+    let mut layout = match size.has_seeds {
+        true => Layout::with_seeds(size.control, size.routers)?,
+        false => Layout::new(size.control, size.routers)?,
+    };
     layout.retry_budget = size.retry_budget;
     layout.data_centres = DATA_CENTRES.to_vec();
     layout.lease = Some("2800ms");
@@ -200,11 +203,14 @@
 }
 
 impl Deployment {
-    async fn start(processes: Processes, size: Size) -> Result<Self> {
+    async fn start(mut processes: Processes, size: Size) -> Result<Self> {
         let control = (0..size.control).map(|i| processes.control(i).map(Some));
         let control = control.collect::<Result<Vec<_>>>()?;
         let routers = (0..size.routers).map(|i| processes.router(i).map(Some));
         let routers = routers.collect::<Result<Vec<_>>>()?;
+        if let Some(seeds) = &mut processes.layout.seeds {
+            seeds.first_start = false;
+        }
         let fleet = FakeFleet::new(size.pace);
         let targets = start_targets(&size, &fleet).await?;
         let layout = &processes.layout;
--- a/crates/deckwind-testkit/src/at_size/size.rs
+++ b/crates/deckwind-testkit/src/at_size/size.rs
@@ -61,6 +61,8 @@
     pub operator: Option<OperatorPlan>,
     /// Bandwidth of a control replica's link in Mbit/s, if it is limited.
     pub link_mbps: Option<f64>,
+    /// Whether VMs have addresses of their own and find the control replicas through seeds.
+    pub has_seeds: bool,
 }
 
 impl Size {
@@ -97,6 +99,7 @@
             },
             operator: None,
             link_mbps: None,
+            has_seeds: false,
         }
     }
 
--- a/crates/deckwind-testkit/src/layout.rs
+++ b/crates/deckwind-testkit/src/layout.rs
@@ -1,6 +1,6 @@
 //! Addresses, keys and settings of a small cluster in a temporary folder.
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use deckwind::ops::{new_keys, new_token};
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
@@ -53,6 +53,36 @@
     pub lease: Option<&'static str>,
     /// Bandwidth of a control replica's link in Mbit/s, if it is limited.
     pub link_mbps: Option<f64>,
+    /// Discovery through seeds, if there is no list of control VMs.
+    pub seeds: Option<SeedLayout>,
+}
+
+/// Discovery of control replicas through seeds by VMs with IP addresses of their own.
+#[derive(Clone, Copy, Debug)]
+pub struct SeedLayout {
+    /// Number of replicas that are seeds.
+    pub count: usize,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+}
+
+/// Ports of VMs with IP addresses of their own.
+const CALLS_PORT: u16 = 8229;
+const ROUTES_PORT: u16 = 8227;
+const READY_PORT: u16 = 8220;
+const CALLERS_PORT: u16 = 8228;
+const CONTROL_PEERS_PORT: u16 = 7340;
+const ROUTER_PEERS_PORT: u16 = 7355;
+const ADMIN_PORT: u16 = 9464;
+
+/// Number of replicas that are seeds.
+const SEED_COUNT: usize = 3;
+
+/// Returns the loopback address of a VM of this process.
+fn own_ip(vm: usize) -> Result<IpAddr> {
+    let [_, _, second, third] = std::process::id().to_be_bytes();
+    let last = u8::try_from(vm + 1).context("too many VMs for one block of addresses")?;
+    Ok(Ipv4Addr::new(127, 128 | second, third, last).into())
 }
 
 /// Ports chosen by the OS and reserved until this value is dropped.
@@ -131,10 +161,38 @@
             data_centres: vec!["recife-a"],
             lease: None,
             link_mbps: None,
+            seeds: None,
             _reserved_ports: ports,
         })
     }
 
+    /// Creates a layout in which each VM has a loopback address of its own and finds the
+    /// control replicas through seeds.
+    pub fn with_seeds(control: usize, routers: usize) -> Result<Self> {
+        let mut layout = Self::new(control, routers)?;
+        for i in 0..control {
+            let ip = own_ip(i)?;
+            layout.control[i] = (ip, CONTROL_PEERS_PORT).into();
+            layout.control_admin[i] = (ip, ADMIN_PORT).into();
+            layout.control_calls[i] = (ip, CALLS_PORT).into();
+        }
+        for i in 0..routers {
+            let ip = own_ip(control + i)?;
+            layout.routers[i] = RouterAddresses {
+                callers: (ip, CALLERS_PORT).into(),
+                peers: (ip, ROUTER_PEERS_PORT).into(),
+                admin: (ip, ADMIN_PORT).into(),
+                routes: (ip, ROUTES_PORT).into(),
+                ready: (ip, READY_PORT).into(),
+            };
+        }
+        layout.seeds = Some(SeedLayout {
+            count: control.min(SEED_COUNT),
+            first_start: true,
+        });
+        Ok(layout)
+    }
+
     /// Keeps the folder when this is dropped.
     pub fn keep_folder(&mut self) {
         self.folder.disable_cleanup(true);
@@ -155,7 +213,27 @@
         self.folder().join(format!("data-{slot}"))
     }
 
-    fn common_settings(&self, vm: &str, index: usize) -> serde_json::Value {
+    /// Settings of a VM that finds the control replicas through seeds.
+    fn seed_settings(&self, vm: &str, index: usize, ip: IpAddr) -> Option<serde_json::Value> {
+        let seeds = self.seeds?;
+        Some(serde_json::json!({
+            "vm": vm,
+            "data_centre": self.data_centres[index % self.data_centres.len()],
+            "seeds": {
+                "ip": ip,
+                "peer_port": CONTROL_PEERS_PORT,
+                "control": self.control_calls[..seeds.count],
+                "first_start": seeds.first_start,
+                "lost_at_once": self.control.len() / 2,
+            },
+            "log": { "level": "info" },
+        }))
+    }
+
+    fn common_settings(&self, vm: &str, index: usize, ip: IpAddr) -> serde_json::Value {
+        if let Some(settings) = self.seed_settings(vm, index, ip) {
+            return settings;
+        }
         let control_vms: Vec<serde_json::Value> = self
             .control
             .iter()
@@ -186,7 +264,7 @@
     /// Writes the settings of a control replica.
     pub fn control_settings(&self, slot: usize) -> Result<PathBuf> {
         let name = format!("control-{slot}");
-        let mut settings = self.common_settings(&name, slot);
+        let mut settings = self.common_settings(&name, slot, self.control[slot].ip());
         settings["control"] = serde_json::json!({
             "slot": slot,
             "data_folder": self.data_folder(slot),
@@ -195,6 +273,11 @@
             "operator_token_sha256": self.token_sha256,
         });
         self.set_lease(&mut settings["control"]);
+        if self.seeds.is_some() {
+            settings["control"]["heartbeat"] = serde_json::json!("80ms");
+            settings["control"]["election_min"] = serde_json::json!("400ms");
+            settings["control"]["election_max"] = serde_json::json!("800ms");
+        }
         if let Some(mbps) = self.link_mbps {
             settings["control"]["link_mbps"] = serde_json::json!(mbps);
         }
@@ -226,8 +309,8 @@
     /// Writes the settings of a router.
     pub fn router_settings(&self, i: usize) -> Result<PathBuf> {
         let name = format!("router-{i}");
-        let mut settings = self.common_settings(&name, i);
         let addresses = self.routers[i];
+        let mut settings = self.common_settings(&name, i, addresses.peers.ip());
         settings["router"] = serde_json::json!({
             "callers": addresses.callers,
             "peers": addresses.peers,
--- a/crates/deckwind-testkit/src/lib.rs
+++ b/crates/deckwind-testkit/src/lib.rs
@@ -26,7 +26,7 @@
 pub use cluster::Cluster;
 pub use control_simulation::{ControlSimulation, NetFaults};
 pub use cut_links::{CutLinks, LinkFault};
-pub use layout::{Layout, RouterAddresses};
+pub use layout::{Layout, RouterAddresses, SeedLayout};
 pub use objects::{account, chat_template, engine_target, service_target, service_template};
 pub use processes::{Process, Processes};
 pub use simulated_routers::{HELD_BYTES, SimulatedRouter};
