--- a/crates/deckwind-testkit/src/at_size/faults.rs
+++ b/crates/deckwind-testkit/src/at_size/faults.rs
@@ -3,7 +3,6 @@
 use super::Deployment;
 use super::size::{ENGINES, PLAIN};
 use crate::processes::Process;
-use crate::soak::replicas;
 use anyhow::{Context, Result};
 use deckwind_fakes::FakeTargetFault;
 use rand::RngExt;
@@ -11,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Kinds of faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +41,7 @@
     AllControlKilled,
     /// The leader is killed and restarted.
     LeaderKilled,
-    /// A replica is killed and restarted without its disk, if all replicas vote.
+    /// A replica is killed and restarted without its disk, once the one before has caught up.
     DiskLost,
     /// Some routers are suspended; as they resume, all replicas are killed and restarted.
     RoutersBehind,
@@ -80,8 +80,8 @@
 /// Interval between two requests with a part at fault.
 const POISON_PART_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest time for all replicas to vote before a disk is removed.
-const MAX_VOTE_WAIT: Duration = Duration::from_secs(10);
+/// Time after the restart of a replica without its disk until the next disk is removed.
+const CATCH_UP: Duration = Duration::from_secs(6);
 
 /// Upper bound of the share of processes that a fault hits, in percent.
 const MAX_PERCENT: usize = 30;
@@ -321,17 +321,17 @@
         Ok(slot)
     }
 
-    /// Kills a replica, removes its disk and restarts it, if all replicas vote.
+    /// Kills a replica, removes its disk and restarts it, once the one before has caught up.
     async fn lose_disk(&mut self, length: Duration, rng: &mut ChaCha8Rng) -> Result<()> {
         let i = rng.random_range(0..self.control.len());
-        let admin = &self.processes.layout.control_admin;
-        if let Err(e) = replicas::wait_until_all_vote(admin, MAX_VOTE_WAIT).await {
-            eprintln!("no disk is removed: {e}");
-            return Ok(());
+        if let Some(at) = self.disk_lost_at {
+            tokio::time::sleep_until(at + CATCH_UP).await;
         }
         self.kill_replica(i).await?;
         std::fs::remove_dir_all(self.processes.layout.data_folder(i))?;
-        self.restart_replicas(vec![i], length).await
+        self.restart_replicas(vec![i], length).await?;
+        self.disk_lost_at = Some(Instant::now());
+        Ok(())
     }
 
     /// Suspends a process and resumes it after `length`.
--- a/crates/deckwind-testkit/src/at_size/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/mod.rs
@@ -138,6 +138,8 @@
     control_client: ControlClient,
     version: u64,
     probes: Arc<Probes>,
+    /// Time at which a replica was last restarted without its disk.
+    disk_lost_at: Option<Instant>,
 }
 
 /// Tasks of an operator and of the probes beside it.
@@ -227,6 +229,7 @@
             fleet,
             control_client,
             version: 0,
+            disk_lost_at: None,
         })
     }
 
--- a/crates/deckwind-testkit/src/soak/mod.rs
+++ b/crates/deckwind-testkit/src/soak/mod.rs
@@ -10,7 +10,7 @@
 mod limits;
 mod notices;
 mod proxy;
-pub(crate) mod replicas;
+mod replicas;
 
 pub use limits::check_limits;
 pub use notices::{FaultSpans, id_for_router};
