--- a/crates/deckwind-testkit/src/at_size/checks.rs
+++ b/crates/deckwind-testkit/src/at_size/checks.rs
@@ -268,33 +268,32 @@
 
     /// Checks that no router goes back within one life.
     fn check_lives(&self, probes: &[Probe]) -> Vec<Finding> {
-        let mut lives: BTreeMap<(usize, u64), Vec<(&Probe, u64, u64)>> = BTreeMap::new();
+        let mut lives: BTreeMap<(usize, u64), Vec<(ShownVersions, &Probe)>> = BTreeMap::new();
         for probe in probes {
-            let shown = self.versions_shown(probe);
-            if let (Some(life), Some(first), Some(last)) = (probe.life, shown.first(), shown.last())
-            {
+            if let (Some(life), Some(shown)) = (probe.life, ShownVersions::of(self, probe)) {
                 let life = lives.entry((probe.router, life)).or_default();
-                life.push((probe, *first, *last));
+                life.push((shown, probe));
             }
         }
         let found = lives.values().flat_map(|life| self.check_life(life));
         found.collect()
     }
 
-    fn check_life(&self, life: &[(&Probe, u64, u64)]) -> Vec<Finding> {
-        let mut shown: Vec<(Duration, u64)> =
-            life.iter().map(|(p, v, _)| (p.answered, *v)).collect();
-        shown.sort();
-        let mut newest = 0;
-        for (_, version) in &mut shown {
-            newest = newest.max(*version);
-            *version = newest;
+    fn check_life(&self, life: &[(ShownVersions, &Probe)]) -> Vec<Finding> {
+        let newest = life.iter().map(|(shown, _)| (shown.answered, shown.first));
+        let mut newest: Vec<(Duration, u64)> = newest.collect();
+        newest.sort();
+        let mut version = 0;
+        for (_, shown) in &mut newest {
+            version = version.max(*shown);
+            *shown = version;
         }
-        let found = life.iter().filter_map(|(probe, _, last)| {
+        let found = life.iter().filter_map(|(shown, probe)| {
             let slack = self.bounds.rollback_slack;
-            let before = shown.partition_point(|(at, _)| *at + slack < probe.sent);
-            let (_, version) = before.checked_sub(1).map(|i| shown[i])?;
-            (*last < version).then(|| Finding::new(Violation::WentBack, (version, last, probe)))
+            let before = newest.partition_point(|(at, _)| *at + slack < shown.sent);
+            let (_, version) = before.checked_sub(1).map(|i| newest[i])?;
+            let went_back = shown.last < version;
+            went_back.then(|| Finding::new(Violation::WentBack, (version, shown.last, probe)))
         });
         found.collect()
     }
--- a/crates/deckwind-testkit/src/at_size/operator.rs
+++ b/crates/deckwind-testkit/src/at_size/operator.rs
@@ -382,7 +382,7 @@
                 }
                 Some(_) => {}
             }
-            if outcome.calls % self.client.control.len() == 0 {
+            if outcome.calls.is_multiple_of(self.client.control.len()) {
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(MAX_RETRY_PAUSE);
             }
