--- a/crates/deckwind-testkit/src/cluster.rs
+++ b/crates/deckwind-testkit/src/cluster.rs
@@ -115,6 +115,13 @@
         self.routers[i].as_ref().expect("the daemon runs")
     }
 
+    /// Returns the number of connections that a router has closed unread because its tasks ran
+    /// late, as on a busy machine; none if its daemon was taken out of the cluster.
+    pub fn closed_unread(&self, i: usize) -> usize {
+        let router = self.routers[i].as_ref().and_then(Daemon::router);
+        router.map_or(0, |r| r.shared().caller_connections.closed_unread())
+    }
+
     /// Removes a router's daemon from the cluster, so that the test can close it.
     pub fn take_router(&mut self, i: usize) -> Daemon {
         self.routers[i].take().expect("the daemon runs")
--- a/crates/deckwindd/src/router/caller_connections.rs
+++ b/crates/deckwindd/src/router/caller_connections.rs
@@ -11,6 +11,7 @@
 pub struct CallerConnections {
     gate: Mutex<ConnectionGate>,
     open: AtomicUsize,
+    closed_unread: AtomicUsize,
 }
 
 /// An open connection of a caller, counted until it is dropped.
@@ -31,6 +32,7 @@
         Self {
             gate: Mutex::new(ConnectionGate::new(descriptors)),
             open: AtomicUsize::new(0),
+            closed_unread: AtomicUsize::new(0),
         }
     }
 
@@ -52,9 +54,15 @@
         metrics::counter!("deckwind_route_connections_closed_unread_total", "why" => why)
             .increment(1);
         log::debug!("event=connection_closed_unread why={why}");
+        self.closed_unread.fetch_add(1, Ordering::Relaxed);
         None
     }
 
+    /// Returns the number of connections that were closed unread so far.
+    pub fn closed_unread(&self) -> usize {
+        self.closed_unread.load(Ordering::Relaxed)
+    }
+
     /// Whether connections should be closed after their next answer.
     pub fn closes_after_answer(&self) -> bool {
         let open = self.open.load(Ordering::Relaxed);
