A trial ends the quarantine of a content that chance quarantined

Cause: runs of it had just begun at three crashes, none was served in between, and from then on nothing may run it that could clear it. Class: a belief that keeps out the evidence against itself.

Change: the log grants a trial to one router process: one run of a quarantined content. 2 s after the last crash if it is known to have been served, 60 s if not, then after four times as long, three in a quarantine. A grant counts whatever becomes of it. A router may use it for 3 s from its request by its own clock, which is less than the next delay; the request that asks waits for it. A served run clears the content as before, a crash counts as before.

--- a/crates/deckwind-core/src/control/cut_reports.rs
+++ b/crates/deckwind-core/src/control/cut_reports.rs
@@ -5,7 +5,7 @@
 use super::event::ControlAction;
 use super::messages::{ControlReply, CutReport};
 use super::pending::Requester;
-use crate::state::CommandBody;
+use crate::state::{CommandBody, SuspectChange};
 use crate::time::Instant;
 use std::time::Duration;
 
@@ -26,15 +26,27 @@
         out: &mut Vec<ControlAction>,
     ) {
         self.check_targets(now, &report.broke, out);
-        if report.changes.is_empty() {
+        let mut changes = report.changes;
+        changes.retain(|change| self.is_to_be_agreed(change));
+        if changes.is_empty() {
             let reply = ControlReply::Done;
             out.push(ControlAction::Reply { token, reply });
             return;
         }
-        let body = CommandBody::Suspects(report.changes);
+        let body = CommandBody::Suspects(changes);
         self.propose(now, body, Requester::Router(token), out);
     }
 
+    /// Returns whether a change is to be written to the log: not a request for a trial that is
+    /// not due. Routers repeat these for as long as callers ask for the content.
+    fn is_to_be_agreed(&self, change: &SuspectChange) -> bool {
+        let quarantine = self.state_machine.quarantine();
+        match change {
+            SuspectChange::Trial(request) => quarantine.is_trial_due(request, self.wall_ms),
+            _ => true,
+        }
+    }
+
     /// Proposes the removal of outdated suspects, if there are any.
     pub(super) fn remove_outdated_suspects(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
         if !self.replica.can_serve_reads(now) {
--- a/crates/deckwind-core/src/routes/interrupted_runs.rs
+++ b/crates/deckwind-core/src/routes/interrupted_runs.rs
@@ -21,10 +21,12 @@
 //! until the end of that incarnation would be known.
 
 use super::own_crashes::OwnCrashes;
+use super::own_trials::{OwnTrials, TrialUse};
 use crate::control::{DEFAULT_ANNOUNCE_INTERVAL, MAX_MISSED_ANNOUNCEMENTS};
 use crate::state::{
     ContentDigest, Crash, CrashedRun, Incarnation, QUARANTINE_THRESHOLD, RequestTrait,
-    RequestTraits, RunProgress, Suspect, SuspectChange, SuspectList, culprits,
+    RequestTraits, RouterProcess, RunProgress, Suspect, SuspectChange, SuspectList, TrialRequest,
+    culprits,
 };
 use crate::time::Instant;
 use std::collections::{HashMap, VecDeque};
@@ -108,6 +110,8 @@
     /// Not now: with a crash that this router has just observed, or that may just have happened
     /// under this request, it might be quarantined.
     Undecided,
+    /// It is quarantined, and may be sent once to find out whether it crashes its target.
+    Trial,
     /// It is quarantined.
     Quarantined,
 }
@@ -132,6 +136,7 @@
     /// The agreed list of suspects.
     agreed: Arc<SuspectList>,
     unreported: VecDeque<SuspectChange>,
+    trials: OwnTrials,
 }
 
 fn push_bounded<T>(queue: &mut VecDeque<T>, value: T) {
@@ -162,6 +167,7 @@
             served: HashMap::new(),
             agreed: Arc::default(),
             unreported: VecDeque::new(),
+            trials: OwnTrials::default(),
         }
     }
 
@@ -420,10 +426,17 @@
     /// may have crashed count until the outcome is known.
     pub fn verdict(&mut self, now: Instant, request: &RequestTraits) -> SendVerdict {
         self.remove_expired(now);
-        if self.agreed.group_of(request).is_some() || self.has_own_culprits(now, request) {
+        let content = RequestTrait::Content(request.content());
+        if self.has_own_culprits(now, request) {
             return SendVerdict::Quarantined;
         }
-        let content = RequestTrait::Content(request.content());
+        if self.agreed.group_of(request).is_some() {
+            let may_try = self.agreed.is_refused_by_content(request);
+            return match may_try && self.trials.is_free(now, &content) {
+                true => SendVerdict::Trial,
+                false => SendVerdict::Quarantined,
+            };
+        }
         if self.known_crashes(now, &content) >= QUARANTINE_THRESHOLD {
             return SendVerdict::Quarantined;
         }
@@ -443,6 +456,38 @@
         }
     }
 
+    /// Takes over the trials that the agreed list grants to this router process.
+    pub fn accept_trials(&mut self, own: &RouterProcess) {
+        self.trials.accept(own, &self.agreed);
+    }
+
+    /// Changes the use of the trial of a request's content. Returns whether it was `from`
+    /// before.
+    pub fn change_trial(&mut self, request: &RequestTraits, from: TrialUse, to: TrialUse) -> bool {
+        let content = RequestTrait::Content(request.content());
+        self.trials.change(&content, from, to)
+    }
+
+    /// Records that a quarantined request is to be refused. If it is for its content alone, a
+    /// trial of it is wanted. Returns whether the leader is to be asked for it now.
+    pub fn want_trial(&mut self, now: Instant, request: &RequestTraits) -> bool {
+        let content = RequestTrait::Content(request.content());
+        self.agreed.is_refused_by_content(request) && self.trials.want(now, content)
+    }
+
+    /// Takes the requests for trials, to be sent to the leader. They are not to be queued
+    /// again: callers that come again want them again.
+    pub fn take_trial_requests(&mut self, own: &RouterProcess) -> Vec<SuspectChange> {
+        let wanted = self.trials.take_unrequested().into_iter();
+        let request = |(content, requested)| TrialRequest {
+            content,
+            router: own.clone(),
+            requested,
+            was_served: self.served.contains_key(&content),
+        };
+        wanted.map(|c| SuspectChange::Trial(request(c))).collect()
+    }
+
     /// Returns the number of crashes of a trait, agreed or by this router's own observations.
     fn known_crashes(&self, now: Instant, suspect: &RequestTrait) -> usize {
         let own = self.counted_own_crashes(now, suspect);
--- a/crates/deckwind-core/src/routes/mod.rs
+++ b/crates/deckwind-core/src/routes/mod.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod notices;
 mod own_crashes;
+mod own_trials;
 mod relay_choice;
 mod retry_after;
 mod retry_budget;
@@ -39,6 +40,7 @@
 pub use interrupted_runs::{InterruptedRuns, MAX_POISON_RUN_TIME, SendVerdict};
 pub use limits::{LimitListChanges, Permit, TargetLimits};
 pub use notices::{NoticeChange, TargetNotice, TargetNotices};
+pub use own_trials::TrialUse;
 pub use relay_choice::{MAX_RELAYS_TRIED, RelayChoice};
 pub use retry_after::RefusalReason;
 pub use retry_budget::{PoolRetryBudget, ProcessStart, RetryBudgets, RetryLimits, RetrySource};
--- a/crates/deckwind-core/src/state/attribution.rs
+++ b/crates/deckwind-core/src/state/attribution.rs
@@ -147,6 +147,11 @@
         self.was_served = true;
     }
 
+    /// Returns whether a request with the trait was served before these crashes.
+    pub(super) fn was_served(&self) -> bool {
+        self.was_served
+    }
+
     /// Returns whether earlier crashes may have been forgotten.
     fn is_full(&self) -> bool {
         self.crashes.len() >= MAX_ENDS
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -32,6 +32,7 @@
 mod request_trait;
 mod retry_ledger;
 mod state_machine;
+mod trials;
 
 pub use attribution::{Crash, RunKey, RunProgress, Suspect};
 pub use claims::{
@@ -66,3 +67,4 @@
     RetryAllowance, RetryAllowanceId, RetryAllowanceKey, RetryChange, RetryLedger,
 };
 pub use state_machine::StateMachine;
+pub use trials::{MAX_TRIALS, Trial, TrialRequest};
--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -4,7 +4,8 @@
 //!  a target crashed ─► row of each trait: the crashes ──3 crashes──► quarantined
 //!                        │                                              │
 //!                        ├── served successfully or lifted: removed ◄───┤
-//!                        └── expired: after 10 min; after 1 h ◄─────────┘
+//!                        ├── expired: after 10 min; after 1 h ◄─────────┤
+//!                        └── one run at one router: `trials` ◄──────────┘
 //! ```
 //!
 //! A single crash is weak evidence: every request in progress on the target ends with
@@ -17,6 +18,7 @@
 use super::culprits::culprits;
 use super::incarnations::Incarnation;
 use super::request_trait::{RequestTrait, RequestTraits};
+use super::trials::{Trial, TrialRequest, Trials};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -36,8 +38,8 @@
 const SUSPECT_TTL_MS: u64 = 10 * 60 * 1_000;
 
 /// Duration of a quarantine after the last crash, milliseconds. It limits a request that
-/// always crashes its target to three crashes an hour; a request that was quarantined by
-/// coincidence is served again afterwards.
+/// always crashes its target to three crashes an hour, and those of its trials; a request that
+/// was quarantined by coincidence is served again afterwards, or after a trial.
 pub const QUARANTINE_DURATION_MS: u64 = 60 * 60 * 1_000;
 
 /// Maximum number of traits in the table, 150 bytes each. Sufficient for the crash of a data
@@ -71,6 +73,8 @@
     Served(RequestTrait),
     /// An operator lifted the quarantine.
     Lift(RequestTrait),
+    /// A router wants to run a quarantined content once.
+    Trial(TrialRequest),
 }
 
 /// All traits at crashes. Kept on control replicas only; routers get the [`SuspectList`].
@@ -83,6 +87,7 @@
     suspect: Suspect,
     /// By the leader's clock, milliseconds since the Unix epoch.
     last_ms: u64,
+    trials: Trials,
 }
 
 impl SuspectRow {
@@ -116,6 +121,7 @@
                 SuspectChange::Ended(run) => self.record_crash(run, now_ms),
                 SuspectChange::Served(suspect) => self.clear(suspect),
                 SuspectChange::Lift(suspect) => self.lift(suspect),
+                SuspectChange::Trial(request) => self.grant_trial(request, now_ms),
             }
         }
     }
@@ -128,6 +134,7 @@
         self.0.entry(suspect).or_insert_with(|| SuspectRow {
             suspect: Suspect::default(),
             last_ms: now_ms,
+            trials: Trials::default(),
         })
     }
 
@@ -135,12 +142,36 @@
     fn clear(&mut self, suspect: RequestTrait) {
         if let Some(row) = self.0.get_mut(&suspect) {
             row.suspect.clear();
+            row.trials = Trials::default();
+        }
+    }
+
+    /// Returns whether a router may run a quarantined content once. Parts get no trials: the
+    /// other requests with a part find out about it.
+    pub fn is_trial_due(&self, request: &TrialRequest, now_ms: u64) -> bool {
+        let content = request.content;
+        let Some(row) = self.0.get(&content) else {
+            return false;
+        };
+        let was_served = row.suspect.was_served() || request.was_served;
+        matches!(content, RequestTrait::Content(_))
+            && row.trials.is_due(row.last_ms, was_served, now_ms)
+            && self.culprits().iter().any(|g| g.contains(&content))
+    }
+
+    fn grant_trial(&mut self, request: TrialRequest, now_ms: u64) {
+        if self.is_trial_due(&request, now_ms)
+            && let Some(row) = self.0.get_mut(&request.content)
+        {
+            row.trials.grant(request, now_ms);
         }
     }
 
     fn record_crash(&mut self, run: CrashedRun, now_ms: u64) {
         for served in run.served {
-            self.row(served, now_ms).suspect.clear();
+            let row = self.row(served, now_ms);
+            row.suspect.clear();
+            row.trials = Trials::default();
         }
         for suspect in run.traits {
             let row = self.row(suspect, now_ms);
@@ -221,10 +252,13 @@
             .map(|(t, row)| (*t, row.suspect.crashes().len() as u8))
             .collect();
         let is_listed = |group: &Vec<RequestTrait>| group.iter().all(|t| counts.contains_key(t));
-        let quarantined = groups.into_iter().filter(is_listed).collect();
+        let quarantined: Vec<Vec<RequestTrait>> = groups.into_iter().filter(is_listed).collect();
+        let trial = |t: &RequestTrait| Some((*t, self.0.get(t)?.trials.last()?.clone()));
+        let trials = quarantined.iter().flatten().filter_map(trial).collect();
         SuspectList {
             counts,
             quarantined,
+            trials,
         }
     }
 }
@@ -236,6 +270,8 @@
     counts: BTreeMap<RequestTrait, u8>,
     /// Groups of traits. Requests with all traits of a group are sent to no target.
     quarantined: Vec<Vec<RequestTrait>>,
+    /// The last trial of each quarantined content.
+    trials: BTreeMap<RequestTrait, Trial>,
 }
 
 impl SuspectList {
@@ -263,6 +299,27 @@
         self.quarantined().find(|group| traits.contains_all(group))
     }
 
+    /// Returns whether the request is refused because of its content alone: no group of other
+    /// traits has it refused too.
+    pub fn is_refused_by_content(&self, request: &RequestTraits) -> bool {
+        let content = RequestTrait::Content(request.content());
+        let mut groups = self
+            .quarantined()
+            .filter(|g| request.contains_all(g))
+            .peekable();
+        groups.peek().is_some() && groups.all(|group| group.contains(&content))
+    }
+
+    /// Iterates over the last trial of each quarantined content.
+    pub fn trials(&self) -> impl Iterator<Item = (&RequestTrait, &Trial)> {
+        self.trials.iter()
+    }
+
+    /// Returns the last trial of a quarantined content.
+    pub fn trial_of(&self, content: &RequestTrait) -> Option<&Trial> {
+        self.trials.get(content)
+    }
+
     /// Returns the number of listed traits.
     pub fn len(&self) -> usize {
         self.counts.len()
--- a/crates/deckwind-spec/src/lib.rs
+++ b/crates/deckwind-spec/src/lib.rs
@@ -28,6 +28,7 @@
 mod stream_end_cases;
 mod stream_end_rules;
 mod stream_end_spec;
+mod trial_spec;
 mod tunnel_spec;
 
 pub use attribution_spec::{AttributionRules, AttributionSpec, attribution_cases};
@@ -47,6 +48,7 @@
 pub use stream_end_cases::stream_end_cases;
 pub use stream_end_rules::{StreamEndBounds, StreamEndRules};
 pub use stream_end_spec::StreamEndSpec;
+pub use trial_spec::{TrialRules, TrialSpec, trial_cases};
 pub use tunnel_spec::{TunnelRules, TunnelSpec, tunnel_cases};
 
 use pathfinding::directed::bfs::bfs;
--- a/crates/deckwind-testkit/src/simulated_routers.rs
+++ b/crates/deckwind-testkit/src/simulated_routers.rs
@@ -8,12 +8,13 @@
 };
 use deckwind_core::state::{
     ClaimKey, ClaimRequest, ClaimVerdict, FinishRequest, Outcome, RequestTraits, Revision,
-    RouterProcess, VmName,
+    RouterProcess, SuspectList, VmName,
 };
 use deckwind_core::time::Instant;
 use deckwind_wire::{ControlReply, ControlRequest, Renewal};
 use rand::{Rng, RngExt};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Bytes that each router reports as held for slow readers.
@@ -119,10 +120,15 @@
         self.lease.applied()
     }
 
+    /// The list of suspects that the router has received.
+    pub fn suspects(&self) -> Arc<SuspectList> {
+        self.lease.configuration().suspects()
+    }
+
     /// Whether the quarantine allows the router to send a request with these traits.
     pub fn may_send(&self, request: &RequestTraits) -> bool {
         let mut runs = InterruptedRuns::default();
-        runs.set_agreed(Instant::ZERO, self.lease.configuration().suspects());
+        runs.set_agreed(Instant::ZERO, self.suspects());
         runs.may_send(Instant::ZERO, request)
     }
 
--- a/crates/deckwind-testkit/tests/testsuite/quarantine.rs
+++ b/crates/deckwind-testkit/tests/testsuite/quarantine.rs
@@ -410,7 +410,7 @@
 }
 
 /// Reports crashes under a content to the leader, as a router does.
-fn report_to_leader(sim: &mut ControlSimulation, leader: usize, changes: Vec<SuspectChange>) {
+pub fn report_to_leader(sim: &mut ControlSimulation, leader: usize, changes: Vec<SuspectChange>) {
     let request = ControlRequest::CutRuns(CutReport {
         broke: Vec::new(),
         changes,
--- a/crates/deckwind-testkit/tests/testsuite/specification.rs
+++ b/crates/deckwind-testkit/tests/testsuite/specification.rs
@@ -5,9 +5,9 @@
     AttributionSpec, Case, ClaimRules, ClaimSpec, ForwardingSpec, LimitBounds, LimitRules,
     LimitSpec, LogBounds, LogRules, LogSpec, MembershipFaults, MembershipRules, MembershipSpec,
     RetryBounds, RetryRules, RetrySpec, ServingRules, ServingSpec, Spec, StreamEndBounds,
-    StreamEndRules, StreamEndSpec, TunnelSpec, attribution_cases, claim_cases, explore,
+    StreamEndRules, StreamEndSpec, TrialSpec, TunnelSpec, attribution_cases, claim_cases, explore,
     forwarding_cases, limit_cases, log_cases, membership_cases, retry_cases, serving_cases,
-    stream_end_cases, tunnel_cases,
+    stream_end_cases, trial_cases, tunnel_cases,
 };
 
 /// Asserts that without any one rule, exploration finds a run that violates the
@@ -140,6 +140,21 @@
     assert_each_rule_is_needed(attribution_cases());
 }
 
+/// Guards against trials of a quarantined content that crash more targets than there are
+/// trials, or run at two routers at the same time.
+#[test]
+fn with_all_rules_a_trial_runs_at_one_router_and_once() {
+    let explored = explore(&TrialSpec::SMALL);
+    assert_eq!(explored.counterexample, None);
+    assert!(explored.states > 500, "{}", explored.states);
+    println!("{} states", explored.states);
+}
+
+#[test]
+fn without_any_one_of_their_rules_trials_break() {
+    assert_each_rule_is_needed(trial_cases());
+}
+
 /// Guards against a replica that is taken in and never votes, and against one that keeps
 /// others out.
 #[test]
--- a/crates/deckwindd/src/router/routes/http_server.rs
+++ b/crates/deckwindd/src/router/routes/http_server.rs
@@ -3,6 +3,7 @@
 use super::held_bytes::{Deliveries, HeldBytes, Side};
 use super::job::{Admission, Job, authorize};
 use super::responses::{BodyError, Failure, RouteBody, full_body, strip_connection_headers};
+use super::trial_hold::TrialHold;
 use super::{non_streaming, opening};
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
@@ -221,6 +222,7 @@
         pool,
         arrived,
         admitted_at,
+        trial: TrialHold::default(),
     })
 }
 
--- a/crates/deckwindd/src/router/routes/job.rs
+++ b/crates/deckwindd/src/router/routes/job.rs
@@ -5,6 +5,7 @@
 use super::permits::NoPermit;
 use super::responses::Failure;
 use super::target_notices::AnswerSource;
+use super::trial_hold::TrialHold;
 use crate::router::shared::RouterShared;
 use bytes::Bytes;
 use deckwind_core::routes::{Permit, ReleaseIndex, SendVerdict, ServingState, TargetChoice};
@@ -101,6 +102,14 @@
     pub(super) admitted_at: Instant,
     /// Deadline of the request.
     pub deadline: Instant,
+    /// Whether the request is sent to try a quarantined content.
+    pub(super) trial: TrialHold,
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        self.trial.release(&self.shared, &self.traits);
+    }
 }
 
 impl Job {
@@ -151,12 +160,30 @@
     }
 
     /// Decides whether the request may be sent to a target. If a target may just have crashed
-    /// on it, waits until that is known, for a bounded time.
+    /// on it, waits until that is known, for a bounded time. If it is quarantined and a trial is
+    /// requested, waits for that too; a trial that no other request uses is taken for it.
     pub async fn await_verdict(&self) -> SendVerdict {
+        self.trial.release(&self.shared, &self.traits);
+        let mut verdict = self.await_other(SendVerdict::Undecided).await;
+        let poison_requests = &self.shared.routes.poison_requests;
+        let now = self.shared.clock.now();
+        if verdict == SendVerdict::Quarantined && poison_requests.want_trial(now, &self.traits) {
+            verdict = self.await_other(SendVerdict::Quarantined).await;
+        }
+        match verdict {
+            SendVerdict::Trial if !self.trial.take(&self.shared, &self.traits) => {
+                SendVerdict::Quarantined
+            }
+            verdict => verdict,
+        }
+    }
+
+    /// Waits for a bounded time until the verdict is another one than this.
+    async fn await_other(&self, than: SendVerdict) -> SendVerdict {
         let deadline = tokio::time::Instant::now() + MAX_VERDICT_WAIT.min(self.time_left());
         loop {
             let verdict = self.verdict();
-            if verdict != SendVerdict::Undecided || tokio::time::Instant::now() >= deadline {
+            if verdict != than || tokio::time::Instant::now() >= deadline {
                 return verdict;
             }
             tokio::time::sleep(VERDICT_POLL_INTERVAL).await;
@@ -196,7 +223,8 @@
     /// nothing new, or nothing without a valid permit, or targets have crashed on the request.
     pub fn is_blocked(&self, choice: &TargetChoice, permit: Option<&Permit>) -> bool {
         let now = self.shared.clock.now();
-        !self.may_be_sent() || self.shared.routes.is_blocked(now, choice, permit)
+        let may_be_sent = self.trial.is_held() || self.may_be_sent();
+        !may_be_sent || self.shared.routes.is_blocked(now, choice, permit)
     }
 
     /// Creates the request to a target, to be resumed after `last_event`.
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -23,6 +23,7 @@
 mod stall_reports;
 mod target_notices;
 mod target_run;
+mod trial_hold;
 
 pub use held_bytes::Deliveries;
 pub use http_server::{accept, accept_readiness_checks};
@@ -42,7 +43,7 @@
     TargetRecords,
 };
 use deckwind_core::state::{
-    Configuration, Instance, InstanceState, Pool, Revision, Route, RouteKind,
+    Configuration, Instance, InstanceState, Pool, Revision, Route, RouteKind, RouterProcess,
 };
 use deckwind_core::time::Instant;
 use deckwind_net::clock::Clock;
@@ -130,6 +131,10 @@
             window: cfg.repeats.window,
         };
         let seeds = cx.settings.seeds.as_ref();
+        let own = RouterProcess {
+            vm: cx.settings.vm.clone(),
+            boot: cx.boot,
+        };
         let started = ProcessStart {
             at: cx.clock.now(),
             first: seeds.is_some_and(|s| s.first_start),
@@ -145,7 +150,7 @@
             deliveries: Arc::new(Deliveries::new(cx.clock, cfg)),
             stall_reports: StallReports::new(cx.dialects.engines.clone()),
             watched_streams: WatchedStreams::default(),
-            poison_requests: PoisonRequests::new(announce_interval(cfg.announce_every)),
+            poison_requests: PoisonRequests::new(own, announce_interval(cfg.announce_every)),
             failed_targets: Mutex::default(),
             failing_changed: Notify::new(),
             granted_at: Mutex::new(Instant::ZERO),
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -145,7 +145,7 @@
 
     async fn run_once(&mut self) -> AttemptEnd {
         match self.job.await_verdict().await {
-            SendVerdict::Send => {}
+            SendVerdict::Send | SendVerdict::Trial => {}
             SendVerdict::Undecided => return AttemptEnd::Stopped(Failure::Undecided),
             SendVerdict::Quarantined => return AttemptEnd::Stopped(Failure::Quarantined),
         }
--- a/crates/deckwindd/src/router/routes/opening/mod.rs
+++ b/crates/deckwindd/src/router/routes/opening/mod.rs
@@ -130,7 +130,7 @@
                 false => failure,
             };
             match self.job.await_verdict().await {
-                SendVerdict::Send => {}
+                SendVerdict::Send | SendVerdict::Trial => {}
                 SendVerdict::Undecided => return Err(final_failure(Failure::Undecided)),
                 SendVerdict::Quarantined if may_have_run => {
                     return Err(Failure::Broken(Failure::Quarantined.code().to_string()));
--- a/crates/deckwindd/src/router/routes/poison_requests.rs
+++ b/crates/deckwindd/src/router/routes/poison_requests.rs
@@ -4,8 +4,10 @@
 
 use crate::router::shared::RouterShared;
 use deckwind_core::control::CutReport;
-use deckwind_core::routes::{InterruptedRuns, SendVerdict};
-use deckwind_core::state::{Incarnation, RequestTrait, RequestTraits, SuspectChange, SuspectList};
+use deckwind_core::routes::{InterruptedRuns, SendVerdict, TrialUse};
+use deckwind_core::state::{
+    Incarnation, RequestTrait, RequestTraits, RouterProcess, SuspectChange, SuspectList,
+};
 use deckwind_core::time::Instant;
 use deckwind_wire::{ControlReply, ControlRequest};
 use std::net::SocketAddr;
@@ -42,8 +44,9 @@
 }
 
 /// Knowledge of this router about requests and targets that crashed on them.
-#[derive(Default)]
 pub struct PoisonRequests {
+    /// This router process, which trials are granted to.
+    own: RouterProcess,
     runs: Mutex<InterruptedRuns>,
     /// Targets whose answers broke off and that have not been reported to the leader
     /// yet.
@@ -52,11 +55,14 @@
 }
 
 impl PoisonRequests {
-    /// Creates an empty record; targets announce themselves every `period`.
-    pub fn new(period: Duration) -> Self {
+    /// Creates the empty record of a router process; targets announce themselves every
+    /// `period`.
+    pub fn new(own: RouterProcess, period: Duration) -> Self {
         Self {
+            own,
             runs: Mutex::new(InterruptedRuns::with_period(period)),
-            ..Self::default()
+            broken_targets: Mutex::default(),
+            report_due: Notify::new(),
         }
     }
 
@@ -69,6 +75,29 @@
         self.runs().verdict(now, request)
     }
 
+    /// Records that a quarantined request is to be refused. Returns whether the leader is asked
+    /// for a trial of it.
+    pub fn want_trial(&self, now: Instant, request: &RequestTraits) -> bool {
+        let is_requested = self.runs().want_trial(now, request);
+        if is_requested {
+            self.report_due.notify_one();
+        }
+        is_requested
+    }
+
+    /// Changes the use of the trial of a request's content. Returns whether it was `from`
+    /// before.
+    pub fn change_trial(&self, request: &RequestTraits, from: TrialUse, to: TrialUse) -> bool {
+        let is_changed = self.runs().change_trial(request, from, to);
+        if is_changed {
+            log::info!(
+                "event=quarantine_trial content={} use={to:?}",
+                request.content()
+            );
+        }
+        is_changed
+    }
+
     /// Records that a target has served a request with these traits and did not crash.
     pub fn record_served(&self, now: Instant, request: &RequestTraits) {
         self.record(|runs| runs.record_served(now, request));
@@ -136,6 +165,7 @@
     pub fn apply_list(&self, now: Instant, list: Arc<SuspectList>) {
         let mut runs = self.runs();
         let before = runs.set_agreed(now, list.clone());
+        runs.accept_trials(&self.own);
         let has_changes = runs.has_unreported_changes();
         drop(runs);
         if has_changes {
@@ -152,7 +182,10 @@
             self.report_due.notified().await;
             tokio::time::sleep(BATCH_WINDOW).await;
             let broke = std::mem::take(&mut *self.broken_targets.lock().expect("no holder panics"));
-            let changes = self.runs().take_unreported_changes();
+            let mut runs = self.runs();
+            let mut changes = runs.take_unreported_changes();
+            changes.extend(runs.take_trial_requests(&self.own));
+            drop(runs);
             if !(broke.is_empty() && changes.is_empty()) {
                 return CutReport { broke, changes };
             }
@@ -165,7 +198,8 @@
     }
 
     /// Queues changes again that could not be reported, to be sent with later ones.
-    fn requeue(&self, changes: Vec<SuspectChange>) {
+    fn requeue(&self, mut changes: Vec<SuspectChange>) {
+        changes.retain(|change| !matches!(change, SuspectChange::Trial(_)));
         if !changes.is_empty() {
             self.runs().requeue(changes);
             self.report_due.notify_one();
--- a/crates/deckwindd/src/router/routes/target_run.rs
+++ b/crates/deckwindd/src/router/routes/target_run.rs
@@ -3,7 +3,7 @@
 use super::job::Job;
 use super::poison_requests::InterruptedRun;
 use crate::router::shared::RouterShared;
-use deckwind_core::routes::{BodyEnd, MAX_POISON_RUN_TIME, TargetChoice};
+use deckwind_core::routes::{BodyEnd, MAX_POISON_RUN_TIME, TargetChoice, TrialUse};
 use deckwind_core::state::{Incarnation, PartId, RequestTraits};
 use deckwind_core::time::Instant;
 use std::net::SocketAddr;
@@ -66,6 +66,8 @@
     /// Whether the run has written for long enough to clear its request.
     is_cleared: bool,
     is_closed: bool,
+    /// Whether the run is a trial of a quarantined content.
+    is_trial: bool,
 }
 
 impl TargetRun {
@@ -83,6 +85,7 @@
             events: 0,
             is_cleared: false,
             is_closed: false,
+            is_trial: job.trial.begin_run(&job.shared, &job.traits),
         }
     }
 
@@ -118,6 +121,9 @@
                 poison_requests.record_closed(now, &self.traits, &self.incarnation, wrote);
             }
             RunEnd::Broke | RunEnd::Abandoned => self.report_interrupted(end),
+            RunEnd::NotRun if self.is_trial => {
+                poison_requests.change_trial(&self.traits, TrialUse::Run, TrialUse::Free);
+            }
             RunEnd::NotRun | RunEnd::Failed => {}
         }
     }
