--- a/crates/deckwind-spec/src/staleness_spec.rs
+++ b/crates/deckwind-spec/src/staleness_spec.rs
@@ -16,7 +16,7 @@
 /// Rules of the protocol, each of which can be disabled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StalenessRules {
-    /// A lease without the change ends [`MAX_STALENESS`] after the leader accepted it.
+    /// A lease without the change ends a bounded time after the leader accepted it.
     pub bounded_by_change: bool,
     /// A leader grants no lease without a change that it knew as accepted at its election.
     pub no_known_change: bool,
--- a/crates/deckwind-testkit/tests/testsuite/quarantine_trials.rs
+++ b/crates/deckwind-testkit/tests/testsuite/quarantine_trials.rs
@@ -13,6 +13,7 @@
 /// Interval between two requests for the content, at the routers in turn.
 const REQUEST_MS: u64 = 100;
 
+/// Time from sending a request to the last event of its answer.
 const LAST_EVENT_MS: u64 = 700;
 
 /// Time from sending a poison request to the crash of its target.
