--- a/crates/deckwind-core/src/control/apply.rs
+++ b/crates/deckwind-core/src/control/apply.rs
@@ -7,6 +7,7 @@
 use super::operator::OperatorReply;
 use super::pending::{InForceWait, Requester};
 use super::reply_schedule::Urgency;
+use super::work_log::Work;
 use crate::replication::{Entry, Payload, Position, SnapshotMeta, Term};
 use crate::state::{Command, Reply};
 use crate::time::Instant;
@@ -76,7 +77,9 @@
         }
         *urgency = (*urgency).max(own_urgency);
         let before = self.state_machine.configuration().visible_revision();
+        let (kind, started) = (command.body.kind(), self.work.start());
         let reply = self.state_machine.apply(command);
+        self.work.stop(Work::Apply(kind), started);
         let has_changed = self.state_machine.configuration().visible_revision() > before;
         if has_changed && own_urgency == Some(Urgency::Urgent) {
             self.record_urgent(now, entry.at.term);
@@ -130,7 +133,9 @@
             return;
         }
         self.is_compacting = true;
+        let started = self.work.start();
         let data = self.state_machine.to_snapshot();
+        self.work.stop(Work::Snapshot, started);
         self.snapshot_bytes = data.len();
         self.log_bytes = 0;
         let last = Position {
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -6,7 +6,7 @@
 use super::engine_load::EngineLoadTable;
 use super::event::{ControlAction, ControlEvent, ControlLimits, DecodeError};
 use super::full_engines::RefusalTable;
-use super::grants::DeltaCache;
+use super::grants::{DeltaCache, SentState};
 use super::limit_messages::LimitRevision;
 use super::mass_silence::SilenceHolds;
 use super::messages::ControlReply;
@@ -24,6 +24,7 @@
 use super::state_rate_limiter::StateRateLimiter;
 use super::target_limiter::TargetLimiter;
 use super::urgent_changes::UrgentChanges;
+use super::work_log::{Stopwatch, Work, WorkLog, WorkTime};
 use crate::membership::{LeaseTable, LeaseTiming};
 use crate::replication::{
     Action, Event, HardState, Index, Position, Replica, ReplicaConfig, Stored, Term,
@@ -116,6 +117,8 @@
     pub(super) last_urgent: Revision,
     pub(super) state_rate_limiter: StateRateLimiter,
     pub(super) delta_cache: DeltaCache,
+    pub(super) sent_state: SentState,
+    pub(super) work: WorkLog,
     pub(super) in_force_waits: Vec<InForceWait>,
     pub(super) is_compacting: bool,
     /// Bytes of entries applied since the last snapshot, and the size of that snapshot. A
@@ -171,6 +174,8 @@
             last_urgent,
             state_rate_limiter: StateRateLimiter::new(limits.state_bytes_per_s, now),
             delta_cache: DeltaCache::default(),
+            sent_state: SentState::default(),
+            work: WorkLog::default(),
             in_force_waits: Vec::new(),
             is_compacting: false,
             log_bytes: 0,
@@ -204,6 +209,21 @@
         }
     }
 
+    /// Measures the replica's work with this stopwatch from now on.
+    pub fn set_stopwatch(&mut self, stopwatch: Box<dyn Stopwatch>) {
+        self.work.set_stopwatch(stopwatch);
+    }
+
+    /// Takes the times by part of the work since the last call.
+    pub fn take_work_times(&mut self) -> BTreeMap<Work, WorkTime> {
+        self.work.take()
+    }
+
+    /// Returns what the deltas that this replica has sent so far contained.
+    pub fn sent_state(&self) -> SentState {
+        self.sent_state
+    }
+
     /// Returns the number of forwarded requests that await the leader's answer.
     pub fn forwarded_len(&self) -> usize {
         self.relay.pending_len()
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -7,7 +7,8 @@
 use super::parked_renewals::ParkedRenewal;
 use super::reply_schedule::Urgency;
 use super::target_limiter::TargetLimiter;
-use crate::state::{PackedDelta, Revision, VmName};
+use super::work_log::Work;
+use crate::state::{Delta, PackedDelta, Revision, VmName};
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,7 +27,53 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct DeltaCache {
     to: Revision,
-    by_base: BTreeMap<Revision, PackedDelta>,
+    by_base: BTreeMap<Revision, CachedDelta>,
+}
+
+/// What the deltas that a replica has sent contained, summed over all receivers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SentState {
+    /// Number of deltas.
+    pub deltas: u64,
+    /// Size of the deltas in bytes, packed.
+    pub bytes: u64,
+    /// Deltas with a release or changes of one.
+    pub releases: u64,
+    /// Rows of targets.
+    pub instances: u64,
+    /// Rows of suspected request traits.
+    pub suspects: u64,
+}
+
+impl SentState {
+    fn add(&mut self, delta: &CachedDelta) {
+        self.deltas += 1;
+        self.bytes += delta.packed.size() as u64;
+        self.releases += u64::from(delta.has_release);
+        self.instances += delta.instances;
+        self.suspects += delta.suspects;
+    }
+}
+
+/// A packed delta and what it contains.
+#[derive(Clone, Debug)]
+struct CachedDelta {
+    packed: PackedDelta,
+    has_release: bool,
+    instances: u64,
+    suspects: u64,
+}
+
+impl CachedDelta {
+    fn of(delta: &Delta) -> Self {
+        let suspects = delta.suspects.as_ref().and_then(|s| s.value.as_ref());
+        Self {
+            packed: PackedDelta::of(delta),
+            has_release: delta.release.is_some(),
+            instances: delta.instances.len() as u64,
+            suspects: suspects.map_or(0, |list| list.len() as u64),
+        }
+    }
 }
 
 impl LeaderState {
@@ -60,6 +107,12 @@
     /// Answers the parked renewals whose wait has expired or for which there is a change
     /// to send.
     pub(super) fn answer_parked(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        let started = self.work.start();
+        self.answer_due_renewals(now, out);
+        self.work.stop(Work::Grants, started);
+    }
+
+    fn answer_due_renewals(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
         let shown = self.state_machine.configuration().visible_revision();
         let before = self.published_revision;
         let round = self.round_schedule.start_if_due(now);
@@ -140,7 +193,7 @@
             return true;
         }
         let mut delta = self.packed_delta_since(parked.renewal.applied);
-        let size = delta.as_ref().map_or(0, PackedDelta::size);
+        let size = delta.as_ref().map_or(0, |d| d.packed.size());
         if size > MAX_UNPACED_BYTES && !self.may_send_state(now, &parked, size) {
             if parked.deadline > now {
                 self.parked.park_throttled(parked);
@@ -155,6 +208,10 @@
             _ => None,
         };
         self.leases_without_state += u64::from(lasts.is_some());
+        if let Some(delta) = &delta {
+            self.sent_state.add(delta);
+        }
+        let delta = delta.map(|d| d.packed);
         match self.grant(now, &parked.renewal, lasts, delta) {
             Some(grant) => out.push(ControlAction::Reply {
                 token,
@@ -190,7 +247,7 @@
     }
 
     /// Returns the packed changes since revision `applied`, or `None` if there are none.
-    fn packed_delta_since(&mut self, applied: Revision) -> Option<PackedDelta> {
+    fn packed_delta_since(&mut self, applied: Revision) -> Option<CachedDelta> {
         self.state_machine.set_record_changes(true);
         let cfg = self.state_machine.configuration();
         if applied >= cfg.revision() {
@@ -203,7 +260,7 @@
         let by_base = &mut self.delta_cache.by_base;
         let packed = by_base
             .entry(applied)
-            .or_insert_with(|| PackedDelta::of(&cfg.delta_since(applied)));
+            .or_insert_with(|| CachedDelta::of(&cfg.delta_since(applied)));
         Some(packed.clone())
     }
 
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -54,6 +54,7 @@
 mod tracked_allowance;
 mod tunnel_messages;
 mod urgent_changes;
+mod work_log;
 
 pub use announcement_fault::AnnouncementFault;
 pub use announcement_reports::AnnouncementReport;
@@ -62,6 +63,7 @@
     ANNOUNCE_INTERVAL_RANGE, ControlAction, ControlEvent, ControlLimits, DEFAULT_ANNOUNCE_INTERVAL,
     DecodeError, IncarnationDecision, LimitDecision,
 };
+pub use grants::SentState;
 pub use limit_messages::{
     LeaderTime, LimitKey, LimitList, LimitReport, LimitRevision, NamedLimit, PermitAnswer,
     PermitRequest, PermitVerdict, ReceivedLimit,
@@ -85,3 +87,4 @@
 pub use target_checks::MAX_MISSED_ANNOUNCEMENTS;
 pub use target_limiter::{LimitChange, PERMIT_BURST, PERMIT_TTL, TargetLimiter};
 pub use tunnel_messages::{TunnelRefusal, TunnelReply, TunnelRequest};
+pub use work_log::{Stopwatch, Work, WorkTime};
--- a/crates/deckwind-core/src/replication/leader.rs
+++ b/crates/deckwind-core/src/replication/leader.rs
@@ -160,6 +160,13 @@
         self.leader_state.as_ref().map(|l| l.elected_at)
     }
 
+    /// Returns the time at which this leader last sent heartbeats, or `None` if it is not the
+    /// leader.
+    pub fn last_heartbeat(&self) -> Option<Instant> {
+        let leader_state = self.leader_state.as_ref()?;
+        Some(leader_state.next_heartbeat - self.cfg.timing.heartbeat)
+    }
+
     pub(super) fn leader_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         if self.has_lost_quorum(now) {
             let term = self.hard_state.term;
--- a/crates/deckwind-core/src/replication/replica.rs
+++ b/crates/deckwind-core/src/replication/replica.rs
@@ -108,6 +108,11 @@
         self.leader
     }
 
+    /// Returns the time of the last message from a leader; the start before the first one.
+    pub fn last_leader_contact(&self) -> Instant {
+        self.last_leader_contact
+    }
+
     /// Returns the members in effect at this replica, which may not be committed yet.
     pub fn members(&self) -> &Members {
         &self.members
--- a/crates/deckwind-core/src/state/command.rs
+++ b/crates/deckwind-core/src/state/command.rs
@@ -91,6 +91,60 @@
     Suspects(Vec<SuspectChange>),
 }
 
+/// Kind of a command, for measurements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CommandKind {
+    /// An operator's change.
+    Apply,
+    /// A claim of a request.
+    Claim,
+    /// The outcome of a claimed request.
+    Finish,
+    /// A lost holder of claims.
+    HolderGone,
+    /// A release.
+    Publish,
+    /// Changes of targets.
+    Instances,
+    /// Retries granted to routers.
+    Repeats,
+    /// Requests that crashed targets.
+    Suspects,
+}
+
+impl CommandKind {
+    /// Returns the name in metrics and log lines of the time that applying commands of this
+    /// kind takes.
+    pub fn apply_label(self) -> &'static str {
+        match self {
+            Self::Apply => "apply_change",
+            Self::Claim => "apply_claim",
+            Self::Finish => "apply_finish",
+            Self::HolderGone => "apply_holder_gone",
+            Self::Publish => "apply_publish",
+            Self::Instances => "apply_instances",
+            Self::Repeats => "apply_repeats",
+            Self::Suspects => "apply_suspects",
+        }
+    }
+}
+
+impl CommandBody {
+    /// Returns the kind of the command.
+    pub fn kind(&self) -> CommandKind {
+        match self {
+            Self::Apply(_) => CommandKind::Apply,
+            Self::Claim(_) => CommandKind::Claim,
+            Self::Finish(_) => CommandKind::Finish,
+            Self::HolderGone(_) => CommandKind::HolderGone,
+            Self::Publish(_) => CommandKind::Publish,
+            Self::Instances(_) => CommandKind::Instances,
+            Self::Repeats(_) => CommandKind::Repeats,
+            Self::Suspects(_) => CommandKind::Suspects,
+        }
+    }
+}
+
 /// A command, stamped with the leader's wall clock, which never moves backward.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Command {
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -38,7 +38,8 @@
     Claim, ClaimKey, ClaimLimits, ClaimStatus, ClaimTable, ClaimVerdict, Outcome, RouterProcess,
 };
 pub use command::{
-    ApplyRequest, Change, ClaimRequest, Command, CommandBody, FinishRequest, Rejection, Reply,
+    ApplyRequest, Change, ClaimRequest, Command, CommandBody, CommandKind, FinishRequest,
+    Rejection, Reply,
 };
 pub use configuration::{Configuration, Delta, Versioned};
 pub use content::{ContentDigest, ParseDigestError};
--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -506,7 +506,8 @@
         let engines = dialects().engines;
         target_check::check(incarnation, address, engines, handle, Clock::start()).await;
         serving.abort();
-        let inputs = inbox.gather(Duration::ZERO).expect("the inbox is open");
+        let batch = inbox.gather(Duration::ZERO).expect("the inbox is open");
+        let inputs = batch.inputs;
         let checked = inputs.iter().find_map(|input| match input {
             Input::Checked(_, is_running) => Some(*is_running),
             _ => None,
--- a/crates/deckwind-testkit/tests/testsuite/inbox.rs
+++ b/crates/deckwind-testkit/tests/testsuite/inbox.rs
@@ -30,7 +30,8 @@
     handle.send(log_message());
     let batch = inbox
         .gather(Duration::ZERO)
-        .expect("the inbox is not stopped");
+        .expect("the inbox is not stopped")
+        .inputs;
     let log_messages = batch.iter().filter(|i| matches!(i, Input::Replication(_)));
     assert_eq!(log_messages.count(), 1);
     assert!(batch.len() < 200, "{} inputs", batch.len());
@@ -41,7 +42,8 @@
     let (handle, inbox) = ControlHandle::new();
     (0..1_000).for_each(|i| handle.send(Input::Seeds(vec![i])));
     let mut received = Vec::new();
-    while let Some(batch) = inbox.gather(Duration::ZERO).filter(|b| !b.is_empty()) {
+    let gather = || inbox.gather(Duration::ZERO).map(|b| b.inputs);
+    while let Some(batch) = gather().filter(|b| !b.is_empty()) {
         received.extend(batch.into_iter().filter_map(|i| match i {
             Input::Seeds(slots) => Some(slots[0]),
             _ => None,
@@ -50,6 +52,22 @@
     assert_eq!(received, (0..1_000).collect::<Vec<u32>>());
 }
 
+/// The age of the oldest input of each queue is known when the batch is handled.
+#[test]
+fn a_batch_tells_how_long_its_inputs_waited() {
+    let (handle, inbox) = ControlHandle::new();
+    handle.send(log_message());
+    std::thread::sleep(Duration::from_millis(2));
+    handle.send(Input::Seeds(Vec::new()));
+    let batch = inbox.gather(Duration::ZERO).expect("not stopped");
+    assert!(
+        batch.ages.log >= Duration::from_millis(2),
+        "{:?}",
+        batch.ages
+    );
+    assert!(batch.ages.others <= batch.ages.log, "{:?}", batch.ages);
+}
+
 #[test]
 fn a_stop_overtakes_what_waits() {
     let (handle, inbox) = ControlHandle::new();
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -1,7 +1,8 @@
 //! The thread of a control replica: gathers inputs into batches, processes them and
 //! performs the effects. Inputs that arrive during a sync form the next batch.
 
-use super::handle::{ControlHandle, Inbox, Input, ReplyTo};
+use super::handle::{ControlHandle, Inbox, Input, InputBatch, ReplyTo};
+use super::leadership::LeadershipLog;
 use super::limit_metrics::{self, LimitMetrics};
 use super::member_metrics::{self, MemberMetrics};
 use super::node::{ControlNode, Effect, Now};
@@ -18,7 +19,7 @@
     RelayedRequest, RelayedRequests,
 };
 use deckwind_core::membership::LeaseTiming;
-use deckwind_core::replication::{Event, ReplicaConfig, Role, SeedDiscovery, Timing};
+use deckwind_core::replication::{Event, ReplicaConfig, SeedDiscovery, Timing};
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::EngineDialect;
 use deckwind_net::targets::ConnectionPool;
@@ -65,7 +66,7 @@
     forwarded_answers: BTreeMap<u32, RelayedReplies>,
     operator_replies: HashMap<u64, ReplyTo<OperatorReply>>,
     next_token: u64,
-    role: Role,
+    leadership: LeadershipLog,
     retry_metrics: RetryMetrics,
     limit_metrics: LimitMetrics,
     member_metrics: MemberMetrics,
@@ -122,7 +123,7 @@
             forwarded_answers: BTreeMap::new(),
             operator_replies: HashMap::new(),
             next_token: 1,
-            role: Role::Unformed,
+            leadership: LeadershipLog::default(),
             retry_metrics: RetryMetrics::default(),
             limit_metrics: LimitMetrics::default(),
             member_metrics: MemberMetrics::default(),
@@ -145,8 +146,10 @@
         Ok(())
     }
 
-    fn process_batch(&mut self, batch: Vec<Input>) -> Result<()> {
+    fn process_batch(&mut self, batch: InputBatch) -> Result<()> {
+        self.node.record_input_ages(batch.ages);
         let events = batch
+            .inputs
             .into_iter()
             .flat_map(|input| self.register_input(input));
         let events = events.collect();
@@ -160,7 +163,7 @@
             self.perform(effect);
         }
         self.send_forwarded_answers();
-        self.log_role_change();
+        self.leadership.update(now.at, self.node.core().replica());
         self.retry_metrics.update(now.at, self.node.core());
         self.limit_metrics.update(now.at, self.node.core());
         self.member_metrics
@@ -318,23 +321,6 @@
             self.senders.send_answers(slot, answers);
         }
     }
-
-    fn log_role_change(&mut self) {
-        let replica = self.node.core().replica();
-        let role = replica.role();
-        if role == self.role {
-            return;
-        }
-        self.role = role;
-        metrics::counter!("deckwind_control_role_changes_total").increment(1);
-        log::info!(
-            "event=role replica={} role={role} term={}",
-            replica.id(),
-            replica.term().0
-        );
-        let leads = if role == Role::Leader { 1.0 } else { 0.0 };
-        metrics::gauge!("deckwind_control_leads").set(leads);
-    }
 }
 
 fn log_held_silence(held: &HeldSilence) {
--- a/crates/deckwindd/src/control/handle.rs
+++ b/crates/deckwindd/src/control/handle.rs
@@ -7,7 +7,7 @@
 use deckwind_core::state::{Incarnation, LayerRange, TargetName};
 use deckwind_wire::{ControlReply, ControlRequest, Message};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Callback that receives the reply to a request.
 pub type ReplyTo<T> = Box<dyn FnOnce(T) + Send>;
@@ -52,19 +52,56 @@
 /// ended the wait.
 const MAX_LOG_INPUTS: usize = 1_024;
 
+/// An input and the time at which it was queued.
+type QueuedInput = (Instant, Input);
+
 /// Sends inputs to the driver; cheap to clone.
 #[derive(Clone)]
 pub struct ControlHandle {
     /// Messages of the replicated log, in a queue of their own so that no other input
     /// delays them.
-    log: Sender<Input>,
-    others: Sender<Input>,
+    log: Sender<QueuedInput>,
+    others: Sender<QueuedInput>,
 }
 
 /// Receiving end of the driver's input queues.
 pub struct Inbox {
-    log: Receiver<Input>,
-    others: Receiver<Input>,
+    log: Receiver<QueuedInput>,
+    others: Receiver<QueuedInput>,
+}
+
+/// Inputs that are handled together, in order.
+#[derive(Default)]
+pub struct InputBatch {
+    /// The inputs.
+    pub inputs: Vec<Input>,
+    /// How long the inputs had been queued.
+    pub ages: InputAges,
+}
+
+/// Longest time that an input of each queue has waited.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct InputAges {
+    /// Of the messages of the replicated log.
+    pub log: Duration,
+    /// Of all other inputs.
+    pub others: Duration,
+}
+
+impl InputBatch {
+    fn push(&mut self, (queued, input): QueuedInput) {
+        let age = match is_of_log(&input) {
+            true => &mut self.ages.log,
+            false => &mut self.ages.others,
+        };
+        *age = (*age).max(queued.elapsed());
+        self.inputs.push(input);
+    }
+}
+
+/// Returns whether an input goes through the queue of the replicated log.
+fn is_of_log(input: &Input) -> bool {
+    matches!(input, Input::Replication(_) | Input::Stop)
 }
 
 impl ControlHandle {
@@ -82,11 +119,11 @@
     /// Sends an input to the driver. An input that finds its queue full is dropped:
     /// every sender has a timeout or sends again.
     pub fn send(&self, input: Input) {
-        let queue = match input {
-            Input::Replication(_) | Input::Stop => &self.log,
-            _ => &self.others,
+        let queue = match is_of_log(&input) {
+            true => &self.log,
+            false => &self.others,
         };
-        if queue.try_send(input).is_err() {
+        if queue.try_send((Instant::now(), input)).is_err() {
             metrics::counter!("deckwind_control_inputs_dropped_total").increment(1);
         }
     }
@@ -96,17 +133,18 @@
     /// Waits for at most `tick` and returns the inputs received: a bounded number of
     /// messages of the log, then a bounded number of other inputs. Returns `None` when
     /// the driver must stop.
-    pub fn gather(&self, tick: Duration) -> Option<Vec<Input>> {
-        let mut batch = Vec::new();
+    pub fn gather(&self, tick: Duration) -> Option<InputBatch> {
+        let mut batch = InputBatch::default();
         let first = crossbeam::channel::select! {
             recv(self.log) -> input => input,
             recv(self.others) -> input => input,
             default(tick) => return Some(batch),
         };
         batch.push(first.ok()?);
-        batch.extend(self.log.try_iter().take(MAX_LOG_INPUTS));
-        batch.extend(self.others.try_iter().take(MAX_OTHER_INPUTS));
-        let must_stop = batch.iter().any(|input| matches!(input, Input::Stop));
+        let log = self.log.try_iter().take(MAX_LOG_INPUTS);
+        let others = self.others.try_iter().take(MAX_OTHER_INPUTS);
+        log.chain(others).for_each(|input| batch.push(input));
+        let must_stop = batch.inputs.iter().any(|i| matches!(i, Input::Stop));
         (!must_stop).then_some(batch)
     }
 }
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod driver;
 mod engine_pace;
 mod handle;
+mod leadership;
 mod limit_metrics;
 mod member_metrics;
 mod node;
@@ -25,7 +26,7 @@
 pub mod target_check;
 mod work_times;
 
-pub use handle::{ControlHandle, Inbox, Input};
+pub use handle::{ControlHandle, Inbox, Input, InputAges, InputBatch};
 pub use node::{ControlNode, Effect, Now};
 pub use refusals::{REFUSAL_LOG_INTERVAL, RefusalLog};
 pub use supervisor::OpenDisk;
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -9,7 +9,8 @@
 //!                                               └── repeats until no action is left ──┘
 //! ```
 
-use super::work_times::{WorkTimes, kind_of};
+use super::handle::InputAges;
+use super::work_times::{SYNC, SystemStopwatch, WorkTimes, kind_of};
 use anyhow::{Context as _, Result};
 use deckwind_core::control::{
     AnnouncementReport, ControlAction, ControlCore, ControlEvent, ControlLimits, HeldSilence,
@@ -86,8 +87,9 @@
         now: Instant,
     ) -> Result<Self> {
         let snapshot = opened.snapshot.as_deref();
-        let core = ControlCore::new(cfg, lease, limits, opened.stored, snapshot, now)
+        let mut core = ControlCore::new(cfg, lease, limits, opened.stored, snapshot, now)
             .context("the snapshot in the data folder can't be read")?;
+        core.set_stopwatch(Box::new(SystemStopwatch::default()));
         let times = WorkTimes::default();
         Ok(Self { core, store, times })
     }
@@ -102,6 +104,11 @@
         &self.store
     }
 
+    /// Records how long the inputs of the next batch had been queued.
+    pub fn record_input_ages(&mut self, ages: InputAges) {
+        self.times.record_input_ages(ages);
+    }
+
     /// Processes a batch of events and appends the resulting effects to `effects`.
     ///
     /// # Errors
@@ -126,7 +133,7 @@
             self.perform(now, actions, &mut out, effects)?;
             self.core.flush(now.at, &mut out);
         }
-        self.times.end_batch(events);
+        self.times.end_batch(events, self.core.take_work_times());
         self.times.log_load(&self.core);
         Ok(())
     }
@@ -177,7 +184,9 @@
                 other => after_sync.push(other),
             }
         }
+        let begun = std::time::Instant::now();
         self.store.commit()?;
+        self.times.add(SYNC, begun.elapsed());
         if let Some(at) = last {
             self.step(now, ControlEvent::Replica(Event::Synced(at)), out);
         }
