Sight: rows of the evidence on crashes that deriving the list of suspects scans

Cause: the hypothesis that reports times rows is the work has no count that a test can use. No decision changes.

--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -182,6 +182,16 @@
         self.0.values().any(|row| row.is_expired(now_ms))
     }
 
+    /// Returns the number of traits at crashes.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns whether there are no traits at crashes.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     fn culprits(&self) -> Vec<Vec<RequestTrait>> {
         culprits(self.0.iter().map(|(t, row)| (*t, &row.suspect)))
     }
