Test: a leader with much to do falls silent and is deposed, in virtual time (red)

What callers saw: leaders of the control plane deposed one after the other, each 410 to 660 ms after its election; leases lost, releases late.

--- a/crates/deckwind-core/src/control/apply.rs
+++ b/crates/deckwind-core/src/control/apply.rs
@@ -7,7 +7,7 @@
 use super::operator::OperatorReply;
 use super::pending::{InForceWait, Requester};
 use super::reply_schedule::Urgency;
-use super::work_log::Work;
+use super::work_log::{Work, WorkUnit};
 use crate::replication::{Entry, Payload, Position, SnapshotMeta, Term};
 use crate::state::{Command, CommandKind, Reply};
 use crate::time::Instant;
@@ -80,8 +80,11 @@
         let (kind, started) = (command.body.kind(), self.work.start());
         let reply = self.state_machine.apply(command);
         self.work.stop(Work::Apply(kind), started);
+        self.work.count(WorkUnit::Entry, 1);
         if kind == CommandKind::Suspects {
-            self.scan_counts.suspects += self.state_machine.quarantine().len() as u64;
+            let rows = self.state_machine.quarantine().len() as u64;
+            self.scan_counts.suspects += rows;
+            self.work.count(WorkUnit::SuspectRow, rows);
         }
         let has_changed = self.state_machine.configuration().visible_revision() > before;
         if has_changed && own_urgency == Some(Urgency::Urgent) {
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -24,7 +24,7 @@
 use super::state_rate_limiter::StateRateLimiter;
 use super::target_limiter::TargetLimiter;
 use super::urgent_changes::UrgentChanges;
-use super::work_log::{Stopwatch, Work, WorkLog, WorkTime};
+use super::work_log::{Stopwatch, Work, WorkLog, WorkTime, WorkUnit};
 use crate::membership::{LeaseTable, LeaseTiming};
 use crate::replication::{
     Action, Event, HardState, Index, Position, Replica, ReplicaConfig, Stored, Term,
@@ -254,6 +254,11 @@
         out: &mut Vec<ControlAction>,
     ) {
         self.wall_ms = wall_ms;
+        match &event {
+            ControlEvent::Tick => {}
+            ControlEvent::Replica(_) => self.work.count(WorkUnit::LogEvent, 1),
+            _ => self.work.count(WorkUnit::Input, 1),
+        }
         match event {
             ControlEvent::Tick => {
                 self.step_replica(now, Event::Tick, out);
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -7,7 +7,7 @@
 use super::parked_renewals::ParkedRenewal;
 use super::reply_schedule::Urgency;
 use super::target_limiter::TargetLimiter;
-use super::work_log::Work;
+use super::work_log::{Work, WorkUnit};
 use crate::state::{Delta, PackedDelta, Revision, VmName};
 use crate::time::Instant;
 use std::collections::BTreeMap;
@@ -188,6 +188,7 @@
         out: &mut Vec<ControlAction>,
     ) -> bool {
         let token = parked.token;
+        self.work.count(WorkUnit::Renewal, 1);
         if !self.replica.can_serve_reads(now) {
             self.not_leader(token, out);
             return true;
@@ -257,11 +258,14 @@
             self.delta_cache.to = cfg.revision();
             self.delta_cache.by_base.clear();
         }
-        let by_base = &mut self.delta_cache.by_base;
-        let packed = by_base
-            .entry(applied)
-            .or_insert_with(|| CachedDelta::of(&cfg.delta_since(applied)));
-        Some(packed.clone())
+        if let Some(cached) = self.delta_cache.by_base.get(&applied) {
+            return Some(cached.clone());
+        }
+        let delta = CachedDelta::of(&cfg.delta_since(applied));
+        let bytes = delta.packed.size() as u64;
+        self.work.count(WorkUnit::PackedByte, bytes);
+        self.delta_cache.by_base.insert(applied, delta.clone());
+        Some(delta)
     }
 
     fn grant(
--- a/crates/deckwind-core/src/control/mod.rs
+++ b/crates/deckwind-core/src/control/mod.rs
@@ -87,4 +87,4 @@
 pub use target_checks::MAX_MISSED_ANNOUNCEMENTS;
 pub use target_limiter::{LimitChange, PERMIT_BURST, PERMIT_TTL, TargetLimiter};
 pub use tunnel_messages::{TunnelRefusal, TunnelReply, TunnelRequest};
-pub use work_log::{Stopwatch, Work, WorkTime};
+pub use work_log::{Stopwatch, Work, WorkTime, WorkUnit};
--- a/crates/deckwind-core/src/control/work_log.rs
+++ b/crates/deckwind-core/src/control/work_log.rs
@@ -26,10 +26,30 @@
     }
 }
 
+/// Work that a replica counts, so that a stopwatch of virtual time can charge for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WorkUnit {
+    /// An event of the replicated log.
+    LogEvent,
+    /// An input of a router, a target, an operator or another replica.
+    Input,
+    /// A committed entry that is applied.
+    Entry,
+    /// A row of the evidence on crashes that an applied entry scans.
+    SuspectRow,
+    /// A renewal that is answered.
+    Renewal,
+    /// A byte of a packed delta, each time that one is packed.
+    PackedByte,
+}
+
 /// Monotonic clock of the driver, read to measure work and never for decisions.
 pub trait Stopwatch: Send {
     /// Returns the time since a fixed point.
     fn reading(&self) -> Duration;
+
+    /// Charges for `count` units of work. Time passes by itself on real clocks.
+    fn charge(&mut self, _unit: WorkUnit, _count: u64) {}
 }
 
 /// How often a part of the work was done, and how long it took in all.
@@ -70,6 +90,12 @@
         time.took += now.saturating_sub(started);
     }
 
+    pub fn count(&mut self, unit: WorkUnit, count: u64) {
+        if let Some(stopwatch) = &mut self.stopwatch {
+            stopwatch.charge(unit, count);
+        }
+    }
+
     pub fn take(&mut self) -> BTreeMap<Work, WorkTime> {
         std::mem::take(&mut self.times)
     }
--- a/crates/deckwind-testkit/src/control_simulation.rs
+++ b/crates/deckwind-testkit/src/control_simulation.rs
@@ -4,17 +4,19 @@
 //!
 //! A seed reproduces its run. The invariants of `simulation_checks` are checked during the run.
 
+use crate::heartbeat_gaps::HeartbeatGaps;
 use crate::simulated_network::{InFlight, Requester};
 use crate::simulated_routers::SimulatedRouter;
+use crate::work_costs::{CostStopwatch, WorkCosts, WorkedTime};
 use deckwind_core::control::{ControlEvent, ControlLimits, OperatorReply, OperatorRequest};
 use deckwind_core::membership::{InForce, LeaseTiming};
-use deckwind_core::replication::{Entry, Index, ReplicaConfig, ReplicaId, Term};
+use deckwind_core::replication::{Entry, Index, ReplicaConfig, ReplicaId, Term, Timing};
 use deckwind_core::state::{
     ApplyRequest, Change, ClaimLimits, Incarnation, Instance, Revision, TargetName,
 };
 use deckwind_core::time::Instant;
 use deckwind_store::{MemoryDisk, Store};
-use deckwindd::control::{ControlNode, Now};
+use deckwindd::control::{ControlNode, Effect, MAX_OTHER_INPUTS, Now};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -61,9 +63,39 @@
     pub(crate) checked_up_to: Index,
     /// Drift of the VM's clock in parts per 1,000; positive if it runs fast.
     drift_per_mille: i64,
+    /// Time that the replica has worked, if work takes time.
+    worked: WorkedTime,
+    /// Time until which the replica is at work: until then it reads nothing.
+    busy_until: Instant,
+    /// Effects and the times at which they leave, in order.
+    outbox: VecDeque<(Instant, Effect)>,
 }
 
 impl SimulatedNode {
+    fn stop(&mut self) {
+        self.node = None;
+        self.outbox.clear();
+        self.busy_until = Instant::ZERO;
+    }
+
+    /// Takes the inputs of the next batch, as the daemon does: the messages of the log, and a
+    /// bounded number of others. A message with any number of forwarded requests is one input,
+    /// so these are not counted here.
+    fn take_batch(&mut self) -> Vec<ControlEvent> {
+        let is_of_log = |e: &ControlEvent| matches!(e, ControlEvent::Replica(_));
+        let inbox = std::mem::take(&mut self.inbox);
+        let (mut batch, others): (Vec<_>, Vec<_>) = inbox.into_iter().partition(is_of_log);
+        let mut counted = 0;
+        for event in others {
+            counted += usize::from(!matches!(event, ControlEvent::Relayed { .. }));
+            match counted <= MAX_OTHER_INPUTS {
+                true => batch.push(event),
+                false => self.inbox.push(event),
+            }
+        }
+        batch
+    }
+
     fn describe(&self) -> String {
         let Some(node) = &self.node else {
             return "down".to_string();
@@ -107,6 +139,10 @@
     pub replies: BTreeMap<String, Vec<OperatorReply>>,
     limits: ControlLimits,
     pub(crate) lease: LeaseTiming,
+    timing: Timing,
+    /// Cost of the replicas' work; none if it takes no time.
+    costs: Option<WorkCosts>,
+    pub(crate) heartbeats: HeartbeatGaps,
 }
 
 /// Step of virtual time.
@@ -128,7 +164,35 @@
         faults: NetFaults,
         announce_every: Duration,
     ) -> Self {
-        let mut sim = Self {
+        let limits = ControlLimits {
+            compact_after: 24,
+            claims: ClaimLimits::default(),
+            announce_every,
+            ..ControlLimits::default()
+        };
+        let mut sim = Self::empty(seed, faults, limits);
+        sim.add_processes(replicas, routers);
+        sim
+    }
+
+    /// Creates a simulation of a large fleet whose control VMs are small: their work takes
+    /// time, and the replicas have the daemon's default limits and these intervals.
+    pub fn with_costs(
+        replicas: usize,
+        routers: usize,
+        seed: u64,
+        timing: Timing,
+        costs: WorkCosts,
+    ) -> Self {
+        let mut sim = Self::empty(seed, NetFaults::NONE, ControlLimits::default());
+        sim.timing = timing;
+        sim.costs = Some(costs);
+        sim.add_processes(replicas, routers);
+        sim
+    }
+
+    fn empty(seed: u64, faults: NetFaults, limits: ControlLimits) -> Self {
+        Self {
             now: Instant::from_millis(1_000),
             rng: StdRng::seed_from_u64(seed),
             faults,
@@ -146,33 +210,47 @@
             due_revision: Revision::ZERO,
             newest_terms: BTreeMap::new(),
             replies: BTreeMap::new(),
-            limits: ControlLimits {
-                compact_after: 24,
-                claims: ClaimLimits::default(),
-                announce_every,
-                ..ControlLimits::default()
-            },
+            limits,
             lease: LeaseTiming::default(),
-        };
+            timing: Timing::default(),
+            costs: None,
+            heartbeats: HeartbeatGaps::default(),
+        }
+    }
+
+    fn add_processes(&mut self, replicas: usize, routers: usize) {
         for _ in 0..replicas {
-            let drift_per_mille = sim.rng.random_range(-10..=10);
-            sim.nodes.push(SimulatedNode {
+            let drift_per_mille = self.rng.random_range(-10..=10);
+            self.nodes.push(SimulatedNode {
                 disk: MemoryDisk::default(),
                 node: None,
                 frozen: false,
                 inbox: Vec::new(),
                 checked_up_to: Index(0),
                 drift_per_mille,
+                worked: WorkedTime::default(),
+                busy_until: Instant::ZERO,
+                outbox: VecDeque::new(),
             });
         }
         for slot in 0..replicas {
-            sim.start(slot);
+            self.start(slot);
         }
         for i in 0..routers {
-            sim.routers
-                .push(SimulatedRouter::new(i, replicas, sim.lease));
+            self.routers
+                .push(SimulatedRouter::new(i, replicas, self.lease));
         }
-        sim
+    }
+
+    /// Takes the longest time that a leader in office was silent towards a member since the
+    /// last call.
+    pub fn take_longest_silence(&mut self) -> Duration {
+        self.heartbeats.take_longest()
+    }
+
+    /// Returns the number of leaders elected so far.
+    pub fn elections(&self) -> usize {
+        self.leaders.len()
     }
 
     /// The current virtual time.
@@ -222,17 +300,23 @@
         let opened = Store::open(disk, fresh);
         let (store, opened) = opened.expect("the store can be opened after any crash");
         let seed = self.rng.random();
-        let cfg = ReplicaConfig::new(opened.id, 0..self.nodes.len() as u32, seed);
+        let mut cfg = ReplicaConfig::new(opened.id, 0..self.nodes.len() as u32, seed);
+        cfg.timing = self.timing;
         let node = ControlNode::new(cfg, self.lease, self.limits, store, opened, now);
+        let mut node = node.expect("the snapshot can be read");
         let node_state = &mut self.nodes[slot];
-        node_state.node = Some(node.expect("the snapshot can be read"));
+        if let Some(costs) = self.costs {
+            let worked = node_state.worked.clone();
+            node.set_stopwatch(Box::new(CostStopwatch { costs, worked }));
+        }
+        node_state.node = Some(node);
         node_state.checked_up_to = Index(0);
         node_state.inbox.clear();
     }
 
     /// Simulates a power loss: data that wasn't synced is lost, except for `torn` bytes.
     pub fn crash(&mut self, slot: usize, torn: usize) {
-        self.nodes[slot].node = None;
+        self.nodes[slot].stop();
         self.nodes[slot].frozen = false;
         self.nodes[slot].disk.crash(torn);
     }
@@ -405,20 +489,47 @@
 
     fn step_node(&mut self, slot: usize) {
         let now = self.local_time(slot);
+        let has_costs = self.costs.is_some();
         let node_state = &mut self.nodes[slot];
-        let Some(node) = &mut node_state.node else {
+        if node_state.node.is_none() {
             node_state.inbox.clear();
             return;
-        };
+        }
         if node_state.frozen {
             return;
         }
-        let batch = std::mem::take(&mut node_state.inbox);
+        self.send_effects(slot);
+        let node_state = &mut self.nodes[slot];
+        if node_state.busy_until > self.now {
+            return;
+        }
+        let batch = match has_costs {
+            true => node_state.take_batch(),
+            false => std::mem::take(&mut node_state.inbox),
+        };
+        let Some(node) = &mut node_state.node else {
+            return;
+        };
         let mut effects = Vec::new();
+        let before = node_state.worked.get();
         if node.process_batch(now, batch, &mut effects).is_err() {
             node_state.node = None;
         }
-        for effect in effects {
+        let done = self.now + (node_state.worked.get() - before);
+        node_state.busy_until = done;
+        node_state
+            .outbox
+            .extend(effects.into_iter().map(|e| (done, e)));
+        self.send_effects(slot);
+    }
+
+    /// Sends the effects of a replica that have left it by now.
+    fn send_effects(&mut self, slot: usize) {
+        while let Some((at, effect)) = self.nodes[slot].outbox.pop_front() {
+            if at > self.now {
+                self.nodes[slot].outbox.push_front((at, effect));
+                return;
+            }
             self.apply_effect(slot, effect);
         }
     }
--- a/crates/deckwind-testkit/src/simulated_network.rs
+++ b/crates/deckwind-testkit/src/simulated_network.rs
@@ -71,6 +71,7 @@
     pub(crate) fn apply_effect(&mut self, slot: usize, effect: Effect) {
         match effect {
             Effect::Send(m) => {
+                self.heartbeats.record(self.now, &m);
                 if !self.partitions.contains(&(slot as u32, m.to_slot)) {
                     self.send(InFlight::Message(m));
                 }
--- a/crates/deckwind-testkit/src/simulated_routers.rs
+++ b/crates/deckwind-testkit/src/simulated_routers.rs
@@ -1,14 +1,14 @@
 //! Routers of the simulation: the real lease state, claims whose runs are counted, and
 //! retries.
 
-use deckwind_core::control::{LimitReport, PeerListVersion};
+use deckwind_core::control::{CutReport, LimitReport, PeerListVersion};
 use deckwind_core::membership::{LeaseTiming, ReplicaChoice, RouterLeaseState};
 use deckwind_core::routes::{
     InterruptedRuns, ProcessStart, RequestClass, RetryBudgets, RetryLimits,
 };
 use deckwind_core::state::{
     ClaimKey, ClaimRequest, ClaimVerdict, FinishRequest, Outcome, RequestTraits, Revision,
-    RouterProcess, VmName,
+    RouterProcess, SuspectChange, VmName,
 };
 use deckwind_core::time::Instant;
 use deckwind_wire::{ControlReply, ControlRequest, Renewal};
@@ -35,6 +35,8 @@
     /// A claim or its end, resent until it is answered.
     claim: Option<PendingRequest>,
     claims_wanted: u32,
+    /// A report of crashed runs, resent until it is answered.
+    report: Option<PendingRequest>,
     nonce: u64,
     choice: ReplicaChoice,
     /// Slot of the replica that the last request went to.
@@ -54,6 +56,9 @@
 /// Time without an answer after which a request is sent again.
 const RESEND_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time without an answer after which a report of crashed runs is sent again.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Minimum interval between two reports that retries run short.
 const SHORT_REPORT_INTERVAL: Duration = Duration::from_millis(80);
 
@@ -92,6 +97,7 @@
             renewal: None,
             claim: None,
             claims_wanted: 0,
+            report: None,
             nonce: 0,
             executed_keys: Vec::new(),
             timing,
@@ -136,6 +142,19 @@
         self.claims_wanted += claims;
     }
 
+    /// Has the router report these changes until the report is answered.
+    pub fn report(&mut self, changes: Vec<SuspectChange>) {
+        let broke = Vec::new();
+        let request = ControlRequest::CutRuns(CutReport { broke, changes });
+        let sent_at = Instant::ZERO;
+        self.report = Some(PendingRequest { request, sent_at });
+    }
+
+    /// Returns whether a report awaits its answer.
+    pub fn has_report(&self) -> bool {
+        self.report.is_some()
+    }
+
     /// Has the router serve a pool whose streams need this number of retries.
     pub fn need_retries(&mut self, retries: u64) {
         self.retries_wanted = retries;
@@ -204,6 +223,7 @@
         self.use_retries(now);
         let next = self.next_claim(now, rng);
         let next = next.or_else(|| self.next_renewal(now));
+        let next = next.or_else(|| self.next_report(now));
         next.or_else(|| self.next_short_report(now))
     }
 
@@ -236,6 +256,15 @@
         Some(request)
     }
 
+    fn next_report(&mut self, now: Instant) -> Option<ControlRequest> {
+        let pending = self.report.as_mut()?;
+        if now.since(pending.sent_at) < REPORT_TIMEOUT {
+            return None;
+        }
+        pending.sent_at = now;
+        Some(pending.request.clone())
+    }
+
     fn next_claim(&mut self, now: Instant, rng: &mut impl Rng) -> Option<ControlRequest> {
         if let Some(pending) = &mut self.claim {
             if now.since(pending.sent_at) < RESEND_TIMEOUT {
@@ -288,6 +317,8 @@
                 }
             }
             (ControlRequest::Renew(_), ControlReply::AskAgain) => self.renewal = None,
+            (ControlRequest::CutRuns(_), ControlReply::Done) => self.report = None,
+            (ControlRequest::CutRuns(_), _) => self.report_again(),
             (_, ControlReply::NotLeader { leader }) => {
                 self.choice
                     .record_not_forwarded(now, self.last_slot, leader);
@@ -310,6 +341,12 @@
         }
     }
 
+    fn report_again(&mut self) {
+        if let Some(pending) = &mut self.report {
+            pending.sent_at = Instant::ZERO;
+        }
+    }
+
     fn is_pending(&self, request: &ControlRequest) -> bool {
         self.claim.as_ref().is_some_and(|o| o.request == *request)
     }
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod attempt_results;
 mod attempted_targets;
 mod body_ends;
+mod busy_leaders;
 mod bystanders;
 mod caller_bodies;
 mod caller_ends;
--- a/crates/deckwindd/src/control/handle.rs
+++ b/crates/deckwindd/src/control/handle.rs
@@ -46,7 +46,7 @@
 
 /// Maximum number of inputs of routers, targets and operators in one batch. Messages of
 /// the replicated log wait for one batch at most, some 5 ms of work.
-const MAX_OTHER_INPUTS: usize = 128;
+pub const MAX_OTHER_INPUTS: usize = 128;
 
 /// Maximum number of messages of the replicated log in one batch, besides the input that
 /// ended the wait.
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -26,7 +26,7 @@
 pub mod target_check;
 mod work_times;
 
-pub use handle::{ControlHandle, Inbox, Input, InputAges, InputBatch};
+pub use handle::{ControlHandle, Inbox, Input, InputAges, InputBatch, MAX_OTHER_INPUTS};
 pub use node::{ControlNode, Effect, Now};
 pub use refusals::{REFUSAL_LOG_INTERVAL, RefusalLog};
 pub use supervisor::OpenDisk;
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -15,6 +15,7 @@
 use deckwind_core::control::{
     AnnouncementReport, ControlAction, ControlCore, ControlEvent, ControlLimits, HeldSilence,
     IncarnationDecision, LimitDecision, OperatorReply, OrderBatch, PlacementOrder, RelayedRequest,
+    Stopwatch,
 };
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{Action, Body, Event, MemberDecision, Position, ReplicaConfig};
@@ -94,6 +95,12 @@
         Ok(Self { core, store, times })
     }
 
+    /// Measures the replica's work with this stopwatch from now on, in place of the clock of
+    /// the operating system.
+    pub fn set_stopwatch(&mut self, stopwatch: Box<dyn Stopwatch>) {
+        self.core.set_stopwatch(stopwatch);
+    }
+
     /// Returns the control core.
     pub fn core(&self) -> &ControlCore {
         &self.core
