Crash reports: tests of their cost and of leases, which fail

Callers saw releases that didn't come into force and routers without leases while engines crashed. The record and the incident's page suspect reports of crashed runs: each is a command, derives the list of suspects from all evidence, and cuts leases short.

No source of the product is changed.

--- a/crates/deckwind-testkit/src/fan_out.rs
+++ b/crates/deckwind-testkit/src/fan_out.rs
@@ -9,22 +9,24 @@
 pub use crate::synthetic_fleet::{engine, engine_fleet, engine_release, release};
 use anyhow::{Context, Result, ensure};
 use deckwind_core::control::{
-    ControlEvent, ControlLimits, ControlReply, ControlRequest, EngineLoadVersion, EngineStreamLoad,
-    LimitReport, OperatorRequest, PeerListVersion, PlacementOrder, PoolRetryReport, RelayedReplies,
-    RelayedRequest, Renewal, RetryReport, ScanCounts,
+    ControlEvent, ControlLimits, ControlReply, ControlRequest, CutReport, EngineLoadVersion,
+    EngineStreamLoad, LimitReport, OperatorRequest, PeerListVersion, PlacementOrder,
+    PoolRetryReport, RelayedReplies, RelayedRequest, Renewal, RetryReport, ScanCounts,
 };
 use deckwind_core::membership::{LeaseTiming, RouterLeaseState};
-use deckwind_core::replication::{ReplicaConfig, ReplicaId};
+use deckwind_core::replication::{Index, ReplicaConfig, ReplicaId};
 use deckwind_core::routing::paths::StreamLoad;
 use deckwind_core::state::{
-    Instance, LayerRange, PublishedRelease, Release, Revision, RouterProcess,
+    Instance, LayerRange, PublishedRelease, Release, Revision, RouterProcess, SuspectChange,
+    SuspectList,
 };
 use deckwind_core::time::Instant;
 use deckwind_store::{MemoryDisk, Store};
 use deckwind_wire::encode;
 use deckwindd::control::{ControlNode, Effect, Now};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Step of virtual time.
@@ -85,6 +87,8 @@
     pub longest_queue: Duration,
     /// Leases that expired.
     pub leases_lost: u64,
+    /// Leases that were cut short, since their router lacked a change.
+    pub leases_cut_short: u64,
     /// Time that the leader spent on batches, by this machine's clock.
     pub work_time: Duration,
     /// Time spent on the longest batch, by this machine's clock: the longest delay that a
@@ -111,6 +115,8 @@
     requesting_routers: BTreeMap<u64, usize>,
     next_number: u64,
     operator_events: Vec<ControlEvent>,
+    /// Reports of crashed runs that the leader has not answered.
+    unanswered_reports: BTreeSet<u64>,
     traffic: LinkTraffic,
 }
 
@@ -150,6 +156,7 @@
             requesting_routers: BTreeMap::new(),
             next_number: 1,
             operator_events: Vec::new(),
+            unanswered_reports: BTreeSet::new(),
             traffic: LinkTraffic::default(),
         };
         fan_out.run_for(Duration::from_secs(5))?;
@@ -215,6 +222,35 @@
             .push(ControlEvent::Operator { token: 0, request });
     }
 
+    /// Sends the leader a router's report of crashed runs.
+    pub fn report_crashes(&mut self, changes: Vec<SuspectChange>) {
+        self.next_number += 1;
+        let token = self.next_number;
+        self.unanswered_reports.insert(token);
+        let request = ControlRequest::CutRuns(CutReport {
+            broke: Vec::new(),
+            changes,
+        });
+        self.operator_events
+            .push(ControlEvent::Request { token, request });
+    }
+
+    /// Returns the number of reports of crashed runs that the leader has not answered.
+    pub fn unanswered_reports(&self) -> usize {
+        self.unanswered_reports.len()
+    }
+
+    /// Returns the index of the last log entry that the leader has applied.
+    pub fn applied(&self) -> Index {
+        self.node.core().applied()
+    }
+
+    /// Returns the committed list of suspects.
+    pub fn suspects(&self) -> Arc<SuspectList> {
+        let state_machine = self.node.core().state_machine();
+        state_machine.configuration().suspects()
+    }
+
     /// Returns the number of routers that haven't applied the committed revision.
     pub fn routers_behind(&self) -> usize {
         let committed = self.revision();
@@ -314,6 +350,7 @@
         let mut relayed: BTreeMap<u32, Vec<(u64, ControlReply)>> = BTreeMap::new();
         for effect in effects {
             match effect {
+                Effect::Reply(token, _) if self.unanswered_reports.remove(&token) => {}
                 Effect::Reply(token, reply) => match self.relay_of(token) {
                     Some(relay) => relayed.entry(relay).or_default().push((token, reply)),
                     None => self.send_answers(vec![(token, reply)])?,
@@ -451,6 +488,7 @@
             .take()
             .context("a reply without a renewal in flight")?;
         if let ControlReply::Granted(grant) = reply {
+            self.traffic.leases_cut_short += u64::from(grant.lasts.is_some());
             let delta = grant.changes(r.lease.applied())?;
             r.lease.apply_grant(grant.lease(sent_at), delta);
             r.use_known = grant.in_use.map(|update| update.upto).or(r.use_known);
--- a/crates/deckwind-testkit/tests/testsuite/quarantine.rs
+++ b/crates/deckwind-testkit/tests/testsuite/quarantine.rs
@@ -48,7 +48,12 @@
     crash_at(request, life, progress)
 }
 
-fn crash_at(request: &RequestTraits, life: Incarnation, progress: RunProgress) -> SuspectChange {
+/// Returns the crash of an incarnation that had just begun to run a request, with its progress.
+pub fn crash_at(
+    request: &RequestTraits,
+    life: Incarnation,
+    progress: RunProgress,
+) -> SuspectChange {
     SuspectChange::Ended(CrashedRun {
         run: request.content().into(),
         traits: request.all().to_vec(),
