at_size: a deployment in five data centres, shares of a core, checks of control

What callers saw: changes late, leases lost, sound parts refused while engines crashed, at a size and with processor shares that no run here had. Checks from the logs: leaders deposed, leases lost while control is calm, sound traits quarantined, few requests served. Signals are sent by a system call, as a quota sends many.

--- a/crates/deckwind-fakes/src/lib.rs
+++ b/crates/deckwind-fakes/src/lib.rs
@@ -22,8 +22,8 @@
 pub use platform::FakePlatformList;
 pub use service::{FakeService, ServiceFault};
 pub use site::{
-    AcceleratorKind, FakeCall, HOST, USUAL_TOKENS, fleet_release_document, generation_head,
-    prompt_parts, release_document, request_id,
+    AcceleratorKind, CALL_BODY, FakeCall, HOST, USUAL_TOKENS, fleet_release_document,
+    generation_head, prompt_parts, prompt_parts_after, release_document, request_id,
 };
 pub use target_server::{
     AnswerDraws, Arrival, CRASH_DOWNTIME, ConnectionEnd, CutAnswer, CutPlace, ENDS_ITS_TARGET,
--- a/crates/deckwind-fakes/src/site.rs
+++ b/crates/deckwind-fakes/src/site.rs
@@ -25,6 +25,9 @@
 const ENGINES: &str = "engines";
 const PLAIN: &str = "plain";
 
+/// Body of a [`FakeCall`].
+pub const CALL_BODY: &[u8] = b"body";
+
 /// The host of the routes in [`release_document`].
 pub const HOST: &str = "site.example";
 
@@ -99,18 +102,24 @@
         if let Some(parts) = self.prompt_parts {
             req = req.header("x-deckwind-prompt-prefix", parts);
         }
-        req.body(Full::new(Bytes::from("body")))
+        req.body(Full::new(Bytes::from_static(CALL_BODY)))
     }
 }
 
 /// Returns the parts of a generation request's prompt. All share the first one; the last one
 /// is the request's own. If `is_at_fault`, targets crash on the one in between.
 pub fn prompt_parts(id: &str, is_at_fault: bool) -> String {
+    prompt_parts_after(FIRST_PART, id, is_at_fault)
+}
+
+/// Returns the parts of a generation request's prompt like [`prompt_parts`], with this first
+/// part (`ID:TOKENS`).
+pub fn prompt_parts_after(first: &str, id: &str, is_at_fault: bool) -> String {
     let own = id.bytes().rev().take(MAX_ID_BYTES);
     let own: String = own.map(|b| format!("{b:02x}")).collect();
     match is_at_fault {
-        true => format!("{FIRST_PART},{PART_AT_FAULT},{own}:50"),
-        false => format!("{FIRST_PART},{own}:50"),
+        true => format!("{first},{PART_AT_FAULT},{own}:50"),
+        false => format!("{first},{own}:50"),
     }
 }
 
--- a/crates/deckwind-testkit/examples/at_size.rs
+++ b/crates/deckwind-testkit/examples/at_size.rs
@@ -3,24 +3,25 @@
 //!
 //! `cargo run --release -p deckwind-testkit --example at_size -- DAEMON SIZE FIRST COUNT SECONDS [OPTION...] [TROUBLE...]`
 //!
-//! DAEMON is the program `deckwindd`, SIZE is `hundreds` or `tens`, and FIRST and COUNT give
-//! the seeds. Each TROUBLE is a kind of fault to be drawn at random, or
+//! DAEMON is the program `deckwindd`, SIZE is `five-centres` (195 routers, 218 engines),
+//! `hundreds` or `tens`, and FIRST and COUNT give the seeds. Each TROUBLE is a kind of fault to be drawn at random, or
 //! `KIND:PERCENT:LENGTH_MS:PAUSE_MS` for a fixed fault; fixed faults are injected in order;
 //! `none` is a run without faults. The logs of a seed that exceeds the retry budget or the
-//! attempts of a request, or in which a check of the operator fails, are kept in the folder
+//! attempts of a request, or in which a check fails, are kept in the folder
 //! that is printed; if the environment variable `KEEP` is set, those of all seeds are.
 //!
 //! Each OPTION is `NAME=VALUE`: `changes` (an operator publishes a change about every so many
 //! ms, and probes check what is in force), `routes` (routes of each of its releases beside
 //! those that change), `routers` (their number), `load` (of callers, in percent), `link`
-//! (bandwidth of a control replica in Mbit/s), and `seeds=1` (VMs have loopback addresses of
+//! (bandwidth of a control replica in Mbit/s), `quota` (share of a core that each control
+//! process may use, from the moment at which the deployment serves), and `seeds=1` (VMs have loopback addresses of
 //! their own and find the control replicas through seeds).
 
 use anyhow::{Context, Result, bail};
 use deckwind_testkit::Processes;
 use deckwind_testkit::at_size::{
-    self, Change, FaultEvent, FaultKind, FaultPlan, OperatorPlan, OperatorReport, Report, Size,
-    Spread,
+    self, Change, ControlReport, FaultEvent, FaultKind, FaultPlan, OperatorPlan, OperatorReport,
+    ProcessorUse, Report, Size, Spread,
 };
 use std::time::Duration;
 
@@ -34,9 +35,10 @@
     };
     let (options, faults): (Vec<_>, Vec<_>) = rest.iter().cloned().partition(|a| a.contains('='));
     let mut size = match size.as_str() {
+        "five-centres" => Size::five_centres(),
         "hundreds" => Size::large(),
         "tens" => Size::small(),
-        other => bail!("unknown size {other:?}, expected hundreds or tens"),
+        other => bail!("unknown size {other:?}, expected five-centres, hundreds or tens"),
     };
     for option in &options {
         set_option(&mut size, option)?;
@@ -84,6 +86,7 @@
             size.operator = Some(OperatorPlan { routes, ..plan });
         }
         "routers" => size.routers = value.parse()?,
+        "quota" => size.control_share = Some(parse_share(value)?),
         "link" => size.link_mbps = Some(value.parse()?),
         "seeds" => size.has_seeds = value.parse::<u8>()? > 0,
         "load" => {
@@ -96,6 +99,15 @@
     Ok(())
 }
 
+/// Parses a share of a core.
+fn parse_share(value: &str) -> Result<f64> {
+    let share: f64 = value.parse()?;
+    if !(share > 0.0 && share <= 1.0) {
+        bail!("{value:?} is not a share of a core");
+    }
+    Ok(share)
+}
+
 /// Parses the TROUBLE arguments; without any, faults of all kinds are drawn.
 fn parse_faults(args: &[String]) -> Result<FaultPlan> {
     if args.is_empty() {
@@ -173,6 +185,50 @@
     if let Some(operator) = &report.operator {
         print_operator(operator);
     }
+    print_control(&report.control);
+    for processor in &report.processors {
+        print_processor(processor);
+    }
+}
+
+fn print_control(report: &ControlReport) {
+    let (lost, lost_calmly) = report.lost_leases;
+    let (groups, sound) = report.quarantined;
+    let (sent, served) = report.served;
+    let [silent, gap_sent, gap_received] = report.longest_ms;
+    println!(
+        "  control: elections {} deposed {} lease_lost {lost} calm {lost_calmly} quarantined {groups} \
+         sound {sound} calm served {served} of {sent} ({:.3}) longest_ms silent {silent} gap sent \
+         {gap_sent} received {gap_received} batch {}",
+        report.elections,
+        report.deposed,
+        served as f64 / sent.max(1) as f64,
+        report.load.longest_batch.as_millis(),
+    );
+    let shares = report.load.shares();
+    let shares = shares.iter().filter(|(_, share)| *share >= 0.001);
+    let shares: Vec<String> = shares.map(|(work, s)| format!("{work} {s:.3}")).collect();
+    println!(
+        "  leaders' time, of {:.1} s: {}; at most {:?}",
+        report.load.over.as_secs_f64(),
+        shares.join(" "),
+        report.load.largest
+    );
+    println!("  failed checks of control: {:?}", report.counts());
+    for finding in report.findings.iter().take(MAX_FINDINGS) {
+        println!("  {finding}");
+    }
+}
+
+fn print_processor(processor: &ProcessorUse) {
+    let (periods, suspended) = processor.periods;
+    println!(
+        "  {}: {:.3} of a core over {:.1} s, suspended in {suspended} of {periods} periods, {} in a row",
+        processor.name,
+        processor.used.as_secs_f64() / processor.held.as_secs_f64().max(f64::MIN_POSITIVE),
+        processor.held.as_secs_f64(),
+        processor.longest_row,
+    );
 }
 
 fn print_operator(report: &OperatorReport) {
--- a/crates/deckwind-testkit/src/at_size/callers.rs
+++ b/crates/deckwind-testkit/src/at_size/callers.rs
@@ -1,17 +1,21 @@
 //! Open-loop load generator: sends requests at a set rate, however earlier requests end.
 
-use super::size::{KEY, Size};
+use super::size::{Size, key_of};
 use crate::answer_check::{AnswerError, AnswerState, check_body, check_framing, read_body};
 use bytes::Bytes;
-use deckwind_fakes::{FakeCall, FakeFleet, prompt_parts};
+use deckwind_core::state::{ContentDigest, PartId, RequestTraits};
+use deckwind_fakes::{CALL_BODY, FakeCall, FakeFleet, prompt_parts_after};
 use http::{Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use rand::distr::Distribution;
+use rand::distr::weighted::WeightedIndex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -32,8 +36,11 @@
 /// that is left.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
-/// Number of prompt tokens and of answer tokens of a stream.
-const STREAM_TOKENS: (u32, u32) = (400, 150);
+/// Name of the first account.
+const FIRST_ACCOUNT: &str = "account";
+
+/// Part on which engines crash.
+const POISON_PART: PartId = PartId(0xbad0);
 
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,6 +73,68 @@
     }
 }
 
+/// Who sends a request, and what it shares with others.
+#[derive(Clone, Copy, Debug)]
+struct Sender {
+    caller: usize,
+    account: usize,
+    /// Index of the first part of the prompt.
+    part: usize,
+}
+
+impl Sender {
+    /// The first caller and account, with the part that most prompts share.
+    const FIRST: Self = Self {
+        caller: 0,
+        account: 0,
+        part: 0,
+    };
+}
+
+/// Draws the senders of requests.
+#[derive(Clone)]
+struct SenderDraws {
+    callers: usize,
+    accounts: WeightedIndex<f64>,
+    parts: WeightedIndex<f64>,
+}
+
+impl SenderDraws {
+    fn new(size: &Size) -> Self {
+        let weights = |count: usize, exponent: f64| {
+            let weights = (1..=count.max(1)).map(|n| (n as f64).powf(-exponent));
+            WeightedIndex::new(weights).expect("all weights are positive")
+        };
+        Self {
+            callers: size.callers,
+            accounts: weights(size.streams.accounts, 1.0),
+            parts: weights(size.streams.shared_parts, 0.5),
+        }
+    }
+
+    fn draw(&self, rng: &mut ChaCha8Rng) -> Sender {
+        Sender {
+            caller: rng.random_range(0..self.callers),
+            account: self.accounts.sample(rng),
+            part: self.parts.sample(rng),
+        }
+    }
+}
+
+/// Returns the first part of a prompt, which others share, by its index.
+fn shared_part(index: usize) -> String {
+    format!("{:x}:40", 0xf0 + index)
+}
+
+/// A finished request.
+#[derive(Clone, Copy, Debug)]
+pub struct FinishedRequest {
+    /// Time at which its first attempt was sent.
+    pub sent: Instant,
+    /// Whether it was served.
+    pub is_served: bool,
+}
+
 /// Number of finished requests by outcome.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outcomes {
@@ -103,6 +172,11 @@
     /// Request rate in percent of the usual one.
     pub rate_percent: AtomicU64,
     outcomes: Mutex<Outcomes>,
+    finished: Mutex<Vec<FinishedRequest>>,
+    /// Number of prompt tokens and of answer tokens of a stream.
+    tokens: (u32, u32),
+    /// Ids of the requests with a part on which engines crash.
+    poison_requests: Mutex<Vec<String>>,
     /// The fleet that answers, which knows how long its streams are and what it cut.
     fleet: FakeFleet,
     answer_errors: Mutex<Vec<String>>,
@@ -114,7 +188,7 @@
 
 impl Callers {
     /// Creates callers of the routers at these addresses.
-    pub fn new(routers: Vec<SocketAddr>, fleet: FakeFleet) -> Arc<Self> {
+    pub fn new(routers: Vec<SocketAddr>, fleet: FakeFleet, tokens: (u32, u32)) -> Arc<Self> {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
@@ -124,6 +198,9 @@
             routers,
             rate_percent: AtomicU64::new(100),
             outcomes: Mutex::default(),
+            finished: Mutex::default(),
+            tokens,
+            poison_requests: Mutex::default(),
             fleet,
             answer_errors: Mutex::default(),
             send_times: SendTimes::default(),
@@ -135,7 +212,7 @@
     /// Sends requests at the deployment's rate, with exponentially distributed gaps,
     /// until [`Self::stop`] is called.
     pub fn start(self: &Arc<Self>, size: &Size, seed: u64) -> JoinHandle<()> {
-        let callers = size.callers;
+        let senders = SenderDraws::new(size);
         let rates = [
             (RequestKind::Stream, size.streams_per_s),
             (RequestKind::Once, size.plain_per_s.0),
@@ -157,8 +234,8 @@
                     at < 0.0
                 });
                 let kind = drawn.map_or(RequestKind::Stream, |(kind, _)| *kind);
-                let caller = rng.random_range(0..callers);
-                tokio::spawn(shared.clone().request(kind, caller));
+                let sender = senders.draw(&mut rng);
+                tokio::spawn(shared.clone().request(kind, sender));
             }
         })
     }
@@ -173,6 +250,28 @@
         *self.outcomes.lock().expect("no holder panics")
     }
 
+    /// Returns the requests finished so far.
+    pub fn finished(&self) -> Vec<FinishedRequest> {
+        self.finished.lock().expect("no holder panics").clone()
+    }
+
+    /// Returns the traits of the requests so far on which engines crash, as logs name them,
+    /// without the parts that sound requests share with them.
+    pub fn traits_at_fault(&self) -> HashSet<String> {
+        let requests = self.poison_requests.lock().expect("no holder panics");
+        let traits = requests.iter().flat_map(|id| {
+            let path = format!("/stream/{id}");
+            let content = ContentDigest::of("POST", &path, Some(FIRST_ACCOUNT), CALL_BODY);
+            let parts = [POISON_PART, PartId::of_bytes(id.as_bytes())];
+            RequestTraits::new(content, Some(FIRST_ACCOUNT), &parts)
+                .all()
+                .iter()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>()
+        });
+        traits.collect()
+    }
+
     /// Returns what was wrong with answers so far.
     pub fn answer_errors(&self) -> Vec<String> {
         self.answer_errors.lock().expect("no holder panics").clone()
@@ -182,7 +281,12 @@
     pub async fn is_served(&self) -> bool {
         let id = self.next_id(RequestKind::Stream);
         let sent = self
-            .send(RequestKind::Stream, &id, 0, RequestKind::Stream.timeout())
+            .send(
+                RequestKind::Stream,
+                &id,
+                (0, Sender::FIRST),
+                RequestKind::Stream.timeout(),
+            )
             .await;
         match sent {
             Ok((StatusCode::OK, res)) => self.is_whole(RequestKind::Stream, &id, res).await,
@@ -202,7 +306,12 @@
     pub async fn send_poison_part(self: Arc<Self>, router: usize) {
         let kind = RequestKind::PoisonPart;
         let id = self.next_id(kind);
-        if let Ok((_, res)) = self.send(kind, &id, router, kind.timeout()).await {
+        self.poison_requests
+            .lock()
+            .expect("no holder panics")
+            .push(id.clone());
+        let sent = self.send(kind, &id, (router, Sender::FIRST), kind.timeout());
+        if let Ok((_, res)) = sent.await {
             let deadline = (Instant::now() + kind.timeout()).into_std();
             read_body(res.into_body(), Duration::ZERO, || deadline).await;
         }
@@ -224,8 +333,9 @@
         times.lock().expect("no holder panics").push(Instant::now());
     }
 
-    async fn request(self: Arc<Self>, kind: RequestKind, caller: usize) {
-        let deadline = Instant::now() + kind.timeout();
+    async fn request(self: Arc<Self>, kind: RequestKind, sender: Sender) {
+        let sent = Instant::now();
+        let deadline = sent + kind.timeout();
         let mut outcome = Outcome::Failed;
         for attempt in 0..MAX_ATTEMPTS {
             let remaining = deadline.saturating_duration_since(Instant::now());
@@ -233,8 +343,9 @@
                 break;
             }
             let id = self.next_id(kind);
-            let router = self.router_of(caller + attempt as usize);
-            let Ok((status, res)) = self.send(kind, &id, router, remaining).await else {
+            let router = self.router_of(sender.caller + attempt as usize);
+            let sending = self.send(kind, &id, (router, sender), remaining);
+            let Ok((status, res)) = sending.await else {
                 if kind == RequestKind::Once {
                     break;
                 }
@@ -261,7 +372,7 @@
                 }
             }
         }
-        self.record_outcome(outcome);
+        self.record_outcome(sent, outcome);
     }
 
     /// Reads an answer to its end and checks it; returns whether it is complete and no pause
@@ -288,7 +399,12 @@
         }
     }
 
-    fn record_outcome(&self, outcome: Outcome) {
+    fn record_outcome(&self, sent: Instant, outcome: Outcome) {
+        let is_served = matches!(outcome, Outcome::Served);
+        self.finished
+            .lock()
+            .expect("no holder panics")
+            .push(FinishedRequest { sent, is_served });
         let mut outcomes = self.outcomes.lock().expect("no holder panics");
         match outcome {
             Outcome::Served => outcomes.served += 1,
@@ -301,17 +417,22 @@
         &self,
         kind: RequestKind,
         id: &str,
-        router: usize,
+        (router, sender): (usize, Sender),
         remaining: Duration,
     ) -> Result<(StatusCode, Response<Incoming>), ()> {
         let path = format!("/{}/{id}", kind.route());
         let generation = matches!(kind, RequestKind::Stream | RequestKind::PoisonPart);
-        let parts = prompt_parts(id, kind == RequestKind::PoisonPart);
+        let parts = prompt_parts_after(
+            &shared_part(sender.part),
+            id,
+            kind == RequestKind::PoisonPart,
+        );
+        let key = key_of(sender.account);
         let call = FakeCall {
-            tokens: generation.then_some(STREAM_TOKENS),
+            tokens: generation.then_some(self.tokens),
             prompt_parts: generation.then_some(&parts),
             deadline: remaining,
-            ..FakeCall::new(id, &path, KEY)
+            ..FakeCall::new(id, &path, &key)
         };
         let req = call.request(self.routers[router]);
         self.record_send(kind);
--- a/crates/deckwind-testkit/src/at_size/checks.rs
+++ b/crates/deckwind-testkit/src/at_size/checks.rs
@@ -103,6 +103,14 @@
     AddedNotServed,
     /// What was acknowledged last was not read at the end.
     NotReadAtEnd,
+    /// A leader was deposed that nothing had suspended or killed.
+    LeaderDeposed,
+    /// A router lost its lease while control was calm.
+    LeaseLost,
+    /// Traits were quarantined that no request has on which engines crash.
+    SoundQuarantined,
+    /// Few requests were served while engines crashed and control was calm.
+    FewServed,
 }
 
 /// A failed check with its details.
@@ -115,7 +123,7 @@
 }
 
 impl Finding {
-    fn new(violation: Violation, details: impl fmt::Debug) -> Self {
+    pub(super) fn new(violation: Violation, details: impl fmt::Debug) -> Self {
         Self {
             violation,
             details: format!("{details:?}"),
--- a/crates/deckwind-testkit/src/at_size/faults.rs
+++ b/crates/deckwind-testkit/src/at_size/faults.rs
@@ -1,7 +1,7 @@
 //! Faults that are injected into a deployment.
 
-use super::Deployment;
 use super::size::{ENGINES, PLAIN};
+use super::{Deployment, replica_name};
 use crate::processes::Process;
 use anyhow::{Context, Result};
 use deckwind_fakes::FakeTargetFault;
@@ -174,6 +174,9 @@
             FaultKind::ControlKilled => self.restart_control(1, fault, rng).await?,
             FaultKind::ControlFreezes => {
                 let i = rng.random_range(0..self.control.len());
+                if let Some(quota) = &self.quota {
+                    quota.leave_alone(&replica_name(i), length);
+                }
                 self.freeze(self.control[i].as_ref(), length)?;
             }
             FaultKind::AllControlKilled => {
@@ -297,6 +300,7 @@
         tokio::time::sleep(length / 6).await;
         for i in selected {
             self.control[i] = Some(self.processes.control(i)?);
+            self.limit_replica(i)?;
         }
         Ok(())
     }
--- a/crates/deckwind-testkit/src/at_size/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/mod.rs
@@ -8,6 +8,9 @@
 
 mod callers;
 mod checks;
+mod control_log;
+mod control_report;
+mod cpu_quota;
 mod faults;
 mod operator;
 mod operator_report;
@@ -15,17 +18,21 @@
 mod releases;
 mod size;
 mod tally;
+mod targets;
 
-pub use callers::{Callers, Outcomes};
+pub use callers::{Callers, FinishedRequest, Outcomes};
 pub use checks::{
     Change, Finding, History, Probe, Reading, ReleaseBounds, ServedShare, ShownVersions, Spread,
     Violation,
 };
+pub use control_log::{LeaderLoad, LogLine};
+pub use control_report::{ControlRecords, ControlReport, InjectedFault};
+pub use cpu_quota::{CpuQuota, ProcessorUse};
 pub use faults::{FaultEvent, FaultKind, FaultPlan};
 pub use operator::OperatorPlan;
 pub use operator_report::{BOUNDS, OperatorReport, Records};
 pub use releases::{FIXED_PATH, Handling, MOVED_PATH, PROBE_POOLS, ProbeRoute, Release, marker};
-pub use size::{EngineGroup, Size};
+pub use size::{EngineGroup, Size, StreamMix};
 pub use tally::{
     PeakWindow, ReceivedRequest, RetryBudget, beyond_attempts, peak_window, uncharged_retries,
 };
@@ -33,32 +40,21 @@
 use crate::layout::Layout;
 use crate::processes::{Process, Processes};
 use anyhow::{Context, Result, bail};
-use deckwind_fakes::{AnswerDraws, FakeFleet, FakeTargetServer, FleetArrival};
-use http::{Request, StatusCode};
-use http_body_util::Full;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use control_log::EVENTS;
+use deckwind_fakes::{AnswerDraws, FakeFleet, FleetArrival};
 use operator::Operator;
 use probes::Probes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
-use size::{DATA_CENTRES, ENGINES, PLAIN};
+use size::{ENGINES, PLAIN};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
+use targets::{ControlClient, Target, announce_repeatedly, start_targets};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
-/// Interval between two announcements of a target.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_200);
-
-/// Timeout of a call to a control replica.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Longest time until a fresh deployment serves requests.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -74,9 +70,6 @@
 const UNFRAMED_PERCENT: u64 = 40;
 const BROKEN_PERCENT: u64 = 1;
 
-/// Number of targets in each of the pools that only probes reach.
-const PROBE_TARGETS: usize = 3;
-
 /// Results of one run.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -103,11 +96,15 @@
     pub faults: Vec<(Duration, FaultEvent)>,
     /// What the operator saw, if there was one.
     pub operator: Option<OperatorReport>,
+    /// What the control plane did.
+    pub control: ControlReport,
+    /// Processor time of the control processes, if they were held to a share of a core.
+    pub processors: Vec<ProcessorUse>,
 }
 
 impl Report {
     /// Whether a retry budget or the limit on attempts was exceeded, an answer was wrong or a
-    /// check of the operator failed.
+    /// check of the operator or of the control plane failed.
     pub fn exceeds_limits(&self) -> bool {
         let operator = self.operator.as_ref();
         let pools = [self.engines, self.plain];
@@ -115,16 +112,24 @@
             || self.beyond_attempts > 0
             || !self.answer_errors.is_empty()
             || operator.is_some_and(|o| !o.findings.is_empty())
+            || !self.control.findings.is_empty()
     }
 }
 
-/// A target and the state of its announcements.
-struct Target {
-    id: String,
-    pool: &'static str,
-    data_centre: &'static str,
-    server: FakeTargetServer,
-    announced: AtomicU64,
+/// Time at which a run started, by both clocks.
+#[derive(Clone, Copy)]
+struct RunStart {
+    instant: Instant,
+    system_time: SystemTime,
+}
+
+impl RunStart {
+    fn now() -> Self {
+        Self {
+            instant: Instant::now(),
+            system_time: SystemTime::now(),
+        }
+    }
 }
 
 struct Deployment {
@@ -138,6 +143,8 @@
     control_client: ControlClient,
     version: u64,
     probes: Arc<Probes>,
+    /// Holds the control processes to a share of a core.
+    quota: Option<CpuQuota>,
     /// Time at which a replica was last restarted without its disk.
     disk_lost_at: Option<Instant>,
 }
@@ -155,7 +162,7 @@
         false => Layout::new(size.control, size.routers)?,
     };
     layout.retry_budget = size.retry_budget;
-    layout.data_centres = DATA_CENTRES.to_vec();
+    layout.data_centres = size.data_centres.clone();
     layout.lease = Some("2800ms");
     layout.link_mbps = size.link_mbps;
     Ok(layout)
@@ -173,7 +180,9 @@
     deployment.draw_answers(seed);
     let announcer = deployment.announce();
     deployment.wait_until_served().await?;
-    let started = Instant::now();
+    deployment.limit_control()?;
+    let start = RunStart::now();
+    let started = start.instant;
     let load_generator = deployment.callers.start(&deployment.size, seed);
     let operator = deployment.start_operator(started, seed);
     tokio::time::sleep(WARM_UP).await;
@@ -185,8 +194,9 @@
             tokio::time::sleep_until(end).await;
             break;
         };
-        injected.push((started.elapsed(), fault));
+        let from = started.elapsed();
         deployment.inject(fault, &mut rng).await?;
+        injected.push((from, started.elapsed(), fault));
         tokio::time::sleep(fault.pause).await;
     }
     deployment.callers.stop();
@@ -199,8 +209,9 @@
         None => None,
     };
     announcer.abort();
-    let mut report = deployment.report(injected)?;
+    let mut report = deployment.report(start, &injected)?;
     report.operator = operator_report;
+    report.processors = deployment.quota.take().map_or(Vec::new(), CpuQuota::close);
     Ok(report)
 }
 
@@ -220,7 +231,7 @@
         let control_client = ControlClient::new(layout.control_calls.clone());
         Ok(Self {
             probes: Probes::new(addresses.clone()),
-            callers: Callers::new(addresses, fleet.clone()),
+            callers: Callers::new(addresses, fleet.clone(), size.streams.tokens),
             processes,
             size,
             control,
@@ -229,10 +240,24 @@
             fleet,
             control_client,
             version: 0,
+            quota: None,
             disk_lost_at: None,
         })
     }
 
+    /// Holds the control processes to their share of a core from now on.
+    fn limit_control(&mut self) -> Result<()> {
+        self.quota = self.size.control_share.map(CpuQuota::start);
+        (0..self.control.len()).try_for_each(|i| self.limit_replica(i))
+    }
+
+    fn limit_replica(&self, i: usize) -> Result<()> {
+        match (&self.quota, &self.control[i]) {
+            (Some(quota), Some(process)) => quota.hold(&replica_name(i), process),
+            _ => Ok(()),
+        }
+    }
+
     /// Sets how the targets frame their answers and which ones they break off.
     fn draw_answers(&self, seed: u64) {
         for (i, target) in self.targets.iter().enumerate() {
@@ -307,7 +332,11 @@
         bail!("the deployment serves no requests within {START_TIMEOUT:?}")
     }
 
-    fn report(&self, faults: Vec<(Duration, FaultEvent)>) -> Result<Report> {
+    fn report(
+        &self,
+        start: RunStart,
+        injected: &[(Duration, Duration, FaultEvent)],
+    ) -> Result<Report> {
         let budget = RetryBudget {
             share: self.size.retry_budget.0,
             beyond: f64::from(self.size.retry_budget.1),
@@ -342,10 +371,50 @@
                 .map(|t| t.server.crashes_by_request())
                 .sum(),
             answer_errors: self.callers.answer_errors(),
-            faults,
+            faults: injected.iter().map(|(from, _, f)| (*from, *f)).collect(),
             operator: None,
+            control: self.control_report(start, injected)?,
+            processors: Vec::new(),
         })
     }
+
+    fn control_report(
+        &self,
+        start: RunStart,
+        injected: &[(Duration, Duration, FaultEvent)],
+    ) -> Result<ControlReport> {
+        let lines = self.processes.lines("event=")?;
+        let lines: Vec<LogLine> = lines
+            .iter()
+            .filter_map(|l| LogLine::parse(l, start.system_time))
+            .filter(|l| EVENTS.contains(&l.event()))
+            .collect();
+        let faults: Vec<InjectedFault> = injected
+            .iter()
+            .map(|(from, done, fault)| InjectedFault {
+                kind: fault.kind,
+                from: *from,
+                until: (*done).max(*from + fault.length),
+            })
+            .collect();
+        let finished = self.callers.finished();
+        let since_start = |at: Instant| at.saturating_duration_since(start.instant);
+        let requests: Vec<(Duration, bool)> = finished
+            .iter()
+            .map(|r| (since_start(r.sent), r.is_served))
+            .collect();
+        Ok(ControlReport::of(&ControlRecords {
+            lines: &lines,
+            faults: &faults,
+            traits_at_fault: &self.callers.traits_at_fault(),
+            requests: &requests,
+        }))
+    }
+}
+
+/// Returns the name of a control replica in logs and settings.
+fn replica_name(i: usize) -> String {
+    format!("control-{i}")
 }
 
 fn sent_to_pool(arrivals: &[FleetArrival], pool: &str) -> Vec<ReceivedRequest> {
@@ -358,99 +427,3 @@
     });
     requests.collect()
 }
-
-async fn start_targets(size: &Size, fleet: &FakeFleet) -> Result<Vec<Target>> {
-    let mut all = Vec::new();
-    for group in &size.engine_groups {
-        for (centre, count) in DATA_CENTRES.iter().zip(group.engines) {
-            for i in 0..count {
-                let id = format!("{}-{centre}-{i}", group.kind);
-                all.push(start_target(&id, ENGINES, centre, Some(group.kind), fleet).await?);
-            }
-        }
-    }
-    for i in 0..size.plain {
-        let centre = DATA_CENTRES[i % DATA_CENTRES.len()];
-        all.push(start_target(&format!("plain-{i}"), PLAIN, centre, None, fleet).await?);
-    }
-    let probe_targets = size.operator.map_or(0, |_| PROBE_TARGETS);
-    for (pool, i) in PROBE_POOLS
-        .into_iter()
-        .flat_map(|p| (0..probe_targets).map(move |i| (p, i)))
-    {
-        let centre = DATA_CENTRES[i % DATA_CENTRES.len()];
-        all.push(start_target(&format!("{pool}-{i}"), pool, centre, None, fleet).await?);
-    }
-    Ok(all)
-}
-
-async fn start_target(
-    id: &str,
-    pool: &'static str,
-    data_centre: &'static str,
-    kind: Option<&str>,
-    fleet: &FakeFleet,
-) -> Result<Target> {
-    let server = FakeTargetServer::start(id).await?;
-    server.join(fleet, pool, kind);
-    Ok(Target {
-        id: id.to_string(),
-        pool,
-        data_centre,
-        server,
-        announced: AtomicU64::new(0),
-    })
-}
-
-impl Target {
-    async fn announce(&self, control_client: &ControlClient) {
-        if !self.server.is_reachable() {
-            return;
-        }
-        let number = self.announced.fetch_add(1, Ordering::Relaxed) + 1;
-        let server = &self.server;
-        let body = server.announcement(self.pool, self.data_centre, "ready", number);
-        let path = format!("/v1/instances/{}/heartbeat", self.id);
-        control_client.call(&path, &body).await;
-    }
-}
-
-/// Announces one target until it is aborted. The first announcements of all targets are
-/// spread evenly over [`ANNOUNCE_INTERVAL`].
-async fn announce_repeatedly(targets: Arc<Vec<Target>>, i: usize, control_client: ControlClient) {
-    tokio::time::sleep(ANNOUNCE_INTERVAL * i as u32 / targets.len() as u32).await;
-    loop {
-        targets[i].announce(&control_client).await;
-        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
-    }
-}
-
-/// HTTP client of the control replicas.
-#[derive(Clone)]
-struct ControlClient {
-    http: Client<HttpConnector, Full<bytes::Bytes>>,
-    control: Vec<SocketAddr>,
-}
-
-impl ControlClient {
-    fn new(control: Vec<SocketAddr>) -> Self {
-        let http = Client::builder(TokioExecutor::new()).build_http();
-        Self { http, control }
-    }
-
-    /// Tries the replicas in turn until one answers with 200; returns whether one did.
-    async fn call(&self, path: &str, body: &Value) -> bool {
-        let body = bytes::Bytes::from(body.to_string());
-        for address in &self.control {
-            let req = Request::post(format!("http://{address}{path}"));
-            let Ok(req) = req.body(Full::new(body.clone())) else {
-                return false;
-            };
-            let res = tokio::time::timeout(CALL_TIMEOUT, self.http.request(req)).await;
-            if matches!(res, Ok(Ok(res)) if res.status() == StatusCode::OK) {
-                return true;
-            }
-        }
-        false
-    }
-}
--- a/crates/deckwind-testkit/src/processes.rs
+++ b/crates/deckwind-testkit/src/processes.rs
@@ -1,13 +1,17 @@
 //! A cluster of separate processes, which tests can kill.
 
 use crate::layout::Layout;
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result};
+use nix::sys::signal::{Signal, kill};
+use nix::time::ClockId;
+use nix::unistd::Pid;
 use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// A child process that is killed on drop.
 pub struct Process {
@@ -17,7 +21,7 @@
     is_unreaped: Arc<Mutex<bool>>,
 }
 
-/// Handle that resumes a suspended process if it hasn't been waited for.
+/// Handle that suspends and resumes a process if it hasn't been waited for.
 pub struct ResumeHandle {
     id: u32,
     is_unreaped: Arc<Mutex<bool>>,
@@ -29,6 +33,23 @@
         self.send(&["CONT"])
     }
 
+    /// Sends SIGSTOP.
+    pub fn suspend(&self) -> Result<()> {
+        self.send(&["STOP"])
+    }
+
+    /// Returns the processor time that all threads of the process have used; `None` if it
+    /// has been waited for.
+    pub fn processor_time(&self) -> Result<Option<Duration>> {
+        let is_unreaped = self.is_unreaped.lock().expect("no holder panics");
+        if !*is_unreaped {
+            return Ok(None);
+        }
+        let pid = Pid::from_raw(i32::try_from(self.id)?);
+        let clock = ClockId::pid_cpu_clock_id(pid)?;
+        Ok(Some(clock.now()?.into()))
+    }
+
     /// Resumes the process as after a suspension of its VM: SIGUSR1, then SIGCONT.
     pub fn resume_vm(&self) -> Result<()> {
         self.send(&["USR1", "CONT"])
@@ -117,12 +138,9 @@
 
 /// Sends a signal, named without `SIG`, to a process that this one started.
 fn signal(id: u32, name: &str) -> Result<()> {
-    let id = id.to_string();
-    let status = Command::new("kill").args(["-s", name, &id]).status()?;
-    if !status.success() {
-        bail!("can't send SIG{name} to process {id}");
-    }
-    Ok(())
+    let signal: Signal = format!("SIG{name}").parse()?;
+    let pid = Pid::from_raw(i32::try_from(id)?);
+    kill(pid, signal).with_context(|| format!("can't send SIG{name} to process {id}"))
 }
 
 /// The programs and the folder of a cluster.
--- a/crates/deckwind-testkit/tests/testsuite/at_size.rs
+++ b/crates/deckwind-testkit/tests/testsuite/at_size.rs
@@ -17,6 +17,7 @@
         assert_eq!(report.beyond_attempts, 0, "{report:?}");
         assert_eq!(report.uncharged_retries, 0, "{report:?}");
         assert!(report.answer_errors.is_empty(), "{report:?}");
+        assert_reads_logs(&report);
     });
 }
 
@@ -38,6 +39,9 @@
         assert!(report.crashes_by_part > 0, "{report:?}");
         assert!(report.crashes_by_part <= MAX_CRASHES_BY_PART, "{report:?}");
         assert!(!report.exceeds_limits(), "{report:?}");
+        let (quarantined, sound) = report.control.quarantined;
+        assert!(quarantined > 0, "{report:?}");
+        assert_eq!(sound, 0, "{report:?}");
         // Sound requests share the caller and the first part.
         let outcomes = report.outcomes;
         assert!(
@@ -47,6 +51,17 @@
     });
 }
 
+/// Checks that the report holds what the real programs log. Guards against checks that pass
+/// because they no longer find the lines that they look for.
+fn assert_reads_logs(report: &Report) {
+    let load = &report.control.load;
+    assert!(load.over > Duration::ZERO, "{report:?}");
+    for work in ["log", "tick", "sync"] {
+        assert!(load.work_ms.contains_key(work), "{work}: {report:?}");
+    }
+    assert!(load.largest.contains_key("behind"), "{report:?}");
+}
+
 fn fault(kind: FaultKind, percent: usize) -> FaultEvent {
     FaultEvent {
         kind,
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod answer_heads;
 mod at_most_once;
 mod at_size;
+mod at_size_checks;
 mod attempt_results;
 mod attempted_targets;
 mod body_ends;
