--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod connections;
 mod connectivity;
 mod contracts;
+mod crash_waves;
 mod cut_bodies;
 mod cut_off_routers;
 mod decisions;
--- a/crates/deckwind-testkit/tests/testsuite/poison_part_storms.rs
+++ b/crates/deckwind-testkit/tests/testsuite/poison_part_storms.rs
@@ -6,7 +6,8 @@
 use crate::quarantine::apply;
 use deckwind_core::routes::{InterruptedRuns, MAX_POISON_RUN_TIME, SendVerdict};
 use deckwind_core::state::{
-    ContentDigest, Incarnation, PartId, RequestTraits, StateMachine, SuspectChange, SuspectList,
+    ContentDigest, Incarnation, PartId, RequestTrait, RequestTraits, StateMachine, SuspectChange,
+    SuspectList,
 };
 use deckwind_core::time::Instant;
 use rand::rngs::StdRng;
@@ -17,16 +18,35 @@
 use std::time::Duration;
 use yare::parameterized;
 
-const ENGINES: usize = 30;
+/// Engines, and sound requests to them.
+#[derive(Clone, Copy)]
+pub struct Fleet {
+    pub engines: usize,
+    /// Time between two sound requests, over all routers, microseconds.
+    pub sound_interval_us: u64,
+    pub accounts: u64,
+    /// Whether some first parts are in more requests than others, up to one of ten.
+    pub is_skewed: bool,
+    /// Number of engines that a request is sent to.
+    pub max_sends: u32,
+}
 
-/// Sound requests per second, over all routers.
-const SOUND_RATE: u64 = 60;
+const SMALL_FLEET: Fleet = Fleet {
+    engines: 30,
+    sound_interval_us: 16_000,
+    accounts: 10,
+    is_skewed: false,
+    max_sends: 2,
+};
 
-/// Number of accounts, of first parts of prompts, and of second parts.
-const ACCOUNTS: u64 = 10;
+/// Number of first parts of prompts, and of second parts.
 const FIRST_PARTS: u64 = 60;
 const SECOND_PARTS: u64 = 400;
 
+/// Offset of the numbers of first parts by whose inverse the parts are chosen if they are
+/// skewed: the first one is then in one of ten requests.
+const SKEW_OFFSET: u64 = 3;
+
 /// First part that the requests with a part at fault share with sound ones.
 const SHARED_FIRST: u64 = 0;
 
@@ -35,7 +55,7 @@
 
 const START_MS: u64 = 100_000;
 /// Time at which the first request with a part at fault comes, after calm traffic.
-const STORM_MS: u64 = START_MS + 20_000;
+pub const STORM_MS: u64 = START_MS + 20_000;
 const END_MS: u64 = STORM_MS + 40_000;
 
 const FIRST_EVENT_MS: u64 = 60;
@@ -48,14 +68,13 @@
 /// Time from a report until it is agreed, and from then until routers know.
 const AGREE_MS: u64 = 30;
 const LIST_MS: u64 = 60;
-/// Number of engines that a request is sent to, and time for which it waits for a second one.
-const MAX_SENDS: u32 = 2;
+/// Time for which a request waits for another engine.
 const RESUME_MS: u64 = 1_500;
 const RESUME_INTERVAL_MS: u64 = 100;
 
 /// Time from the third crash until requests with a part at fault arrive no more, while there
 /// is a leader.
-const MAX_ATTRIBUTION_MS: u64 = 500;
+pub const MAX_ATTRIBUTION_MS: u64 = 500;
 
 /// Time until requests with a part at fault must not arrive any more, after the fifth crash,
 /// and number of those that may.
@@ -86,6 +105,8 @@
     /// The engine crashes under this send of a stream.
     Crash(usize, u32),
     ChanceCrash,
+    /// The engine crashes by itself.
+    EngineCrash(usize),
     CentreLost,
     Restart(usize),
     EndKnown(usize, u64),
@@ -96,7 +117,7 @@
 
 /// What else goes wrong during a storm.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Trouble {
+pub enum Trouble {
     None,
     /// An engine crashes by itself every two seconds.
     ChanceCrashes,
@@ -108,39 +129,65 @@
     RouterRestarts,
 }
 
-struct Model {
+/// Routers, engines and streams, and the state that the routers agree on.
+pub struct Model {
+    fleet: Fleet,
     rng: StdRng,
     now_ms: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     scheduled: u64,
+    sound_requests: u64,
     streams: Vec<Stream>,
     /// Number of the incarnation of each engine, and whether it is up.
     engines: Vec<(u64, bool)>,
     routers: Vec<InterruptedRuns>,
     state: StateMachine,
-    leaderless_until: u64,
+    /// Times between which there is no leader.
+    leaderless_from: u64,
+    pub leaderless_until: u64,
     restarted_routers: usize,
     /// Time of the last restart of a router.
     restarted_at: u64,
     bad_interval_ms: u64,
     /// Times of crashes by part at fault, and of the arrivals of its requests.
-    crashes: Vec<Vec<u64>>,
-    arrivals: Vec<Vec<u64>>,
+    pub crashes: Vec<Vec<u64>>,
+    pub arrivals: Vec<Vec<u64>>,
     /// First tries of sound requests with the shared first part: time, and whether it began.
     shared_tries: Vec<(u64, bool)>,
+    /// Number of sound requests that were refused.
+    pub refused_sound: usize,
+
+    /// Groups without a part at fault that were quarantined, each with the time.
+    pub sound_groups: Vec<(u64, Vec<RequestTrait>)>,
 }
 
 impl Model {
     fn new(seed: u64, routers: usize, bad_parts: u64, bad_rate: u64, trouble: Trouble) -> Self {
+        Self::with_fleet(SMALL_FLEET, seed, routers, bad_parts, bad_rate, trouble)
+    }
+
+    /// Creates the model of a fleet, with parts at fault of which each comes in `bad_rate`
+    /// requests a second.
+    pub fn with_fleet(
+        fleet: Fleet,
+        seed: u64,
+        routers: usize,
+        bad_parts: u64,
+        bad_rate: u64,
+        trouble: Trouble,
+    ) -> Self {
         let mut model = Self {
+            fleet,
             rng: StdRng::seed_from_u64(seed),
             now_ms: START_MS,
             events: BinaryHeap::new(),
             scheduled: 0,
+            sound_requests: 0,
             streams: Vec::new(),
-            engines: vec![(0, true); ENGINES],
+            engines: vec![(0, true); fleet.engines],
             routers: vec![InterruptedRuns::default(); routers],
             state: StateMachine::default(),
+            leaderless_from: 0,
             leaderless_until: 0,
             restarted_routers: 0,
             restarted_at: 0,
@@ -148,6 +195,8 @@
             crashes: vec![Vec::new(); bad_parts as usize],
             arrivals: vec![Vec::new(); bad_parts as usize],
             shared_tries: Vec::new(),
+            refused_sound: 0,
+            sound_groups: Vec::new(),
         };
         model.schedule(START_MS, Event::SoundRequest);
         for part in 0..bad_parts {
@@ -168,6 +217,21 @@
         self.events.push(Reverse((at_ms, self.scheduled, event)));
     }
 
+    /// Lets a share of the engines crash, within `spread_ms` of this time.
+    pub fn schedule_wave(&mut self, at_ms: u64, engines: usize, spread_ms: u64) {
+        let mut all: Vec<usize> = (0..self.fleet.engines).collect();
+        for _ in 0..engines {
+            let engine = all.swap_remove(self.rng.random_range(0..all.len()));
+            let after = self.rng.random_range(0..=spread_ms);
+            self.schedule(at_ms + after, Event::EngineCrash(engine));
+        }
+    }
+
+    /// Leaves the routers without a leader for this time.
+    pub fn remove_leader(&mut self, from_ms: u64, until_ms: u64) {
+        (self.leaderless_from, self.leaderless_until) = (from_ms, until_ms);
+    }
+
     fn now(&self) -> Instant {
         Instant::from_millis(self.now_ms)
     }
@@ -179,7 +243,8 @@
         }
     }
 
-    fn run(&mut self) {
+    /// Runs until the end.
+    pub fn run(&mut self) {
         while let Some(Reverse((at, _, event))) = self.events.pop()
             && at < END_MS
         {
@@ -191,9 +256,9 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::SoundRequest => {
-                let first = self.rng.random_range(0..FIRST_PARTS);
+                let first = self.choose_first_part();
                 self.start_stream(first, None);
-                self.schedule(self.now_ms + 1_000 / SOUND_RATE, Event::SoundRequest);
+                self.schedule_sound_request();
             }
             Event::BadRequest(part) => {
                 self.start_stream(SHARED_FIRST, Some(part));
@@ -216,12 +281,13 @@
                     self.crash_engine(engine);
                 }
             }
+            Event::EngineCrash(engine) => self.crash_engine(engine),
             Event::ChanceCrash => {
-                let engine = self.rng.random_range(0..ENGINES);
+                let engine = self.rng.random_range(0..self.fleet.engines);
                 self.crash_engine(engine);
                 self.schedule(self.now_ms + 2_000, Event::ChanceCrash);
             }
-            Event::CentreLost => (0..ENGINES)
+            Event::CentreLost => (0..self.fleet.engines)
                 .filter(|e| e % 3 == 0)
                 .for_each(|e| self.crash_engine(e)),
             Event::Restart(engine) => self.engines[engine].1 = true,
@@ -246,12 +312,35 @@
         }
     }
 
+    fn choose_first_part(&mut self) -> u64 {
+        if !self.fleet.is_skewed {
+            return self.rng.random_range(0..FIRST_PARTS);
+        }
+        let weight = |part: u64| 1.0 / (part + SKEW_OFFSET) as f64;
+        let total: f64 = (0..FIRST_PARTS).map(weight).sum();
+        let mut left = self.rng.random_range(0.0..total);
+        for part in 0..FIRST_PARTS {
+            left -= weight(part);
+            if left < 0.0 {
+                return part;
+            }
+        }
+        FIRST_PARTS - 1
+    }
+
+    fn schedule_sound_request(&mut self) {
+        let number = self.sound_requests + 1;
+        self.sound_requests = number;
+        let at = START_MS + number * self.fleet.sound_interval_us / 1_000;
+        self.schedule(at, Event::SoundRequest);
+    }
+
     fn start_stream(&mut self, first_part: u64, bad_part: Option<u64>) {
         let number = self.streams.len();
         // Requests with a part at fault are those of one account.
         let account = match bad_part {
             Some(_) => 0,
-            None => self.rng.random_range(0..ACCOUNTS),
+            None => self.rng.random_range(0..self.fleet.accounts),
         };
         let account = account.to_string();
         let second = FIRST_PARTS + self.rng.random_range(0..SECOND_PARTS);
@@ -286,12 +375,17 @@
         let now = self.now();
         let stream = self.streams[number].clone();
         let verdict = self.routers[stream.router].verdict(now, &stream.traits);
-        let up: Vec<usize> = (0..ENGINES).filter(|e| self.engines[*e].1).collect();
+        let up: Vec<usize> = (0..self.fleet.engines)
+            .filter(|e| self.engines[*e].1)
+            .collect();
         let is_first = stream.sends == 0 && stream.resume_until == 0;
         let begins = verdict == SendVerdict::Send && !up.is_empty();
         if is_first && stream.bad_part.is_none() && stream.first_part == SHARED_FIRST {
             self.shared_tries.push((self.now_ms, begins));
         }
+        if verdict == SendVerdict::Quarantined && stream.bad_part.is_none() {
+            self.refused_sound += 1;
+        }
         if !begins {
             let may_wait = verdict == SendVerdict::Undecided || up.is_empty();
             if may_wait && self.now_ms + RESUME_INTERVAL_MS < stream.resume_until {
@@ -357,7 +451,7 @@
                 &incarnation,
                 wrote,
             );
-            if stream.sends < MAX_SENDS {
+            if stream.sends < self.fleet.max_sends {
                 stream.resume_until = self.now_ms + RESUME_MS;
                 self.schedule(self.now_ms + 1, Event::Send(i));
             }
@@ -375,7 +469,10 @@
 
     fn report_soon(&mut self, router: usize) {
         if self.routers[router].has_unreported_changes() {
-            let at = (self.now_ms + AGREE_MS).max(self.leaderless_until);
+            let mut at = self.now_ms + AGREE_MS;
+            if at >= self.leaderless_from {
+                at = at.max(self.leaderless_until);
+            }
             self.schedule(at, Event::Reported(router));
         }
     }
@@ -387,11 +484,26 @@
         }
         let before = self.state.configuration().suspects();
         apply(&mut self.state, self.now_ms, changes);
+        self.record_sound_groups();
         if self.state.configuration().suspects() != before {
             self.schedule(self.now_ms + LIST_MS, Event::ListKnown);
         }
     }
 
+    /// Notes quarantined groups that no part at fault is in. Its account's part and the contents
+    /// with it are at fault too; the first part that came along may be in its group.
+    fn record_sound_groups(&mut self) {
+        let list = self.state.configuration().suspects();
+        let bad = self.streams.iter().filter(|s| s.bad_part.is_some());
+        let bad: Vec<&RequestTraits> = bad.map(|s| &s.traits).collect();
+        for group in list.quarantined() {
+            let is_known = self.sound_groups.iter().any(|(_, g)| g == group);
+            if !is_known && !bad.iter().any(|traits| traits.contains_all(group)) {
+                self.sound_groups.push((self.now_ms, group.to_vec()));
+            }
+        }
+    }
+
     fn set_list(&mut self, router: usize, list: Arc<SuspectList>) {
         let now = self.now();
         self.routers[router].set_agreed(now, list);
