--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod connectivity;
 mod contracts;
 mod crash_reports;
+mod crash_waves;
 mod cut_bodies;
 mod cut_off_routers;
 mod decisions;
