Bytes that are no answer, at many connections of a router at once: test, known to fail

What callers saw: targets sent bytes without end that were no answer, the router that had called them ran out of memory, and the requests of other clients on that VM ended with it. Each connection is bounded (1 MB without progress); their sum is not.

--- a/crates/deckwind-testkit/src/cut_links.rs
+++ b/crates/deckwind-testkit/src/cut_links.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
@@ -34,6 +34,10 @@
     attempts: BTreeMap<SocketAddr, u64>,
     next_stream: u64,
     wakers: BTreeMap<u64, Waker>,
+    /// Bytes received on each open connection since a request was last written to it.
+    received: BTreeMap<u64, u64>,
+    /// Largest sum of these so far.
+    peak_received: u64,
 }
 
 impl State {
@@ -87,6 +91,19 @@
         self.state().attempts.get(&target).copied().unwrap_or(0)
     }
 
+    /// Largest number of bytes that all open connections together have received since their
+    /// last requests: the receiver holds at most as many of answers that it passes on whole.
+    pub fn peak_received(&self) -> u64 {
+        self.state().peak_received
+    }
+
+    fn record_received(&self, stream: u64, bytes: usize) {
+        let mut state = self.state();
+        *state.received.entry(stream).or_default() += bytes as u64;
+        let sum = state.received.values().sum();
+        state.peak_received = state.peak_received.max(sum);
+    }
+
     async fn wait_until_healed(&self, target: SocketAddr) {
         loop {
             let healed = self.healed.notified();
@@ -166,7 +183,9 @@
 
 impl Drop for CutStream {
     fn drop(&mut self) {
-        self.links.state().wakers.remove(&self.id);
+        let mut state = self.links.state();
+        state.wakers.remove(&self.id);
+        state.received.remove(&self.id);
     }
 }
 
@@ -179,7 +198,13 @@
         match self.check(cx) {
             Some(LinkFault::Reset) => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
             Some(_) => Poll::Pending,
-            None => Pin::new(&mut self.inner).poll_read(cx, buf),
+            None => {
+                let before = buf.filled().len();
+                ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+                self.links
+                    .record_received(self.id, buf.filled().len() - before);
+                Poll::Ready(Ok(()))
+            }
         }
     }
 }
@@ -194,7 +219,10 @@
             Some(LinkFault::Reset) => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
             // The kernel buffers what the network does not deliver.
             Some(_) => Poll::Ready(Ok(buf.len())),
-            None => Pin::new(&mut self.inner).poll_write(cx, buf),
+            None => {
+                self.links.state().received.remove(&self.id);
+                Pin::new(&mut self.inner).poll_write(cx, buf)
+            }
         }
     }
 
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod decisions;
 mod endless_answers;
 mod endless_http2_answers;
+mod endless_memory;
 mod engine_load;
 mod event_splitter;
 mod examples;
