Reports of crashes share commands; the list of suspects is derived beside the log

Callers saw releases that didn't come into force and routers without leases while many engines crashed.

Cause: each router's report was a command, and each apply derived the list of suspects from the whole table on every replica's thread. Each command was urgent, so routers that lacked only the newest list got short leases or none. A report sent again was a command again.

Change: - The leader drops what the table has, gathers the reports of all routers, and proposes one command at a time, 50 ms apart. At most 4,096 changes wait; the oldest reports make room and are answered Busy. - The apply of Suspects records evidence, with indexes for expiry and eviction in place of scans. Rows are shared, so a copy of the table is cheap. - The leader hands a copy out, a thread beside the control thread derives the list, and the leader proposes it (SuspectList) if it differs. A lift takes the trait out in its own apply and voids lists derived before.

Not measured: real processes under load, and the time saved on a control VM.

--- a/crates/deckwind-core/src/control/apply.rs
+++ b/crates/deckwind-core/src/control/apply.rs
@@ -9,7 +9,7 @@
 use super::reply_schedule::Urgency;
 use super::work_log::Work;
 use crate::replication::{Entry, Payload, Position, SnapshotMeta, Term};
-use crate::state::{Command, CommandKind, Reply};
+use crate::state::{Command, Reply};
 use crate::time::Instant;
 
 impl ControlCore {
@@ -80,9 +80,6 @@
         let (kind, started) = (command.body.kind(), self.work.start());
         let reply = self.state_machine.apply(command);
         self.work.stop(Work::Apply(kind), started);
-        if kind == CommandKind::Suspects {
-            self.scan_counts.suspects += self.state_machine.quarantine().len() as u64;
-        }
         let has_changed = self.state_machine.configuration().visible_revision() > before;
         if has_changed && own_urgency == Some(Urgency::Urgent) {
             self.record_urgent(now, entry.at.term);
@@ -106,6 +103,7 @@
                 token,
                 reply: ControlReply::Done,
             }),
+            (Requester::CrashReports, _) => self.answer_crash_reports(&ControlReply::Done, out),
             (Requester::Operator(token, deadline), Reply::Accepted { revision }) => {
                 self.in_force_waits.push(InForceWait {
                     token,
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -3,6 +3,7 @@
 use super::announcement_reports::{AnnouncementBuffer, LastAnnouncements};
 use super::announcements::WaitingAnnouncement;
 use super::demand::DemandTable;
+use super::derivation_schedule::DerivationSchedule;
 use super::engine_load::EngineLoadTable;
 use super::event::{ControlAction, ControlEvent, ControlLimits, DecodeError};
 use super::full_engines::RefusalTable;
@@ -18,6 +19,7 @@
 use super::placement_manager::PlacementManager;
 use super::relay::RequestRelay;
 use super::reply_schedule::RoundSchedule;
+use super::report_buffer::ReportBuffer;
 use super::retry_budget_allocator::RetryBudgetAllocator;
 use super::scan_counts::ScanCounts;
 use super::slow_engines::EnginePaces;
@@ -59,6 +61,8 @@
     pub(super) next_silence_check: Instant,
     /// Time of the next check for outdated suspects.
     pub(super) next_suspect_cleanup: Instant,
+    /// Derivations of the list of suspects.
+    pub(super) derivation: DerivationSchedule,
     /// Urgent changes, which bound the lease of a router that lacks them.
     pub(super) urgent: UrgentChanges,
     /// Load of each router's streams.
@@ -90,6 +94,8 @@
     hard_state: HardState,
     pub(super) leader_state: Option<LeaderState>,
     pub(super) proposals: PendingProposals,
+    /// Reports of crashed runs that wait for their command.
+    pub(super) crash_reports: ReportBuffer,
     pub(super) parked: ParkedRenewals,
     /// Renewals received while no leader was known, oldest first.
     pub(super) renewals_awaiting_leader: VecDeque<ParkedRenewal>,
@@ -159,6 +165,7 @@
             lease_timing,
             leader_state: None,
             proposals: PendingProposals::default(),
+            crash_reports: ReportBuffer::default(),
             parked: ParkedRenewals::default(),
             renewals_awaiting_leader: VecDeque::new(),
             relay: RequestRelay::new(StateRateLimiter::new(limits.state_bytes_per_s, now)),
@@ -283,6 +290,9 @@
                 self.handle_placement_result(now, &incarnation, held, out)
             }
             ControlEvent::Pace { address, percent } => self.handle_pace(now, address, percent, out),
+            ControlEvent::SuspectsDerived(derived) => {
+                self.handle_derived_suspects(now, derived, out)
+            }
             ControlEvent::OrdersDone { target, accepted } => {
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.orders.finished(now, &target, accepted);
@@ -371,6 +381,7 @@
                 watched_upto: Revision::ZERO,
                 next_silence_check: since,
                 next_suspect_cleanup: since,
+                derivation: DerivationSchedule::default(),
                 urgent: UrgentChanges::new(self.last_urgent),
                 engine_load: EngineLoadTable::default(),
                 last_reply_round: BTreeMap::new(),
@@ -390,6 +401,7 @@
         for requester in self.proposals.take_all() {
             self.answer_unknown(requester, out);
         }
+        self.drop_crash_reports(out);
         for parked in self.parked.take_all() {
             self.not_leader(parked.token, out);
         }
@@ -400,7 +412,7 @@
         }
     }
 
-    pub(super) fn answer_unknown(&self, requester: Requester, out: &mut Vec<ControlAction>) {
+    pub(super) fn answer_unknown(&mut self, requester: Requester, out: &mut Vec<ControlAction>) {
         match requester {
             Requester::Router(token) => out.push(ControlAction::Reply {
                 token,
@@ -410,6 +422,7 @@
                 token,
                 reply: OperatorReply::Unknown,
             }),
+            Requester::CrashReports => self.answer_crash_reports(&ControlReply::Unknown, out),
             Requester::Internal => {}
         }
     }
@@ -458,7 +471,10 @@
                 token,
                 reply: OperatorReply::NotLeader { leader },
             }),
-            _ => {}
+            Some(Requester::CrashReports) => {
+                self.answer_crash_reports(&ControlReply::NotLeader { leader }, out);
+            }
+            Some(Requester::Internal) | None => {}
         }
     }
 
--- a/crates/deckwind-core/src/control/event.rs
+++ b/crates/deckwind-core/src/control/event.rs
@@ -10,7 +10,9 @@
 use super::relay_messages::RelayedRequest;
 use super::target_limiter::LimitChange;
 use crate::replication::{Action, Entry, Event, SnapshotMeta};
-use crate::state::{ClaimLimits, Incarnation, LayerRange, TargetName, VmName};
+use crate::state::{
+    ClaimLimits, DerivedSuspects, Incarnation, LayerRange, SuspectEvidence, TargetName, VmName,
+};
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -129,6 +131,8 @@
         /// Layers that the incarnation held afterwards, if known.
         held: Option<LayerRange>,
     },
+    /// List of suspects derived from the evidence of [`ControlAction::DeriveSuspects`].
+    SuspectsDerived(DerivedSuspects),
     /// A request of an operator.
     Operator {
         /// Token returned with the reply.
@@ -184,6 +188,9 @@
         /// Address of the engine.
         address: SocketAddr,
     },
+    /// Derive the list of suspects beside the replica's thread, then report
+    /// [`ControlEvent::SuspectsDerived`].
+    DeriveSuspects(SuspectEvidence),
     /// Forward requests of routers to the leader. The message may be lost.
     ForwardRequests {
         /// Slot of the leader.
--- a/crates/deckwind-core/src/control/maintenance.rs
+++ b/crates/deckwind-core/src/control/maintenance.rs
@@ -57,6 +57,8 @@
         self.propose_retries(now, out);
         self.forget_limits(now);
         self.remove_outdated_suspects(now, out);
+        self.propose_crash_reports(now, out);
+        self.derive_suspects(now, out);
     }
 
     fn issue_orders(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
--- a/crates/deckwind-core/src/control/messages.rs
+++ b/crates/deckwind-core/src/control/messages.rs
@@ -237,6 +237,9 @@
     Done,
     /// Leadership was lost during the request, which may or may not have been executed.
     Unknown,
+    /// The leader has too much to do and did nothing. The request may be sent again after a
+    /// pause.
+    Busy,
 }
 
 /// A one-way message between control replicas.
--- a/crates/deckwind-core/src/control/pending.rs
+++ b/crates/deckwind-core/src/control/pending.rs
@@ -12,6 +12,8 @@
     Router(u64),
     /// An operator, with the token of the request and the time until which it waits.
     Operator(u64, Instant),
+    /// The routers whose reports of crashed runs are in the proposed command.
+    CrashReports,
     /// No sender: the leader made the proposal on its own.
     Internal,
 }
--- a/crates/deckwind-core/src/control/reply_schedule.rs
+++ b/crates/deckwind-core/src/control/reply_schedule.rs
@@ -13,9 +13,10 @@
 pub(super) enum Urgency {
     /// New targets and layers. Requests can be served without them.
     Routine,
-    /// Engines that refuse requests. A request sent to one of them costs a retry.
+    /// Engines that refuse requests, and poison requests. A request sent to such an engine
+    /// costs a retry, and a poison request may crash another target: few more do in this time.
     Soon,
-    /// Releases, keys, targets that are gone or draining, and poison requests. Requests
+    /// Releases, keys, and targets that are gone or draining. Requests
     /// handled on outdated state would fail or must no longer be admitted.
     Urgent,
 }
@@ -25,9 +26,8 @@
     /// informed of it.
     pub fn of(body: &CommandBody) -> Option<Self> {
         match body {
-            CommandBody::Publish(_) | CommandBody::Apply(_) | CommandBody::Suspects(_) => {
-                Some(Self::Urgent)
-            }
+            CommandBody::Publish(_) | CommandBody::Apply(_) => Some(Self::Urgent),
+            CommandBody::Suspects(_) | CommandBody::SuspectList(_) => Some(Self::Soon),
             CommandBody::Instances(changes) => changes.iter().map(instance_change_urgency).max(),
             _ => None,
         }
--- a/crates/deckwind-core/src/control/status.rs
+++ b/crates/deckwind-core/src/control/status.rs
@@ -170,7 +170,9 @@
     }
 
     fn quarantined_views(&self) -> Vec<QuarantinedView> {
-        let quarantined = self.state_machine.quarantine().quarantined(self.wall_ms);
+        let list = self.state_machine.configuration().suspects();
+        let table = self.state_machine.quarantine();
+        let quarantined = table.quarantined(&list, self.wall_ms);
         let view = |group: QuarantinedGroup| QuarantinedView {
             traits: group.traits.iter().map(RequestTrait::to_string).collect(),
             ended: group
@@ -180,7 +182,7 @@
                 .collect(),
             left_ms: group.left_ms,
         };
-        quarantined.map(view).collect()
+        quarantined.into_iter().map(view).collect()
     }
 
     fn replica_views(&self) -> Vec<ReplicaView> {
--- a/crates/deckwind-core/src/state/attribution.rs
+++ b/crates/deckwind-core/src/state/attribution.rs
@@ -147,6 +147,17 @@
         self.was_served = true;
     }
 
+    /// Returns whether the trait was served and has had no crash since.
+    pub(super) fn is_cleared(&self) -> bool {
+        self.was_served && self.crashes.is_empty()
+    }
+
+    /// Returns whether recording a crash would change nothing.
+    pub(super) fn contains(&self, crash: &Crash) -> bool {
+        let known = self.crash_of(&crash.life);
+        known.is_some_and(|known| known.contains_runs(crash) && known.progress <= crash.progress)
+    }
+
     /// Returns whether earlier crashes may have been forgotten.
     fn is_full(&self) -> bool {
         self.crashes.len() >= MAX_ENDS
--- a/crates/deckwind-core/src/state/command.rs
+++ b/crates/deckwind-core/src/state/command.rs
@@ -8,6 +8,7 @@
 use super::quarantine::SuspectChange;
 use super::release::PublishedRelease;
 use super::retry_ledger::RetryChange;
+use super::suspect_list::DerivedSuspects;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -89,6 +90,8 @@
     /// Records request contents that crashed targets or were served. An empty list
     /// only removes expired entries.
     Suspects(Vec<SuspectChange>),
+    /// Replaces the list of suspects for routers, unless a quarantine was lifted meanwhile.
+    SuspectList(DerivedSuspects),
 }
 
 /// Kind of a command, for measurements.
@@ -110,6 +113,8 @@
     Repeats,
     /// Requests that crashed targets.
     Suspects,
+    /// The list of suspects for routers.
+    SuspectList,
 }
 
 impl CommandKind {
@@ -125,6 +130,7 @@
             Self::Instances => "apply_instances",
             Self::Repeats => "apply_repeats",
             Self::Suspects => "apply_suspects",
+            Self::SuspectList => "apply_suspect_list",
         }
     }
 }
@@ -141,6 +147,7 @@
             Self::Instances(_) => CommandKind::Instances,
             Self::Repeats(_) => CommandKind::Repeats,
             Self::Suspects(_) => CommandKind::Suspects,
+            Self::SuspectList(_) => CommandKind::SuspectList,
         }
     }
 }
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -32,6 +32,7 @@
 mod request_trait;
 mod retry_ledger;
 mod state_machine;
+mod suspect_list;
 
 pub use attribution::{Crash, RunKey, RunProgress, Suspect};
 pub use claims::{
@@ -55,7 +56,7 @@
 pub use packed::{PackedDelta, UnpackError};
 pub use quarantine::{
     CrashedRun, MAX_ENDS, QUARANTINE_DURATION_MS, QUARANTINE_THRESHOLD, Quarantine,
-    QuarantinedGroup, SuspectChange, SuspectList,
+    QuarantinedGroup, SuspectChange,
 };
 pub use release::{
     AcceleratorKind, CallerLimits, EngineModel, KeyDigest, KeyHolder, Pool, PoolName,
@@ -67,3 +68,4 @@
     RetryAllowance, RetryAllowanceId, RetryAllowanceKey, RetryChange, RetryLedger,
 };
 pub use state_machine::StateMachine;
+pub use suspect_list::{DerivedSuspects, EvidenceVersion, SuspectEvidence, SuspectList};
--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -12,14 +12,17 @@
 //! and was not served successfully in between, makes its requests be sent to no target
 //! until an hour has passed since its last crash. Which of several traits a crash is
 //! attributed to: `culprits`.
+//!
+//! This table only records the evidence. The list of suspects is derived from a copy of it, see
+//! `suspect_list`.
 
 use super::attribution::{Crash, RunKey, RunProgress, Suspect};
-use super::culprits::culprits;
 use super::incarnations::Incarnation;
-use super::request_trait::{RequestTrait, RequestTraits};
+use super::request_trait::RequestTrait;
+use super::suspect_list::{EvidenceVersion, SuspectEvidence, SuspectList};
 use serde::{Deserialize, Serialize};
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 /// Number of crashed incarnations after which a trait is quarantined: the number of targets
 /// that operators allow a request to crash. Streams that move together from a crashed target
@@ -44,9 +47,6 @@
 /// centre of 500 targets with eight requests each: what many requests share is not reported.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// Maximum number of traits in the list sent to routers, 18 bytes each.
-const MAX_LISTED: usize = 1_024;
-
 /// A run that had just begun when its target crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashedRun {
@@ -62,6 +62,12 @@
     pub progress: RunProgress,
 }
 
+impl CrashedRun {
+    fn crash(&self) -> Crash {
+        Crash::new(self.life.clone(), self.run, self.progress)
+    }
+}
+
 /// An observation of a router, or a decision of an operator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SuspectChange {
@@ -75,23 +81,66 @@
 
 /// All traits at crashes. Kept on control replicas only; routers get the [`SuspectList`].
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Quarantine(BTreeMap<RequestTrait, SuspectRow>);
+#[serde(from = "StoredQuarantine", into = "StoredQuarantine")]
+pub struct Quarantine {
+    /// Shared with the copies from which lists are derived.
+    rows: BTreeMap<RequestTrait, Arc<SuspectRow>>,
+    /// Rows by their number of crashes and the time of the last one. The first is evicted first.
+    by_strength: BTreeSet<(usize, u64, RequestTrait)>,
+    /// Rows by the time at which they expire.
+    by_expiry: BTreeSet<(u64, RequestTrait)>,
+    version: EvidenceVersion,
+    /// Number of times that an operator lifted a quarantine.
+    lifts: u64,
+}
+
+/// The table in snapshots, without its indexes.
+#[derive(Serialize, Deserialize)]
+struct StoredQuarantine {
+    rows: BTreeMap<RequestTrait, Arc<SuspectRow>>,
+    version: EvidenceVersion,
+    lifts: u64,
+}
+
+impl From<Quarantine> for StoredQuarantine {
+    fn from(table: Quarantine) -> Self {
+        Self {
+            rows: table.rows,
+            version: table.version,
+            lifts: table.lifts,
+        }
+    }
+}
+
+impl From<StoredQuarantine> for Quarantine {
+    fn from(stored: StoredQuarantine) -> Self {
+        let mut table = Self {
+            version: stored.version,
+            lifts: stored.lifts,
+            ..Self::default()
+        };
+        for (suspect, row) in stored.rows {
+            table.insert(suspect, row);
+        }
+        table
+    }
+}
 
 /// A suspect, and the time of its last crash.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct SuspectRow {
-    suspect: Suspect,
+pub(super) struct SuspectRow {
+    pub(super) suspect: Suspect,
     /// By the leader's clock, milliseconds since the Unix epoch.
-    last_ms: u64,
+    pub(super) last_ms: u64,
 }
 
 impl SuspectRow {
-    fn is_expired(&self, now_ms: u64) -> bool {
+    fn expires_at_ms(&self) -> u64 {
         let ttl_ms = match self.suspect.reaches_threshold() {
             true => QUARANTINE_DURATION_MS,
             false => SUSPECT_TTL_MS,
         };
-        now_ms.saturating_sub(self.last_ms) >= ttl_ms
+        self.last_ms.saturating_add(ttl_ms)
     }
 }
 
@@ -107,179 +156,189 @@
 }
 
 impl Quarantine {
-    /// Applies changes as of `now_ms` by the leader's clock, after removing expired
-    /// rows.
-    pub(super) fn apply(&mut self, changes: Vec<SuspectChange>, now_ms: u64) {
-        self.0.retain(|_, row| !row.is_expired(now_ms));
+    /// Applies changes as of `now_ms` by the leader's clock, after removing expired rows. Returns
+    /// the traits whose quarantine was lifted. Costs the changes, not the table, but for lifts.
+    pub(super) fn apply(
+        &mut self,
+        changes: Vec<SuspectChange>,
+        now_ms: u64,
+    ) -> BTreeSet<RequestTrait> {
+        self.remove_expired(now_ms);
+        let mut lifted = BTreeSet::new();
         for change in changes {
+            if self.contains(&change) {
+                continue;
+            }
+            self.version = self.version.next();
             match change {
                 SuspectChange::Ended(run) => self.record_crash(run, now_ms),
                 SuspectChange::Served(suspect) => self.clear(suspect),
-                SuspectChange::Lift(suspect) => self.lift(suspect),
+                SuspectChange::Lift(suspect) => lifted.extend(self.lift(suspect)),
+            }
+        }
+        lifted
+    }
+
+    /// Returns whether a change is known already, and would change nothing.
+    pub fn contains(&self, change: &SuspectChange) -> bool {
+        match change {
+            SuspectChange::Ended(run) => self.contains_crash(run),
+            SuspectChange::Served(suspect) => {
+                let row = self.rows.get(suspect);
+                row.is_none_or(|row| row.suspect.is_cleared())
             }
+            SuspectChange::Lift(_) => false,
         }
     }
 
-    /// Returns the row of a trait.
-    fn row(&mut self, suspect: RequestTrait, now_ms: u64) -> &mut SuspectRow {
-        if !self.0.contains_key(&suspect) {
+    fn contains_crash(&self, run: &CrashedRun) -> bool {
+        let crash = run.crash();
+        let is_cleared = |t: &RequestTrait| {
+            let row = self.rows.get(t);
+            row.is_some_and(|row| row.suspect.is_cleared())
+        };
+        let has_crash = |t: &RequestTrait| {
+            let row = self.rows.get(t);
+            row.is_some_and(|row| row.suspect.contains(&crash))
+        };
+        run.served.iter().all(is_cleared) && run.traits.iter().all(has_crash)
+    }
+
+    /// Changes the row of a trait, which is created if there is none.
+    fn update(&mut self, suspect: RequestTrait, now_ms: u64, change: impl FnOnce(&mut SuspectRow)) {
+        let mut row = self.remove(&suspect).unwrap_or_else(|| {
             self.evict_if_full();
+            Arc::new(SuspectRow {
+                suspect: Suspect::default(),
+                last_ms: now_ms,
+            })
+        });
+        change(Arc::make_mut(&mut row));
+        self.insert(suspect, row);
+    }
+
+    fn insert(&mut self, suspect: RequestTrait, row: Arc<SuspectRow>) {
+        let crashes = row.suspect.crashes().len();
+        self.by_strength.insert((crashes, row.last_ms, suspect));
+        self.by_expiry.insert((row.expires_at_ms(), suspect));
+        self.rows.insert(suspect, row);
+    }
+
+    fn remove(&mut self, suspect: &RequestTrait) -> Option<Arc<SuspectRow>> {
+        let row = self.rows.remove(suspect)?;
+        let crashes = row.suspect.crashes().len();
+        self.by_strength.remove(&(crashes, row.last_ms, *suspect));
+        self.by_expiry.remove(&(row.expires_at_ms(), *suspect));
+        Some(row)
+    }
+
+    fn remove_expired(&mut self, now_ms: u64) {
+        while let Some((expires_at_ms, suspect)) = self.by_expiry.first().copied() {
+            if expires_at_ms > now_ms {
+                break;
+            }
+            self.remove(&suspect);
+            self.version = self.version.next();
         }
-        self.0.entry(suspect).or_insert_with(|| SuspectRow {
-            suspect: Suspect::default(),
-            last_ms: now_ms,
-        })
     }
 
     /// Forgets the crashes of a trait.
     fn clear(&mut self, suspect: RequestTrait) {
-        if let Some(row) = self.0.get_mut(&suspect) {
-            row.suspect.clear();
+        if let Some(mut row) = self.remove(&suspect) {
+            Arc::make_mut(&mut row).suspect.clear();
+            self.insert(suspect, row);
         }
     }
 
     fn record_crash(&mut self, run: CrashedRun, now_ms: u64) {
+        let crash = run.crash();
         for served in run.served {
-            self.row(served, now_ms).suspect.clear();
+            self.update(served, now_ms, |row| row.suspect.clear());
         }
         for suspect in run.traits {
-            let row = self.row(suspect, now_ms);
-            let crash = Crash::new(run.life.clone(), run.run, run.progress);
-            if row.suspect.record(crash) {
-                row.last_ms = now_ms;
-            }
+            self.update(suspect, now_ms, |row| {
+                if row.suspect.record(crash.clone()) {
+                    row.last_ms = now_ms;
+                }
+            });
         }
     }
 
     /// Forgets the crashes of a trait, and of all others that have no further ones: they
-    /// would be quarantined in its place.
-    fn lift(&mut self, lifted: RequestTrait) {
-        let Some(lifted) = self.0.remove(&lifted) else {
-            return;
-        };
-        self.0
-            .retain(|_, row| !row.suspect.has_crashes_within(&lifted.suspect));
+    /// would be quarantined in its place. Returns these traits.
+    fn lift(&mut self, lifted: RequestTrait) -> Vec<RequestTrait> {
+        self.lifts += 1;
+        let mut removed = vec![lifted];
+        if let Some(lifted) = self.remove(&lifted) {
+            let rows = self.rows.iter();
+            let within = rows.filter(|(_, row)| row.suspect.has_crashes_within(&lifted.suspect));
+            removed.extend(within.map(|(suspect, _)| *suspect));
+        }
+        for suspect in &removed {
+            self.remove(suspect);
+        }
+        removed
     }
 
     /// If the table is full, removes the trait with the fewest crashes; of several, the one
     /// whose last crash is the oldest.
     fn evict_if_full(&mut self) {
-        if self.0.len() < MAX_SUSPECTS {
+        if self.rows.len() < MAX_SUSPECTS {
             return;
         }
-        let weakest = self
-            .0
-            .iter()
-            .min_by_key(|(_, row)| (row.suspect.crashes().len(), row.last_ms));
-        if let Some(weakest) = weakest.map(|(suspect, _)| *suspect) {
-            self.0.remove(&weakest);
+        if let Some((_, _, weakest)) = self.by_strength.first().copied() {
+            self.remove(&weakest);
         }
     }
 
     /// Returns whether any row has expired. Expired rows are removed by the next
     /// [`SuspectChange`] command.
     pub fn has_expired(&self, now_ms: u64) -> bool {
-        self.0.values().any(|row| row.is_expired(now_ms))
+        let first = self.by_expiry.first();
+        first.is_some_and(|(expires_at_ms, _)| *expires_at_ms <= now_ms)
     }
 
     /// Returns the number of traits at crashes.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.rows.len()
     }
 
     /// Returns whether there are no traits at crashes.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.rows.is_empty()
     }
 
-    fn culprits(&self) -> Vec<Vec<RequestTrait>> {
-        culprits(self.0.iter().map(|(t, row)| (*t, &row.suspect)))
+    /// Returns the version of the evidence, which each change of it increases.
+    pub fn version(&self) -> EvidenceVersion {
+        self.version
     }
 
-    /// Iterates over the quarantined traits, by groups.
-    pub fn quarantined(&self, now_ms: u64) -> impl Iterator<Item = QuarantinedGroup<'_>> {
-        let group = move |traits: Vec<RequestTrait>| {
-            let row = self.0.get(traits.first()?)?;
-            let crashes = row.suspect.crashes().iter();
-            (!row.is_expired(now_ms)).then(|| QuarantinedGroup {
-                traits,
-                ended: crashes.map(Crash::life).collect(),
-                left_ms: (row.last_ms + QUARANTINE_DURATION_MS).saturating_sub(now_ms),
-            })
-        };
-        self.culprits().into_iter().filter_map(group)
+    /// Returns the number of times that an operator lifted a quarantine.
+    pub(super) fn lifts(&self) -> u64 {
+        self.lifts
     }
 
-    /// Returns the list for routers: traits that are quarantined, or would be after one more
-    /// crash. If there are too many, those with the most crashes are listed, and of these
-    /// the most recent ones.
-    pub(super) fn suspect_list(&self) -> SuspectList {
-        let min_ends = QUARANTINE_THRESHOLD - 1;
-        let groups = self.culprits();
-        let culprits: BTreeSet<RequestTrait> = groups.iter().flatten().copied().collect();
-        let is_listed = |t: &RequestTrait, row: &SuspectRow| {
-            let ends = row.suspect.crashes().len();
-            ends >= min_ends && (!row.suspect.reaches_threshold() || culprits.contains(t))
-        };
-        let mut listed: Vec<_> = self.0.iter().filter(|(t, row)| is_listed(t, row)).collect();
-        if listed.len() > MAX_LISTED {
-            listed.sort_by_key(|(_, row)| Reverse((row.suspect.crashes().len(), row.last_ms)));
-            listed.truncate(MAX_LISTED);
-        }
-        let counts: BTreeMap<RequestTrait, u8> = listed
-            .into_iter()
-            .map(|(t, row)| (*t, row.suspect.crashes().len() as u8))
-            .collect();
-        let is_listed = |group: &Vec<RequestTrait>| group.iter().all(|t| counts.contains_key(t));
-        let quarantined = groups.into_iter().filter(is_listed).collect();
-        SuspectList {
-            counts,
-            quarantined,
+    /// Returns a copy from which the list of suspects can be derived. The rows are shared.
+    pub fn evidence(&self) -> SuspectEvidence {
+        let rows = self.rows.iter();
+        SuspectEvidence {
+            version: self.version,
+            lifts: self.lifts,
+            rows: rows.map(|(t, row)| (*t, row.clone())).collect(),
         }
     }
-}
 
-/// Traits that are quarantined, or would be after one more crash.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectList {
-    /// Number of crashes of each trait.
-    counts: BTreeMap<RequestTrait, u8>,
-    /// Groups of traits. Requests with all traits of a group are sent to no target.
-    quarantined: Vec<Vec<RequestTrait>>,
-}
-
-impl SuspectList {
-    /// Returns the number of crashes of a trait; zero if it is not listed. One with a single
-    /// crash is not listed.
-    pub fn crash_count(&self, suspect: &RequestTrait) -> usize {
-        self.counts
-            .get(suspect)
-            .map_or(0, |ends| usize::from(*ends))
-    }
-
-    /// Iterates over the listed traits.
-    pub fn traits(&self) -> impl Iterator<Item = &RequestTrait> {
-        self.counts.keys()
-    }
-
-    /// Iterates over the quarantined groups of traits. Requests with all traits of a group
-    /// are sent to no target.
-    pub fn quarantined(&self) -> impl Iterator<Item = &[RequestTrait]> {
-        self.quarantined.iter().map(Vec::as_slice)
-    }
-
-    /// Returns the quarantined group whose traits a request has, if there is one.
-    pub fn group_of(&self, traits: &RequestTraits) -> Option<&[RequestTrait]> {
-        self.quarantined().find(|group| traits.contains_all(group))
-    }
-
-    /// Returns the number of listed traits.
-    pub fn len(&self) -> usize {
-        self.counts.len()
-    }
-
-    /// Returns whether the list is empty.
-    pub fn is_empty(&self) -> bool {
-        self.counts.is_empty()
+    /// Returns the quarantined traits of the list in force, by groups.
+    pub fn quarantined(&self, list: &SuspectList, now_ms: u64) -> Vec<QuarantinedGroup<'_>> {
+        let group = move |traits: &[RequestTrait]| {
+            let row = self.rows.get(traits.first()?)?;
+            let crashes = row.suspect.crashes().iter();
+            (row.expires_at_ms() > now_ms).then(|| QuarantinedGroup {
+                traits: traits.to_vec(),
+                ended: crashes.map(Crash::life).collect(),
+                left_ms: (row.last_ms + QUARANTINE_DURATION_MS).saturating_sub(now_ms),
+            })
+        };
+        list.quarantined().filter_map(group).collect()
     }
 }
--- a/crates/deckwind-core/src/state/state_machine.rs
+++ b/crates/deckwind-core/src/state/state_machine.rs
@@ -100,9 +100,18 @@
                 Reply::Done
             }
             CommandBody::Suspects(changes) => {
-                self.quarantine.apply(changes, self.clock_ms);
-                self.configuration
-                    .set_suspects(self.quarantine.suspect_list());
+                let lifted = self.quarantine.apply(changes, self.clock_ms);
+                if !lifted.is_empty() {
+                    let list = self.configuration.suspects().without(&lifted);
+                    self.configuration.set_suspects(list);
+                }
+                let revision = self.configuration.revision();
+                Reply::Accepted { revision }
+            }
+            CommandBody::SuspectList(derived) => {
+                if derived.lifts == self.quarantine.lifts() {
+                    self.configuration.set_suspects(derived.list);
+                }
                 let revision = self.configuration.revision();
                 Reply::Accepted { revision }
             }
--- /dev/null
+++ b/crates/deckwind-core/src/state/suspect_list.rs
@@ -0,0 +1,159 @@
+//! List of suspects that routers get, derived from the evidence of the `quarantine` table.
+//!
+//! ```text
+//!  table ──copy──► derive, beside the replica's thread ──► command of the leader ──► in force
+//!    ▲                                                        │
+//!    └── reports of crashes, lifts ── a lift since the copy: the command is ignored ──┘
+//! ```
+//!
+//! Deriving costs the whole table, so it is done once for all reports of some time and by the
+//! leader only. The other replicas store its result.
+
+use super::attribution::Suspect;
+use super::culprits::culprits;
+use super::quarantine::{QUARANTINE_THRESHOLD, SuspectRow};
+use super::request_trait::{RequestTrait, RequestTraits};
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Maximum number of traits in the list sent to routers, 18 bytes each.
+const MAX_LISTED: usize = 1_024;
+
+/// Version of the evidence on crashes. Replicas that have applied the same commands have the
+/// same one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EvidenceVersion(u64);
+
+impl EvidenceVersion {
+    pub(super) fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// A copy of the evidence on crashes, cheap to make.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectEvidence {
+    pub(super) version: EvidenceVersion,
+    pub(super) lifts: u64,
+    pub(super) rows: Vec<(RequestTrait, Arc<SuspectRow>)>,
+}
+
+/// A list of suspects and the evidence that it was derived from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DerivedSuspects {
+    /// Version of the evidence.
+    pub version: EvidenceVersion,
+    /// Number of lifts by operators in the evidence. After a further one the list is void, as it
+    /// may contain what was lifted.
+    pub lifts: u64,
+    /// The list.
+    pub list: SuspectList,
+}
+
+impl SuspectEvidence {
+    /// Returns the number of traits.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether there are no traits.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Derives the list for routers: traits that are quarantined, or would be after one more
+    /// crash. If there are too many, those with the most crashes are listed, and of these
+    /// the most recent ones.
+    pub fn derive(&self) -> DerivedSuspects {
+        DerivedSuspects {
+            version: self.version,
+            lifts: self.lifts,
+            list: self.list(),
+        }
+    }
+
+    fn list(&self) -> SuspectList {
+        let min_ends = QUARANTINE_THRESHOLD - 1;
+        let groups = culprits(self.rows.iter().map(|(t, row)| (*t, &row.suspect)));
+        let culprits: BTreeSet<RequestTrait> = groups.iter().flatten().copied().collect();
+        let is_listed = |(t, row): &&(RequestTrait, Arc<SuspectRow>)| {
+            let ends = row.suspect.crashes().len();
+            ends >= min_ends && (!row.suspect.reaches_threshold() || culprits.contains(t))
+        };
+        let mut listed: Vec<_> = self.rows.iter().filter(is_listed).collect();
+        if listed.len() > MAX_LISTED {
+            listed.sort_by_key(|(_, row)| Reverse((count(&row.suspect), row.last_ms)));
+            listed.truncate(MAX_LISTED);
+        }
+        let listed = listed.into_iter();
+        let counts: BTreeMap<RequestTrait, u8> =
+            listed.map(|(t, row)| (*t, count(&row.suspect))).collect();
+        let is_listed = |group: &Vec<RequestTrait>| group.iter().all(|t| counts.contains_key(t));
+        let quarantined = groups.into_iter().filter(is_listed).collect();
+        SuspectList {
+            counts,
+            quarantined,
+        }
+    }
+}
+
+/// Returns the number of crashes of a trait, of which few are recorded.
+fn count(suspect: &Suspect) -> u8 {
+    suspect.crashes().len() as u8
+}
+
+/// Traits that are quarantined, or would be after one more crash.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectList {
+    /// Number of crashes of each trait.
+    counts: BTreeMap<RequestTrait, u8>,
+    /// Groups of traits. Requests with all traits of a group are sent to no target.
+    quarantined: Vec<Vec<RequestTrait>>,
+}
+
+impl SuspectList {
+    /// Returns the number of crashes of a trait; zero if it is not listed. One with a single
+    /// crash is not listed.
+    pub fn crash_count(&self, suspect: &RequestTrait) -> usize {
+        self.counts
+            .get(suspect)
+            .map_or(0, |ends| usize::from(*ends))
+    }
+
+    /// Iterates over the listed traits.
+    pub fn traits(&self) -> impl Iterator<Item = &RequestTrait> {
+        self.counts.keys()
+    }
+
+    /// Iterates over the quarantined groups of traits. Requests with all traits of a group
+    /// are sent to no target.
+    pub fn quarantined(&self) -> impl Iterator<Item = &[RequestTrait]> {
+        self.quarantined.iter().map(Vec::as_slice)
+    }
+
+    /// Returns the quarantined group whose traits a request has, if there is one.
+    pub fn group_of(&self, traits: &RequestTraits) -> Option<&[RequestTrait]> {
+        self.quarantined().find(|group| traits.contains_all(group))
+    }
+
+    /// Returns the list without these traits, and without the groups of which one of them is.
+    pub(super) fn without(&self, traits: &BTreeSet<RequestTrait>) -> Self {
+        let mut list = self.clone();
+        list.counts.retain(|t, _| !traits.contains(t));
+        list.quarantined
+            .retain(|group| !group.iter().any(|t| traits.contains(t)));
+        list
+    }
+
+    /// Returns the number of listed traits.
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Returns whether the list is empty.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+}
--- a/crates/deckwind-testkit/src/simulated_network.rs
+++ b/crates/deckwind-testkit/src/simulated_network.rs
@@ -99,6 +99,10 @@
                 Some(Requester::Operator(_)) | None => {}
             },
             Effect::Order(batch) => self.send_orders(slot, batch),
+            Effect::DeriveSuspects(evidence) => {
+                let event = ControlEvent::SuspectsDerived(evidence.derive());
+                self.nodes[slot].inbox.push(event);
+            }
             // The simulated targets hold no layers and never fail.
             Effect::Place(_)
             | Effect::Check(..)
--- a/crates/deckwind-testkit/tests/testsuite/quarantine.rs
+++ b/crates/deckwind-testkit/tests/testsuite/quarantine.rs
@@ -28,9 +28,12 @@
     Incarnation::from(name)
 }
 
+/// Applies changes, and then the list that is derived from them.
 pub fn apply(machine: &mut StateMachine, at_ms: u64, changes: Vec<SuspectChange>) {
     let body = CommandBody::Suspects(changes);
     machine.apply(Command { at_ms, body });
+    let body = CommandBody::SuspectList(machine.quarantine().evidence().derive());
+    machine.apply(Command { at_ms, body });
 }
 
 /// Returns the crash of an incarnation that had just begun to run a request with this content.
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -9,6 +9,7 @@
 use super::peers::Senders;
 use super::placement_task;
 use super::retry_metrics::RetryMetrics;
+use super::suspect_derivation;
 use super::target_check;
 use super::{engine_pace, orders};
 use crate::context::{Context, announce_interval};
@@ -226,6 +227,7 @@
                 is_running,
             },
             Input::Pace(address, percent) => ControlEvent::Pace { address, percent },
+            Input::SuspectsDerived(derived) => ControlEvent::SuspectsDerived(derived),
             Input::Seeds(slots) => {
                 ControlEvent::Replica(Event::SeedsChanged(slots.into_iter().collect()))
             }
@@ -261,6 +263,9 @@
                     engine_pace::query(address, dialect, connections, self.handle.clone());
                 self.runtime.spawn(querying);
             }
+            Effect::DeriveSuspects(evidence) => {
+                suspect_derivation::derive(&self.runtime, evidence, self.handle.clone());
+            }
             Effect::Place(order) => {
                 let placing = placement_task::place(
                     order,
--- a/crates/deckwindd/src/control/handle.rs
+++ b/crates/deckwindd/src/control/handle.rs
@@ -4,7 +4,7 @@
 use deckwind_core::control::{
     AnnouncementReport, OperatorReply, OperatorRequest, RelayedReplies, RelayedRequests,
 };
-use deckwind_core::state::{Incarnation, LayerRange, TargetName};
+use deckwind_core::state::{DerivedSuspects, Incarnation, LayerRange, TargetName};
 use deckwind_wire::{ControlReply, ControlRequest, Message};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -29,6 +29,8 @@
     Checked(Incarnation, bool),
     /// Pace that an engine reported, in hundredths of the usual time.
     Pace(SocketAddr, u32),
+    /// List of suspects, derived from the evidence that this replica handed out.
+    SuspectsDerived(DerivedSuspects),
     /// Requests of routers that another replica forwarded.
     PassedOn(RelayedRequests),
     /// The leader's answers to requests that this replica forwarded.
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -23,6 +23,7 @@
 mod refusals;
 mod retry_metrics;
 mod supervisor;
+mod suspect_derivation;
 pub mod target_check;
 mod work_times;
 
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -18,7 +18,7 @@
 };
 use deckwind_core::membership::LeaseTiming;
 use deckwind_core::replication::{Action, Body, Event, MemberDecision, Position, ReplicaConfig};
-use deckwind_core::state::Incarnation;
+use deckwind_core::state::{Incarnation, SuspectEvidence};
 use deckwind_core::time::Instant;
 use deckwind_store::{OpenedStore, Store};
 use deckwind_wire::{ControlReply, Message};
@@ -54,6 +54,8 @@
     LogMemberDecision(MemberDecision),
     /// Query the pace of an engine.
     ProbePace(SocketAddr),
+    /// Derive the list of suspects from this evidence, beside the replica's thread.
+    DeriveSuspects(SuspectEvidence),
 }
 
 /// The time of a batch.
@@ -228,6 +230,9 @@
             ControlAction::ReportAnnouncements { slot, heard } => {
                 effects.push(Effect::ReportAnnouncements(slot, heard));
             }
+            ControlAction::DeriveSuspects(evidence) => {
+                effects.push(Effect::DeriveSuspects(evidence));
+            }
             ControlAction::Place(order) => effects.push(Effect::Place(order)),
             _ => {}
         }
--- a/crates/deckwindd/src/control/peers.rs
+++ b/crates/deckwindd/src/control/peers.rs
@@ -179,6 +179,9 @@
         ControlReply::Granted(_) => "lease",
         ControlReply::NotLeader { .. } | ControlReply::AskAgain => "not_leader",
         ControlReply::Permits(_) => "permits",
-        ControlReply::Claim(_) | ControlReply::Done | ControlReply::Unknown => "claim",
+        ControlReply::Claim(_)
+        | ControlReply::Done
+        | ControlReply::Unknown
+        | ControlReply::Busy => "claim",
     }
 }
--- a/crates/deckwindd/src/control/work_times.rs
+++ b/crates/deckwindd/src/control/work_times.rs
@@ -191,6 +191,7 @@
         ControlEvent::Operator { .. } => "call",
         ControlEvent::OrdersDone { .. } | ControlEvent::Checked { .. } => "orders",
         ControlEvent::Pace { .. } => "pace",
+        ControlEvent::SuspectsDerived(_) => "suspects",
     }
 }
 
