Routers ask for a leader with growing pauses of random length

Callers saw leaders deposed one after the other. Whoever was elected got the reports of all routers in its first batches.

Cause: a request that found no leader was sent again each 50 ms, and a report without an answer in 2 s was sent again at once. All routers do so at the same moments. Changes that were dropped for want of room left no trace.

Evidence: the record (cut_runs_not_told changes=91 each 2.0 s); read in the code. backoffs::* test the pauses. The effect on a cluster was not measured.

Change: core::backoff, pure and seeded: pauses from 50 to 400 ms between tries of a request (claims, outcomes, permits, reports), of 0.25 to 2 s between reports of crashes, with a random half.

--- a/crates/deckwind-core/src/lib.rs
+++ b/crates/deckwind-core/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 pub mod admission;
+pub mod backoff;
 pub mod burn;
 pub mod control;
 pub mod membership;
--- a/crates/deckwind-core/src/routes/interrupted_runs.rs
+++ b/crates/deckwind-core/src/routes/interrupted_runs.rs
@@ -132,6 +132,8 @@
     /// The agreed list of suspects.
     agreed: Arc<SuspectList>,
     unreported: VecDeque<SuspectChange>,
+    /// Number of changes that were dropped, as too many were not reported.
+    dropped_changes: u64,
 }
 
 fn push_bounded<T>(queue: &mut VecDeque<T>, value: T) {
@@ -162,6 +164,7 @@
             served: HashMap::new(),
             agreed: Arc::default(),
             unreported: VecDeque::new(),
+            dropped_changes: 0,
         }
     }
 
@@ -243,7 +246,7 @@
             let had_crashes = self.own_crashes.remove(served).is_some();
             had_own_crashes |= had_crashes;
             if had_crashes || self.agreed.crash_count(served) > 0 {
-                push_bounded(&mut self.unreported, SuspectChange::Served(*served));
+                self.push_unreported(SuspectChange::Served(*served));
             }
         }
         self.pending.retain(|run| !run.traits.is_empty());
@@ -351,7 +354,7 @@
             traits: reported,
             ..run
         };
-        push_bounded(&mut self.unreported, SuspectChange::Ended(run));
+        self.push_unreported(SuspectChange::Ended(run));
     }
 
     /// Finds the traits that this router's own crashes suffice to quarantine.
@@ -392,7 +395,7 @@
         let served = increased.filter(|t| self.is_exempt(now, t));
         let served: Vec<RequestTrait> = served.copied().collect();
         for suspect in served {
-            push_bounded(&mut self.unreported, SuspectChange::Served(suspect));
+            self.push_unreported(SuspectChange::Served(suspect));
         }
     }
 
@@ -484,15 +487,29 @@
         }
     }
 
-    /// Queues changes again that could not be delivered to the leader.
+    /// Queues changes again that could not be delivered to the leader. If there are too many,
+    /// the oldest ones are dropped.
     pub fn requeue(&mut self, news: Vec<SuspectChange>) {
         for change in news.into_iter().rev() {
             if self.unreported.len() < MAX_ENTRIES {
                 self.unreported.push_front(change);
+            } else {
+                self.dropped_changes += 1;
             }
         }
     }
 
+    fn push_unreported(&mut self, change: SuspectChange) {
+        self.dropped_changes += u64::from(self.unreported.len() >= MAX_ENTRIES);
+        push_bounded(&mut self.unreported, change);
+    }
+
+    /// Takes the number of changes that were dropped since the last call, as too many were not
+    /// reported.
+    pub fn take_dropped_changes(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped_changes)
+    }
+
     fn is_exempt(&self, now: Instant, suspect: &RequestTrait) -> bool {
         let at = self.served.get(suspect);
         at.is_some_and(|at| now.since(*at) < SERVED_EXEMPTION)
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod at_size;
 mod attempt_results;
 mod attempted_targets;
+mod backoffs;
 mod body_ends;
 mod bystanders;
 mod caller_bodies;
--- a/crates/deckwindd/src/router/control_client.rs
+++ b/crates/deckwindd/src/router/control_client.rs
@@ -2,6 +2,7 @@
 
 use crate::context::Context;
 use anyhow::{Result, bail};
+use deckwind_core::backoff::{Backoff, BackoffLimits};
 use deckwind_core::membership::ReplicaChoice;
 use deckwind_net::quic::QuicPeer;
 use deckwind_wire::{ControlReply, ControlRequest, decode, encode};
@@ -9,8 +10,14 @@
 use std::time::Duration;
 use tokio::task::JoinSet;
 
-/// Delay before a request is retried after a replica failed to answer or found no leader.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Pauses before a request is sent again after a replica failed to answer or found no leader.
+/// Replicas refuse a request at once while they know no leader. The longest pause is that of an
+/// election: it is what a request may wait in vain once a leader is back.
+const REQUEST_BACKOFF: BackoffLimits = BackoffLimits {
+    first: Duration::from_millis(50),
+    factor: 2,
+    max: Duration::from_millis(400),
+};
 
 /// Timeout of one replica's answer to a renewal. It is longer than replicas hold a renewal
 /// open, and shorter than a lease, so that another replica can still be asked.
@@ -218,6 +225,7 @@
     /// Fails if no leader answers in time.
     pub async fn ask(&self, request: &ControlRequest, timeout: Duration) -> Result<ControlReply> {
         let request = encode(request);
+        let mut backoff = Backoff::new(REQUEST_BACKOFF, rand::random());
         let attempts = async {
             loop {
                 match self.ask_once(&request, REQUEST_TIMEOUT).await {
@@ -227,7 +235,7 @@
                         | ControlReply::Unknown,
                     )
                     | Err(_) => {
-                        tokio::time::sleep(RETRY_DELAY).await;
+                        tokio::time::sleep(backoff.next_pause()).await;
                     }
                     Ok(reply) => return reply,
                 }
--- a/crates/deckwindd/src/router/routes/poison_requests.rs
+++ b/crates/deckwindd/src/router/routes/poison_requests.rs
@@ -3,6 +3,7 @@
 //! them.
 
 use crate::router::shared::RouterShared;
+use deckwind_core::backoff::{Backoff, BackoffLimits};
 use deckwind_core::control::CutReport;
 use deckwind_core::routes::{InterruptedRuns, SendVerdict};
 use deckwind_core::state::{Incarnation, RequestTrait, RequestTraits, SuspectChange, SuspectList};
@@ -13,10 +14,18 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Timeout of a report to the leader. After it the report is sent again, together with
-/// later changes.
+/// Timeout of a report to the leader. After it, and a pause, the report is sent again, together
+/// with later changes.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Pauses after reports without an answer. Until the leader has its reports, a router acts on
+/// crashes that it saw itself.
+const REPORT_BACKOFF: BackoffLimits = BackoffLimits {
+    first: Duration::from_millis(250),
+    factor: 2,
+    max: Duration::from_secs(2),
+};
+
 /// Time over which interrupted runs are collected into one report: all streams of an
 /// engine break off together.
 const BATCH_WINDOW: Duration = Duration::from_millis(5);
@@ -152,13 +161,25 @@
             self.report_due.notified().await;
             tokio::time::sleep(BATCH_WINDOW).await;
             let broke = std::mem::take(&mut *self.broken_targets.lock().expect("no holder panics"));
-            let changes = self.runs().take_unreported_changes();
+            let changes = self.take_changes();
             if !(broke.is_empty() && changes.is_empty()) {
                 return CutReport { broke, changes };
             }
         }
     }
 
+    fn take_changes(&self) -> Vec<SuspectChange> {
+        let mut runs = self.runs();
+        let dropped = runs.take_dropped_changes();
+        let changes = runs.take_unreported_changes();
+        drop(runs);
+        if dropped > 0 {
+            metrics::counter!("deckwind_route_crash_reports_dropped_total").increment(dropped);
+            log::warn!("event=cut_runs_dropped changes={dropped} why=\"too many not reported\"");
+        }
+        changes
+    }
+
     /// Records that the leader has agreed on these changes.
     fn record_agreed(&self, now: Instant, changes: &[SuspectChange]) {
         self.runs().record_agreed(now, changes);
@@ -189,6 +210,7 @@
 
 /// Reports interrupted runs to the leader in an endless loop.
 pub async fn report_interrupted_runs(shared: Arc<RouterShared>) {
+    let mut backoff = Backoff::new(REPORT_BACKOFF, rand::random());
     loop {
         let report = shared.routes.poison_requests.next_report().await;
         let request = ControlRequest::CutRuns(report.clone());
@@ -196,12 +218,16 @@
         let poison_requests = &shared.routes.poison_requests;
         if matches!(asked, Ok(ControlReply::Done)) {
             poison_requests.record_agreed(shared.clock.now(), &report.changes);
+            backoff.reset();
             continue;
         }
+        let pause = backoff.next_pause();
         log::warn!(
-            "event=cut_runs_not_told changes={} answer={asked:?}",
-            report.changes.len()
+            "event=cut_runs_not_told changes={} answer={asked:?} pause_ms={}",
+            report.changes.len(),
+            pause.as_millis()
         );
         poison_requests.requeue(report.changes);
+        tokio::time::sleep(pause).await;
     }
 }
