--- a/crates/deckwind-core/src/control/apply.rs
+++ b/crates/deckwind-core/src/control/apply.rs
@@ -9,7 +9,7 @@
 use super::reply_schedule::Urgency;
 use super::work_log::{Work, WorkUnit};
 use crate::replication::{Entry, Payload, Position, SnapshotMeta, Term};
-use crate::state::{Command, CommandKind, Reply};
+use crate::state::{Command, Reply};
 use crate::time::Instant;
 
 impl ControlCore {
@@ -81,11 +81,6 @@
         let reply = self.state_machine.apply(command);
         self.work.stop(Work::Apply(kind), started);
         self.work.count(WorkUnit::Entry, 1);
-        if kind == CommandKind::Suspects {
-            let rows = self.state_machine.quarantine().len() as u64;
-            self.scan_counts.suspects += rows;
-            self.work.count(WorkUnit::SuspectRow, rows);
-        }
         let has_changed = self.state_machine.configuration().visible_revision() > before;
         if has_changed && own_urgency == Some(Urgency::Urgent) {
             self.record_urgent(now, entry.at.term);
@@ -109,6 +104,7 @@
                 token,
                 reply: ControlReply::Done,
             }),
+            (Requester::CrashReports, _) => self.answer_crash_reports(&ControlReply::Done, out),
             (Requester::Operator(token, deadline), Reply::Accepted { revision }) => {
                 self.in_force_waits.push(InForceWait {
                     token,
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod at_size_checks;
 mod attempt_results;
 mod attempted_targets;
+mod backoffs;
 mod body_ends;
 mod busy_leaders;
 mod bystanders;
