--- a/crates/deckwind-testkit/src/at_size/checks.rs
+++ b/crates/deckwind-testkit/src/at_size/checks.rs
@@ -109,6 +109,10 @@
     LeaseLost,
     /// Traits were quarantined that no request has on which engines crash.
     SoundQuarantined,
+    /// A valid change had no clear answer until its operator gave it up.
+    NotAcknowledged,
+    /// A change was not in force at all routers in time although control was calm.
+    NotInForce,
     /// Few requests were served while engines crashed and control was calm.
     FewServed,
 }
--- a/crates/deckwind-testkit/src/at_size/control_log.rs
+++ b/crates/deckwind-testkit/src/at_size/control_log.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, SystemTime};
 
 /// Events that are read.
-pub const EVENTS: [&str; 8] = [
+pub const EVENTS: [&str; 9] = [
     "role",
     "deposed",
     "leader_silent",
@@ -13,6 +13,7 @@
     "long_batch",
     "lease_lost",
     "quarantined",
+    "release_in_force",
 ];
 
 /// A line of a process's log.
--- a/crates/deckwind-testkit/src/at_size/control_report.rs
+++ b/crates/deckwind-testkit/src/at_size/control_report.rs
@@ -1,8 +1,9 @@
 //! Checks of what the control plane did in one run.
 
-use super::checks::{Finding, Violation};
+use super::checks::{Change, Finding, Violation};
 use super::control_log::{LeaderLoad, LogLine};
 use super::faults::FaultKind;
+use super::in_force;
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
@@ -68,6 +69,12 @@
     pub traits_at_fault: &'a HashSet<String>,
     /// Time at which each request was first sent, and whether it was served.
     pub requests: &'a [(Duration, bool)],
+    /// Changes of the release.
+    pub changes: &'a [Change],
+    /// Number of routers.
+    pub routers: usize,
+    /// End of the run's faults and requests.
+    pub until: Duration,
 }
 
 impl ControlRecords<'_> {
@@ -75,7 +82,8 @@
         self.lines.iter().filter(move |l| l.event() == event)
     }
 
-    fn is_calm(&self, at: Duration) -> bool {
+    /// Whether no fault of a replica or router is felt at this time.
+    pub(super) fn is_calm(&self, at: Duration) -> bool {
         let mut faults = self.faults.iter();
         !faults.any(|f| f.may_lose_leases() && f.is_felt(at))
     }
@@ -168,6 +176,7 @@
         sound
             .iter()
             .for_each(|l| fail(Violation::SoundQuarantined, l));
+        findings.extend(in_force::check(records));
         let served = records.served();
         if served.0 >= MIN_REQUESTS && (served.1 as f64) < served.0 as f64 * MIN_SERVED_SHARE {
             findings.push(Finding::new(Violation::FewServed, served));
--- a/crates/deckwind-testkit/src/at_size/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/mod.rs
@@ -12,6 +12,7 @@
 mod control_report;
 mod cpu_quota;
 mod faults;
+mod in_force;
 mod operator;
 mod operator_report;
 mod probes;
@@ -199,6 +200,7 @@
         injected.push((from, started.elapsed(), fault));
         tokio::time::sleep(fault.pause).await;
     }
+    let ended = started.elapsed();
     deployment.callers.stop();
     load_generator
         .await
@@ -209,7 +211,10 @@
         None => None,
     };
     announcer.abort();
-    let mut report = deployment.report(start, &injected)?;
+    let changes = operator_report
+        .as_ref()
+        .map_or(Vec::new(), |o| o.sent_changes());
+    let mut report = deployment.report(start, ended, &injected, &changes)?;
     report.operator = operator_report;
     report.processors = deployment.quota.take().map_or(Vec::new(), CpuQuota::close);
     Ok(report)
@@ -335,7 +340,9 @@
     fn report(
         &self,
         start: RunStart,
+        ended: Duration,
         injected: &[(Duration, Duration, FaultEvent)],
+        changes: &[Change],
     ) -> Result<Report> {
         let budget = RetryBudget {
             share: self.size.retry_budget.0,
@@ -373,7 +380,7 @@
             answer_errors: self.callers.answer_errors(),
             faults: injected.iter().map(|(from, _, f)| (*from, *f)).collect(),
             operator: None,
-            control: self.control_report(start, injected)?,
+            control: self.control_report(start, ended, injected, changes)?,
             processors: Vec::new(),
         })
     }
@@ -381,7 +388,9 @@
     fn control_report(
         &self,
         start: RunStart,
+        ended: Duration,
         injected: &[(Duration, Duration, FaultEvent)],
+        changes: &[Change],
     ) -> Result<ControlReport> {
         let lines = self.processes.lines("event=")?;
         let lines: Vec<LogLine> = lines
@@ -408,6 +417,9 @@
             faults: &faults,
             traits_at_fault: &self.callers.traits_at_fault(),
             requests: &requests,
+            changes,
+            routers: self.routers.len(),
+            until: ended,
         }))
     }
 }
--- a/crates/deckwind-testkit/src/at_size/operator/mod.rs
+++ b/crates/deckwind-testkit/src/at_size/operator/mod.rs
@@ -10,7 +10,8 @@
 use super::size::Size;
 use bytes::Bytes;
 use client::{CALL_TIMEOUT, OperatorClient};
-use drafts::{CHANGE_KINDS, ChangeKind, Defect, Draft, FIRST_VERSION};
+pub use drafts::FIRST_VERSION;
+use drafts::{CHANGE_KINDS, ChangeKind, Defect, Draft};
 use http::StatusCode;
 pub use paths::ProbePaths;
 use rand::RngExt;
@@ -32,7 +33,7 @@
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Time after which an operator gives a change up.
-const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
+pub const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
 
 /// Number of calls in progress at the same time.
 const MAX_CALLS: usize = 8;
--- a/crates/deckwind-testkit/src/at_size/operator_report.rs
+++ b/crates/deckwind-testkit/src/at_size/operator_report.rs
@@ -4,6 +4,7 @@
     Change, Finding, History, Probe, Reading, ReleaseBounds, ServedShare, ShownVersions, Spread,
     Violation,
 };
+use super::operator::FIRST_VERSION;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -80,6 +81,15 @@
         }
     }
 
+    /// Returns the changes of the operator, with those that were refused or have no clear
+    /// answer, without the release that the run started with.
+    pub fn sent_changes(&self) -> Vec<Change> {
+        let taken = self.changes.iter().map(|(change, _)| change);
+        let all = taken.chain(&self.others);
+        let sent = all.filter(|c| c.release.version >= FIRST_VERSION);
+        sent.cloned().collect()
+    }
+
     /// Number of failed checks by kind.
     pub fn counts(&self) -> BTreeMap<Violation, usize> {
         let mut counts = BTreeMap::new();
--- a/crates/deckwind-testkit/tests/testsuite/at_size_checks.rs
+++ b/crates/deckwind-testkit/tests/testsuite/at_size_checks.rs
@@ -2,7 +2,8 @@
 //! which check, and the quota of processor time. No deployment is started.
 
 use deckwind_testkit::at_size::{
-    ControlRecords, ControlReport, CpuQuota, FaultKind, InjectedFault, LogLine, Violation,
+    Change, ControlRecords, ControlReport, CpuQuota, FaultKind, InjectedFault, LogLine, Release,
+    Violation,
 };
 use deckwind_testkit::{Layout, Processes};
 use std::collections::HashSet;
@@ -44,6 +45,9 @@
         faults,
         traits_at_fault: &HashSet::from([TRAIT_AT_FAULT.to_string()]),
         requests,
+        changes: &[],
+        routers: 2,
+        until: Duration::from_secs(60),
     })
 }
 
@@ -114,6 +118,54 @@
     assert_eq!(check(&[], &killed, &requests).served, (0, 0));
 }
 
+fn change(acknowledged_s: Option<u64>, refused: Option<u16>) -> Change {
+    Change {
+        kind: "Move".to_string(),
+        release: Release::without_probes(1_007),
+        is_valid: true,
+        sent: Duration::from_secs(10),
+        acknowledged: acknowledged_s.map(|s| (Duration::from_secs(s), 0)),
+        refused,
+        refused_again: None,
+        calls: 1,
+    }
+}
+
+/// Guards against changes that come into force late, or are never answered, in a run that
+/// fails no check: routers that refuse requests don't show which release they have.
+#[parameterized(
+    in_time_at_both_routers = { Some(11), None, &[13, 14], FaultKind::EnginesEnd, None },
+    late_at_one = { Some(11), None, &[13, 15], FaultKind::EnginesEnd, Some(Violation::NotInForce) },
+    never_at_one = { Some(11), None, &[13], FaultKind::EnginesEnd, Some(Violation::NotInForce) },
+    late_after_a_killed_leader = { Some(11), None, &[15, 15], FaultKind::LeaderKilled, None },
+    no_clear_answer = { None, None, &[], FaultKind::EnginesEnd, Some(Violation::NotAcknowledged) },
+    no_answer_after_a_killed_leader = { None, None, &[], FaultKind::LeaderKilled, Some(Violation::NotAcknowledged) },
+    no_answer_while_all_are_down = { None, None, &[], FaultKind::AllControlKilled, None },
+    refused = { None, Some(409), &[], FaultKind::EnginesEnd, None },
+)]
+fn a_change_comes_into_force_in_time(
+    acknowledged_s: Option<u64>,
+    refused: Option<u16>,
+    in_force_s: &[u64],
+    kind: FaultKind,
+    violation: Option<Violation>,
+) {
+    let applied = "event=release_in_force version=1008 revision=44";
+    let lines = in_force_s.iter().enumerate();
+    let lines = lines.filter_map(|(i, s)| line(&format!("router-{i}"), *s, applied));
+    let report = ControlReport::of(&ControlRecords {
+        lines: &lines.collect::<Vec<_>>(),
+        faults: &[fault(kind, 9, 12)],
+        traits_at_fault: &HashSet::new(),
+        requests: &[],
+        changes: &[change(acknowledged_s, refused)],
+        routers: 2,
+        until: Duration::from_secs(60),
+    });
+    let found: Vec<Violation> = report.findings.iter().map(|f| f.violation).collect();
+    assert_eq!(found, Vec::from_iter(violation), "{report:?}");
+}
+
 /// Guards against lines of the leader's load that are read as other shares than they say.
 #[test]
 fn the_leaders_time_is_added_up() {
