Bound what a process holds of all answers of targets together

What callers saw: targets that sent bytes without end which were no answer used up the memory of the VM that had called them; the requests of other clients there ended with it.

Cause: each connection was bounded (1 MB without progress, 16 MB of a whole answer), their sum was not. Open events of streams, up to 1 MB each, were in no count; neither were heads, nor answers to calls of our own. Collected answers were counted, but at the bound whichever asked next failed, also a small one of another client.

Change: net::targets::ReceiveBudget, one a process, 12.5 % of the VM's memory. Counted are heads, the library's buffers, collected bodies and open events. Log line, counter.

--- a/crates/deckwind-core/src/routes/events.rs
+++ b/crates/deckwind-core/src/routes/events.rs
@@ -9,6 +9,9 @@
 /// parts.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Size to which the buffer shrinks again after a long event: most events are shorter.
+const SPARE_BYTES: usize = 4 << 10;
+
 /// Byte order mark that may stand before the first event.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
@@ -115,6 +118,9 @@
         if self.buf.len() > MAX_EVENT_BYTES {
             self.pass_part(after, &mut events);
         }
+        if self.buf.len() <= SPARE_BYTES {
+            self.buf.shrink_to(SPARE_BYTES);
+        }
         (!events.bytes.is_empty()).then_some(events)
     }
 
@@ -161,6 +167,11 @@
         self.buf.len()
     }
 
+    /// Number of bytes of memory that the buffer takes.
+    pub fn held_bytes(&self) -> usize {
+        self.buf.capacity()
+    }
+
     /// Whether a part of the open event was passed on: another target must not send that
     /// event again.
     pub fn is_part_passed(&self) -> bool {
--- a/crates/deckwind-net/src/body.rs
+++ b/crates/deckwind-net/src/body.rs
@@ -5,10 +5,12 @@
 use bytes::{Bytes, BytesMut};
 use deckwind_core::routes::{BodyEnd, Framing};
 use http::{HeaderMap, Response, StatusCode, Version, header, request, response};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming, SizeHint};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::error::Error;
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
+use std::task::Poll;
 
 /// Body of a message as it arrives. Its end is never just the lack of more data: it says
 /// what marked it.
@@ -102,7 +104,7 @@
             return Err(BrokenBody::Invalid(why));
         }
         loop {
-            let Some(frame) = self.body.frame().await else {
+            let Some(frame) = self.next_frame().await? else {
                 return self.end();
             };
             match frame {
@@ -118,6 +120,31 @@
         }
     }
 
+    /// Returns the next frame.
+    ///
+    /// # Errors
+    /// If the answer has been ended because too much is held of all answers.
+    async fn next_frame(
+        &mut self,
+    ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, BrokenBody> {
+        poll_fn(|cx| {
+            if let Some(meter) = &self.meter
+                && let Err(e) = meter.poll_body(cx)
+            {
+                return Poll::Ready(Err(BrokenBody::Invalid(e.to_string())));
+            }
+            Pin::new(&mut self.body).poll_frame(cx).map(Ok)
+        })
+        .await
+    }
+
+    /// Records the number of bytes of this body that its reader keeps.
+    pub fn record_kept(&self, bytes: usize) {
+        if let Some(meter) = &self.meter {
+            meter.keep_body(bytes);
+        }
+    }
+
     fn record_progress(&self) {
         if let Some(meter) = &self.meter {
             meter.record_progress();
@@ -245,7 +272,7 @@
 }
 
 /// Reads a body of at most `max_bytes` bytes to its end. Memory is reserved from `held` as
-/// data arrives.
+/// data arrives. An answer of a target counts in the budget of its connection besides.
 ///
 /// # Errors
 ///
@@ -269,10 +296,12 @@
         // Most bodies arrive in a single frame, which is returned without a copy.
         if first.is_empty() && parts.is_empty() {
             first = data;
+            body.record_kept(first.len());
             continue;
         }
         parts.extend_from_slice(&std::mem::take(&mut first));
         parts.extend_from_slice(&data);
+        body.record_kept(parts.capacity());
     };
     let bytes = match parts.is_empty() {
         true => first,
--- a/crates/deckwind-net/src/targets/connection_pool.rs
+++ b/crates/deckwind-net/src/targets/connection_pool.rs
@@ -9,6 +9,7 @@
 use super::connector::{BoxedStream, Connector, TcpConnector};
 use super::overhead_limit::{LimitedStream, OverheadMeter};
 use super::reach::{HEDGE_DELAY, Reach, TunnelOpener, Way};
+use super::receive_budget::ReceiveBudget;
 use super::traits::TargetError;
 use crate::body::{MessageBody, NoReservation, collect, describe_error};
 use crate::clock::Clock;
@@ -35,11 +36,14 @@
 /// Maximum number of idle connections per target.
 const MAX_IDLE_CONNECTIONS: usize = 48;
 
+/// Limit on the bytes held of all answers if no budget is given: an eighth of a VM with 160 MB.
+const DEFAULT_BUDGET_BYTES: u64 = 20 << 20;
+
 /// Maximum time until a connection that was just returned to the pool is ready.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// Maximum size of the head of a target's answer, bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum size of the head of a target's answer, and of the library's buffer, bytes.
+pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Time after its opening for which a connection through another router is used for
 /// further requests. A router that stops carries its tunnels for longer than that.
@@ -93,20 +97,33 @@
 struct Inner {
     clock: Clock,
     reach: Reach,
+    budget: Arc<ReceiveBudget>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool of TCP connections.
+    /// Creates an empty pool of TCP connections with a budget of its own.
     pub fn new(clock: Clock) -> Self {
         Self::with_connector(clock, Arc::new(TcpConnector))
     }
 
-    /// Creates an empty pool of connections that are opened by `connector`.
+    /// Creates an empty pool of connections that are opened by `connector`, with a budget of
+    /// its own.
     pub fn with_connector(clock: Clock, connector: Arc<dyn Connector>) -> Self {
+        Self::with_budget(clock, connector, ReceiveBudget::new(DEFAULT_BUDGET_BYTES))
+    }
+
+    /// Creates an empty pool of connections that are opened by `connector`, and whose answers
+    /// count in `budget`.
+    pub fn with_budget(
+        clock: Clock,
+        connector: Arc<dyn Connector>,
+        budget: Arc<ReceiveBudget>,
+    ) -> Self {
         let inner = Inner {
             clock,
             reach: Reach::new(clock, connector),
+            budget,
             idle: Mutex::default(),
         };
         Self {
@@ -114,6 +131,12 @@
         }
     }
 
+    /// Creates an empty pool of TCP connections whose answers count in the budget of this one.
+    pub fn with_same_budget(&self) -> Self {
+        let Inner { clock, budget, .. } = &*self.inner;
+        Self::with_budget(*clock, Arc::new(TcpConnector), budget.clone())
+    }
+
     /// Sets how targets are reached through other routers, where the direct path is lost.
     pub fn set_tunnels(&self, tunnels: Arc<dyn TunnelOpener>) {
         self.inner.reach.set_tunnels(tunnels);
@@ -161,7 +184,7 @@
         stream: BoxedStream,
         way: Way,
     ) -> Result<Established, TargetError> {
-        let meter = OverheadMeter::default();
+        let meter = OverheadMeter::new(self.inner.budget.count(address));
         let stream = LimitedStream::new(stream, meter.clone());
         Ok(Established {
             tx: handshake(address, stream).await?,
@@ -257,6 +280,7 @@
         end: BodyEnd,
         max_idle: usize,
     ) {
+        connection.established.meter.release();
         if end == BodyEnd::Closed {
             return;
         }
@@ -304,9 +328,8 @@
         req: Request<Full<Bytes>>,
     ) -> Result<(response::Parts, MessageBody), TargetError> {
         let Established { tx, meter, .. } = &mut self.established;
-        meter.record_progress();
+        meter.release();
         let sent = tx.try_send_request(req).await;
-        meter.record_progress();
         let res = sent.map_err(|mut e| {
             let is_unsent = e.take_message().is_some();
             let reason = describe_error(&e.into_error());
@@ -319,6 +342,7 @@
             let why = "a switch to a protocol that was not asked for".to_string();
             return Err(TargetError::Broken(why));
         }
+        meter.record_head(res.headers());
         let (head, body) = MessageBody::of_answer(res);
         Ok((head, body.with_meter(meter.clone())))
     }
--- a/crates/deckwind-net/src/targets/mod.rs
+++ b/crates/deckwind-net/src/targets/mod.rs
@@ -14,6 +14,7 @@
 mod http_weights;
 mod overhead_limit;
 mod reach;
+mod receive_budget;
 mod retry_after;
 mod tcp_options;
 mod traits;
@@ -28,6 +29,7 @@
 pub use http_weights::HttpWeightStore;
 pub use overhead_limit::OverheadMeter;
 pub use reach::{TunnelOpener, Way};
+pub use receive_budget::ReceiveBudget;
 pub use retry_after::{MAX_REST_PERIOD, UnreadableRest, requested_rest_period};
 pub use tcp_options::{set_tcp_options, set_tcp_options_with_timeout};
 pub use traits::{
--- a/crates/deckwind-testkit/tests/testsuite/body_ends.rs
+++ b/crates/deckwind-testkit/tests/testsuite/body_ends.rs
@@ -504,7 +504,8 @@
         };
         let (handle, inbox) = ControlHandle::new();
         let engines = dialects().engines;
-        target_check::check(incarnation, address, engines, handle, Clock::start()).await;
+        let connections = Arc::new(ConnectionPool::new(Clock::start()));
+        target_check::check(incarnation, address, engines, handle, connections).await;
         serving.abort();
         let batch = inbox.gather(Duration::ZERO).expect("the inbox is open");
         let inputs = batch.inputs;
--- a/crates/deckwindd/src/byte_budget.rs
+++ b/crates/deckwindd/src/byte_budget.rs
@@ -4,6 +4,16 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+/// Memory in MB of a VM whose settings don't state it: that of the smallest entry VM
+/// requested so far.
+const DEFAULT_MEMORY_MB: f64 = 160.0;
+
+/// Returns a share of the VM's memory in bytes, `percent` of it but at least `min`.
+pub fn memory_share(memory_mb: Option<f64>, percent: f64, min: u64) -> u64 {
+    let memory = memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1e6;
+    ((memory * percent / 100.0) as u64).max(min)
+}
+
 /// Limit on the number of bytes that are reserved at the same time.
 pub struct ByteBudget {
     max_bytes: u64,
--- a/crates/deckwindd/src/context.rs
+++ b/crates/deckwindd/src/context.rs
@@ -1,12 +1,13 @@
 //! Context shared by all parts of a daemon: settings, clock, runtime and boot number.
 
+use crate::byte_budget::memory_share;
 use anyhow::Result;
 use deckwind_config::{SeedSettings, Settings};
 use deckwind_core::control::{ANNOUNCE_INTERVAL_RANGE, DEFAULT_ANNOUNCE_INTERVAL};
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::Dialects;
 use deckwind_net::keys::KeyFiles;
-use deckwind_net::targets::Connector;
+use deckwind_net::targets::{Connector, ReceiveBudget};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +28,23 @@
     pub dialects: Dialects,
     /// Opens connections to targets of published routes.
     pub connector: Arc<dyn Connector>,
+    /// Limit on what is held of all answers of targets together.
+    pub receive_budget: Arc<ReceiveBudget>,
+}
+
+/// Share of the VM's memory that may be used for answers of targets while they are received,
+/// in percent: half of what may wait for callers.
+const RECEIVE_PERCENT: f64 = 12.5;
+
+/// Minimum of that limit in bytes: two events, or answers, of the longest size that is not
+/// passed on in parts.
+const MIN_RECEIVE_BYTES: u64 = 2 << 20;
+
+fn receive_budget(settings: &Settings) -> Arc<ReceiveBudget> {
+    let memory_mb = settings.router.as_ref().and_then(|r| r.memory);
+    let bytes = memory_share(memory_mb, RECEIVE_PERCENT, MIN_RECEIVE_BYTES);
+    log::info!("event=receive_bound bytes={bytes} memory_mb={memory_mb:?}");
+    ReceiveBudget::new(bytes)
 }
 
 impl Context {
@@ -39,6 +57,7 @@
         connector: Arc<dyn Connector>,
     ) -> Self {
         Self {
+            receive_budget: receive_budget(&settings),
             settings: Arc::new(settings),
             clock,
             runtime,
--- a/crates/deckwindd/src/control/driver.rs
+++ b/crates/deckwindd/src/control/driver.rs
@@ -22,7 +22,7 @@
 use deckwind_core::replication::{Event, ReplicaConfig, SeedDiscovery, Timing};
 use deckwind_net::clock::Clock;
 use deckwind_net::edge::EngineDialect;
-use deckwind_net::targets::ConnectionPool;
+use deckwind_net::targets::{ConnectionPool, TcpConnector};
 use deckwind_store::{OpenedStore, Store};
 use deckwind_wire::ControlReply;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -117,7 +117,11 @@
             handle,
             runtime: cx.runtime.clone(),
             dialect: cx.dialects.engines.clone(),
-            engine_connections: Arc::new(ConnectionPool::new(cx.clock)),
+            engine_connections: Arc::new(ConnectionPool::with_budget(
+                cx.clock,
+                Arc::new(TcpConnector),
+                cx.receive_budget.clone(),
+            )),
             router_replies: HashMap::new(),
             process_id: rand::random(),
             forwarded_answers: BTreeMap::new(),
@@ -246,7 +250,7 @@
                     address,
                     dialect,
                     self.handle.clone(),
-                    self.clock,
+                    self.engine_connections.clone(),
                 );
                 self.runtime.spawn(checking);
             }
@@ -267,6 +271,7 @@
                     self.dialect.clone(),
                     self.handle.clone(),
                     self.clock,
+                    self.engine_connections.with_same_budget(),
                 );
                 self.runtime.spawn(placing);
             }
--- a/crates/deckwindd/src/control/placement_task.rs
+++ b/crates/deckwindd/src/control/placement_task.rs
@@ -37,11 +37,12 @@
     dialect: Arc<dyn EngineDialect>,
     handle: ControlHandle,
     clock: Clock,
+    connections: ConnectionPool,
 ) {
     let task = PlacementTask {
         order,
         dialect,
-        connections: ConnectionPool::new(clock),
+        connections,
     };
     let result = clock.timeout(task.order.order_timeout, task.run()).await;
     let held = match result {
--- a/crates/deckwindd/src/control/target_check.rs
+++ b/crates/deckwindd/src/control/target_check.rs
@@ -2,7 +2,6 @@
 
 use super::handle::{ControlHandle, Input};
 use deckwind_core::state::Incarnation;
-use deckwind_net::clock::Clock;
 use deckwind_net::edge::EngineDialect;
 use deckwind_net::targets::{ConnectionPool, call_target};
 use std::net::SocketAddr;
@@ -28,15 +27,16 @@
 /// Checks whether this incarnation of a target still runs and sends the result to the
 /// driver. Any answer counts as running, except a report of another incarnation, which
 /// means that this one has ended, and one that can't be read, after which the target is
-/// asked again. Two requests are sent in parallel, because a packet of one may be lost.
+/// asked again. Two requests are sent in parallel, because a packet of one may be lost. Each
+/// uses a new connection, and counts in the budget of `connections`.
 pub async fn check(
     incarnation: Incarnation,
     address: SocketAddr,
     dialect: Arc<dyn EngineDialect>,
     handle: ControlHandle,
-    clock: Clock,
+    connections: Arc<ConnectionPool>,
 ) {
-    let request = || request(&incarnation, address, dialect.as_ref(), clock);
+    let request = || request(&incarnation, address, dialect.as_ref(), &connections);
     let (first, second) = tokio::join!(request(), request());
     let is_running = first.is_ok() || second.is_ok();
     if let (Err(e), Err(_)) = (first, second) {
@@ -54,10 +54,10 @@
     incarnation: &Incarnation,
     address: SocketAddr,
     dialect: &dyn EngineDialect,
-    clock: Clock,
+    connections: &ConnectionPool,
 ) -> Result<(), String> {
     for _ in 0..MAX_REQUESTS {
-        match request_once(incarnation, address, dialect, clock).await? {
+        match request_once(incarnation, address, dialect, connections).await? {
             Answer::Runs => return Ok(()),
             Answer::Unreadable(why) => log::info!(
                 "event=report_unreadable target={address} life={incarnation} error={why:?}"
@@ -71,9 +71,9 @@
     incarnation: &Incarnation,
     address: SocketAddr,
     dialect: &dyn EngineDialect,
-    clock: Clock,
+    connections: &ConnectionPool,
 ) -> Result<Answer, String> {
-    let connections = ConnectionPool::new(clock);
+    let connections = connections.with_same_budget();
     let call = dialect.report();
     let called = call_target(&connections, address, &call, CHECK_TIMEOUT).await;
     let reply = called.map_err(|e| e.to_string())?;
--- a/crates/deckwindd/src/router/routes/held_bytes.rs
+++ b/crates/deckwindd/src/router/routes/held_bytes.rs
@@ -1,9 +1,11 @@
 //! Counts the bytes that a router buffers for callers, and keeps them within a limit.
 //!
-//! The count covers answers on their way to callers, whole answers while they are
-//! received, and the bodies of requests in progress.
+//! The count covers answers on their way to callers, whole answers that were received, and the
+//! bodies of requests in progress. What is being received from targets counts in the budget of
+//! their connections.
 
 use super::delivery::Delivery;
+use crate::byte_budget::memory_share;
 use deckwind_config::RouterSettings;
 use deckwind_core::routes::{AnswerArena, AnswerKey, BufferLimits, DisconnectOrder, LaggingCaller};
 use deckwind_core::time::Instant;
@@ -13,10 +15,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-/// Memory in MB of a VM whose settings don't state it: that of the smallest entry VM
-/// requested so far.
-const DEFAULT_MEMORY_MB: f64 = 160.0;
-
 /// Share of the VM's memory that may be used for buffered bytes, in percent.
 const MAX_HELD_PERCENT: f64 = 25.0;
 
@@ -61,7 +59,7 @@
 impl Deliveries {
     /// Creates an empty registry with the limit that the settings give.
     pub fn new(clock: Clock, cfg: &RouterSettings) -> Self {
-        let limit = held_bytes_limit(cfg.memory);
+        let limit = memory_share(cfg.memory, MAX_HELD_PERCENT, MIN_LIMIT);
         log::info!("event=held_bound bytes={limit} memory_mb={:?}", cfg.memory);
         Self {
             clock,
@@ -201,11 +199,6 @@
     }
 }
 
-fn held_bytes_limit(memory_mb: Option<f64>) -> u64 {
-    let memory = memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1e6;
-    ((memory * MAX_HELD_PERCENT / 100.0) as u64).max(MIN_LIMIT)
-}
-
 /// A count of buffered bytes that is released when dropped.
 pub struct HeldBytes {
     deliveries: Arc<Deliveries>,
@@ -222,6 +215,14 @@
             bytes: 0,
         }
     }
+
+    /// Counts bytes that are buffered already. Disconnects slow callers if the limit is
+    /// exceeded.
+    pub fn add(&mut self, bytes: usize) {
+        self.deliveries.add(self.side, bytes as u64);
+        self.bytes += bytes as u64;
+        self.deliveries.enforce_limit();
+    }
 }
 
 impl ReserveBytes for HeldBytes {
--- a/crates/deckwindd/src/router/routes/mod.rs
+++ b/crates/deckwindd/src/router/routes/mod.rs
@@ -128,7 +128,11 @@
             retry_budgets: Mutex::new(RetryBudgets::new(limits, started)),
             clock: cx.clock,
             dialect: cx.dialects.callers.clone(),
-            connections: ConnectionPool::with_connector(cx.clock, cx.connector.clone()),
+            connections: ConnectionPool::with_budget(
+                cx.clock,
+                cx.connector.clone(),
+                cx.receive_budget.clone(),
+            ),
             routers: AtomicU32::new(1),
             deliveries: Arc::new(Deliveries::new(cx.clock, cfg)),
             stall_reports: StallReports::new(cx.dialects.engines.clone()),
--- a/crates/deckwindd/src/router/routes/non_streaming.rs
+++ b/crates/deckwindd/src/router/routes/non_streaming.rs
@@ -14,7 +14,7 @@
     TargetFault, attempt_result, choose_target,
 };
 use deckwind_core::state::RouteKind;
-use deckwind_net::body::{CollectError, CollectedBody, collect};
+use deckwind_net::body::{CollectError, CollectedBody, NoReservation, collect};
 use deckwind_net::targets::TargetError;
 use http::{HeaderMap, Response, StatusCode};
 use std::collections::HashSet;
@@ -300,16 +300,17 @@
             let (head, body) = connection.send(req).await.map_err(attempt_error)?;
             job.apply_answer(choice, permit, head.status, &head.headers);
             let deliveries = &job.shared.routes.deliveries;
-            let mut held = HeldBytes::new(deliveries, Side::Answers);
             let max_len = MAX_ANSWER.min(deliveries.max_answer_size());
             let framing = body.framing();
-            let collected = collect(body, max_len, &mut held).await;
+            let collected = collect(body, max_len, &mut NoReservation).await;
             let body =
                 collected.map_err(|e| match self.check_head(head.status, &head.headers) {
                     // The head says that nothing ran, whatever became of the rest.
                     Err(AttemptError::NotRun) => AttemptError::NotRun,
                     _ => body_error(&e, framing),
                 })?;
+            let mut held = HeldBytes::new(deliveries, Side::Answers);
+            held.add(body.bytes.len());
             Ok((head, body, held))
         };
         let (head, body, held) = match job.shared.clock.timeout(within, sending).await {
--- a/crates/deckwindd/src/router/routes/opening/attempt.rs
+++ b/crates/deckwindd/src/router/routes/opening/attempt.rs
@@ -1,13 +1,12 @@
 //! One attempt: sends a request to one target, and reads the head of its answer.
 
-use super::super::held_bytes::{HeldBytes, Side};
 use super::super::permits::NoPermit;
 use super::super::reservation::Reservation;
 use super::super::responses::strip_connection_headers;
 use super::super::target_run::{RunEnd, TargetRun};
 use super::{OpenOutcome, OpenedStream, StreamOpener};
 use deckwind_core::routes::{AttemptOutcome, AttemptResult, TargetChoice, attempt_result};
-use deckwind_net::body::{MessageBody, collect};
+use deckwind_net::body::{MessageBody, NoReservation, collect};
 use deckwind_net::targets::{TargetConnection, TargetError};
 use http::{StatusCode, response};
 use std::net::SocketAddr;
@@ -181,7 +180,7 @@
         body: MessageBody,
     ) -> Result<OpenOutcome, AttemptError> {
         let shared = &self.job.shared;
-        let mut held = HeldBytes::new(&shared.routes.deliveries, Side::Answers);
+        let mut held = NoReservation;
         let collecting = collect(body, MAX_ANSWER, &mut held);
         let collected = shared.clock.timeout(self.job.time_left(), collecting).await;
         let collected = match collected {
--- a/crates/deckwindd/src/router/routes/relay/mod.rs
+++ b/crates/deckwindd/src/router/routes/relay/mod.rs
@@ -315,6 +315,7 @@
                     if let Some(end) = self.pass_on_chunk(&mut splitter, &data, &mut run) {
                         return end;
                     }
+                    body.record_kept(splitter.held_bytes());
                 }
                 Ok(BodyPart::End(end)) => break end,
                 Err(e) => {
