A router that was away through over 4,096 departures: test, known to fail

What callers saw: not known. A router that was away (no contact to control) while more than 4,096 targets left keeps those whose departure was dropped as ready, and sends requests to their addresses.

--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod examples;
 mod fan_out;
 mod first_start;
+mod forgotten_departures;
 mod full_disk;
 mod growth;
 mod inbox;
