--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod examples;
 mod fan_out;
 mod first_start;
+mod forgotten_departures;
 mod full_disk;
 mod growth;
 mod inbox;
