Traits at a few of many crashes wait for the answer of routers that served them

Cause: a part that many requests share is at three of the crashes of a wave by chance. That it is sound is known at the routers that have served it, and these were asked after it was quarantined, not before: all crashes came with one round of reports. A second way: a trait at three crashes that others explain, or of which it is an unlikely cause, left the list, so nobody was asked, and its next crash quarantined it at once.

Change: a trait with fewer crashes than the targets that crashed without it in the last 1.2 s waits until 200 ms after its second crash, and is listed with two meanwhile (state::waves). Traits that don't suffice or are explained stay listed, with one crash. Each crash holds the time of its record; the leader derives a list that awaits answers again each 50 ms.

Not run: cost of the derivation by the trial suspects_cost; the rest of the suite.

Ruled out: refusing by table and counts alone. A part in one of ten requests is at more crashes of a wave than a part at fault with one request a second, so crashes alone can't tell them apart.

--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -59,6 +59,8 @@
     pub(super) next_silence_check: Instant,
     /// Time of the next check for outdated suspects.
     pub(super) next_suspect_cleanup: Instant,
+    /// Time from which on a list of suspects that awaits answers is derived again.
+    pub(super) next_answer_check: Instant,
     /// Urgent changes, which bound the lease of a router that lacks them.
     pub(super) urgent: UrgentChanges,
     /// Load of each router's streams.
@@ -371,6 +373,7 @@
                 watched_upto: Revision::ZERO,
                 next_silence_check: since,
                 next_suspect_cleanup: since,
+                next_answer_check: since,
                 urgent: UrgentChanges::new(self.last_urgent),
                 engine_load: EngineLoadTable::default(),
                 last_reply_round: BTreeMap::new(),
--- a/crates/deckwind-core/src/control/cut_reports.rs
+++ b/crates/deckwind-core/src/control/cut_reports.rs
@@ -12,6 +12,9 @@
 /// Interval between checks for outdated suspects, which last ten minutes at least.
 const OUTDATED_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Interval after which a list that awaits answers is derived again.
+const ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 impl ControlCore {
     /// Handles a router's report of runs that were interrupted by the end of a target.
     /// Targets that may be gone are checked at once: if the end of an incarnation is known
@@ -35,7 +38,8 @@
         self.propose(now, body, Requester::Router(token), out);
     }
 
-    /// Proposes the removal of outdated suspects, if there are any.
+    /// Proposes the removal of outdated suspects, if there are any, or to derive a list again
+    /// that awaits answers.
     pub(super) fn remove_outdated_suspects(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
         if !self.replica.can_serve_reads(now) {
             return;
@@ -43,11 +47,21 @@
         let Some(leader_state) = &mut self.leader_state else {
             return;
         };
-        if now < leader_state.next_suspect_cleanup {
-            return;
+        let awaits_answers = self
+            .state_machine
+            .configuration()
+            .suspects()
+            .awaits_answers();
+        let is_check_due = now >= leader_state.next_suspect_cleanup;
+        let is_answer_due = awaits_answers && now >= leader_state.next_answer_check;
+        if is_check_due {
+            leader_state.next_suspect_cleanup = now + OUTDATED_CHECK_INTERVAL;
+        }
+        if is_answer_due {
+            leader_state.next_answer_check = now + ANSWER_CHECK_INTERVAL;
         }
-        leader_state.next_suspect_cleanup = now + OUTDATED_CHECK_INTERVAL;
-        if self.state_machine.quarantine().has_expired(self.wall_ms) {
+        let quarantine = self.state_machine.quarantine();
+        if is_answer_due || is_check_due && quarantine.has_expired(self.wall_ms) {
             let body = CommandBody::Suspects(Vec::new());
             self.propose(now, body, Requester::Internal, out);
         }
--- a/crates/deckwind-core/src/routes/interrupted_runs.rs
+++ b/crates/deckwind-core/src/routes/interrupted_runs.rs
@@ -343,7 +343,8 @@
                 .own_crashes
                 .entry(*suspect)
                 .or_insert_with(|| OwnCrashes::new(now, &run.life));
-            let crash = Crash::new(run.life.clone(), run.run, run.progress);
+            let at_ms = now.since(Instant::ZERO).as_millis() as u64;
+            let crash = Crash::new(run.life.clone(), run.run, run.progress, at_ms);
             own.record(now, &run.life, crash, before(suspect));
             reported.push(*suspect);
         }
--- a/crates/deckwind-core/src/state/attribution.rs
+++ b/crates/deckwind-core/src/state/attribution.rs
@@ -67,18 +67,27 @@
     runs: Vec<RunKey>,
     /// How far the one of them had come that had come least far.
     progress: RunProgress,
+    /// When it was recorded, by the clock of the record, milliseconds.
+    at_ms: u64,
 }
 
 impl Crash {
-    /// Returns the crash of an incarnation that had just begun this run.
-    pub fn new(life: Incarnation, run: RunKey, progress: RunProgress) -> Self {
+    /// Returns the crash of an incarnation that had just begun this run, as recorded at
+    /// `at_ms`.
+    pub fn new(life: Incarnation, run: RunKey, progress: RunProgress, at_ms: u64) -> Self {
         Self {
             life,
             runs: vec![run],
             progress,
+            at_ms,
         }
     }
 
+    /// Returns when the crash was recorded, milliseconds.
+    pub(super) fn at_ms(&self) -> u64 {
+        self.at_ms
+    }
+
     /// Returns the incarnation that crashed.
     pub fn life(&self) -> &Incarnation {
         &self.life
--- a/crates/deckwind-core/src/state/encoding.rs
+++ b/crates/deckwind-core/src/state/encoding.rs
@@ -7,7 +7,7 @@
 /// Format version of log entries and snapshots; incremented with every change of the
 /// format. Version 1 had no version byte: its data starts with a timestamp, whose
 /// first byte is above 127.
-pub const STATE_VERSION: u8 = 6;
+pub const STATE_VERSION: u8 = 7;
 
 /// Error from decoding state or a command.
 #[derive(Debug, PartialEq, Error)]
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -32,6 +32,7 @@
 mod request_trait;
 mod retry_ledger;
 mod state_machine;
+mod waves;
 
 pub use attribution::{Crash, RunKey, RunProgress, Suspect};
 pub use claims::{
--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -17,6 +17,7 @@
 use super::culprits::culprits;
 use super::incarnations::Incarnation;
 use super::request_trait::{RequestTrait, RequestTraits};
+use super::waves::RecentCrashes;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -47,6 +48,10 @@
 /// Maximum number of traits in the list sent to routers, 18 bytes each.
 const MAX_LISTED: usize = 1_024;
 
+/// Number of crashes listed of a trait that others explain, or of which it is an unlikely cause.
+/// Routers that have served it say so; they don't hold requests with it back.
+const EXPLAINED_COUNT: usize = 1;
+
 /// A run that had just begun when its target crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashedRun {
@@ -144,7 +149,7 @@
         }
         for suspect in run.traits {
             let row = self.row(suspect, now_ms);
-            let crash = Crash::new(run.life.clone(), run.run, run.progress);
+            let crash = Crash::new(run.life.clone(), run.run, run.progress, now_ms);
             if row.suspect.record(crash) {
                 row.last_ms = now_ms;
             }
@@ -192,8 +197,17 @@
         self.0.is_empty()
     }
 
-    fn culprits(&self) -> Vec<Vec<RequestTrait>> {
-        culprits(self.0.iter().map(|(t, row)| (*t, &row.suspect)))
+    /// Returns the groups of traits to quarantine, and those that await an answer before.
+    fn culprits(&self, now_ms: u64) -> (Vec<Vec<RequestTrait>>, Vec<Vec<RequestTrait>>) {
+        let groups = culprits(self.0.iter().map(|(t, row)| (*t, &row.suspect)));
+        if groups.is_empty() {
+            return (groups, Vec::new());
+        }
+        let recent = RecentCrashes::new(self.0.values().map(|row| &row.suspect), now_ms);
+        groups.into_iter().partition(|group| {
+            let strongest = group.first().and_then(|t| self.0.get(t));
+            !strongest.is_some_and(|row| recent.awaits_answer(&row.suspect))
+        })
     }
 
     /// Iterates over the quarantined traits, by groups.
@@ -207,34 +221,40 @@
                 left_ms: (row.last_ms + QUARANTINE_DURATION_MS).saturating_sub(now_ms),
             })
         };
-        self.culprits().into_iter().filter_map(group)
+        let (quarantined, _) = self.culprits(now_ms);
+        quarantined.into_iter().filter_map(group)
     }
 
     /// Returns the list for routers: traits that are quarantined, or would be after one more
-    /// crash. If there are too many, those with the most crashes are listed, and of these
+    /// crash or without an answer to this list. If there are too many, those with the most crashes are listed, and of these
     /// the most recent ones.
-    pub(super) fn suspect_list(&self) -> SuspectList {
+    pub(super) fn suspect_list(&self, now_ms: u64) -> SuspectList {
         let min_ends = QUARANTINE_THRESHOLD - 1;
-        let groups = self.culprits();
+        let (groups, waiting) = self.culprits(now_ms);
         let culprits: BTreeSet<RequestTrait> = groups.iter().flatten().copied().collect();
-        let is_listed = |t: &RequestTrait, row: &SuspectRow| {
-            let ends = row.suspect.crashes().len();
-            ends >= min_ends && (!row.suspect.reaches_threshold() || culprits.contains(t))
-        };
-        let mut listed: Vec<_> = self.0.iter().filter(|(t, row)| is_listed(t, row)).collect();
+        let awaits_answers = !waiting.is_empty();
+        let waiting: BTreeSet<RequestTrait> = waiting.into_iter().flatten().collect();
+        let is_listed = |row: &SuspectRow| row.suspect.crashes().len() >= min_ends;
+        let mut listed: Vec<_> = self.0.iter().filter(|(_, row)| is_listed(row)).collect();
         if listed.len() > MAX_LISTED {
             listed.sort_by_key(|(_, row)| Reverse((row.suspect.crashes().len(), row.last_ms)));
             listed.truncate(MAX_LISTED);
         }
+        let count = |t: &RequestTrait, row: &SuspectRow| match row.suspect.crashes().len() {
+            ends if ends < QUARANTINE_THRESHOLD || culprits.contains(t) => ends,
+            _ if waiting.contains(t) => min_ends,
+            _ => EXPLAINED_COUNT,
+        };
         let counts: BTreeMap<RequestTrait, u8> = listed
             .into_iter()
-            .map(|(t, row)| (*t, row.suspect.crashes().len() as u8))
+            .map(|(t, row)| (*t, count(t, row) as u8))
             .collect();
         let is_listed = |group: &Vec<RequestTrait>| group.iter().all(|t| counts.contains_key(t));
         let quarantined = groups.into_iter().filter(is_listed).collect();
         SuspectList {
             counts,
             quarantined,
+            awaits_answers,
         }
     }
 }
@@ -246,9 +266,17 @@
     counts: BTreeMap<RequestTrait, u8>,
     /// Groups of traits. Requests with all traits of a group are sent to no target.
     quarantined: Vec<Vec<RequestTrait>>,
+    /// Whether the list changes once routers had the time to answer it.
+    awaits_answers: bool,
 }
 
 impl SuspectList {
+    /// Returns whether the list changes once routers had the time to answer it, so that it is
+    /// to be derived again.
+    pub fn awaits_answers(&self) -> bool {
+        self.awaits_answers
+    }
+
     /// Returns the number of crashes of a trait; zero if it is not listed. One with a single
     /// crash is not listed.
     pub fn crash_count(&self, suspect: &RequestTrait) -> usize {
--- a/crates/deckwind-core/src/state/state_machine.rs
+++ b/crates/deckwind-core/src/state/state_machine.rs
@@ -101,8 +101,8 @@
             }
             CommandBody::Suspects(changes) => {
                 self.quarantine.apply(changes, self.clock_ms);
-                self.configuration
-                    .set_suspects(self.quarantine.suspect_list());
+                let list = self.quarantine.suspect_list(self.clock_ms);
+                self.configuration.set_suspects(list);
                 let revision = self.configuration.revision();
                 Reply::Accepted { revision }
             }
--- a/crates/deckwind-spec/src/attribution_spec.rs
+++ b/crates/deckwind-spec/src/attribution_spec.rs
@@ -115,7 +115,8 @@
             for (number, runs) in crashes {
                 for run in runs {
                     let life = incarnation(*number);
-                    suspect.record(Crash::new(life, content(*run).into(), RunProgress::NoEvent));
+                    let run = content(*run).into();
+                    suspect.record(Crash::new(life, run, RunProgress::NoEvent, 0));
                 }
             }
         }
