--- a/crates/deckwind-core/src/control/cut_reports.rs
+++ b/crates/deckwind-core/src/control/cut_reports.rs
@@ -137,9 +137,10 @@
             return;
         };
         let table = self.state_machine.quarantine();
+        let now_ms = self.wall_ms.max(self.state_machine.clock_ms());
         if leader_state.derivation.start_if_due(now, table.version()) {
             self.scan_counts.suspects += table.len() as u64;
-            out.push(ControlAction::DeriveSuspects(table.evidence()));
+            out.push(ControlAction::DeriveSuspects(table.evidence(now_ms)));
         }
     }
 
@@ -153,7 +154,9 @@
         let Some(leader_state) = &mut self.leader_state else {
             return;
         };
-        let is_awaited = leader_state.derivation.finish(now, derived.version);
+        let awaits_answers = derived.list.awaits_answers();
+        let derivation = &mut leader_state.derivation;
+        let is_awaited = derivation.finish(now, derived.version, awaits_answers);
         if is_awaited && *self.state_machine.configuration().suspects() != derived.list {
             let body = CommandBody::SuspectList(derived);
             self.propose(now, body, Requester::Internal, out);
--- a/crates/deckwind-core/src/control/derivation_schedule.rs
+++ b/crates/deckwind-core/src/control/derivation_schedule.rs
@@ -50,14 +50,15 @@
         true
     }
 
-    /// Records the result for a version of the evidence. Returns whether it was awaited.
-    pub fn finish(&mut self, now: Instant, version: EvidenceVersion) -> bool {
+    /// Records the result for a version of the evidence. Returns whether it was awaited. A list that
+    /// `awaits_answers` of routers is derived again from the same evidence.
+    pub fn finish(&mut self, now: Instant, version: EvidenceVersion, awaits_answers: bool) -> bool {
         let Some(running) = self.running.filter(|r| r.version == version) else {
             return false;
         };
         let took = now.since(running.started);
         self.next = Some(now + (took * PAUSE_FACTOR).clamp(MIN_PAUSE, MAX_PAUSE));
-        self.derived = Some(version);
+        self.derived = (!awaits_answers).then_some(version);
         self.running = None;
         true
     }
--- a/crates/deckwind-core/src/state/mod.rs
+++ b/crates/deckwind-core/src/state/mod.rs
@@ -33,6 +33,7 @@
 mod retry_ledger;
 mod state_machine;
 mod suspect_list;
+mod waves;
 
 pub use attribution::{Crash, RunKey, RunProgress, Suspect};
 pub use claims::{
--- a/crates/deckwind-core/src/state/quarantine.rs
+++ b/crates/deckwind-core/src/state/quarantine.rs
@@ -63,8 +63,8 @@
 }
 
 impl CrashedRun {
-    fn crash(&self) -> Crash {
-        Crash::new(self.life.clone(), self.run, self.progress)
+    fn crash(&self, at_ms: u64) -> Crash {
+        Crash::new(self.life.clone(), self.run, self.progress, at_ms)
     }
 }
 
@@ -192,7 +192,7 @@
     }
 
     fn contains_crash(&self, run: &CrashedRun) -> bool {
-        let crash = run.crash();
+        let crash = run.crash(0);
         let is_cleared = |t: &RequestTrait| {
             let row = self.rows.get(t);
             row.is_some_and(|row| row.suspect.is_cleared())
@@ -251,7 +251,7 @@
     }
 
     fn record_crash(&mut self, run: CrashedRun, now_ms: u64) {
-        let crash = run.crash();
+        let crash = run.crash(now_ms);
         for served in run.served {
             self.update(served, now_ms, |row| row.suspect.clear());
         }
@@ -318,12 +318,14 @@
         self.lifts
     }
 
-    /// Returns a copy from which the list of suspects can be derived. The rows are shared.
-    pub fn evidence(&self) -> SuspectEvidence {
+    /// Returns a copy from which the list of suspects can be derived as of `now_ms` by the leader's
+    /// clock. The rows are shared.
+    pub fn evidence(&self, now_ms: u64) -> SuspectEvidence {
         let rows = self.rows.iter();
         SuspectEvidence {
             version: self.version,
             lifts: self.lifts,
+            now_ms,
             rows: rows.map(|(t, row)| (*t, row.clone())).collect(),
         }
     }
--- a/crates/deckwind-core/src/state/suspect_list.rs
+++ b/crates/deckwind-core/src/state/suspect_list.rs
@@ -13,6 +13,7 @@
 use super::culprits::culprits;
 use super::quarantine::{QUARANTINE_THRESHOLD, SuspectRow};
 use super::request_trait::{RequestTrait, RequestTraits};
+use super::waves::RecentCrashes;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +22,10 @@
 /// Maximum number of traits in the list sent to routers, 18 bytes each.
 const MAX_LISTED: usize = 1_024;
 
+/// Number of crashes listed of a trait that others explain, or of which it is an unlikely cause.
+/// Routers that have served it say so; they don't hold requests with it back.
+const EXPLAINED_COUNT: usize = 1;
+
 /// Version of the evidence on crashes. Replicas that have applied the same commands have the
 /// same one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -37,6 +42,8 @@
 pub struct SuspectEvidence {
     pub(super) version: EvidenceVersion,
     pub(super) lifts: u64,
+    /// Time of the copy by the leader's clock, milliseconds since the Unix epoch.
+    pub(super) now_ms: u64,
     pub(super) rows: Vec<(RequestTrait, Arc<SuspectRow>)>,
 }
 
@@ -64,8 +71,8 @@
     }
 
     /// Derives the list for routers: traits that are quarantined, or would be after one more
-    /// crash. If there are too many, those with the most crashes are listed, and of these
-    /// the most recent ones.
+    /// crash or without an answer to this list. If there are too many, those with the most
+    /// crashes are listed, and of these the most recent ones.
     pub fn derive(&self) -> DerivedSuspects {
         DerivedSuspects {
             version: self.version,
@@ -74,36 +81,57 @@
         }
     }
 
+    /// Returns the groups of traits to quarantine, and those that await an answer before.
+    fn culprits(&self) -> (Vec<Vec<RequestTrait>>, Vec<Vec<RequestTrait>>) {
+        let groups = culprits(self.rows.iter().map(|(t, row)| (*t, &row.suspect)));
+        if groups.is_empty() {
+            return (groups, Vec::new());
+        }
+        let suspects = self.rows.iter().map(|(_, row)| &row.suspect);
+        let recent = RecentCrashes::new(suspects, self.now_ms);
+        groups.into_iter().partition(|group| {
+            let strongest = group.first().and_then(|t| self.suspect(t));
+            !strongest.is_some_and(|suspect| recent.awaits_answer(suspect))
+        })
+    }
+
+    fn suspect(&self, suspect: &RequestTrait) -> Option<&Suspect> {
+        let at = self.rows.binary_search_by_key(suspect, |(t, _)| *t);
+        at.ok().map(|at| &self.rows[at].1.suspect)
+    }
+
     fn list(&self) -> SuspectList {
         let min_ends = QUARANTINE_THRESHOLD - 1;
-        let groups = culprits(self.rows.iter().map(|(t, row)| (*t, &row.suspect)));
+        let (groups, waiting) = self.culprits();
+        let awaits_answers = !waiting.is_empty();
         let culprits: BTreeSet<RequestTrait> = groups.iter().flatten().copied().collect();
-        let is_listed = |(t, row): &&(RequestTrait, Arc<SuspectRow>)| {
-            let ends = row.suspect.crashes().len();
-            ends >= min_ends && (!row.suspect.reaches_threshold() || culprits.contains(t))
-        };
+        let waiting: BTreeSet<RequestTrait> = waiting.into_iter().flatten().collect();
+        let is_listed =
+            |(_, row): &&(RequestTrait, Arc<SuspectRow>)| row.suspect.crashes().len() >= min_ends;
         let mut listed: Vec<_> = self.rows.iter().filter(is_listed).collect();
         if listed.len() > MAX_LISTED {
-            listed.sort_by_key(|(_, row)| Reverse((count(&row.suspect), row.last_ms)));
+            listed.sort_by_key(|(_, row)| Reverse((row.suspect.crashes().len(), row.last_ms)));
             listed.truncate(MAX_LISTED);
         }
-        let listed = listed.into_iter();
-        let counts: BTreeMap<RequestTrait, u8> =
-            listed.map(|(t, row)| (*t, count(&row.suspect))).collect();
+        let count = |t: &RequestTrait, row: &SuspectRow| match row.suspect.crashes().len() {
+            ends if ends < QUARANTINE_THRESHOLD || culprits.contains(t) => ends,
+            _ if waiting.contains(t) => min_ends,
+            _ => EXPLAINED_COUNT,
+        };
+        let counts: BTreeMap<RequestTrait, u8> = listed
+            .into_iter()
+            .map(|(t, row)| (*t, count(t, row) as u8))
+            .collect();
         let is_listed = |group: &Vec<RequestTrait>| group.iter().all(|t| counts.contains_key(t));
         let quarantined = groups.into_iter().filter(is_listed).collect();
         SuspectList {
             counts,
             quarantined,
+            awaits_answers,
         }
     }
 }
 
-/// Returns the number of crashes of a trait, of which few are recorded.
-fn count(suspect: &Suspect) -> u8 {
-    suspect.crashes().len() as u8
-}
-
 /// Traits that are quarantined, or would be after one more crash.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectList {
@@ -111,9 +139,17 @@
     counts: BTreeMap<RequestTrait, u8>,
     /// Groups of traits. Requests with all traits of a group are sent to no target.
     quarantined: Vec<Vec<RequestTrait>>,
+    /// Whether the list changes once routers had the time to answer it.
+    awaits_answers: bool,
 }
 
 impl SuspectList {
+    /// Returns whether the list changes once routers had the time to answer it, so that it is
+    /// to be derived again.
+    pub fn awaits_answers(&self) -> bool {
+        self.awaits_answers
+    }
+
     /// Returns the number of crashes of a trait; zero if it is not listed. One with a single
     /// crash is not listed.
     pub fn crash_count(&self, suspect: &RequestTrait) -> usize {
--- a/crates/deckwind-testkit/tests/testsuite/crash_reports.rs
+++ b/crates/deckwind-testkit/tests/testsuite/crash_reports.rs
@@ -218,7 +218,7 @@
     let mut machine = StateMachine::default();
     let crashes = ["a", "b", "c"].map(|name| crash(digest, incarnation(name)));
     apply(&mut machine, CommandBody::Suspects(crashes.to_vec()));
-    let early = machine.quarantine().evidence().derive();
+    let early = machine.quarantine().evidence(1).derive();
     apply(&mut machine, CommandBody::SuspectList(early.clone()));
     assert_eq!(quarantined(&machine), 1);
     let lift = SuspectChange::Lift(RequestTrait::Content(digest));
@@ -227,7 +227,7 @@
     apply(&mut machine, CommandBody::SuspectList(early));
     assert_eq!(quarantined(&machine), 0, "the early list came late");
     apply(&mut machine, CommandBody::Suspects(crashes.to_vec()));
-    let late = machine.quarantine().evidence().derive();
+    let late = machine.quarantine().evidence(1).derive();
     apply(&mut machine, CommandBody::SuspectList(late));
     assert_eq!(quarantined(&machine), 1, "three crashes after the lift");
 }
--- a/crates/deckwind-testkit/tests/testsuite/quarantine.rs
+++ b/crates/deckwind-testkit/tests/testsuite/quarantine.rs
@@ -32,7 +32,7 @@
 pub fn apply(machine: &mut StateMachine, at_ms: u64, changes: Vec<SuspectChange>) {
     let body = CommandBody::Suspects(changes);
     machine.apply(Command { at_ms, body });
-    let body = CommandBody::SuspectList(machine.quarantine().evidence().derive());
+    let body = CommandBody::SuspectList(machine.quarantine().evidence(at_ms).derive());
     machine.apply(Command { at_ms, body });
 }
 
