--- a/crates/deckwind-core/src/control/apply.rs
+++ b/crates/deckwind-core/src/control/apply.rs
@@ -9,7 +9,7 @@
 use super::reply_schedule::Urgency;
 use super::work_log::{Work, WorkUnit};
 use crate::replication::{Entry, Payload, Position, SnapshotMeta, Term};
-use crate::state::{Command, Reply};
+use crate::state::{Command, CommandBody, Reply};
 use crate::time::Instant;
 
 impl ControlCore {
@@ -77,6 +77,9 @@
         }
         *urgency = (*urgency).max(own_urgency);
         let before = self.state_machine.configuration().visible_revision();
+        if let CommandBody::HolderGone(holder) = &command.body {
+            self.scan_counts.claims += self.state_machine.claims().rows_of(holder) as u64;
+        }
         let (kind, started) = (command.body.kind(), self.work.start());
         let reply = self.state_machine.apply(command);
         self.work.stop(Work::Apply(kind), started);
--- a/crates/deckwind-core/src/state/claims.rs
+++ b/crates/deckwind-core/src/state/claims.rs
@@ -117,11 +117,54 @@
 
 /// All claims, and the order in which they were made.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredClaims", into = "StoredClaims")]
 pub struct ClaimTable {
     rows: BTreeMap<ClaimKey, Claim>,
     order: VecDeque<(u64, ClaimKey)>,
     answer_bytes: usize,
     limits: ClaimLimits,
+    /// Keys of the claims in progress by their holders, so that the loss of a holder costs its
+    /// own claims only.
+    in_progress: BTreeMap<RouterProcess, BTreeSet<ClaimKey>>,
+}
+
+/// The table in snapshots, without its index.
+#[derive(Serialize, Deserialize)]
+struct StoredClaims {
+    rows: BTreeMap<ClaimKey, Claim>,
+    order: VecDeque<(u64, ClaimKey)>,
+    answer_bytes: usize,
+    limits: ClaimLimits,
+}
+
+impl From<ClaimTable> for StoredClaims {
+    fn from(table: ClaimTable) -> Self {
+        Self {
+            rows: table.rows,
+            order: table.order,
+            answer_bytes: table.answer_bytes,
+            limits: table.limits,
+        }
+    }
+}
+
+impl From<StoredClaims> for ClaimTable {
+    fn from(stored: StoredClaims) -> Self {
+        let mut in_progress: BTreeMap<RouterProcess, BTreeSet<ClaimKey>> = BTreeMap::new();
+        for (key, claim) in &stored.rows {
+            if claim.status == ClaimStatus::InProgress {
+                let keys = in_progress.entry(claim.holder.clone()).or_default();
+                keys.insert(key.clone());
+            }
+        }
+        Self {
+            rows: stored.rows,
+            order: stored.order,
+            answer_bytes: stored.answer_bytes,
+            limits: stored.limits,
+            in_progress,
+        }
+    }
 }
 
 impl ClaimTable {
@@ -158,6 +201,8 @@
             return ClaimVerdict::Full;
         }
         self.order.push_back((claim.at_ms, key.clone()));
+        let keys = self.in_progress.entry(claim.holder.clone()).or_default();
+        keys.insert(key.clone());
         self.rows.insert(key, claim);
         ClaimVerdict::Granted
     }
@@ -182,6 +227,12 @@
         if row.holder != *holder || row.nonce != nonce || !unresolved {
             return;
         }
+        if let Some(keys) = self.in_progress.get_mut(holder) {
+            keys.remove(key);
+            if keys.is_empty() {
+                self.in_progress.remove(holder);
+            }
+        }
         if outcome == Outcome::NotRun {
             self.rows.remove(key);
             return;
@@ -193,16 +244,19 @@
 
     /// Returns the distinct holders of claims in progress.
     pub fn holders_in_progress(&self) -> BTreeSet<RouterProcess> {
-        let in_progress = |c: &&Claim| c.status == ClaimStatus::InProgress;
-        let rows = self.rows.values().filter(in_progress);
-        rows.map(|c| c.holder.clone()).collect()
+        self.in_progress.keys().cloned().collect()
+    }
+
+    /// Returns the number of rows that are scanned if this holder is lost.
+    pub fn rows_of(&self, holder: &RouterProcess) -> usize {
+        self.in_progress.get(holder).map_or(0, BTreeSet::len)
     }
 
     /// Marks all claims in progress of a lost holder as `Unknown`: the requests may
     /// have run.
     pub(super) fn mark_holder_gone(&mut self, holder: &RouterProcess) {
-        for row in self.rows.values_mut() {
-            if row.holder == *holder && row.status == ClaimStatus::InProgress {
+        for key in self.in_progress.remove(holder).unwrap_or_default() {
+            if let Some(row) = self.rows.get_mut(&key) {
                 row.status = ClaimStatus::Ended(Outcome::Unknown);
             }
         }
--- a/crates/deckwind-core/src/state/suspect_list.rs
+++ b/crates/deckwind-core/src/state/suspect_list.rs
@@ -110,7 +110,12 @@
             |(_, row): &&(RequestTrait, Arc<SuspectRow>)| row.suspect.crashes().len() >= min_ends;
         let mut listed: Vec<_> = self.rows.iter().filter(is_listed).collect();
         if listed.len() > MAX_LISTED {
-            listed.sort_by_key(|(_, row)| Reverse((row.suspect.crashes().len(), row.last_ms)));
+            let rank = |t: &RequestTrait, row: &SuspectRow| {
+                let ends = row.suspect.crashes().len();
+                let is_explained = ends >= QUARANTINE_THRESHOLD && !waiting.contains(t);
+                (culprits.contains(t), !is_explained, ends, row.last_ms)
+            };
+            listed.sort_by_cached_key(|(t, row)| Reverse(rank(t, row)));
             listed.truncate(MAX_LISTED);
         }
         let count = |t: &RequestTrait, row: &SuspectRow| match row.suspect.crashes().len() {
--- a/crates/deckwind-testkit/tests/testsuite/growth.rs
+++ b/crates/deckwind-testkit/tests/testsuite/growth.rs
@@ -51,6 +51,7 @@
         targets: after.targets - before.targets,
         retries: after.retries - before.retries,
         cards: after.cards - before.cards,
+        claims: after.claims - before.claims,
         suspects: after.suspects - before.suspects,
     };
     (rows_scanned, fan_out.take_traffic())
--- a/crates/deckwind-testkit/tests/testsuite/main.rs
+++ b/crates/deckwind-testkit/tests/testsuite/main.rs
@@ -48,6 +48,7 @@
 mod leaving_vms;
 mod limit_rig;
 mod lost_answers;
+mod lost_holders;
 mod member_changes;
 mod member_storms;
 mod notices;
--- a/crates/deckwindd/src/control/handle.rs
+++ b/crates/deckwindd/src/control/handle.rs
@@ -101,9 +101,13 @@
     }
 }
 
-/// Returns whether an input goes through the queue of the replicated log.
+/// Returns whether an input goes through the queue of the replicated log. A derived list does, as
+/// the next one is derived only once it has come.
 fn is_of_log(input: &Input) -> bool {
-    matches!(input, Input::Replication(_) | Input::Stop)
+    matches!(
+        input,
+        Input::Replication(_) | Input::SuspectsDerived(_) | Input::Stop
+    )
 }
 
 impl ControlHandle {
