ReceiveBudget: wakers are dropped without its lock

Found by reading: a waker that is dropped may drop its task, and with it counts of this budget, whose drop takes the lock again. No test fails without it.

--- a/crates/deckwind-net/src/targets/receive_budget.rs
+++ b/crates/deckwind-net/src/targets/receive_budget.rs
@@ -248,11 +248,16 @@
         let Some(answer) = state.answers.get_mut(&self.key) else {
             return true;
         };
+        let is_ended = answer.is_ended;
         let waker = &mut answer.wakers[reader as usize];
-        if !waker.as_ref().is_some_and(|w| w.will_wake(cx.waker())) {
-            *waker = Some(cx.waker().clone());
+        if waker.as_ref().is_some_and(|w| w.will_wake(cx.waker())) {
+            return is_ended;
         }
-        answer.is_ended
+        let old = waker.replace(cx.waker().clone());
+        // A waker that is dropped may drop its task, and with it counts of this budget.
+        drop(state);
+        drop(old);
+        is_ended
     }
 
     fn update<T>(&self, change: impl FnOnce(&mut Answer) -> T) -> Option<T> {
@@ -263,8 +268,10 @@
 impl Drop for AnswerCount {
     fn drop(&mut self) {
         let mut state = self.budget.state();
-        if let Some(answer) = state.answers.remove(&self.key) {
-            state.held -= answer.bytes();
-        }
+        let answer = state.answers.remove(&self.key);
+        state.held -= answer.as_ref().map_or(0, Answer::bytes);
+        // Its wakers are dropped without the lock.
+        drop(state);
+        drop(answer);
     }
 }
