A router behind a departure that is no longer recorded gets all targets

What callers saw: not known. A router without contact while more than 4,096 targets left kept those whose departure had been dropped.

Cause: unknown was taken for unchanged.

Change: the delta says whether it has all instances; the receiver then drops the others, except those written later. Messages between processes have version 11. Left: departures dropped, more than half of the recorded ids announced again, then a restart of all control replicas.

--- a/crates/deckwind-core/src/state/configuration.rs
+++ b/crates/deckwind-core/src/state/configuration.rs
@@ -37,6 +37,9 @@
     pub release: Option<ReleaseDelta>,
     /// Instances that changed or left.
     pub instances: Vec<(InstanceId, Versioned<Instance>)>,
+    /// Whether these are all instances, because departures after the receiver's revision
+    /// are no longer recorded. The receiver drops all others.
+    pub has_all_instances: bool,
     /// Complete list of request contents that crashed targets, if it changed.
     pub suspects: Option<Versioned<Arc<SuspectList>>>,
 }
@@ -147,13 +150,19 @@
 
     /// Returns the changes after `since`.
     pub fn delta_since(&self, since: Revision) -> Delta {
+        let has_all_instances = since < self.instances.last_forgotten();
+        let instances_since = match has_all_instances {
+            true => Revision::ZERO,
+            false => since,
+        };
         Delta {
             to: self.revision,
             templates: changed_since(&self.templates, since),
             accounts: changed_since(&self.accounts, since),
             targets: changed_since(&self.targets, since),
             release: self.release_since(since),
-            instances: self.instances.since(since),
+            instances: self.instances.since(instances_since),
+            has_all_instances,
             suspects: self.suspects.clone().filter(|s| s.revision > since),
         }
     }
@@ -164,6 +173,9 @@
         merge(&mut self.templates, delta.templates);
         merge(&mut self.accounts, delta.accounts);
         merge(&mut self.targets, delta.targets);
+        if delta.has_all_instances {
+            self.instances.retain_listed(&delta.instances, delta.to);
+        }
         self.instances.merge(delta.instances);
         if let Some(suspects) = delta.suspects {
             let current = self.suspects.as_ref();
--- a/crates/deckwind-core/src/state/instance_index.rs
+++ b/crates/deckwind-core/src/state/instance_index.rs
@@ -85,6 +85,11 @@
         self.departed.len()
     }
 
+    /// Returns the revision of the first departure.
+    pub fn first_departure(&self) -> Option<Revision> {
+        self.departed.first().map(|(revision, _)| *revision)
+    }
+
     /// Returns the instance that left first.
     pub fn oldest_departed(&self) -> Option<&InstanceId> {
         self.departed.first().map(|(_, id)| id)
--- a/crates/deckwind-core/src/state/instances.rs
+++ b/crates/deckwind-core/src/state/instances.rs
@@ -135,8 +135,16 @@
     /// which only costs bandwidth.
     #[serde(skip)]
     unseen: BTreeSet<InstanceId>,
+    /// Revision of the last departure that is no longer recorded; zero if all are. It is not
+    /// in snapshots; a replica that starts from a snapshot with many departures assumes that
+    /// all before the first of them were dropped, which only costs bandwidth.
+    #[serde(skip)]
+    last_forgotten: Revision,
 }
 
+/// Number of recorded departures above which a snapshot may lack others.
+const MANY_DEPARTED: usize = MAX_DEPARTED / 2;
+
 /// The part of [`Instances`] stored in snapshots.
 #[derive(Deserialize)]
 struct Written {
@@ -147,7 +155,13 @@
 impl From<Written> for Instances {
     fn from(written: Written) -> Self {
         let index = InstanceIndex::from_instances(&written.all);
+        let first_departed = index.first_departure().unwrap_or(Revision::ZERO);
+        let last_forgotten = match index.departed_count() > MANY_DEPARTED {
+            true => first_departed,
+            false => Revision::ZERO,
+        };
         Self {
+            last_forgotten,
             all: Arc::new(written.all),
             index: Arc::new(index),
             ended: written.ended,
@@ -448,6 +462,7 @@
         }
         if let Some(id) = self.index.oldest_departed().cloned() {
             if let Some(old) = Arc::make_mut(&mut self.all).remove(&id) {
+                self.last_forgotten = self.last_forgotten.max(old.revision);
                 Arc::make_mut(&mut self.index).remove(&id, &old);
             }
             self.ended.remove(&id);
@@ -463,6 +478,30 @@
         changed.filter_map(with_value).collect()
     }
 
+    /// Returns the revision of the last departure that is no longer recorded.
+    pub fn last_forgotten(&self) -> Revision {
+        self.last_forgotten
+    }
+
+    /// Drops the instances that are not in this list, which is complete as of revision `to`.
+    /// Those written later are kept.
+    pub fn retain_listed(&mut self, list: &[(InstanceId, Versioned<Instance>)], to: Revision) {
+        let listed: BTreeSet<&InstanceId> = list.iter().map(|(id, _)| id).collect();
+        let is_gone = |id: &InstanceId, v: &Versioned<Instance>| {
+            v.value.is_some() && v.revision <= to && !listed.contains(id)
+        };
+        let all = self.all.iter();
+        let gone: Vec<InstanceId> = all
+            .filter(|(id, v)| is_gone(id, v))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            if let Some(old) = Arc::make_mut(&mut self.all).remove(&id) {
+                Arc::make_mut(&mut self.index).remove(&id, &old);
+            }
+        }
+    }
+
     /// Merges changes. An instance is replaced only by a newer revision of it.
     pub fn merge(&mut self, changes: Vec<(InstanceId, Versioned<Instance>)>) {
         for (id, v) in changes {
--- a/crates/deckwind-wire/src/codec.rs
+++ b/crates/deckwind-wire/src/codec.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 /// Version of the message format. Incremented with every change of the format.
-pub const PROTOCOL_VERSION: u8 = 10;
+pub const PROTOCOL_VERSION: u8 = 11;
 
 /// Maximum size of a message in bytes. Snapshots are the largest messages.
 pub const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
