--- a/crates/deckwind-core/src/control/apply.rs
+++ b/crates/deckwind-core/src/control/apply.rs
@@ -11,35 +11,89 @@
 use crate::replication::{Entry, Payload, Position, SnapshotMeta, Term};
 use crate::state::{Command, CommandKind, Reply};
 use crate::time::Instant;
+use std::collections::VecDeque;
+
+/// Number of entries after which what they changed is acted upon, though more wait: routers
+/// must learn of changes also while entries are committed faster than they are applied.
+const MAX_ENTRIES_PER_GROUP: u32 = 64;
+
+/// Committed entries that wait to be applied, oldest first. They are applied in groups: what
+/// a group has changed is acted upon once, at its end.
+#[derive(Debug, Default)]
+pub(super) struct ApplyQueue {
+    waiting: VecDeque<Entry>,
+    /// Number of entries applied in the current group.
+    applied: u32,
+    /// Urgency of the changes made by the group, if routers must be informed of any.
+    urgency: Option<Urgency>,
+    /// Whether the group has changed the retry ledger.
+    retries_changed: bool,
+    /// Whether a group was finished since the last round of replies started.
+    is_group_finished: bool,
+}
+
+impl ApplyQueue {
+    /// Adds entries that were committed.
+    pub fn push(&mut self, entries: Vec<Entry>) {
+        self.waiting.extend(entries);
+    }
+
+    /// Returns whether no entry waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns whether a group was finished since the last call that returned true, or no
+    /// entry waits.
+    pub fn take_group_finished(&mut self) -> bool {
+        std::mem::take(&mut self.is_group_finished) || self.waiting.is_empty()
+    }
+
+    fn is_group_complete(&self) -> bool {
+        self.waiting.is_empty() || self.applied >= MAX_ENTRIES_PER_GROUP
+    }
+}
 
 impl ControlCore {
-    pub(super) fn apply(
-        &mut self,
-        now: Instant,
-        entries: Vec<Entry>,
-        out: &mut Vec<ControlAction>,
-    ) {
-        let before = self.state_machine.configuration().visible_revision();
+    /// Applies the next committed entry and answers the request behind it. Returns whether
+    /// there was one.
+    pub(super) fn apply_next(&mut self, now: Instant, out: &mut Vec<ControlAction>) -> bool {
+        let Some(entry) = self.apply_queue.waiting.pop_front() else {
+            return false;
+        };
+        let revision = self.state_machine.configuration().visible_revision();
+        let retry_changes = self.state_machine.retry_ledger().changes();
+        self.log_bytes += entry.size();
         let mut urgency = None;
-        let mut retries_changed = false;
-        for entry in entries {
-            self.log_bytes += entry.size();
-            let known = self.state_machine.retry_ledger().changes();
-            let reply = self.apply_entry(now, &entry, &mut urgency, out);
-            retries_changed |= self.state_machine.retry_ledger().changes() != known;
-            let pending = self.proposals.take_applied(entry.at.index, entry.at.term);
-            match (pending, reply) {
-                (Some((requester, true)), Some(reply)) => self.answer(now, requester, reply, out),
-                (Some((requester, _)), _) => self.answer_unknown(requester, out),
-                (None, _) => {}
-            }
+        let reply = self.apply_entry(now, &entry, &mut urgency, out);
+        self.replica.record_applied(entry.at.index);
+        let pending = self.proposals.take_applied(entry.at.index, entry.at.term);
+        match (pending, reply) {
+            (Some((requester, true)), Some(reply)) => self.answer(now, requester, reply, out),
+            (Some((requester, _)), _) => self.answer_unknown(requester, out),
+            (None, _) => {}
+        }
+        let has_changed = self.state_machine.configuration().visible_revision() > revision;
+        let group = &mut self.apply_queue;
+        group.applied += 1;
+        group.urgency = group.urgency.max(urgency.filter(|_| has_changed));
+        group.retries_changed |= self.state_machine.retry_ledger().changes() != retry_changes;
+        if group.is_group_complete() {
+            self.finish_group(now, out);
         }
-        if retries_changed {
+        true
+    }
+
+    /// Acts upon what the entries of a group have changed.
+    fn finish_group(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+        self.apply_queue.applied = 0;
+        self.apply_queue.is_group_finished = true;
+        if std::mem::take(&mut self.apply_queue.retries_changed) {
             self.apply_retry_changes(now, out);
         }
-        let changed = self.state_machine.configuration().visible_revision() > before;
-        if let (Some(urgency), true) = (urgency.filter(|_| changed), self.leader_state.is_some()) {
-            self.inform_routers(now, urgency, out);
+        let urgency = self.apply_queue.urgency.take();
+        if let (Some(urgency), true) = (urgency, self.leader_state.is_some()) {
+            self.inform_routers(now, urgency);
         }
         self.compact_if_due(out);
     }
@@ -128,7 +182,7 @@
     }
 
     fn compact_if_due(&mut self, out: &mut Vec<ControlAction>) {
-        let applied = self.replica.commit();
+        let applied = self.replica.applied();
         let base = self.replica.log().base().index;
         let has_many_entries = applied.0 - base.0 >= self.limits.compact_after as u64;
         let is_due = has_many_entries || self.log_bytes >= self.limits.compact_bytes;
--- a/crates/deckwind-core/src/control/control_core.rs
+++ b/crates/deckwind-core/src/control/control_core.rs
@@ -2,6 +2,7 @@
 
 use super::announcement_reports::{AnnouncementBuffer, LastAnnouncements};
 use super::announcements::WaitingAnnouncement;
+use super::apply::ApplyQueue;
 use super::demand::DemandTable;
 use super::engine_load::EngineLoadTable;
 use super::event::{ControlAction, ControlEvent, ControlLimits, DecodeError};
@@ -35,6 +36,7 @@
 use crate::time::Instant;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// State that exists only while this replica leads.
 pub(super) struct LeaderState {
@@ -120,6 +122,8 @@
     pub(super) sent_state: SentState,
     pub(super) work: WorkLog,
     pub(super) in_force_waits: Vec<InForceWait>,
+    /// Committed entries that wait to be applied, and what those applied last ask for.
+    pub(super) apply_queue: ApplyQueue,
     pub(super) is_compacting: bool,
     /// Bytes of entries applied since the last snapshot, and the size of that snapshot. A
     /// snapshot is written only once the log has grown as large as the last one, which
@@ -177,6 +181,7 @@
             sent_state: SentState::default(),
             work: WorkLog::default(),
             in_force_waits: Vec::new(),
+            apply_queue: ApplyQueue::default(),
             is_compacting: false,
             log_bytes: 0,
             snapshot_bytes: snapshot.map_or(0, <[u8]>::len),
@@ -255,15 +260,12 @@
     ) {
         self.wall_ms = wall_ms;
         match &event {
-            ControlEvent::Tick => {}
-            ControlEvent::Replica(_) => self.work.count(WorkUnit::LogEvent, 1),
+            ControlEvent::Replica(Event::Receive(_)) => self.work.count(WorkUnit::LogEvent, 1),
+            ControlEvent::Tick | ControlEvent::Replica(_) => {}
             _ => self.work.count(WorkUnit::Input, 1),
         }
         match event {
-            ControlEvent::Tick => {
-                self.step_replica(now, Event::Tick, out);
-                self.tick(now, out);
-            }
+            ControlEvent::Tick => self.tick(now, out),
             ControlEvent::Replica(event) => self.step_replica(now, event, out),
             ControlEvent::Request { token, request } => {
                 self.handle_request(now, token, request, out)
@@ -287,7 +289,7 @@
             ControlEvent::PlacementDone { incarnation, held } => {
                 self.handle_placement_result(now, &incarnation, held, out)
             }
-            ControlEvent::Pace { address, percent } => self.handle_pace(now, address, percent, out),
+            ControlEvent::Pace { address, percent } => self.handle_pace(now, address, percent),
             ControlEvent::OrdersDone { target, accepted } => {
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.orders.finished(now, &target, accepted);
@@ -296,13 +298,31 @@
         }
     }
 
+    /// Does one unit of the work that is queued: answers one renewal of a round or applies one
+    /// committed entry. Returns whether there was any. A round is finished before further
+    /// entries are applied, so that its answers share their deltas.
+    pub fn work(&mut self, now: Instant, wall_ms: u64, out: &mut Vec<ControlAction>) -> bool {
+        self.wall_ms = wall_ms;
+        self.answer_next(now, out) || self.apply_next(now, out)
+    }
+
+    /// Returns whether work is queued.
+    pub fn has_work(&self) -> bool {
+        !self.apply_queue.is_empty() || self.parked.has_ready()
+    }
+
+    /// Returns the reading of the stopwatch, if there is one.
+    pub fn stopwatch_reading(&self) -> Duration {
+        self.work.reading()
+    }
+
     /// Flushes the replicated log after a batch of events and emits the resulting
     /// actions.
     pub fn flush(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
         self.sent_deltas.clear();
         let mut actions = Vec::new();
         self.replica.flush(now, &mut actions);
-        self.handle_actions(now, actions, out);
+        self.handle_actions(actions, out);
     }
 
     fn step_replica(&mut self, now: Instant, event: Event, out: &mut Vec<ControlAction>) {
@@ -311,18 +331,19 @@
         }
         let mut actions = Vec::new();
         self.replica.step(now, event, &mut actions);
-        self.handle_actions(now, actions, out);
+        self.handle_actions(actions, out);
     }
 
-    fn handle_actions(&mut self, now: Instant, actions: Vec<Action>, out: &mut Vec<ControlAction>) {
+    fn handle_actions(&mut self, actions: Vec<Action>, out: &mut Vec<ControlAction>) {
         for action in actions {
             match action {
-                Action::Apply(entries) => self.apply(now, entries, out),
+                Action::Apply(entries) => self.apply_queue.push(entries),
                 Action::Proposed { token, at } => self.handle_proposed(token, at, out),
                 Action::Refused { token, .. } => self.handle_refused(token, out),
                 Action::Install { meta, data } => {
                     match StateMachine::from_snapshot(&data) {
                         Ok(machine) => {
+                            self.apply_queue = ApplyQueue::default();
                             self.last_urgent = machine.configuration().revision();
                             self.state_machine = machine;
                         }
@@ -469,6 +490,6 @@
 
     /// Returns the index of the last applied entry.
     pub fn applied(&self) -> Index {
-        self.replica.commit()
+        self.replica.applied()
     }
 }
--- a/crates/deckwind-core/src/control/event.rs
+++ b/crates/deckwind-core/src/control/event.rs
@@ -75,7 +75,7 @@
 /// An input to a control replica.
 #[derive(Clone, Debug)]
 pub enum ControlEvent {
-    /// Passage of time.
+    /// Passage of time, for all but the replicated log, which has a tick of its own.
     Tick,
     /// An event for the replicated log: a message, a completed sync, a completed
     /// compaction.
--- a/crates/deckwind-core/src/control/grants.rs
+++ b/crates/deckwind-core/src/control/grants.rs
@@ -4,7 +4,7 @@
 use super::control_core::{ControlCore, LeaderState};
 use super::event::ControlAction;
 use super::messages::{ControlReply, Grant, Renewal};
-use super::parked_renewals::ParkedRenewal;
+use super::parked_renewals::{ParkedRenewal, ReadyFor};
 use super::reply_schedule::Urgency;
 use super::target_limiter::TargetLimiter;
 use super::work_log::{Work, WorkUnit};
@@ -94,28 +94,17 @@
 impl ControlCore {
     /// Requests a reply round that informs routers of a change, and starts it if it is
     /// due already.
-    pub(super) fn inform_routers(
-        &mut self,
-        now: Instant,
-        urgency: Urgency,
-        out: &mut Vec<ControlAction>,
-    ) {
+    pub(super) fn inform_routers(&mut self, now: Instant, urgency: Urgency) {
         self.round_schedule.request(now, urgency);
-        self.answer_parked(now, out);
+        self.answer_parked(now);
     }
 
-    /// Answers the parked renewals whose wait has expired or for which there is a change
-    /// to send.
-    pub(super) fn answer_parked(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
-        let started = self.work.start();
-        self.answer_due_renewals(now, out);
-        self.work.stop(Work::Grants, started);
-    }
-
-    fn answer_due_renewals(&mut self, now: Instant, out: &mut Vec<ControlAction>) {
+    /// Marks the parked renewals whose wait has expired, or for which there is a change to
+    /// send, as ready to be answered.
+    pub(super) fn answer_parked(&mut self, now: Instant) {
         let shown = self.state_machine.configuration().visible_revision();
         let before = self.published_revision;
-        let round = self.round_schedule.start_if_due(now);
+        let round = self.start_round_if_due(now);
         if round || !self.round_schedule.is_pending() {
             self.published_revision = self.published_revision.max(shown);
         }
@@ -124,25 +113,45 @@
         self.answered_limits = limits;
         if round {
             self.reply_rounds += 1;
-            for parked in self.parked.take_all() {
-                self.scan_counts.renewals += 1;
-                self.answer_renewal(now, parked, out);
-            }
+            self.parked.ready_all(ReadyFor::Answer);
         } else if has_changes {
-            for token in self.parked.tokens() {
-                self.recheck_parked(now, token, out);
-            }
+            self.parked.ready_all(ReadyFor::Check);
         }
-        while let Some(parked) = self.parked.take_expired(now) {
-            self.scan_counts.renewals += 1;
-            self.answer_renewal(now, parked, out);
+        self.parked.ready_expired(now);
+        self.parked.ready_throttled();
+    }
+
+    /// Starts a round of replies if it is due and the last one is finished. A group of the
+    /// entries that were committed meanwhile must be applied first: rounds that follow each
+    /// other without a break would keep entries from being applied.
+    fn start_round_if_due(&mut self, now: Instant) -> bool {
+        let is_due = self.round_schedule.is_due(now) && !self.parked.has_ready();
+        if !is_due || !self.apply_queue.take_group_finished() {
+            return false;
         }
-        while let Some(parked) = self.parked.take_throttled() {
-            self.scan_counts.renewals += 1;
-            if !self.answer_renewal(now, parked, out) {
-                break;
+        self.round_schedule.start(now);
+        true
+    }
+
+    /// Answers the next of the renewals that are ready to be answered. Returns whether there
+    /// was one.
+    pub(super) fn answer_next(&mut self, now: Instant, out: &mut Vec<ControlAction>) -> bool {
+        let Some((parked, ready_for)) = self.parked.take_ready() else {
+            return false;
+        };
+        let started = self.work.start();
+        match ready_for {
+            ReadyFor::Check => self.answer_or_park(now, parked, out),
+            ReadyFor::Answer | ReadyFor::State => {
+                self.scan_counts.renewals += 1;
+                let is_answered = self.answer_renewal(now, parked, out);
+                if ready_for == ReadyFor::State && !is_answered {
+                    self.parked.defer_throttled();
+                }
             }
         }
+        self.work.stop(Work::Grants, started);
+        true
     }
 
     /// Answers a parked renewal if there is a change to send.
--- a/crates/deckwind-core/src/control/limit_handlers.rs
+++ b/crates/deckwind-core/src/control/limit_handlers.rs
@@ -70,7 +70,7 @@
         let reply = ControlReply::Permits(answer);
         out.push(ControlAction::Reply { token, reply });
         if changed {
-            self.answer_parked(now, out);
+            self.answer_parked(now);
         }
     }
 
--- a/crates/deckwind-core/src/control/maintenance.rs
+++ b/crates/deckwind-core/src/control/maintenance.rs
@@ -47,7 +47,7 @@
         self.forward_requests(now, out);
         self.process_announcements_awaiting_leader(now, out);
         self.report_announcements(now, out);
-        self.answer_parked(now, out);
+        self.answer_parked(now);
         self.expire_leases(now, out);
         self.release_orphaned_claims(now, out);
         self.issue_orders(now, out);
--- a/crates/deckwind-core/src/control/parked_renewals.rs
+++ b/crates/deckwind-core/src/control/parked_renewals.rs
@@ -21,6 +21,17 @@
     pub relayed_by: Option<u32>,
 }
 
+/// What a parked renewal is ready for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum ReadyFor {
+    /// To be answered if there is a change to send, and parked again otherwise.
+    Check,
+    /// To be answered with its state, for which it has waited, if the rate limit allows.
+    State,
+    /// To be answered.
+    Answer,
+}
+
 /// All parked renewals.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ParkedRenewals {
@@ -29,6 +40,12 @@
     by_vm: BTreeMap<VmName, BTreeSet<u64>>,
     /// Renewals that are ready to be answered but wait for the rate limit on state.
     throttled: BTreeSet<u64>,
+    /// Renewals that are ready to be checked or answered, in order of arrival. They are taken
+    /// one by one, between other work.
+    ready: BTreeMap<u64, ReadyFor>,
+    /// Renewals of `throttled` that are ready, taken after all others: those leave without
+    /// their state rather than wait for it.
+    ready_throttled: BTreeSet<u64>,
 }
 
 impl ParkedRenewals {
@@ -52,6 +69,8 @@
         let parked = self.by_token.remove(&token)?;
         self.by_deadline.remove(&(parked.deadline, token));
         self.throttled.remove(&token);
+        self.ready.remove(&token);
+        self.ready_throttled.remove(&token);
         let vm = &parked.renewal.holder.vm;
         if let Some(tokens) = self.by_vm.get_mut(vm) {
             tokens.remove(&token);
@@ -62,17 +81,44 @@
         Some(parked)
     }
 
-    /// Removes and returns the renewal with the earliest deadline, if that has passed.
-    pub fn take_expired(&mut self, now: Instant) -> Option<ParkedRenewal> {
-        let (deadline, token) = *self.by_deadline.first()?;
-        (deadline <= now).then(|| self.take(token)).flatten()
+    /// Marks all renewals as ready.
+    pub fn ready_all(&mut self, ready_for: ReadyFor) {
+        for token in self.by_token.keys() {
+            mark_ready(&mut self.ready, *token, ready_for);
+        }
     }
 
-    /// Removes and returns the first of the renewals that wait for the rate limit on
-    /// state.
-    pub fn take_throttled(&mut self) -> Option<ParkedRenewal> {
-        let token = *self.throttled.first()?;
-        self.take(token)
+    /// Marks the renewals whose deadline has passed as ready to be answered.
+    pub fn ready_expired(&mut self, now: Instant) {
+        let expired = self.by_deadline.iter().take_while(|(at, _)| *at <= now);
+        for (_, token) in expired {
+            mark_ready(&mut self.ready, *token, ReadyFor::Answer);
+        }
+    }
+
+    /// Marks the renewals that wait for the rate limit on state as ready.
+    pub fn ready_throttled(&mut self) {
+        self.ready_throttled.clone_from(&self.throttled);
+    }
+
+    /// Marks the renewals that wait for the rate limit on state as not ready, since it is
+    /// exhausted.
+    pub fn defer_throttled(&mut self) {
+        self.ready_throttled.clear();
+    }
+
+    /// Returns whether any renewal is ready.
+    pub fn has_ready(&self) -> bool {
+        !self.ready.is_empty() || !self.ready_throttled.is_empty()
+    }
+
+    /// Removes and returns the first renewal that is ready.
+    pub fn take_ready(&mut self) -> Option<(ParkedRenewal, ReadyFor)> {
+        if let Some((token, ready_for)) = self.ready.pop_first() {
+            return Some((self.take(token)?, ready_for));
+        }
+        let token = self.ready_throttled.pop_first()?;
+        Some((self.take(token)?, ReadyFor::State))
     }
 
     /// Returns the tokens of the renewals of a VM.
@@ -81,14 +127,14 @@
         tokens.copied().collect()
     }
 
-    /// Returns the tokens of all renewals, in order of arrival.
-    pub fn tokens(&self) -> Vec<u64> {
-        self.by_token.keys().copied().collect()
-    }
-
     /// Removes and returns all renewals.
     pub fn take_all(&mut self) -> Vec<ParkedRenewal> {
         let all = std::mem::take(self);
         all.by_token.into_values().collect()
     }
 }
+
+fn mark_ready(ready: &mut BTreeMap<u64, ReadyFor>, token: u64, ready_for: ReadyFor) {
+    let marked = ready.entry(token).or_insert(ready_for);
+    *marked = (*marked).max(ready_for);
+}
--- a/crates/deckwind-core/src/control/reply_schedule.rs
+++ b/crates/deckwind-core/src/control/reply_schedule.rs
@@ -80,13 +80,14 @@
         self.next_round.is_some()
     }
 
-    /// Starts the round if it is due, and returns whether it was.
-    pub fn start_if_due(&mut self, now: Instant) -> bool {
-        let due = self.next_round.is_some_and(|due| due <= now);
-        if due {
-            self.next_round = None;
-            self.last_round = Some(now);
-        }
-        due
+    /// Returns whether a requested round is due.
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.next_round.is_some_and(|due| due <= now)
+    }
+
+    /// Starts the requested round.
+    pub fn start(&mut self, now: Instant) {
+        self.next_round = None;
+        self.last_round = Some(now);
     }
 }
--- a/crates/deckwind-core/src/control/requests.rs
+++ b/crates/deckwind-core/src/control/requests.rs
@@ -291,7 +291,7 @@
         out.push(ControlAction::Reply { token, reply });
         self.check_targets(now, targets, out);
         if has_changes {
-            self.inform_routers(now, Urgency::Urgent, out);
+            self.inform_routers(now, Urgency::Urgent);
         }
     }
 
@@ -311,7 +311,7 @@
         leader_state.full.record_refusals(now, &holder.vm, full);
         let reply = ControlReply::Done;
         out.push(ControlAction::Reply { token, reply });
-        self.inform_routers(now, Urgency::Soon, out);
+        self.inform_routers(now, Urgency::Soon);
     }
 
     pub(super) fn handle_operator_request(
--- a/crates/deckwind-core/src/control/slow_engines.rs
+++ b/crates/deckwind-core/src/control/slow_engines.rs
@@ -153,18 +153,12 @@
     }
 
     /// Handles the pace that an engine reported.
-    pub(super) fn handle_pace(
-        &mut self,
-        now: Instant,
-        address: SocketAddr,
-        percent: u32,
-        out: &mut Vec<ControlAction>,
-    ) {
+    pub(super) fn handle_pace(&mut self, now: Instant, address: SocketAddr, percent: u32) {
         let Some(leader_state) = &mut self.leader_state else {
             return;
         };
         if leader_state.paces.record_pace(now, address, percent) {
-            self.inform_routers(now, Urgency::Urgent, out);
+            self.inform_routers(now, Urgency::Urgent);
         }
     }
 }
--- a/crates/deckwind-core/src/control/work_log.rs
+++ b/crates/deckwind-core/src/control/work_log.rs
@@ -43,7 +43,8 @@
     PackedByte,
 }
 
-/// Monotonic clock of the driver, read to measure work and never for decisions.
+/// Monotonic clock of the driver, read to measure work. The driver bounds by it how much it
+/// has the replica do at a time; the replica itself decides nothing by it.
 pub trait Stopwatch: Send {
     /// Returns the time since a fixed point.
     fn reading(&self) -> Duration;
@@ -76,6 +77,12 @@
         self.stopwatch = Some(stopwatch);
     }
 
+    pub fn reading(&self) -> Duration {
+        self.stopwatch
+            .as_ref()
+            .map_or(Duration::ZERO, |s| s.reading())
+    }
+
     pub fn start(&self) -> WorkStart {
         WorkStart(self.stopwatch.as_ref().map(|s| s.reading()))
     }
--- a/crates/deckwind-core/src/replication/leader.rs
+++ b/crates/deckwind-core/src/replication/leader.rs
@@ -144,13 +144,13 @@
     }
 
     /// Returns whether this replica may answer from its state: it holds the lease and
-    /// has committed an entry of its own term, so its state contains every accepted
-    /// entry.
+    /// has applied an entry of its own term, so its state contains every entry accepted
+    /// before its term. Those of its term are accepted once they are applied here.
     pub fn can_serve_reads(&self, now: Instant) -> bool {
         let caught_up = self
             .leader_state
             .as_ref()
-            .is_some_and(|l| self.commit >= l.first_index);
+            .is_some_and(|l| self.applied >= l.first_index);
         caught_up && self.lease_valid(now)
     }
 
--- a/crates/deckwind-core/src/replication/replica.rs
+++ b/crates/deckwind-core/src/replication/replica.rs
@@ -28,6 +28,7 @@
     /// Index of the entry or snapshot that the members come from.
     pub(super) members_index: Index,
     pub(super) commit: Index,
+    /// Last entry that the state includes.
     pub(super) applied: Index,
     /// Last entry that is synced to disk.
     pub(super) synced: Position,
@@ -133,6 +134,17 @@
         self.commit
     }
 
+    /// Returns the index of the last entry that is applied.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// Records that the committed entries up to `index` are applied.
+    pub fn record_applied(&mut self, index: Index) {
+        debug_assert!(index <= self.commit, "only committed entries are applied");
+        self.applied = self.applied.max(index);
+    }
+
     /// Returns the log.
     pub fn log(&self) -> &Log {
         &self.log
@@ -304,13 +316,12 @@
         if commit <= self.commit {
             return;
         }
-        self.commit = commit;
         let entries: Vec<Entry> = self
             .log
-            .range(self.applied.next(), commit)
+            .range(self.commit.next(), commit)
             .cloned()
             .collect();
-        self.applied = commit;
+        self.commit = commit;
         out.push(Action::Apply(entries));
     }
 
--- a/crates/deckwind-core/src/replication/types.rs
+++ b/crates/deckwind-core/src/replication/types.rs
@@ -203,7 +203,8 @@
         /// [`Body::Snapshot`](super::message::Body::Snapshot) message without data.
         message: Message,
     },
-    /// Apply these committed entries in order.
+    /// Apply these committed entries in order, at any time, and record each with
+    /// [`Replica::record_applied`](super::Replica::record_applied).
     Apply(Vec<Entry>),
     /// Log and count a change of the members that this leader has started.
     LogMemberDecision(MemberDecision),
--- a/crates/deckwind-testkit/src/control_simulation.rs
+++ b/crates/deckwind-testkit/src/control_simulation.rs
@@ -7,7 +7,7 @@
 use crate::heartbeat_gaps::HeartbeatGaps;
 use crate::simulated_network::{InFlight, Requester};
 use crate::simulated_routers::SimulatedRouter;
-use crate::work_costs::{CostStopwatch, WorkCosts, WorkedTime};
+use crate::work_costs::{CostStopwatch, TimedOutbox, WorkCosts, WorkedTime};
 use deckwind_core::control::{ControlEvent, ControlLimits, OperatorReply, OperatorRequest};
 use deckwind_core::membership::{InForce, LeaseTiming};
 use deckwind_core::replication::{Entry, Index, ReplicaConfig, ReplicaId, Term, Timing};
@@ -16,7 +16,7 @@
 };
 use deckwind_core::time::Instant;
 use deckwind_store::{MemoryDisk, Store};
-use deckwindd::control::{ControlNode, Effect, MAX_OTHER_INPUTS, Now};
+use deckwindd::control::{ControlNode, Effect, MAX_OTHER_INPUTS, Now, SLICE};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -142,6 +142,8 @@
     timing: Timing,
     /// Cost of the replicas' work; none if it takes no time.
     costs: Option<WorkCosts>,
+    /// Longest time for other work than the log in one turn, if work takes time.
+    slice: Duration,
     pub(crate) heartbeats: HeartbeatGaps,
 }
 
@@ -214,6 +216,7 @@
             lease: LeaseTiming::default(),
             timing: Timing::default(),
             costs: None,
+            slice: SLICE,
             heartbeats: HeartbeatGaps::default(),
         }
     }
@@ -308,6 +311,7 @@
         if let Some(costs) = self.costs {
             let worked = node_state.worked.clone();
             node.set_stopwatch(Box::new(CostStopwatch { costs, worked }));
+            node.set_slice(self.slice);
         }
         node_state.node = Some(node);
         node_state.checked_up_to = Index(0);
@@ -510,16 +514,17 @@
         let Some(node) = &mut node_state.node else {
             return;
         };
-        let mut effects = Vec::new();
-        let before = node_state.worked.get();
-        if node.process_batch(now, batch, &mut effects).is_err() {
+        let mut outbox = TimedOutbox {
+            turn_began: self.now,
+            worked_before: node_state.worked.get(),
+            worked: node_state.worked.clone(),
+            effects: std::mem::take(&mut node_state.outbox),
+        };
+        if node.process_batch(now, batch, &mut outbox).is_err() {
             node_state.node = None;
         }
-        let done = self.now + (node_state.worked.get() - before);
-        node_state.busy_until = done;
-        node_state
-            .outbox
-            .extend(effects.into_iter().map(|e| (done, e)));
+        node_state.busy_until = outbox.time();
+        node_state.outbox = outbox.effects;
         self.send_effects(slot);
     }
 
--- a/crates/deckwind-testkit/src/work_costs.rs
+++ b/crates/deckwind-testkit/src/work_costs.rs
@@ -5,6 +5,9 @@
 //! standstill can be shown and repeats with its seed.
 
 use deckwind_core::control::{Stopwatch, WorkUnit};
+use deckwind_core::time::Instant;
+use deckwindd::control::{Effect, EffectSink};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -61,6 +64,29 @@
     }
 }
 
+/// Effects of a replica, each with the time at which it leaves.
+pub(crate) struct TimedOutbox {
+    /// Time at which the replica's turn began.
+    pub turn_began: Instant,
+    /// Time worked before the turn.
+    pub worked_before: Duration,
+    pub worked: WorkedTime,
+    pub effects: VecDeque<(Instant, Effect)>,
+}
+
+impl TimedOutbox {
+    /// Returns the time that the replica's work has taken it to.
+    pub fn time(&self) -> Instant {
+        self.turn_began + (self.worked.get() - self.worked_before)
+    }
+}
+
+impl EffectSink for TimedOutbox {
+    fn perform(&mut self, effect: Effect) {
+        self.effects.push_back((self.time(), effect));
+    }
+}
+
 /// Stopwatch that goes on by the costs of the work done, and stands still otherwise.
 pub(crate) struct CostStopwatch {
     pub costs: WorkCosts,
--- a/crates/deckwind-testkit/tests/testsuite/busy_leaders.rs
+++ b/crates/deckwind-testkit/tests/testsuite/busy_leaders.rs
@@ -150,7 +150,7 @@
 /// whatever the work is, and do it.
 #[parameterized(
     reports = { 1, Load::Reports, WorkCosts::SMALL_VM },
-    reports_without_suspects = { 2, Load::Reports, WITHOUT_SUSPECTS },
+    cheap_reports = { 2, Load::Reports, WITHOUT_SUSPECTS },
     claims = { 3, Load::Claims, WITHOUT_SUSPECTS },
     rounds = { 4, Load::Rounds, WITHOUT_SUSPECTS },
 )]
--- a/crates/deckwindd/src/control/handle.rs
+++ b/crates/deckwindd/src/control/handle.rs
@@ -97,6 +97,11 @@
         *age = (*age).max(queued.elapsed());
         self.inputs.push(input);
     }
+
+    fn unless_stopped(self) -> Option<Self> {
+        let must_stop = self.inputs.iter().any(|i| matches!(i, Input::Stop));
+        (!must_stop).then_some(self)
+    }
 }
 
 /// Returns whether an input goes through the queue of the replicated log.
@@ -130,6 +135,15 @@
 }
 
 impl Inbox {
+    /// Returns the messages of the log that have been received, up to a bound, without
+    /// waiting. Returns `None` when the driver must stop.
+    pub fn gather_log(&self) -> Option<InputBatch> {
+        let mut batch = InputBatch::default();
+        let log = self.log.try_iter().take(MAX_LOG_INPUTS);
+        log.for_each(|input| batch.push(input));
+        batch.unless_stopped()
+    }
+
     /// Waits for at most `tick` and returns the inputs received: a bounded number of
     /// messages of the log, then a bounded number of other inputs. Returns `None` when
     /// the driver must stop.
@@ -144,7 +158,6 @@
         let log = self.log.try_iter().take(MAX_LOG_INPUTS);
         let others = self.others.try_iter().take(MAX_OTHER_INPUTS);
         log.chain(others).for_each(|input| batch.push(input));
-        let must_stop = batch.inputs.iter().any(|i| matches!(i, Input::Stop));
-        (!must_stop).then_some(batch)
+        batch.unless_stopped()
     }
 }
--- a/crates/deckwindd/src/control/mod.rs
+++ b/crates/deckwindd/src/control/mod.rs
@@ -8,8 +8,11 @@
 //!                              └─► replies
 //! ```
 
+mod backlog;
 mod calls;
 mod driver;
+mod effect;
+mod effect_performer;
 mod engine_pace;
 mod handle;
 mod leadership;
@@ -26,8 +29,9 @@
 pub mod target_check;
 mod work_times;
 
+pub use effect::{Effect, EffectSink};
 pub use handle::{ControlHandle, Inbox, Input, InputAges, InputBatch, MAX_OTHER_INPUTS};
-pub use node::{ControlNode, Effect, Now};
+pub use node::{ControlNode, Now, SLICE};
 pub use refusals::{REFUSAL_LOG_INTERVAL, RefusalLog};
 pub use supervisor::OpenDisk;
 
--- a/crates/deckwindd/src/control/node.rs
+++ b/crates/deckwindd/src/control/node.rs
@@ -1,63 +1,45 @@
 //! Core and store of a control replica, without threads, clocks or sockets, so that
 //! tests can run it on simulated time and networks.
 //!
-//! Performs the actions of the core, in their order. A batch holds the events received
-//! since the last one; one sync covers all of its commands.
+//! A replica works in turns. Each begins with what must not wait: the messages of the
+//! replicated log and its timer, whose sends leave at once. The rest of the turn is a slice of
+//! bounded length for all other work, and what is left of that stays queued for the next turn:
 //!
 //! ```text
-//!  events ─► core ─► early sends ─► writes ─► sync ─► Synced ─► core ─► other sends, replies
-//!                                               └── repeats until no action is left ──┘
+//!  messages of the log ─► timer ─► sends, sync ─► slice of other work ─► sends, sync
+//!                                                   │ answer a renewal of a round
+//!                                                   │ or apply a committed entry
+//!                                                   └ handle an input, in turn
+//! ```
+//!
+//! Performs the actions of the core, in their order; one sync covers all commands of a slice:
+//!
+//! ```text
+//!  core ─► early sends ─► writes ─► sync ─► Synced ─► core ─► other sends, replies
+//!            └────────── repeats until no action is left ──────────┘
 //! ```
 
+use super::backlog::InputBacklog;
+use super::effect::{Effect, EffectSink};
 use super::handle::InputAges;
-use super::work_times::{SYNC, SystemStopwatch, WorkTimes, kind_of};
+use super::work_times::{QUEUED_WORK, SYNC, SystemStopwatch, WorkTimes, kind_of};
 use anyhow::{Context as _, Result};
-use deckwind_core::control::{
-    AnnouncementReport, ControlAction, ControlCore, ControlEvent, ControlLimits, HeldSilence,
-    IncarnationDecision, LimitDecision, OperatorReply, OrderBatch, PlacementOrder, RelayedRequest,
-    Stopwatch,
-};
+use deckwind_core::control::{ControlAction, ControlCore, ControlEvent, ControlLimits, Stopwatch};
 use deckwind_core::membership::LeaseTiming;
-use deckwind_core::replication::{Action, Body, Event, MemberDecision, Position, ReplicaConfig};
-use deckwind_core::state::Incarnation;
+use deckwind_core::replication::{Action, Body, Event, Position, ReplicaConfig};
 use deckwind_core::time::Instant;
 use deckwind_store::{OpenedStore, Store};
-use deckwind_wire::{ControlReply, Message};
-use std::net::SocketAddr;
-
-/// Action that the caller must perform.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Send a message to another replica.
-    Send(Message),
-    /// Forward requests of routers to the replica of this slot, the leader.
-    ForwardRequests(u32, Vec<RelayedRequest>),
-    /// Report to the replica of this slot, the leader, the targets whose announcements
-    /// this replica has received.
-    ReportAnnouncements(u32, AnnouncementReport),
-    /// Answer a router.
-    Reply(u64, ControlReply),
-    /// Answer an operator.
-    OperatorReply(u64, OperatorReply),
-    /// Send orders to a target.
-    Order(OrderBatch),
-    /// Order an engine to hold other layers.
-    Place(PlacementOrder),
-    /// Check whether this incarnation of a target still runs.
-    Check(Incarnation, SocketAddr),
-    /// Log and count a decision about an incarnation of a target.
-    LogIncarnationDecision(IncarnationDecision),
-    /// Log a target whose silence is not acted upon.
-    LogHeldSilence(HeldSilence),
-    /// Log the start, change or end of a target's rate limit.
-    LogLimitDecision(LimitDecision),
-    /// Log and count a change of the members.
-    LogMemberDecision(MemberDecision),
-    /// Query the pace of an engine.
-    ProbePace(SocketAddr),
-}
+use deckwind_wire::Message;
+use std::time::Duration;
+
+/// Interval between two ticks, and between two rounds of periodic work of a busy replica.
+pub const TICK: Duration = Duration::from_millis(10);
+
+/// Longest time for other work than the log in one turn: a small part of the interval between
+/// two heartbeats, also where the thread gets a third of a core.
+pub const SLICE: Duration = Duration::from_millis(4);
 
-/// The time of a batch.
+/// The time of a turn.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
     /// Monotonic time.
@@ -71,6 +53,11 @@
     core: ControlCore,
     store: Store,
     times: WorkTimes,
+    backlog: InputBacklog,
+    /// Longest time for other work than the log in one turn; none if all is done at once.
+    slice: Option<Duration>,
+    /// Time of the last round of periodic work.
+    maintained_at: Option<Instant>,
 }
 
 impl ControlNode {
@@ -91,8 +78,14 @@
         let mut core = ControlCore::new(cfg, lease, limits, opened.stored, snapshot, now)
             .context("the snapshot in the data folder can't be read")?;
         core.set_stopwatch(Box::new(SystemStopwatch::default()));
-        let times = WorkTimes::default();
-        Ok(Self { core, store, times })
+        Ok(Self {
+            core,
+            store,
+            times: WorkTimes::default(),
+            backlog: InputBacklog::default(),
+            slice: None,
+            maintained_at: None,
+        })
     }
 
     /// Measures the replica's work with this stopwatch from now on, in place of the clock of
@@ -101,6 +94,22 @@
         self.core.set_stopwatch(stopwatch);
     }
 
+    /// Bounds the time for other work than the log in each turn from now on, as read from the
+    /// stopwatch. What is left stays queued; see [`Self::has_work`].
+    pub fn set_slice(&mut self, slice: Duration) {
+        self.slice = Some(slice);
+    }
+
+    /// Returns whether work is left for the next turn, which should begin at once.
+    pub fn has_work(&self) -> bool {
+        !self.backlog.is_empty() || self.core.has_work()
+    }
+
+    /// Returns the number of inputs that wait for a turn.
+    pub fn queued_inputs(&self) -> usize {
+        self.backlog.len()
+    }
+
     /// Returns the control core.
     pub fn core(&self) -> &ControlCore {
         &self.core
@@ -116,7 +125,7 @@
         self.times.record_input_ages(ages);
     }
 
-    /// Processes a batch of events and appends the resulting effects to `effects`.
+    /// Queues these events and works for one turn, with the effects in their order.
     ///
     /// # Errors
     ///
@@ -126,22 +135,102 @@
         &mut self,
         now: Now,
         batch: Vec<ControlEvent>,
-        effects: &mut Vec<Effect>,
+        effects: &mut impl EffectSink,
     ) -> Result<()> {
-        let mut out = Vec::new();
         let events = batch.len();
+        let mut of_log = Vec::new();
         for event in batch {
-            self.step(now, event, &mut out);
+            match event {
+                ControlEvent::Replica(event) => of_log.push(event),
+                other => self.backlog.push(now.at, other),
+            }
+        }
+        self.run_turn(now, of_log, effects)?;
+        self.times.end_batch(events, self.core.take_work_times());
+        self.times.log_load(&self.core);
+        Ok(())
+    }
+
+    fn run_turn(
+        &mut self,
+        now: Now,
+        of_log: Vec<Event>,
+        effects: &mut dyn EffectSink,
+    ) -> Result<()> {
+        let mut out = Vec::new();
+        for event in of_log {
+            self.step(now, ControlEvent::Replica(event), &mut out);
+        }
+        self.step(now, ControlEvent::Replica(Event::Tick), &mut out);
+        self.perform_all(now, out, effects)?;
+        let is_maintained = self.run_slice(now, effects)?;
+        let is_due = self.maintained_at.is_none_or(|at| now.at.since(at) >= TICK);
+        if !is_maintained && is_due {
+            let mut out = Vec::new();
+            self.maintain(now, &mut out);
+            self.perform_all(now, out, effects)?;
         }
-        self.step(now, ControlEvent::Tick, &mut out);
+        Ok(())
+    }
+
+    /// Works until the slice is used up or nothing is left to do. Returns whether the
+    /// periodic work was done, which comes last.
+    fn run_slice(&mut self, now: Now, effects: &mut dyn EffectSink) -> Result<bool> {
+        let end = self.slice.map(|s| self.core.stopwatch_reading() + s);
+        let is_used_up = |core: &ControlCore| end.is_some_and(|t| core.stopwatch_reading() >= t);
+        let mut is_maintained = false;
+        loop {
+            let mut out = Vec::new();
+            while !is_used_up(&self.core) {
+                if self.work(now, &mut out) {
+                    continue;
+                }
+                if is_maintained {
+                    break;
+                }
+                is_maintained = true;
+                self.maintain(now, &mut out);
+            }
+            self.perform_all(now, out, effects)?;
+            if is_used_up(&self.core) || (is_maintained && !self.has_work()) {
+                return Ok(is_maintained);
+            }
+        }
+    }
+
+    /// Does one unit of the core's queued work and handles one input, so that neither keeps
+    /// the other waiting. Returns whether there was anything to do.
+    fn work(&mut self, now: Now, out: &mut Vec<ControlAction>) -> bool {
+        let begun = std::time::Instant::now();
+        let has_worked = self.core.work(now.at, now.wall_ms, out);
+        if has_worked {
+            self.times.add(QUEUED_WORK, begun.elapsed());
+        }
+        let Some(event) = self.backlog.pop(now.at) else {
+            return has_worked;
+        };
+        self.step(now, event, out);
+        true
+    }
+
+    fn maintain(&mut self, now: Now, out: &mut Vec<ControlAction>) {
+        self.maintained_at = Some(now.at);
+        self.step(now, ControlEvent::Tick, out);
+    }
+
+    /// Sends the new entries of the log and performs actions until none is left.
+    fn perform_all(
+        &mut self,
+        now: Now,
+        mut out: Vec<ControlAction>,
+        effects: &mut dyn EffectSink,
+    ) -> Result<()> {
         self.core.flush(now.at, &mut out);
         while !out.is_empty() {
             let actions = std::mem::take(&mut out);
             self.perform(now, actions, &mut out, effects)?;
             self.core.flush(now.at, &mut out);
         }
-        self.times.end_batch(events, self.core.take_work_times());
-        self.times.log_load(&self.core);
         Ok(())
     }
 
@@ -157,7 +246,7 @@
         now: Now,
         actions: Vec<ControlAction>,
         out: &mut Vec<ControlAction>,
-        effects: &mut Vec<Effect>,
+        effects: &mut dyn EffectSink,
     ) -> Result<()> {
         let mut after_sync = Vec::new();
         let mut last: Option<Position> = None;
@@ -166,7 +255,7 @@
                 ControlAction::Replica(Action::Send {
                     message,
                     needs_sync: false,
-                }) => effects.push(Effect::Send(message)),
+                }) => effects.perform(Effect::Send(message)),
                 ControlAction::Replica(Action::SaveHardState(h)) => self.store.put_hard_state(h),
                 ControlAction::Replica(Action::Append(entries)) => {
                     last = entries.last().map(|e| e.at);
@@ -203,39 +292,47 @@
         Ok(())
     }
 
-    fn perform_after_sync(&self, action: ControlAction, effects: &mut Vec<Effect>) -> Result<()> {
+    fn perform_after_sync(
+        &self,
+        action: ControlAction,
+        effects: &mut dyn EffectSink,
+    ) -> Result<()> {
         match action {
             ControlAction::Replica(Action::Send { message, .. }) => {
-                effects.push(Effect::Send(message));
+                effects.perform(Effect::Send(message));
             }
             ControlAction::Replica(Action::SendSnapshot { message }) => {
-                effects.extend(self.with_snapshot(message)?.map(Effect::Send));
+                if let Some(message) = self.with_snapshot(message)? {
+                    effects.perform(Effect::Send(message));
+                }
             }
-            ControlAction::Reply { token, reply } => effects.push(Effect::Reply(token, reply)),
+            ControlAction::Reply { token, reply } => effects.perform(Effect::Reply(token, reply)),
             ControlAction::OperatorReply { token, reply } => {
-                effects.push(Effect::OperatorReply(token, reply));
+                effects.perform(Effect::OperatorReply(token, reply));
             }
-            ControlAction::Order(batch) => effects.push(Effect::Order(batch)),
+            ControlAction::Order(batch) => effects.perform(Effect::Order(batch)),
             ControlAction::Check {
                 incarnation,
                 address,
-            } => effects.push(Effect::Check(incarnation, address)),
-            ControlAction::LogHeldSilence(held) => effects.push(Effect::LogHeldSilence(held)),
+            } => effects.perform(Effect::Check(incarnation, address)),
+            ControlAction::LogHeldSilence(held) => effects.perform(Effect::LogHeldSilence(held)),
             ControlAction::LogIncarnationDecision(note) => {
-                effects.push(Effect::LogIncarnationDecision(note))
+                effects.perform(Effect::LogIncarnationDecision(note))
+            }
+            ControlAction::LogLimitDecision(note) => {
+                effects.perform(Effect::LogLimitDecision(note))
             }
-            ControlAction::LogLimitDecision(note) => effects.push(Effect::LogLimitDecision(note)),
             ControlAction::Replica(Action::LogMemberDecision(decision)) => {
-                effects.push(Effect::LogMemberDecision(decision));
+                effects.perform(Effect::LogMemberDecision(decision));
             }
-            ControlAction::ProbePace { address } => effects.push(Effect::ProbePace(address)),
+            ControlAction::ProbePace { address } => effects.perform(Effect::ProbePace(address)),
             ControlAction::ForwardRequests { slot, requests } => {
-                effects.push(Effect::ForwardRequests(slot, requests));
+                effects.perform(Effect::ForwardRequests(slot, requests));
             }
             ControlAction::ReportAnnouncements { slot, heard } => {
-                effects.push(Effect::ReportAnnouncements(slot, heard));
+                effects.perform(Effect::ReportAnnouncements(slot, heard));
             }
-            ControlAction::Place(order) => effects.push(Effect::Place(order)),
+            ControlAction::Place(order) => effects.perform(Effect::Place(order)),
             _ => {}
         }
         Ok(())
--- a/crates/deckwindd/src/control/supervisor.rs
+++ b/crates/deckwindd/src/control/supervisor.rs
@@ -4,8 +4,9 @@
 //! again from the contents of its data folder, as after a restart of the process, once
 //! the folder can be opened.
 
-use super::driver::{Driver, TICK};
+use super::driver::Driver;
 use super::handle::{ControlHandle, Inbox};
+use super::node::TICK;
 use super::peers::Senders;
 use crate::context::Context;
 use anyhow::{Context as _, Result};
--- a/crates/deckwindd/src/control/work_times.rs
+++ b/crates/deckwindd/src/control/work_times.rs
@@ -20,6 +20,10 @@
 /// Kind under which the time of writing and syncing the log is added.
 pub const SYNC: &str = "sync";
 
+/// Kind under which the time of applying committed entries and of answering rounds of
+/// renewals is added.
+pub const QUEUED_WORK: &str = "queued";
+
 /// Stopwatch on the clock of the operating system.
 pub struct SystemStopwatch(Instant);
 
