Bystanders' model derives a list again that awaits answers; lines of former leaders

Its poison contents stayed listed and were not refused. Change: the model does as the leader does, as that of poison_part_storms; no check changed. Run: bystanders, crash_waves::a_part_at_fault: 13 passed.

leadership.rs: the lines `deposed` and `leader_silent` of a former leader counted from the last contact before it led (62 s for 10 s in office, seen by the rig). They count from the last heartbeat sent or received now; read, no test.

--- a/crates/deckwind-testkit/tests/testsuite/bystanders.rs
+++ b/crates/deckwind-testkit/tests/testsuite/bystanders.rs
@@ -10,7 +10,7 @@
 
 use crate::quarantine::{apply, content};
 use deckwind_core::routes::InterruptedRuns;
-use deckwind_core::state::{ContentDigest, Incarnation, RequestTrait, StateMachine};
+use deckwind_core::state::{ContentDigest, Incarnation, RequestTrait, StateMachine, SuspectChange};
 use deckwind_core::time::Instant;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -166,12 +166,18 @@
             cut_runs.record_ended_incarnations(now, known_ended.clone());
             let changes = cut_runs.take_unreported_changes();
             if !changes.is_empty() {
-                apply(&mut self.state_machine, self.now_ms, changes);
-                self.agreement_known_at = self
-                    .agreement_known_at
-                    .or(Some(self.now_ms + AGREEMENT_KNOWN_AFTER_MS));
+                self.agree(changes);
             }
         }
+        // The leader derives a list again that awaits answers.
+        if self
+            .state_machine
+            .configuration()
+            .suspects()
+            .awaits_answers()
+        {
+            self.agree(Vec::new());
+        }
         if self
             .agreement_known_at
             .take_if(|at| *at <= self.now_ms)
@@ -184,6 +190,13 @@
         }
     }
 
+    fn agree(&mut self, changes: Vec<SuspectChange>) {
+        apply(&mut self.state_machine, self.now_ms, changes);
+        self.agreement_known_at = self
+            .agreement_known_at
+            .or(Some(self.now_ms + AGREEMENT_KNOWN_AFTER_MS));
+    }
+
     fn run_for(&mut self, duration_ms: u64) {
         (0..duration_ms / STEP_MS).for_each(|_| self.step());
     }
--- a/crates/deckwindd/src/control/leadership.rs
+++ b/crates/deckwindd/src/control/leadership.rs
@@ -15,7 +15,7 @@
     leader: Option<ReplicaId>,
     /// Time of the election, if this replica leads.
     elected: Option<Instant>,
-    /// Heartbeats: when this replica last sent one as the leader, or received one.
+    /// When this replica last sent a heartbeat as the leader, or received one.
     last_heartbeat: Option<Instant>,
 }
 
@@ -33,11 +33,11 @@
 impl LeadershipLog {
     /// Logs what has changed since the last call. Called after each batch.
     pub fn update(&mut self, now: Instant, replica: &Replica) {
-        self.record_heartbeats(replica);
         let role = replica.role();
         if role != self.role {
             self.log_role(now, replica);
         }
+        self.record_heartbeats(replica);
         self.role = role;
         self.elected = replica.leader_since();
         if let Some(leader) = replica.leader() {
@@ -50,7 +50,7 @@
         let direction = if is_leader { "sent" } else { "received" };
         let at = match is_leader {
             true => replica.last_heartbeat(),
-            false => Some(replica.last_leader_contact()),
+            false => self.last_heartbeat.max(Some(replica.last_leader_contact())),
         };
         let before = std::mem::replace(&mut self.last_heartbeat, at);
         let gap = match (before, at) {
@@ -105,10 +105,13 @@
     /// Logs why this replica stands for election.
     fn log_silent_leader(&self, now: Instant, replica: &Replica) {
         let leader = self.leader.map_or("nobody".into(), |l| l.to_string());
+        let silent = self
+            .last_heartbeat
+            .map_or(Duration::ZERO, |at| now.since(at));
         log::info!(
             "event=leader_silent leader={leader} term={} silent_ms={}",
             replica.term().0,
-            now.since(replica.last_leader_contact()).as_millis()
+            silent.as_millis()
         );
     }
 }
